--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target works on a fresh machine with Python 3.11 and pip.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := packages/mimosamux-wire packages/mimosamux-daemon packages/mimosamux-cli packages/mimosamux-standins
+
+.PHONY: venv serve local test bench format clean
+
+venv: $(STAMP)
+
+$(STAMP): requirements.txt $(PACKAGES:=/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $(STAMP)
+
+serve: venv
+	$(BIN)/mimosamuxd serve --settings examples/embedded.yaml
+
+local: venv
+	$(BIN)/python -m mimosamux_standins local
+
+test: venv
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python -m nose2
+
+bench: venv
+	$(BIN)/python -m benchmarks
+
+format: venv
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of mimosamux."""
--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,1 @@
+"""Runs every benchmark."""
--- /dev/null
+++ b/packages/mimosamux-cli/mimosamux_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operator and caller command line."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The mimosamux daemon."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports: HTTP, thrift and in memory."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP routes for callers, operators and monitoring."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/models.py
@@ -0,0 +1,64 @@
+"""Validated models of what callers send."""
+
+from typing import Any, TypeVar
+
+import pydantic
+
+from mimosamux_daemon.errors import InvalidRequest
+
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_LIMIT = 65_536
+
+
+class ChatMessage(pydantic.BaseModel):
+    """One message of a conversation."""
+
+    role: str = pydantic.Field(min_length=1, max_length=32)
+    content: str
+
+
+class _GenerationBody(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='allow')
+
+    model: str = pydantic.Field(min_length=1)
+    max_tokens: int = pydantic.Field(
+        default=DEFAULT_MAX_TOKENS, ge=1, le=MAX_TOKENS_LIMIT
+    )
+    stream: bool = False
+
+    @property
+    def parameters(self) -> dict[str, Any]:
+        """Fields that are passed to the engine unread."""
+        return dict(self.model_extra or {})
+
+
+class ChatBody(_GenerationBody):
+    """Body of `POST /v1/chat/completions`."""
+
+    messages: tuple[ChatMessage, ...] = pydantic.Field(min_length=1)
+
+    @property
+    def prompt(self) -> str:
+        """Canonical text: each message behind its role."""
+        return '\n'.join(
+            f'{message.role}: {message.content}' for message in self.messages
+        )
+
+
+class CompletionBody(_GenerationBody):
+    """Body of `POST /v1/completions`."""
+
+    prompt: str = pydantic.Field(min_length=1)
+
+
+BodyT = TypeVar('BodyT', ChatBody, CompletionBody)
+
+
+def parse_body(kind: type[BodyT], data: bytes) -> BodyT:
+    """Return the checked body; `InvalidRequest` names a wrong field."""
+    try:
+        return kind.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        path = '.'.join(str(part) for part in first['loc']) or '$'
+        raise InvalidRequest(path=path, problem=first['msg']) from error
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/streams.py
@@ -0,0 +1,85 @@
+"""Server-sent events of a model request."""
+
+from collections.abc import AsyncIterator, Mapping
+
+import orjson
+
+from mimosamux_daemon.api.errors import outcome_body
+from mimosamux_daemon.domain.outcomes import Answered
+from mimosamux_daemon.serving.requests import ActiveRequest
+
+DONE = b'data: [DONE]\n\n'
+
+
+def event_id(active: ActiveRequest, offset: int) -> str:
+    """Return the id of the event that ends at `offset` tokens."""
+    return f'{active.request.id}:{offset}'
+
+
+def parse_event_id(text: str) -> tuple[str, int] | None:
+    """Return request id and offset of an event id, None if malformed."""
+    request, colon, offset = text.rpartition(':')
+    if not (colon and request and offset.isdecimal()):
+        return None
+    return request, int(offset)
+
+
+def chunk(
+    active: ActiveRequest, text: str, finish_reason: str | None
+) -> dict[str, object]:
+    """Return one chunk in the form that callers know."""
+    return {
+        'id': active.request.id,
+        'object': 'chat.completion.chunk',
+        'model': active.request.model,
+        'choices': [
+            {
+                'index': 0,
+                'delta': {'content': text} if text else {},
+                'text': text,
+                'finish_reason': finish_reason,
+            }
+        ],
+    }
+
+
+async def stream_events(
+    active: ActiveRequest, offset: int
+) -> AsyncIterator[bytes]:
+    """Yield events from `offset` on, with all that is ready in each."""
+    active.readers += 1
+    try:
+        while True:
+            await active.wait_beyond(offset)
+            if len(active.tokens) > offset:
+                text = ''.join(active.tokens[offset:])
+                offset = len(active.tokens)
+                yield _event(
+                    event_id(active, offset), chunk(active, text, None)
+                )
+            if active.has_ended and len(active.tokens) <= offset:
+                break
+    finally:
+        active.readers -= 1
+    for last in _last_events(active, offset):
+        yield last
+
+
+def _last_events(active: ActiveRequest, offset: int) -> list[bytes]:
+    identity = event_id(active, offset)
+    if active.moved is not None:
+        body = {'address': active.moved.address, 'last_event_id': identity}
+        return [_event(identity, body, name='moved')]
+    if isinstance(active.outcome, Answered):
+        final = chunk(active, '', active.outcome.finish_reason)
+        return [_event(identity, final), DONE]
+    return [_event(identity, outcome_body(active.outcome), name='error')]
+
+
+def _event(
+    identity: str, body: Mapping[str, object], *, name: str | None = None
+) -> bytes:
+    head = f'event: {name}\n' if name else ''
+    return f'{head}id: {identity}\ndata: '.encode() + (
+        orjson.dumps(body) + b'\n\n'
+    )
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/__init__.py
@@ -0,0 +1,1 @@
+"""What the daemons share: configuration, membership, planning."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
@@ -0,0 +1,153 @@
+"""Validated models of the configuration that operators offer."""
+
+import math
+
+import pydantic
+
+from mimosamux_daemon.domain.configuration import (
+    Configuration,
+    ModelSpec,
+    ServiceSpec,
+)
+from mimosamux_daemon.domain.names import (
+    AccountId,
+    ClassName,
+    DataCentreName,
+    ModelName,
+    ServiceName,
+)
+from mimosamux_daemon.domain.work import Account, WorkClass
+from mimosamux_daemon.errors import InvalidConfiguration
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class ClassModel(_Strict):
+    """A class of work; the targets are all that operators set."""
+
+    first_token_s: float = pydantic.Field(gt=0)
+    token_interval_s: float = pydantic.Field(default=0.033, gt=0)
+    cost_ceiling_per_hour: float = pydantic.Field(default=math.inf, gt=0)
+    deadline_s: float = pydantic.Field(default=600.0, gt=0)
+    priority: int = pydantic.Field(default=0, ge=-100, le=100)
+    durable: bool = False
+    repeatable: bool = True
+    cancel_when_gone: bool = False
+    retry_share: float = pydantic.Field(default=0.1, ge=0, le=1)
+    recompute_weight: float = pydantic.Field(default=1.0, ge=0)
+
+    @pydantic.model_validator(mode='after')
+    def _check_times(self) -> 'ClassModel':
+        if self.deadline_s <= self.first_token_s:
+            raise ValueError('deadline_s has to be above first_token_s')
+        return self
+
+
+class AccountModel(_Strict):
+    """A client account."""
+
+    key_digests: tuple[str, ...] = pydantic.Field(min_length=1)
+    share: float = pydantic.Field(default=1.0, gt=0)
+    max_open: int = pydantic.Field(default=1000, gt=0)
+
+    @pydantic.field_validator('key_digests')
+    @classmethod
+    def _check_digests(cls, digests: tuple[str, ...]) -> tuple[str, ...]:
+        for digest in digests:
+            if len(digest) != 64 or set(digest) - set('0123456789abcdef'):
+                raise ValueError('a key is kept as its SHA-256 in hex')
+        return digests
+
+
+class ModelModel(_Strict):
+    """A model that endpoints serve."""
+
+    version: str = pydantic.Field(min_length=1)
+    machine_classes: tuple[str, ...] = pydantic.Field(
+        default=('standard',), min_length=1
+    )
+    size_bytes: int = pydantic.Field(default=0, ge=0)
+    checks_fencing: bool = False
+
+
+class ServiceModel(_Strict):
+    """A plain service."""
+
+    work_class: str
+
+
+class ConfigurationModel(_Strict):
+    """The whole configuration, as offered."""
+
+    classes: dict[str, ClassModel] = pydantic.Field(default_factory=dict)
+    accounts: dict[str, AccountModel] = pydantic.Field(default_factory=dict)
+    models: dict[str, ModelModel] = pydantic.Field(default_factory=dict)
+    services: dict[str, ServiceModel] = pydantic.Field(default_factory=dict)
+    data_centres: tuple[str, ...] = ()
+    cost_weight: float = pydantic.Field(default=1.0, ge=0)
+    recompute_weight: float = pydantic.Field(default=1.0, ge=0)
+
+
+def parse_configuration(document: object, *, version: int) -> Configuration:
+    """Return the checked value of a document that operators offer.
+
+    `InvalidConfiguration` names the field that is wrong.
+    """
+    try:
+        model = ConfigurationModel.model_validate(document)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        path = '.'.join(str(part) for part in first['loc']) or '$'
+        raise InvalidConfiguration(path=path, problem=first['msg']) from error
+    _check_references(model)
+    return _as_configuration(model, version)
+
+
+def _check_references(model: ConfigurationModel) -> None:
+    for name, service in model.services.items():
+        if service.work_class not in model.classes:
+            raise InvalidConfiguration(
+                path=f'services.{name}.work_class',
+                problem=f'there is no class {service.work_class!r}',
+            )
+    owners: dict[str, str] = {}
+    for name, account in model.accounts.items():
+        for digest in account.key_digests:
+            if owners.setdefault(digest, name) != name:
+                raise InvalidConfiguration(
+                    path=f'accounts.{name}.key_digests',
+                    problem=f'{owners[digest]} has the same key',
+                )
+
+
+def _as_configuration(
+    model: ConfigurationModel, version: int
+) -> Configuration:
+    return Configuration(
+        version=version,
+        classes={
+            ClassName(name): WorkClass(name=ClassName(name), **dict(item))
+            for name, item in model.classes.items()
+        },
+        accounts={
+            AccountId(name): Account(id=AccountId(name), **dict(item))
+            for name, item in model.accounts.items()
+        },
+        models={
+            ModelName(name): ModelSpec(name=ModelName(name), **dict(item))
+            for name, item in model.models.items()
+        },
+        services={
+            ServiceName(name): ServiceSpec(
+                name=ServiceName(name), work_class=ClassName(item.work_class)
+            )
+            for name, item in model.services.items()
+        },
+        data_centres=tuple(
+            DataCentreName(name) for name in model.data_centres
+        ),
+        cost_weight=model.cost_weight,
+        recompute_weight=model.recompute_weight,
+    )
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/__init__.py
@@ -0,0 +1,1 @@
+"""From an offered request to its one full answer."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -0,0 +1,144 @@
+"""Settings of one daemon, read from YAML and checked at the border."""
+
+import pathlib
+from dataclasses import dataclass
+
+import pydantic
+import yaml
+
+from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.errors import InvalidSettings
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+class PeerModel(_Strict):
+    """A daemon that this one knows from the start."""
+
+    id: str = pydantic.Field(min_length=1, max_length=64)
+    address: str = pydantic.Field(pattern=r'^[^\s:]+:\d{1,5}$')
+
+
+class TLSModel(_Strict):
+    """Files of a certificate; they are read again when they change."""
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    authority: pathlib.Path | None = None
+
+
+class SettingsModel(_Strict):
+    """The settings file."""
+
+    daemon: str = pydantic.Field(min_length=1, max_length=64)
+    data_centre: str = pydantic.Field(min_length=1, max_length=64)
+    region: str = 'local'
+    host: str = '127.0.0.1'
+    port: int = pydantic.Field(default=0, ge=0, le=65535)
+    peer_port: int = pydantic.Field(default=0, ge=0, le=65535)
+    peers: tuple[PeerModel, ...] = ()
+    peer_secret: str = ''
+    peer_tls: TLSModel | None = None
+    tls: TLSModel | None = None
+    platform_url: str | None = None
+    embedded: bool = False
+    """Run an in-memory platform and an emulated engine in the process."""
+    operator_tokens: dict[str, str] = pydantic.Field(default_factory=dict)
+    """Role (`read` or `write`) by SHA-256 digest of the token."""
+    address_ttl_s: float = pydantic.Field(default=30.0, gt=0)
+    stop_grace_s: float = pydantic.Field(default=60.0, ge=0)
+    configuration: dict[str, object] | None = None
+    """First configuration, proposed when the platform has none."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerAddress:
+    """Where a peer's thrift link listens."""
+
+    id: DaemonId
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TLSFiles:
+    """Paths of a certificate, its key and the authority to check with."""
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    authority: pathlib.Path | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settings:
+    """Settings of one daemon; times are seconds."""
+
+    daemon: DaemonId
+    data_centre: DataCentreName
+    region: str
+    host: str
+    port: int
+    peer_port: int
+    peers: tuple[PeerAddress, ...]
+    peer_secret: str
+    peer_tls: TLSFiles | None
+    tls: TLSFiles | None
+    platform_url: str | None
+    embedded: bool
+    operator_tokens: dict[str, str]
+    address_ttl_s: float
+    stop_grace_s: float
+    configuration: dict[str, object] | None
+
+
+def parse_settings(text: str) -> Settings:
+    """Return checked settings; `InvalidSettings` names a wrong field."""
+    try:
+        model = SettingsModel.model_validate(yaml.safe_load(text))
+    except yaml.YAMLError as error:
+        raise InvalidSettings(path='$', problem=str(error)) from error
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        path = '.'.join(str(part) for part in first['loc']) or '$'
+        raise InvalidSettings(path=path, problem=first['msg']) from error
+    if not model.embedded and model.platform_url is None:
+        raise InvalidSettings(
+            path='platform_url',
+            problem='needed unless `embedded` is true',
+        )
+    return _as_settings(model)
+
+
+def _as_settings(model: SettingsModel) -> Settings:
+    return Settings(
+        daemon=DaemonId(model.daemon),
+        data_centre=DataCentreName(model.data_centre),
+        region=model.region,
+        host=model.host,
+        port=model.port,
+        peer_port=model.peer_port,
+        peers=tuple(
+            PeerAddress(id=DaemonId(peer.id), address=peer.address)
+            for peer in model.peers
+        ),
+        peer_secret=model.peer_secret,
+        peer_tls=_as_files(model.peer_tls),
+        tls=_as_files(model.tls),
+        platform_url=model.platform_url,
+        embedded=model.embedded,
+        operator_tokens=dict(model.operator_tokens),
+        address_ttl_s=model.address_ttl_s,
+        stop_grace_s=model.stop_grace_s,
+        configuration=model.configuration,
+    )
+
+
+def _as_files(model: TLSModel | None) -> TLSFiles | None:
+    if model is None:
+        return None
+    return TLSFiles(
+        certificate=model.certificate,
+        key=model.key,
+        authority=model.authority,
+    )
--- /dev/null
+++ b/packages/mimosamux-standins/mimosamux_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Development stand-ins: engine, service, platform, proxy."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of mimosamux."""
