--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
@@ -0,0 +1,64 @@
+"""Metrics of one daemon, rendered for Prometheus."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.4, 3.0, 6.0, 15.0, 60.0)
+
+
+class Metrics:
+    """Every metric of a daemon; label values are passed with each use."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests_ended = self._counter(
+            'mimosamux_requests_ended_total',
+            'Requests by work_class and outcome.',
+        )
+        self.requests_refused = self._counter(
+            'mimosamux_requests_refused_total',
+            'Refusals by work_class and reason.',
+        )
+        self.attempts_broken = self._counter(
+            'mimosamux_attempts_broken_total',
+            'Attempts that gave no whole answer, by reason.',
+        )
+        self.frames_dropped = self._counter(
+            'mimosamux_frames_dropped_total',
+            'Engine frames that were dropped, by fault.',
+        )
+        self.tokens_recomputed = self._counter(
+            'mimosamux_tokens_recomputed_total',
+            'Tokens that were computed again, by cause.',
+        )
+        self.table_rows = self._counter(
+            'mimosamux_table_rows_total',
+            'Rows read and written in the table, by mechanism and kind.',
+        )
+        self.peer_bytes = self._counter(
+            'mimosamux_peer_bytes_total',
+            'Bytes sent to other daemons, by message.',
+        )
+        self.configuration_version = self._gauge(
+            'mimosamux_configuration_version',
+            'Version of the configuration in force.',
+        )
+        self.open_requests = self._gauge(
+            'mimosamux_open_requests', 'Accepted requests not yet ended.'
+        )
+        self.first_token_s = Histogram(
+            'mimosamux_first_token_seconds',
+            'Time to the first token, by work_class.',
+            buckets=list(FIRST_TOKEN_BUCKETS_S),
+            registry=self._registry,
+        )
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text, and the HTTP headers for it."""
+        content, headers = render(self._registry, accept)
+        return content, dict(headers)
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self._registry)
