Thrift links between daemons, and the same port in memory

Daemons need authenticated, persistent links. Messages are thrift structs written as data classes; a frame carries a length and, without TLS, an HMAC over its place in the session, so that replayed or reordered frames close the link. Each peer has one task and a queue bounded in messages and bytes.

--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -0,0 +1,258 @@
+"""The `Peers` port over thrift messages in frames on TCP links."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+from mimosamux_wire import (
+    Envelope,
+    EnvelopeType,
+    LinkClosed,
+    Malformed,
+    Message,
+    Rejected,
+    decode,
+    encode,
+)
+
+from mimosamux_daemon.adapters.link_security import (
+    Link,
+    LinkSecurity,
+    Side,
+    open_link,
+)
+from mimosamux_daemon.adapters.thrift_links import OutgoingLink, write_all
+from mimosamux_daemon.domain.names import DaemonId
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.ports.peer import Handler, MessageT, PeerUnavailable
+
+log = get_log('peers')
+
+CALLS_AT_ONCE = 64
+"""Calls of one peer that are worked on together; more wait in TCP."""
+CONNECT_TIMEOUT_S = 2.0
+MAX_CONNECTIONS = 1024
+SENT_DATA_TIMEOUT_MS = 5000
+"""A link whose data nobody acknowledges for so long is broken."""
+
+
+class ThriftPeers:
+    """One outgoing link to each peer, and the links that peers open."""
+
+    def __init__(
+        self,
+        *,
+        daemon: DaemonId,
+        host: str,
+        port: int,
+        security: LinkSecurity,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self.listening = anyio.Event()
+        self.address = ''
+        """Host and port of the listener once it listens."""
+        self._daemon = daemon
+        self._host = host
+        self._port = port
+        self._security = security
+        self._metrics = metrics
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self._handlers: dict[type[Message], Callable[..., Any]] = {}
+        self._addresses_by_id: dict[DaemonId, str] = {}
+        self._links_by_id: dict[DaemonId, OutgoingLink] = {}
+        self._connections = 0
+
+    async def call(
+        self, daemon: DaemonId, message: Message, *, timeout_s: float = 2.0
+    ) -> Message | PeerUnavailable:
+        """Send a message and return the peer's answer to it."""
+        link = self._link_to(daemon)
+        if isinstance(link, PeerUnavailable):
+            return link
+        return await link.call(message, timeout_s)
+
+    async def notify(self, daemon: DaemonId, message: Message) -> None:
+        """Send a message that has no answer; it may be lost."""
+        link = self._link_to(daemon)
+        if isinstance(link, OutgoingLink):
+            link.notify(message)
+
+    def handle(self, kind: type[MessageT], handler: Handler[MessageT]) -> None:
+        """Have messages of `kind` that come in given to `handler`.
+
+        Handlers of one-way messages run one after the other for each
+        peer, so they have to be quick; calls run side by side.
+        """
+        self._handlers[kind] = handler
+
+    def set_address(self, daemon: DaemonId, address: str) -> None:
+        """Say where a peer listens; a link to elsewhere is dropped."""
+        known = self._addresses_by_id.get(daemon)
+        if known == address or daemon == self._daemon:
+            return
+        self._addresses_by_id[daemon] = address
+        if known is not None:
+            self._drop_link(daemon)
+
+    def forget(self, daemon: DaemonId) -> None:
+        """Drop the link to a daemon that is gone."""
+        self._addresses_by_id.pop(daemon, None)
+        self._drop_link(daemon)
+
+    async def run(self) -> None:
+        """Listen, and keep the links open, until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._host, local_port=self._port
+        )
+        local = listener.extra(anyio.abc.SocketAttribute.local_address)
+        self.address = f'{local[0]}:{local[1]}'
+        async with listener, anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            self.listening.set()
+            await listener.serve(self._serve, tasks)
+
+    def _link_to(self, daemon: DaemonId) -> OutgoingLink | PeerUnavailable:
+        link = self._links_by_id.get(daemon)
+        if link is not None:
+            return link
+        if self._tasks is None or daemon not in self._addresses_by_id:
+            return PeerUnavailable(daemon=daemon, reason='address not known')
+
+        async def connect() -> Link | LinkClosed:
+            return await self._connect(daemon)
+
+        link = OutgoingLink(
+            daemon=daemon, open_link=connect, count=self._count
+        )
+        self._links_by_id[daemon] = link
+        self._tasks.start_soon(link.run)
+        return link
+
+    def _drop_link(self, daemon: DaemonId) -> None:
+        link = self._links_by_id.pop(daemon, None)
+        if link is not None:
+            link.stop()
+
+    async def _connect(self, daemon: DaemonId) -> Link | LinkClosed:
+        host, _, port = self._addresses_by_id[daemon].rpartition(':')
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(host, int(port))
+        except (OSError, TimeoutError) as error:
+            return LinkClosed(reason=f'{type(error).__name__}: {error}')
+        # A peer whose machine vanished acknowledges nothing. Without this
+        # the kernel would go on sending for a quarter of an hour.
+        stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            SENT_DATA_TIMEOUT_MS,
+        )
+        link = await open_link(
+            stream,
+            me=self._daemon,
+            side=Side.INITIATOR,
+            security=self._security,
+            expected=daemon,
+        )
+        if isinstance(link, LinkClosed):
+            await anyio.aclose_forcefully(stream)
+        return link
+
+    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+        if self._connections >= MAX_CONNECTIONS:
+            await anyio.aclose_forcefully(stream)
+            return
+        self._connections += 1
+        try:
+            link = await open_link(
+                stream,
+                me=self._daemon,
+                side=Side.ACCEPTOR,
+                security=self._security,
+            )
+            reason = (
+                link.reason
+                if isinstance(link, LinkClosed)
+                else await _Incoming(
+                    link=link, handlers=self._handlers, count=self._count
+                ).run()
+            )
+            log.info('link_ended', reason=reason)
+        finally:
+            self._connections -= 1
+            with anyio.move_on_after(1, shield=True):
+                await anyio.aclose_forcefully(stream)
+
+    def _count(self, name: str, size: int) -> None:
+        if self._metrics is not None:
+            self._metrics.peer_bytes.add({'message': name}, size)
+
+
+class _Incoming:
+    """A link that a peer has opened: its messages, and our answers."""
+
+    def __init__(
+        self,
+        *,
+        link: Link,
+        handlers: dict[type[Message], Callable[..., Any]],
+        count: Callable[[str, int], None],
+    ) -> None:
+        self._link = link
+        self._handlers = handlers
+        self._count = count
+        self._writing = anyio.Lock()
+        self._places = anyio.Semaphore(CALLS_AT_ONCE)
+
+    async def run(self) -> str:
+        """Serve the peer until the link ends; return why it did."""
+        async with anyio.create_task_group() as tasks:
+            reason = await self._read(tasks)
+            tasks.cancel_scope.cancel()
+        return reason
+
+    async def _read(self, tasks: anyio.abc.TaskGroup) -> str:
+        while True:
+            payload = await self._link.reader.receive()
+            if isinstance(payload, LinkClosed):
+                return payload.reason
+            envelope = decode(payload)
+            if isinstance(envelope, Malformed):
+                return envelope.problem
+            if envelope.type is EnvelopeType.CALL:
+                await self._places.acquire()
+                tasks.start_soon(self._answer, envelope, tasks.cancel_scope)
+            elif envelope.type is EnvelopeType.ONEWAY:
+                await self._give(envelope)
+
+    async def _answer(
+        self, envelope: Envelope, scope: anyio.CancelScope
+    ) -> None:
+        try:
+            answer = await self._give(envelope)
+        finally:
+            self._places.release()
+        kind = EnvelopeType.REPLY
+        if answer is None:
+            kind = EnvelopeType.REJECTION
+            answer = Rejected(problem=f'no answer to {envelope.name!r}')
+        payload = encode(answer, kind, envelope.sequence)
+        self._count(type(answer).__name__, len(payload))
+        async with self._writing:
+            frame = self._link.writer.seal(payload)
+            if not await write_all(self._link.stream, frame):
+                scope.cancel()
+
+    async def _give(self, envelope: Envelope) -> Message | None:
+        message = envelope.message
+        handler = self._handlers.get(type(message)) if message else None
+        if handler is None:
+            # A newer daemon beside this one during a rolling replacement
+            # may send what this one does not know; that harms nothing.
+            log.info('message_unknown', message=envelope.name)
+            return None
+        work: Awaitable[Message | None] = handler(self._link.daemon, message)
+        return await work
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -1,5 +1,75 @@
 """Messages between mimosamux daemons."""
 
-from mimosamux_wire.messages import Acknowledged, Message
+from mimosamux_wire.configuration_messages import (
+    CommittedVersion,
+    ConfigurationFetch,
+    ConfigurationPush,
+    ConfigurationState,
+)
+from mimosamux_wire.envelopes import (
+    MAX_MESSAGE_BYTES,
+    MAX_SEQUENCE,
+    Envelope,
+    EnvelopeType,
+    Malformed,
+    decode,
+    encode,
+)
+from mimosamux_wire.frames import (
+    MAX_FRAME_BYTES,
+    FrameReader,
+    FrameWriter,
+    LinkClosed,
+)
+from mimosamux_wire.link_messages import (
+    PROTOCOL_VERSION,
+    LinkHello,
+    LinkProof,
+)
+from mimosamux_wire.membership_messages import (
+    DataCentreSummary,
+    Heartbeat,
+    MemberRecord,
+    MembersFetch,
+    MembersKnown,
+    SummaryExchange,
+    Superseded,
+)
+from mimosamux_wire.messages import (
+    MESSAGES_BY_NAME,
+    Acknowledged,
+    Message,
+    Rejected,
+)
 
-__all__ = ['Acknowledged', 'Message']
+__all__ = [
+    'MAX_FRAME_BYTES',
+    'MAX_MESSAGE_BYTES',
+    'MAX_SEQUENCE',
+    'MESSAGES_BY_NAME',
+    'PROTOCOL_VERSION',
+    'Acknowledged',
+    'CommittedVersion',
+    'ConfigurationFetch',
+    'ConfigurationPush',
+    'ConfigurationState',
+    'DataCentreSummary',
+    'Envelope',
+    'EnvelopeType',
+    'FrameReader',
+    'FrameWriter',
+    'Heartbeat',
+    'LinkClosed',
+    'LinkHello',
+    'LinkProof',
+    'Malformed',
+    'MemberRecord',
+    'MembersFetch',
+    'MembersKnown',
+    'Message',
+    'Rejected',
+    'SummaryExchange',
+    'Superseded',
+    'decode',
+    'encode',
+]
--- /dev/null
+++ b/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
@@ -0,0 +1,153 @@
+"""Messages with which daemons know of each other."""
+
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+from thrift.Thrift import TType
+
+from mimosamux_wire.messages import Message
+
+
+def _list_of(kind: type[Message]) -> tuple[Any, ...]:
+    return (TType.STRUCT, [kind, kind.thrift_spec], False)
+
+
+@dataclass(kw_only=True, slots=True)
+class MemberRecord(Message):
+    """A daemon as it describes itself, or as another one knows it."""
+
+    id: str = ''
+    data_centre: str = ''
+    address: str = ''
+    caller_address: str = ''
+    incarnation: int = 0
+    state: int = 0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'id', 'UTF8', ''),
+        (2, TType.STRING, 'data_centre', 'UTF8', ''),
+        (3, TType.STRING, 'address', 'UTF8', ''),
+        (4, TType.STRING, 'caller_address', 'UTF8', ''),
+        (5, TType.I64, 'incarnation', None, 0),
+        (6, TType.I32, 'state', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class DataCentreSummary(Message):
+    """What other data centres are told about one, in brief."""
+
+    data_centre: str = ''
+    sequence: int = 0
+    """Goes up with each summary; an older one changes nothing."""
+    configuration_version: int = 0
+    lowest_version: int = 0
+    """Version that all ready daemons of the data centre hold."""
+    members_digest: int = 0
+    """Hash of the member records; a new one is worth a fetch."""
+    load: int = 0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'data_centre', 'UTF8', ''),
+        (2, TType.I64, 'sequence', None, 0),
+        (3, TType.I64, 'configuration_version', None, 0),
+        (4, TType.I64, 'lowest_version', None, 0),
+        (5, TType.I64, 'members_digest', None, 0),
+        (6, TType.I32, 'load', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class Heartbeat(Message):
+    """Sign of life to the daemons of the same data centre."""
+
+    sender: MemberRecord = field(default_factory=MemberRecord)
+    configuration_version: int = 0
+    load: int = 0
+    """Share of the daemon's capacity that is in use, in thousandths."""
+    suspects: list[str] = field(default_factory=list)
+    """Daemons that the sender has not heard from in time."""
+    summaries: list[DataCentreSummary] = field(default_factory=list)
+    """Other data centres to which the sender keeps a link."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (
+            1,
+            TType.STRUCT,
+            'sender',
+            [MemberRecord, MemberRecord.thrift_spec],
+            None,
+        ),
+        (2, TType.I64, 'configuration_version', None, 0),
+        (3, TType.I32, 'load', None, 0),
+        (4, TType.LIST, 'suspects', (TType.STRING, 'UTF8', False), None),
+        (5, TType.LIST, 'summaries', _list_of(DataCentreSummary), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class SummaryExchange(Message):
+    """Summary of the sender's data centre; answered by the other's."""
+
+    sender: MemberRecord = field(default_factory=MemberRecord)
+    summary: DataCentreSummary = field(default_factory=DataCentreSummary)
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (
+            1,
+            TType.STRUCT,
+            'sender',
+            [MemberRecord, MemberRecord.thrift_spec],
+            None,
+        ),
+        (
+            2,
+            TType.STRUCT,
+            'summary',
+            [DataCentreSummary, DataCentreSummary.thrift_spec],
+            None,
+        ),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class MembersFetch(Message):
+    """Asks for the members of a data centre, or of all with ''."""
+
+    sender: MemberRecord = field(default_factory=MemberRecord)
+    data_centre: str = ''
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (
+            1,
+            TType.STRUCT,
+            'sender',
+            [MemberRecord, MemberRecord.thrift_spec],
+            None,
+        ),
+        (2, TType.STRING, 'data_centre', 'UTF8', ''),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class MembersKnown(Message):
+    """Answer to a fetch: member records and the digest they make."""
+
+    members: list[MemberRecord] = field(default_factory=list)
+    summaries: list[DataCentreSummary] = field(default_factory=list)
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.LIST, 'members', _list_of(MemberRecord), None),
+        (2, TType.LIST, 'summaries', _list_of(DataCentreSummary), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class Superseded(Message):
+    """Tells a daemon that a newer process runs under its name."""
+
+    incarnation: int = 0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.I64, 'incarnation', None, 0),
+    )
--- /dev/null
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -0,0 +1,92 @@
+// Messages between mimosamux daemons.
+//
+// A message travels as a thrift message (compact protocol) whose name is the
+// name of its struct, in a frame of four bytes of length (big endian), the
+// frame's tag if the link is authenticated by a shared secret, and the bytes.
+// Every field is optional for a reader; numbers are never used again.
+
+namespace py mimosamux_wire
+
+struct Acknowledged {
+}
+
+struct Rejected {
+  1: string problem
+  2: i32 code
+}
+
+struct CommittedVersion {
+  1: i64 version
+  2: binary row
+}
+
+struct ConfigurationPush {
+  1: string origin
+  2: list<CommittedVersion> versions
+}
+
+struct ConfigurationFetch {
+  1: i64 after
+}
+
+struct ConfigurationState {
+  1: i64 version
+  2: list<CommittedVersion> versions
+  3: binary snapshot
+}
+
+struct LinkHello {
+  1: string daemon
+  2: binary nonce
+  3: i32 protocol
+}
+
+struct LinkProof {
+  1: binary proof
+}
+
+struct MemberRecord {
+  1: string id
+  2: string data_centre
+  3: string address
+  4: string caller_address
+  5: i64 incarnation
+  6: i32 state
+}
+
+struct DataCentreSummary {
+  1: string data_centre
+  2: i64 sequence
+  3: i64 configuration_version
+  4: i64 lowest_version
+  5: i64 members_digest
+  6: i32 load
+}
+
+struct Heartbeat {
+  1: MemberRecord sender
+  2: i64 configuration_version
+  3: i32 load
+  4: list<string> suspects
+  5: list<DataCentreSummary> summaries
+}
+
+struct SummaryExchange {
+  1: MemberRecord sender
+  2: DataCentreSummary summary
+}
+
+struct MembersFetch {
+  1: MemberRecord sender
+  2: string data_centre
+}
+
+struct MembersKnown {
+  1: list<MemberRecord> members
+  2: list<DataCentreSummary> summaries
+}
+
+struct Superseded {
+  1: i64 incarnation
+}
+
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,271 @@
+"""Links between daemons on real sockets, and what breaks them."""
+
+import contextlib
+import pathlib
+import unittest
+
+import anyio
+import mimosamux_wire as wire
+from mimosamux_daemon.adapters import thrift_links
+from mimosamux_daemon.adapters.link_security import LinkSecurity
+from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
+from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.ports import PeerUnavailable
+from mimosamux_daemon.settings import TLSFiles
+
+TLS_FOLDER = pathlib.Path(__file__).parent / 'support' / 'tls'
+SECRET = LinkSecurity(secret=b'a shared secret')
+
+
+def tls_of(name):
+    files = TLSFiles(
+        certificate=TLS_FOLDER / f'{name}.pem',
+        key=TLS_FOLDER / f'{name}.key',
+        authority=TLS_FOLDER / 'authority.pem',
+    )
+    return LinkSecurity(tls=files)
+
+
+async def answer_state(sender, message):
+    return wire.ConfigurationState(version=message.after + 1)
+
+
+def make_peers(name, *, security=SECRET, port=0):
+    return ThriftPeers(
+        daemon=name,
+        host='127.0.0.1',
+        port=port,
+        security=security,
+        metrics=Metrics(),
+    )
+
+
+@contextlib.asynccontextmanager
+async def running(*all_peers):
+    async with anyio.create_task_group() as tasks:
+        for peers in all_peers:
+            tasks.start_soon(peers.run)
+            await peers.listening.wait()
+        for peers in all_peers:
+            for other in all_peers:
+                peers.set_address(other._daemon, other.address)
+        yield tasks
+        tasks.cancel_scope.cancel()
+
+
+class Recorder:
+    """Stands between two daemons and keeps what the first one sends."""
+
+    def __init__(self, address):
+        self.address = address
+        self.data = b''
+
+    async def serve(self, stream):
+        host, port = self.address.split(':')
+        async with (
+            stream,
+            await anyio.connect_tcp(host, int(port)) as onward,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self.copy, onward, stream, False)
+            await self.copy(stream, onward, True)
+            tasks.cancel_scope.cancel()
+
+    async def copy(self, source, sink, is_kept):
+        with contextlib.suppress(
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            while True:
+                chunk = await source.receive()
+                if is_kept:
+                    self.data += chunk
+                await sink.send(chunk)
+
+
+class TestThriftPeers(unittest.TestCase):
+    def test_call_and_notice_reach_the_peer(self):
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            noticed = anyio.Event()
+
+            async def notice(sender, message):
+                self.assertEqual((sender, message.incarnation), ('one', 5))
+                noticed.set()
+
+            two.handle(wire.ConfigurationFetch, answer_state)
+            two.handle(wire.Superseded, notice)
+            async with running(one, two):
+                answer = await one.call(
+                    'two', wire.ConfigurationFetch(after=7)
+                )
+                self.assertEqual(answer, wire.ConfigurationState(version=8))
+                await one.notify('two', wire.Superseded(incarnation=5))
+                await noticed.wait()
+
+        anyio.run(check)
+
+    def test_unknown_message_is_rejected_and_the_link_lives(self):
+        """A newer daemon asks what an older one does not know.
+
+        That happens during a rolling replacement. It gets a refusal,
+        and the next call works.
+        """
+
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            two.handle(wire.ConfigurationFetch, answer_state)
+            async with running(one, two):
+                answer = await one.call('two', wire.MembersFetch())
+                self.assertIsInstance(answer, PeerUnavailable)
+                self.assertIn('rejected', answer.reason)
+                answer = await one.call('two', wire.ConfigurationFetch())
+                self.assertIsInstance(answer, wire.ConfigurationState)
+
+        anyio.run(check)
+
+    def test_wrong_secret_and_wrong_name_get_no_link(self):
+        """A process without the secret, or of another name, gets no link.
+
+        Such a one may answer at an address where a daemon was before.
+        """
+
+        async def check():
+            stranger = make_peers('one', security=LinkSecurity(secret=b'x'))
+            two, three = make_peers('two'), make_peers('three')
+            for peers in (two, three):
+                peers.handle(wire.ConfigurationFetch, answer_state)
+            async with running(stranger, two, three):
+                fetch = wire.ConfigurationFetch()
+                answer = await stranger.call('two', fetch, timeout_s=0.5)
+                self.assertIsInstance(answer, PeerUnavailable)
+                three.set_address('two', stranger.address)
+                answer = await three.call('two', fetch, timeout_s=0.5)
+                self.assertIsInstance(answer, PeerUnavailable)
+
+        anyio.run(check)
+
+    def test_recorded_session_is_useless(self):
+        """Someone records a whole session and sends it again.
+
+        The order in it must not be carried out a second time.
+        """
+
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            orders = []
+
+            async def take(sender, message):
+                orders.append(message)
+                return wire.Acknowledged()
+
+            two.handle(wire.Superseded, take)
+            async with running(one, two) as tasks:
+                recorder = Recorder(two.address)
+                listener = await anyio.create_tcp_listener(
+                    local_host='127.0.0.1'
+                )
+                tasks.start_soon(listener.serve, recorder.serve)
+                port = listener.extra(anyio.abc.SocketAttribute.local_port)
+                one.set_address('two', f'127.0.0.1:{port}')
+                await one.call('two', wire.Superseded(incarnation=1))
+                self.assertEqual(len(orders), 1)
+                host, port = two.address.split(':')
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await stream.send(recorder.data)
+                    with contextlib.suppress(
+                        anyio.EndOfStream, anyio.BrokenResourceError
+                    ):
+                        while True:
+                            await stream.receive()
+                self.assertEqual(len(orders), 1)
+
+        anyio.run(check)
+
+    def test_garbage_ends_one_link_and_not_the_daemon(self):
+        """Something that is no daemon connects to the port and talks.
+
+        The daemon hangs up on it and goes on serving its peers.
+        """
+
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            two.handle(wire.ConfigurationFetch, answer_state)
+            async with running(one, two):
+                host, port = two.address.split(':')
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await stream.send(b'GET / HTTP/1.1\r\n\r\n')
+                    with self.assertRaises(
+                        (anyio.EndOfStream, anyio.BrokenResourceError)
+                    ):
+                        while True:
+                            await stream.receive()
+                answer = await one.call('two', wire.ConfigurationFetch())
+                self.assertIsInstance(answer, wire.ConfigurationState)
+
+        anyio.run(check)
+
+    def test_peer_that_hangs_holds_no_memory(self):
+        """A peer reads nothing, as one on a frozen VM does.
+
+        Messages to it are refused at the bound.
+        """
+
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            async with running(one):
+                one.set_address('two', '127.0.0.1:9')
+                link = one._link_to('two')
+                big = wire.CommittedVersion(row=b'x' * 1_000_000)
+                taken = [link.notify(big) for _ in range(20)]
+                self.assertEqual(taken.count(True), 8)
+                self.assertLessEqual(
+                    link._queued_bytes, thrift_links.QUEUE_BYTES
+                )
+            self.assertIsNotNone(two)
+
+        anyio.run(check)
+
+    def test_link_comes_back_after_the_peer_was_replaced(self):
+        """The peer's VM is replaced; its successor listens elsewhere.
+
+        Calls go there as soon as the address is known.
+        """
+
+        async def check():
+            one = make_peers('one')
+            async with running(one):
+                for _ in range(2):
+                    two = make_peers('two')
+                    two.handle(wire.ConfigurationFetch, answer_state)
+                    async with running(two):
+                        one.set_address('two', two.address)
+                        answer = await one.call(
+                            'two', wire.ConfigurationFetch(after=1)
+                        )
+                        self.assertEqual(
+                            answer, wire.ConfigurationState(version=2)
+                        )
+
+        anyio.run(check)
+
+    def test_tls_needs_a_certificate_of_the_authority(self):
+        """A peer brings a certificate that the authority did not sign.
+
+        It gets no link, and those with the right certificate do.
+        """
+
+        async def check():
+            one = make_peers('one', security=tls_of('member'))
+            two = make_peers('two', security=tls_of('member'))
+            stranger = make_peers('three', security=tls_of('stranger'))
+            two.handle(wire.ConfigurationFetch, answer_state)
+            async with running(one, two, stranger):
+                fetch = wire.ConfigurationFetch(after=1)
+                answer = await one.call('two', fetch)
+                self.assertEqual(answer, wire.ConfigurationState(version=2))
+                answer = await stranger.call('two', fetch, timeout_s=0.5)
+                self.assertIsInstance(answer, PeerUnavailable)
+
+        anyio.run(check)
