--- a/packages/mimosamux-cli/mimosamux_cli/__init__.py
+++ b/packages/mimosamux-cli/mimosamux_cli/__init__.py
@@ -1,1 +1,5 @@
-"""Operator and caller command line."""
+"""Command line of mimosamux, for operators and callers."""
+
+from mimosamux_cli.core import main
+
+__all__ = ['main']
--- /dev/null
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -0,0 +1,315 @@
+"""The commands of `mimosamux`, one method each.
+
+The docstrings are what `--help` shows.
+"""
+
+import pathlib
+from typing import Any
+
+from mimosamux_daemon.context import Environment
+from mimosamux_daemon.control.configuration_models import parse_configuration
+from mimosamux_daemon.settings import parse_settings
+
+from mimosamux_cli.addresses import EntryAddresses, parse_seeds
+from mimosamux_cli.caller import Caller
+from mimosamux_cli.documents import (
+    as_yaml,
+    diff_documents,
+    parse_value,
+    read_document,
+)
+from mimosamux_cli.errors import UsageError
+from mimosamux_cli.operators import OperatorClient
+from mimosamux_cli.output import write_json, write_table
+
+ENTRY_VARIABLE = 'MIMOSAMUX_ENTRY'
+KEY_VARIABLE = 'MIMOSAMUX_KEY'
+TOKEN_VARIABLE = 'MIMOSAMUX_TOKEN'  # noqa: S105 - a name, not a token
+DEFAULT_WAIT_S = 30.0
+
+
+class _Group:
+    def __init__(self, *, env: Environment) -> None:
+        self._env = env
+
+    def _operator(self, entry: str | None) -> OperatorClient:
+        token = self._env.variables.get(TOKEN_VARIABLE, '')
+        headers = {'Authorization': f'Bearer {token}'}
+        return OperatorClient(
+            addresses=self._addresses(entry, headers),
+            headers=headers,
+            sleep=self._env.sleep,
+        )
+
+    def _addresses(
+        self, entry: str | None, headers: dict[str, str]
+    ) -> EntryAddresses:
+        text = entry or self._env.variables.get(ENTRY_VARIABLE)
+        return EntryAddresses(seeds=parse_seeds(text), headers=headers)
+
+    def _write(self, text: str) -> None:
+        self._env.stdout.write(text)
+
+    def _note(self, text: str) -> None:
+        print(f'mimosamux: {text}', file=self._env.stderr)
+
+
+class ConfigCommands(_Group):
+    """Show and change the configuration in force."""
+
+    def get(self, *, entry: str | None = None, json: bool = False) -> None:
+        """Show the configuration in force and its version.
+
+        Example: mimosamux config get --entry 127.0.0.1:8080
+        """
+        answer = self._operator(entry).get('configuration')
+        if json:
+            write_json(answer, self._env.stdout)
+            return
+        self._write(f'# version {answer["version"]}\n')
+        self._write(as_yaml(answer['document']))
+
+    def set(
+        self,
+        path: str,
+        value: Any,
+        *,
+        why: str = '',
+        entry: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Change one field and leave the rest as it is.
+
+        Example: mimosamux config set classes.draft.first_token_s 4.0
+        """
+        body = {'path': path, 'value': parse_value(value), 'why': why}
+        answer = self._operator(entry).change('configuration/set', body)
+        self._show_accepted(answer, json)
+
+    def apply(
+        self,
+        file: str,
+        *,
+        expected_version: int | None = None,
+        why: str = '',
+        entry: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Put a whole document in force, if nobody changed it meanwhile.
+
+        Without --expected-version the version in force now is expected.
+
+        Example: mimosamux config apply site.yaml --why 'new class'
+        """
+        document = read_document(file)
+        client = self._operator(entry)
+        if expected_version is None:
+            expected_version = client.get('configuration')['version']
+        body = {
+            'document': document,
+            'expected_version': expected_version,
+            'why': why,
+        }
+        answer = client.change('configuration/apply', body)
+        self._show_accepted(answer, json)
+
+    def diff(self, file: str, *, entry: str | None = None) -> None:
+        """Show what applying a file would change.
+
+        Example: mimosamux config diff site.yaml
+        """
+        document = read_document(file)
+        in_force = self._operator(entry).get('configuration')['document']
+        self._write(diff_documents(in_force, document, file))
+
+    def history(
+        self,
+        *,
+        limit: int = 20,
+        entry: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Show the latest accepted changes: who, what and why.
+
+        Example: mimosamux config history --limit 5
+        """
+        answer = self._operator(entry).get(
+            'configuration/history', limit=limit
+        )
+        if json:
+            write_json(answer, self._env.stdout)
+            return
+        columns = ('version', 'who', 'what', 'why')
+        rows = [[item.get(c) for c in columns] for item in answer['changes']]
+        write_table(columns, rows, self._env.stdout)
+
+    def wait(
+        self,
+        version: int,
+        *,
+        timeout_s: float = DEFAULT_WAIT_S,
+        entry: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Return once every reachable daemon has this version in force.
+
+        Example: mimosamux config wait 12
+        """
+        answer = self._operator(entry).get(
+            'configuration/wait', version=version, timeout_s=timeout_s
+        )
+        if json:
+            write_json(answer, self._env.stdout)
+            return
+        self._write(f'version {version} is in force everywhere\n')
+
+    def _show_accepted(self, answer: Any, json: bool) -> None:
+        if json:
+            write_json(answer, self._env.stdout)
+            return
+        self._write(f'accepted as version {answer["version"]}\n')
+
+
+class Commands(_Group):
+    """Operate mimosamux, and try requests.
+
+    Daemons are named by --entry HOST:PORT[,HOST:PORT] or by the variable
+    MIMOSAMUX_ENTRY. Operators set MIMOSAMUX_TOKEN, callers MIMOSAMUX_KEY.
+
+    Exit status: 0 success, 1 error, 2 wrong usage, 3 invalid input,
+    4 conflict, 5 nothing reachable, 6 refused (not run), 7 unknown
+    outcome, 130 interrupted.
+    """
+
+    def __init__(self, *, env: Environment) -> None:
+        super().__init__(env=env)
+        self.config = ConfigCommands(env=env)
+
+    def status(self, *, entry: str | None = None, json: bool = False) -> None:
+        """Show daemons, endpoints, classes against targets, and cost.
+
+        Example: mimosamux status --json
+        """
+        answer = self._operator(entry).get('status')
+        if json:
+            write_json(answer, self._env.stdout)
+            return
+        for name, rows in answer.items():
+            self._write_section(name, rows)
+
+    def drain(self, daemon: str, *, entry: str | None = None) -> None:
+        """Have a daemon hand its work over and stop.
+
+        Example: mimosamux drain entry-2
+        """
+        self._operator(entry).change('drain', {'daemon': daemon})
+        self._write(f'{daemon} is draining\n')
+
+    def audit(
+        self,
+        *,
+        kind: str | None = None,
+        who: str | None = None,
+        since: float | None = None,
+        limit: int = 50,
+        entry: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Show the audit trail, newest last.
+
+        Example: mimosamux audit --kind vm --limit 10
+        """
+        answer = self._operator(entry).get(
+            'audit', kind=kind, who=who, since=since, limit=limit
+        )
+        if json:
+            write_json(answer, self._env.stdout)
+            return
+        columns = ('at', 'kind', 'who', 'what', 'why', 'version')
+        rows = [[item.get(c) for c in columns] for item in answer['entries']]
+        write_table(columns, rows, self._env.stdout)
+
+    def addresses(
+        self, *, entry: str | None = None, json: bool = False
+    ) -> None:
+        """Show the addresses that a caller should use now, best first.
+
+        Example: mimosamux addresses --entry 127.0.0.1:8080
+        """
+        urls = list(self._addresses(entry, self._key_headers()).current())
+        if json:
+            write_json({'addresses': urls}, self._env.stdout)
+            return
+        write_table(('address',), [[url] for url in urls], self._env.stdout)
+
+    def request(
+        self,
+        prompt: str,
+        *,
+        model: str = 'demo',
+        work_class: str | None = None,
+        max_tokens: int = 256,
+        stream: bool = False,
+        key: str = '',
+        entry: str | None = None,
+        json: bool = False,
+    ) -> None:
+        """Send a prompt, follow it wherever it goes, print the answer.
+
+        The answer is printed once it is whole; with --stream as it comes.
+
+        Example: mimosamux request 'plan a trip' --model demo --stream
+        """
+        headers = self._key_headers()
+        if work_class is not None:
+            headers['X-Mimosamux-Class'] = work_class
+        caller = Caller(
+            addresses=self._addresses(entry, headers),
+            headers=headers,
+            sleep=self._env.sleep,
+            note=self._note,
+        )
+        if stream:
+            caller.show = self._write
+        answer = caller.complete(
+            {
+                'model': model,
+                'stream': True,
+                'max_tokens': max_tokens,
+                'messages': [{'role': 'user', 'content': str(prompt)}],
+            },
+            key=str(key),
+        )
+        if json:
+            body = {'request': answer.request, 'text': answer.text}
+            write_json(body, self._env.stdout)
+            return
+        self._write('\n' if stream else f'{answer.text}\n')
+
+    def check(self, file: str, *, kind: str = 'settings') -> None:
+        """Check a settings or configuration file without any daemon.
+
+        Example: mimosamux check site.yaml --kind configuration
+        """
+        if kind == 'settings':
+            settings = parse_settings(pathlib.Path(file).read_text())
+            if settings.configuration is not None:
+                parse_configuration(settings.configuration, version=1)
+        elif kind == 'configuration':
+            parse_configuration(read_document(file), version=1)
+        else:
+            raise UsageError(f'--kind {kind}: use settings or configuration')
+        self._write(f'{file}: valid\n')
+
+    def _key_headers(self) -> dict[str, str]:
+        key = self._env.variables.get(KEY_VARIABLE, '')
+        return {'Authorization': f'Bearer {key}'}
+
+    def _write_section(self, name: str, rows: Any) -> None:
+        self._write(f'{name}\n')
+        if not isinstance(rows, list):
+            self._write(f'  {rows}\n')
+            return
+        columns = list(dict.fromkeys(key for row in rows for key in row))
+        cells = [[row.get(column) for column in columns] for row in rows]
+        write_table(columns, cells, self._env.stdout)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
@@ -1,13 +1,33 @@
 """Runs an ASGI application under hypercorn on anyio."""
 
 import socket
+import ssl
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
+import anyio
 import sniffio
 from hypercorn.config import Config
 
 BACKLOG = 1024
+KEEP_ALIVE_S = 75.0
+MAX_HEADER_BYTES = 32 * 1024
+
+
+class _ServerConfig(Config):
+    """Hypercorn's settings, with a TLS context that we keep hold of."""
+
+    context: ssl.SSLContext | None = None
+
+    @property
+    def ssl_enabled(self) -> bool:
+        """Whether callers have to speak TLS."""
+        return self.context is not None
+
+    def create_ssl_context(self) -> ssl.SSLContext | None:
+        """Return the context, so that its certificate can be replaced."""
+        return self.context
 
 
 def listen(host: str, port: int) -> socket.socket:
@@ -27,14 +47,18 @@
     *,
     shutdown: Callable[[], Awaitable[None]],
     grace_s: float = 60.0,
+    context: ssl.SSLContext | None = None,
 ) -> None:
     """Serve until `shutdown` returns, then let open requests finish.
 
     The server takes the listener over and closes it.
     """
-    config = Config()
+    config = _ServerConfig()
     config.bind = [f'fd://{listener.detach()}']
+    config.context = context
     config.graceful_timeout = grace_s
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
@@ -45,4 +69,10 @@
         return
     from hypercorn.asyncio import serve
 
-    await serve(app, config, shutdown_trigger=shutdown)
+    # The server leaves the task that runs it marked as cancelled, so that
+    # the next cancel scope of that task would end in an error after a
+    # graceful stop: it gets a task of its own.
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            partial(serve, app, config, shutdown_trigger=shutdown)
+        )
--- a/packages/mimosamux-daemon/mimosamux_daemon/context.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/context.py
@@ -1,8 +1,9 @@
-"""The environment of a program: streams, and time for people."""
+"""The environment of a program: streams, variables, time for people."""
 
+import os
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import TextIO
 
@@ -15,11 +16,18 @@
     return sys.stderr
 
 
+def _variables() -> Mapping[str, str]:
+    return os.environ
+
+
 @dataclass(kw_only=True, slots=True)
 class Environment:
     """What a program meets outside itself; tests pass their own."""
 
     stdout: TextIO = field(default_factory=_stdout)
     stderr: TextIO = field(default_factory=_stderr)
+    variables: Mapping[str, str] = field(default_factory=_variables)
     wall_clock: Callable[[], float] = time.time
     """Seconds since 1970, for people; decisions use anyio's clock."""
+    sleep: Callable[[float], None] = time.sleep
+    """Waits of the command line between two tries, in seconds."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -1,6 +1,7 @@
 """Puts the parts of a daemon together and runs them."""
 
 import socket
+import ssl
 from dataclasses import dataclass, field
 
 import anyio
@@ -8,6 +9,7 @@
 from starlette.applications import Starlette
 
 from mimosamux_daemon.adapters.http_server import listen, serve_http
+from mimosamux_daemon.adapters.tls import ReloadingCertificate
 from mimosamux_daemon.api.callers import CallerRoutes
 from mimosamux_daemon.api.monitoring import MonitoringRoutes
 from mimosamux_daemon.control.configuration import ConfigurationInForce
@@ -49,6 +51,7 @@
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
         async with anyio.create_task_group() as tasks:
+            context = self._start_tls(tasks)
             app = self._build_app(tasks)
             log.info(
                 'listening',
@@ -61,9 +64,18 @@
                 listener,
                 shutdown=self.stopping.wait,
                 grace_s=self.settings.stop_grace_s,
+                context=context,
             )
+            tasks.cancel_scope.cancel()
         log.info('stopped', daemon=self.settings.daemon)
 
+    def _start_tls(self, tasks: anyio.abc.TaskGroup) -> ssl.SSLContext | None:
+        if self.settings.tls is None:
+            return None
+        certificate = ReloadingCertificate(files=self.settings.tls)
+        tasks.start_soon(certificate.run)
+        return certificate.context
+
     def _build_app(self, tasks: anyio.abc.TaskGroup) -> Starlette:
         serving = ModelServing(
             engines=self.engines,
