Accept configuration changes as a log in the platform's table

Operators race, and answers of the table get lost after the write took effect. A version is one commit of head row, change row and audit entries, checked on the head; proposals that wait together share it. A lost answer is settled by reading the log back and looking for the operation id; what cannot be settled in 5 s is reported as in doubt.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
@@ -1,9 +1,13 @@
 """Validated models of the configuration that operators offer."""
 
 import math
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import replace
+from typing import Any
 
 import pydantic
 
+from mimosamux_daemon.control.configuration_changes import Edit
 from mimosamux_daemon.domain.configuration import (
     Configuration,
     ModelSpec,
@@ -98,13 +102,70 @@
     try:
         model = ConfigurationModel.model_validate(document)
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        path = '.'.join(str(part) for part in first['loc']) or '$'
-        raise InvalidConfiguration(path=path, problem=first['msg']) from error
+        raise _as_invalid(error) from error
     _check_references(model)
     return _as_configuration(model, version)
 
 
+def parse_committed(document: object, *, version: int) -> Configuration:
+    """Return the value of a document that was accepted before.
+
+    Fields that a newer daemon knows and this one does not are left out:
+    during a rolling replacement an older daemon must not stay behind
+    because of them.
+    """
+    try:
+        model = ConfigurationModel.model_validate(document, extra='ignore')
+    except pydantic.ValidationError as error:
+        raise _as_invalid(error) from error
+    return _as_configuration(model, version)
+
+
+def update_configuration(
+    previous: Configuration,
+    document: Mapping[str, Any],
+    edits: Sequence[Edit],
+    *,
+    version: int,
+) -> Configuration:
+    """Return the value of an accepted document, given the one before.
+
+    Only edited entries are read again, so that a change costs the same
+    with ten client accounts and with ten thousand.
+    """
+    entries = {edit.path[:2] for edit in edits}
+    if previous.version != version - 1 or any(
+        len(entry) < 2 or entry[0] not in _SECTIONS for entry in entries
+    ):
+        return parse_committed(document, version=version)
+    parts: dict[str, Any] = {}
+    for section, name in entries:
+        part = parts.setdefault(section, dict(getattr(previous, section)))
+        content = document.get(section) or {}
+        if name not in content:
+            part.pop(name, None)
+            continue
+        part[name] = _parse_entry(section, name, content[name])
+    return replace(previous, version=version, **parts)
+
+
+def _parse_entry(section: str, name: str, content: object) -> Any:
+    model, build = _SECTIONS[section]
+    try:
+        parsed = model.model_validate(content, extra='ignore')
+    except pydantic.ValidationError as error:
+        raise _as_invalid(error, prefix=(section, name)) from error
+    return build(name, parsed)
+
+
+def _as_invalid(
+    error: pydantic.ValidationError, prefix: tuple[str, ...] = ()
+) -> InvalidConfiguration:
+    first = error.errors()[0]
+    path = '.'.join(str(part) for part in (*prefix, *first['loc'])) or '$'
+    return InvalidConfiguration(path=path, problem=first['msg'])
+
+
 def _check_references(model: ConfigurationModel) -> None:
     for name, service in model.services.items():
         if service.work_class not in model.classes:
@@ -127,27 +188,44 @@
 ) -> Configuration:
     return Configuration(
         version=version,
-        classes={
-            ClassName(name): WorkClass(name=ClassName(name), **dict(item))
-            for name, item in model.classes.items()
-        },
-        accounts={
-            AccountId(name): Account(id=AccountId(name), **dict(item))
-            for name, item in model.accounts.items()
-        },
-        models={
-            ModelName(name): ModelSpec(name=ModelName(name), **dict(item))
-            for name, item in model.models.items()
-        },
-        services={
-            ServiceName(name): ServiceSpec(
-                name=ServiceName(name), work_class=ClassName(item.work_class)
-            )
-            for name, item in model.services.items()
-        },
+        classes=_build_section('classes', model.classes),
+        accounts=_build_section('accounts', model.accounts),
+        models=_build_section('models', model.models),
+        services=_build_section('services', model.services),
         data_centres=tuple(
             DataCentreName(name) for name in model.data_centres
         ),
         cost_weight=model.cost_weight,
         recompute_weight=model.recompute_weight,
     )
+
+
+def _build_section(section: str, models: Mapping[str, Any]) -> dict[Any, Any]:
+    _, build = _SECTIONS[section]
+    return {name: build(name, model) for name, model in models.items()}
+
+
+def _build_class(name: str, model: ClassModel) -> WorkClass:
+    return WorkClass(name=ClassName(name), **dict(model))
+
+
+def _build_account(name: str, model: AccountModel) -> Account:
+    return Account(id=AccountId(name), **dict(model))
+
+
+def _build_model(name: str, model: ModelModel) -> ModelSpec:
+    return ModelSpec(name=ModelName(name), **dict(model))
+
+
+def _build_service(name: str, model: ServiceModel) -> ServiceSpec:
+    return ServiceSpec(
+        name=ServiceName(name), work_class=ClassName(model.work_class)
+    )
+
+
+_SECTIONS: dict[str, tuple[type[_Strict], Callable[[str, Any], Any]]] = {
+    'classes': (ClassModel, _build_class),
+    'accounts': (AccountModel, _build_account),
+    'models': (ModelModel, _build_model),
+    'services': (ServiceModel, _build_service),
+}
--- /dev/null
+++ b/tests/support/configuration.py
@@ -0,0 +1,73 @@
+"""Daemons' share in the configuration, without the daemons."""
+
+from dataclasses import dataclass, field
+
+from mimosamux_daemon.adapters.memory_object_store import MemoryObjectStore
+from mimosamux_daemon.adapters.memory_table import MemoryTable
+from mimosamux_daemon.control.configuration import (
+    ConfigurationInForce,
+    ConfigurationReplica,
+)
+from mimosamux_daemon.control.configuration_acceptor import (
+    ConfigurationAcceptor,
+    SetValue,
+)
+from mimosamux_daemon.control.configuration_log import ConfigurationLog
+from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
+
+DOCUMENT = {
+    'classes': {
+        'draft': {'first_token_s': 5.0},
+        'lookup': {'first_token_s': 0.5},
+    },
+    'models': {'itinerary': {'version': '1'}},
+    'accounts': {'school': {'key_digests': ['a' * 64]}},
+    'data_centres': ['one', 'two'],
+}
+
+
+@dataclass(kw_only=True)
+class Store:
+    """The platform's table and object store."""
+
+    table: MemoryTable = field(default_factory=MemoryTable)
+    objects: MemoryObjectStore = field(default_factory=MemoryObjectStore)
+
+    def audited_ids(self):
+        return [
+            parse_entry(row.value).id
+            for key, row in sorted(self.table.rows_by_key.items())
+            if key.startswith(AUDIT_PREFIX)
+        ]
+
+
+@dataclass(kw_only=True)
+class Participant:
+    """A replica with an acceptor over the store; keeps what it spread."""
+
+    store: Store
+    name: str = 'anna'
+    spread: list = field(default_factory=list)
+
+    def __post_init__(self):
+        self.replica = ConfigurationReplica(in_force=ConfigurationInForce())
+        self.log = ConfigurationLog(
+            table=self.store.table, objects=self.store.objects
+        )
+        self.acceptor = ConfigurationAcceptor(
+            replica=self.replica,
+            log=self.log,
+            spread=self.spread.extend,
+            wall_clock=lambda: 1_700_000_000.0,
+        )
+
+    async def set(self, operation, path, value, expected=None):
+        return await self.acceptor.propose(
+            SetValue(
+                operation=operation,
+                who=self.name,
+                path=tuple(path.split('.')),
+                value=value,
+                expected_version=expected,
+            )
+        )
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,339 @@
+"""Accepting changes of the configuration, and the log of them."""
+
+import unittest
+
+import anyio
+from mimosamux_daemon.adapters.memory_table import MemoryTable
+from mimosamux_daemon.control.configuration import Advance, parse_snapshot
+from mimosamux_daemon.control.configuration_acceptor import (
+    Accepted,
+    ApplyDocument,
+    ConflictWith,
+    Invalid,
+    StoreUnavailable,
+    Undecided,
+)
+from mimosamux_daemon.control.configuration_changes import (
+    Edit,
+    apply_edits,
+    digest_after,
+    digest_of,
+    find_differences,
+    parse_record,
+)
+from mimosamux_daemon.control.configuration_log import (
+    CHANGE_PREFIX,
+    KEPT_ROWS,
+)
+from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
+
+from tests.support.clock import run_paused
+from tests.support.configuration import DOCUMENT, Participant, Store
+
+DRAFT_TARGET = 'classes.draft.first_token_s'
+
+
+async def make_first(store=None):
+    """Return a participant whose first document is accepted."""
+    anna = Participant(store=store or Store())
+    decision = await anna.acceptor.propose(
+        ApplyDocument(
+            operation='first',
+            who='anna',
+            document=DOCUMENT,
+            expected_version=0,
+        )
+    )
+    assert decision == Accepted(version=1), decision
+    return anna
+
+
+class TableThatGoesDown(MemoryTable):
+    """Goes down right after a commit, if asked to."""
+
+    goes_down = False
+
+    async def commit(self, checks, writes):
+        outcome = await super().commit(checks, writes)
+        self.faults.down = self.faults.down or self.goes_down
+        return outcome
+
+
+async def make_second(store):
+    bo = Participant(store=store, name='bo')
+    await bo.log.catch_up(bo.replica)
+    return bo
+
+
+class TestAcceptance(unittest.TestCase):
+    def test_accepted_change_is_committed_audited_and_in_force(self):
+        async def check():
+            anna = await make_first()
+            decision = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Accepted(version=2))
+            bo = await make_second(anna.store)
+            draft = bo.replica.in_force.current.classes['draft']
+            self.assertEqual(draft.first_token_s, 4.0)
+            rows = anna.store.table.rows_by_key
+            entry = parse_entry(
+                next(
+                    row.value
+                    for key, row in rows.items()
+                    if key.startswith(AUDIT_PREFIX) and key.endswith('op-1')
+                )
+            )
+            self.assertEqual((entry.who, entry.version), ('anna', 2))
+            self.assertIn('5.0', entry.before)
+            self.assertIn('4.0', entry.after)
+
+        run_paused(check)
+
+    def test_whole_result_is_checked_and_the_field_named(self):
+        async def check():
+            anna = await make_first()
+            decision = await anna.set('op-1', DRAFT_TARGET, -1)
+            self.assertIsInstance(decision, Invalid)
+            self.assertEqual(decision.path, DRAFT_TARGET)
+            decision = await anna.set(
+                'op-2', 'services.slips', {'work_class': 'none'}
+            )
+            self.assertEqual(decision.path, 'services.slips.work_class')
+            self.assertEqual(anna.replica.version, 1)
+
+        run_paused(check)
+
+    def test_operators_who_race_on_one_field_see_who_was_first(self):
+        """Two operators change the same target, each having seen version 1.
+
+        The later one is told what the earlier one changed; nothing is
+        lost without notice.
+        """
+
+        async def check():
+            anna = await make_first()
+            bo = await make_second(anna.store)
+            await anna.set('op-1', DRAFT_TARGET, 4.0, expected=1)
+            decision = await bo.set('op-2', DRAFT_TARGET, 6.0, expected=1)
+            self.assertIsInstance(decision, ConflictWith)
+            self.assertEqual(decision.changes[0].who, 'anna')
+            self.assertIn(DRAFT_TARGET, decision.changes[0].what)
+            document = {**DOCUMENT, 'cost_weight': 2.0}
+            decision = await bo.acceptor.propose(
+                ApplyDocument(
+                    operation='op-3',
+                    who='bo',
+                    document=document,
+                    expected_version=1,
+                )
+            )
+            self.assertIsInstance(decision, ConflictWith)
+
+        run_paused(check)
+
+    def test_changes_of_different_fields_both_go_in(self):
+        """Two operators change different fields through two daemons.
+
+        Neither is sent back, and both changes are in the result.
+        """
+
+        async def check():
+            anna = await make_first()
+            bo = await make_second(anna.store)
+            decisions = []
+
+            async def change(who, *arguments):
+                decisions.append(await who.set(*arguments, expected=1))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(change, anna, 'op-1', DRAFT_TARGET, 4.0)
+                tasks.start_soon(
+                    change, bo, 'op-2', 'classes.lookup.first_token_s', 0.4
+                )
+            self.assertEqual(
+                {decision.version for decision in decisions}, {2, 3}
+            )
+            await anna.log.catch_up(anna.replica)
+            classes = anna.replica.in_force.current.classes
+            self.assertEqual(classes['draft'].first_token_s, 4.0)
+            self.assertEqual(classes['lookup'].first_token_s, 0.4)
+
+        run_paused(check)
+
+    def test_proposals_that_wait_together_share_a_commit(self):
+        async def check():
+            anna = await make_first()
+            anna.store.table.faults.delay_s = 0.1
+            before = anna.store.table.commits
+            async with anyio.create_task_group() as tasks:
+                for number in range(20):
+                    tasks.start_soon(
+                        anna.set,
+                        f'op-{number}',
+                        f'models.m{number}',
+                        {'version': '1'},
+                    )
+            self.assertLessEqual(anna.store.table.commits - before, 2)
+            self.assertEqual(len(anna.replica.document['models']), 21)
+            self.assertEqual(len(set(anna.store.audited_ids())), 21)
+
+        run_paused(check)
+
+
+class TestStoreTrouble(unittest.TestCase):
+    def test_lost_answer_is_settled_by_reading_back(self):
+        """The commit takes effect and its answer is lost.
+
+        The operator is told that the change is accepted, and it stands
+        once in the log and in the audit trail, also when repeated.
+        """
+
+        async def check():
+            anna = await make_first()
+            anna.store.table.faults.lose_next_answers = 1
+            decision = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Accepted(version=2))
+            bo = await make_second(anna.store)
+            decision = await bo.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Accepted(version=2))
+            self.assertEqual(anna.store.audited_ids(), ['first', 'op-1'])
+            self.assertEqual([r.version for r in anna.spread], [1, 2])
+
+        run_paused(check)
+
+    def test_change_is_refused_while_the_store_is_down(self):
+        """The table is down and an operator proposes a change.
+
+        It is refused as not made, and what is in force stays.
+        """
+
+        async def check():
+            anna = await make_first()
+            anna.store.table.faults.down = True
+            decision = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertIsInstance(decision, StoreUnavailable)
+            self.assertEqual(anna.replica.in_force.current.version, 1)
+
+        run_paused(check)
+
+    def test_change_in_doubt_is_said_so_and_spread_by_nobody(self):
+        """The answer to a commit is lost and then the table goes down.
+
+        Nobody can tell whether the change was made. The operator hears
+        just that, and the same operation id settles it afterwards.
+        """
+
+        async def check():
+            table = TableThatGoesDown()
+            anna = await make_first(Store(table=table))
+            table.faults.lose_next_answers = 1
+            table.goes_down = True
+            decision = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Undecided(operation='op-1'))
+            self.assertEqual(anna.replica.version, 1)
+            self.assertEqual([r.version for r in anna.spread], [1])
+            table.faults.down = False
+            table.goes_down = False
+            decision = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Accepted(version=2))
+            self.assertEqual([r.version for r in anna.spread], [1, 2])
+
+        run_paused(check)
+
+    def test_store_that_hangs_does_not_hang_the_operator(self):
+        """The table takes a minute for each answer.
+
+        The operator has an answer within seven seconds, and it is not
+        a refusal, since the commit may still be made.
+        """
+
+        async def check():
+            anna = await make_first()
+            anna.store.table.faults.delay_s = 60
+            start = anyio.current_time()
+            decision = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Undecided(operation='op-1'))
+            self.assertLess(anyio.current_time() - start, 7)
+
+        run_paused(check)
+
+
+class TestLog(unittest.TestCase):
+    def test_new_daemon_reads_snapshot_and_tail_after_compaction(self):
+        async def check():
+            anna = await make_first()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(anna.acceptor.run)
+                for number in range(1100):
+                    await anna.set(
+                        f'op-{number}', DRAFT_TARGET, 1 + number / 10
+                    )
+                await anyio.sleep(1)
+                tasks.cancel_scope.cancel()
+            rows = [
+                key
+                for key in anna.store.table.rows_by_key
+                if key.startswith(CHANGE_PREFIX)
+            ]
+            self.assertLess(len(rows), KEPT_ROWS + 256 + 1)
+            bo = await make_second(anna.store)
+            self.assertEqual(bo.replica.version, 1101)
+            self.assertEqual(bo.replica.document, anna.replica.document)
+            decision = await bo.set('op-3', DRAFT_TARGET, 4)
+            self.assertEqual(decision, Accepted(version=5))
+            self.assertEqual(len(anna.store.audited_ids()), 1101)
+
+        run_paused(check)
+
+    def test_version_never_goes_down(self):
+        async def check():
+            anna = await make_first()
+            first = anna.replica.snapshot()
+            await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertFalse(anna.replica.replace(first))
+            self.assertEqual(
+                anna.replica.advance(anna.spread[0]), Advance.KNOWN
+            )
+            self.assertEqual(anna.replica.version, 2)
+
+        run_paused(check)
+
+    def test_spoilt_snapshot_and_record_are_not_taken(self):
+        """A byte of a document was changed on its way.
+
+        A daemon that took it would serve with other targets than the
+        ones accepted, so the digest is checked first.
+        """
+
+        async def check():
+            anna = await make_first()
+            data = anna.replica.snapshot().as_bytes()
+            self.assertIsNotNone(parse_snapshot(data))
+            self.assertIsNone(parse_snapshot(data.replace(b'5.0', b'6.0')))
+            await anna.set('op-1', DRAFT_TARGET, 4.0)
+            spoilt = anna.spread[1].as_bytes().replace(b'4.0', b'4.5')
+            bo = Participant(store=anna.store)
+            bo.replica.replace(parse_snapshot(data))
+            self.assertEqual(
+                bo.replica.advance(parse_record(spoilt)), Advance.CORRUPT
+            )
+
+        run_paused(check)
+
+    def test_digest_of_a_change_equals_that_of_the_whole(self):
+        before = DOCUMENT
+        after = {
+            'classes': {'draft': {'first_token_s': 1.0}, 'new': {'a': 1}},
+            'data_centres': ['one'],
+            'cost_weight': 3.0,
+        }
+        edits = find_differences(before, after)
+        self.assertEqual(apply_edits(before, edits), after)
+        self.assertEqual(
+            digest_after(digest_of(before), before, after, edits),
+            digest_of(after),
+        )
+        whole = (Edit(path=('classes',), value={}), *edits)
+        self.assertEqual(
+            digest_after(digest_of(before), before, after, whole),
+            digest_of(after),
+        )
