--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_table.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_table.py
@@ -16,6 +16,8 @@
     Write,
 )
 
+ANSWER_LOST = Unavailable(reason='answer lost', may_have_landed=True)
+
 
 @dataclass(kw_only=True, slots=True)
 class TableFaults:
@@ -23,8 +25,21 @@
 
     down: bool = False
     delay_s: float = 0.0
+    """Time before a call takes effect."""
+    delay_after_s: float = 0.0
+    """Time between the effect of a call and its answer."""
     lose_next_answers: int = 0
     """So many commits take effect and their answers are lost."""
+    hold_next_commits: int = 0
+    """So many commits get no answer and take effect `hold_s` later."""
+    hold_s: float = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _HeldCommit:
+    due: float
+    checks: tuple[Check, ...]
+    writes: tuple[Write, ...]
 
 
 @dataclass(kw_only=True, slots=True)
@@ -36,13 +51,16 @@
     rows_read: int = 0
     rows_written: int = 0
     commits: int = 0
+    _held: list[_HeldCommit] = field(default_factory=list)
 
     async def read(self, key: str) -> Row | None | Unavailable:
         """Return the row, None where there is none."""
         if not await self._is_up():
             return Unavailable(reason='down', may_have_landed=False)
         self.rows_read += 1
-        return self.rows_by_key.get(key)
+        row = self.rows_by_key.get(key)
+        await self._delay_answer()
+        return row
 
     async def scan(
         self, prefix: str, *, after: str = '', limit: int = 1000
@@ -57,6 +75,7 @@
         )
         rows = tuple(self.rows_by_key[key] for key in keys[:limit])
         self.rows_read += len(rows)
+        await self._delay_answer()
         return rows
 
     async def commit(
@@ -65,23 +84,56 @@
         """Write all rows together if every check holds."""
         if not await self._is_up():
             return Unavailable(reason='down', may_have_landed=False)
-        for check in checks:
-            row = self.rows_by_key.get(check.key)
-            if (row.version if row else 0) != check.version:
-                return Conflict(key=check.key, found=row)
-        versions = {write.key: self._apply(write) for write in writes}
-        self.commits += 1
-        if self.faults.lose_next_answers > 0:
+        if self.faults.hold_next_commits > 0:
+            self.faults.hold_next_commits -= 1
+            self._hold(checks, writes)
+            return ANSWER_LOST
+        outcome = self._commit(checks, writes)
+        await self._delay_answer()
+        if isinstance(outcome, Committed) and self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
-            return Unavailable(reason='answer lost', may_have_landed=True)
-        return Committed(versions=versions)
+            return ANSWER_LOST
+        return outcome
 
     async def _is_up(self) -> bool:
         await anyio.lowlevel.checkpoint()
         if self.faults.delay_s:
             await anyio.sleep(self.faults.delay_s)
+        self._release_held()
         return not self.faults.down
 
+    async def _delay_answer(self) -> None:
+        if self.faults.delay_after_s:
+            await anyio.sleep(self.faults.delay_after_s)
+
+    def _hold(self, checks: Sequence[Check], writes: Sequence[Write]) -> None:
+        self._held.append(
+            _HeldCommit(
+                due=anyio.current_time() + self.faults.hold_s,
+                checks=tuple(checks),
+                writes=tuple(writes),
+            )
+        )
+
+    def _release_held(self) -> None:
+        now = anyio.current_time()
+        due = [held for held in self._held if held.due <= now]
+        self._held = [held for held in self._held if held.due > now]
+        for held in sorted(due, key=lambda each: each.due):
+            self._commit(held.checks, held.writes)
+
+    def _commit(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Committed | Conflict:
+        for check in checks:
+            row = self.rows_by_key.get(check.key)
+            if (row.version if row else 0) != check.version:
+                return Conflict(key=check.key, found=row)
+        self.commits += 1
+        return Committed(
+            versions={write.key: self._apply(write) for write in writes}
+        )
+
     def _apply(self, write: Write) -> int:
         self.rows_written += 1
         if write.value is None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/logs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/logs.py
@@ -23,5 +23,9 @@
 
 def get_log(component: str) -> structlog.typing.FilteringBoundLogger:
     """Return the logger of a component."""
-    log: structlog.typing.FilteringBoundLogger = structlog.get_logger()
-    return log.bind(component=component)
+    # Binding here would fix the configuration of this moment, which is
+    # the default: events would go to stdout until the process ends.
+    log: structlog.typing.FilteringBoundLogger = structlog.get_logger(
+        component=component
+    )
+    return log
