Recover accepted requests from reclaims, deaths and faulty frames

Cause: a request whose endpoint left or broke was prompted again at once, without a bound on retries, and an end marker below what was received was passed over, so the stream hung. Change: attempts can be interrupted with a reason; KV cache moves longest context first within the notice; a budget bounds retries; silence, gone callers and leaving endpoints are watched by one task.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
@@ -11,6 +11,7 @@
 
     ACCOUNT_BUSY = 'account_busy'
     BAD_REQUEST = 'bad_request'
+    CALLER_GONE = 'caller_gone'
     CEILING = 'cost_ceiling'
     CONFLICT = 'key_reused_with_another_body'
     DEADLINE = 'deadline'
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -1,30 +1,52 @@
-"""Accepts model requests and drives each to its one outcome."""
+"""Accepts model requests and has each driven to its one outcome."""
+
+from dataclasses import dataclass, field
 
 import anyio
 import anyio.abc
 
 from mimosamux_daemon.domain.configuration import Configuration
-from mimosamux_daemon.domain.engine import (
-    ConnectFailed,
-    EngineCall,
-    EngineRefused,
-    StreamBroken,
-    StreamEnd,
-)
-from mimosamux_daemon.domain.names import EndpointId
-from mimosamux_daemon.domain.outcomes import Answered, Failed, Reason, Refused
+from mimosamux_daemon.domain.names import AccountId, RequestId
+from mimosamux_daemon.domain.outcomes import Reason, Refused
+from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.work import ModelRequest
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports.engine import Engines
+from mimosamux_daemon.ports.request_journal import RequestJournal
 from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.drivers import (
+    DriverParts,
+    RequestDriver,
+    Suspects,
+)
 from mimosamux_daemon.serving.fleet import Fleet
-from mimosamux_daemon.serving.relay import AttemptBroken, relay_attempt
-from mimosamux_daemon.serving.requests import ActiveRequest, RequestRegistry
+from mimosamux_daemon.serving.recovery import Recovery
+from mimosamux_daemon.serving.requests import (
+    ActiveRequest,
+    RequestRegistry,
+    has_same_body,
+    was_answered,
+)
+from mimosamux_daemon.serving.retries import RetryBudget
 from mimosamux_daemon.serving.routing import Choice, Router
+from mimosamux_daemon.serving.watch import AttemptWatch
 
 log = get_log('serving')
 
-RETRY_PAUSE_S = 0.05
+FULL_RETRY_S = 2.0
+"""When to come again while answers hold all the memory there is."""
+JOURNAL_RETRY_S = 5.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandedOver:
+    """A request that another daemon had accepted, and its answer so far."""
+
+    request: ModelRequest
+    tokens: tuple[str, ...] = field(default=())
+    attempt: int = 0
+    """The last attempt there; the next one here is higher."""
 
 
 class ModelServing:
@@ -39,116 +61,224 @@
         admission: Admission,
         registry: RequestRegistry,
         tasks: anyio.abc.TaskGroup,
+        metrics: Metrics | None = None,
+        journal: RequestJournal | None = None,
+        budget: RetryBudget | None = None,
     ) -> None:
-        self._engines = engines
-        self._fleet = fleet
+        self.registry = registry
         self._router = router
         self._admission = admission
-        self._registry = registry
         self._tasks = tasks
+        self._metrics = metrics or Metrics()
+        self._journal = journal
+        self._budget = budget or RetryBudget()
+        self._drivers: dict[RequestId, RequestDriver] = {}
+        recovery = Recovery(engines=engines, fleet=fleet, router=router)
+        self._parts = DriverParts(
+            engines=engines,
+            fleet=fleet,
+            router=router,
+            budget=self._budget,
+            watch=AttemptWatch(
+                recovery=recovery, budget=self._budget, tasks=tasks
+            ),
+            metrics=self._metrics,
+            suspects=Suspects(),
+        )
 
     async def offer(
         self, request: ModelRequest, configuration: Configuration
     ) -> ActiveRequest | Refused:
-        """Accept the request, or refuse it before any of it has run."""
-        account = configuration.accounts[request.account]
-        refused = self._admission.acquire(account)
+        """Accept the request, or refuse it before any of it has run.
+
+        A request under a key that is known joins the one that has it.
+        """
+        known = self._find_known(request)
+        if known is not None:
+            return known
+        admitted = self._admit(request, configuration)
+        if isinstance(admitted, Refused):
+            self._metrics.requests_refused.inc(
+                {
+                    'work_class': request.work_class.name,
+                    'reason': str(admitted.reason),
+                }
+            )
+            return admitted
+        active = ActiveRequest(request=request)
+        self.registry.add(active)
+        refused = await self._record(active)
         if refused is not None:
+            self._admission.release(request.account)
+            active.end(refused)
+            self.registry.forget(active)
             return refused
-        choice = self._router.choose(request)
-        if isinstance(choice, Refused):
-            self._admission.release(account.id)
-            return choice
-        active = ActiveRequest(request=request)
-        self._registry.add(active)
-        self._tasks.start_soon(self._serve, active, choice)
+        self._budget.note_request(request.work_class)
+        self._start(active, admitted, is_admitted=True)
         return active
 
-    async def _serve(self, active: ActiveRequest, choice: Choice) -> None:
-        request = active.request
-        try:
-            with anyio.CancelScope(deadline=request.deadline):
-                await self._try_endpoints(active, choice)
-        finally:
-            self._admission.release(request.account)
-        if not active.has_ended:
-            active.end(
-                Failed(
-                    request=request.id,
-                    reason=Reason.DEADLINE,
-                    message='the deadline of its class passed',
-                )
+    async def take_over(
+        self, handed: HandedOver, configuration: Configuration
+    ) -> ActiveRequest | Refused:
+        """Go on with a request that a peer had accepted.
+
+        It was accepted once, so no limit refuses it here. The same
+        hand-over again changes nothing; one with a higher attempt
+        replaces the copy, because the peer has served it further.
+        """
+        request = handed.request
+        if request.account not in configuration.accounts:
+            return Refused(
+                reason=Reason.NOT_AUTHORISED,
+                message='the account is not known here',
             )
+        known = self.registry.by_id.get(request.id)
+        if known is not None:
+            if known.moved is None and known.attempt >= handed.attempt:
+                return known
+            await self._replace(known)
+        active = ActiveRequest(
+            request=request,
+            tokens=list(handed.tokens),
+            attempt=handed.attempt,
+        )
+        self.registry.add(active)
+        account = configuration.accounts[request.account]
+        is_admitted = self._admission.acquire(account) is None
+        self._start(active, None, is_admitted=is_admitted)
         log.info(
-            'request_ended',
+            'request_taken_over',
             request=request.id,
             account=request.account,
-            work_class=request.work_class.name,
-            outcome=type(active.outcome).__name__,
-            attempts=active.attempt,
-            tokens=len(active.tokens),
+            attempt=handed.attempt,
+            tokens=len(handed.tokens),
         )
+        return active
 
-    async def _try_endpoints(
-        self, active: ActiveRequest, choice: Choice | Refused
-    ) -> None:
-        excluded: frozenset[EndpointId] = frozenset()
-        while not active.has_ended:
-            if isinstance(choice, Choice):
-                await self._attempt(active, choice)
-                excluded = frozenset({choice.endpoint.id})
-            else:
-                await anyio.sleep(RETRY_PAUSE_S)
-                excluded = frozenset()
-            choice = self._router.choose(
-                active.request,
-                answer_tokens=len(active.tokens),
-                excluding=excluded,
+    async def park(self, active: ActiveRequest) -> bool:
+        """Stop adding to an answer, so that it can be handed over."""
+        driver = self._drivers.get(active.request.id)
+        if driver is None or active.has_ended:
+            return False
+        driver.is_parked = True
+        driver.scope.cancel()
+        await driver.stopped.wait()
+        return not active.has_ended
+
+    def resume(self, active: ActiveRequest) -> None:
+        """Go on with a parked request here."""
+        if not active.has_ended:
+            self._start(active, None, is_admitted=False)
+
+    def _find_known(
+        self, request: ModelRequest
+    ) -> ActiveRequest | Refused | None:
+        if request.idempotency_key is None:
+            return None
+        known = self.registry.find_key(
+            request.account, request.idempotency_key
+        )
+        if known is None:
+            return None
+        if not has_same_body(known.request, request):
+            return Refused(
+                reason=Reason.CONFLICT,
+                message='the key was used for a request with another body',
             )
+        if known.outcome is None or was_answered(known):
+            return known
+        if not request.work_class.repeatable:
+            return known
+        # It ended without an answer and may be repeated: the caller who
+        # comes back under its key wants it to run again.
+        return None
 
-    async def _attempt(self, active: ActiveRequest, choice: Choice) -> None:
+    def _admit(
+        self, request: ModelRequest, configuration: Configuration
+    ) -> Choice | Refused:
+        if self.registry.is_full:
+            return Refused(
+                reason=Reason.OVERLOADED,
+                message='the answers in progress hold all memory there is',
+                retry_after_s=FULL_RETRY_S,
+            )
+        refused = self._admission.acquire(
+            configuration.accounts[request.account]
+        )
+        if refused is not None:
+            return refused
+        suspects = self._parts.suspects.current()
+        choice = self._router.choose(request, excluding=suspects)
+        if isinstance(choice, Refused) and suspects:
+            choice = self._router.choose(request)
+        if isinstance(choice, Refused):
+            self._admission.release(request.account)
+        return choice
+
+    async def _record(self, active: ActiveRequest) -> Refused | None:
+        """Record a request of a durable class before its acceptance."""
         request = active.request
-        active.attempt += 1
-        call = EngineCall(
-            request=request.id,
-            attempt=active.attempt,
-            model=request.model,
-            prompt=request.prompt,
-            max_tokens=request.max_tokens,
-            priority=request.work_class.priority,
-            answer_so_far=tuple(active.tokens),
-            parameters=request.parameters,
+        if self._journal is None or not request.work_class.durable:
+            return None
+        recorded = await self._journal.record(request)
+        if not isinstance(recorded, Unavailable):
+            return None
+        return Refused(
+            reason=Reason.STORE_UNAVAILABLE,
+            message='the journal of accepted requests does not answer',
+            retry_after_s=JOURNAL_RETRY_S,
         )
-        endpoint = choice.endpoint
-        self._fleet.note_sent(endpoint.id, request.id, call.attempt)
+
+    async def _replace(self, known: ActiveRequest) -> None:
+        await self.park(known)
+        self.registry.forget(known)
+
+    def _start(
+        self,
+        active: ActiveRequest,
+        choice: Choice | None,
+        *,
+        is_admitted: bool,
+    ) -> None:
+        driver = RequestDriver(parts=self._parts, active=active)
+        self._drivers[active.request.id] = driver
+        self._metrics.open_requests.set({}, len(self._drivers))
+        account = active.request.account if is_admitted else None
+        self._tasks.start_soon(self._drive, driver, choice, account)
+
+    async def _drive(
+        self,
+        driver: RequestDriver,
+        choice: Choice | None,
+        account: AccountId | None,
+    ) -> None:
+        active = driver.active
         try:
-            result = await self._run_attempt(active, choice, call)
+            await driver.run(choice)
         finally:
-            self._fleet.note_finished(endpoint.id, request.id)
-        if isinstance(result, StreamEnd):
-            active.end(
-                Answered(
-                    request=request.id,
-                    text=''.join(active.tokens),
-                    tokens=len(active.tokens),
-                    finish_reason=result.finish_reason,
-                )
-            )
-            return
+            if account is not None:
+                self._admission.release(account)
+            if self._drivers.get(active.request.id) is driver:
+                del self._drivers[active.request.id]
+            self._metrics.open_requests.set({}, len(self._drivers))
+        if not driver.is_parked:
+            await self._note_ended(active)
+
+    async def _note_ended(self, active: ActiveRequest) -> None:
+        request = active.request
+        self.registry.note_ended(active)
+        outcome = type(active.outcome).__name__.lower()
+        self._metrics.requests_ended.inc(
+            {'work_class': request.work_class.name, 'outcome': outcome}
+        )
         log.info(
-            'attempt_broken',
+            'request_ended',
             request=request.id,
-            attempt=call.attempt,
-            endpoint=endpoint.id,
-            reason=result.reason,
+            account=request.account,
+            work_class=request.work_class.name,
+            outcome=outcome,
+            attempts=active.attempt,
+            tokens=len(active.tokens),
         )
-
-    async def _run_attempt(
-        self, active: ActiveRequest, choice: Choice, call: EngineCall
-    ) -> StreamEnd | AttemptBroken:
-        async with self._engines.generate(choice.endpoint, call) as stream:
-            if isinstance(
-                stream, ConnectFailed | EngineRefused | StreamBroken
-            ):
-                return AttemptBroken(reason=stream.reason)
-            return await relay_attempt(stream, call, active)
+        if self._journal is not None and request.work_class.durable:
+            await self._journal.forget(request.id)
