--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/__init__.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/__init__.py
@@ -3,7 +3,12 @@
 from mimosamux_daemon.ports.cloud import Cloud, StartRefused, StartVM
 from mimosamux_daemon.ports.engine import Engines, EngineStream, ReportStream
 from mimosamux_daemon.ports.object_store import ObjectStore
-from mimosamux_daemon.ports.peer import Handler, Peers, PeerUnavailable
+from mimosamux_daemon.ports.peer import (
+    Handler,
+    PeerLinks,
+    Peers,
+    PeerUnavailable,
+)
 from mimosamux_daemon.ports.service import (
     ServiceAnswer,
     Services,
@@ -18,6 +23,7 @@
     'Engines',
     'Handler',
     'ObjectStore',
+    'PeerLinks',
     'PeerUnavailable',
     'Peers',
     'ReportStream',
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/peer.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/peer.py
@@ -36,3 +36,13 @@
 
     def handle(self, kind: type[MessageT], handler: Handler[MessageT]) -> None:
         """Have messages of `kind` that come in given to `handler`."""
+
+
+class PeerLinks(Peers, Protocol):
+    """Links whose far ends come and go."""
+
+    def set_address(self, daemon: DaemonId, address: str) -> None:
+        """Say where a peer listens; a link to elsewhere is dropped."""
+
+    def forget(self, daemon: DaemonId) -> None:
+        """Drop the link to a daemon that is gone."""
--- a/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
@@ -38,8 +38,8 @@
     """What other data centres are told about one, in brief."""
 
     data_centre: str = ''
-    sequence: int = 0
-    """Goes up with each summary; an older one changes nothing."""
+    age_ms: int = 0
+    """Time since a daemon of that data centre stated this."""
     configuration_version: int = 0
     lowest_version: int = 0
     """Version that all ready daemons of the data centre hold."""
@@ -49,7 +49,7 @@
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'data_centre', 'UTF8', ''),
-        (2, TType.I64, 'sequence', None, 0),
+        (2, TType.I32, 'age_ms', None, 0),
         (3, TType.I64, 'configuration_version', None, 0),
         (4, TType.I64, 'lowest_version', None, 0),
         (5, TType.I64, 'members_digest', None, 0),
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -56,7 +56,7 @@
 
 struct DataCentreSummary {
   1: string data_centre
-  2: i64 sequence
+  2: i32 age_ms
   3: i64 configuration_version
   4: i64 lowest_version
   5: i64 members_digest
