--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_peers.py
@@ -21,6 +21,8 @@
 from mimosamux_daemon.errors import InvariantBroken
 from mimosamux_daemon.ports.peer import Handler, MessageT, PeerUnavailable
 
+WAKING_S = 0.05
+
 
 @dataclass(kw_only=True, slots=True)
 class NetworkFaults:
@@ -95,7 +97,11 @@
         if receiver is None:
             await anyio.sleep(math.inf)
             return None
-        await receiver.awake()
+        if not receiver.is_awake:
+            # A process that goes on after a stop runs its overdue timers
+            # before it has read what came in meanwhile.
+            await receiver.awake()
+            await anyio.sleep(WAKING_S)
         answer = await receiver.give(sender.daemon, _copy(data))
         if kind is EnvelopeType.ONEWAY or answer is None:
             return answer
@@ -175,6 +181,11 @@
         """Go on; what came in meanwhile is delivered now."""
         self._awake.set()
 
+    @property
+    def is_awake(self) -> bool:
+        """Tell whether the daemon is not paused."""
+        return self._awake.is_set()
+
     async def awake(self) -> None:
         """Return once the daemon is not paused."""
         await self._awake.wait()
