--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -42,11 +42,13 @@
         for name in others
     )
     node.peers.resume()
-    for _ in range(500):
-        await anyio.sleep(0.01)
-        for name in others:
-            if node.membership.state_of(name) is not MemberState.READY:
-                raise AssertionError(f'the woken daemon suspects {name}')
+    seen = node.membership.changes
+    with anyio.move_on_after(5):
+        while True:
+            seen = await node.membership.wait_change(seen)
+            for name in others:
+                if node.membership.state_of(name) is not MemberState.READY:
+                    raise AssertionError(f'the woken daemon suspects {name}')
     assert is_seen_as(cluster, 'two-1', MemberState.READY)
     assert node.membership.times_suspected > 0
 
