--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -34,7 +34,7 @@
         self.peers = cluster.network.join(name)
         self.in_force = cluster.make_in_force()
         self.replica = ConfigurationReplica(in_force=self.in_force)
-        self.log = ConfigurationLog(
+        self.log = cluster.log_class(
             table=cluster.store.table, objects=cluster.store.objects
         )
         self.membership = cluster.membership_class(
@@ -105,6 +105,7 @@
         sync=ConfigurationSync,
         acceptor=ConfigurationAcceptor,
         membership=Membership,
+        log=ConfigurationLog,
     ):
         self.store = Store()
         self.network = MemoryNetwork()
@@ -113,6 +114,7 @@
         self.sync_class = sync
         self.acceptor_class = acceptor
         self.membership_class = membership
+        self.log_class = log
         self.nodes_by_name = {}
         self.versions_seen = {}
         self.accepted = {}
@@ -143,10 +145,18 @@
             await self.wait_until(
                 lambda: all(node.is_ready for node in self.nodes), 20
             )
-            await anyio.sleep(12)
+            await self.wait_until(self.is_acquainted, 30)
             yield self
             tasks.cancel_scope.cancel()
 
+    def is_acquainted(self):
+        """Tell whether every daemon sees every other one as ready."""
+        return all(
+            len(node.membership.members(centre)) == size
+            for node in self.nodes
+            for centre, size in self.sizes.items()
+        )
+
     def start(self, name, data_centre):
         node = Node(self, name, data_centre)
         self.nodes_by_name[name] = node
