HTTP towards the platform and services, and stand-ins for them

Cause: the daemon reached its platform only in memory, so no test could bring about a lost answer or a cut on a real socket.

Change: adapters for table, object store, cloud, weight store and plain services; a failed connect is the only proof that nothing was sent, and a call that may not be repeated gets a connection of its own, as one that was idle may be closed just when the call is sent.

--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -0,0 +1,124 @@
+"""Plain services over HTTP."""
+
+from dataclasses import dataclass, field
+from urllib.parse import quote
+
+import httpx
+
+from mimosamux_daemon.adapters.http_platform import NOT_SENT
+from mimosamux_daemon.domain.engine import ConnectFailed
+from mimosamux_daemon.domain.http_headers import end_to_end_headers
+from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.domain.work import ServiceCall
+from mimosamux_daemon.ports.service import ServiceAnswer, ServiceUnanswered
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_CONNECTIONS = 256
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""An answer that is larger counts as none."""
+
+KEY_HEADER = 'idempotency-key'
+REQUEST_HEADER = 'x-mimosamux-request'
+OWN_HEADERS = frozenset({'host', 'content-length', KEY_HEADER, REQUEST_HEADER})
+"""Headers that the adapter sets anew for the connection it uses."""
+
+
+def _new_client(idle_connections: int) -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        timeout=httpx.Timeout(
+            None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
+        ),
+        limits=httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            max_keepalive_connections=idle_connections,
+        ),
+        trust_env=False,
+    )
+
+
+def _new_repeatable() -> httpx.AsyncClient:
+    return _new_client(MAX_CONNECTIONS)
+
+
+def _new_once() -> httpx.AsyncClient:
+    return _new_client(0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HttpServices:
+    """The `Services` port over HTTP.
+
+    A call that may not be repeated gets a connection of its own. On one
+    that was idle, the service may hang up just as the call is sent, and
+    nobody could tell whether it ran.
+    """
+
+    repeatable: httpx.AsyncClient = field(default_factory=_new_repeatable)
+    once: httpx.AsyncClient = field(default_factory=_new_once)
+
+    async def call(
+        self, endpoint: Endpoint, call: ServiceCall
+    ) -> ServiceAnswer | ConnectFailed | ServiceUnanswered:
+        """Send one call; `ConnectFailed` means no byte was sent."""
+        is_repeatable = call.work_class.repeatable
+        http = self.repeatable if is_repeatable else self.once
+        try:
+            request = http.build_request(
+                call.method,
+                f'http://{endpoint.address}/{quote_path(call.path)}',
+                headers=_headers(call),
+                content=call.body,
+            )
+        except (httpx.InvalidURL, ValueError) as error:
+            return ConnectFailed(reason=f'not a request: {error}')
+        try:
+            response = await http.send(request, stream=True)
+        except NOT_SENT as error:
+            return ConnectFailed(reason=f'{type(error).__name__} {error}')
+        except httpx.HTTPError as error:
+            return ServiceUnanswered(reason=f'{type(error).__name__} {error}')
+        return await _read_answer(response)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self.repeatable.aclose()
+        await self.once.aclose()
+
+
+async def _read_answer(
+    response: httpx.Response,
+) -> ServiceAnswer | ServiceUnanswered:
+    body = bytearray()
+    try:
+        async for part in response.aiter_raw():
+            body += part
+            if len(body) > MAX_ANSWER_BYTES:
+                return ServiceUnanswered(reason='the answer is too large')
+    except httpx.HTTPError as error:
+        return ServiceUnanswered(reason=f'{type(error).__name__} {error}')
+    finally:
+        await response.aclose()
+    headers = tuple(response.headers.multi_items())
+    return ServiceAnswer(
+        status=response.status_code,
+        headers=end_to_end_headers(
+            headers, without=frozenset({'content-length', 'date', 'server'})
+        ),
+        body=bytes(body),
+    )
+
+
+def quote_path(path: str) -> str:
+    """Return a path and query that are safe in a request line."""
+    path, mark, query = path.lstrip('/').partition('?')
+    return quote(path, safe="/%:@!$&'()*+,;=~-._") + mark + query
+
+
+def _headers(call: ServiceCall) -> list[tuple[str, str]]:
+    headers = list(end_to_end_headers(call.headers, without=OWN_HEADERS))
+    if not any(name.lower() == 'accept-encoding' for name, _ in headers):
+        headers.append(('accept-encoding', 'identity'))
+    headers.append((REQUEST_HEADER, call.id))
+    if call.idempotency_key is not None:
+        headers.append((KEY_HEADER, call.idempotency_key))
+    return headers
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/store_guard.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/store_guard.py
@@ -59,7 +59,7 @@
     """The time doubles with each failed probe, up to this."""
 
 
-class RetryBudget:
+class RetryAllowance:
     """Allows retries as a share of calls, with a small reserve."""
 
     def __init__(self, *, share: float, most: float) -> None:
@@ -134,11 +134,11 @@
     metrics: Metrics
     limits: GuardLimits = field(default_factory=GuardLimits)
     chance: random.Random = field(default_factory=random.Random)
-    budget: RetryBudget = field(init=False)
+    budget: RetryAllowance = field(init=False)
     breaker: CircuitBreaker = field(init=False)
 
     def __post_init__(self) -> None:
-        self.budget = RetryBudget(
+        self.budget = RetryAllowance(
             share=self.limits.retry_share, most=self.limits.retries_kept
         )
         self.breaker = CircuitBreaker(limits=self.limits, chance=self.chance)
