Choose endpoints by estimate, price and prefix; admit fairly

Cause: the thin path sent to the endpoint with the fewest requests of this daemon and counted only open requests of an account.

Change: a first-token estimate from lagging reports corrected by known sends, prefix-cache holders, prices, a draw of two among near-equals; admission by the estimate with room kept from accounts over their fair part. Admission.acquire now takes the request and its estimate, release takes the request id and is exactly once.

--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fair_shares.py
@@ -0,0 +1,85 @@
+"""How much of the recent work each client account got, and may get.
+
+Fairness is max-min by weight: what accounts got in total is poured out
+over them up to a level; one that asks for less than the level gets all
+that it asks for, and what it leaves is there for the others.
+"""
+
+import math
+from dataclasses import dataclass
+
+from mimosamux_daemon.domain.names import AccountId
+
+LEVEL_INTERVAL_S = 0.25
+"""Time between two computations of the level."""
+FORGET_BELOW_TOKENS = 0.01
+"""Accounts whose recent use has faded below this are forgotten."""
+
+
+@dataclass(kw_only=True, slots=True)
+class AccountUse:
+    """Recent tokens of an account; older ones count exponentially less."""
+
+    share: float = 1.0
+    offered: float = 0.0
+    admitted: float = 0.0
+
+
+class FairShares:
+    """Recent use by account, and the level of fair use."""
+
+    def __init__(self, *, window_s: float) -> None:
+        self._window_s = window_s
+        self._by_account: dict[AccountId, AccountUse] = {}
+        self._level = math.inf
+        self._computed_at = -math.inf
+
+    def note_offered(
+        self, account: AccountId, *, share: float, tokens: float, now: float
+    ) -> None:
+        """Count work that an account asks for, refused or not."""
+        if now - self._computed_at >= LEVEL_INTERVAL_S:
+            self._fade(now)
+            self._level = self._find_level()
+        use = self._by_account.setdefault(account, AccountUse())
+        use.share = share
+        use.offered += tokens
+
+    def note_admitted(self, account: AccountId, *, tokens: float) -> None:
+        """Count work that was let through, after it was offered."""
+        self._by_account[account].admitted += tokens
+
+    def is_over(self, account: AccountId) -> bool:
+        """Whether the account asks for more than its fair part and has it.
+
+        One that asks for more and has not reached its part yet is not
+        over; nor is anybody while all get what they ask for.
+        """
+        use = self._by_account[account]
+        fair = self._level * use.share
+        return use.offered > fair and use.admitted >= fair
+
+    def _fade(self, now: float) -> None:
+        fade = math.exp(-(now - self._computed_at) / self._window_s)
+        self._computed_at = now
+        for account, use in list(self._by_account.items()):
+            use.offered *= fade
+            use.admitted *= fade
+            if use.offered < FORGET_BELOW_TOKENS:
+                del self._by_account[account]
+
+    def _find_level(self) -> float:
+        """Return the fair tokens for each unit of share."""
+        uses = sorted(self._by_account.values(), key=_offered_per_share)
+        left = sum(use.admitted for use in uses)
+        shares = sum(use.share for use in uses)
+        for use in uses:
+            if use.offered * shares > left * use.share:
+                return left / shares
+            left -= use.offered
+            shares -= use.share
+        return math.inf
+
+
+def _offered_per_share(use: AccountUse) -> float:
+    return use.offered / use.share
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -1,11 +1,11 @@
-"""The endpoints that this daemon knows, and what it sent to them."""
+"""Endpoints that a daemon knows, and what it sent to them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
 
-from mimosamux_daemon.domain.engine import LoadReport
+from mimosamux_daemon.domain.engine import CacheEvent, LoadReport
 from mimosamux_daemon.domain.names import (
     EndpointId,
     ModelName,
@@ -13,46 +13,111 @@
     ServiceName,
 )
 from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.serving.load import (
+    DEFAULT_SERVICE_S,
+    Load,
+    Sent,
+)
+from mimosamux_daemon.serving.prefix_cache import PrefixCache
+from mimosamux_daemon.serving.prices import Place, place_of
+
+SUSPECT_AFTER = 2
+"""Failed connects in a row after which an endpoint is avoided."""
+FIRST_PROBE_S = 0.5
+LAST_PROBE_S = 30.0
+SERVICE_TIME_SHARE = 0.05
+"""Weight of the newest request in the mean time that a slot is held."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromptWork:
+    """What an attempt gives its endpoint to do."""
 
+    tokens: float = 512.0
+    """Prompt tokens that are likely not in the prefix cache."""
+    blocks: Sequence[int] = ()
+    """Hashes of the prompt's blocks, cached there afterwards."""
 
-@dataclass(kw_only=True, slots=True)
+
+@dataclass(kw_only=True, slots=True, eq=False)
 class EndpointState:
     """What is known of one endpoint."""
 
     endpoint: Endpoint
+    place: Place
     leaving: anyio.Event = field(default_factory=anyio.Event)
     """Set for good once the endpoint is known to go away."""
     leaves_at: float | None = None
     """Time of `anyio.current_time` at which it is taken away."""
-    report: LoadReport | None = None
+    load: Load = field(default_factory=Load)
     open_by_request: dict[RequestId, int] = field(default_factory=dict)
     """Attempt number of each request that runs there from here."""
+    sent_at_by_request: dict[RequestId, float] = field(default_factory=dict)
+    failed_connects: int = 0
+    """Connects that failed since the last that came about."""
+    probe_at: float = 0.0
+    """Time before which a suspected endpoint is not tried again."""
 
     @property
     def is_leaving(self) -> bool:
         """Whether no new work may be sent there."""
         return self.leaving.is_set()
 
+    @property
+    def report(self) -> LoadReport | None:
+        """Newest load report, None before the first."""
+        return self.load.report
+
+    def is_suspected(self, now: float) -> bool:
+        """Whether connects fail there and the next probe is not due."""
+        return self.failed_connects >= SUSPECT_AFTER and now < self.probe_at
 
-@dataclass(kw_only=True, slots=True)
-class Fleet:
-    """Endpoints by id, by model and by service."""
 
-    by_id: dict[EndpointId, EndpointState] = field(default_factory=dict)
+StatesByPlace = Mapping[Place, Sequence[EndpointState]]
+NO_STATES: StatesByPlace = {}
+
+
+class Fleet:
+    """Endpoints by id, by model and by service.
+
+    The lists by model and by service hold only endpoints that take new
+    work, so that no choice has to pass over the others.
+    """
+
+    def __init__(self, *, cache: PrefixCache | None = None) -> None:
+        self.by_id: dict[EndpointId, EndpointState] = {}
+        self.cache = PrefixCache() if cache is None else cache
+        self.service_s_by_model: dict[ModelName, float] = {}
+        """Mean time that a request of the model holds a slot."""
+        self.changed = anyio.Event()
+        """Set, and replaced by a new one, when endpoints come or go."""
+        self._by_model: dict[ModelName, dict[Place, list[EndpointState]]] = {}
+        self._by_service: dict[ServiceName, list[EndpointState]] = {}
 
     def add(self, endpoint: Endpoint) -> EndpointState:
         """Add an endpoint; one that is known keeps its state."""
         state = self.by_id.get(endpoint.id)
-        if state is None:
-            state = EndpointState(endpoint=endpoint)
-            self.by_id[endpoint.id] = state
+        if state is not None:
+            return state
+        state = EndpointState(endpoint=endpoint, place=place_of(endpoint))
+        self.by_id[endpoint.id] = state
+        if endpoint.model is not None:
+            places = self._by_model.setdefault(endpoint.model, {})
+            places.setdefault(state.place, []).append(state)
+        if endpoint.service is not None:
+            self._by_service.setdefault(endpoint.service, []).append(state)
+        self._wake()
         return state
 
     def remove(self, endpoint: EndpointId) -> None:
         """Forget an endpoint that is gone; its streams see it leave."""
         state = self.by_id.pop(endpoint, None)
-        if state is not None:
-            state.leaving.set()
+        if state is None:
+            return
+        self._take_out(state)
+        state.leaving.set()
+        self.cache.drop(endpoint)
+        self._wake()
 
     def mark_leaving(
         self, endpoint: EndpointId, *, seconds_left: float
@@ -61,33 +126,109 @@
         state = self.by_id.get(endpoint)
         if state is None:
             return
-        state.leaves_at = anyio.current_time() + seconds_left
-        state.leaving.set()
+        leaves_at = anyio.current_time() + seconds_left
+        if state.leaves_at is None or leaves_at < state.leaves_at:
+            state.leaves_at = leaves_at
+        if not state.is_leaving:
+            self._take_out(state)
+            state.leaving.set()
+            self._wake()
 
-    def serving_model(self, model: ModelName) -> Iterable[EndpointState]:
+    def serving_model(self, model: ModelName) -> Iterator[EndpointState]:
         """Return the endpoints of a model that take new work."""
-        return (
-            state
-            for state in self.by_id.values()
-            if state.endpoint.model == model and not state.is_leaving
-        )
+        for states in self.places_of(model).values():
+            yield from states
+
+    def places_of(self, model: ModelName) -> StatesByPlace:
+        """Return the endpoints of a model that take new work, by place."""
+        return self._by_model.get(model, NO_STATES)
 
     def serving_service(self, service: ServiceName) -> Iterable[EndpointState]:
         """Return the endpoints of a service that take new work."""
-        return (
-            state
-            for state in self.by_id.values()
-            if state.endpoint.service == service and not state.is_leaving
-        )
+        return self._by_service.get(service, ())
+
+    def service_s(self, model: ModelName) -> float:
+        """Return the mean time that a request holds a slot."""
+        return self.service_s_by_model.get(model, DEFAULT_SERVICE_S)
 
     def note_sent(
-        self, endpoint: EndpointId, request: RequestId, attempt: int
+        self,
+        endpoint: EndpointId,
+        request: RequestId,
+        attempt: int,
+        *,
+        work: PromptWork | None = None,
     ) -> None:
         """Count an attempt that is about to be sent."""
-        if endpoint in self.by_id:
-            self.by_id[endpoint].open_by_request[request] = attempt
+        state = self.by_id.get(endpoint)
+        if state is None:
+            return
+        work = PromptWork() if work is None else work
+        now = anyio.current_time()
+        state.open_by_request[request] = attempt
+        state.sent_at_by_request[request] = now
+        state.load.note(Sent(at=now, tokens=work.tokens))
+        if work.blocks:
+            self.cache.add(endpoint, work.blocks)
 
     def note_finished(self, endpoint: EndpointId, request: RequestId) -> None:
         """Stop counting an attempt."""
-        if endpoint in self.by_id:
-            self.by_id[endpoint].open_by_request.pop(request, None)
+        state = self.by_id.get(endpoint)
+        if state is None or state.open_by_request.pop(request, None) is None:
+            return
+        now = anyio.current_time()
+        state.load.note(Sent(at=now, tokens=0.0, requests=0, ended=1))
+        sent_at = state.sent_at_by_request.pop(request, now)
+        model = state.endpoint.model
+        if model is not None:
+            mean = self.service_s(model)
+            step = SERVICE_TIME_SHARE * (now - sent_at - mean)
+            self.service_s_by_model[model] = mean + step
+
+    def note_connect(self, endpoint: EndpointId, *, failed: bool) -> None:
+        """Note how a connect went; repeated failures bring suspicion.
+
+        An endpoint that died without a notice stays in the platform's
+        lagging list for a while, and every request sent to it would lose
+        time on a connect that cannot come about.
+        """
+        state = self.by_id.get(endpoint)
+        if state is None:
+            return
+        if not failed:
+            state.failed_connects = 0
+            return
+        state.failed_connects += 1
+        doublings = min(max(state.failed_connects - SUSPECT_AFTER, 0), 10)
+        pause = min(FIRST_PROBE_S * 2**doublings, LAST_PROBE_S)
+        state.probe_at = anyio.current_time() + pause
+
+    def take_report(self, report: LoadReport) -> bool:
+        """Take a load report; False if a later one was known."""
+        state = self.by_id.get(report.endpoint)
+        if state is None:
+            return False
+        return state.load.take_report(report, now=anyio.current_time())
+
+    def take_cache_event(self, event: CacheEvent) -> None:
+        """Take a cache event of an endpoint that is known."""
+        if event.endpoint in self.by_id:
+            self.cache.take(event)
+
+    def _take_out(self, state: EndpointState) -> None:
+        endpoint = state.endpoint
+        if endpoint.model is not None:
+            places = self._by_model.get(endpoint.model, {})
+            states = places.get(state.place, [])
+            if state in states:
+                states.remove(state)
+            if not states:
+                places.pop(state.place, None)
+        if endpoint.service is not None:
+            services = self._by_service.get(endpoint.service, [])
+            if state in services:
+                services.remove(state)
+
+    def _wake(self) -> None:
+        changed, self.changed = self.changed, anyio.Event()
+        changed.set()
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -52,13 +52,18 @@
     ) -> ActiveRequest | Refused:
         """Accept the request, or refuse it before any of it has run."""
         account = configuration.accounts[request.account]
-        refused = self._admission.acquire(account)
-        if refused is not None:
-            return refused
         choice = self._router.choose(request)
         if isinstance(choice, Refused):
-            self._admission.release(account.id)
+            self._admission.note_refused(account, tokens=request.max_tokens)
             return choice
+        refused = self._admission.acquire(
+            account,
+            request,
+            first_token_s=choice.first_token_s,
+            tokens=choice.work.tokens + request.max_tokens,
+        )
+        if refused is not None:
+            return refused
         active = ActiveRequest(request=request)
         self._registry.add(active)
         self._tasks.start_soon(self._serve, active, choice)
@@ -70,7 +75,7 @@
             with anyio.CancelScope(deadline=request.deadline):
                 await self._try_endpoints(active, choice)
         finally:
-            self._admission.release(request.account)
+            self._admission.release(request.id)
         if not active.has_ended:
             active.end(
                 Failed(
@@ -104,6 +109,7 @@
                 active.request,
                 answer_tokens=len(active.tokens),
                 excluding=excluded,
+                accepted=True,
             )
 
     async def _attempt(self, active: ActiveRequest, choice: Choice) -> None:
@@ -120,7 +126,9 @@
             parameters=request.parameters,
         )
         endpoint = choice.endpoint
-        self._fleet.note_sent(endpoint.id, request.id, call.attempt)
+        self._fleet.note_sent(
+            endpoint.id, request.id, call.attempt, work=choice.work
+        )
         try:
             result = await self._run_attempt(active, choice, call)
         finally:
@@ -147,6 +155,8 @@
         self, active: ActiveRequest, choice: Choice, call: EngineCall
     ) -> StreamEnd | AttemptBroken:
         async with self._engines.generate(choice.endpoint, call) as stream:
+            failed = isinstance(stream, ConnectFailed)
+            self._fleet.note_connect(choice.endpoint.id, failed=failed)
             if isinstance(
                 stream, ConnectFailed | EngineRefused | StreamBroken
             ):
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -1,12 +1,60 @@
-"""Choice of an endpoint for a request."""
+"""Choice of an endpoint for a request.
 
-from dataclasses import dataclass
+Each decision looks at a sample of the endpoints and at those that hold
+a prefix of the prompt, so its work does not grow with the fleet.
+"""
 
-from mimosamux_daemon.domain.names import EndpointId
+import random
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import anyio
+
+from mimosamux_daemon.domain.configuration import Configuration
+from mimosamux_daemon.domain.names import EndpointId, ModelName, ServiceName
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ModelRequest
-from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.fleet import (
+    EndpointState,
+    Fleet,
+    PromptWork,
+)
+from mimosamux_daemon.serving.prefix_cache import (
+    BYTES_PER_TOKEN,
+    Level,
+    hash_prompt,
+    pick_holders,
+)
+from mimosamux_daemon.serving.prices import Distances, Place, PriceBook
+
+ItemT = TypeVar('ItemT')
+
+NO_ENDPOINT_RETRY_S = 5.0
+"""When to come again if no endpoint serves the model at all."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RoutingPolicy:
+    """Constants of the choice; docs/DECISIONS.md has the sweeps."""
+
+    sample: int = 12
+    """Endpoints looked at, beside those that hold a prefix."""
+    wide_sample: int = 48
+    """Endpoints looked at before a request is refused."""
+    holders: int = 4
+    """Endpoints with the longest cached prefix that are looked at."""
+    places: int = 6
+    """Places that a sample is spread over, nearest and cheapest first."""
+    target_share: float = 0.5
+    """Share of the target up to which the cheapest endpoint is taken."""
+    miss_allowed: float = 1.0
+    """Multiple of the target beyond which a request is refused."""
+    wait_weight: float = 0.25
+    """How much a second of wait within the target counts as cost."""
+    near_equal: float = 0.1
+    """Difference in cost, as a share, that counts as none."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -16,13 +64,49 @@
     endpoint: Endpoint
     first_token_s: float
     cached_tokens: int = 0
+    work: PromptWork = field(default_factory=PromptWork)
+    """To be passed to `Fleet.note_sent`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint with its estimate; made many times a decision."""
+
+    state: EndpointState
+    first_token_s: float
+    cost: float
+    cached_tokens: float
+    is_near: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Prompt:
+    """A prompt as the choice sees it."""
+
+    tokens: float
+    blocks: tuple[int, ...]
+    levels: tuple[Level, ...]
 
 
 class Router:
     """Chooses the endpoint of each attempt."""
 
-    def __init__(self, *, fleet: Fleet) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        prices: PriceBook | None = None,
+        distances: Distances | None = None,
+        configuration: Callable[[], Configuration] = Configuration,
+        policy: RoutingPolicy | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         self._fleet = fleet
+        self._prices = PriceBook() if prices is None else prices
+        self._distances = Distances() if distances is None else distances
+        self._configuration = configuration
+        self._policy = RoutingPolicy() if policy is None else policy
+        self._rng = random.Random() if rng is None else rng
 
     def choose(
         self,
@@ -30,21 +114,209 @@
         *,
         answer_tokens: int = 0,
         excluding: frozenset[EndpointId] = frozenset(),
+        accepted: bool = False,
     ) -> Choice | Refused:
         """Return the endpoint to send to.
 
         `answer_tokens` have already been produced and count as prompt.
+        An accepted request is never refused for being late: it goes
+        where its answer comes earliest. The request counts as accepted
+        too if it has answer tokens or excludes an endpoint.
         """
-        candidates = [
+        accepted = accepted or answer_tokens > 0 or bool(excluding)
+        prompt = self._read(request, answer_tokens)
+        size = self._policy.sample
+        candidates = self._estimate_all(request, prompt, size, excluding)
+        target_s = request.work_class.first_token_s
+        limit_s = target_s * self._policy.miss_allowed
+        best = self._pick(candidates, target_s)
+        if best is None or best.first_token_s > limit_s:
+            size = self._policy.wide_sample
+            candidates = self._estimate_all(request, prompt, size, excluding)
+            best = self._pick(candidates, target_s)
+        if best is None:
+            return _no_endpoint(f'model {request.model}')
+        if best.first_token_s > limit_s and not accepted:
+            return self._refuse_late(best.first_token_s, limit_s)
+        return Choice(
+            endpoint=best.state.endpoint,
+            first_token_s=best.first_token_s,
+            cached_tokens=int(best.cached_tokens),
+            work=PromptWork(
+                tokens=max(prompt.tokens - best.cached_tokens, 1.0),
+                blocks=prompt.blocks,
+            ),
+        )
+
+    def choose_service(
+        self,
+        service: ServiceName,
+        *,
+        excluding: frozenset[EndpointId] = frozenset(),
+    ) -> Endpoint | Refused:
+        """Return the endpoint of a service for one call."""
+        states = self._fleet.serving_service(service)
+        now = anyio.current_time()
+        usable = [
             state
-            for state in self._fleet.serving_model(request.model)
+            for state in self._sample(list(states), self._policy.sample)
             if state.endpoint.id not in excluding
+            and not state.is_suspected(now)
+        ]
+        if not usable:
+            return _no_endpoint(f'service {service}')
+        near = [
+            state
+            for state in usable
+            if self._distances.is_near(state.endpoint.data_centre)
         ]
+        drawn_from = near or usable
+        pair = self._rng.sample(drawn_from, min(len(drawn_from), 2))
+        return min(pair, key=_open_requests).endpoint
+
+    def _read(self, request: ModelRequest, answer_tokens: int) -> Prompt:
+        data = request.prompt.encode()
+        blocks = hash_prompt(data)
+        return Prompt(
+            tokens=len(data) / BYTES_PER_TOKEN + answer_tokens,
+            blocks=blocks,
+            levels=self._fleet.cache.match(blocks),
+        )
+
+    def _estimate_all(
+        self,
+        request: ModelRequest,
+        prompt: Prompt,
+        size: int,
+        excluding: frozenset[EndpointId],
+    ) -> list[Candidate]:
+        now = anyio.current_time()
+        weights = self._configuration()
+        service_s = self._fleet.service_s(request.model)
+        by_id = {
+            state.endpoint.id: state
+            for state in self._sample_places(request.model, size)
+        }
+        limit = self._policy.holders
+        for holder in pick_holders(prompt.levels, limit, self._rng):
+            state = self._fleet.by_id[holder]
+            if state.endpoint.model == request.model and not state.is_leaving:
+                by_id[holder] = state
+        states = [
+            state
+            for id_, state in by_id.items()
+            if id_ not in excluding and not state.is_suspected(now)
+        ]
+        return [
+            self._estimate(state, request, prompt, now, service_s, weights)
+            for state in states
+        ]
+
+    def _estimate(
+        self,
+        state: EndpointState,
+        request: ModelRequest,
+        prompt: Prompt,
+        now: float,
+        service_s: float,
+        weights: Configuration,
+    ) -> Candidate:
+        load = state.load
+        cached = self._fleet.cache.cached_tokens(
+            state.endpoint.id, prompt.levels
+        )
+        uncached = max(prompt.tokens - cached, 1.0)
+        prefill_s = uncached / load.prefill_tokens_per_s
+        wait_s = max(load.backlog_s(now), load.slot_wait_s(now, service_s))
+        data_centre = state.endpoint.data_centre
+        away_s = 2 * self._distances.one_way_s(data_centre)
+        decode_s = request.max_tokens * load.decode_interval_s / load.slots
+        money = self._prices.relative(state.place) * (prefill_s + decode_s)
+        recompute_s = request.work_class.recompute_weight * uncached / 1000
+        return Candidate(
+            state,
+            away_s + wait_s + prefill_s + load.decode_interval_s,
+            self._policy.wait_weight * wait_s
+            + weights.cost_weight * money
+            + weights.recompute_weight * recompute_s,
+            cached,
+            self._distances.is_near(data_centre),
+        )
+
+    def _pick(
+        self, candidates: list[Candidate], target_s: float
+    ) -> Candidate | None:
+        """Return the cheapest that is early enough, else the earliest.
+
+        Among those that cost about the same, two are drawn and the
+        earlier one is taken. Daemons with the same view would otherwise
+        all send to the same endpoint until the next reports.
+        """
         if not candidates:
-            return Refused(
-                reason=Reason.NO_ENDPOINT,
-                message=f'no endpoint serves {request.model} now',
-                retry_after_s=5.0,
-            )
-        best = min(candidates, key=lambda state: len(state.open_by_request))
-        return Choice(endpoint=best.endpoint, first_token_s=0.0)
+            return None
+        limit_s = target_s * self._policy.target_share
+        early = [each for each in candidates if each.first_token_s <= limit_s]
+        if early:
+            return self._draw(early, _cost_of)
+        return self._draw(candidates, _first_token_of)
+
+    def _draw(
+        self,
+        candidates: list[Candidate],
+        measure: Callable[[Candidate], float],
+    ) -> Candidate:
+        bound = min(map(measure, candidates)) * (1 + self._policy.near_equal)
+        equal = [each for each in candidates if measure(each) <= bound]
+        near = [each for each in equal if each.is_near] or equal
+        pair = self._rng.sample(near, min(len(near), 2))
+        return min(pair, key=_first_token_of)
+
+    def _refuse_late(self, first_token_s: float, limit_s: float) -> Refused:
+        wait_s = max(first_token_s - limit_s, 0.1)
+        return Refused(
+            reason=Reason.NO_CAPACITY,
+            message=f'the first token would take {first_token_s:.1f} s',
+            retry_after_s=round(wait_s * self._rng.uniform(1.0, 1.5), 3),
+        )
+
+    def _sample_places(
+        self, model: ModelName, size: int
+    ) -> Iterator[EndpointState]:
+        places = self._fleet.places_of(model)
+        if not places:
+            return
+        chosen = list(places)
+        if len(chosen) > self._policy.places:
+            chosen = sorted(chosen, key=self._rank)[: self._policy.places]
+        share = max(size // len(chosen), 1)
+        for place in chosen:
+            yield from self._sample(places[place], share)
+
+    def _rank(self, place: Place) -> tuple[float, float]:
+        away_s = self._distances.one_way_s(place.data_centre)
+        return away_s, self._prices.relative(place)
+
+    def _sample(self, items: Sequence[ItemT], size: int) -> Sequence[ItemT]:
+        if len(items) <= size:
+            return items
+        return self._rng.sample(items, size)
+
+
+def _no_endpoint(what: str) -> Refused:
+    return Refused(
+        reason=Reason.NO_ENDPOINT,
+        message=f'no endpoint serves {what} now',
+        retry_after_s=NO_ENDPOINT_RETRY_S,
+    )
+
+
+def _first_token_of(candidate: Candidate) -> float:
+    return candidate.first_token_s
+
+
+def _cost_of(candidate: Candidate) -> float:
+    return candidate.cost
+
+
+def _open_requests(state: EndpointState) -> int:
+    return len(state.open_by_request)
