--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/drivers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/drivers.py
@@ -155,6 +155,7 @@
             self.active.request,
             answer_tokens=len(self.active.tokens),
             excluding=excluding,
+            accepted=True,
         )
         return choice if isinstance(choice, Choice) else None
 
@@ -175,7 +176,12 @@
                 cause=BreakCause.LEAVING, reason='endpoint leaves'
             )
         attempt = self._new_attempt(choice, handle)
-        fleet.note_sent(endpoint.id, request.id, attempt.call.attempt)
+        fleet.note_sent(
+            endpoint.id,
+            request.id,
+            attempt.call.attempt,
+            work=choice.work,
+        )
         self.parts.watch.add(attempt)
         try:
             result = await attempt.run(
@@ -184,6 +190,7 @@
         finally:
             self.parts.watch.remove(attempt)
             fleet.note_finished(endpoint.id, request.id)
+        fleet.note_connect(endpoint.id, failed=has_not_connected(result))
         self._note_result(attempt, result, choice, handle)
         if isinstance(result, CallerGone) or is_silence(result):
             await self._cancel(attempt)
@@ -337,3 +344,11 @@
     return (
         isinstance(result, AttemptBroken) and result.cause is BreakCause.SILENT
     )
+
+
+def has_not_connected(result: AttemptResult) -> bool:
+    """Whether no connection to the endpoint came about."""
+    return (
+        isinstance(result, AttemptBroken)
+        and result.cause is BreakCause.CONNECT
+    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/recovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/recovery.py
@@ -140,6 +140,7 @@
                 attempt.active.request,
                 answer_tokens=len(attempt.active.tokens),
                 excluding=frozenset(tried),
+                accepted=True,
             )
             if not isinstance(choice, Choice):
                 return None
