Service calls over HTTP, and no 'not run' about a key that may have run

Cause: a key that a client sends again while the store is down, or while its account is over a limit, was refused as not run, though an earlier call with that key may have run through a daemon that died. A client that believes it sends the call under another key, and it runs twice.

The property check now also looks for keys that had run and were then refused, and finds the variant that did so.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/work.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/work.py
@@ -88,6 +88,8 @@
     body: bytes
     arrived: float
     idempotency_key: str | None = None
+    is_first: bool = False
+    """The caller says that it has not sent this key before."""
 
     @property
     def deadline(self) -> float:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
@@ -0,0 +1,88 @@
+"""Calls of plain services: admission, and one path for each kind."""
+
+from dataclasses import dataclass
+
+from mimosamux_daemon.domain.configuration import Configuration
+from mimosamux_daemon.domain.engine import ConnectFailed
+from mimosamux_daemon.domain.outcomes import Outcome, Refused
+from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.domain.work import ServiceCall
+from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.ports.service import (
+    ServiceAnswer,
+    Services,
+    ServiceUnanswered,
+)
+from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.repeatable_calls import RepeatableCalls
+from mimosamux_daemon.serving.side_effects import SideEffects, refuse_unseen
+
+ONLY_ATTEMPT = 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CountedServices:
+    """The `Services` port, with each open call counted in the fleet."""
+
+    services: Services
+    fleet: Fleet
+
+    async def call(
+        self, endpoint: Endpoint, call: ServiceCall
+    ) -> ServiceAnswer | ConnectFailed | ServiceUnanswered:
+        """Send one call."""
+        self.fleet.note_sent(endpoint.id, call.id, ONLY_ATTEMPT)
+        try:
+            answer = await self.services.call(endpoint, call)
+        finally:
+            self.fleet.note_finished(endpoint.id, call.id)
+        failed = isinstance(answer, ConnectFailed)
+        self.fleet.note_connect(endpoint.id, failed=failed)
+        return answer
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceCalls:
+    """Takes calls in, and has each run as its class allows."""
+
+    side_effects: SideEffects
+    repeatable: RepeatableCalls
+    admission: Admission
+    metrics: Metrics
+
+    async def call(
+        self, call: ServiceCall, configuration: Configuration
+    ) -> Outcome:
+        """Return the outcome of a call."""
+        account = configuration.accounts[call.account]
+        refused = self.admission.acquire(account, call)
+        if refused is not None:
+            return self._refuse(call, refused)
+        try:
+            outcome = await self._run(call)
+        finally:
+            self.admission.release(call.id)
+        self.metrics.requests_ended.inc(
+            {
+                'work_class': call.work_class.name,
+                'outcome': type(outcome).__name__.lower(),
+            }
+        )
+        return outcome
+
+    def _refuse(self, call: ServiceCall, refused: Refused) -> Outcome:
+        self.metrics.requests_refused.inc(
+            {
+                'work_class': call.work_class.name,
+                'reason': str(refused.reason),
+            }
+        )
+        if call.work_class.repeatable:
+            return refused
+        return refuse_unseen(call, refused)
+
+    async def _run(self, call: ServiceCall) -> Outcome:
+        if call.work_class.repeatable:
+            return await self.repeatable.call(call)
+        return await self.side_effects.call(call)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effects.py
@@ -54,6 +54,9 @@
 
 log = get_log('side_effects')
 
+DOUBT_RETRY_AFTER_S = 2.0
+"""When to come again after a doubt for which no time was given."""
+
 ChooseEndpoint = Callable[
     [ServiceName, frozenset[EndpointId]], Endpoint | Refused
 ]
@@ -152,11 +155,12 @@
         if refused is not None:
             return refused
         if self._tasks is None:
-            return Refused(
+            stopping = Refused(
                 reason=Reason.STOPPING,
                 message='this daemon is not running; use another one',
                 retry_after_s=self._limits.retry_after_s,
             )
+            return refuse_unseen(call, stopping)
         waiting = _Waiting()
         self._open += 1
         self._tasks.start_soon(self._drive, call, waiting)
@@ -184,7 +188,7 @@
             claim = await self._claim(key, call)
             if isinstance(claim, Claim):
                 return await self._dispatch(claim, call)
-            if isinstance(claim, Refused):
+            if not isinstance(claim, Found):
                 return claim
             outcome = await self._follow(claim, call, give_up_at)
             if outcome is not None:
@@ -192,10 +196,10 @@
 
     async def _claim(
         self, key: str, call: ServiceCall
-    ) -> Claim | Found | Refused:
+    ) -> Claim | Found | Refused | InDoubt:
         no_endpoint = self._choose(call.service, frozenset())
         if isinstance(no_endpoint, Refused):
-            return await self._find_earlier(key, no_endpoint)
+            return await self._find_earlier(key, call, no_endpoint)
         row = CallRow(
             state=CallState.INTENT,
             token=uuid.uuid4().hex,
@@ -211,13 +215,15 @@
         if not isinstance(claim, NotClaimed):
             return claim
         self._abandon(key, row, claim.may_replace)
-        return self._store_unavailable(claim.reason)
+        return refuse_unseen(call, self._store_unavailable(claim.reason))
 
     async def _find_earlier(
-        self, key: str, no_endpoint: Refused
-    ) -> Found | Refused:
+        self, key: str, call: ServiceCall, no_endpoint: Refused
+    ) -> Found | Refused | InDoubt:
         """Return the row of an earlier call; nothing new can be sent."""
         found = await self._store.find(key)
+        if isinstance(found, Unavailable):
+            return refuse_unseen(call, no_endpoint)
         if isinstance(found, Found) and not is_not_run(found):
             return found
         return no_endpoint
@@ -430,6 +436,25 @@
     )
 
 
+def refuse_unseen(call: ServiceCall, refused: Refused) -> Refused | InDoubt:
+    """Return the refusal of a call whose row this daemon has not seen.
+
+    An earlier call with the same key may have run, for example through a
+    daemon that died before it could answer. A caller who is told 'not
+    run' would send the call under another key, and it would run twice.
+    """
+    if call.is_first:
+        return refused
+    return InDoubt(
+        request=call.id,
+        message=(
+            f'{refused.message}; whether an earlier call with this key ran'
+            ' cannot be told now, so come again with the same key'
+        ),
+        retry_after_s=refused.retry_after_s or DOUBT_RETRY_AFTER_S,
+    )
+
+
 def _key_reused() -> Refused:
     return Refused(
         reason=Reason.CONFLICT,
--- a/tests/support/side_effects.py
+++ b/tests/support/side_effects.py
@@ -174,6 +174,9 @@
                 body=body,
                 arrived=anyio.current_time(),
                 idempotency_key=key,
+                is_first=all(
+                    key != each.call.idempotency_key for each in self.asked
+                ),
             ),
             at=anyio.current_time(),
         )
@@ -197,6 +200,7 @@
         return [
             *self._doubled(),
             *self._ran_though_refused(),
+            *self._refused_though_it_ran(),
             *self._answers_that_differ(),
             *self._answered_after_unknown(),
         ]
@@ -213,6 +217,17 @@
             if isinstance(each.outcome, Refused) and each.call.id in ran
         ]
 
+    def _refused_though_it_ran(self):
+        return [
+            f'{each.call.idempotency_key} had run, then was refused'
+            for each in self.asked
+            for run in self.services.runs
+            if isinstance(each.outcome, Refused)
+            and each.outcome.reason is not Reason.CONFLICT
+            and run.call.idempotency_key == each.call.idempotency_key
+            and run.at < each.at
+        ]
+
     def _answers_that_differ(self):
         answers = {}
         for each in self.asked:
--- a/tests/test_side_effect_properties.py
+++ b/tests/test_side_effect_properties.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.outcomes import (
     Answered,
+    InDoubt,
     Reason,
     Refused,
     Unknown,
@@ -137,6 +138,14 @@
         return claim
 
 
+class SaysNotRunUnseen(SideEffects):
+    async def _claim(self, key, call):
+        claim = await super()._claim(key, call)
+        if isinstance(claim, InDoubt):
+            return self._store_unavailable('down')
+        return claim
+
+
 class ForgetsUnknown(SideEffects):
     async def _replay(self, found, row, call):
         outcome = await super()._replay(found, row, call)
@@ -194,6 +203,15 @@
     def test_the_checks_find_a_refused_call_that_is_sent(self):
         self.assert_found(RefusesAndSends, fault('down'), ask('d1'), LATER)
 
+    def test_the_checks_find_a_call_that_ran_and_is_then_refused(self):
+        self.assert_found(
+            SaysNotRunUnseen,
+            ask('d1'),
+            fault('down', after_s=1.0),
+            ask('d2'),
+            LATER,
+        )
+
     def test_the_checks_find_an_unknown_that_is_not_final(self):
         self.assert_found(
             ForgetsUnknown,
--- a/tests/test_side_effects.py
+++ b/tests/test_side_effects.py
@@ -124,6 +124,20 @@
 
         self.play(check)
 
+    def test_a_key_that_may_have_run_is_in_doubt_without_the_store(self):
+        """A client sends a key again while the store is down.
+
+        The call has run and its answer was lost. A user who is told that
+        it did not run would send it under another key.
+        """
+
+        async def check(site):
+            await site.ask_now('d1', 'k')
+            site.table.faults.down = True
+            self.assertIsInstance(await site.ask_now('d2', 'k'), InDoubt)
+
+        self.play(check)
+
     def test_an_intent_that_lands_late_is_never_sent(self):
         """The store holds a write back until after the call was refused.
 
