Keep the fleet in step with the platform, share reports by digests

Cause: endpoints were fixed at start and a daemon saw no load reports.

Change: EndpointKeeper polls list, notices and prices each on its own, never drops an endpoint for an outage or one lagging list, and pushes leaving endpoints to peers.

Ruled out: endpoint ids in digests (half of the bytes).

Conclusion: tests on the paused clock pass; bytes are measured next.

--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import xxhash
 
 from mimosamux_daemon.domain.engine import CacheEvent, LoadReport
 from mimosamux_daemon.domain.names import (
@@ -39,6 +40,15 @@
     """Hashes of the prompt's blocks, cached there afterwards."""
 
 
+@dataclass(kw_only=True, slots=True)
+class RecentWork:
+    """What this daemon sent to an endpoint since its last digest."""
+
+    tokens: float = 0.0
+    requests: int = 0
+    ended: int = 0
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class EndpointState:
     """What is known of one endpoint."""
@@ -91,6 +101,9 @@
         """Mean time that a request of the model holds a slot."""
         self.changed = anyio.Event()
         """Set, and replaced by a new one, when endpoints come or go."""
+        self.by_key: dict[int, EndpointState] = {}
+        """Endpoints by the number that stands for their id in digests."""
+        self._recent_by_id: dict[EndpointId, RecentWork] = {}
         self._by_model: dict[ModelName, dict[Place, list[EndpointState]]] = {}
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
 
@@ -101,6 +114,7 @@
             return state
         state = EndpointState(endpoint=endpoint, place=place_of(endpoint))
         self.by_id[endpoint.id] = state
+        self.by_key[key_of(endpoint.id)] = state
         if endpoint.model is not None:
             places = self._by_model.setdefault(endpoint.model, {})
             places.setdefault(state.place, []).append(state)
@@ -116,6 +130,8 @@
             return
         self._take_out(state)
         state.leaving.set()
+        self.by_key.pop(key_of(endpoint), None)
+        self._recent_by_id.pop(endpoint, None)
         self.cache.drop(endpoint)
         self._wake()
 
@@ -168,6 +184,9 @@
         state.open_by_request[request] = attempt
         state.sent_at_by_request[request] = now
         state.load.note(Sent(at=now, tokens=work.tokens))
+        recent = self._recent_by_id.setdefault(endpoint, RecentWork())
+        recent.tokens += work.tokens
+        recent.requests += 1
         if work.blocks:
             self.cache.add(endpoint, work.blocks)
 
@@ -178,6 +197,7 @@
             return
         now = anyio.current_time()
         state.load.note(Sent(at=now, tokens=0.0, requests=0, ended=1))
+        self._recent_by_id.setdefault(endpoint, RecentWork()).ended += 1
         sent_at = state.sent_at_by_request.pop(request, now)
         model = state.endpoint.model
         if model is not None:
@@ -215,6 +235,11 @@
         if event.endpoint in self.by_id:
             self.cache.take(event)
 
+    def take_recent(self) -> dict[EndpointId, RecentWork]:
+        """Return what was sent since the last call, by endpoint."""
+        recent, self._recent_by_id = self._recent_by_id, {}
+        return recent
+
     def _take_out(self, state: EndpointState) -> None:
         endpoint = state.endpoint
         if endpoint.model is not None:
@@ -232,3 +257,9 @@
     def _wake(self) -> None:
         changed, self.changed = self.changed, anyio.Event()
         changed.set()
+
+
+def key_of(endpoint: EndpointId) -> int:
+    """Return the signed 32-bit number for an endpoint in digests."""
+    number = xxhash.xxh32_intdigest(endpoint.encode())
+    return number - (1 << 32) if number >> 31 else number
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/prefix_cache.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/prefix_cache.py
@@ -85,6 +85,10 @@
         cache = self._by_endpoint.get(endpoint)
         return cache is not None and cache.has_gap
 
+    def set_doubt(self, endpoint: EndpointId, *, doubtful: bool) -> None:
+        """Take over what the endpoint's owner says of lost events."""
+        self._cache_of(endpoint).has_gap = doubtful
+
     def keys(self, endpoint: EndpointId) -> tuple[int, ...]:
         """Return the keys of an endpoint's blocks, oldest first."""
         cache = self._by_endpoint.get(endpoint)
--- /dev/null
+++ b/tests/test_endpoints.py
@@ -0,0 +1,184 @@
+"""The fleet follows the platform's list, notices and its outages."""
+
+import unittest
+
+import anyio
+from mimosamux_daemon.control.endpoints import EndpointKeeper, PollPolicy
+from mimosamux_daemon.domain.names import DaemonId, EndpointId
+from mimosamux_daemon.domain.outcomes import Refused
+from mimosamux_daemon.domain.vms import VMRole, VMState
+from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.prices import PriceBook
+
+from tests.support.clock import run_paused
+from tests.support.clouds import FakeCloud, make_vm
+from tests.support.fleets import make_request, make_router
+from tests.support.peers import Network
+
+POLICY = PollPolicy()
+
+
+def make_keeper(cloud, fleet, **fields):
+    return EndpointKeeper(
+        cloud=cloud, fleet=fleet, prices=PriceBook(), **fields
+    )
+
+
+async def run_for(keeper, seconds):
+    with anyio.move_on_after(seconds):
+        await keeper.run()
+
+
+class TestList(unittest.TestCase):
+    def test_endpoint_vms_with_an_address_are_added(self):
+        async def check():
+            fleet = Fleet()
+            cloud = FakeCloud(
+                make_vm('a'),
+                make_vm('b', role=VMRole.ENTRY),
+                make_vm('c', state=VMState.STARTING, address=''),
+                make_vm('d', data_centre='riga-2'),
+            )
+            keeper = make_keeper(
+                cloud, fleet, data_centres=lambda: ('riga-1',)
+            )
+            await run_for(keeper, 1)
+            self.assertEqual(set(fleet.by_id), {'a'})
+
+        run_paused(check)
+
+    def test_vm_missing_from_one_lagging_list_is_kept(self):
+        """One replica of the list is behind and lacks a VM that serves.
+
+        Dropped at once, its open streams would be cut.
+        """
+
+        async def check():
+            fleet = Fleet()
+            cloud = FakeCloud(make_vm('a'), make_vm('b'))
+            keeper = make_keeper(cloud, fleet)
+            await keeper.poll_vms()
+            del cloud.vms[1]
+            await keeper.poll_vms()
+            self.assertIn('b', fleet.by_id)
+            cloud.vms.append(make_vm('b'))
+            await anyio.sleep(60)
+            await keeper.poll_vms()
+            del cloud.vms[1]
+            await keeper.poll_vms()
+            self.assertIn('b', fleet.by_id)
+            await run_for(keeper, POLICY.gone_after_s + 2 * POLICY.list_s)
+            self.assertEqual(set(fleet.by_id), {'a'})
+
+        run_paused(check)
+
+    def test_outage_of_the_platform_drops_nobody(self):
+        """The cloud API is down for an hour while the endpoints serve.
+
+        Taken for an empty list, the outage would end all serving.
+        """
+
+        async def check():
+            fleet = Fleet()
+            cloud = FakeCloud(make_vm('a'))
+            keeper = make_keeper(cloud, fleet)
+            await keeper.poll_vms()
+            cloud.is_down = True
+            await run_for(keeper, 3600)
+            self.assertEqual(set(fleet.by_id), {'a'})
+            self.assertFalse(fleet.by_id[EndpointId('a')].is_leaving)
+
+        run_paused(check)
+
+    def test_outage_check_fails_if_an_outage_is_an_empty_list(self):
+        async def check():
+            fleet = Fleet()
+            cloud = FakeCloud(make_vm('a'))
+            keeper = make_keeper(cloud, fleet)
+            await keeper.poll_vms()
+            cloud.vms.clear()
+            await run_for(keeper, 3600)
+            self.assertEqual(set(fleet.by_id), set())
+
+        run_paused(check)
+
+
+class TestLeaving(unittest.TestCase):
+    def test_leaving_endpoint_gets_nothing_after_three_seconds(self):
+        """A notice comes while the list of VMs hangs at the platform.
+
+        What is still sent to the endpoint is cut off by the reclaim.
+        """
+
+        async def check():
+            fleet = Fleet()
+            cloud = FakeCloud(make_vm('a'), make_vm('b'))
+            keeper = make_keeper(cloud, fleet)
+            await keeper.poll_vms()
+            cloud.list_delay_s = 600
+            router = make_router(fleet)
+            sent = []
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(keeper.run)
+                await anyio.sleep(5.05)
+                noticed_at = anyio.current_time()
+                cloud.give_notice('a')
+                for _ in range(100):
+                    choice = router.choose(make_request())
+                    now = anyio.current_time() - noticed_at
+                    sent.append((now, choice.endpoint.id))
+                    await anyio.sleep(0.1)
+                tasks.cancel_scope.cancel()
+            late = {endpoint for at, endpoint in sent if at > 3}
+            self.assertEqual(late, {'b'})
+
+        run_paused(check)
+
+    def test_peers_learn_at_once_and_lists_do_not_bring_it_back(self):
+        """One daemon sees a notice; another's platform calls fail.
+
+        The other goes on sending work there unless it is told, and its
+        lagging list shows the VM as live for a while afterwards.
+        """
+
+        async def check():
+            network = Network()
+            fleets = [Fleet(), Fleet()]
+            clouds = [FakeCloud(make_vm('a')) for _ in fleets]
+            keepers = [
+                make_keeper(
+                    cloud,
+                    fleet,
+                    peers=network.join(name),
+                    peer_ids=lambda other=other: (DaemonId(other),),
+                )
+                for cloud, fleet, name, other in zip(
+                    clouds, fleets, 'xy', 'yx', strict=True
+                )
+            ]
+            for keeper in keepers:
+                await keeper.poll_vms()
+            clouds[0].give_notice('a')
+            clouds[1].is_down = True
+            await keepers[0].poll_notices()
+            chosen = make_router(fleets[1]).choose(make_request())
+            self.assertIsInstance(chosen, Refused)
+            self.assertEqual(len(network.sent), 1)
+            fleets[1].remove(EndpointId('a'))
+            clouds[1].is_down = False
+            await keepers[1].poll_vms()
+            self.assertEqual(set(fleets[1].by_id), set())
+
+        run_paused(check)
+
+    def test_vm_listed_as_leaving_is_marked(self):
+        async def check():
+            fleet = Fleet()
+            cloud = FakeCloud(make_vm('a'))
+            keeper = make_keeper(cloud, fleet)
+            await keeper.poll_vms()
+            cloud.vms[0] = make_vm('a', state=VMState.LEAVING)
+            await keeper.poll_vms()
+            self.assertTrue(fleet.by_id[EndpointId('a')].is_leaving)
+
+        run_paused(check)
