Metrics and readiness routes, counts of choices, digests, endpoints

Cause: nothing rendered the metrics, and readiness knew one reason only.

Change: /metrics renders the registry; /readyz asks further callables for a reason against; the router, the keeper and the ownership count.

--- a/packages/mimosamux-daemon/mimosamux_daemon/api/monitoring.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/monitoring.py
@@ -1,5 +1,6 @@
 """Routes for monitoring."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from starlette.requests import Request
@@ -7,19 +8,27 @@
 from starlette.routing import Route
 
 from mimosamux_daemon.control.configuration import ConfigurationInForce
+from mimosamux_daemon.metrics import Metrics
+
+Readiness = Callable[[], str | None]
+"""Returns why the daemon is not ready, None if it is."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MonitoringRoutes:
-    """Handlers of the health routes."""
+    """Handlers of the health and metrics routes."""
 
     in_force: ConfigurationInForce
+    metrics: Metrics | None = None
+    readiness: tuple[Readiness, ...] = ()
+    """Further reasons for not being ready."""
 
     def routes(self) -> list[Route]:
         """Return the routes for the application."""
         return [
             Route('/healthz', self.healthz),
             Route('/readyz', self.readyz),
+            Route('/metrics', self.show_metrics),
         ]
 
     async def healthz(self, request: Request) -> Response:
@@ -27,7 +36,19 @@
         return PlainTextResponse('ok\n')
 
     async def readyz(self, request: Request) -> Response:
-        """Answer 200 once a configuration is in force."""
+        """Answer 200 once nothing speaks against sending requests here."""
+        reasons = [reason for check in self.readiness if (reason := check())]
         if self.in_force.current.version == 0:
-            return PlainTextResponse('no configuration\n', status_code=503)
+            reasons.insert(0, 'no configuration')
+        if reasons:
+            text = ''.join(f'{reason}\n' for reason in reasons)
+            return PlainTextResponse(text, status_code=503)
         return PlainTextResponse('ready\n')
+
+    async def show_metrics(self, request: Request) -> Response:
+        """Answer with every metric in the format that was asked for."""
+        if self.metrics is None:
+            return PlainTextResponse('no metrics\n', status_code=404)
+        accept = request.headers.getlist('accept')
+        content, headers = self.metrics.render(accept)
+        return Response(content, headers=headers)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/endpoints.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/endpoints.py
@@ -1,5 +1,6 @@
 """Keeps the fleet in step with the platform's lagging list of VMs."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -16,9 +17,10 @@
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Endpoint, VMRole, VMState
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports.cloud import Cloud
 from mimosamux_daemon.ports.peer import Peers
-from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.fleet import STATE_NAMES, Fleet
 from mimosamux_daemon.serving.prices import PriceBook
 
 log = get_log('endpoints')
@@ -75,9 +77,11 @@
         data_centres: Callable[[], tuple[DataCentreName, ...]] | None = None,
         configuration: Callable[[], Configuration] = Configuration,
         policy: PollPolicy | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         """Take the parts; only VMs in `data_centres` are kept, if given."""
         self._cloud = cloud
+        self._metrics = metrics
         self._fleet = fleet
         self._prices = prices
         self._peers = peers
@@ -111,6 +115,7 @@
                 log.info('vm_list_unavailable', reason=vms.reason)
                 return
             await self._take_vms(vms)
+            self._count_endpoints()
 
     async def poll_notices(self) -> None:
         """Mark the endpoints that notices name, and tell the peers."""
@@ -166,6 +171,16 @@
         self._drop_gone(kept)
         await self.announce_leaving(leaving)
 
+    def _count_endpoints(self) -> None:
+        if self._metrics is None:
+            return
+        now = anyio.current_time()
+        counts = Counter(
+            state.state_name(now) for state in self._fleet.by_id.values()
+        )
+        for name in STATE_NAMES:
+            self._metrics.endpoints.set({'state': name}, counts[name])
+
     def _add(self, id_: EndpointId, vm: VM) -> None:
         self._listed.add(id_)
         if id_ in self._fleet.by_id or id_ in self._left_at_by_id:
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -6,7 +6,6 @@
 """
 
 import random
-from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -32,6 +31,7 @@
 )
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports.engine import Engines, ReportStream
 from mimosamux_daemon.ports.peer import Peers
 from mimosamux_daemon.serving.fleet import Fleet
@@ -83,6 +83,7 @@
         members: Members,
         group: Callable[[], tuple[DataCentreName, ...]] | None = None,
         rng: random.Random | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
         """Take the parts; `group` names data centres that share digests.
 
@@ -103,8 +104,7 @@
         self._sequence_by_peer: dict[DaemonId, int] = {}
         self._full_for: set[DaemonId] = set()
         self._known_peers: frozenset[DaemonId] = frozenset()
-        self.received: Counter[DaemonId] = Counter()
-        """Digests received, by peer."""
+        self._metrics = metrics
         peers.handle(FleetDigest, self._take_digest)
         peers.handle(FullDigestWanted, self._take_wish)
 
@@ -229,11 +229,13 @@
     async def _take_digest(
         self, sender: DaemonId, digest: FleetDigest
     ) -> Message | None:
-        self.received[sender] += 1
         apply_digest(self._fleet, digest)
         last = self._sequence_by_peer.get(sender)
         self._sequence_by_peer[sender] = digest.sequence
         in_order = last is not None and digest.sequence == last + 1
+        if self._metrics is not None:
+            outcome = 'in_order' if in_order else 'gap'
+            self._metrics.digests.inc({'outcome': outcome})
         if not digest.full and not in_order:
             await self._notify(sender, FullDigestWanted())
         return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
@@ -42,6 +42,17 @@
             'mimosamux_configuration_version',
             'Version of the configuration in force.',
         )
+        self.choices = self._counter(
+            'mimosamux_choices_total',
+            'Chosen endpoints, by near (yes or no) and cached (yes or no).',
+        )
+        self.endpoints = self._gauge(
+            'mimosamux_endpoints',
+            'Known endpoints, by state (serving, suspected or leaving).',
+        )
+        self.digests = self._counter(
+            'mimosamux_digests_total', 'Digests received, by outcome.'
+        )
         self.open_requests = self._gauge(
             'mimosamux_open_requests', 'Accepted requests not yet ended.'
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -22,6 +22,7 @@
 from mimosamux_daemon.serving.prefix_cache import PrefixCache
 from mimosamux_daemon.serving.prices import Place, place_of
 
+STATE_NAMES = ('serving', 'suspected', 'leaving')
 SUSPECT_AFTER = 2
 """Failed connects in a row after which an endpoint is avoided."""
 FIRST_PROBE_S = 0.5
@@ -82,6 +83,12 @@
         """Whether connects fail there and the next probe is not due."""
         return self.failed_connects >= SUSPECT_AFTER and now < self.probe_at
 
+    def state_name(self, now: float) -> str:
+        """Return one of `STATE_NAMES`."""
+        if self.is_leaving:
+            return 'leaving'
+        return 'suspected' if self.is_suspected(now) else 'serving'
+
 
 StatesByPlace = Mapping[Place, Sequence[EndpointState]]
 NO_STATES: StatesByPlace = {}
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -16,6 +16,7 @@
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ModelRequest
+from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.serving.fleet import (
     EndpointState,
     Fleet,
@@ -100,7 +101,9 @@
         configuration: Callable[[], Configuration] = Configuration,
         policy: RoutingPolicy | None = None,
         rng: random.Random | None = None,
+        metrics: Metrics | None = None,
     ) -> None:
+        self._metrics = metrics
         self._fleet = fleet
         self._prices = PriceBook() if prices is None else prices
         self._distances = Distances() if distances is None else distances
@@ -138,6 +141,10 @@
             return _no_endpoint(f'model {request.model}')
         if best.first_token_s > limit_s and not accepted:
             return self._refuse_late(best.first_token_s, limit_s)
+        if self._metrics is not None:
+            near = 'yes' if best.is_near else 'no'
+            cached = 'yes' if best.cached_tokens else 'no'
+            self._metrics.choices.inc({'near': near, 'cached': cached})
         return Choice(
             endpoint=best.state.endpoint,
             first_token_s=best.first_token_s,
