--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -123,10 +123,8 @@
 
         `answer_tokens` have already been produced and count as prompt.
         An accepted request is never refused for being late: it goes
-        where its answer comes earliest. The request counts as accepted
-        too if it has answer tokens or excludes an endpoint.
+        where its answer comes earliest.
         """
-        accepted = accepted or answer_tokens > 0 or bool(excluding)
         prompt = self._read(request, answer_tokens)
         size = self._policy.sample
         candidates = self._estimate_all(request, prompt, size, excluding)
