--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -15,6 +15,13 @@
     decode,
     encode,
 )
+from mimosamux_wire.fleet_messages import (
+    EndpointDigest,
+    FleetDigest,
+    FullDigestWanted,
+    LeavingEndpoint,
+    LeavingEndpoints,
+)
 from mimosamux_wire.frames import (
     MAX_FRAME_BYTES,
     FrameReader,
@@ -48,6 +55,11 @@
     'MAX_SEQUENCE',
     'MESSAGES_BY_NAME',
     'PROTOCOL_VERSION',
+    'EndpointDigest',
+    'FleetDigest',
+    'FullDigestWanted',
+    'LeavingEndpoint',
+    'LeavingEndpoints',
     'Acknowledged',
     'CommittedVersion',
     'ConfigurationFetch',
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -90,3 +90,38 @@
   1: i64 incarnation
 }
 
+struct EndpointDigest {
+  1: i32 endpoint
+  2: i32 age_ms
+  3: i64 queued_prefill_tokens
+  4: i32 running
+  5: i32 waiting
+  6: i32 slots
+  7: i64 prefill_tokens_per_s
+  8: i64 decode_interval_us
+  9: i32 sent_requests
+  10: i64 sent_tokens
+  11: i32 ended_requests
+  12: binary stored
+  13: binary evicted
+  14: bool doubtful
+}
+
+struct FleetDigest {
+  1: i64 sequence
+  2: i32 interval_ms
+  3: bool full
+  4: list<EndpointDigest> endpoints
+}
+
+struct FullDigestWanted {
+}
+
+struct LeavingEndpoint {
+  1: string endpoint
+  2: i64 seconds_left_ms
+}
+
+struct LeavingEndpoints {
+  1: list<LeavingEndpoint> endpoints
+}
