--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operator_models.py
@@ -0,0 +1,98 @@
+"""Validated models of what operators send."""
+
+from typing import Any, TypeVar
+
+import pydantic
+
+from mimosamux_daemon.errors import InvalidRequest
+
+MAX_WHY = 1000
+
+
+class _OperatorBody(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    operation: str = pydantic.Field(min_length=8, max_length=64)
+    """Chosen by the operator; a repeat with the same one is harmless."""
+    why: str = pydantic.Field(default='', max_length=MAX_WHY)
+
+
+class ApplyBody(_OperatorBody):
+    """Body of `POST /v1/operator/configuration/apply`."""
+
+    document: dict[str, Any]
+    expected_version: int = pydantic.Field(ge=0)
+
+
+class SetBody(_OperatorBody):
+    """Body of `POST /v1/operator/configuration/set`."""
+
+    path: str | tuple[str, ...]
+    """Keys, or one text with dots between them."""
+    value: Any = None
+    remove: bool = False
+    expected_version: int | None = pydantic.Field(default=None, ge=0)
+
+    @property
+    def keys(self) -> tuple[str, ...]:
+        """The path as keys."""
+        if isinstance(self.path, str):
+            return tuple(self.path.split('.'))
+        return self.path
+
+
+class AuditQuery(pydantic.BaseModel):
+    """Query of `GET /v1/operator/audit`."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    kind: str | None = None
+    who: str | None = None
+    since: float = pydantic.Field(default=0.0, ge=0, lt=1e10)
+    """Wall time in seconds since 1970."""
+    after: str = pydantic.Field(default='', max_length=200)
+    """The `next` of the page before."""
+    limit: int = pydantic.Field(default=100, ge=1, le=500)
+
+
+class WaitQuery(pydantic.BaseModel):
+    """Query of `GET /v1/operator/configuration/wait`."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    version: int = pydantic.Field(ge=1)
+    timeout_s: float = pydantic.Field(default=15.0, gt=0, le=300)
+
+
+class HistoryQuery(pydantic.BaseModel):
+    """Query of `GET /v1/operator/configuration/history`."""
+
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+    after: int | None = pydantic.Field(default=None, ge=0)
+    limit: int = pydantic.Field(default=50, ge=1, le=500)
+
+
+ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
+
+
+def parse_json(kind: type[ModelT], data: bytes) -> ModelT:
+    """Return the checked body; `InvalidRequest` names a wrong field."""
+    try:
+        return kind.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        raise _as_invalid(error) from error
+
+
+def parse_query(kind: type[ModelT], query: dict[str, str]) -> ModelT:
+    """Return the checked query; `InvalidRequest` names a wrong field."""
+    try:
+        return kind.model_validate(query)
+    except pydantic.ValidationError as error:
+        raise _as_invalid(error) from error
+
+
+def _as_invalid(error: pydantic.ValidationError) -> InvalidRequest:
+    first = error.errors()[0]
+    path = '.'.join(str(part) for part in first['loc']) or '$'
+    return InvalidRequest(path=path, problem=first['msg'])
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
@@ -0,0 +1,317 @@
+"""Routes that operators use."""
+
+import hashlib
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import asdict, dataclass, field
+from http import HTTPStatus
+from typing import Any
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from mimosamux_daemon.api.accounts import bearer_token
+from mimosamux_daemon.api.decisions import (
+    decision_response,
+    error_response,
+    record_fields,
+)
+from mimosamux_daemon.api.operator_models import (
+    ApplyBody,
+    AuditQuery,
+    HistoryQuery,
+    SetBody,
+    WaitQuery,
+    parse_json,
+    parse_query,
+)
+from mimosamux_daemon.control.audit_trail import AuditFilter, AuditTrail
+from mimosamux_daemon.control.configuration import ConfigurationReplica
+from mimosamux_daemon.control.configuration_acceptor import (
+    MAX_DOCUMENT_BYTES,
+    ApplyDocument,
+    ConfigurationAcceptor,
+    Proposal,
+    SetValue,
+    StoreUnavailable,
+)
+from mimosamux_daemon.control.configuration_log import ConfigurationLog
+from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.domain.audit import AuditKind
+from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.errors import InvalidRequest
+
+PREFIX = '/v1/operator'
+READ = 'read'
+WRITE = 'write'
+MAX_BODY_BYTES = MAX_DOCUMENT_BYTES + 64 * 1024
+
+StatusPart = Callable[[], Sequence[Mapping[str, Any]]]
+
+
+def _nothing() -> Sequence[Mapping[str, Any]]:
+    return ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Operator:
+    """Whoever bears an operator token."""
+
+    who: str
+    role: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OperatorRoutes:
+    """Handlers of the operator API of one daemon."""
+
+    roles_by_digest: Mapping[str, str]
+    """Role (`read` or `write`) by SHA-256 digest of the token."""
+    replica: ConfigurationReplica
+    acceptor: ConfigurationAcceptor
+    log: ConfigurationLog
+    membership: Membership
+    audit: AuditTrail
+    drain: Callable[[], Awaitable[None] | None]
+    endpoints: StatusPart = field(default=_nothing)
+    classes: StatusPart = field(default=_nothing)
+
+    def routes(self) -> list[Route]:
+        """Return the routes for the application."""
+        return [
+            self._route('/configuration', self.read_configuration, READ),
+            self._route('/configuration/history', self.read_history, READ),
+            self._route('/configuration/wait', self.wait, READ),
+            self._route('/configuration/apply', self.apply, WRITE),
+            self._route('/configuration/set', self.set, WRITE),
+            self._route('/audit', self.read_audit, READ),
+            self._route('/status', self.read_status, READ),
+            self._route('/drain', self.start_drain, WRITE),
+        ]
+
+    async def read_configuration(
+        self, request: Request, operator: Operator
+    ) -> Response:
+        """Return the document in force."""
+        return JSONResponse(
+            {
+                'version': self.replica.version,
+                'document': self.replica.document,
+            }
+        )
+
+    async def read_history(
+        self, request: Request, operator: Operator
+    ) -> Response:
+        """Return versions and who made them, oldest first."""
+        query = parse_query(HistoryQuery, dict(request.query_params))
+        after = query.after
+        if after is None:
+            after = max(0, self.replica.version - query.limit)
+        records = await self.log.read_records(after)
+        if isinstance(records, Unavailable):
+            return _store_unavailable(records)
+        return JSONResponse(
+            {
+                'versions': [
+                    record_fields(record) for record in records[: query.limit]
+                ]
+            }
+        )
+
+    async def wait(self, request: Request, operator: Operator) -> Response:
+        """Return once every reachable ready daemon holds a version.
+
+        Of other data centres the lowest version of their ready daemons
+        counts, as their summaries state it.
+        """
+        query = parse_query(WaitQuery, dict(request.query_params))
+        with anyio.move_on_after(query.timeout_s):
+            await self.replica.in_force.wait_for(query.version)
+            await self.membership.wait_held(query.version)
+        behind = self._behind(query.version)
+        if behind:
+            return error_response(
+                HTTPStatus.GATEWAY_TIMEOUT,
+                'not_everywhere',
+                f'version {query.version} is not yet held by all',
+                behind=behind,
+            )
+        return JSONResponse(
+            {
+                'version': query.version,
+                'held': self.membership.versions_by_daemon(),
+            }
+        )
+
+    async def apply(self, request: Request, operator: Operator) -> Response:
+        """Propose a whole document."""
+        body = parse_json(ApplyBody, await _read_body(request))
+        return await self._propose(
+            ApplyDocument(
+                operation=body.operation,
+                who=operator.who,
+                document=body.document,
+                expected_version=body.expected_version,
+                why=body.why,
+            )
+        )
+
+    async def set(self, request: Request, operator: Operator) -> Response:
+        """Propose one value."""
+        body = parse_json(SetBody, await _read_body(request))
+        return await self._propose(
+            SetValue(
+                operation=body.operation,
+                who=operator.who,
+                path=body.keys,
+                value=body.value,
+                is_removal=body.remove,
+                expected_version=body.expected_version,
+                why=body.why,
+            )
+        )
+
+    async def read_audit(
+        self, request: Request, operator: Operator
+    ) -> Response:
+        """Return a page of the audit trail."""
+        query = parse_query(AuditQuery, dict(request.query_params))
+        page = await self.audit.read(
+            AuditFilter(
+                kind=_parse_kind(query.kind),
+                who=query.who,
+                since=query.since,
+                after=query.after,
+                limit=query.limit,
+            )
+        )
+        if isinstance(page, Unavailable):
+            return _store_unavailable(page)
+        return JSONResponse(
+            {
+                'entries': [asdict(entry) for entry in page.entries],
+                'next': page.next,
+            }
+        )
+
+    async def read_status(
+        self, request: Request, operator: Operator
+    ) -> Response:
+        """Return daemons, endpoints and classes against their targets."""
+        return JSONResponse(
+            {
+                'daemon': self.membership.daemon,
+                'version': self.replica.version,
+                'daemons': self._daemons(),
+                'endpoints': [dict(item) for item in self.endpoints()],
+                'classes': [dict(item) for item in self.classes()],
+            }
+        )
+
+    async def start_drain(
+        self, request: Request, operator: Operator
+    ) -> Response:
+        """Have this daemon stop gracefully."""
+        started = self.drain()
+        if started is not None:
+            await started
+        return JSONResponse(
+            {'outcome': 'draining', 'daemon': self.membership.daemon},
+            status_code=HTTPStatus.ACCEPTED,
+        )
+
+    def _route(
+        self,
+        path: str,
+        handler: Callable[[Request, Operator], Awaitable[Response]],
+        role: str,
+    ) -> Route:
+        async def endpoint(request: Request) -> Response:
+            operator = self._find_operator(request)
+            if operator is None:
+                return error_response(
+                    HTTPStatus.UNAUTHORIZED,
+                    'not_authorised',
+                    'send a known token as `Authorization: Bearer TOKEN`',
+                )
+            if role == WRITE and operator.role != WRITE:
+                return error_response(
+                    HTTPStatus.FORBIDDEN,
+                    'not_allowed',
+                    'this token may only read',
+                )
+            try:
+                return await handler(request, operator)
+            except InvalidRequest as error:
+                return error_response(
+                    HTTPStatus.BAD_REQUEST,
+                    'bad_request',
+                    str(error),
+                    path=error.path,
+                )
+
+        method = 'POST' if role == WRITE else 'GET'
+        return Route(PREFIX + path, endpoint, methods=[method])
+
+    def _find_operator(self, request: Request) -> Operator | None:
+        token = bearer_token(request)
+        if token is None:
+            return None
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        role = self.roles_by_digest.get(digest)
+        if role is None:
+            return None
+        return Operator(who=f'operator {digest[:8]}', role=role)
+
+    async def _propose(self, proposal: Proposal) -> Response:
+        return decision_response(await self.acceptor.propose(proposal))
+
+    def _behind(self, version: int) -> dict[str, int]:
+        return {
+            name: held
+            for name, held in self.membership.versions_by_daemon().items()
+            if held < version
+        }
+
+    def _daemons(self) -> list[dict[str, Any]]:
+        return [
+            {
+                'daemon': member.id,
+                'data_centre': name,
+                'state': self.membership.state_of(member.id).name.lower(),
+                'address': member.caller_address,
+                'version': member.version or None,
+                'load': member.load / 1000,
+            }
+            for name in self.membership.data_centres()
+            for member in self.membership.known(name)
+        ]
+
+
+async def _read_body(request: Request) -> bytes:
+    data = bytearray()
+    async for chunk in request.stream():
+        data += chunk
+        if len(data) > MAX_BODY_BYTES:
+            raise InvalidRequest(
+                path='$', problem=f'above {MAX_BODY_BYTES} bytes'
+            )
+    return bytes(data)
+
+
+def _parse_kind(name: str | None) -> AuditKind | None:
+    if name is None:
+        return None
+    try:
+        return AuditKind(name)
+    except ValueError as error:
+        known = ', '.join(AuditKind)
+        raise InvalidRequest(
+            path='kind', problem=f'is not one of: {known}'
+        ) from error
+
+
+def _store_unavailable(problem: Unavailable) -> Response:
+    return decision_response(StoreUnavailable(reason=problem.reason))
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/members.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/members.py
@@ -16,6 +16,7 @@
 """Silence above mean and so many deviations of the interval is suspect."""
 INTERVAL_WEIGHT = 0.1
 """Weight of the newest interval in the moving mean and deviation."""
+DISTANCE_WEIGHT = 0.1
 GONE_AFTER_S = 10.0
 """A daemon that was suspected for so long is gone."""
 REMOTE_STALE_S = 8.0
@@ -95,6 +96,8 @@
     members_digest: int = 0
     """As the newest summary states it."""
     load: int = 0
+    distance_s: float = math.inf
+    """Smoothed round trip to it from this data centre."""
     members_by_id: dict[DaemonId, Member] = field(default_factory=dict)
     held_digest: int = 0
     """Of the members that are held."""
@@ -108,6 +111,12 @@
         """Tell whether the data centre was not heard of for too long."""
         return now - self.heard_at > REMOTE_STALE_S
 
+    def note_distance(self, seconds: float) -> None:
+        """Note a measured round trip."""
+        if math.isinf(self.distance_s):
+            self.distance_s = seconds
+        self.distance_s += DISTANCE_WEIGHT * (seconds - self.distance_s)
+
     def take_summary(self, summary: DataCentreSummary, now: float) -> None:
         """Take a summary unless a fresher one is held."""
         stated_at = now - summary.age_ms / 1000
@@ -118,6 +127,8 @@
         self.lowest_version = summary.lowest_version
         self.members_digest = summary.members_digest
         self.load = summary.load
+        if summary.distance_us:
+            self.note_distance(summary.distance_us / 1e6)
 
     def as_summary(self, now: float) -> DataCentreSummary:
         """Return what is known, with its age."""
@@ -128,6 +139,11 @@
             lowest_version=self.lowest_version,
             members_digest=self.members_digest,
             load=self.load,
+            distance_us=(
+                0
+                if math.isinf(self.distance_s)
+                else max(1, int(self.distance_s * 1e6))
+            ),
         )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
@@ -6,6 +6,7 @@
 only when the digest in the summary is new.
 """
 
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Sequence
@@ -83,6 +84,8 @@
         """Set when a newer process runs under this name: stop then."""
         self.times_suspected = 0
         """How often peers said that they had suspected this daemon."""
+        self.left_at: float | None = None
+        """Time of `anyio.current_time` at which `leave` was called."""
         self.changes = 0
         self._address = address
         self._caller_address = caller_address
@@ -100,6 +103,7 @@
         self._fetching: set[DataCentreName] = set()
         self._listeners: list[VersionListener] = []
         self._changed = anyio.Event()
+        self._versions_changed = anyio.Event()
         self._tasks: anyio.abc.TaskGroup | None = None
         peers.handle(Heartbeat, self._take_heartbeat)
         peers.handle(SummaryExchange, self._take_summary)
@@ -128,6 +132,13 @@
         """Return every data centre known, this one first."""
         return (self.data_centre, *sorted(self._remotes_by_name))
 
+    def distance_to(self, data_centre: DataCentreName) -> float:
+        """Return the round trip in seconds; infinite if not measured."""
+        if data_centre == self.data_centre:
+            return 0.0
+        remote = self._remotes_by_name.get(data_centre)
+        return remote.distance_s if remote else math.inf
+
     def state_of(self, daemon: DaemonId) -> MemberState:
         """Return the state of a daemon; one never heard of is gone."""
         if daemon == self.daemon:
@@ -202,6 +213,11 @@
             await self._changed.wait()
         return self.changes
 
+    async def wait_held(self, version: int) -> None:
+        """Return once all reachable ready daemons hold a version."""
+        while min(self.versions_by_daemon().values()) < version:
+            await self._versions_changed.wait()
+
     # What the daemon does.
 
     def become_ready(self) -> None:
@@ -213,6 +229,7 @@
     async def leave(self) -> None:
         """Say at once that this daemon is about to stop."""
         self.state = MemberState.LEAVING
+        self.left_at = anyio.current_time()
         self._note_change()
         heartbeat = self._heartbeat()
         for daemon in self.local_peers():
@@ -321,10 +338,12 @@
             message = SummaryExchange(
                 sender=self._record(), summary=self._own_summary()
             )
+            sent_at = anyio.current_time()
             answer = await self._peers.call(
                 target, message, timeout_s=CALL_TIMEOUT_S
             )
             if isinstance(answer, SummaryExchange):
+                remote.note_distance(anyio.current_time() - sent_at)
                 self._note_summary(answer.summary, target)
             else:
                 until = anyio.current_time() + AVOID_S
@@ -608,6 +627,8 @@
         return ranked[0] if ranked else None
 
     def _tell_version(self, daemon: DaemonId, version: int) -> None:
+        self._versions_changed.set()
+        self._versions_changed = anyio.Event()
         for listener in self._listeners:
             listener(daemon, version)
 
--- a/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
@@ -46,6 +46,8 @@
     members_digest: int = 0
     """Hash of the member records; a new one is worth a fetch."""
     load: int = 0
+    distance_us: int = 0
+    """Round trip that the sender measured to it; 0: to itself."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'data_centre', 'UTF8', ''),
@@ -54,6 +56,7 @@
         (4, TType.I64, 'lowest_version', None, 0),
         (5, TType.I64, 'members_digest', None, 0),
         (6, TType.I32, 'load', None, 0),
+        (7, TType.I32, 'distance_us', None, 0),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -61,6 +61,7 @@
   4: i64 lowest_version
   5: i64 members_digest
   6: i32 load
+  7: i32 distance_us
 }
 
 struct Heartbeat {
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -1,5 +1,6 @@
 """Daemons' share in the configuration, without the daemons."""
 
+import hashlib
 from dataclasses import dataclass, field
 
 from mimosamux_daemon.adapters.memory_object_store import MemoryObjectStore
@@ -21,7 +22,9 @@
         'lookup': {'first_token_s': 0.5},
     },
     'models': {'itinerary': {'version': '1'}},
-    'accounts': {'school': {'key_digests': ['a' * 64]}},
+    'accounts': {
+        'school': {'key_digests': [hashlib.sha256(b'school-key').hexdigest()]}
+    },
     'data_centres': ['one', 'two'],
 }
 
