Property checks follow the new routing; one hash format for prefixes

The check for work at leaving endpoints is shown on a daemon that ignores notices; patching one flag no longer breaks a daemon, as leaving endpoints are also out of the lists.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/emulated_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/emulated_engine.py
@@ -11,7 +11,6 @@
 from enum import StrEnum
 
 import anyio
-import xxhash
 
 from mimosamux_daemon.domain.engine import (
     CacheEvent,
@@ -23,10 +22,11 @@
 )
 from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.vms import Endpoint
-
-BLOCK_BYTES = 256
-BYTES_PER_TOKEN = 4
-BLOCK_TOKENS = BLOCK_BYTES // BYTES_PER_TOKEN
+from mimosamux_daemon.serving.prefix_cache import (
+    BLOCK_TOKENS,
+    BYTES_PER_TOKEN,
+    hash_prompt,
+)
 
 
 def expected_token(prompt: str, offset: int) -> str:
@@ -35,17 +35,6 @@
     return f'{words[offset % len(words)]}/{offset} '
 
 
-def hash_blocks(prompt: str) -> tuple[int, ...]:
-    """Return the chained hash of each whole block of a prompt."""
-    data = prompt.encode()
-    hashed = []
-    seed = 0
-    for start in range(0, len(data) // BLOCK_BYTES * BLOCK_BYTES, BLOCK_BYTES):
-        seed = xxhash.xxh64_intdigest(data[start : start + BLOCK_BYTES], seed)
-        hashed.append(seed)
-    return tuple(hashed)
-
-
 @dataclass(kw_only=True, slots=True)
 class EngineSpeed:
     """How fast an emulated engine works; times are seconds."""
@@ -231,7 +220,7 @@
         held = self.held_kv.pop(call.kv_handle or '', None)
         if held is not None and held.request == call.request:
             run.imported_tokens = min(held.tokens, context)
-        blocks = hash_blocks(call.prompt)
+        blocks = hash_prompt(call.prompt.encode())
         run.cached_tokens = self._match(blocks) * BLOCK_TOKENS
         known = max(run.cached_tokens, run.imported_tokens)
         run.computed_tokens = max(1, context - known)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/attempts.py
@@ -15,6 +15,7 @@
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.ports.engine import EngineStream
 from mimosamux_daemon.serving.fleet import EndpointState
+from mimosamux_daemon.serving.prefix_cache import BYTES_PER_TOKEN
 from mimosamux_daemon.serving.relay import (
     AttemptBroken,
     BreakCause,
@@ -25,8 +26,6 @@
 from mimosamux_daemon.serving.requests import ActiveRequest
 from mimosamux_daemon.serving.routing import Choice
 
-CHARACTERS_PER_TOKEN = 4
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Transferred:
@@ -130,4 +129,4 @@
 
 def count_tokens(prompt: str) -> int:
     """Return about how many tokens a prompt has."""
-    return max(1, len(prompt) // CHARACTERS_PER_TOKEN)
+    return max(1, len(prompt) // BYTES_PER_TOKEN)
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -1,5 +1,6 @@
 """A daemon's serving over emulated engines, for tests and benchmarks."""
 
+import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
@@ -124,8 +125,8 @@
             serving=ModelServing(
                 engines=parts.pop('engine_port', lambda port: port)(ports),
                 fleet=fleet,
-                router=Router(fleet=fleet),
-                admission=Admission(),
+                router=Router(fleet=fleet, rng=random.Random(1)),
+                admission=Admission(rng=random.Random(1)),
                 registry=registry,
                 tasks=tasks,
                 metrics=metrics,
--- a/tests/test_serving_properties.py
+++ b/tests/test_serving_properties.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.memory_engine import EngineSpeed, FaultKind
 from mimosamux_daemon.serving import relay
-from mimosamux_daemon.serving.fleet import EndpointState
+from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.requests import ActiveRequest
 
 from tests.support.clock import run_paused
@@ -240,7 +240,7 @@
 
     def test_daemon_that_ignores_notices_sends_work_to_leaving_ones(self):
         patch = mock.patch.object(
-            EndpointState, 'is_leaving', property(lambda state: False)
+            Fleet, 'mark_leaving', lambda fleet, endpoint, seconds_left: None
         )
         offers = [
             Step(after=0.5, kind='offer', engine=1, value=1.0)
@@ -256,7 +256,11 @@
             'attempt',
             property(lambda active: 1, lambda active, value: None),
         )
-        _, _, doubled = self.find(RECLAIMS, patch)
+        offers = [
+            Step(after=0.1, kind='offer', engine=1, value=8.0)
+            for _ in range(8)
+        ]
+        _, _, doubled = self.find([*offers, *RECLAIMS], patch)
         self.assertTrue(doubled)
 
     def test_daemon_that_never_retries_loses_answers(self):
