--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+import xxhash
 
 from mimosamux_daemon.domain.engine import CacheEvent, LoadReport
 from mimosamux_daemon.domain.names import (
@@ -21,6 +22,7 @@
 from mimosamux_daemon.serving.prefix_cache import PrefixCache
 from mimosamux_daemon.serving.prices import Place, place_of
 
+STATE_NAMES = ('serving', 'suspected', 'leaving')
 SUSPECT_AFTER = 2
 """Failed connects in a row after which an endpoint is avoided."""
 FIRST_PROBE_S = 0.5
@@ -39,6 +41,15 @@
     """Hashes of the prompt's blocks, cached there afterwards."""
 
 
+@dataclass(kw_only=True, slots=True)
+class RecentWork:
+    """What this daemon sent to an endpoint since its last digest."""
+
+    tokens: float = 0.0
+    requests: int = 0
+    ended: int = 0
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class EndpointState:
     """What is known of one endpoint."""
@@ -72,6 +83,12 @@
         """Whether connects fail there and the next probe is not due."""
         return self.failed_connects >= SUSPECT_AFTER and now < self.probe_at
 
+    def state_name(self, now: float) -> str:
+        """Return one of `STATE_NAMES`."""
+        if self.is_leaving:
+            return 'leaving'
+        return 'suspected' if self.is_suspected(now) else 'serving'
+
 
 StatesByPlace = Mapping[Place, Sequence[EndpointState]]
 NO_STATES: StatesByPlace = {}
@@ -91,6 +108,9 @@
         """Mean time that a request of the model holds a slot."""
         self.changed = anyio.Event()
         """Set, and replaced by a new one, when endpoints come or go."""
+        self.by_key: dict[int, EndpointState] = {}
+        """Endpoints by the number that stands for their id in digests."""
+        self._recent_by_id: dict[EndpointId, RecentWork] = {}
         self._by_model: dict[ModelName, dict[Place, list[EndpointState]]] = {}
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
 
@@ -101,6 +121,7 @@
             return state
         state = EndpointState(endpoint=endpoint, place=place_of(endpoint))
         self.by_id[endpoint.id] = state
+        self.by_key[key_of(endpoint.id)] = state
         if endpoint.model is not None:
             places = self._by_model.setdefault(endpoint.model, {})
             places.setdefault(state.place, []).append(state)
@@ -116,6 +137,8 @@
             return
         self._take_out(state)
         state.leaving.set()
+        self.by_key.pop(key_of(endpoint), None)
+        self._recent_by_id.pop(endpoint, None)
         self.cache.drop(endpoint)
         self._wake()
 
@@ -168,6 +191,9 @@
         state.open_by_request[request] = attempt
         state.sent_at_by_request[request] = now
         state.load.note(Sent(at=now, tokens=work.tokens))
+        recent = self._recent_by_id.setdefault(endpoint, RecentWork())
+        recent.tokens += work.tokens
+        recent.requests += 1
         if work.blocks:
             self.cache.add(endpoint, work.blocks)
 
@@ -178,6 +204,7 @@
             return
         now = anyio.current_time()
         state.load.note(Sent(at=now, tokens=0.0, requests=0, ended=1))
+        self._recent_by_id.setdefault(endpoint, RecentWork()).ended += 1
         sent_at = state.sent_at_by_request.pop(request, now)
         model = state.endpoint.model
         if model is not None:
@@ -215,6 +242,11 @@
         if event.endpoint in self.by_id:
             self.cache.take(event)
 
+    def take_recent(self) -> dict[EndpointId, RecentWork]:
+        """Return what was sent since the last call, by endpoint."""
+        recent, self._recent_by_id = self._recent_by_id, {}
+        return recent
+
     def _take_out(self, state: EndpointState) -> None:
         endpoint = state.endpoint
         if endpoint.model is not None:
@@ -232,3 +264,9 @@
     def _wake(self) -> None:
         changed, self.changed = self.changed, anyio.Event()
         changed.set()
+
+
+def key_of(endpoint: EndpointId) -> int:
+    """Return the signed 32-bit number for an endpoint in digests."""
+    number = xxhash.xxh32_intdigest(endpoint.encode())
+    return number - (1 << 32) if number >> 31 else number
