Planner: demand to VMs by data centre, machine class and market

Cause: targets and ceilings were accepted, and nothing turned them into VMs. The plan is a pure function of demand, learned rates, prices and running VMs; each data centre's planner shares its forecast by a small summary, computes the same plan and orders its own part under its lease. Every VM order is a row written before the call, and the lagging list settles lost answers. Also mends the import of the cloud in memory, which no test had loaded.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
@@ -5,7 +5,6 @@
 seconds ago.
 """
 
-import itertools
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -92,9 +91,7 @@
     prices_by_offer: dict[Offer, list[PriceChange]] = field(
         default_factory=dict
     )
-    _numbers: itertools.count[int] = field(
-        default_factory=lambda: itertools.count(1)
-    )
+    _started: int = 0
 
     def set_price(self, price: Price) -> None:
         """Change a price from now on; this also puts an offer up."""
@@ -201,7 +198,8 @@
 
     def _start(self, order: StartVM) -> VM:
         now = anyio.current_time()
-        name = f'vm-{next(self._numbers)}'
+        self._started += 1
+        name = f'vm-{self._started}'
         vm = VM(
             id=VMId(name),
             data_centre=order.data_centre,
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/build_planner.py
@@ -0,0 +1,130 @@
+"""Puts the parts of a planner together."""
+
+import random
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from mimosamux_daemon.control.backoff import Backoff
+from mimosamux_daemon.control.drains import Drains
+from mimosamux_daemon.control.lease_keeper import LeaseKeeper
+from mimosamux_daemon.control.leases import LeasePolicy, LeaseTable
+from mimosamux_daemon.control.order_rows import VMOrder
+from mimosamux_daemon.control.orders import OrderParts, OrderPolicy
+from mimosamux_daemon.control.planner import Planner, PlannerPolicy, Reports
+from mimosamux_daemon.control.planning_exchange import (
+    PlanningExchange,
+    PlanningNews,
+)
+from mimosamux_daemon.control.rates import RateBook
+from mimosamux_daemon.control.weight_queue import WeightQueue
+from mimosamux_daemon.domain.configuration import Configuration
+from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.ports.cloud import Cloud
+from mimosamux_daemon.ports.engine import Engines
+from mimosamux_daemon.ports.peer import Peers
+from mimosamux_daemon.ports.table import Table
+from mimosamux_daemon.ports.weight_store import WeightStore
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlannerPorts:
+    """Everything outside the daemon that a planner uses."""
+
+    table: Table
+    cloud: Cloud
+    engines: Engines
+    weights: WeightStore
+    peers: Peers | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlannerSite:
+    """Who the planner is and which daemons there are."""
+
+    daemon: DaemonId
+    data_centre: DataCentreName
+    incarnation: int
+    own_daemons: Callable[[], Iterable[DaemonId]] = tuple
+    """Daemons of the data centre."""
+    other_daemons: Callable[
+        [], Mapping[DataCentreName, tuple[DaemonId, ...]]
+    ] = dict
+    """Daemons of the others, by data centre."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlannerPolicies:
+    """Constants of every part."""
+
+    lease: LeasePolicy = field(default_factory=LeasePolicy)
+    orders: OrderPolicy = field(default_factory=OrderPolicy)
+    planner: PlannerPolicy = field(default_factory=PlannerPolicy)
+
+
+def build_planner(
+    *,
+    site: PlannerSite,
+    ports: PlannerPorts,
+    news: PlanningNews,
+    drains: Drains,
+    configuration: Callable[[], Configuration],
+    wall_clock: Callable[[], float],
+    randomness: random.Random,
+    reports: Reports = tuple,
+    on_ready: Callable[[VMOrder], None] = lambda _: None,
+    policies: PlannerPolicies | None = None,
+) -> Planner:
+    """Return a planner; its `run` waits for the lease and then plans."""
+    policies = policies or PlannerPolicies()
+
+    def all_check_fencing() -> bool:
+        models = configuration().models.values()
+        return bool(models) and all(spec.checks_fencing for spec in models)
+
+    keeper = LeaseKeeper(
+        leases=LeaseTable(
+            table=ports.table,
+            name=f'planner/{site.data_centre}',
+            holder=site.daemon,
+            incarnation=site.incarnation,
+            wall_clock=wall_clock,
+            policy=policies.lease,
+        ),
+        policy=policies.lease,
+        randomness=randomness,
+        fencing_is_honoured=all_check_fencing,
+    )
+    parts = OrderParts(
+        cloud=ports.cloud,
+        engines=ports.engines,
+        drains=drains,
+        weights=WeightQueue(
+            weights=ports.weights, data_centre=site.data_centre
+        ),
+        backoff=Backoff(randomness=randomness),
+        configuration=configuration,
+        randomness=randomness,
+        policy=policies.orders,
+        on_ready=on_ready,
+    )
+    exchange = PlanningExchange(
+        daemon=site.daemon,
+        news=news,
+        peers=ports.peers,
+        own_daemons=site.own_daemons,
+        other_daemons=site.other_daemons,
+        randomness=randomness,
+    )
+    return Planner(
+        data_centre=site.data_centre,
+        daemon=site.daemon,
+        keeper=keeper,
+        table=ports.table,
+        parts=parts,
+        exchange=exchange,
+        rates=RateBook(),
+        configuration=configuration,
+        wall_clock=wall_clock,
+        reports=reports,
+        policy=policies.planner,
+    )
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -90,3 +90,50 @@
   1: i64 incarnation
 }
 
+struct DemandRecord {
+  1: string model
+  2: string work_class
+  3: double requests_per_s
+  4: double prompt_tokens
+  5: double answer_tokens
+}
+
+struct RateRecord {
+  1: string model
+  2: string machine_class
+  3: double prefill_tokens_per_s
+  4: double decode_interval_s
+  5: i32 slots
+}
+
+struct OfferRecord {
+  1: string machine_class
+  2: string market
+}
+
+struct PlanningSummary {
+  1: string data_centre
+  2: i64 fencing
+  3: i64 sequence
+  4: list<DemandRecord> demands
+  5: list<RateRecord> rates
+  6: list<OfferRecord> refused
+  7: list<string> stopping
+}
+
+struct ShortfallRecord {
+  1: string work_class
+  2: double needed_per_hour
+  3: double ceiling_per_hour
+  4: double admitted_share
+}
+
+struct PlanTold {
+  1: PlanningSummary summary
+  2: list<ShortfallRecord> shortfalls
+}
+
+struct DemandTold {
+  1: list<DemandRecord> demands
+  2: list<PlanningSummary> summaries
+}
--- /dev/null
+++ b/packages/mimosamux-wire/mimosamux_wire/planning_messages.py
@@ -0,0 +1,139 @@
+"""Messages with which planners share demand and what it leads to."""
+
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+from thrift.Thrift import TType
+
+from mimosamux_wire.messages import Message
+
+
+def _list_of(kind: type[Message]) -> tuple[Any, ...]:
+    return (TType.STRUCT, [kind, kind.thrift_spec], False)
+
+
+@dataclass(kw_only=True, slots=True)
+class DemandRecord(Message):
+    """Demand of one class for one model."""
+
+    model: str = ''
+    work_class: str = ''
+    requests_per_s: float = 0.0
+    prompt_tokens: float = 0.0
+    answer_tokens: float = 0.0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'model', 'UTF8', ''),
+        (2, TType.STRING, 'work_class', 'UTF8', ''),
+        (3, TType.DOUBLE, 'requests_per_s', None, 0.0),
+        (4, TType.DOUBLE, 'prompt_tokens', None, 0.0),
+        (5, TType.DOUBLE, 'answer_tokens', None, 0.0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class RateRecord(Message):
+    """How fast a replica of a model works on a machine class."""
+
+    model: str = ''
+    machine_class: str = ''
+    prefill_tokens_per_s: float = 0.0
+    decode_interval_s: float = 0.0
+    slots: int = 0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'model', 'UTF8', ''),
+        (2, TType.STRING, 'machine_class', 'UTF8', ''),
+        (3, TType.DOUBLE, 'prefill_tokens_per_s', None, 0.0),
+        (4, TType.DOUBLE, 'decode_interval_s', None, 0.0),
+        (5, TType.I32, 'slots', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class OfferRecord(Message):
+    """A kind of VM in the data centre that the summary is of."""
+
+    machine_class: str = ''
+    market: str = ''
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'machine_class', 'UTF8', ''),
+        (2, TType.STRING, 'market', 'UTF8', ''),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class PlanningSummary(Message):
+    """What the other planners need to know of a data centre."""
+
+    data_centre: str = ''
+    fencing: int = 0
+    """Number of the planner's lease; then `sequence` counts anew."""
+    sequence: int = 0
+    demands: list[DemandRecord] = field(default_factory=list)
+    rates: list[RateRecord] = field(default_factory=list)
+    refused: list[OfferRecord] = field(default_factory=list)
+    """Offers that had no VM to give a short time ago."""
+    stopping: list[str] = field(default_factory=list)
+    """VMs that are being drained."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'data_centre', 'UTF8', ''),
+        (2, TType.I64, 'fencing', None, 0),
+        (3, TType.I64, 'sequence', None, 0),
+        (4, TType.LIST, 'demands', _list_of(DemandRecord), None),
+        (5, TType.LIST, 'rates', _list_of(RateRecord), None),
+        (6, TType.LIST, 'refused', _list_of(OfferRecord), None),
+        (7, TType.LIST, 'stopping', (TType.STRING, 'UTF8', False), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class ShortfallRecord(Message):
+    """A class whose target costs more than its ceiling."""
+
+    work_class: str = ''
+    needed_per_hour: float = 0.0
+    ceiling_per_hour: float = 0.0
+    admitted_share: float = 0.0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'work_class', 'UTF8', ''),
+        (2, TType.DOUBLE, 'needed_per_hour', None, 0.0),
+        (3, TType.DOUBLE, 'ceiling_per_hour', None, 0.0),
+        (4, TType.DOUBLE, 'admitted_share', None, 0.0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class PlanTold(Message):
+    """The planner tells a daemon of its data centre what it decided."""
+
+    summary: PlanningSummary = field(default_factory=PlanningSummary)
+    shortfalls: list[ShortfallRecord] = field(default_factory=list)
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (
+            1,
+            TType.STRUCT,
+            'summary',
+            [PlanningSummary, PlanningSummary.thrift_spec],
+            None,
+        ),
+        (2, TType.LIST, 'shortfalls', _list_of(ShortfallRecord), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class DemandTold(Message):
+    """Answer of a daemon: its demand, and what it heard from elsewhere."""
+
+    demands: list[DemandRecord] = field(default_factory=list)
+    summaries: list[PlanningSummary] = field(default_factory=list)
+    """Summaries of other data centres that it got since the last time."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.LIST, 'demands', _list_of(DemandRecord), None),
+        (2, TType.LIST, 'summaries', _list_of(PlanningSummary), None),
+    )
