--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -6,7 +6,7 @@
 import anyio.abc
 
 from mimosamux_daemon.domain.configuration import Configuration
-from mimosamux_daemon.domain.names import AccountId, RequestId
+from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.work import ModelRequest
@@ -109,7 +109,7 @@
         self.registry.add(active)
         refused = await self._record(active)
         if refused is not None:
-            self._admission.release(request.account)
+            self._admission.release(request.id)
             active.end(refused)
             self.registry.forget(active)
             return refused
@@ -144,7 +144,7 @@
         )
         self.registry.add(active)
         account = configuration.accounts[request.account]
-        is_admitted = self._admission.acquire(account) is None
+        is_admitted = self._admission.acquire(account, request) is None
         self._start(active, None, is_admitted=is_admitted)
         log.info(
             'request_taken_over',
@@ -202,18 +202,21 @@
                 message='the answers in progress hold all memory there is',
                 retry_after_s=FULL_RETRY_S,
             )
-        refused = self._admission.acquire(
-            configuration.accounts[request.account]
-        )
-        if refused is not None:
-            return refused
         suspects = self._parts.suspects.current()
         choice = self._router.choose(request, excluding=suspects)
         if isinstance(choice, Refused) and suspects:
             choice = self._router.choose(request)
+        account = configuration.accounts[request.account]
         if isinstance(choice, Refused):
-            self._admission.release(request.account)
-        return choice
+            self._admission.note_refused(account, tokens=request.max_tokens)
+            return choice
+        refused = self._admission.acquire(
+            account,
+            request,
+            first_token_s=choice.first_token_s,
+            tokens=choice.work.tokens + request.max_tokens,
+        )
+        return choice if refused is None else refused
 
     async def _record(self, active: ActiveRequest) -> Refused | None:
         """Record a request of a durable class before its acceptance."""
@@ -243,21 +246,20 @@
         driver = RequestDriver(parts=self._parts, active=active)
         self._drivers[active.request.id] = driver
         self._metrics.open_requests.set({}, len(self._drivers))
-        account = active.request.account if is_admitted else None
-        self._tasks.start_soon(self._drive, driver, choice, account)
+        self._tasks.start_soon(self._drive, driver, choice, is_admitted)
 
     async def _drive(
         self,
         driver: RequestDriver,
         choice: Choice | None,
-        account: AccountId | None,
+        is_admitted: bool,
     ) -> None:
         active = driver.active
         try:
             await driver.run(choice)
         finally:
-            if account is not None:
-                self._admission.release(account)
+            if is_admitted:
+                self._admission.release(active.request.id)
             if self._drivers.get(active.request.id) is driver:
                 del self._drivers[active.request.id]
             self._metrics.open_requests.set({}, len(self._drivers))
