--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -137,7 +137,11 @@
             link.stop()
 
     async def _connect(self, daemon: DaemonId) -> Link | LinkClosed:
-        host, _, port = self._addresses_by_id[daemon].rpartition(':')
+        address = self._addresses_by_id.get(daemon)
+        if address is None:
+            # The peer was forgotten before the link's task first ran.
+            return LinkClosed(reason='address not known')
+        host, _, port = address.rpartition(':')
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, int(port))
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/members.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/members.py
@@ -21,6 +21,7 @@
 """A daemon that was suspected for so long is gone."""
 REMOTE_STALE_S = 8.0
 """A data centre not heard of for so long is suspected as a whole."""
+FETCH_PAUSE_S = 1.0
 LINKS_PER_DATA_CENTRE = 2
 
 
@@ -101,6 +102,17 @@
     members_by_id: dict[DaemonId, Member] = field(default_factory=dict)
     held_digest: int = 0
     """Of the members that are held."""
+    fetched_at: float = -math.inf
+    """When members were last asked for."""
+
+    def wants_members(self, now: float) -> bool:
+        """Tell whether to fetch the members that a summary announced.
+
+        Daemons there may disagree for a while, so that the digest goes
+        back and forth; without a pause each summary would cost a fetch.
+        """
+        is_new = self.members_digest != self.held_digest
+        return is_new and now - self.fetched_at >= FETCH_PAUSE_S
 
     def take_members(self, members: Iterable[Member]) -> None:
         """Hold these members in place of those held before."""
@@ -137,7 +149,8 @@
             age_ms=int(min(now - self.heard_at, 1_000_000) * 1000),
             configuration_version=self.version,
             lowest_version=self.lowest_version,
-            members_digest=self.members_digest,
+            # Of what is held, not of what was stated: others fetch here.
+            members_digest=self.held_digest,
             load=self.load,
             distance_us=(
                 0
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
@@ -48,7 +48,7 @@
 PAUSE_S = 1.0
 """A tick that comes so much too late means that this daemon stood still."""
 INTRODUCE_S = 5.0
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 2.0
 AVOID_S = 6.0
 """A peer of another data centre that did not answer is avoided so long."""
 REMEMBER_GONE_S = 600.0
@@ -482,8 +482,8 @@
         if was_stale is not remote.is_stale(now):
             self._note_change()
         self._tell_version(via, summary.configuration_version)
-        is_new = remote.members_digest != remote.held_digest
-        if is_new and name not in self._fetching:
+        if remote.wants_members(now) and name not in self._fetching:
+            remote.fetched_at = now
             self._fetching.add(name)
             self._start(self._refresh, via, name)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 import mimosamux_wire as wire
 from mimosamux_daemon.adapters import thrift_links
 from mimosamux_daemon.adapters.link_security import LinkSecurity
@@ -250,6 +251,25 @@
 
         anyio.run(check)
 
+    def test_peer_forgotten_before_its_link_starts_harms_nothing(self):
+        """A peer is forgotten in the moment in which it is first called.
+
+        The link's task then finds no address; the daemon must live on.
+        """
+
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            two.handle(wire.ConfigurationFetch, answer_state)
+            async with running(one, two):
+                await one.notify('two', wire.Superseded())
+                one.forget('two')
+                await anyio.lowlevel.checkpoint()
+                one.set_address('two', two.address)
+                answer = await one.call('two', wire.ConfigurationFetch())
+                self.assertIsInstance(answer, wire.ConfigurationState)
+
+        anyio.run(check)
+
     def test_tls_needs_a_certificate_of_the_authority(self):
         """A peer brings a certificate that the authority did not sign.
 
