--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -142,8 +142,10 @@
         }
         for id_ in set(self._scope_by_id) - set(owned):
             self._scope_by_id.pop(id_).cancel()
+            self._fleet.set_own(id_, is_own=False)
             self._writer.forget(id_)
         for id_ in set(owned) - set(self._scope_by_id):
+            self._fleet.set_own(id_, is_own=True)
             scope = self._scope_by_id[id_] = anyio.CancelScope()
             tasks.start_soon(self._watch, owned[id_], scope)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -61,6 +61,8 @@
     leaves_at: float | None = None
     """Time of `anyio.current_time` at which it is taken away."""
     load: Load = field(default_factory=Load)
+    is_own: bool = False
+    """Whether this daemon watches it, see `Fleet.set_own`."""
     open_by_request: dict[RequestId, int] = field(default_factory=dict)
     """Attempt number of each request that runs there from here."""
     sent_at_by_request: dict[RequestId, float] = field(default_factory=dict)
@@ -108,6 +110,7 @@
         """Mean time that a request of the model holds a slot."""
         self.changed = anyio.Event()
         """Set, and replaced by a new one, when endpoints come or go."""
+        self._own_by_model: dict[ModelName, list[EndpointState]] = {}
         self.by_key: dict[int, EndpointState] = {}
         """Endpoints by the number that stands for their id in digests."""
         self._recent_by_id: dict[EndpointId, RecentWork] = {}
@@ -166,6 +169,29 @@
         """Return the endpoints of a model that take new work, by place."""
         return self._by_model.get(model, NO_STATES)
 
+    def own_of(self, model: ModelName) -> Sequence[EndpointState]:
+        """Return this daemon's own endpoints of a model, see `set_own`."""
+        return self._own_by_model.get(model, ())
+
+    def set_own(self, endpoint: EndpointId, *, is_own: bool) -> None:
+        """Note whether this daemon watches the endpoint.
+
+        Its reports come straight from there and this daemon sends most
+        of its work, so its estimate is the surest.
+        """
+        state = self.by_id.get(endpoint)
+        if state is None or state.is_own == is_own:
+            return
+        state.is_own = is_own
+        model = state.endpoint.model
+        if model is None or state.is_leaving:
+            return
+        own = self._own_by_model.setdefault(model, [])
+        if is_own:
+            own.append(state)
+        elif state in own:
+            own.remove(state)
+
     def serving_service(self, service: ServiceName) -> Iterable[EndpointState]:
         """Return the endpoints of a service that take new work."""
         return self._by_service.get(service, ())
@@ -256,6 +282,9 @@
                 states.remove(state)
             if not states:
                 places.pop(state.place, None)
+            own = self._own_by_model.get(endpoint.model, [])
+            if state in own:
+                own.remove(state)
         if endpoint.service is not None:
             services = self._by_service.get(endpoint.service, [])
             if state in services:
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/load.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/load.py
@@ -104,8 +104,7 @@
         """Return the requests that run or wait there."""
         if not self._peer_requests:
             return self._occupied
-        unseen = self._peer_requests / PEER_RATE_WINDOW_S * self._unseen(now)
-        return self._occupied + unseen
+        return self._occupied + self.unseen_requests(now)
 
     def slot_wait_s(self, now: float, service_s: float) -> float:
         """Return the wait for a slot if each is held for `service_s`."""
@@ -114,6 +113,10 @@
             return 0.0
         return (excess + 1) / self.slots * service_s
 
+    def unseen_requests(self, now: float) -> float:
+        """Return the requests that peers have likely sent unseen."""
+        return self._peer_requests / PEER_RATE_WINDOW_S * self._unseen(now)
+
     def _unseen(self, now: float) -> float:
         since = now - max(self._peers_at, self.reported_at)
         return min(max(since, 0.0), UNSEEN_LIMIT_S) * self._decay(now)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -4,6 +4,7 @@
 a prefix of the prompt, so its work does not grow with the fleet.
 """
 
+import math
 import random
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
@@ -54,6 +55,10 @@
     """Multiple of the target beyond which a request is refused."""
     wait_weight: float = 0.25
     """How much a second of wait within the target counts as cost."""
+    unsure: float = 1.0
+    """Weight of what peers may have sent unseen to their endpoints."""
+    own_first: bool = True
+    """Prefer the endpoints that this daemon watches among equals."""
     near_equal: float = 0.1
     """Difference in cost, as a share, that counts as none."""
 
@@ -202,6 +207,8 @@
             state.endpoint.id: state
             for state in self._sample_places(request.model, size)
         }
+        for state in self._sample(self._fleet.own_of(request.model), size):
+            by_id[state.endpoint.id] = state
         limit = self._policy.holders
         for holder in pick_holders(prompt.levels, limit, self._rng):
             state = self._fleet.by_id[holder]
@@ -233,6 +240,9 @@
         uncached = max(prompt.tokens - cached, 1.0)
         prefill_s = uncached / load.prefill_tokens_per_s
         wait_s = max(load.backlog_s(now), load.slot_wait_s(now, service_s))
+        if not state.is_own:
+            unseen = load.unseen_requests(now)
+            wait_s += self._policy.unsure * math.sqrt(unseen) * prefill_s
         data_centre = state.endpoint.data_centre
         away_s = 2 * self._distances.one_way_s(data_centre)
         decode_s = request.max_tokens * load.decode_interval_s / load.slots
@@ -273,6 +283,8 @@
         bound = min(map(measure, candidates)) * (1 + self._policy.near_equal)
         equal = [each for each in candidates if measure(each) <= bound]
         near = [each for each in equal if each.is_near] or equal
+        if self._policy.own_first:
+            near = [each for each in near if each.state.is_own] or near
         pair = self._rng.sample(near, min(len(near), 2))
         return min(pair, key=_first_token_of)
 
