Own endpoints hold the full limit, those of peers a lower one

The fair part also compared equal floats.

Change: over accounts may fill 0.8 of the target at endpoints that this daemon watches and 0.5 at others; slack in the comparison; endpoints are spread with a bound, so each daemon has as many.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -55,18 +55,28 @@
         """Return the daemons that are up there, this one included."""
 
 
-def owner_of(
-    endpoint: EndpointId, daemons: Iterable[DaemonId]
-) -> DaemonId | None:
-    """Return the daemon that watches an endpoint (rendezvous hashing).
-
-    When a daemon goes, only its endpoints get another owner.
+def spread_endpoints(
+    endpoints: Iterable[EndpointId], daemons: Iterable[DaemonId]
+) -> dict[EndpointId, DaemonId]:
+    """Return the daemon that watches each endpoint.
+
+    This is rendezvous hashing with a bound: no daemon gets more than the
+    mean, rounded up. Each daemon sends to its own endpoints first, so
+    one with few of them would have to refuse what another has room for.
     """
-    return max(
-        daemons,
-        key=lambda daemon: _weight(daemon, endpoint),
-        default=None,
-    )
+    names = sorted(daemons)
+    ids = sorted(endpoints)
+    if not names:
+        return {}
+    room = dict.fromkeys(names, -(-len(ids) // len(names)))
+    owners: dict[EndpointId, DaemonId] = {}
+    for id_ in ids:
+        owner = max(room, key=lambda daemon: _weight(daemon, id_))
+        owners[id_] = owner
+        room[owner] -= 1
+        if not room[owner]:
+            del room[owner]
+    return owners
 
 
 class Ownership:
@@ -134,12 +144,7 @@
 
     def _spread(self, tasks: anyio.abc.TaskGroup) -> None:
         """Start and end watches so that they match the ownership."""
-        owned = {
-            state.endpoint.id: state.endpoint
-            for state in self._fleet.by_id.values()
-            if state.endpoint.model is not None
-            and self._find_owner(state.endpoint) == self._daemon
-        }
+        owned = self._find_owned()
         for id_ in set(self._scope_by_id) - set(owned):
             self._scope_by_id.pop(id_).cancel()
             self._fleet.set_own(id_, is_own=False)
@@ -149,13 +154,33 @@
             scope = self._scope_by_id[id_] = anyio.CancelScope()
             tasks.start_soon(self._watch, owned[id_], scope)
 
-    def _find_owner(self, endpoint: Endpoint) -> DaemonId | None:
-        if endpoint.data_centre not in self._group():
-            return None
-        local = set(self._members.members(endpoint.data_centre))
-        if endpoint.data_centre == self._data_centre:
-            local.add(self._daemon)
-        return owner_of(endpoint.id, local or {*self.peers(), self._daemon})
+    def _find_owned(self) -> dict[EndpointId, Endpoint]:
+        """Return this daemon's endpoints in all data centres it serves.
+
+        The endpoints of a data centre without daemons are spread over
+        the whole group.
+        """
+        owned = {}
+        for data_centre in self._group():
+            endpoints = {
+                state.endpoint.id: state.endpoint
+                for state in self._fleet.by_id.values()
+                if state.endpoint.model is not None
+                and state.endpoint.data_centre == data_centre
+            }
+            daemons = set(self._members.members(data_centre))
+            if data_centre == self._data_centre:
+                daemons.add(self._daemon)
+            daemons = daemons or {*self.peers(), self._daemon}
+            owners = spread_endpoints(endpoints, daemons)
+            owned.update(
+                {
+                    id_: endpoints[id_]
+                    for id_, owner in owners.items()
+                    if owner == self._daemon
+                }
+            )
+        return owned
 
     async def _watch(
         self, endpoint: Endpoint, scope: anyio.CancelScope
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/admission.py
@@ -34,8 +34,14 @@
     """Time over which the use of an account is averaged."""
     full_share: float = 1.0
     """Share of the target up to which requests are let through."""
-    over_share: float = 0.6
+    over_share: float = 0.8
     """The same for an account that is over its fair part."""
+    unsure_share: float = 0.5
+    """The same for that account at endpoints that others watch.
+
+    All daemons would otherwise fill what looks like the same room there
+    before any of them hears of it.
+    """
 
 
 def _no_classes() -> frozenset[ClassName]:
@@ -65,12 +71,14 @@
         request: ModelRequest | ServiceCall,
         *,
         first_token_s: float = 0.0,
+        is_sure: bool = True,
         tokens: float = 1.0,
     ) -> Refused | None:
         """Count a request in; a refusal counts nothing as open.
 
-        `first_token_s` is the estimate of the choice made for it and
-        `tokens` is the work that it brings.
+        `first_token_s` is the estimate of the choice made for it,
+        `is_sure` tells whether this daemon watches the endpoint, and
+        `tokens` is the work that the request brings.
         """
         if request.id in self._account_by_request:
             raise InvariantBroken(f'request {request.id} acquired twice')
@@ -80,7 +88,8 @@
             tokens=tokens,
             now=anyio.current_time(),
         )
-        refused = self._find_refusal(account, request, first_token_s)
+        limit = self._limit_share(account.id, is_sure)
+        refused = self._find_refusal(account, request, first_token_s, limit)
         if refused is not None:
             return refused
         self._shares.note_admitted(account.id, tokens=tokens)
@@ -120,6 +129,7 @@
         account: Account,
         request: ModelRequest | ServiceCall,
         first_token_s: float,
+        limit_share: float,
     ) -> Refused | None:
         work_class = request.work_class
         if work_class.name in self._over_ceiling():
@@ -134,7 +144,7 @@
                 message=f'{account.max_open} requests are open already',
                 retry_after_s=BUSY_RETRY_S,
             )
-        limit_s = work_class.first_token_s * self._limit_share(account.id)
+        limit_s = work_class.first_token_s * limit_share
         if first_token_s <= limit_s:
             return None
         wait_s = max(first_token_s - limit_s, LEAST_RETRY_S)
@@ -144,7 +154,9 @@
             retry_after_s=round(wait_s * self._rng.uniform(1.0, 1.5), 3),
         )
 
-    def _limit_share(self, account: AccountId) -> float:
-        if self._shares.is_over(account):
+    def _limit_share(self, account: AccountId, is_sure: bool) -> float:
+        if not self._shares.is_over(account):
+            return self._policy.full_share
+        if is_sure:
             return self._policy.over_share
-        return self._policy.full_share
+        return self._policy.unsure_share
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fair_shares.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fair_shares.py
@@ -12,6 +12,12 @@
 
 LEVEL_INTERVAL_S = 0.25
 """Time between two computations of the level."""
+FAIR_PART = 0.9
+"""Part of the fair tokens from which an account counts as having them.
+
+An account that alone is cut has exactly the fair tokens; without slack
+it would be over or not by rounding, and be let through each other time.
+"""
 FORGET_BELOW_TOKENS = 0.01
 """Accounts whose recent use has faded below this are forgotten."""
 
@@ -57,7 +63,7 @@
         """
         use = self._by_account[account]
         fair = self._level * use.share
-        return use.offered > fair and use.admitted >= fair
+        return use.offered > fair and use.admitted >= fair * FAIR_PART
 
     def _fade(self, now: float) -> None:
         fade = math.exp(-(now - self._computed_at) / self._window_s)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -214,6 +214,7 @@
             account,
             request,
             first_token_s=choice.first_token_s,
+            is_sure=choice.is_sure,
             tokens=choice.work.tokens + request.max_tokens,
         )
         return choice if refused is None else refused
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -55,7 +55,7 @@
     """Multiple of the target beyond which a request is refused."""
     wait_weight: float = 0.25
     """How much a second of wait within the target counts as cost."""
-    unsure: float = 1.0
+    unsure: float = 0.5
     """Weight of what peers may have sent unseen to their endpoints."""
     own_first: bool = True
     """Prefer the endpoints that this daemon watches among equals."""
@@ -70,6 +70,8 @@
     endpoint: Endpoint
     first_token_s: float
     cached_tokens: int = 0
+    is_sure: bool = True
+    """Whether the estimate is of an endpoint that this daemon watches."""
     work: PromptWork = field(default_factory=PromptWork)
     """To be passed to `Fleet.note_sent`."""
 
@@ -152,6 +154,7 @@
             endpoint=best.state.endpoint,
             first_token_s=best.first_token_s,
             cached_tokens=int(best.cached_tokens),
+            is_sure=best.state.is_own,
             work=PromptWork(
                 tokens=max(prompt.tokens - best.cached_tokens, 1.0),
                 blocks=prompt.blocks,
@@ -273,7 +276,13 @@
         early = [each for each in candidates if each.first_token_s <= limit_s]
         if early:
             return self._draw(early, _cost_of)
-        return self._draw(candidates, _first_token_of)
+        limit_s = target_s * self._policy.miss_allowed
+        sure = [
+            each
+            for each in candidates
+            if each.state.is_own and each.first_token_s <= limit_s
+        ]
+        return self._draw(sure or candidates, _first_token_of)
 
     def _draw(
         self,
