--- a/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
@@ -106,7 +106,26 @@
         peers.handle(MembersFetch, self._answer_fetch)
         peers.handle(Superseded, self._take_superseded)
 
-    # What other parts ask.
+    @property
+    def changed(self) -> anyio.Event:
+        """Event that the next change of membership sets."""
+        return self._changed
+
+    def incarnation_of(self, daemon: DaemonId) -> int | None:
+        """Return which process of a daemon runs, None if none is known."""
+        if daemon == self.daemon:
+            return self.incarnation
+        known = [
+            member
+            for data_centre in self.data_centres()
+            for member in self.known(data_centre)
+            if member.id == daemon
+        ]
+        return max((member.incarnation for member in known), default=None)
+
+    def gone(self) -> tuple[DaemonId, ...]:
+        """Return the daemons of this data centre that went lately."""
+        return tuple(self._gone_by_id)
 
     def members(self, data_centre: DataCentreName) -> tuple[DaemonId, ...]:
         """Return the ready daemons of a data centre, sorted."""
@@ -202,8 +221,6 @@
             await self._changed.wait()
         return self.changes
 
-    # What the daemon does.
-
     def become_ready(self) -> None:
         """Say from now on that this daemon serves."""
         if self.state is MemberState.JOINING:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -0,0 +1,136 @@
+"""The control parts of a daemon, put together over its ports."""
+
+import uuid
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from mimosamux_daemon.adapters.link_security import security_of
+from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
+from mimosamux_daemon.control.configuration import (
+    ConfigurationInForce,
+    ConfigurationReplica,
+)
+from mimosamux_daemon.control.configuration_acceptor import (
+    Accepted,
+    ApplyDocument,
+    ConfigurationAcceptor,
+)
+from mimosamux_daemon.control.configuration_changes import VersionRecord
+from mimosamux_daemon.control.configuration_log import ConfigurationLog
+from mimosamux_daemon.control.configuration_push import ConfigurationSync
+from mimosamux_daemon.control.liveness import MembershipLiveness
+from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.store_guard import (
+    GuardedObjectStore,
+    GuardedTable,
+    StoreGuard,
+)
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.platform import Platform
+from mimosamux_daemon.settings import Settings
+
+log = get_log('control')
+
+SETTINGS_AUTHOR = 'settings'
+
+
+@dataclass(kw_only=True)
+class ControlParts:
+    """What the daemons share, as one of them takes part in it."""
+
+    settings: Settings
+    guard: StoreGuard
+    peers: ThriftPeers
+    membership: Membership
+    liveness: MembershipLiveness
+    in_force: ConfigurationInForce
+    log: ConfigurationLog
+    acceptor: ConfigurationAcceptor
+    sync: ConfigurationSync
+
+    async def start(self) -> None:
+        """Return once the newest configuration is in force here."""
+        await self.membership.joined.wait()
+        await self.sync.start(self._propose_first)
+
+    async def _propose_first(self) -> None:
+        document = self.settings.configuration
+        if document is None:
+            return
+        decision = await self.acceptor.propose(
+            ApplyDocument(
+                operation=uuid.uuid4().hex,
+                who=SETTINGS_AUTHOR,
+                document=document,
+                expected_version=0,
+                why='first configuration',
+            )
+        )
+        if not isinstance(decision, Accepted):
+            log.warning('first_configuration', decision=str(decision))
+
+
+def build_control(
+    *,
+    settings: Settings,
+    platform: Platform,
+    metrics: Metrics,
+    in_force: ConfigurationInForce,
+    caller_address: Callable[[], str],
+    wall_clock: Callable[[], float],
+) -> ControlParts:
+    """Return the control parts over a platform."""
+    guard = StoreGuard(metrics=metrics)
+    peers = ThriftPeers(
+        daemon=settings.daemon,
+        host=settings.host,
+        port=settings.peer_port,
+        security=security_of(settings),
+        metrics=metrics,
+    )
+    membership = Membership(
+        daemon=settings.daemon,
+        data_centre=settings.data_centre,
+        address=lambda: peers.address,
+        caller_address=caller_address,
+        peers=peers,
+        seeds=lambda: settings.peers,
+        version=lambda: in_force.current.version,
+        wall_clock=wall_clock,
+    )
+    replica = ConfigurationReplica(in_force=in_force)
+    changes = ConfigurationLog(
+        table=guard_table(guard, platform, 'configuration'),
+        objects=GuardedObjectStore(guard=guard, objects=platform.objects),
+    )
+    sync = ConfigurationSync(
+        replica=replica, log=changes, peers=peers, membership=membership
+    )
+
+    def spread(records: Sequence[VersionRecord]) -> None:
+        sync.spread(records)
+
+    return ControlParts(
+        settings=settings,
+        guard=guard,
+        peers=peers,
+        membership=membership,
+        liveness=MembershipLiveness(membership=membership),
+        in_force=in_force,
+        log=changes,
+        acceptor=ConfigurationAcceptor(
+            replica=replica,
+            log=changes,
+            spread=spread,
+            wall_clock=wall_clock,
+        ),
+        sync=sync,
+    )
+
+
+def guard_table(
+    guard: StoreGuard, platform: Platform, mechanism: str
+) -> GuardedTable:
+    """Return the table with deadlines, counted for one mechanism."""
+    return GuardedTable(guard=guard, table=platform.table, mechanism=mechanism)
--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -73,9 +73,9 @@
 
 
 async def _announce(daemon: Daemon, env: Environment) -> None:
-    await daemon.started.wait()
+    await daemon.listening.wait()
     address = daemon.address
-    print(f'mimosamuxd serves on http://{address}', file=env.stdout)
+    print(f'listening http://{address}', file=env.stdout)
     if daemon.settings.embedded:
         body = (
             '{"model": "demo", "stream": true, "max_tokens": 20, "messages":'
@@ -83,7 +83,10 @@
         )
         print(
             f'Try:\n  curl -N http://{address}/v1/chat/completions'
-            f" -H 'Authorization: Bearer {DEMO_KEY}' -d '{body}'",
+            f" -H 'Authorization: Bearer {DEMO_KEY}'"
+            f" -H 'X-Mimosamux-Class: draft' -d '{body}'\n"
+            f'  MIMOSAMUX_ENTRY={address} MIMOSAMUX_KEY={DEMO_KEY}'
+            f" mimosamux request 'plan a trip' --work-class draft --stream",
             file=env.stdout,
         )
     env.stdout.flush()
--- a/packages/mimosamux-daemon/mimosamux_daemon/embedded.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/embedded.py
@@ -2,38 +2,99 @@
 
 from dataclasses import dataclass, field
 
+import anyio
+
+from mimosamux_daemon.adapters.memory_cloud import (
+    CloudFaults,
+    MemoryCloud,
+    VMRecord,
+)
 from mimosamux_daemon.adapters.memory_engine import MemoryEngines
 from mimosamux_daemon.adapters.memory_object_store import MemoryObjectStore
+from mimosamux_daemon.adapters.memory_service import MemoryServices
 from mimosamux_daemon.adapters.memory_table import MemoryTable
+from mimosamux_daemon.adapters.memory_weight_store import MemoryWeightStore
 from mimosamux_daemon.domain.names import (
     DataCentreName,
     EndpointId,
     ModelName,
+    ServiceName,
     VMId,
 )
-from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.domain.vms import (
+    VM,
+    Endpoint,
+    Market,
+    Price,
+    VMRole,
+    VMState,
+)
 
 EMBEDDED_MODEL = ModelName('demo')
+EMBEDDED_SERVICE = ServiceName('echo')
+MACHINE_CLASS = 'standard'
+PRICE_PER_HOUR = 1.0
 
 
 @dataclass(kw_only=True, slots=True)
 class EmbeddedPlatform:
-    """An in-memory platform with one emulated engine."""
+    """An in-memory platform with one engine and one service."""
 
-    data_centre: DataCentreName
     table: MemoryTable = field(default_factory=MemoryTable)
     objects: MemoryObjectStore = field(default_factory=MemoryObjectStore)
     engines: MemoryEngines = field(default_factory=MemoryEngines)
+    services: MemoryServices = field(default_factory=MemoryServices)
+    weights: MemoryWeightStore = field(default_factory=MemoryWeightStore)
+    cloud: MemoryCloud = field(
+        default_factory=lambda: MemoryCloud(faults=CloudFaults(list_lag_s=0.0))
+    )
+
 
-    def endpoints(self) -> tuple[Endpoint, ...]:
-        """Return the emulated engine, started."""
-        endpoint = Endpoint(
-            id=EndpointId('embedded-1'),
-            vm=VMId('embedded-1'),
-            address='embedded',
-            data_centre=self.data_centre,
+def embed_platform(data_centre: DataCentreName) -> EmbeddedPlatform:
+    """Return a platform whose engine and service are running."""
+    platform = EmbeddedPlatform()
+    platform.cloud.set_price(
+        Price(
+            data_centre=data_centre,
+            machine_class=MACHINE_CLASS,
+            market=Market.ON_DEMAND,
+            per_hour=PRICE_PER_HOUR,
+        )
+    )
+    engine = _list_vm(platform, 'engine-1', data_centre, model=EMBEDDED_MODEL)
+    _list_vm(platform, 'service-1', data_centre, service=EMBEDDED_SERVICE)
+    platform.engines.add(
+        Endpoint(
+            id=EndpointId(engine.id),
+            vm=engine.id,
+            address=engine.address,
+            data_centre=data_centre,
+            market=Market.ON_DEMAND,
             model=EMBEDDED_MODEL,
         )
-        if endpoint.id not in self.engines.by_id:
-            self.engines.add(endpoint)
-        return (endpoint,)
+    )
+    return platform
+
+
+def _list_vm(
+    platform: EmbeddedPlatform,
+    name: str,
+    data_centre: DataCentreName,
+    *,
+    model: ModelName | None = None,
+    service: ServiceName | None = None,
+) -> VM:
+    vm = VM(
+        id=VMId(name),
+        data_centre=data_centre,
+        machine_class=MACHINE_CLASS,
+        market=Market.ON_DEMAND,
+        role=VMRole.ENDPOINT,
+        state=VMState.LIVE,
+        address='embedded:0',
+        model=model,
+        service=service,
+    )
+    now = anyio.current_time()
+    platform.cloud.by_id[vm.id] = VMRecord(vm=vm, started_at=now, live_at=now)
+    return vm
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -0,0 +1,216 @@
+"""The serving parts of a daemon, put together over its ports."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+import anyio.abc
+
+from mimosamux_daemon.control.ceilings import Ceilings
+from mimosamux_daemon.control.endpoints import EndpointKeeper
+from mimosamux_daemon.control.journal_claims import JournalClaims
+from mimosamux_daemon.control.ownership import Ownership
+from mimosamux_daemon.control.store_guard import GuardedObjectStore
+from mimosamux_daemon.control_parts import ControlParts, guard_table
+from mimosamux_daemon.domain.names import EndpointId, ServiceName
+from mimosamux_daemon.domain.outcomes import Refused
+from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.domain.work import ModelRequest
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.platform import Platform
+from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.journal import Journal
+from mimosamux_daemon.serving.model_serving import HandedOver, ModelServing
+from mimosamux_daemon.serving.prices import Distances, PriceBook
+from mimosamux_daemon.serving.repeatable_calls import RepeatableCalls
+from mimosamux_daemon.serving.requests import RequestRegistry
+from mimosamux_daemon.serving.retries import RetryBudget
+from mimosamux_daemon.serving.routing import Router
+from mimosamux_daemon.serving.service_calls import (
+    CountedServices,
+    ServiceCalls,
+)
+from mimosamux_daemon.serving.side_effects import SideEffects
+from mimosamux_daemon.settings import Settings
+
+log = get_log('serving')
+
+
+@dataclass(kw_only=True)
+class ServingParts:
+    """From an offered request to its answer, at one daemon."""
+
+    fleet: Fleet
+    prices: PriceBook
+    registry: RequestRegistry
+    models: ModelServing
+    services: ServiceCalls
+    side_effects: SideEffects
+    journal: Journal
+    claims: JournalClaims
+    keeper: EndpointKeeper
+    ownership: Ownership
+
+    def start(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Start everything that runs in the background."""
+        tasks.start_soon(self.side_effects.run)
+        tasks.start_soon(self.journal.run)
+        tasks.start_soon(self.claims.run)
+        tasks.start_soon(self.keeper.run)
+        tasks.start_soon(self.ownership.run)
+
+
+def build_serving(
+    *,
+    settings: Settings,
+    platform: Platform,
+    control: ControlParts,
+    ceilings: Ceilings,
+    metrics: Metrics,
+    wall_clock: Callable[[], float],
+    tasks: anyio.abc.TaskGroup,
+) -> ServingParts:
+    """Return the serving parts; requests run as tasks of `tasks`."""
+    membership = control.membership
+    fleet = Fleet()
+    prices = PriceBook()
+    router = Router(
+        fleet=fleet,
+        prices=prices,
+        distances=Distances(own=settings.data_centre),
+        configuration=lambda: control.in_force.current,
+        metrics=metrics,
+    )
+    admission = Admission(over_ceiling=ceilings.over_ceiling)
+    registry = RequestRegistry()
+    journal_table = guard_table(control.guard, platform, 'journal')
+    journal = Journal(
+        table=journal_table,
+        liveness=control.liveness,
+        daemon=settings.daemon,
+        incarnation=membership.incarnation,
+        daemons=lambda: _count_daemons(control),
+    )
+    models = ModelServing(
+        engines=platform.engines,
+        fleet=fleet,
+        router=router,
+        admission=admission,
+        registry=registry,
+        tasks=tasks,
+        metrics=metrics,
+        journal=journal,
+    )
+    side_effects = _build_side_effects(
+        settings=settings,
+        platform=platform,
+        control=control,
+        fleet=fleet,
+        router=router,
+        wall_clock=wall_clock,
+    )
+    return ServingParts(
+        fleet=fleet,
+        prices=prices,
+        registry=registry,
+        models=models,
+        services=ServiceCalls(
+            side_effects=side_effects,
+            repeatable=RepeatableCalls(
+                services=CountedServices(
+                    services=platform.services, fleet=fleet
+                ),
+                choose=_chooser(router),
+                budget=RetryBudget(),
+            ),
+            admission=admission,
+            metrics=metrics,
+        ),
+        side_effects=side_effects,
+        journal=journal,
+        claims=JournalClaims(
+            journal=journal,
+            table=journal_table,
+            membership=membership,
+            go_on=_go_on_with(models, control),
+        ),
+        keeper=EndpointKeeper(
+            cloud=platform.cloud,
+            fleet=fleet,
+            prices=prices,
+            peers=control.peers,
+            peer_ids=membership.local_peers,
+            configuration=lambda: control.in_force.current,
+            metrics=metrics,
+        ),
+        ownership=Ownership(
+            daemon=settings.daemon,
+            data_centre=settings.data_centre,
+            fleet=fleet,
+            engines=platform.engines,
+            peers=control.peers,
+            members=membership,
+            metrics=metrics,
+        ),
+    )
+
+
+def _build_side_effects(
+    *,
+    settings: Settings,
+    platform: Platform,
+    control: ControlParts,
+    fleet: Fleet,
+    router: Router,
+    wall_clock: Callable[[], float],
+) -> SideEffects:
+    return SideEffects(
+        table=guard_table(control.guard, platform, 'side_effects'),
+        objects=GuardedObjectStore(
+            guard=control.guard, objects=platform.objects
+        ),
+        services=CountedServices(services=platform.services, fleet=fleet),
+        choose=_chooser(router),
+        liveness=control.liveness,
+        daemon=settings.daemon,
+        incarnation=control.membership.incarnation,
+        wall_clock=wall_clock,
+    )
+
+
+def _chooser(
+    router: Router,
+) -> Callable[[ServiceName, frozenset[EndpointId]], Endpoint | Refused]:
+    def choose(
+        service: ServiceName, excluding: frozenset[EndpointId]
+    ) -> Endpoint | Refused:
+        return router.choose_service(service, excluding=excluding)
+
+    return choose
+
+
+def _go_on_with(
+    models: ModelServing, control: ControlParts
+) -> Callable[[ModelRequest], Awaitable[None]]:
+    async def go_on(request: ModelRequest) -> None:
+        taken = await models.take_over(
+            HandedOver(request=request), control.in_force.current
+        )
+        if isinstance(taken, Refused):
+            log.warning(
+                'claim_not_served',
+                request=request.id,
+                account=request.account,
+                reason=taken.reason,
+            )
+
+    return go_on
+
+
+def _count_daemons(control: ControlParts) -> int:
+    membership = control.membership
+    return sum(
+        len(membership.known(name)) for name in membership.data_centres()
+    )
--- a/tests/support/examples.py
+++ b/tests/support/examples.py
@@ -7,4 +7,7 @@
     .read_text()
     .replace('port: 8080', 'port: 0')
 )
-KEY_HEADERS = {'Authorization': 'Bearer demo-key'}
+KEY_HEADERS = {
+    'Authorization': 'Bearer demo-key',
+    'X-Mimosamux-Class': 'draft',
+}
--- /dev/null
+++ b/tests/support/processes.py
@@ -0,0 +1,112 @@
+"""Real processes for integration tests: start, freeze, kill, stop."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+
+import yaml
+
+STOP_TIMEOUT_S = 30.0
+ROOT = pathlib.Path(__file__).parents[2]
+
+
+@dataclass(kw_only=True)
+class Process:
+    """A process that this test started, and the address it printed."""
+
+    popen: subprocess.Popen[str]
+    address: str = ''
+
+    def freeze(self) -> None:
+        """Stop it in its tracks (SIGSTOP)."""
+        self.popen.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it go on (SIGCONT)."""
+        self.popen.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End it without warning (SIGKILL)."""
+        self.popen.kill()
+        self.popen.wait(STOP_TIMEOUT_S)
+
+    def terminate(self) -> None:
+        """Ask it to stop gracefully (SIGTERM), without waiting."""
+        self.popen.send_signal(signal.SIGTERM)
+
+    def wait(self) -> int:
+        """Return its exit status once it has ended."""
+        return self.popen.wait(STOP_TIMEOUT_S)
+
+    def end(self) -> None:
+        """Make sure that it is gone."""
+        if self.popen.poll() is None:
+            self.popen.kill()
+            self.popen.wait(STOP_TIMEOUT_S)
+        if self.popen.stdout is not None:
+            self.popen.stdout.close()
+
+
+class Processes:
+    """Starts processes and ends every one of them."""
+
+    def __init__(self, *, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self._started: list[Process] = []
+
+    def start_standin(self, name: str, *args: str) -> Process:
+        """Start a stand-in; its first line is `listening HOST:PORT`."""
+        return self._start('mimosamux_standins', name, *args)
+
+    def start_daemon(self, **settings: object) -> Process:
+        """Start a daemon with settings, which are written as YAML."""
+        path = self.folder / f'{settings["daemon"]}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+        return self._start(
+            'mimosamux_daemon', 'serve', '--settings', str(path)
+        )
+
+    def end_all(self) -> None:
+        """End what is left, by id."""
+        for process in self._started:
+            process.end()
+
+    def _start(self, module: str, *args: str) -> Process:
+        log = (self.folder / f'{len(self._started)}-{module}.log').open('w')
+        with log:
+            popen = subprocess.Popen(
+                [sys.executable, '-m', module, *args],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+                cwd=ROOT,
+                env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            )
+        process = Process(popen=popen)
+        self._started.append(process)
+        process.address = _read_address(popen)
+        return process
+
+
+@contextmanager
+def processes() -> Iterator[Processes]:
+    """Give a starter of processes, and end all of them afterwards."""
+    with ExitStack() as stack:
+        folder = stack.enter_context(tempfile.TemporaryDirectory())
+        started = Processes(folder=pathlib.Path(folder))
+        stack.callback(started.end_all)
+        yield started
+
+
+def _read_address(popen: subprocess.Popen[str]) -> str:
+    assert popen.stdout is not None
+    line = popen.stdout.readline()
+    if not line:
+        raise AssertionError(f'{popen.args} ended before it listened')
+    return line.split()[-1].removeprefix('http://')
--- a/tests/test_caller_command.py
+++ b/tests/test_caller_command.py
@@ -23,6 +23,7 @@
                 'request',
                 'plan a trip',
                 '--max-tokens=4',
+                '--work-class=draft',
                 MIMOSAMUX_ENTRY=daemon.address,
                 MIMOSAMUX_KEY='demo-key',
             )
@@ -42,6 +43,7 @@
                 'request',
                 'a b',
                 '--max-tokens=2',
+                '--work-class=draft',
                 MIMOSAMUX_ENTRY=f'127.0.0.1:1,{daemon.address}',
                 MIMOSAMUX_KEY='demo-key',
             )
@@ -52,6 +54,7 @@
             result = mimosamux(
                 'request',
                 'a',
+                '--work-class=draft',
                 MIMOSAMUX_ENTRY=daemon.address,
                 MIMOSAMUX_KEY='wrong',
             )
