Operator commands, planner and discovery in the daemon; services are safe

Cause: the planner adopted every endpoint VM that no order tells of, and stopped those that the plan has no use for; the VMs of plain services are never in the plan. The cost of service VMs no longer counts against the ceilings of model classes either.

--- a/packages/mimosamux-cli/mimosamux_cli/addresses.py
+++ b/packages/mimosamux-cli/mimosamux_cli/addresses.py
@@ -38,7 +38,7 @@
             answer = self._ask_one(url)
             if answer is not None:
                 addresses, ttl_s = answer
-                self._kept = tuple(map(self._as_url, addresses))
+                self._kept = tuple(map(self.as_url, addresses))
                 self._good_until = self.now() + ttl_s
                 return
 
@@ -50,14 +50,16 @@
                 timeout=CONNECT_TIMEOUT_S,
             )
             body = answer.raise_for_status().json()
-            return list(body['addresses']), float(body['ttl_s'])
+            found = [str(item['address']) for item in body['addresses']]
+            return found, float(body['ttl_s'])
         except (httpx.HTTPError, ValueError, KeyError, TypeError):
             return None
 
     def _seed_urls(self) -> tuple[str, ...]:
-        return tuple(map(self._as_url, self.seeds))
+        return tuple(map(self.as_url, self.seeds))
 
-    def _as_url(self, address: str) -> str:
+    def as_url(self, address: str) -> str:
+        """Return the base URL of an address."""
         return address if '://' in address else f'{self.scheme}://{address}'
 
 
--- a/packages/mimosamux-cli/mimosamux_cli/commands.py
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -26,6 +26,7 @@
 KEY_VARIABLE = 'MIMOSAMUX_KEY'
 TOKEN_VARIABLE = 'MIMOSAMUX_TOKEN'  # noqa: S105 - a name, not a token
 DEFAULT_WAIT_S = 30.0
+AUDIT_DEFAULT_S = 86_400.0
 
 
 class _Group:
@@ -139,9 +140,13 @@
         if json:
             write_json(answer, self._env.stdout)
             return
-        columns = ('version', 'who', 'what', 'why')
-        rows = [[item.get(c) for c in columns] for item in answer['changes']]
-        write_table(columns, rows, self._env.stdout)
+        columns = ('who', 'what', 'why')
+        rows = [
+            [version['version'], *(change.get(name) for name in columns)]
+            for version in answer['versions']
+            for change in version['changes']
+        ]
+        write_table(('version', *columns), rows, self._env.stdout)
 
     def wait(
         self,
@@ -202,7 +207,7 @@
 
         Example: mimosamux drain entry-2
         """
-        self._operator(entry).change('drain', {'daemon': daemon})
+        self._operator(entry).drain(daemon)
         self._write(f'{daemon} is draining\n')
 
     def audit(
@@ -215,18 +220,22 @@
         entry: str | None = None,
         json: bool = False,
     ) -> None:
-        """Show the audit trail, newest last.
+        """Show the last changes of the audit trail, newest last.
+
+        --since takes seconds since 1970; without it, the last day.
 
         Example: mimosamux audit --kind vm --limit 10
         """
-        answer = self._operator(entry).get(
-            'audit', kind=kind, who=who, since=since, limit=limit
-        )
+        if since is None:
+            since = self._env.wall_clock() - AUDIT_DEFAULT_S
+        entries = self._operator(entry).read_audit(
+            kind=kind, who=who, since=since
+        )[-limit:]
         if json:
-            write_json(answer, self._env.stdout)
+            write_json({'entries': entries}, self._env.stdout)
             return
         columns = ('at', 'kind', 'who', 'what', 'why', 'version')
-        rows = [[item.get(c) for c in columns] for item in answer['entries']]
+        rows = [[item.get(c) for c in columns] for item in entries]
         write_table(columns, rows, self._env.stdout)
 
     def addresses(
--- a/packages/mimosamux-cli/mimosamux_cli/operators.py
+++ b/packages/mimosamux-cli/mimosamux_cli/operators.py
@@ -16,6 +16,12 @@
 )
 
 OPERATOR_PATH = '/v1/operator/'
+DRAIN_PATH = OPERATOR_PATH + 'drain'
+TRY_ELSEWHERE = (
+    httpx.codes.SERVICE_UNAVAILABLE,
+    httpx.codes.GATEWAY_TIMEOUT,
+)
+AUDIT_PAGE = 500
 MAX_ROUNDS = 3
 TRY_AGAIN_S = 0.5
 TIMEOUT = httpx.Timeout(30.0, connect=3.0)
@@ -41,10 +47,29 @@
 
         A lost answer is settled by sending the same operation id again.
         """
-        operation_id = uuid.uuid4().hex
-        return self._ask(
-            'POST', path, json={**body, 'operation_id': operation_id}
-        )
+        operation = uuid.uuid4().hex
+        return self._ask('POST', path, json={**body, 'operation': operation})
+
+    def read_audit(self, **filters: Any) -> list[dict[str, Any]]:
+        """Return every entry of the audit trail that filters let pass."""
+        entries: list[dict[str, Any]] = []
+        cursor: str | None = None
+        while cursor != '':
+            page = self.get('audit', after=cursor, limit=AUDIT_PAGE, **filters)
+            entries.extend(page['entries'])
+            cursor = page['next']
+        return entries
+
+    def drain(self, daemon: str) -> Any:
+        """Have one daemon stop gracefully, asked at its own address."""
+        for member in self.get('status')['daemons']:
+            if member['daemon'] == daemon and member['address']:
+                url = self.addresses.as_url(member['address'])
+                answer = self._ask_one('POST', f'{url}{DRAIN_PATH}', {})
+                if isinstance(answer, str):
+                    raise UnavailableError(answer)
+                return answer.json()
+        raise CommandError(f'there is no daemon {daemon!r}')
 
     def _ask(self, method: str, path: str, **content: Any) -> Any:
         problem = 'no daemon answers'
@@ -70,7 +95,7 @@
             return f'{url}: {error or type(error).__name__}'
         if answer.is_success:
             return answer
-        if answer.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+        if answer.status_code in TRY_ELSEWHERE:
             return message_of(answer)
         raise error_of(answer)
 
@@ -91,9 +116,14 @@
 def message_of(answer: httpx.Response) -> str:
     """Return the message of an error answer, with its details."""
     try:
-        error = answer.json()['error']
-        details = error.get('details')
-        message = str(error['message'])
+        body = answer.json()
+        message = str(body['error']['message'])
     except (ValueError, KeyError, TypeError):
         return f'{answer.status_code} {answer.reason_phrase}'
-    return f'{message}: {details}' if details else message
+    changes = [_describe(change) for change in body.get('changes', ())]
+    return '\n  '.join([message, *changes])
+
+
+def _describe(change: dict[str, Any]) -> str:
+    why = change.get('why') or 'no reason given'
+    return f'{change["who"]}: {change["what"]} ({why})'
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/orders.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/orders.py
@@ -226,8 +226,15 @@
         return False
 
     def _is_own(self, vm: VM) -> bool:
+        """Whether the planner of this data centre decides on a VM.
+
+        The VMs of plain services are not its business: counting them as
+        adopted but unneeded, it would drain and stop every service.
+        """
         return (
-            vm.data_centre == self._data_centre and vm.role is VMRole.ENDPOINT
+            vm.data_centre == self._data_centre
+            and vm.role is VMRole.ENDPOINT
+            and vm.model is not None
         )
 
     def _match_listed(self) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
@@ -275,6 +275,7 @@
                 for vm in paid
                 if vm.data_centre == self._data_centre
                 and vm.role is VMRole.ENDPOINT
+                and vm.model is not None
             )
             + sum(
                 self._prices.get(order.offer, 0.0)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -18,6 +18,7 @@
 from mimosamux_daemon.control.configuration_changes import VersionRecord
 from mimosamux_daemon.control.configuration_log import ConfigurationLog
 from mimosamux_daemon.control.configuration_push import ConfigurationSync
+from mimosamux_daemon.control.discovery import Discovery
 from mimosamux_daemon.control.liveness import MembershipLiveness
 from mimosamux_daemon.control.membership import Membership
 from mimosamux_daemon.control.store_guard import (
@@ -28,6 +29,7 @@
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.platform import Platform
+from mimosamux_daemon.ports import Table
 from mimosamux_daemon.settings import Settings
 
 log = get_log('control')
@@ -45,9 +47,12 @@
     membership: Membership
     liveness: MembershipLiveness
     in_force: ConfigurationInForce
+    replica: ConfigurationReplica
     log: ConfigurationLog
     acceptor: ConfigurationAcceptor
     sync: ConfigurationSync
+    discovery: Discovery
+    audit_table: Table
 
     async def start(self) -> None:
         """Return once the newest configuration is in force here."""
@@ -118,6 +123,7 @@
         membership=membership,
         liveness=MembershipLiveness(membership=membership),
         in_force=in_force,
+        replica=replica,
         log=changes,
         acceptor=ConfigurationAcceptor(
             replica=replica,
@@ -126,6 +132,10 @@
             wall_clock=wall_clock,
         ),
         sync=sync,
+        discovery=Discovery(
+            membership=membership, ttl_s=settings.address_ttl_s
+        ),
+        audit_table=guard_table(guard, platform, 'audit'),
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -1,6 +1,5 @@
 """One daemon: starts its parts in order and stops them in order."""
 
-import random
 import socket
 import ssl
 import time
@@ -12,16 +11,18 @@
 
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.tls import ReloadingCertificate
-from mimosamux_daemon.api.callers import CallerRoutes
-from mimosamux_daemon.api.monitoring import MonitoringRoutes
-from mimosamux_daemon.api.services import ServiceRoutes
-from mimosamux_daemon.control.ceilings import Ceilings
+from mimosamux_daemon.api.app import build_app
 from mimosamux_daemon.control.configuration import ConfigurationInForce
-from mimosamux_daemon.control_parts import ControlParts, build_control
+from mimosamux_daemon.control_parts import build_control
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.parts import DaemonParts
+from mimosamux_daemon.planning_parts import (
+    build_news,
+    build_planning,
+)
 from mimosamux_daemon.platform import Platform, build_platform
-from mimosamux_daemon.serving_parts import ServingParts, build_serving
+from mimosamux_daemon.serving_parts import build_serving
 from mimosamux_daemon.settings import Settings
 
 log = get_log('daemon')
@@ -43,7 +44,6 @@
         """`host:port` of the caller API once it listens."""
         self.in_force = ConfigurationInForce()
         self.metrics = Metrics()
-        self.ceilings = Ceilings(randomness=random.Random())
         self.listening = anyio.Event()
         self.started = anyio.Event()
         """Set once the daemon is ready to serve."""
@@ -59,19 +59,10 @@
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
         async with anyio.create_task_group() as tasks:
-            control = self._build_control()
-            serving = build_serving(
-                settings=self.settings,
-                platform=self.platform,
-                control=control,
-                ceilings=self.ceilings,
-                metrics=self.metrics,
-                wall_clock=self._wall_clock,
-                tasks=tasks,
-            )
-            await self._start(tasks, control, serving)
+            parts = self._build_parts(tasks)
+            await self._start(tasks, parts)
             await serve_http(
-                self._build_app(control, serving),
+                self._build_app(parts),
                 listener,
                 shutdown=self.stopping.wait,
                 grace_s=self.settings.stop_grace_s,
@@ -83,17 +74,15 @@
         log.info('stopped', daemon=self.settings.daemon)
 
     async def _start(
-        self,
-        tasks: anyio.abc.TaskGroup,
-        control: ControlParts,
-        serving: ServingParts,
+        self, tasks: anyio.abc.TaskGroup, parts: DaemonParts
     ) -> None:
+        control = parts.control
         tasks.start_soon(control.peers.run)
         await control.peers.listening.wait()
         tasks.start_soon(control.membership.run)
         tasks.start_soon(control.acceptor.run)
-        serving.start(tasks)
-        tasks.start_soon(self._become_ready, tasks, control, serving)
+        parts.serving.start(tasks)
+        tasks.start_soon(self._become_ready, tasks, parts)
         log.info(
             'listening',
             daemon=self.settings.daemon,
@@ -103,14 +92,14 @@
         self.listening.set()
 
     async def _become_ready(
-        self,
-        tasks: anyio.abc.TaskGroup,
-        control: ControlParts,
-        serving: ServingParts,
+        self, tasks: anyio.abc.TaskGroup, parts: DaemonParts
     ) -> None:
+        control = parts.control
         await control.start()
         tasks.start_soon(control.sync.run)
-        await serving.keeper.poll_vms()
+        await parts.serving.keeper.poll_vms()
+        if parts.planning.planner is not None:
+            tasks.start_soon(parts.planning.planner.run)
         control.membership.become_ready()
         self.started.set()
         log.info(
@@ -119,8 +108,8 @@
             version=self.in_force.current.version,
         )
 
-    def _build_control(self) -> ControlParts:
-        return build_control(
+    def _build_parts(self, tasks: anyio.abc.TaskGroup) -> DaemonParts:
+        control = build_control(
             settings=self.settings,
             platform=self.platform,
             metrics=self.metrics,
@@ -128,25 +117,33 @@
             caller_address=lambda: self.address,
             wall_clock=self._wall_clock,
         )
-
-    def _build_app(
-        self, control: ControlParts, serving: ServingParts
-    ) -> Starlette:
-        callers = CallerRoutes(in_force=self.in_force, serving=serving.models)
-        services = ServiceRoutes(
-            in_force=self.in_force, calls=serving.services
-        )
-        monitoring = MonitoringRoutes(
-            in_force=self.in_force,
+        news = build_news(self.settings, control)
+        serving = build_serving(
+            settings=self.settings,
+            platform=self.platform,
+            control=control,
+            news=news,
             metrics=self.metrics,
-            readiness=(self._why_not_ready,),
+            wall_clock=self._wall_clock,
+            tasks=tasks,
+        )
+        planning = build_planning(
+            settings=self.settings,
+            platform=self.platform,
+            control=control,
+            serving=serving,
+            news=news,
+            wall_clock=self._wall_clock,
         )
-        return Starlette(
-            routes=[
-                *callers.routes(),
-                *services.routes(),
-                *monitoring.routes(),
-            ]
+        return DaemonParts(control=control, serving=serving, planning=planning)
+
+    def _build_app(self, parts: DaemonParts) -> Starlette:
+        return build_app(
+            settings=self.settings,
+            parts=parts,
+            metrics=self.metrics,
+            why_not_ready=self._why_not_ready,
+            drain=self.stop,
         )
 
     def _why_not_ready(self) -> str | None:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/planning_parts.py
@@ -0,0 +1,96 @@
+"""The planning parts of a daemon, put together over its ports."""
+
+import random
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from mimosamux_daemon.control.build_planner import (
+    PlannerPorts,
+    PlannerSite,
+    build_planner,
+)
+from mimosamux_daemon.control.ceilings import Ceilings
+from mimosamux_daemon.control.demand import DemandMeter
+from mimosamux_daemon.control.drains import FleetDrains
+from mimosamux_daemon.control.planner import Planner
+from mimosamux_daemon.control.planning_exchange import PlanningNews
+from mimosamux_daemon.control_parts import ControlParts, guard_table
+from mimosamux_daemon.domain.engine import LoadReport
+from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.platform import Platform
+from mimosamux_daemon.serving_parts import ServingParts
+from mimosamux_daemon.settings import Settings
+
+
+@dataclass(kw_only=True)
+class PlanningParts:
+    """What one daemon knows of planning, and its planner if it has one."""
+
+    news: PlanningNews
+    planner: Planner | None
+
+
+def build_news(settings: Settings, control: ControlParts) -> PlanningNews:
+    """Return what this daemon knows of planning, empty at first."""
+    return PlanningNews(
+        data_centre=settings.data_centre,
+        meter=DemandMeter(),
+        ceilings=Ceilings(randomness=random.Random()),
+        peers=control.peers,
+    )
+
+
+def build_planning(
+    *,
+    settings: Settings,
+    platform: Platform,
+    control: ControlParts,
+    serving: ServingParts,
+    news: PlanningNews,
+    wall_clock: Callable[[], float],
+) -> PlanningParts:
+    """Return the planner that waits for its data centre's lease."""
+    if not settings.plans_vms:
+        return PlanningParts(news=news, planner=None)
+    membership = control.membership
+    here = settings.data_centre
+
+    def other_daemons() -> Mapping[DataCentreName, tuple[DaemonId, ...]]:
+        return {
+            name: membership.members(name)
+            for name in membership.data_centres()
+            if name != here
+        }
+
+    def reports() -> Sequence[tuple[Endpoint, LoadReport | None]]:
+        return [
+            (state.endpoint, state.report)
+            for state in serving.fleet.by_id.values()
+        ]
+
+    planner = build_planner(
+        site=PlannerSite(
+            daemon=settings.daemon,
+            data_centre=here,
+            incarnation=membership.incarnation,
+            own_daemons=lambda: membership.members(here),
+            other_daemons=other_daemons,
+        ),
+        ports=PlannerPorts(
+            table=guard_table(control.guard, platform, 'planner'),
+            cloud=platform.cloud,
+            engines=platform.engines,
+            weights=platform.weights,
+            peers=control.peers,
+        ),
+        news=news,
+        drains=FleetDrains(
+            fleet=serving.fleet, announce=serving.keeper.announce_leaving
+        ),
+        configuration=lambda: control.in_force.current,
+        wall_clock=wall_clock,
+        randomness=random.Random(),
+        reports=reports,
+    )
+    return PlanningParts(news=news, planner=planner)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -5,6 +5,7 @@
 import anyio
 import anyio.abc
 
+from mimosamux_daemon.control.demand import DemandMeter
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.outcomes import Reason, Refused
@@ -20,6 +21,7 @@
     RequestDriver,
     Suspects,
 )
+from mimosamux_daemon.serving.first_tokens import FirstTokens
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.recovery import Recovery
 from mimosamux_daemon.serving.requests import (
@@ -64,13 +66,16 @@
         metrics: Metrics | None = None,
         journal: RequestJournal | None = None,
         budget: RetryBudget | None = None,
+        meter: DemandMeter | None = None,
     ) -> None:
         self.registry = registry
+        self.first_tokens = FirstTokens()
         self._router = router
         self._admission = admission
         self._tasks = tasks
         self._metrics = metrics or Metrics()
         self._journal = journal
+        self._meter = DemandMeter() if meter is None else meter
         self._budget = budget or RetryBudget()
         self._drivers: dict[RequestId, RequestDriver] = {}
         recovery = Recovery(engines=engines, fleet=fleet, router=router)
@@ -96,6 +101,7 @@
         known = self._find_known(request)
         if known is not None:
             return known
+        self._meter.note_offered(request)
         admitted = self._admit(request, configuration)
         if isinstance(admitted, Refused):
             self._metrics.requests_refused.inc(
@@ -266,9 +272,22 @@
         if not driver.is_parked:
             await self._note_ended(active)
 
+    def _note_first_token(self, active: ActiveRequest) -> None:
+        if active.first_token_at is None:
+            return
+        work_class = active.request.work_class
+        seconds = active.first_token_at - active.request.arrived
+        self.first_tokens.note(work_class, seconds)
+        self._metrics.first_token_s.observe(
+            {'work_class': work_class.name}, seconds
+        )
+
     async def _note_ended(self, active: ActiveRequest) -> None:
         request = active.request
         self.registry.note_ended(active)
+        self._note_first_token(active)
+        if was_answered(active):
+            self._meter.note_answered(request, len(active.tokens))
         outcome = type(active.outcome).__name__.lower()
         self._metrics.requests_ended.inc(
             {'work_class': request.work_class.name, 'outcome': outcome}
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/requests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/requests.py
@@ -43,6 +43,8 @@
     request: ModelRequest
     tokens: list[str] = field(default_factory=list)
     attempt: int = 0
+    first_token_at: float | None = None
+    """When the first token came, if it came at this daemon."""
     outcome: Outcome | None = None
     moved: Moved | None = None
     readers: int = 0
@@ -63,6 +65,8 @@
 
     def extend(self, tokens: tuple[str, ...]) -> None:
         """Add tokens to the answer and wake the readers."""
+        if not self.tokens and tokens:
+            self.first_token_at = anyio.current_time()
         self.tokens.extend(tokens)
         self._wake()
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -6,10 +6,10 @@
 import anyio
 import anyio.abc
 
-from mimosamux_daemon.control.ceilings import Ceilings
 from mimosamux_daemon.control.endpoints import EndpointKeeper
 from mimosamux_daemon.control.journal_claims import JournalClaims
 from mimosamux_daemon.control.ownership import Ownership
+from mimosamux_daemon.control.planning_exchange import PlanningNews
 from mimosamux_daemon.control.store_guard import GuardedObjectStore
 from mimosamux_daemon.control_parts import ControlParts, guard_table
 from mimosamux_daemon.domain.names import EndpointId, ServiceName
@@ -67,7 +67,7 @@
     settings: Settings,
     platform: Platform,
     control: ControlParts,
-    ceilings: Ceilings,
+    news: PlanningNews,
     metrics: Metrics,
     wall_clock: Callable[[], float],
     tasks: anyio.abc.TaskGroup,
@@ -83,7 +83,7 @@
         configuration=lambda: control.in_force.current,
         metrics=metrics,
     )
-    admission = Admission(over_ceiling=ceilings.over_ceiling)
+    admission = Admission(over_ceiling=news.ceilings.over_ceiling)
     registry = RequestRegistry()
     journal_table = guard_table(control.guard, platform, 'journal')
     journal = Journal(
@@ -102,6 +102,7 @@
         tasks=tasks,
         metrics=metrics,
         journal=journal,
+        meter=news.meter,
     )
     side_effects = _build_side_effects(
         settings=settings,
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -6,7 +6,7 @@
 import pydantic
 import yaml
 
-from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.domain.names import DaemonId, DataCentreName, VMId
 from mimosamux_daemon.errors import InvalidSettings
 
 
@@ -45,6 +45,10 @@
     platform_url: str | None = None
     embedded: bool = False
     """Run an in-memory platform and an emulated engine in the process."""
+    vm: str = ''
+    """VM that the daemon runs on, as the cloud names it."""
+    plans_vms: bool | None = None
+    """Whether to start and stop endpoint VMs; default: unless embedded."""
     operator_tokens: dict[str, str] = pydantic.Field(default_factory=dict)
     """Role (`read` or `write`) by SHA-256 digest of the token."""
     address_ttl_s: float = pydantic.Field(default=30.0, gt=0)
@@ -86,6 +90,8 @@
     tls: TLSFiles | None
     platform_url: str | None
     embedded: bool
+    vm: VMId
+    plans_vms: bool
     operator_tokens: dict[str, str]
     address_ttl_s: float
     stop_grace_s: float
@@ -127,6 +133,10 @@
         tls=_as_files(model.tls),
         platform_url=model.platform_url,
         embedded=model.embedded,
+        vm=VMId(model.vm or model.daemon),
+        plans_vms=(
+            not model.embedded if model.plans_vms is None else model.plans_vms
+        ),
         operator_tokens=dict(model.operator_tokens),
         address_ttl_s=model.address_ttl_s,
         stop_grace_s=model.stop_grace_s,
