--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
@@ -104,6 +104,11 @@
         self._sequence = 0
         self._woken = anyio.Event()
 
+    @property
+    def lease(self) -> Lease | None:
+        """Return the lease while it is held."""
+        return self._keeper.held
+
     async def run(self) -> None:
         """Wait for the lease and plan while it is held, for ever."""
         await self._keeper.run(self._lead)
--- a/tests/support/planning.py
+++ b/tests/support/planning.py
@@ -17,7 +17,8 @@
 )
 from mimosamux_daemon.control.ceilings import Ceilings
 from mimosamux_daemon.control.configuration_models import parse_configuration
-from mimosamux_daemon.control.planner import Planner
+from mimosamux_daemon.control.leases import LeasePolicy
+from mimosamux_daemon.control.planner import Planner, PlannerPolicy
 from mimosamux_daemon.control.planning_exchange import PlanningNews
 from mimosamux_daemon.domain.names import DaemonId, EndpointId
 from mimosamux_daemon.domain.plan import ClassDemand, ServiceRate
@@ -32,7 +33,13 @@
 SPOT, FIXED = Market.RECLAIMABLE, Market.ON_DEMAND
 
 
-def configure(*, version=1, model_version='1', ceilings=(None, None)):
+def configure(
+    *,
+    version=1,
+    model_version='1',
+    ceilings=(None, None),
+    checks_fencing=False,
+):
     lookup = {'first_token_s': 1.4, 'priority': 10}
     draft = {'first_token_s': 20.0}
     for fields, ceiling in ((lookup, ceilings[0]), (draft, ceilings[1])):
@@ -41,7 +48,12 @@
     return parse_configuration(
         {
             'classes': {'lookup': lookup, 'draft': draft},
-            'models': {'itinerary': {'version': model_version}},
+            'models': {
+                'itinerary': {
+                    'version': model_version,
+                    'checks_fencing': checks_fencing,
+                }
+            },
             'data_centres': list(DATA_CENTRES),
         },
         version=version,
@@ -58,6 +70,11 @@
     )
 
 
+CALM = PlannerPolicies(
+    lease=LeasePolicy(duration_s=40.0, renew_interval_s=12.0),
+    planner=PlannerPolicy(interval_s=15.0, notice_poll_s=7.5),
+)
+"""Looks seldom, so that hours pass fast in tests of slow changes."""
 USUAL = (demand('lookup', 2.0), demand('draft', 1.0, answer=800.0))
 
 
@@ -110,7 +127,7 @@
     news: PlanningNews
     meter: FixedMeter
     planner: Planner
-    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    scope: anyio.CancelScope | None = None
 
 
 class PlannedSite:
@@ -136,7 +153,7 @@
         self.network = MemoryNetwork()
         self.weights = MemoryWeightStore()
         self.drains = drains or WorkDrains(cloud=self.cloud)
-        self.policies = policies or PlannerPolicies()
+        self.policies = policies or CALM
         self.nodes = {}
         for data_centre in DATA_CENTRES:
             for number in range(nodes_each):
@@ -202,6 +219,18 @@
             if node.data_centre == data_centre
         )
 
+    def holder(self, data_centre):
+        """Return the node that plans for a data centre now, if any."""
+        for name in self.daemons_of(data_centre):
+            if self.nodes[name].planner.lease is not None:
+                return self.nodes[name]
+        return None
+
+    def any_holder(self):
+        """Return a node that plans now; all make the same plan."""
+        holders = (self.holder(name) for name in DATA_CENTRES)
+        return next(node for node in holders if node is not None)
+
     def report(self):
         return [
             (engine.endpoint, engine.load_report(1))
@@ -234,7 +263,7 @@
             await anyio.sleep_forever()
 
     async def run_node(self, node):
-        with node.scope:
+        with anyio.CancelScope() as node.scope:
             await node.planner.run()
 
     async def run_engines(self):
@@ -242,13 +271,14 @@
             now = anyio.current_time()
             for vm, record in self.cloud.by_id.items():
                 self.sync_engine(vm, record, now)
-            await anyio.sleep(0.5)
+            await anyio.sleep(3.0)
 
     def sync_engine(self, vm, record, now):
         is_live = record.live_at <= now < record.gone_at
         engine = self.engines.by_id.get(EndpointId(vm))
         if engine is None and is_live:
-            engine = self.engines.add(as_endpoint(record.vm))
+            checks = self.configuration.models['itinerary'].checks_fencing
+            engine = self.engines.add(as_endpoint(record.vm, checks))
             engine.speed.prefill_tokens_per_s = RATE.prefill_tokens_per_s
             engine.speed.decode_interval_s = RATE.decode_interval_s
             engine.speed.slots = RATE.slots
@@ -273,7 +303,7 @@
         )
 
 
-def as_endpoint(vm: VM) -> Endpoint:
+def as_endpoint(vm: VM, checks_fencing: bool) -> Endpoint:
     return Endpoint(
         id=EndpointId(vm.id),
         vm=vm.id,
@@ -282,6 +312,7 @@
         machine_class=vm.machine_class,
         market=vm.market,
         model=vm.model,
+        checks_fencing=checks_fencing,
     )
 
 
