--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
@@ -13,7 +13,7 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
 """Longest silence in the middle of an answer; callers set deadlines."""
-MAX_CONNECTIONS = 64
+MAX_CONNECTIONS = 16
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
--- a/packages/mimosamux-standins/mimosamux_standins/__main__.py
+++ b/packages/mimosamux-standins/mimosamux_standins/__main__.py
@@ -1,7 +1,4 @@
-"""Starts a stand-in: `python -m mimosamux_standins NAME [--option ...]`.
-
-Each module named here has a function `serve` with the options.
-"""
+"""Starts a stand-in: `python -m mimosamux_standins NAME [--option ...]`."""
 
 import importlib
 import sys
@@ -9,16 +6,29 @@
 
 import fire
 
-NAMES = ('engine', 'platform', 'service', 'proxy', 'local')
+FUNCTION_BY_NAME = {
+    'engine': 'run',
+    'local': 'serve',
+    'platform': 'serve',
+    'proxy': 'serve',
+    'service': 'serve',
+}
+"""Function of each module that runs it; its parameters are options."""
 
 
 def main(args: Sequence[str]) -> int:
     """Run the stand-in that the first argument names."""
-    if not args or args[0] not in NAMES:
-        print(f'usage: mimosamux_standins {"|".join(NAMES)}', file=sys.stderr)
+    if not args or args[0] not in FUNCTION_BY_NAME:
+        names = '|'.join(FUNCTION_BY_NAME)
+        print(f'usage: mimosamux_standins {names}', file=sys.stderr)
         return 2
-    module = importlib.import_module(f'mimosamux_standins.{args[0]}')
-    fire.Fire(module.serve, command=list(args[1:]), name=args[0])
+    name = args[0]
+    module = importlib.import_module(f'mimosamux_standins.{name}')
+    function = getattr(module, FUNCTION_BY_NAME[name])
+    try:
+        fire.Fire(function, command=list(args[1:]), name=name)
+    except KeyboardInterrupt:
+        return 130
     return 0
 
 
--- /dev/null
+++ b/packages/mimosamux-standins/mimosamux_standins/local.py
@@ -0,0 +1,351 @@
+"""A whole small site on loopback, for development: `make local`.
+
+Starts a stand-in platform, engines, services and daemons as processes of
+their own, and stops each of them by its id in the end.
+"""
+
+import contextlib
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+
+import anyio
+import anyio.abc
+import httpx
+import pydantic
+import yaml
+from anyio.streams.text import TextReceiveStream
+from mimosamux_daemon.domain.names import (
+    DataCentreName,
+    ModelName,
+    ServiceName,
+    VMId,
+)
+from mimosamux_daemon.domain.vms import VM, Market, Price, VMRole, VMState
+
+from mimosamux_standins.platform import PlatformFile
+from mimosamux_standins.program import wait_for_signal
+
+DEFAULT_FILE = 'examples/local.yaml'
+HOST = '127.0.0.1'
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+STOP_GRACE_S = 3.0
+DEMO_KEY = 'demo-key'
+OPERATOR_TOKEN = 'operator-demo'
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='forbid')
+
+
+class DaemonItem(_Strict):
+    """A daemon to start."""
+
+    id: str
+    data_centre: str
+
+
+class EngineItem(_Strict):
+    """An engine to start."""
+
+    id: str
+    data_centre: str
+    model: str
+
+
+class ServiceItem(_Strict):
+    """A plain service to start."""
+
+    id: str
+    data_centre: str
+    service: str
+
+
+class LocalFile(_Strict):
+    """What to start, read from YAML."""
+
+    daemons: tuple[DaemonItem, ...]
+    engines: tuple[EngineItem, ...] = ()
+    services: tuple[ServiceItem, ...] = ()
+    prices: tuple[Price, ...] = ()
+    peer_secret: str = ''
+    operator_tokens: dict[str, str] = {}
+    configuration: dict[str, object]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Program:
+    """A process that was started, and the address it printed."""
+
+    name: str
+    process: anyio.abc.Process
+    address: str
+
+
+class NotStarted(Exception):
+    """A program ended, or printed no address in time."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Site:
+    """Every program of the site, in the order of their start."""
+
+    folder: pathlib.Path
+    tasks: anyio.abc.TaskGroup
+    programs: list[Program] = field(default_factory=list)
+
+    async def start(self, name: str, *command: str) -> Program:
+        """Start a Python module; the end of its first line is its address.
+
+        Its log goes to a file of its own in the site's folder.
+        """
+        log = self.folder / f'{name}.log'
+        with log.open('wb') as stderr:
+            process = await anyio.open_process(
+                [sys.executable, '-m', *command],
+                stdin=subprocess.DEVNULL,
+                stderr=stderr,
+                start_new_session=True,
+            )
+        program = Program(name=name, process=process, address='')
+        self.programs.append(program)
+        lines = _Lines(process=process)
+        with anyio.move_on_after(START_TIMEOUT_S):
+            first = await lines.read()
+            if first is not None:
+                address = first.split()[-1].removeprefix('http://')
+                program = Program(name=name, process=process, address=address)
+                self.programs[-1] = program
+                self.tasks.start_soon(lines.drain)
+                return program
+        raise NotStarted(f'{name} has not started; see {log}')
+
+    async def stop(self) -> None:
+        """Stop every program that this site has started, newest first."""
+        for program in reversed(self.programs):
+            await _stop(program)
+
+
+@dataclass(kw_only=True, slots=True)
+class _Lines:
+    """Lines that a process prints."""
+
+    process: anyio.abc.Process
+    _text: str = ''
+
+    async def read(self) -> str | None:
+        """Return the next line, None if the process has ended."""
+        assert self.process.stdout is not None
+        stream = TextReceiveStream(self.process.stdout)
+        while '\n' not in self._text:
+            try:
+                self._text += await stream.receive()
+            except anyio.EndOfStream:
+                return None
+        line, _, self._text = self._text.partition('\n')
+        return line
+
+    async def drain(self) -> None:
+        """Read on, so that the process never waits for a reader."""
+        while await self.read() is not None:
+            pass
+
+
+async def _stop(program: Program) -> None:
+    process = program.process
+    with contextlib.suppress(ProcessLookupError):
+        process.terminate()
+    with anyio.move_on_after(STOP_TIMEOUT_S):
+        await process.wait()
+        return
+    with contextlib.suppress(ProcessLookupError):
+        process.kill()
+    await process.wait()
+
+
+def serve(file: str = DEFAULT_FILE) -> None:
+    """Start the site that a YAML file describes, until Ctrl-C."""
+    content = LocalFile.model_validate(
+        yaml.safe_load(pathlib.Path(file).read_text())
+    )
+    with tempfile.TemporaryDirectory(prefix='mimosamux-') as folder:
+        anyio.run(partial(_serve, content, pathlib.Path(folder)))
+
+
+async def _serve(content: LocalFile, folder: pathlib.Path) -> None:
+    stopping = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wait_for_signal, stopping.set)
+        site = Site(folder=folder, tasks=tasks)
+        try:
+            daemons = await start_site(site, content)
+            print(describe(site, daemons), flush=True)
+            await stopping.wait()
+        except NotStarted as error:
+            print(error, file=sys.stderr)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await site.stop()
+        tasks.cancel_scope.cancel()
+
+
+async def start_site(site: Site, content: LocalFile) -> list[Program]:
+    """Start everything; return the daemons."""
+    vms = [await _start_engine(site, item) for item in content.engines]
+    vms += [await _start_service(site, item) for item in content.services]
+    shown = PlatformFile(vms=tuple(vms), prices=content.prices)
+    path = site.folder / 'platform.yaml'
+    path.write_text(yaml.safe_dump(shown.model_dump(mode='json')))
+    platform = await site.start(
+        'platform', 'mimosamux_standins', 'platform', '--file', str(path)
+    )
+    peers = dict(
+        zip(
+            (item.id for item in content.daemons),
+            free_addresses(len(content.daemons)),
+            strict=True,
+        )
+    )
+    daemons = []
+    for item in content.daemons:
+        path = site.folder / f'{item.id}.yaml'
+        settings = _settings(item, content, platform.address, peers)
+        path.write_text(yaml.safe_dump(settings))
+        daemon = await site.start(
+            item.id, 'mimosamux_daemon', 'serve', '--settings', str(path)
+        )
+        await _list_vm(platform, _entry_vm(item, daemon.address))
+        daemons.append(daemon)
+    return daemons
+
+
+async def _start_engine(site: Site, item: EngineItem) -> VM:
+    program = await site.start(
+        item.id,
+        'mimosamux_standins',
+        'engine',
+        '--identity',
+        item.id,
+        '--model',
+        item.model,
+        '--data_centre',
+        item.data_centre,
+    )
+    return _endpoint_vm(item, program.address, model=ModelName(item.model))
+
+
+async def _start_service(site: Site, item: ServiceItem) -> VM:
+    program = await site.start(item.id, 'mimosamux_standins', 'service')
+    return _endpoint_vm(
+        item, program.address, service=ServiceName(item.service)
+    )
+
+
+def _endpoint_vm(
+    item: EngineItem | ServiceItem,
+    address: str,
+    *,
+    model: ModelName | None = None,
+    service: ServiceName | None = None,
+) -> VM:
+    return VM(
+        id=VMId(item.id),
+        data_centre=DataCentreName(item.data_centre),
+        machine_class='standard',
+        market=Market.RECLAIMABLE,
+        role=VMRole.ENDPOINT,
+        state=VMState.LIVE,
+        address=address,
+        model=model,
+        service=service,
+    )
+
+
+def _entry_vm(item: DaemonItem, address: str) -> VM:
+    return VM(
+        id=VMId(item.id),
+        data_centre=DataCentreName(item.data_centre),
+        machine_class='standard',
+        market=Market.ON_DEMAND,
+        role=VMRole.ENTRY,
+        state=VMState.LIVE,
+        address=address,
+    )
+
+
+async def _list_vm(platform: Program, vm: VM) -> None:
+    body = pydantic.TypeAdapter(VM).dump_python(vm, mode='json')
+    async with httpx.AsyncClient(trust_env=False) as client:
+        await client.post(
+            f'http://{platform.address}/control/vms', json={'vm': body}
+        )
+
+
+def _settings(
+    item: DaemonItem,
+    content: LocalFile,
+    platform_address: str,
+    peers: dict[str, str],
+) -> dict[str, object]:
+    return {
+        'daemon': item.id,
+        'data_centre': item.data_centre,
+        'host': HOST,
+        'port': 0,
+        'peer_port': int(peers[item.id].rpartition(':')[2]),
+        'peers': [
+            {'id': name, 'address': address}
+            for name, address in peers.items()
+            if name != item.id
+        ],
+        'peer_secret': content.peer_secret,
+        'operator_tokens': content.operator_tokens,
+        'platform_url': f'http://{platform_address}',
+        'stop_grace_s': STOP_GRACE_S,
+        'configuration': content.configuration,
+    }
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind((HOST, 0))
+        return [f'{HOST}:{each.getsockname()[1]}' for each in sockets]
+
+
+def describe(site: Site, daemons: Sequence[Program]) -> str:
+    """Return the addresses, and commands that work as printed."""
+    address = daemons[0].address
+    body = (
+        '{"model": "demo", "stream": true, "max_tokens": 20, "messages":'
+        ' [{"role": "user", "content": "plan a trip"}]}'
+    )
+    lines = [
+        *_rows(site.programs),
+        f'logs and settings: {site.folder}',
+        'Try:',
+        f'  curl -N http://{address}/v1/chat/completions'
+        f" -H 'Authorization: Bearer {DEMO_KEY}'"
+        f" -H 'X-Mimosamux-Class: draft' -d '{body}'",
+        f'  curl http://{address}/v1/services/mail/slips'
+        f" -H 'Authorization: Bearer {DEMO_KEY}'"
+        " -H 'Idempotency-Key: slip-1' -d 'consent slip'",
+        f'operator token: {OPERATOR_TOKEN}',
+        'Ctrl-C stops all of it.',
+    ]
+    return '\n'.join(lines)
+
+
+def _rows(programs: Iterable[Program]) -> list[str]:
+    return [
+        f'{program.name:14} {program.address:22} process {program.process.pid}'
+        for program in programs
+    ]
