--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,10 +2,12 @@
 
 import contextlib
 import pathlib
+import tempfile
 import unittest
 
 import anyio
 import mimosamux_wire as wire
+import trustme
 from mimosamux_daemon.adapters import thrift_links
 from mimosamux_daemon.adapters.link_security import LinkSecurity
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
@@ -13,17 +15,33 @@
 from mimosamux_daemon.ports import PeerUnavailable
 from mimosamux_daemon.settings import TLSFiles
 
-TLS_FOLDER = pathlib.Path(__file__).parent / 'support' / 'tls'
 SECRET = LinkSecurity(secret=b'a shared secret')
 
 
-def tls_of(name):
+@contextlib.contextmanager
+def certificates():
+    """Give the security of a member and of a stranger to its authority."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        ours, others = trustme.CA(), trustme.CA()
+        authority = folder / 'authority.pem'
+        ours.cert_pem.write_to_path(authority)
+        yield tuple(
+            LinkSecurity(tls=issue_files(issuer, folder / holder, authority))
+            for holder, issuer in (('member', ours), ('stranger', others))
+        )
+
+
+def issue_files(issuer, base, authority):
+    issued = issuer.issue_cert('127.0.0.1')
     files = TLSFiles(
-        certificate=TLS_FOLDER / f'{name}.pem',
-        key=TLS_FOLDER / f'{name}.key',
-        authority=TLS_FOLDER / 'authority.pem',
+        certificate=base.with_suffix('.pem'),
+        key=base.with_suffix('.key'),
+        authority=authority,
     )
-    return LinkSecurity(tls=files)
+    issued.cert_chain_pems[0].write_to_path(files.certificate)
+    issued.private_key_pem.write_to_path(files.key)
+    return files
 
 
 async def answer_state(sender, message):
@@ -256,10 +274,10 @@
         It gets no link, and those with the right certificate do.
         """
 
-        async def check():
-            one = make_peers('one', security=tls_of('member'))
-            two = make_peers('two', security=tls_of('member'))
-            stranger = make_peers('three', security=tls_of('stranger'))
+        async def check(member, other):
+            one = make_peers('one', security=member)
+            two = make_peers('two', security=member)
+            stranger = make_peers('three', security=other)
             two.handle(wire.ConfigurationFetch, answer_state)
             async with running(one, two, stranger):
                 fetch = wire.ConfigurationFetch(after=1)
@@ -268,4 +286,5 @@
                 answer = await stranger.call('two', fetch, timeout_s=0.5)
                 self.assertIsInstance(answer, PeerUnavailable)
 
-        anyio.run(check)
+        with certificates() as pair:
+            anyio.run(check, *pair)
