Proposals, drafts and the acceptor are modules of their own

A record of a newer daemon with unknown fields is taken during a rolling replacement, and a daemon that would start from an older version than its peers hold fails the check of the outage.

--- a/benchmarks/bench_configuration.py
+++ b/benchmarks/bench_configuration.py
@@ -4,7 +4,9 @@
 
 import anyio
 import numpy as np
-from mimosamux_daemon.control.configuration_acceptor import Accepted
+from mimosamux_daemon.control.proposals import (
+    Accepted,
+)
 
 from benchmarks.daemons import BenchCluster
 from benchmarks.report import Table
--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -15,14 +15,16 @@
     ConfigurationReplica,
 )
 from mimosamux_daemon.control.configuration_acceptor import (
-    ApplyDocument,
     ConfigurationAcceptor,
-    Decision,
-    SetValue,
 )
 from mimosamux_daemon.control.configuration_log import ConfigurationLog
 from mimosamux_daemon.control.configuration_push import ConfigurationSync
 from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.proposals import (
+    ApplyDocument,
+    Decision,
+    SetValue,
+)
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.settings import PeerAddress
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/decisions.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/decisions.py
@@ -6,17 +6,17 @@
 
 from starlette.responses import JSONResponse, Response
 
-from mimosamux_daemon.control.configuration_acceptor import (
+from mimosamux_daemon.control.configuration_changes import (
+    Change,
+    VersionRecord,
+)
+from mimosamux_daemon.control.proposals import (
     Accepted,
     ConflictWith,
     Invalid,
     StoreUnavailable,
     Undecided,
 )
-from mimosamux_daemon.control.configuration_changes import (
-    Change,
-    VersionRecord,
-)
 
 RETRY_AFTER_S = 5
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
@@ -29,15 +29,19 @@
 from mimosamux_daemon.control.audit_trail import AuditFilter, AuditTrail
 from mimosamux_daemon.control.configuration import ConfigurationReplica
 from mimosamux_daemon.control.configuration_acceptor import (
+    ConfigurationAcceptor,
+)
+from mimosamux_daemon.control.configuration_drafts import (
     MAX_DOCUMENT_BYTES,
+)
+from mimosamux_daemon.control.configuration_log import ConfigurationLog
+from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.proposals import (
     ApplyDocument,
-    ConfigurationAcceptor,
     Proposal,
     SetValue,
     StoreUnavailable,
 )
-from mimosamux_daemon.control.configuration_log import ConfigurationLog
-from mimosamux_daemon.control.membership import Membership
 from mimosamux_daemon.domain.audit import AuditKind
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.errors import InvalidRequest
--- a/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -11,8 +11,6 @@
     ConfigurationReplica,
 )
 from mimosamux_daemon.control.configuration_acceptor import (
-    Accepted,
-    ApplyDocument,
     ConfigurationAcceptor,
 )
 from mimosamux_daemon.control.configuration_changes import VersionRecord
@@ -21,6 +19,10 @@
 from mimosamux_daemon.control.discovery import Discovery
 from mimosamux_daemon.control.liveness import MembershipLiveness
 from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.proposals import (
+    Accepted,
+    ApplyDocument,
+)
 from mimosamux_daemon.control.store_guard import (
     GuardedObjectStore,
     GuardedTable,
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -9,14 +9,16 @@
     ConfigurationReplica,
 )
 from mimosamux_daemon.control.configuration_acceptor import (
-    Accepted,
-    ApplyDocument,
     ConfigurationAcceptor,
-    SetValue,
 )
 from mimosamux_daemon.control.configuration_log import ConfigurationLog
 from mimosamux_daemon.control.configuration_push import ConfigurationSync
 from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.proposals import (
+    Accepted,
+    ApplyDocument,
+    SetValue,
+)
 from mimosamux_daemon.settings import PeerAddress
 
 from tests.support.configuration import DOCUMENT, Store
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -11,9 +11,11 @@
 )
 from mimosamux_daemon.control.configuration_acceptor import (
     ConfigurationAcceptor,
-    SetValue,
 )
 from mimosamux_daemon.control.configuration_log import ConfigurationLog
+from mimosamux_daemon.control.proposals import (
+    SetValue,
+)
 from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
 
 DOCUMENT = {
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,18 +3,16 @@
 import unittest
 
 import anyio
+import orjson
 from mimosamux_daemon.adapters.memory_table import MemoryTable
 from mimosamux_daemon.control.configuration import Advance, parse_snapshot
 from mimosamux_daemon.control.configuration_acceptor import (
-    Accepted,
-    ApplyDocument,
-    ConflictWith,
-    Invalid,
-    StoreUnavailable,
-    Undecided,
+    ConfigurationAcceptor,
 )
 from mimosamux_daemon.control.configuration_changes import (
+    Change,
     Edit,
+    VersionRecord,
     apply_edits,
     digest_after,
     digest_of,
@@ -25,6 +23,14 @@
     CHANGE_PREFIX,
     KEPT_ROWS,
 )
+from mimosamux_daemon.control.proposals import (
+    Accepted,
+    ApplyDocument,
+    ConflictWith,
+    Invalid,
+    StoreUnavailable,
+    Undecided,
+)
 from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
 
 from tests.support.clock import run_paused
@@ -178,6 +184,28 @@
 
         run_paused(check)
 
+    def test_target_that_cannot_be_met_is_refused_with_its_path(self):
+        """An operator asks for a first token sooner than any VM gives it.
+
+        The planner's check says so, and nothing is committed.
+        """
+
+        async def check():
+            anna = await make_first()
+            problem = Invalid(path=DRAFT_TARGET, problem='cannot be met')
+            strict = ConfigurationAcceptor(
+                replica=anna.replica,
+                log=anna.log,
+                spread=anna.spread.extend,
+                check=lambda configuration: problem,
+            )
+            anna.acceptor = strict
+            decision = await anna.set('op-1', DRAFT_TARGET, 0.001)
+            self.assertEqual(decision, problem)
+            self.assertEqual(anna.store.audited_ids(), ['first'])
+
+        run_paused(check)
+
 
 class TestStoreTrouble(unittest.TestCase):
     def test_lost_answer_is_settled_by_reading_back(self):
@@ -319,6 +347,44 @@
 
         run_paused(check)
 
+    def test_older_daemon_takes_what_a_newer_one_accepted(self):
+        """A newer daemon accepts a field that an older one does not know.
+
+        That happens during a rolling replacement. The older one must not
+        stay behind, so it leaves the field out and takes the rest.
+        """
+
+        async def check():
+            anna = await make_first()
+            document = {
+                **anna.replica.document,
+                'classes': {'draft': {'first_token_s': 3.0, 'newer': 1}},
+            }
+            edits = find_differences(anna.replica.document, document)
+            record = VersionRecord(
+                version=2,
+                digest=digest_of(document),
+                changes=(
+                    Change(
+                        operation='op-1',
+                        who='bo',
+                        what='set',
+                        why='',
+                        at=0.0,
+                        edits=edits,
+                    ),
+                ),
+            )
+            fields = orjson.loads(record.as_bytes())
+            fields['newer'] = fields['changes'][0]['newer'] = True
+            received = parse_record(orjson.dumps(fields))
+            self.assertEqual(anna.replica.advance(received), Advance.TAKEN)
+            draft = anna.replica.in_force.current.classes['draft']
+            self.assertEqual(draft.first_token_s, 3.0)
+            self.assertEqual(anna.replica.document, document)
+
+        run_paused(check)
+
     def test_digest_of_a_change_equals_that_of_the_whole(self):
         before = DOCUMENT
         after = {
--- a/tests/test_configuration_properties.py
+++ b/tests/test_configuration_properties.py
@@ -10,21 +10,30 @@
 import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mimosamux_daemon.control.configuration import ConfigurationInForce
+from mimosamux_daemon.control.configuration import (
+    ConfigurationInForce,
+    Snapshot,
+)
 from mimosamux_daemon.control.configuration_acceptor import (
-    Accepted,
     ConfigurationAcceptor,
 )
-from mimosamux_daemon.control.configuration_changes import parse_record
+from mimosamux_daemon.control.configuration_changes import (
+    digest_of,
+    parse_record,
+)
 from mimosamux_daemon.control.configuration_log import (
     CHANGE_PREFIX,
     ConfigurationLog,
 )
 from mimosamux_daemon.control.configuration_push import ConfigurationSync
+from mimosamux_daemon.control.proposals import (
+    Accepted,
+)
 from mimosamux_daemon.domain.store import Committed
 
 from tests.support.clock import run_paused
 from tests.support.cluster import Cluster
+from tests.support.configuration import DOCUMENT
 
 SIZES = {'one': 3, 'two': 3, 'three': 3}
 NAMES = [f'{centre}-{n}' for centre, size in SIZES.items() for n in (1, 2, 3)]
@@ -193,6 +202,31 @@
     run_paused(main)
 
 
+def replace_all_but_one(**parts):
+    """Replace eight of nine daemons while the store is down."""
+
+    async def main():
+        cluster = Cluster(SIZES, **parts)
+        async with cluster.running():
+            for number in range(5):
+                await cluster.accept(
+                    cluster.nodes[0], f'op-{number}', 2.0 + number
+                )
+            await anyio.sleep(3)
+            cluster.store.table.faults.down = True
+            cluster.store.objects.down = True
+            for name in NAMES[1:]:
+                cluster.replace(name)
+            await cluster.wait_until(
+                lambda: all(node.is_ready for node in cluster.nodes), 10
+            )
+            for node in cluster.nodes:
+                version = node.in_force.current.version
+                assert version == 6, f'{node.name} is ready with {version}'
+
+    run_paused(main)
+
+
 class TestSchedules(unittest.TestCase):
     @settings(derandomize=True, deadline=None, max_examples=14)
     @given(st.lists(steps, min_size=2, max_size=10))
@@ -212,26 +246,7 @@
         The new ones start from the one that is left, with what was
         accepted last, and not from anything older.
         """
-
-        async def main():
-            cluster = Cluster(SIZES)
-            async with cluster.running():
-                for number in range(5):
-                    await cluster.accept(
-                        cluster.nodes[0], f'op-{number}', 2.0 + number
-                    )
-                await anyio.sleep(3)
-                cluster.store.table.faults.down = True
-                cluster.store.objects.down = True
-                for name in NAMES[1:]:
-                    cluster.replace(name)
-                await cluster.wait_until(
-                    lambda: all(node.is_ready for node in cluster.nodes), 10
-                )
-                for node in cluster.nodes:
-                    self.assertEqual(node.in_force.current.version, 6)
-
-        run_paused(main)
+        replace_all_but_one()
 
     def test_no_daemon_is_ready_without_a_version(self):
         """The store is down and no daemon holds a configuration.
@@ -328,6 +343,21 @@
         await anyio.sleep_forever()
 
 
+class Outdated(ConfigurationSync):
+    """Starts without the store from what its settings hold."""
+
+    async def _start_from_peers(self):
+        await self._membership.joined.wait()
+        self._replica.replace(
+            Snapshot(
+                version=1,
+                digest=digest_of(DOCUMENT),
+                document=DOCUMENT,
+                operations=(),
+            )
+        )
+
+
 class TestBrokenVariants(unittest.TestCase):
     """Each check fails on a variant that breaks what it checks."""
 
@@ -351,6 +381,11 @@
         plan = [('change', 'one-1')]
         self.assert_fails('audit trail differs', plan, log=Forgetful)
 
+    def test_daemon_that_starts_from_an_older_version_is_found(self):
+        with self.assertRaises(BaseExceptionGroup) as caught:
+            replace_all_but_one(sync=Outdated)
+        self.assertIn('is ready with 1', repr(caught.exception))
+
     def test_version_that_goes_down_is_found(self):
         async def main():
             cluster = Cluster(SIZES, in_force=Reverting)
