Polls of the cloud stay within the control budget at 375 endpoints

Cause: every daemon listed all VMs each 2 s and notices each second; at 375 endpoints of 260 bytes that is 49 KB/s of the 26 KB/s a daemon may spend, and 340 polls of notices a second for the cloud API.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_cloud.py
@@ -1,5 +1,6 @@
 """The platform's cloud API over HTTP."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from http import HTTPStatus
 from urllib.parse import quote
@@ -10,7 +11,7 @@
     parse_reply,
     refusal,
 )
-from mimosamux_daemon.domain.names import VMId
+from mimosamux_daemon.domain.names import DataCentreName, VMId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Price, ReclaimNotice
 from mimosamux_daemon.ports.cloud import StartRefused, StartVM
@@ -58,9 +59,14 @@
 
     client: PlatformClient
 
-    async def list_vms(self) -> tuple[VM, ...] | Unavailable:
+    async def list_vms(
+        self, data_centres: Collection[DataCentreName] = ()
+    ) -> tuple[VM, ...] | Unavailable:
         """Return the live and leaving VMs, as of some seconds ago."""
-        reply = await self.client.send('GET', '/cloud/vms')
+        params = {'data_centres': ','.join(data_centres)}
+        reply = await self.client.send(
+            'GET', '/cloud/vms', params=params if data_centres else None
+        )
         if isinstance(reply, Unavailable):
             return reply
         parsed = parse_reply(VMsReply, reply)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
@@ -5,6 +5,7 @@
 seconds ago.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -128,11 +129,14 @@
             total += hours * change.per_hour
         return total
 
-    async def list_vms(self) -> tuple[VM, ...] | Unavailable:
+    async def list_vms(
+        self, data_centres: Collection[DataCentreName] = ()
+    ) -> tuple[VM, ...] | Unavailable:
         """Return the live and leaving VMs, as of some seconds ago."""
         if not await self._is_up():
             return Unavailable(reason='down', may_have_landed=False)
-        return self._as_of(anyio.current_time() - self.faults.list_lag_s)
+        listed = self._as_of(anyio.current_time() - self.faults.list_lag_s)
+        return select_vms(listed, data_centres)
 
     async def list_notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
         """Return the reclaim notices in force now."""
@@ -231,5 +235,14 @@
         )
 
 
+def select_vms(
+    vms: tuple[VM, ...], data_centres: Collection[DataCentreName]
+) -> tuple[VM, ...]:
+    """Return the VMs of some data centres, all if none is named."""
+    if not data_centres:
+        return vms
+    return tuple(vm for vm in vms if vm.data_centre in data_centres)
+
+
 def _offer_of(vm: VM) -> Offer:
     return (vm.data_centre, vm.machine_class, vm.market)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/endpoints.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/endpoints.py
@@ -26,6 +26,8 @@
 log = get_log('endpoints')
 
 PUSH_TIMEOUT_S = 1.0
+LIST_BYTES_PER_VM = 260
+"""Measured size of one VM in a list over HTTP."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,7 +35,14 @@
     """Intervals and limits of the polls, in seconds."""
 
     notices_s: float = 1.0
+    """Interval of the one daemon of a data centre that polls for all."""
+    backup_notices_s: float = 2.5
+    """Interval of the others, for when that one has just died."""
     list_s: float = 2.0
+    list_bytes_per_s: float = 8_000.0
+    """Most that the lists may take; long lists are asked for less often,
+    as every second of them at 375 endpoints would exceed the budget of a
+    daemon for all control."""
     prices_s: float = 30.0
     timeout_s: float = 1.5
     """Longest wait for an answer of the platform."""
@@ -59,6 +68,10 @@
     return ()
 
 
+def _always() -> bool:
+    return True
+
+
 class EndpointKeeper:
     """Adds endpoints that come, marks those that leave, drops the gone.
 
@@ -74,6 +87,7 @@
         prices: PriceBook,
         peers: Peers | None = None,
         peer_ids: Callable[[], tuple[DaemonId, ...]] = _no_peers,
+        is_poller: Callable[[], bool] = _always,
         data_centres: Callable[[], tuple[DataCentreName, ...]] | None = None,
         configuration: Callable[[], Configuration] = Configuration,
         policy: PollPolicy | None = None,
@@ -86,6 +100,8 @@
         self._prices = prices
         self._peers = peers
         self._peer_ids = peer_ids
+        self._is_poller = is_poller
+        self._list_length = 0
         self._data_centres = data_centres
         self._configuration = configuration
         self._policy = PollPolicy() if policy is None else policy
@@ -103,17 +119,30 @@
         """
         policy = self._policy
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_repeat, self.poll_notices, policy.notices_s)
-            tasks.start_soon(_repeat, self.poll_vms, policy.list_s)
-            tasks.start_soon(_repeat, self.poll_prices, policy.prices_s)
+            tasks.start_soon(_repeat, self.poll_notices, self._notices_s)
+            tasks.start_soon(_repeat, self.poll_vms, self._list_s)
+            tasks.start_soon(
+                _repeat, self.poll_prices, lambda: policy.prices_s
+            )
+
+    def _notices_s(self) -> float:
+        if self._is_poller():
+            return self._policy.notices_s
+        return self._policy.backup_notices_s
+
+    def _list_s(self) -> float:
+        size = self._list_length * LIST_BYTES_PER_VM
+        return max(self._policy.list_s, size / self._policy.list_bytes_per_s)
 
     async def poll_vms(self) -> None:
         """Take over the list of VMs, if it can be had."""
         with anyio.move_on_after(self._policy.timeout_s):
-            vms = await self._cloud.list_vms()
+            wanted = self._data_centres() if self._data_centres else ()
+            vms = await self._cloud.list_vms(wanted)
             if isinstance(vms, Unavailable):
                 log.info('vm_list_unavailable', reason=vms.reason)
                 return
+            self._list_length = len(vms)
             await self._take_vms(vms)
             self._count_endpoints()
 
@@ -267,11 +296,11 @@
 
 
 async def _repeat(
-    action: Callable[[], Awaitable[None]], interval_s: float
+    action: Callable[[], Awaitable[None]], interval_s: Callable[[], float]
 ) -> None:
     while True:
         await action()
-        await anyio.sleep(interval_s)
+        await anyio.sleep(interval_s())
 
 
 async def _notify(
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/cloud.py
@@ -1,5 +1,6 @@
 """Port to the platform's cloud API."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -30,8 +31,13 @@
 class Cloud(Protocol):
     """VMs, their prices, and notices that some are taken back."""
 
-    async def list_vms(self) -> tuple[VM, ...] | Unavailable:
-        """Return the live and leaving VMs, as of some seconds ago."""
+    async def list_vms(
+        self, data_centres: Collection[DataCentreName] = ()
+    ) -> tuple[VM, ...] | Unavailable:
+        """Return the live and leaving VMs, as of some seconds ago.
+
+        Those of the named data centres; without names, all of them.
+        """
 
     async def list_notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
         """Return the reclaim notices in force now."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -12,7 +12,11 @@
 from mimosamux_daemon.control.planning_exchange import PlanningNews
 from mimosamux_daemon.control.store_guard import GuardedObjectStore
 from mimosamux_daemon.control_parts import ControlParts, guard_table
-from mimosamux_daemon.domain.names import EndpointId, ServiceName
+from mimosamux_daemon.domain.names import (
+    DataCentreName,
+    EndpointId,
+    ServiceName,
+)
 from mimosamux_daemon.domain.outcomes import Refused
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ModelRequest
@@ -143,6 +147,8 @@
             prices=prices,
             peers=control.peers,
             peer_ids=membership.local_peers,
+            is_poller=membership.is_poller,
+            data_centres=_named(settings.endpoint_data_centres),
             configuration=lambda: control.in_force.current,
             metrics=metrics,
         ),
@@ -153,11 +159,20 @@
             engines=platform.engines,
             peers=control.peers,
             members=membership,
+            group=lambda: (
+                settings.endpoint_data_centres or membership.data_centres()
+            ),
             metrics=metrics,
         ),
     )
 
 
+def _named(
+    data_centres: tuple[DataCentreName, ...],
+) -> Callable[[], tuple[DataCentreName, ...]] | None:
+    return (lambda: data_centres) if data_centres else None
+
+
 def _build_side_effects(
     *,
     settings: Settings,
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -49,6 +49,8 @@
     """VM that the daemon runs on, as the cloud names it."""
     plans_vms: bool | None = None
     """Whether to start and stop endpoint VMs; default: unless embedded."""
+    endpoint_data_centres: tuple[str, ...] = ()
+    """Data centres whose endpoints this daemon uses; none: every one."""
     operator_tokens: dict[str, str] = pydantic.Field(default_factory=dict)
     """Role (`read` or `write`) by SHA-256 digest of the token."""
     address_ttl_s: float = pydantic.Field(default=30.0, gt=0)
@@ -92,6 +94,7 @@
     embedded: bool
     vm: VMId
     plans_vms: bool
+    endpoint_data_centres: tuple[DataCentreName, ...]
     operator_tokens: dict[str, str]
     address_ttl_s: float
     stop_grace_s: float
@@ -137,6 +140,9 @@
         plans_vms=(
             not model.embedded if model.plans_vms is None else model.plans_vms
         ),
+        endpoint_data_centres=tuple(
+            DataCentreName(name) for name in model.endpoint_data_centres
+        ),
         operator_tokens=dict(model.operator_tokens),
         address_ttl_s=model.address_ttl_s,
         stop_grace_s=model.stop_grace_s,
--- a/packages/mimosamux-standins/mimosamux_standins/cloud.py
+++ b/packages/mimosamux-standins/mimosamux_standins/cloud.py
@@ -1,10 +1,12 @@
 """A cloud that lists given VMs and hands out prepared ones."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 
 import anyio
 import anyio.lowlevel
-from mimosamux_daemon.domain.names import VMId
+from mimosamux_daemon.adapters.memory_cloud import select_vms
+from mimosamux_daemon.domain.names import DataCentreName, VMId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Price, ReclaimNotice, VMState
 from mimosamux_daemon.ports.cloud import StartRefused, StartVM
@@ -65,15 +67,18 @@
         if vm in self.by_id:
             self.put(replace(self.by_id[vm], state=VMState.LEAVING))
 
-    async def list_vms(self) -> tuple[VM, ...] | Unavailable:
+    async def list_vms(
+        self, data_centres: Collection[DataCentreName] = ()
+    ) -> tuple[VM, ...] | Unavailable:
         """Return the VMs as of `list_lag_s` ago."""
         if not await self._is_up():
             return DOWN
         as_of = anyio.current_time() - self.faults.list_lag_s
         for snapshot in reversed(self._history):
             if snapshot.at <= as_of:
-                return snapshot.vms
-        return self._history[0].vms if self._history else ()
+                return select_vms(snapshot.vms, data_centres)
+        oldest = self._history[0].vms if self._history else ()
+        return select_vms(oldest, data_centres)
 
     async def list_notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
         """Return the notices in force now."""
--- a/packages/mimosamux-standins/mimosamux_standins/platform.py
+++ b/packages/mimosamux-standins/mimosamux_standins/platform.py
@@ -16,7 +16,7 @@
 from mimosamux_daemon.adapters.http_table import CommitBody
 from mimosamux_daemon.adapters.memory_object_store import MemoryObjectStore
 from mimosamux_daemon.adapters.memory_table import MemoryTable, TableFaults
-from mimosamux_daemon.domain.names import VMId
+from mimosamux_daemon.domain.names import DataCentreName, VMId
 from mimosamux_daemon.domain.store import Conflict, Unavailable
 from mimosamux_daemon.domain.vms import VM, Price
 from mimosamux_daemon.ports.cloud import StartRefused
@@ -160,7 +160,10 @@
 
     async def list_vms(self, request: Request) -> Response:
         """Answer `GET /cloud/vms`."""
-        vms = await self.cloud.list_vms()
+        names = request.query_params.get('data_centres', '')
+        vms = await self.cloud.list_vms(
+            [DataCentreName(name) for name in names.split(',') if name]
+        )
         if isinstance(vms, Unavailable):
             return _unavailable(vms)
         return _reply({'vms': vms})
--- a/tests/support/clouds.py
+++ b/tests/support/clouds.py
@@ -37,16 +37,20 @@
         self.notices: list[ReclaimNotice] = []
         self.is_down = False
         self.list_delay_s = 0.0
+        self.lists = 0
+        self.notice_polls = 0
 
     def give_notice(self, name: str, seconds_left: float = 30.0) -> None:
         notice = ReclaimNotice(vm=VMId(name), seconds_left=seconds_left)
         self.notices.append(notice)
 
-    async def list_vms(self) -> Any:
+    async def list_vms(self, data_centres: Any = ()) -> Any:
+        self.lists += 1
         await anyio.sleep(self.list_delay_s)
         return self._answer(self.vms)
 
     async def list_notices(self) -> Any:
+        self.notice_polls += 1
         return self._answer(self.notices)
 
     async def list_prices(self) -> Any:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -182,3 +182,43 @@
             self.assertTrue(fleet.by_id[EndpointId('a')].is_leaving)
 
         run_paused(check)
+
+
+class TestPolling(unittest.TestCase):
+    def count_polls(self, *, is_poller, vms=0, seconds=60.0):
+        async def check():
+            cloud = FakeCloud(*(make_vm(f'v{n}') for n in range(vms)))
+            keeper = EndpointKeeper(
+                cloud=cloud,
+                fleet=Fleet(),
+                prices=PriceBook(),
+                is_poller=lambda: is_poller,
+            )
+            with anyio.move_on_after(seconds):
+                await keeper.run()
+            return cloud
+
+        return run_paused(check)
+
+    def test_one_daemon_of_a_data_centre_polls_notices_for_all(self):
+        """340 daemons that ask every second would wear the cloud API out.
+
+        The others look often enough that a leaving endpoint gets nothing
+        new after three seconds, even if the one that polls has died.
+        """
+        poller = self.count_polls(is_poller=True)
+        other = self.count_polls(is_poller=False)
+        self.assertGreaterEqual(poller.notice_polls, 60)
+        self.assertLessEqual(other.notice_polls, 25)
+        self.assertGreaterEqual(other.notice_polls, 20)
+
+    def test_long_lists_are_asked_for_less_often(self):
+        """A list of 375 VMs has about 100 KB.
+
+        Asked for every two seconds, it alone would take twice what a
+        daemon may spend on all control.
+        """
+        short = self.count_polls(is_poller=True, vms=10)
+        long = self.count_polls(is_poller=True, vms=375)
+        self.assertGreaterEqual(short.lists, 30)
+        self.assertLessEqual(long.lists, 6)
