--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -193,6 +193,7 @@
         daemon=settings.daemon,
         incarnation=control.membership.incarnation,
         wall_clock=wall_clock,
+        may_clean=control.membership.is_poller,
     )
 
 
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,136 @@
+"""The order in which a daemon stops."""
+
+import unittest
+
+import anyio
+from mimosamux_daemon.stopping import (
+    StopParts,
+    StopSequence,
+    wait_for_notice,
+)
+
+from tests.support.clock import run_paused
+from tests.support.clouds import FakeCloud
+
+ADDRESS_TTL_S = 30.0
+GRACE_S = 60.0
+
+
+class FakeDaemon:
+    """Open requests with their ends, and what the stop did to them."""
+
+    def __init__(self, *ends: float, peers: bool = True) -> None:
+        self.ends = list(ends)
+        self.peers = peers
+        self.left_at: float | None = None
+        self.handed_over: list[float] = []
+        self.refuses = 0
+        self.drained = False
+
+    def sequence(self) -> StopSequence:
+        parts = StopParts(
+            leave=self.leave,
+            has_peers=lambda: self.peers,
+            drained_at=lambda: self.left_at + ADDRESS_TTL_S,
+            open_requests=self.count_open,
+            hand_over=self.hand_over,
+            drain_side_effects=self.drain,
+        )
+        return StopSequence(parts=parts, grace_s=GRACE_S)
+
+    async def leave(self) -> None:
+        self.left_at = anyio.current_time()
+
+    def count_open(self) -> int:
+        now = anyio.current_time()
+        return sum(end > now for end in self.ends)
+
+    async def hand_over(self, seconds: float) -> None:
+        if self.refuses:
+            self.refuses -= 1
+            return
+        now = anyio.current_time()
+        self.handed_over += [end for end in self.ends if end > now]
+        self.ends = [end for end in self.ends if end <= now]
+
+    async def drain(self) -> None:
+        self.drained = True
+
+
+def stop(daemon, seconds_left=None):
+    async def check():
+        start = anyio.current_time()
+        daemon.ends = [start + end for end in daemon.ends]
+        await daemon.sequence().run(seconds_left)
+        return anyio.current_time() - start
+
+    return run_paused(check)
+
+
+class TestStopSequence(unittest.TestCase):
+    def test_older_address_answers_are_served_until_they_expire(self):
+        """Callers keep an address for a while and connect to it.
+
+        A daemon that closed at once would turn them away for no reason.
+        """
+        daemon = FakeDaemon()
+        self.assertAlmostEqual(stop(daemon), ADDRESS_TTL_S, delta=1.0)
+        self.assertTrue(daemon.drained)
+
+    def test_what_ends_in_time_is_not_handed_over(self):
+        daemon = FakeDaemon(20.0, 50.0)
+        self.assertLess(stop(daemon), 55.0)
+        self.assertEqual(daemon.handed_over, [])
+
+    def test_what_does_not_end_in_time_is_handed_over(self):
+        daemon = FakeDaemon(20.0, 400.0)
+        self.assertLess(stop(daemon), 100.0)
+        self.assertEqual(len(daemon.handed_over), 1)
+
+    def test_without_a_peer_everything_is_served_to_its_end(self):
+        """The last daemon is stopped while teachers wait for drafts.
+
+        Closing would cut them off, and nobody could take them over.
+        """
+        daemon = FakeDaemon(400.0, peers=False)
+        self.assertAlmostEqual(stop(daemon), 400.0, delta=1.0)
+        self.assertEqual(daemon.handed_over, [])
+
+    def test_a_reclaim_hands_over_before_the_vm_is_gone(self):
+        """The platform takes the entry VM back in ten seconds.
+
+        A request that is still there when it goes is cut off.
+        """
+        daemon = FakeDaemon(400.0)
+        self.assertLess(stop(daemon, seconds_left=10.0), 10.0)
+        self.assertEqual(len(daemon.handed_over), 1)
+
+    def test_a_peer_that_refuses_is_asked_again(self):
+        daemon = FakeDaemon(400.0)
+        daemon.refuses = 3
+        stop(daemon, seconds_left=10.0)
+        self.assertEqual(len(daemon.handed_over), 1)
+
+
+class TestNotice(unittest.TestCase):
+    def test_a_notice_for_the_own_vm_is_found(self):
+        async def check():
+            cloud = FakeCloud()
+            cloud.give_notice('other')
+            cloud.give_notice('mine', 25.0)
+            return await wait_for_notice(cloud, 'mine')
+
+        self.assertEqual(run_paused(check), 25.0)
+
+    def test_an_outage_of_the_platform_is_sat_out(self):
+        async def check():
+            cloud = FakeCloud()
+            cloud.give_notice('mine')
+            cloud.is_down = True
+            with anyio.move_on_after(20.0):
+                await wait_for_notice(cloud, 'mine')
+                self.fail('a notice was made up')
+            cloud.is_down = False
+            await wait_for_notice(cloud, 'mine')
+
+        run_paused(check)
