--- a/benchmarks/daemons.py
+++ b/benchmarks/daemons.py
@@ -17,6 +17,7 @@
 from mimosamux_daemon.control.configuration_acceptor import (
     ConfigurationAcceptor,
 )
+from mimosamux_daemon.control.configuration_changes import VersionRecord
 from mimosamux_daemon.control.configuration_log import ConfigurationLog
 from mimosamux_daemon.control.configuration_push import ConfigurationSync
 from mimosamux_daemon.control.membership import Membership
@@ -106,6 +107,8 @@
         self.data_centre = DataCentreName(data_centre)
         self.in_force = TimedInForce()
         self.is_ready = anyio.Event()
+        self.is_mute = False
+        """True: accepted versions are not pushed."""
         self.peers = CountedPeers(
             daemon=self.name, host='127.0.0.1', port=0, security=SECRET
         )
@@ -127,9 +130,13 @@
             membership=self.membership,
         )
         self.acceptor = ConfigurationAcceptor(
-            replica=self.replica, log=self.log, spread=self.sync.spread
+            replica=self.replica, log=self.log, spread=self._spread
         )
 
+    def _spread(self, records: Sequence[VersionRecord]) -> None:
+        if not self.is_mute:
+            self.sync.spread(records)
+
     async def run(self) -> None:
         """Run the daemon's shared part until cancelled."""
         async with anyio.create_task_group() as tasks:
