--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -90,3 +90,5 @@
             file=env.stdout,
         )
     env.stdout.flush()
+    await daemon.started.wait()
+    print('ready', file=env.stdout, flush=True)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -3,6 +3,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -21,7 +22,28 @@
     """A process that this test started, and the address it printed."""
 
     popen: subprocess.Popen[str]
-    address: str = ''
+    _address: str = ''
+
+    @property
+    def address(self) -> str:
+        """Where it listens; waits until it does."""
+        if not self._address:
+            line = self.wait_for_line('listening')
+            self._address = line.split()[-1].removeprefix('http://')
+        return self._address
+
+    def wait_until_ready(self) -> None:
+        """Return once a daemon has said that it serves."""
+        _ = self.address
+        self.wait_for_line('ready')
+
+    def wait_for_line(self, start: str) -> str:
+        """Return the next line of its output with that start."""
+        assert self.popen.stdout is not None
+        for line in self.popen.stdout:
+            if line.startswith(start):
+                return line
+        raise AssertionError(f'{self.popen.args} ended before {start!r}')
 
     def freeze(self) -> None:
         """Stop it in its tracks (SIGSTOP)."""
@@ -90,7 +112,6 @@
             )
         process = Process(popen=popen)
         self._started.append(process)
-        process.address = _read_address(popen)
         return process
 
 
@@ -104,9 +125,10 @@
         yield started
 
 
-def _read_address(popen: subprocess.Popen[str]) -> str:
-    assert popen.stdout is not None
-    line = popen.stdout.readline()
-    if not line:
-        raise AssertionError(f'{popen.args} ended before it listened')
-    return line.split()[-1].removeprefix('http://')
+def free_ports(count: int) -> list[int]:
+    """Return ports that the system has free, all different."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in sockets:
+            each.bind(('127.0.0.1', 0))
+        return [each.getsockname()[1] for each in sockets]
--- /dev/null
+++ b/tests/support/site.py
@@ -0,0 +1,114 @@
+"""A small site of real processes: a platform and daemons on loopback."""
+
+import hashlib
+from typing import Any
+
+import httpx
+
+from tests.support.processes import Process, Processes, free_ports
+
+KEY = 'school-key'
+TOKEN = 'operator-token'
+CONFIGURATION: dict[str, Any] = {
+    'classes': {
+        'draft': {'first_token_s': 5.0},
+        'lasting': {'first_token_s': 5.0, 'durable': True},
+        'slip': {
+            'first_token_s': 2.0,
+            'deadline_s': 20.0,
+            'repeatable': False,
+        },
+    },
+    'models': {'demo': {'version': '1'}},
+    'services': {'mail': {'work_class': 'slip'}},
+    'accounts': {
+        'school': {'key_digests': [hashlib.sha256(KEY.encode()).hexdigest()]}
+    },
+    'data_centres': ['a', 'b', 'c'],
+}
+
+
+class RealSite:
+    """Starts daemons `a1`, `a2`, ... and speaks to them as an operator."""
+
+    def __init__(
+        self, *, processes: Processes, daemons: dict[str, int]
+    ) -> None:
+        self.processes = processes
+        self.platform = processes.start_standin('platform')
+        names = [
+            f'{data_centre}{number}'
+            for data_centre, count in daemons.items()
+            for number in range(1, count + 1)
+        ]
+        ports = free_ports(2 * len(names))
+        self.ports = {
+            name: (ports[2 * n], ports[2 * n + 1])
+            for n, name in enumerate(names)
+        }
+        self.daemons: dict[str, Process] = {}
+
+    def start(self, *names: str, **settings: Any) -> None:
+        """Start daemons, all if none is named, and wait until ready."""
+        for name in names or tuple(self.ports):
+            self.daemons[name] = self._start_one(name, settings)
+        for name in names or tuple(self.ports):
+            self.daemons[name].wait_until_ready()
+
+    def operate(
+        self, name: str, method: str, path: str, **content: Any
+    ) -> httpx.Response:
+        """Send a call of the operator API to one daemon."""
+        return httpx.request(
+            method,
+            f'http://{self.daemons[name].address}/v1/operator/{path}',
+            headers={'Authorization': f'Bearer {TOKEN}'},
+            timeout=30.0,
+            **content,
+        )
+
+    def set_target(
+        self, name: str, seconds: float, operation: str
+    ) -> httpx.Response:
+        """Propose a first-token target for drafts."""
+        body = {
+            'operation': operation,
+            'path': 'classes.draft.first_token_s',
+            'value': seconds,
+        }
+        return self.operate(name, 'POST', 'configuration/set', json=body)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version that each daemon has in force."""
+        return {
+            name: self.operate(name, 'GET', 'configuration').json()['version']
+            for name in self.daemons
+        }
+
+    def control_platform(self, path: str, **faults: Any) -> None:
+        """Set what goes wrong at the platform from now on."""
+        answer = httpx.post(
+            f'http://{self.platform.address}/control/{path}', json=faults
+        )
+        answer.raise_for_status()
+
+    def _start_one(self, name: str, settings: dict[str, Any]) -> Process:
+        port, peer_port = self.ports[name]
+        return self.processes.start_daemon(
+            daemon=name,
+            data_centre=name[0],
+            port=port,
+            peer_port=peer_port,
+            peer_secret='secret',
+            peers=[
+                {'id': other, 'address': f'127.0.0.1:{ports[1]}'}
+                for other, ports in self.ports.items()
+                if other != name
+            ],
+            platform_url=f'http://{self.platform.address}',
+            operator_tokens={
+                hashlib.sha256(TOKEN.encode()).hexdigest(): 'write'
+            },
+            configuration=CONFIGURATION,
+            **{'plans_vms': False, **settings},
+        )
