--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/journal.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/journal.py
@@ -25,15 +25,14 @@
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.table import Table
 from mimosamux_daemon.serving.commit_budget import CommitBudget
+from mimosamux_daemon.serving.journal_batches import OpenBatches
 from mimosamux_daemon.serving.journal_rows import (
-    DONE_NAME,
+    EMPTY_BATCH,
     BatchPlace,
     BatchRow,
-    DoneRow,
     JournalEntry,
     daemon_prefix,
     encode_batch,
-    encode_done,
     open_entries,
     parse_batch,
     parse_place,
@@ -52,7 +51,7 @@
 """Requests of one commit."""
 MOST_PROMPT_LENGTH = 256 * 1024
 """Characters of the prompts of one commit, if it has several."""
-EMPTY_BATCH = encode_batch(BatchRow(entries=()))
+NOT_TRIED = Unavailable(reason='not tried', may_have_landed=False)
 CLAIM_PAGE_ROWS = 100
 CLAIM_TRIES = 3
 
@@ -66,14 +65,6 @@
     failed: Unavailable | None = None
 
 
-@dataclass(kw_only=True, slots=True)
-class _Batch:
-    """What is known of one row of this daemon."""
-
-    open: set[RequestId]
-    ended: set[RequestId] = field(default_factory=set)
-
-
 class Journal:
     """Records, forgets and claims requests; `run` makes the commits."""
 
@@ -93,13 +84,9 @@
         self._budget = CommitBudget(daemons=daemons)
         self._pending: list[_Pending] = []
         self._added = anyio.Event()
-        self._batches_by_name: dict[str, _Batch] = {}
-        self._name_by_request: dict[RequestId, str] = {}
-        self._has_ended = False
+        self._batches = OpenBatches(key_of=self._key)
         self._void: set[str] = set()
         """Batches that failed, and may land late all the same."""
-        self._doubtful: set[str] = set()
-        """Batches of which a write may land a second time."""
         self._unsettled_claims: set[str] = set()
 
     async def record(self, request: ModelRequest) -> None | Unavailable:
@@ -119,13 +106,7 @@
 
     async def forget(self, request: RequestId) -> None:
         """Drop a request that has its outcome, with a later commit."""
-        name = self._name_by_request.pop(request, None)
-        if name is None:
-            return
-        batch = self._batches_by_name[name]
-        batch.open.discard(request)
-        batch.ended.add(request)
-        self._has_ended = True
+        self._batches.end(request)
 
     async def run(self) -> None:
         """Commit what is recorded and forgotten, in groups."""
@@ -135,7 +116,7 @@
             if self._pending:
                 await self._budget.wait()
                 await self._commit_pending()
-            elif self._has_ended:
+            elif self._batches.ended_writes(anyio.current_time()).writes:
                 await self._budget.wait()
                 await self._commit_ended()
             await self._take_back()
@@ -172,17 +153,17 @@
         self, rows: Sequence[Row], entries: tuple[JournalEntry, ...]
     ) -> Committed | Conflict | Unavailable:
         name = _new_name()
-        outcome = await self._write_batch(
+        written = await self._write_batch(
             name,
             entries,
             checks=[Check(key=row.key, version=row.version) for row in rows],
             writes=[Write(key=row.key, value=None) for row in rows],
         )
-        if isinstance(outcome, Committed):
-            self._note_batch(name, entries)
-        elif isinstance(outcome, Unavailable):
+        if isinstance(written.outcome, Committed):
+            self._note_batch(name, entries, written)
+        elif written.may_have_landed:
             self._unsettled_claims.add(name)
-        return outcome
+        return written.outcome
 
     async def _find_landed_claims(self) -> tuple[JournalEntry, ...]:
         """Return entries of claims that landed though we were not told."""
@@ -192,7 +173,8 @@
             batch = parse_batch(row.value) if isinstance(row, Row) else None
             if batch is not None:
                 self._unsettled_claims.discard(name)
-                self._note_batch(name, batch.entries)
+                written = _Written(may_have_landed=True)
+                self._note_batch(name, batch.entries, written)
                 entries += batch.entries
         return entries
 
@@ -221,18 +203,16 @@
         taken = self._take_pending()
         entries = tuple(pending.entry for pending in taken)
         name = _new_name()
-        empty = self._empty_batches()
-        outcome = await self._write_batch(
-            name, entries, checks=(), writes=self._ended_writes(empty)
+        ended = self._batches.ended_writes(anyio.current_time())
+        written = await self._write_batch(
+            name, entries, checks=(), writes=ended.writes
         )
-        failed = _as_failure(outcome)
+        failed = _as_failure(written)
         if failed is None:
-            self._drop_batches(empty)
-            self._note_batch(name, entries)
-        else:
-            self._has_ended = True
-            if failed.may_have_landed:
-                self._void.add(name)
+            self._batches.confirm(ended, anyio.current_time())
+            self._note_batch(name, entries, written)
+        elif written.may_have_landed:
+            self._void.add(name)
         for pending in taken:
             pending.failed = failed
             pending.done.set()
@@ -251,51 +231,22 @@
         return taken
 
     async def _commit_ended(self) -> None:
-        empty = self._empty_batches()
-        outcome = await self._table.commit([], self._ended_writes(empty))
+        ended = self._batches.ended_writes(anyio.current_time())
+        outcome = await self._table.commit([], ended.writes)
         if isinstance(outcome, Committed):
-            self._drop_batches(empty)
-        else:
-            self._has_ended = True
-
-    def _empty_batches(self) -> list[str]:
-        return [
-            name
-            for name, batch in self._batches_by_name.items()
-            if not batch.open
-        ]
-
-    def _ended_writes(self, empty: Sequence[str]) -> list[Write]:
-        """Return writes for what has ended: whole rows, and single ids."""
-        if not self._has_ended:
-            return []
-        self._has_ended = False
-        ended = [
-            request
-            for batch in self._batches_by_name.values()
-            if batch.open
-            for request in sorted(batch.ended)
-        ]
-        done = encode_done(DoneRow(requests=tuple(ended))) if ended else None
-        writes = [self._end_batch(name) for name in empty]
-        return [*writes, Write(key=self._key(DONE_NAME), value=done)]
-
-    def _end_batch(self, name: str) -> Write:
-        # Where a row was deleted, a write that is still on its way could
-        # land once more, and its requests would be run again.
-        value = EMPTY_BATCH if name in self._doubtful else None
-        return Write(key=self._key(name), value=value)
-
-    def _drop_batches(self, empty: Sequence[str]) -> None:
-        for name in empty:
-            del self._batches_by_name[name]
-            self._doubtful.discard(name)
-
-    def _note_batch(self, name: str, entries: Iterable[JournalEntry]) -> None:
-        ids = {entry.request.id for entry in entries}
-        self._batches_by_name[name] = _Batch(open=ids)
-        self._name_by_request.update(dict.fromkeys(ids, name))
-        self._has_ended |= not ids
+            self._batches.confirm(ended, anyio.current_time())
+
+    def _note_batch(
+        self,
+        name: str,
+        entries: Iterable[JournalEntry],
+        written: '_Written',
+    ) -> None:
+        self._batches.note(
+            name,
+            (entry.request.id for entry in entries),
+            is_doubtful=written.may_have_landed,
+        )
 
     async def _write_batch(
         self,
@@ -304,32 +255,34 @@
         *,
         checks: Sequence[Check],
         writes: Sequence[Write],
-    ) -> Committed | Conflict | Unavailable:
+    ) -> '_Written':
         """Write a batch; a lost answer is settled by writing it again."""
         key = self._key(name)
         value = encode_batch(BatchRow(entries=entries))
         all_checks = [Check(key=key, version=0), *checks]
         all_writes = [Write(key=key, value=value), *writes]
         give_up_at = anyio.current_time() + RECORD_S
-        may_have_landed = False
+        written = _Written()
         while True:
-            outcome = await self._table.commit(all_checks, all_writes)
-            if isinstance(outcome, Committed):
-                return outcome
-            if isinstance(outcome, Conflict):
-                row = await self._table.read(key)
-                if isinstance(row, Row):
-                    return Committed(versions={key: row.version})
-                if row is None:
-                    return outcome
-                outcome = row
-            may_have_landed |= outcome.may_have_landed
-            if may_have_landed:
-                self._doubtful.add(name)
+            written.outcome = await self._table.commit(all_checks, all_writes)
+            if isinstance(written.outcome, Conflict):
+                written.outcome = await self._find_own(key, written.outcome)
+            if not isinstance(written.outcome, Unavailable):
+                return written
+            written.may_have_landed |= written.outcome.may_have_landed
             if anyio.current_time() >= give_up_at:
-                return replace(outcome, may_have_landed=may_have_landed)
+                return written
             await anyio.sleep(RETRY_PAUSE_S)
 
+    async def _find_own(
+        self, key: str, conflict: Conflict
+    ) -> Committed | Conflict | Unavailable:
+        """Return whether an earlier try of a write has landed."""
+        row = await self._table.read(key)
+        if isinstance(row, Row):
+            return Committed(versions={key: row.version})
+        return conflict if row is None else row
+
     async def _take_back(self) -> None:
         """Empty the rows of failed batches, or take their place.
 
@@ -367,14 +320,25 @@
         )
 
 
+@dataclass(kw_only=True, slots=True)
+class _Written:
+    """How the write of a batch went."""
+
+    outcome: Committed | Conflict | Unavailable = NOT_TRIED
+    may_have_landed: bool = False
+    """Some try of it may have landed, or may land yet."""
+
+
 def _new_name() -> str:
     return uuid.uuid4().hex
 
 
-def _as_failure(
-    outcome: Committed | Conflict | Unavailable,
-) -> Unavailable | None:
-    if isinstance(outcome, Conflict):
+def _as_failure(written: _Written) -> Unavailable | None:
+    if isinstance(written.outcome, Conflict):
         # Names are unique, so nobody else can have written this row.
         return Unavailable(reason='journal row taken', may_have_landed=False)
-    return outcome if isinstance(outcome, Unavailable) else None
+    if isinstance(written.outcome, Unavailable):
+        return replace(
+            written.outcome, may_have_landed=written.may_have_landed
+        )
+    return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/journal_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/journal_rows.py
@@ -100,6 +100,10 @@
     return _BatchModel(batch=batch).model_dump_json().encode()
 
 
+EMPTY_BATCH = encode_batch(BatchRow(entries=()))
+"""Value of a row that holds the place of a batch and no request."""
+
+
 def parse_batch(value: bytes) -> BatchRow | None:
     """Return a batch, None if this daemon cannot read it."""
     try:
