--- /dev/null
+++ b/benchmarks/relay_daemon.py
@@ -0,0 +1,82 @@
+"""The serving part of a daemon over HTTP engines, for bench_relay."""
+
+import sys
+
+import anyio
+import structlog
+from mimosamux_daemon.adapters.http_engine import (
+    HttpEngines,
+    open_engine_client,
+)
+from mimosamux_daemon.adapters.http_server import listen, serve_http
+from mimosamux_daemon.api.callers import CallerRoutes
+from mimosamux_daemon.control.configuration import ConfigurationInForce
+from mimosamux_daemon.control.configuration_models import parse_configuration
+from mimosamux_daemon.domain.names import (
+    DataCentreName,
+    EndpointId,
+    ModelName,
+    VMId,
+)
+from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.model_serving import ModelServing
+from mimosamux_daemon.serving.requests import RequestRegistry
+from mimosamux_daemon.serving.routing import Router
+from starlette.applications import Starlette
+
+from benchmarks.relay_load import CONFIGURATION, PROBE_MODEL, STREAM_MODEL
+
+
+async def main(probe: str, engines: list[str]) -> None:
+    """Serve until killed."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50)
+    )
+    fleet = Fleet()
+    fleet.add(make_endpoint(probe, PROBE_MODEL))
+    for address in engines:
+        fleet.add(make_endpoint(address, STREAM_MODEL))
+    in_force = ConfigurationInForce()
+    in_force.take(parse_configuration(CONFIGURATION, version=1))
+    listener = listen('127.0.0.1', 0)
+    async with (
+        open_engine_client() as client,
+        anyio.create_task_group() as tasks,
+    ):
+        serving = ModelServing(
+            engines=HttpEngines(client=client),
+            fleet=fleet,
+            router=Router(fleet=fleet),
+            admission=Admission(),
+            registry=RequestRegistry(),
+            tasks=tasks,
+        )
+        callers = CallerRoutes(in_force=in_force, serving=serving)
+        print(f'127.0.0.1:{listener.getsockname()[1]}', flush=True)
+        await serve_http(
+            Starlette(routes=callers.routes()),
+            listener,
+            shutdown=anyio.sleep_forever,
+        )
+
+
+def make_endpoint(address: str, model: str) -> Endpoint:
+    """Return the endpoint of a stand-in."""
+    return Endpoint(
+        id=EndpointId(address),
+        vm=VMId(address),
+        address=address,
+        data_centre=DataCentreName('local'),
+        model=ModelName(model),
+    )
+
+
+if __name__ == '__main__':
+    anyio.run(
+        main,
+        sys.argv[1],
+        sys.argv[2:],
+        backend_options={'use_uvloop': True},
+    )
