--- a/benchmarks/relay_daemon.py
+++ b/benchmarks/relay_daemon.py
@@ -5,8 +5,7 @@
 import anyio
 import structlog
 from mimosamux_daemon.adapters.http_engine import (
-    HttpEngines,
-    open_engine_client,
+    open_http_engines,
 )
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.api.callers import CallerRoutes
@@ -42,11 +41,11 @@
     in_force.take(parse_configuration(CONFIGURATION, version=1))
     listener = listen('127.0.0.1', 0)
     async with (
-        open_engine_client() as client,
+        open_http_engines() as engine_port,
         anyio.create_task_group() as tasks,
     ):
         serving = ModelServing(
-            engines=HttpEngines(client=client),
+            engines=engine_port,
             fleet=fleet,
             router=Router(fleet=fleet),
             admission=Admission(),
--- a/benchmarks/relay_load.py
+++ b/benchmarks/relay_load.py
@@ -32,6 +32,8 @@
     """What the callers of open streams have read."""
 
     bytes: int = 0
+    tokens: float = 0
+    """A token of the stand-in holds one slash and comes twice."""
     events: int = 0
     open: int = 0
 
@@ -60,7 +62,8 @@
         while True:
             data = await stream.receive(READ_BYTES)
             seen.bytes += len(data)
-            seen.events += data.count(b'\nid:') + data.count(b'\r\nid:')
+            seen.events += data.count(b'\ndata:')
+            seen.tokens += data.count(b'/') / 2
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -16,6 +16,7 @@
     RefusalModel,
     ReportModel,
 )
+from mimosamux_daemon.adapters.paced_network import Pace, PacedTransport
 from mimosamux_daemon.domain.engine import (
     ConnectFailed,
     EngineCall,
@@ -52,21 +53,21 @@
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 
 
-def open_engine_client() -> httpx.AsyncClient:
-    """Return a client for `HttpEngines`; close it at the end."""
+@asynccontextmanager
+async def open_http_engines() -> AsyncIterator['HttpEngines']:
+    """Reach model engines over HTTP until the block ends."""
+    pace = Pace()
     # Silence of an engine is watched by the serving, which knows each
     # class's patience; a read timeout here would cut long queues off.
-    return httpx.AsyncClient(
+    async with httpx.AsyncClient(
+        transport=PacedTransport(pace),
         timeout=httpx.Timeout(
             None, connect=CONNECT_TIMEOUT_S, write=CONNECT_TIMEOUT_S
         ),
-        limits=httpx.Limits(
-            max_connections=None, max_keepalive_connections=256
-        ),
         # Compressed events would not be readable as they come.
         headers={'Accept-Encoding': 'identity'},
-        trust_env=False,
-    )
+    ) as client:
+        yield HttpEngines(client=client, pace=pace)
 
 
 class EventReader:
@@ -179,8 +180,9 @@
 class HttpEngines:
     """Every model engine, reached at its endpoint's address."""
 
-    def __init__(self, *, client: httpx.AsyncClient) -> None:
+    def __init__(self, *, client: httpx.AsyncClient, pace: Pace) -> None:
         self._client = client
+        self._pace = pace
 
     def generate(
         self, endpoint: Endpoint, call: EngineCall
@@ -195,6 +197,19 @@
         self, endpoint: Endpoint, call: EngineCall
     ) -> AsyncIterator[
         EngineStream | ConnectFailed | EngineRefused | StreamBroken
+    ]:
+        self._pace.streams += 1
+        try:
+            async with self._open(endpoint, call) as stream:
+                yield stream
+        finally:
+            self._pace.streams -= 1
+
+    @asynccontextmanager
+    async def _open(
+        self, endpoint: Endpoint, call: EngineCall
+    ) -> AsyncIterator[
+        EngineStream | ConnectFailed | EngineRefused | StreamBroken
     ]:
         request = self._client.build_request(
             'POST', url_of(endpoint, '/v1/generate'), content=encode_call(call)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/relay.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-import anyio
-
 from mimosamux_daemon.domain.engine import (
     EngineCall,
     StreamBroken,
@@ -54,6 +52,8 @@
 
     started_at: float
     last_event_at: float
+    has_event: bool = False
+    """Set by each event; the watch takes the time and resets it."""
     tokens: int = 0
     """Tokens that this attempt added to the answer."""
 
@@ -81,7 +81,7 @@
             if fault in (FrameFault.GAP, FrameFault.WRONG_TOTAL):
                 return AttemptBroken(cause=BreakCause.FRAMES, reason=fault)
             continue
-        progress.last_event_at = anyio.current_time()
+        progress.has_event = True
         if isinstance(event, StreamEnd):
             return event
         fresh = event.tokens[received - event.offset :]
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/watch.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/watch.py
@@ -86,6 +86,9 @@
             self._being_left.discard(endpoint)
 
     def _check(self, attempt: Attempt, now: float) -> None:
+        if attempt.progress.has_event:
+            attempt.progress.has_event = False
+            attempt.progress.last_event_at = now
         if not is_running(attempt):
             return
         if has_lost_its_caller(attempt, now):
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -8,9 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http_engine import (
-    HttpEngines,
     HttpEngineStream,
-    open_engine_client,
+    open_http_engines,
 )
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.memory_engine import (
@@ -60,8 +59,8 @@
             )
             programs.append(program)
             tasks.start_soon(serve, program, listener, stop)
-        async with open_engine_client() as client:
-            yield HttpEngines(client=client), [p.engine for p in programs]
+        async with open_http_engines() as port:
+            yield port, [program.engine for program in programs]
         stop.set()
 
 
@@ -131,8 +130,7 @@
                 closed, address=f'127.0.0.1:{listener.getsockname()[1]}'
             )
             listener.close()
-            async with open_engine_client() as client:
-                port = HttpEngines(client=client)
+            async with open_http_engines() as port:
                 (failed,) = await read_all(port, closed)
                 self.assertIsInstance(failed, ConnectFailed)
                 async with port.watch(closed) as watched:
