--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -5,6 +5,7 @@
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from typing import TypeVar
 
+import anyio
 import httpx
 import orjson
 import pydantic
@@ -31,6 +32,7 @@
     OrderRefused,
     OrderUnanswered,
     StreamBroken,
+    StreamEnd,
     TokenFrame,
 )
 from mimosamux_daemon.domain.names import RequestId
@@ -42,6 +44,7 @@
 EXPORT_TIMEOUT_S = 10.0
 IMPORT_TIMEOUT_S = 60.0
 ORDER_TIMEOUT_S = 30.0
+FINISH_TIMEOUT_S = 0.1
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_REFUSAL_BYTES = 64 * 1024
 REFUSALS = frozenset({400, 404, 409, 413, 422, 429, 503})
@@ -107,6 +110,18 @@
     def __init__(self, response: httpx.Response) -> None:
         self._reader = EventReader(response)
         self._ready: deque[EngineEvent] = deque()
+        self._has_end = False
+
+    async def finish(self) -> None:
+        """Read to the end of the body, so that the connection is kept.
+
+        Without this, every call would open a new connection, which
+        takes several passes of a busy event loop.
+        """
+        if self._has_end:
+            with anyio.move_on_after(FINISH_TIMEOUT_S):
+                while await self._reader.receive() is not None:
+                    pass
 
     async def receive(self) -> EngineEvent:
         """Return the next event, with frames that are ready joined."""
@@ -120,7 +135,9 @@
                 return StreamBroken(reason=describe(error))
             except pydantic.ValidationError:
                 return StreamBroken(reason='malformed event')
-        return self._ready.popleft()
+        event = self._ready.popleft()
+        self._has_end = isinstance(event, StreamEnd)
+        return event
 
 
 def parse_events(events: list[bytes]) -> Iterable[EngineEvent]:
@@ -224,7 +241,9 @@
             return
         try:
             if response.status_code == httpx.codes.OK:
-                yield HttpEngineStream(response)
+                stream = HttpEngineStream(response)
+                yield stream
+                await stream.finish()
             else:
                 yield await _read_refusal(response)
         finally:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/paced_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/paced_network.py
@@ -25,7 +25,9 @@
 LONGEST_GAP_S = 0.1
 PROMPT_READS = 3
 """Reads after a request that are never put off: head and first token."""
-MAX_KEPT_CONNECTIONS = 256
+KEEPALIVE_S = 30.0
+MAX_ORIGINS = 1000
+"""Engines above which pools without a connection are dropped."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -148,14 +150,56 @@
         await anyio.sleep(seconds)
 
 
-class PacedTransport(httpx.AsyncHTTPTransport):
-    """The transport of httpx over paced connections."""
+class OriginTransport(httpx.AsyncHTTPTransport):
+    """The transport of httpx to one engine, over paced connections."""
 
     def __init__(self, pace: Pace) -> None:
-        super().__init__(trust_env=False)
-        # httpx has no argument for the network of its pool.
+        # httpx has no argument for the network of its pool, and its own
+        # constructor loads certificates that nothing here needs.
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=None,
-            max_keepalive_connections=MAX_KEPT_CONNECTIONS,
+            max_keepalive_connections=None,
+            keepalive_expiry=KEEPALIVE_S,
             network_backend=PacedNetwork(pace),
         )
+
+    @property
+    def is_unused(self) -> bool:
+        """Whether no connection is open."""
+        return not self._pool.connections
+
+
+class PacedTransport(httpx.AsyncBaseTransport):
+    """Paced connections, with a pool for each engine.
+
+    A pool looks at all of its connections for each request; with one
+    pool for 250 streams that would take milliseconds a request.
+    """
+
+    def __init__(self, pace: Pace) -> None:
+        self._pace = pace
+        self._by_origin: dict[tuple[str, int | None], OriginTransport] = {}
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request to its engine."""
+        origin = (request.url.host, request.url.port)
+        transport = self._by_origin.get(origin)
+        if transport is None:
+            self._drop_unused()
+            transport = OriginTransport(self._pace)
+            self._by_origin[origin] = transport
+        return await transport.handle_async_request(request)
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        for transport in self._by_origin.values():
+            await transport.aclose()
+
+    def _drop_unused(self) -> None:
+        if len(self._by_origin) < MAX_ORIGINS:
+            return
+        for origin, transport in tuple(self._by_origin.items()):
+            if transport.is_unused:
+                del self._by_origin[origin]
