--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
@@ -5,7 +5,7 @@
 seconds ago.
 """
 
-import itertools
+from collections.abc import Collection
 from dataclasses import dataclass, field, replace
 
 import anyio
@@ -92,9 +92,7 @@
     prices_by_offer: dict[Offer, list[PriceChange]] = field(
         default_factory=dict
     )
-    _numbers: itertools.count[int] = field(
-        default_factory=lambda: itertools.count(1)
-    )
+    _started: int = 0
 
     def set_price(self, price: Price) -> None:
         """Change a price from now on; this also puts an offer up."""
@@ -131,11 +129,14 @@
             total += hours * change.per_hour
         return total
 
-    async def list_vms(self) -> tuple[VM, ...] | Unavailable:
+    async def list_vms(
+        self, data_centres: Collection[DataCentreName] = ()
+    ) -> tuple[VM, ...] | Unavailable:
         """Return the live and leaving VMs, as of some seconds ago."""
         if not await self._is_up():
             return Unavailable(reason='down', may_have_landed=False)
-        return self._as_of(anyio.current_time() - self.faults.list_lag_s)
+        listed = self._as_of(anyio.current_time() - self.faults.list_lag_s)
+        return select_vms(listed, data_centres)
 
     async def list_notices(self) -> tuple[ReclaimNotice, ...] | Unavailable:
         """Return the reclaim notices in force now."""
@@ -201,7 +202,8 @@
 
     def _start(self, order: StartVM) -> VM:
         now = anyio.current_time()
-        name = f'vm-{next(self._numbers)}'
+        self._started += 1
+        name = f'vm-{self._started}'
         vm = VM(
             id=VMId(name),
             data_centre=order.data_centre,
@@ -233,5 +235,14 @@
         )
 
 
+def select_vms(
+    vms: tuple[VM, ...], data_centres: Collection[DataCentreName]
+) -> tuple[VM, ...]:
+    """Return the VMs of some data centres, all if none is named."""
+    if not data_centres:
+        return vms
+    return tuple(vm for vm in vms if vm.data_centre in data_centres)
+
+
 def _offer_of(vm: VM) -> Offer:
     return (vm.data_centre, vm.machine_class, vm.market)
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -56,11 +56,12 @@
 
 struct DataCentreSummary {
   1: string data_centre
-  2: i64 sequence
+  2: i32 age_ms
   3: i64 configuration_version
   4: i64 lowest_version
   5: i64 members_digest
   6: i32 load
+  7: i32 distance_us
 }
 
 struct Heartbeat {
@@ -125,3 +126,51 @@
 struct LeavingEndpoints {
   1: list<LeavingEndpoint> endpoints
 }
+
+struct DemandRecord {
+  1: string model
+  2: string work_class
+  3: double requests_per_s
+  4: double prompt_tokens
+  5: double answer_tokens
+}
+
+struct RateRecord {
+  1: string model
+  2: string machine_class
+  3: double prefill_tokens_per_s
+  4: double decode_interval_s
+  5: i32 slots
+}
+
+struct OfferRecord {
+  1: string machine_class
+  2: string market
+}
+
+struct PlanningSummary {
+  1: string data_centre
+  2: i64 fencing
+  3: i64 sequence
+  4: list<DemandRecord> demands
+  5: list<RateRecord> rates
+  6: list<OfferRecord> refused
+  7: list<string> stopping
+}
+
+struct ShortfallRecord {
+  1: string work_class
+  2: double needed_per_hour
+  3: double ceiling_per_hour
+  4: double admitted_share
+}
+
+struct PlanTold {
+  1: PlanningSummary summary
+  2: list<ShortfallRecord> shortfalls
+}
+
+struct DemandTold {
+  1: list<DemandRecord> demands
+  2: list<PlanningSummary> summaries
+}
--- a/tests/support/side_effects.py
+++ b/tests/support/side_effects.py
@@ -97,13 +97,13 @@
 class Site:
     """Daemons that share a table; `asked` is what clients saw."""
 
-    kind: type[SideEffects] = SideEffects
     timers_run_first: bool = True
     """A process that wakes sees its timeouts first, or else answers."""
     table: MemoryTable = field(default_factory=MemoryTable)
     services: MemoryServices = field(default_factory=MemoryServices)
     objects: MemoryObjectStore = field(default_factory=MemoryObjectStore)
     processes: dict[str, Process] = field(default_factory=dict)
+    cleans: bool = False
     dead: set[tuple[str, int]] = field(default_factory=set)
     asked: list[Asked] = field(default_factory=list)
     numbers: itertools.count = field(default_factory=itertools.count)
@@ -123,7 +123,7 @@
         process = Process(incarnation=next(self.numbers) + 1)
         self.processes[daemon] = process
         guard = StoreGuard(metrics=Metrics(), chance=random.Random(1))
-        process.effects = self.kind(
+        process.effects = SideEffects(
             table=self._gated_table(guard, process.gate),
             objects=guard.objects(self.objects),
             services=Gated(port=self.services, gate=process.gate),
@@ -132,6 +132,7 @@
             daemon=daemon,
             incarnation=process.incarnation,
             wall_clock=anyio.current_time,
+            may_clean=lambda: self.cleans,
             chance=random.Random(2),
         )
         await tasks.start(self._run, process)
@@ -174,6 +175,9 @@
                 body=body,
                 arrived=anyio.current_time(),
                 idempotency_key=key,
+                is_first=all(
+                    key != each.call.idempotency_key for each in self.asked
+                ),
             ),
             at=anyio.current_time(),
         )
@@ -197,6 +201,7 @@
         return [
             *self._doubled(),
             *self._ran_though_refused(),
+            *self._refused_though_it_ran(),
             *self._answers_that_differ(),
             *self._answered_after_unknown(),
         ]
@@ -213,6 +218,17 @@
             if isinstance(each.outcome, Refused) and each.call.id in ran
         ]
 
+    def _refused_though_it_ran(self):
+        return [
+            f'{each.call.idempotency_key} had run, then was refused'
+            for each in self.asked
+            for run in self.services.runs
+            if isinstance(each.outcome, Refused)
+            and each.outcome.reason is not Reason.CONFLICT
+            and run.call.idempotency_key == each.call.idempotency_key
+            and run.at < each.at
+        ]
+
     def _answers_that_differ(self):
         answers = {}
         for each in self.asked:
