Slot waits by likely ends, slots kept for the watching daemon

Change: a wait is at least the time until known requests likely end; service times are learned by model and class, from the longest answer until then; a quarter of the slots is left to the daemons that watch; where engines are few, several daemons watch the same.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -57,25 +57,32 @@
 
 def spread_endpoints(
     endpoints: Iterable[EndpointId], daemons: Iterable[DaemonId]
-) -> dict[EndpointId, DaemonId]:
-    """Return the daemon that watches each endpoint.
+) -> dict[EndpointId, tuple[DaemonId, ...]]:
+    """Return the daemons that watch each endpoint, mostly one.
 
-    This is rendezvous hashing with a bound: no daemon gets more than the
-    mean, rounded up. Each daemon sends to its own endpoints first, so
-    one with few of them would have to refuse what another has room for.
+    This is rendezvous hashing with a bound: every daemon gets as many as
+    the next, or one more. Each sends to its own endpoints first, so one
+    with few of them would have to refuse what another has room for. Where
+    there are fewer endpoints than daemons, several watch the same one.
     """
     names = sorted(daemons)
     ids = sorted(endpoints)
-    if not names:
+    if not names or not ids:
         return {}
-    room = dict.fromkeys(names, -(-len(ids) // len(names)))
-    owners: dict[EndpointId, DaemonId] = {}
-    for id_ in ids:
-        owner = max(room, key=lambda daemon: _weight(daemon, id_))
-        owners[id_] = owner
+    copies = -(-len(names) // len(ids))
+    each, _ = divmod(len(ids) * copies, len(names))
+    room = dict.fromkeys(names, max(each, 1))
+    owners: dict[EndpointId, tuple[DaemonId, ...]] = dict.fromkeys(ids, ())
+    for id_ in ids * copies:
+        free = [name for name in room if name not in owners[id_]]
+        if not free:
+            continue
+        owner = max(free, key=lambda daemon: _weight(daemon, id_))
+        owners[id_] = (*owners[id_], owner)
         room[owner] -= 1
         if not room[owner]:
             del room[owner]
+        room = room or dict.fromkeys(names, 1)
     return owners
 
 
@@ -176,8 +183,8 @@
             owned.update(
                 {
                     id_: endpoints[id_]
-                    for id_, owner in owners.items()
-                    if owner == self._daemon
+                    for id_, watchers in owners.items()
+                    if self._daemon in watchers
                 }
             )
         return owned
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/admission.py
@@ -34,7 +34,7 @@
     """Time over which the use of an account is averaged."""
     full_share: float = 1.0
     """Share of the target up to which requests are let through."""
-    over_share: float = 0.8
+    over_share: float = 0.7
     """The same for an account that is over its fair part."""
     unsure_share: float = 0.5
     """The same for that account at endpoints that others watch.
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -14,21 +14,20 @@
     ServiceName,
 )
 from mimosamux_daemon.domain.vms import Endpoint
-from mimosamux_daemon.serving.load import (
-    DEFAULT_SERVICE_S,
-    Load,
-    Sent,
-)
+from mimosamux_daemon.serving.load import Load, Sent
 from mimosamux_daemon.serving.prefix_cache import PrefixCache
 from mimosamux_daemon.serving.prices import Place, place_of
+from mimosamux_daemon.serving.service_times import (
+    DEFAULT_SERVICE_S,
+    ServiceTimes,
+    WorkKind,
+)
 
 STATE_NAMES = ('serving', 'suspected', 'leaving')
 SUSPECT_AFTER = 2
 """Failed connects in a row after which an endpoint is avoided."""
 FIRST_PROBE_S = 0.5
 LAST_PROBE_S = 30.0
-SERVICE_TIME_SHARE = 0.05
-"""Weight of the newest request in the mean time that a slot is held."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,6 +38,11 @@
     """Prompt tokens that are likely not in the prefix cache."""
     blocks: Sequence[int] = ()
     """Hashes of the prompt's blocks, cached there afterwards."""
+    kind: WorkKind | None = None
+    wait_s: float = 0.0
+    """Estimated wait for the prompt's turn and a slot."""
+    service_s: float = DEFAULT_SERVICE_S
+    """Estimated time in a slot."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -50,6 +54,15 @@
     ended: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Started:
+    """When an attempt likely got its slot, and when it likely ends."""
+
+    kind: WorkKind | None
+    at: float
+    ends_at: float
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class EndpointState:
     """What is known of one endpoint."""
@@ -65,7 +78,7 @@
     """Whether this daemon watches it, see `Fleet.set_own`."""
     open_by_request: dict[RequestId, int] = field(default_factory=dict)
     """Attempt number of each request that runs there from here."""
-    sent_at_by_request: dict[RequestId, float] = field(default_factory=dict)
+    started_by_request: dict[RequestId, Started] = field(default_factory=dict)
     failed_connects: int = 0
     """Connects that failed since the last that came about."""
     probe_at: float = 0.0
@@ -81,6 +94,16 @@
         """Newest load report, None before the first."""
         return self.load.report
 
+    def slot_wait_s(
+        self, now: float, service_s: float, *, more: float = 0.0
+    ) -> float:
+        """Return the wait for a slot there if `more` requests came."""
+        occupied = self.load.occupied(now) + more
+        if occupied <= self.load.slots - 1:
+            return 0.0
+        ends = [each.ends_at for each in self.started_by_request.values()]
+        return self.load.slot_wait_s(now, service_s, ends, occupied=occupied)
+
     def is_suspected(self, now: float) -> bool:
         """Whether connects fail there and the next probe is not due."""
         return self.failed_connects >= SUSPECT_AFTER and now < self.probe_at
@@ -106,8 +129,7 @@
     def __init__(self, *, cache: PrefixCache | None = None) -> None:
         self.by_id: dict[EndpointId, EndpointState] = {}
         self.cache = PrefixCache() if cache is None else cache
-        self.service_s_by_model: dict[ModelName, float] = {}
-        """Mean time that a request of the model holds a slot."""
+        self.service_times = ServiceTimes()
         self.changed = anyio.Event()
         """Set, and replaced by a new one, when endpoints come or go."""
         self._own_by_model: dict[ModelName, list[EndpointState]] = {}
@@ -196,10 +218,6 @@
         """Return the endpoints of a service that take new work."""
         return self._by_service.get(service, ())
 
-    def service_s(self, model: ModelName) -> float:
-        """Return the mean time that a request holds a slot."""
-        return self.service_s_by_model.get(model, DEFAULT_SERVICE_S)
-
     def note_sent(
         self,
         endpoint: EndpointId,
@@ -215,7 +233,10 @@
         work = PromptWork() if work is None else work
         now = anyio.current_time()
         state.open_by_request[request] = attempt
-        state.sent_at_by_request[request] = now
+        started_at = now + work.wait_s
+        state.started_by_request[request] = Started(
+            kind=work.kind, at=started_at, ends_at=started_at + work.service_s
+        )
         state.load.note(Sent(at=now, tokens=work.tokens))
         recent = self._recent_by_id.setdefault(endpoint, RecentWork())
         recent.tokens += work.tokens
@@ -231,12 +252,9 @@
         now = anyio.current_time()
         state.load.note(Sent(at=now, tokens=0.0, requests=0, ended=1))
         self._recent_by_id.setdefault(endpoint, RecentWork()).ended += 1
-        sent_at = state.sent_at_by_request.pop(request, now)
-        model = state.endpoint.model
-        if model is not None:
-            mean = self.service_s(model)
-            step = SERVICE_TIME_SHARE * (now - sent_at - mean)
-            self.service_s_by_model[model] = mean + step
+        started = state.started_by_request.pop(request)
+        if started.kind is not None and now > started.at:
+            self.service_times.note(started.kind, now - started.at)
 
     def note_connect(self, endpoint: EndpointId, *, failed: bool) -> None:
         """Note how a connect went; repeated failures bring suspicion.
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/load.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/load.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from mimosamux_daemon.domain.engine import LoadReport
@@ -16,8 +17,6 @@
 DEFAULT_PREFILL_TOKENS_PER_S = 8000.0
 DEFAULT_DECODE_INTERVAL_S = 0.03
 DEFAULT_SLOTS = 16
-DEFAULT_SERVICE_S = 5.0
-"""Time that a request holds a slot, until some have been seen."""
 PEER_RATE_WINDOW_S = 3.0
 """Time over which the rate of the peers' sends is averaged."""
 UNSEEN_LIMIT_S = 2.0
@@ -106,12 +105,28 @@
             return self._occupied
         return self._occupied + self.unseen_requests(now)
 
-    def slot_wait_s(self, now: float, service_s: float) -> float:
-        """Return the wait for a slot if each is held for `service_s`."""
-        excess = self.occupied(now) - self.slots
-        if excess < 0:
-            return 0.0
-        return (excess + 1) / self.slots * service_s
+    def slot_wait_s(
+        self,
+        now: float,
+        service_s: float,
+        ends: Collection[float],
+        *,
+        occupied: float,
+    ) -> float:
+        """Return the wait for a slot if each is held for `service_s`.
+
+        `ends` are the times at which known requests likely end. Requests
+        that came together end together, and the mean alone would promise
+        a slot long before the first of them is done.
+        """
+        ahead = occupied - self.slots + 1
+        mean_s = ahead / self.slots * service_s
+        if not ends:
+            return mean_s
+        index = math.ceil(ahead * len(ends) / occupied) - 1
+        if ahead < 1:
+            return mean_s
+        return max(mean_s, sorted(ends)[index] - now)
 
     def unseen_requests(self, now: float) -> float:
         """Return the requests that peers have likely sent unseen."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -4,7 +4,6 @@
 a prefix of the prompt, so its work does not grow with the fleet.
 """
 
-import math
 import random
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
@@ -18,17 +17,13 @@
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ModelRequest
 from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.serving.estimates import Candidate, Estimator, Prompt
 from mimosamux_daemon.serving.fleet import (
     EndpointState,
     Fleet,
     PromptWork,
 )
-from mimosamux_daemon.serving.prefix_cache import (
-    BYTES_PER_TOKEN,
-    Level,
-    hash_prompt,
-    pick_holders,
-)
+from mimosamux_daemon.serving.prefix_cache import pick_holders
 from mimosamux_daemon.serving.prices import Distances, Place, PriceBook
 
 ItemT = TypeVar('ItemT')
@@ -57,6 +52,8 @@
     """How much a second of wait within the target counts as cost."""
     unsure: float = 0.5
     """Weight of what peers may have sent unseen to their endpoints."""
+    kept_slots: float = 0.25
+    """Share of the slots left to those daemons that watch the endpoint."""
     own_first: bool = True
     """Prefer the endpoints that this daemon watches among equals."""
     near_equal: float = 0.1
@@ -76,26 +73,6 @@
     """To be passed to `Fleet.note_sent`."""
 
 
-@dataclass(frozen=True, slots=True)
-class Candidate:
-    """An endpoint with its estimate; made many times a decision."""
-
-    state: EndpointState
-    first_token_s: float
-    cost: float
-    cached_tokens: float
-    is_near: bool
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Prompt:
-    """A prompt as the choice sees it."""
-
-    tokens: float
-    blocks: tuple[int, ...]
-    levels: tuple[Level, ...]
-
-
 class Router:
     """Chooses the endpoint of each attempt."""
 
@@ -114,8 +91,16 @@
         self._fleet = fleet
         self._prices = PriceBook() if prices is None else prices
         self._distances = Distances() if distances is None else distances
-        self._configuration = configuration
         self._policy = RoutingPolicy() if policy is None else policy
+        self._estimator = Estimator(
+            fleet=fleet,
+            prices=self._prices,
+            distances=self._distances,
+            configuration=configuration,
+            unsure=self._policy.unsure,
+            kept_slots=self._policy.kept_slots,
+            wait_weight=self._policy.wait_weight,
+        )
         self._rng = random.Random() if rng is None else rng
 
     def choose(
@@ -132,15 +117,17 @@
         An accepted request is never refused for being late: it goes
         where its answer comes earliest.
         """
-        prompt = self._read(request, answer_tokens)
+        prompt = self._estimator.read(request, answer_tokens)
         size = self._policy.sample
-        candidates = self._estimate_all(request, prompt, size, excluding)
+        candidates = self._find_candidates(request, prompt, size, excluding)
         target_s = request.work_class.first_token_s
         limit_s = target_s * self._policy.miss_allowed
         best = self._pick(candidates, target_s)
         if best is None or best.first_token_s > limit_s:
             size = self._policy.wide_sample
-            candidates = self._estimate_all(request, prompt, size, excluding)
+            candidates = self._find_candidates(
+                request, prompt, size, excluding
+            )
             best = self._pick(candidates, target_s)
         if best is None:
             return _no_endpoint(f'model {request.model}')
@@ -155,10 +142,7 @@
             first_token_s=best.first_token_s,
             cached_tokens=int(best.cached_tokens),
             is_sure=best.state.is_own,
-            work=PromptWork(
-                tokens=max(prompt.tokens - best.cached_tokens, 1.0),
-                blocks=prompt.blocks,
-            ),
+            work=self._estimator.work_of(best, request, prompt),
         )
 
     def choose_service(
@@ -187,16 +171,7 @@
         pair = self._rng.sample(drawn_from, min(len(drawn_from), 2))
         return min(pair, key=_open_requests).endpoint
 
-    def _read(self, request: ModelRequest, answer_tokens: int) -> Prompt:
-        data = request.prompt.encode()
-        blocks = hash_prompt(data)
-        return Prompt(
-            tokens=len(data) / BYTES_PER_TOKEN + answer_tokens,
-            blocks=blocks,
-            levels=self._fleet.cache.match(blocks),
-        )
-
-    def _estimate_all(
+    def _find_candidates(
         self,
         request: ModelRequest,
         prompt: Prompt,
@@ -204,8 +179,6 @@
         excluding: frozenset[EndpointId],
     ) -> list[Candidate]:
         now = anyio.current_time()
-        weights = self._configuration()
-        service_s = self._fleet.service_s(request.model)
         by_id = {
             state.endpoint.id: state
             for state in self._sample_places(request.model, size)
@@ -222,44 +195,7 @@
             for id_, state in by_id.items()
             if id_ not in excluding and not state.is_suspected(now)
         ]
-        return [
-            self._estimate(state, request, prompt, now, service_s, weights)
-            for state in states
-        ]
-
-    def _estimate(
-        self,
-        state: EndpointState,
-        request: ModelRequest,
-        prompt: Prompt,
-        now: float,
-        service_s: float,
-        weights: Configuration,
-    ) -> Candidate:
-        load = state.load
-        cached = self._fleet.cache.cached_tokens(
-            state.endpoint.id, prompt.levels
-        )
-        uncached = max(prompt.tokens - cached, 1.0)
-        prefill_s = uncached / load.prefill_tokens_per_s
-        wait_s = max(load.backlog_s(now), load.slot_wait_s(now, service_s))
-        if not state.is_own:
-            unseen = load.unseen_requests(now)
-            wait_s += self._policy.unsure * math.sqrt(unseen) * prefill_s
-        data_centre = state.endpoint.data_centre
-        away_s = 2 * self._distances.one_way_s(data_centre)
-        decode_s = request.max_tokens * load.decode_interval_s / load.slots
-        money = self._prices.relative(state.place) * (prefill_s + decode_s)
-        recompute_s = request.work_class.recompute_weight * uncached / 1000
-        return Candidate(
-            state,
-            away_s + wait_s + prefill_s + load.decode_interval_s,
-            self._policy.wait_weight * wait_s
-            + weights.cost_weight * money
-            + weights.recompute_weight * recompute_s,
-            cached,
-            self._distances.is_near(data_centre),
-        )
+        return self._estimator.estimate(states, request, prompt)
 
     def _pick(
         self, candidates: list[Candidate], target_s: float
