Join past dead seeds, and spread the hosts of a large account

A joining daemon asked seeds one after the other, 2 s each, so dead ones held it up; it now asks up to 16 side by side. By account alone the rendezvous order sent all of a large account to one daemon; the caller's host counts too, and nearly full daemons come last. A data centre without a ready daemon no longer holds up a wait for a version.

--- a/packages/mimosamux-daemon/mimosamux_daemon/api/discovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/discovery.py
@@ -29,7 +29,8 @@
         account = find_account(request, self.in_force.current)
         if isinstance(account, Refused):
             return outcome_response(account)
-        answer = self.discovery.addresses_for(account.id)
+        caller = request.client.host if request.client else ''
+        answer = self.discovery.addresses_for(account.id, caller)
         return JSONResponse(
             {
                 'addresses': [
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/discovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/discovery.py
@@ -15,6 +15,8 @@
 """Addresses in this data centre."""
 FAR_ADDRESSES = 2
 """Addresses in the nearest other one; one more in the next."""
+FULL_LOAD = 900
+"""Thousandths of a daemon's capacity above which it is nearly full."""
 KNOWN_EVERYWHERE_S = 5.0
 """Time within which a daemon that leaves is left out of all answers."""
 
@@ -42,11 +44,15 @@
         self._membership = membership
         self._ttl_s = ttl_s
 
-    def addresses_for(self, account: AccountId) -> AddressAnswer:
+    def addresses_for(
+        self, account: AccountId, caller: str = ''
+    ) -> AddressAnswer:
         """Return the account's addresses, near ones first.
 
-        Each account has its own order, so that accounts are spread over
-        the daemons, and one that asks again keeps its connections.
+        Each account, and each `caller` host of it, has an order of its
+        own: a few large accounts would otherwise load a single daemon
+        each. One that asks again keeps its connections. Daemons that are
+        nearly full come last in their data centre.
         """
         membership = self._membership
         nearest = sorted(membership.data_centres(), key=membership.distance_to)
@@ -55,7 +61,8 @@
         pools = [pool for pool in map(self._pool, nearest) if pool]
         for pool, count in zip(pools, counts, strict=False):
             by_id = {member.id: member for member in pool}
-            ranked = rank(by_id, account)
+            ranked = rank(by_id, f'{account} {caller}')
+            ranked.sort(key=lambda daemon: by_id[daemon].load >= FULL_LOAD)
             chosen.extend(by_id[daemon] for daemon in ranked[:count])
         return AddressAnswer(
             addresses=tuple(
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/member_view.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/member_view.py
@@ -145,16 +145,10 @@
             if member.observed is MemberState.READY:
                 held[member.id] = member.version
         for remote in self._remotes_by_name.values():
-            if not remote.is_stale(now):
+            if not remote.is_stale(now) and remote.lowest_version >= 0:
                 held[remote.name] = remote.lowest_version
         return held
 
-    def highest_version(self) -> int:
-        """Return the highest version that any peer is known to hold."""
-        versions = [member.version for member in self._members_by_id.values()]
-        versions += [item.version for item in self._remotes_by_name.values()]
-        return max(versions, default=0)
-
     def local_peers(self) -> tuple[DaemonId, ...]:
         """Return the other daemons of this data centre."""
         return tuple(self._members_by_id)
@@ -220,7 +214,7 @@
         return DataCentreSummary(
             data_centre=self.data_centre,
             configuration_version=self._version(),
-            lowest_version=min((m.version for m in ready), default=0),
+            lowest_version=min((m.version for m in ready), default=-1),
             members_digest=digest_members(members),
             load=sum(m.load for m in ready) // max(1, len(ready)),
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/membership.py
@@ -45,6 +45,8 @@
 PAUSE_S = 1.0
 """A tick that comes so much too late means that this daemon stood still."""
 INTRODUCE_S = 5.0
+JOIN_ROUNDS = 2
+SEEDS_AT_ONCE = 16
 CALL_TIMEOUT_S = 2.0
 AVOID_S = 6.0
 """A peer of another data centre that did not answer is avoided so long."""
@@ -132,19 +134,25 @@
             await self._sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
 
     async def _introduce(self) -> None:
-        rounds = 0
+        for _ in range(JOIN_ROUNDS):
+            # Side by side: with most seeds dead a daemon that tried one
+            # after the other would not be ready for half a minute.
+            async with anyio.create_task_group() as tasks:
+                for seed in self._unknown_seeds()[:SEEDS_AT_ONCE]:
+                    tasks.start_soon(self._meet, seed)
+            if self.joined.is_set() or not self._seeds():
+                break
+            await self._sleep(HEARTBEAT_S)
+        self.joined.set()
         while True:
-            for seed in self._unknown_seeds():
-                self._peers.set_address(seed.id, seed.address)
-                if await self._fetch(seed.id, DataCentreName('')):
-                    self.joined.set()
-                elif self.joined.is_set():
-                    break
-            rounds += 1
-            if rounds >= 2 or not self._seeds():
-                self.joined.set()
-            wait_s = INTRODUCE_S if self.joined.is_set() else HEARTBEAT_S
-            await self._sleep(wait_s * random.uniform(0.7, 1.3))
+            await self._sleep(INTRODUCE_S * random.uniform(0.7, 1.3))
+            for seed in self._unknown_seeds()[:1]:
+                await self._meet(seed)
+
+    async def _meet(self, seed: PeerAddress) -> None:
+        self._peers.set_address(seed.id, seed.address)
+        if await self._fetch(seed.id, DataCentreName('')):
+            self.joined.set()
 
     def _unknown_seeds(self) -> list[PeerAddress]:
         # Daemons that went and came back, or that were cut off until
--- a/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/membership_messages.py
@@ -42,7 +42,7 @@
     """Time since a daemon of that data centre stated this."""
     configuration_version: int = 0
     lowest_version: int = 0
-    """Version that all ready daemons of the data centre hold."""
+    """Version that all its ready daemons hold; -1: none is ready."""
     members_digest: int = 0
     """Hash of the member records; a new one is worth a fetch."""
     load: int = 0
--- a/tests/test_configuration_properties.py
+++ b/tests/test_configuration_properties.py
@@ -295,6 +295,28 @@
 
         run_paused(main)
 
+    def test_woken_daemon_holds_what_it_missed(self):
+        """A daemon stands still while changes are accepted.
+
+        Once it goes on it holds them within seven seconds, and what it
+        held before does not come back.
+        """
+
+        async def main():
+            cluster = Cluster(SIZES)
+            async with cluster.running():
+                node = cluster.nodes_by_name['three-2']
+                node.peers.pause()
+                for number in range(30):
+                    await cluster.accept(
+                        cluster.nodes[0], f'op-{number}', 2.0 + number
+                    )
+                    await anyio.sleep(0.5)
+                node.peers.resume()
+                await cluster.wait_in_force(31, IN_FORCE_S, [node])
+
+        run_paused(main)
+
     def test_lost_pushes_are_repaired_by_heartbeats(self):
         """Every push of a change is lost on the way.
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -28,11 +28,11 @@
     run_paused(main)
 
 
-def ask(node, account):
+def ask(node, account, caller=''):
     discovery = Discovery(membership=node.membership, ttl_s=TTL_S)
     return [
         item.address.removesuffix(':8080')
-        for item in discovery.addresses_for(account).addresses
+        for item in discovery.addresses_for(account, caller).addresses
     ]
 
 
@@ -48,6 +48,33 @@
 
         run_cluster(check)
 
+    def test_hosts_of_one_large_account_are_spread(self):
+        """One account sends nearly everything, from many hosts.
+
+        They must not all connect to the same daemon.
+        """
+
+        async def check(cluster):
+            node = cluster.nodes_by_name['two-1']
+            firsts = Counter(
+                ask(node, 'large', f'10.0.0.{host}')[0] for host in range(90)
+            )
+            self.assertEqual(set(firsts), {'two-1', 'two-2', 'two-3'})
+            self.assertLess(max(firsts.values()), 50)
+
+        run_cluster(check)
+
+    def test_nearly_full_daemon_is_named_last(self):
+        async def check(cluster):
+            node = cluster.nodes_by_name['two-1']
+            cluster.nodes_by_name['two-2'].membership._load = lambda: 950
+            await anyio.sleep(2)
+            for number in range(50):
+                near = ask(node, f'account-{number}')[:3]
+                self.assertEqual(near[2], 'two-2')
+
+        run_cluster(check)
+
     def test_losing_any_data_centre_leaves_an_address(self):
         """A data centre goes at once, the one that gave the answer too.
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,6 +5,7 @@
 import anyio
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.settings import PeerAddress
 from mimosamux_wire import Superseded
 
 from tests.support.clock import run_paused
@@ -196,6 +197,25 @@
 
         run_cluster(check)
 
+    def test_dead_seeds_hold_a_daemon_up_for_some_seconds_only(self):
+        """A VM is replaced while nearly all seeds are dead.
+
+        The newcomer finds the one that lives and is ready soon.
+        """
+
+        async def check(cluster):
+            cluster.seeds += [
+                PeerAddress(id=f'dead-{number}', address=f'dead-{number}:7')
+                for number in range(12)
+            ]
+            node = cluster.replace('one-2')
+            await cluster.wait_until(node.membership.joined.is_set, 0.5)
+            await cluster.wait_until(
+                lambda: len(node.membership.members('one')) == 3, 3
+            )
+
+        run_cluster(check)
+
     def test_data_centres_find_together_after_a_partition(self):
         """A data centre is cut off from the others for a minute.
 
