--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
@@ -275,20 +275,18 @@
             live=frozenset(order.id for order in own if orders.is_live(order)),
             running=_count_running(own, others),
             live_counts=_count_live(own, others, orders),
-            own_per_hour=sum(
-                self._prices.get(offer_of(vm), 0.0)
-                for vm in paid
-                if vm.data_centre == self._data_centre
-                and vm.role is VMRole.ENDPOINT
-            )
-            + sum(
-                self._prices.get(order.offer, 0.0)
-                for order in own
-                if not any(vm.id == order.vm for vm in view.vms)
-            ),
+            per_hour=self._spend(own, paid),
             prices=self._prices,
         )
 
+    def _spend(self, own: Sequence[VMOrder], paid: Sequence[VM]) -> float:
+        """Return the money an hour, with VMs that are not listed yet."""
+        listed = {vm.id for vm in paid}
+        offers = [
+            offer_of(vm) for vm in paid if vm.role is VMRole.ENDPOINT
+        ] + [order.offer for order in own if order.vm not in listed]
+        return sum(self._prices.get(offer, 0.0) for offer in offers)
+
 
 def _count_running(
     own: Sequence[VMOrder], others: Sequence[VM]
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/steps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/steps.py
@@ -37,8 +37,8 @@
     """Everywhere, those that are starting included."""
     live_counts: Mapping[ModelOffer, int]
     """Everywhere, only those that serve."""
-    own_per_hour: float
-    """Money an hour for every VM here, also those being drained."""
+    per_hour: float
+    """Money an hour for every VM anywhere, also those being drained."""
     prices: Mapping[Offer, float]
 
 
@@ -67,56 +67,45 @@
 def _find_starts(
     plan: Plan, world: World, configuration: Configuration
 ) -> Iterator[WantedVM]:
-    left = find_headroom(plan, world, configuration)
+    """Return what is missing here and fits under the ceilings.
+
+    Every planner goes through what is missing everywhere in the same
+    order and takes its own part of what the money is enough for. Planners
+    that start at the same moment would otherwise overspend between them.
+    """
+    left = find_headroom(world, configuration)
     started = 0
     for wanted in _list_missing(plan, world, configuration):
-        price = world.prices[wanted.offer]
-        if price > left + SMALL or started >= MAX_STARTS:
-            continue
-        left -= price
-        started += 1
-        yield wanted
-
+        left -= world.prices[wanted.offer]
+        if left < -SMALL or started >= MAX_STARTS:
+            return
+        if wanted.offer.data_centre == world.data_centre:
+            started += 1
+            yield wanted
 
-def find_headroom(
-    plan: Plan, world: World, configuration: Configuration
-) -> float:
-    """Return the money an hour that this data centre may add.
 
-    The sum of the ceilings bounds what all data centres spend together.
-    What the plan leaves of it is split evenly, so that planners which
-    start at the same moment cannot overspend between them.
-    """
+def find_headroom(world: World, configuration: Configuration) -> float:
+    """Return the money an hour that may be added everywhere."""
     budget = sum(
         work_class.cost_ceiling_per_hour
         for work_class in configuration.classes.values()
     )
-    if math.isinf(budget):
-        return math.inf
-    planned = sum(
-        count * world.prices[offer]
-        for (_, offer), count in plan.counts.items()
-        if offer.data_centre == world.data_centre
-    )
-    spare = max(0.0, budget - plan.per_hour)
-    number = max(1, len(configuration.data_centres))
-    return planned + spare / number - world.own_per_hour
+    return budget - world.per_hour
 
 
 def _list_missing(
     plan: Plan, world: World, configuration: Configuration
 ) -> Iterator[WantedVM]:
     current: Counter[ModelOffer] = Counter()
-    everything: Counter[ModelOffer] = Counter()
+    everything: Counter[ModelOffer] = Counter(world.running)
     for order in world.own:
-        everything[order.model, order.offer] += 1
         current[order.model, order.offer] += _is_current(order, configuration)
-    for (model, offer), count in plan.counts.items():
-        if offer.data_centre != world.data_centre:
-            continue
-        surge = math.ceil(count * SURGE_SHARE)
-        missing = count - current[model, offer]
-        room = count + surge - everything[model, offer]
+    for (model, offer), count in sorted(plan.counts.items(), key=_rank):
+        key = (model, offer)
+        is_own = offer.data_centre == world.data_centre
+        surge = math.ceil(count * SURGE_SHARE) if is_own else 0
+        missing = count - (current[key] if is_own else everything[key])
+        room = count + surge - everything[key]
         wanted = WantedVM(
             offer=offer,
             model=model,
@@ -127,6 +116,11 @@
             yield wanted
 
 
+def _rank(item: tuple[ModelOffer, int]) -> tuple[str, str, str, str]:
+    (model, offer), _ = item
+    return model, offer.data_centre, offer.machine_class, offer.market
+
+
 def _is_current(order: VMOrder, configuration: Configuration) -> bool:
     """Return whether a VM has, or will load, the version in force."""
     spec = configuration.models.get(order.model)
