--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
@@ -283,7 +283,9 @@
         """Return the money an hour, with VMs that are not listed yet."""
         listed = {vm.id for vm in paid}
         offers = [
-            offer_of(vm) for vm in paid if vm.role is VMRole.ENDPOINT
+            offer_of(vm)
+            for vm in paid
+            if vm.role is VMRole.ENDPOINT and vm.model is not None
         ] + [order.offer for order in own if order.vm not in listed]
         return sum(self._prices.get(offer, 0.0) for offer in offers)
 
