Hand accepted requests to a peer before a daemon stops

Rule: nothing is added to an answer while an offer is under way; callers are sent to the peer only after its reply; without one this daemon goes on under attempt numbers a thousand higher and the peer drops its copy.

--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/handover.py
@@ -0,0 +1,278 @@
+"""Hands accepted requests to a peer before this daemon stops.
+
+A caller reads from one daemon at a time: from this one until its stream
+ends with a `moved` event, and after that from the peer. The peer's reply
+can be lost after it took the request, so the rule is: while an offer is
+under way nothing is added to the answer here; a `moved` event is written
+only after the peer said that it has the request; and without a reply
+this daemon goes on by itself, under attempt numbers far above those it
+told the peer. Nobody was sent to the peer then, so its copy is read by
+no one. It is told to drop it, and a later offer replaces it.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+import orjson
+from mimosamux_wire import (
+    HandOver,
+    HandOverReply,
+    HandOverWithdrawn,
+    Message,
+)
+
+from mimosamux_daemon.domain.configuration import Configuration
+from mimosamux_daemon.domain.names import (
+    AccountId,
+    ClassName,
+    DaemonId,
+    ModelName,
+    RequestId,
+)
+from mimosamux_daemon.domain.outcomes import Refused
+from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.domain.work import ModelRequest
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.peer import Peers, PeerUnavailable
+from mimosamux_daemon.ports.request_journal import RequestJournal
+from mimosamux_daemon.serving.model_serving import HandedOver, ModelServing
+from mimosamux_daemon.serving.requests import ActiveRequest, Moved
+
+log = get_log('handover')
+
+OFFER_TIMEOUT_S = 1.0
+"""Time that a peer has to answer one offer."""
+OFFERS = 2
+"""Times that the same peer is asked before this daemon goes on."""
+TARGETS = 2
+"""Peers that are offered a request in one round."""
+OFFERS_AT_ONCE = 16
+ATTEMPT_STRIDE = 1000
+"""Step of the attempt number after an offer without an answer, so that
+engines and relays tell this daemon's attempts from those of the peer."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HandoverTarget:
+    """A peer that may take requests over."""
+
+    daemon: DaemonId
+    caller_address: str
+    """`host:port` of its caller API."""
+
+
+class HandoverTargets(Protocol):
+    """Knows the peers that stay."""
+
+    def handover_targets(self, account: AccountId) -> Sequence[HandoverTarget]:
+        """Return peers for an account's requests, the best first."""
+
+
+class InForce(Protocol):
+    """Holds the configuration in force."""
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force."""
+
+
+class Handover:
+    """Gives requests to peers, and takes those of peers that stop."""
+
+    def __init__(
+        self,
+        *,
+        serving: ModelServing,
+        peers: Peers,
+        targets: HandoverTargets,
+        in_force: InForce,
+        journal: RequestJournal | None = None,
+    ) -> None:
+        self._serving = serving
+        self._peers = peers
+        self._targets = targets
+        self._in_force = in_force
+        self._journal = journal
+        self._is_leaving = False
+        peers.handle(HandOver, self._take)
+        peers.handle(HandOverWithdrawn, self._drop)
+
+    async def hand_over(self, seconds_left: float) -> None:
+        """Hand everything that is open to peers, as far as they take it.
+
+        Calls that may not be repeated stay: prompting again at another
+        daemon would run them twice.
+        """
+        self._is_leaving = True
+        limiter = anyio.Semaphore(OFFERS_AT_ONCE)
+        deadline = anyio.current_time() + seconds_left
+        async with anyio.create_task_group() as tasks:
+            for active in self._serving.registry.open_requests():
+                if not active.request.work_class.repeatable:
+                    continue
+                await limiter.acquire()
+                tasks.start_soon(self._hand_over, active, deadline, limiter)
+
+    async def _hand_over(
+        self, active: ActiveRequest, deadline: float, limiter: anyio.Semaphore
+    ) -> None:
+        try:
+            await self._offer_to_targets(active, deadline)
+        finally:
+            limiter.release()
+
+    async def _offer_to_targets(
+        self, active: ActiveRequest, deadline: float
+    ) -> None:
+        targets = self._targets.handover_targets(active.request.account)
+        if not targets or not await self._serving.park(active):
+            return
+        for target in targets[:TARGETS]:
+            reply = await self._offer(active, target, deadline)
+            if isinstance(reply, PeerUnavailable):
+                await self._go_on_here(active, target)
+                return
+            if reply.taken:
+                await self._move(active, target, reply)
+                return
+        self._serving.resume(active)
+
+    async def _offer(
+        self, active: ActiveRequest, target: HandoverTarget, deadline: float
+    ) -> HandOverReply | PeerUnavailable:
+        """Return the peer's answer; the same offer again is harmless."""
+        message = as_message(active)
+        answer: Message | PeerUnavailable = PeerUnavailable(
+            daemon=target.daemon, reason='no time left'
+        )
+        for _ in range(OFFERS):
+            left = deadline - anyio.current_time()
+            if left <= 0:
+                break
+            answer = await self._peers.call(
+                target.daemon,
+                message,
+                timeout_s=min(OFFER_TIMEOUT_S, left),
+            )
+            if isinstance(answer, HandOverReply):
+                return answer
+        reason = getattr(answer, 'reason', 'another message')
+        return PeerUnavailable(daemon=target.daemon, reason=str(reason))
+
+    async def _move(
+        self,
+        active: ActiveRequest,
+        target: HandoverTarget,
+        reply: HandOverReply,
+    ) -> None:
+        moved = Moved(address=target.caller_address, offset=len(active.tokens))
+        await self._serving.move(active, moved, is_recorded=reply.recorded)
+        log.info(
+            'request_handed_over',
+            request=active.request.id,
+            daemon=target.daemon,
+            tokens=len(active.tokens),
+        )
+
+    async def _go_on_here(
+        self, active: ActiveRequest, target: HandoverTarget
+    ) -> None:
+        offered = active.attempt
+        active.attempt += ATTEMPT_STRIDE
+        self._serving.resume(active)
+        log.info(
+            'handover_unanswered',
+            request=active.request.id,
+            daemon=target.daemon,
+        )
+        await self._peers.notify(
+            target.daemon,
+            HandOverWithdrawn(request=active.request.id, attempt=offered),
+        )
+
+    async def _take(
+        self, sender: DaemonId, message: HandOver
+    ) -> HandOverReply:
+        """Go on with a peer's request here, unless this daemon stops."""
+        if self._is_leaving:
+            return HandOverReply(reason='stops as well')
+        configuration = self._in_force.current
+        request = as_request(message, configuration)
+        if request is None:
+            return HandOverReply(reason='class or parameters not known here')
+        handed = HandedOver(
+            request=request,
+            tokens=tuple(message.tokens),
+            attempt=message.attempt,
+        )
+        recorded = await self._record(request)
+        taken = await self._serving.take_over(handed, configuration)
+        if isinstance(taken, Refused):
+            return HandOverReply(reason=taken.message)
+        return HandOverReply(taken=True, recorded=recorded)
+
+    async def _record(self, request: ModelRequest) -> bool:
+        if self._journal is None or not request.work_class.durable:
+            return False
+        if request.id in self._serving.registry.open_by_id:
+            return True
+        recorded = await self._journal.record(request)
+        return not isinstance(recorded, Unavailable)
+
+    async def _drop(
+        self, sender: DaemonId, message: HandOverWithdrawn
+    ) -> None:
+        """Stop a copy that nobody was sent to."""
+        active = self._serving.registry.by_id.get(RequestId(message.request))
+        if active is None or active.readers or active.has_ended:
+            return
+        if active.attempt < message.attempt + ATTEMPT_STRIDE:
+            await self._serving.drop(active)
+            if self._journal is not None:
+                await self._journal.forget(active.request.id)
+
+
+def as_message(active: ActiveRequest) -> HandOver:
+    """Return the message that hands a request over."""
+    request = active.request
+    return HandOver(
+        request=request.id,
+        account=request.account,
+        work_class=request.work_class.name,
+        model=request.model,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        parameters=orjson.dumps(dict(request.parameters)),
+        idempotency_key=request.idempotency_key or '',
+        tokens=list(active.tokens),
+        attempt=active.attempt,
+        deadline_left_s=request.deadline - anyio.current_time(),
+    )
+
+
+def as_request(
+    message: HandOver, configuration: Configuration
+) -> ModelRequest | None:
+    """Return the request of a message, None if it cannot be served."""
+    work_class = configuration.classes.get(ClassName(message.work_class))
+    try:
+        parameters = orjson.loads(message.parameters or b'{}')
+    except orjson.JSONDecodeError:
+        return None
+    if work_class is None or not isinstance(parameters, dict):
+        return None
+    # The peer's clock is another one: only the time left is told.
+    deadline = anyio.current_time() + message.deadline_left_s
+    return ModelRequest(
+        id=RequestId(message.request),
+        account=AccountId(message.account),
+        work_class=work_class,
+        model=ModelName(message.model),
+        prompt=message.prompt,
+        max_tokens=message.max_tokens,
+        arrived=deadline - work_class.deadline_s,
+        idempotency_key=message.idempotency_key or None,
+        parameters=parameters,
+    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -26,6 +26,7 @@
 from mimosamux_daemon.serving.recovery import Recovery
 from mimosamux_daemon.serving.requests import (
     ActiveRequest,
+    Moved,
     RequestRegistry,
     has_same_body,
     was_answered,
@@ -171,6 +172,25 @@
         await driver.stopped.wait()
         return not active.has_ended
 
+    async def move(
+        self, active: ActiveRequest, moved: Moved, *, is_recorded: bool
+    ) -> None:
+        """Send the callers of a parked request to the daemon that has it.
+
+        `is_recorded` says that the journal there has the request; without
+        that, the entry here keeps it safe from that daemon's death.
+        """
+        active.move(moved)
+        self.registry.note_ended(active)
+        durable = active.request.work_class.durable
+        if self._journal is not None and durable and is_recorded:
+            await self._journal.forget(active.request.id)
+
+    async def drop(self, active: ActiveRequest) -> None:
+        """Stop a request that goes on at another daemon, and forget it."""
+        if await self.park(active):
+            self.registry.forget(active)
+
     def resume(self, active: ActiveRequest) -> None:
         """Go on with a parked request here."""
         if not active.has_ended:
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -48,8 +48,16 @@
     Message,
     Rejected,
 )
+from mimosamux_wire.serving_messages import (
+    HandOver,
+    HandOverReply,
+    HandOverWithdrawn,
+)
 
 __all__ = [
+    'HandOver',
+    'HandOverReply',
+    'HandOverWithdrawn',
     'MAX_FRAME_BYTES',
     'MAX_MESSAGE_BYTES',
     'MAX_SEQUENCE',
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -174,3 +174,28 @@
   1: list<DemandRecord> demands
   2: list<PlanningSummary> summaries
 }
+
+struct HandOver {
+  1: string request
+  2: string account
+  3: string work_class
+  4: string model
+  5: string prompt
+  6: i32 max_tokens
+  7: binary parameters
+  8: string idempotency_key
+  9: list<string> tokens
+  10: i32 attempt
+  11: double deadline_left_s
+}
+
+struct HandOverReply {
+  1: bool taken
+  2: bool recorded
+  3: string reason
+}
+
+struct HandOverWithdrawn {
+  1: string request
+  2: i32 attempt
+}
