Caller API: coming back, limits, state of a request

Keys join on the same daemon and conflict with another body; event ids go on behind the last event; GET /v1/requests/{id} tells state and answer to its account alone. Bodies are bounded in size and time, and parameters that no engine could be sent are refused before acceptance.

--- a/benchmarks/relay_daemon.py
+++ b/benchmarks/relay_daemon.py
@@ -1,11 +1,12 @@
 """The serving part of a daemon over HTTP engines, for bench_relay."""
 
 import sys
+from contextlib import aclosing
 
 import anyio
 import structlog
 from mimosamux_daemon.adapters.http_engine import (
-    open_http_engines,
+    HttpEngines,
 )
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.api.callers import CallerRoutes
@@ -41,7 +42,7 @@
     in_force.take(parse_configuration(CONFIGURATION, version=1))
     listener = listen('127.0.0.1', 0)
     async with (
-        open_http_engines() as engine_port,
+        aclosing(HttpEngines()) as engine_port,
         anyio.create_task_group() as tasks,
     ):
         serving = ModelServing(
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -57,23 +57,6 @@
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 
 
-@asynccontextmanager
-async def open_http_engines() -> AsyncIterator['HttpEngines']:
-    """Reach model engines over HTTP until the block ends."""
-    pace = Pace()
-    # Silence of an engine is watched by the serving, which knows each
-    # class's patience; a read timeout here would cut long queues off.
-    async with httpx.AsyncClient(
-        transport=PacedTransport(pace),
-        timeout=httpx.Timeout(
-            None, connect=CONNECT_TIMEOUT_S, write=CONNECT_TIMEOUT_S
-        ),
-        # Compressed events would not be readable as they come.
-        headers={'Accept-Encoding': 'identity'},
-    ) as client:
-        yield HttpEngines(client=client, pace=pace)
-
-
 class EventReader:
     """Server-sent events of a response, as the bytes of their data."""
 
@@ -206,9 +189,23 @@
 class HttpEngines:
     """Every model engine, reached at its endpoint's address."""
 
-    def __init__(self, *, client: httpx.AsyncClient, pace: Pace) -> None:
-        self._client = client
-        self._pace = pace
+    def __init__(self) -> None:
+        self._pace = Pace()
+        # Silence of an engine is watched by the serving, which knows
+        # each class's patience; a read timeout here would cut off the
+        # calls that wait in a long queue.
+        self._client = httpx.AsyncClient(
+            transport=PacedTransport(self._pace),
+            timeout=httpx.Timeout(
+                None, connect=CONNECT_TIMEOUT_S, write=CONNECT_TIMEOUT_S
+            ),
+            # Compressed events would not be readable as they come.
+            headers={'Accept-Encoding': 'identity'},
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._client.aclose()
 
     def generate(
         self, endpoint: Endpoint, call: EngineCall
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/callers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/callers.py
@@ -5,25 +5,44 @@
 
 import anyio
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response, StreamingResponse
+from starlette.responses import Response
 from starlette.routing import Route
 
 from mimosamux_daemon.api.accounts import find_account
+from mimosamux_daemon.api.answers import (
+    EVENT_STREAM,
+    REQUEST_HEADER,
+    ended_response,
+    running_response,
+    stream_response,
+    unknown_request_response,
+    whole_response,
+)
+from mimosamux_daemon.api.bodies import BodyRefused, read_body
 from mimosamux_daemon.api.errors import outcome_response
 from mimosamux_daemon.api.models import ChatBody, CompletionBody, parse_body
-from mimosamux_daemon.api.streams import stream_events
+from mimosamux_daemon.api.streams import EventId, parse_event_id
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.names import ClassName, ModelName, RequestId
-from mimosamux_daemon.domain.outcomes import Answered, Reason, Refused
+from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.work import Account, ModelRequest, WorkClass
 from mimosamux_daemon.errors import InvalidRequest
 from mimosamux_daemon.serving.model_serving import ModelServing
-from mimosamux_daemon.serving.requests import ActiveRequest
+from mimosamux_daemon.serving.requests import ActiveRequest, has_same_body
+
+__all__ = [
+    'CLASS_HEADER',
+    'KEY_HEADER',
+    'REQUEST_HEADER',
+    'CallerRoutes',
+    'find_class',
+]
 
 CLASS_HEADER = 'x-mimosamux-class'
 KEY_HEADER = 'idempotency-key'
-REQUEST_HEADER = 'X-Mimosamux-Request'
+EVENT_ID_HEADER = 'last-event-id'
+MAX_KEY_LENGTH = 256
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +59,7 @@
                 '/v1/chat/completions', self.chat_completions, methods=['POST']
             ),
             Route('/v1/completions', self.completions, methods=['POST']),
+            Route('/v1/requests/{id}', self.show_request),
         ]
 
     async def chat_completions(self, request: Request) -> Response:
@@ -60,12 +80,15 @@
         work_class = find_class(request, configuration)
         if isinstance(work_class, Refused):
             return outcome_response(work_class)
+        data = await read_body(request)
+        if isinstance(data, BodyRefused):
+            return data.as_response()
         try:
-            body = parse_body(kind, await request.body())  # type: ignore[type-var]
+            body = parse_body(kind, data)  # type: ignore[type-var]
+            offered = _as_request(request, body, account, work_class)
+            resume = find_resume(request)
         except InvalidRequest as error:
-            return outcome_response(
-                Refused(reason=Reason.BAD_REQUEST, message=str(error))
-            )
+            return _bad_request(str(error))
         if body.model not in configuration.models:
             return outcome_response(
                 Refused(
@@ -73,13 +96,86 @@
                     message=f'there is no model {body.model!r}',
                 )
             )
-        offered = _as_request(request, body, account, work_class)
-        active = await self.serving.offer(offered, configuration)
+        active = self._find_resumed(resume, offered)
+        if active is None:
+            # An event id of another daemon that is gone names a request
+            # that is not known here: it runs afresh, under a new id.
+            resume = None
+            active = await self.serving.offer(offered, configuration)
         if isinstance(active, Refused):
             return outcome_response(active)
         if body.stream:
-            return stream_response(active, 0)
-        return await whole_response(active)
+            return stream_response(active, resume.offset if resume else 0)
+        return await whole_response(request, active)
+
+    def _find_resumed(
+        self, resume: EventId | None, offered: ModelRequest
+    ) -> ActiveRequest | Refused | None:
+        if resume is None:
+            return None
+        active = self.serving.registry.find(resume.request, offered.account)
+        if active is None:
+            return None
+        if not has_same_body(active.request, offered):
+            return Refused(
+                reason=Reason.CONFLICT,
+                message=f'{EVENT_ID_HEADER} names a request with another body',
+            )
+        return active
+
+    async def show_request(self, request: Request) -> Response:
+        """Answer `GET /v1/requests/{id}`: its state and its answer."""
+        account = find_account(request, self.in_force.current)
+        if isinstance(account, Refused):
+            return outcome_response(account)
+        identity = RequestId(request.path_params['id'])
+        active = self.serving.registry.find(identity, account.id)
+        if active is None:
+            return unknown_request_response(identity)
+        try:
+            resume = find_resume(request)
+        except InvalidRequest as error:
+            return _bad_request(str(error))
+        if EVENT_STREAM in request.headers.get('accept', ''):
+            is_same = resume is not None and resume.request == identity
+            return stream_response(
+                active, resume.offset if resume and is_same else 0
+            )
+        if request.query_params.get('wait') == 'true':
+            return await whole_response(request, active)
+        if active.has_ended:
+            return ended_response(request, active)
+        return running_response(active)
+
+
+def _bad_request(message: str) -> Response:
+    return outcome_response(
+        Refused(reason=Reason.BAD_REQUEST, message=message)
+    )
+
+
+def find_resume(request: Request) -> EventId | None:
+    """Return the event that the caller has read last, if any."""
+    text = request.headers.get(EVENT_ID_HEADER)
+    if text is None:
+        return None
+    parsed = parse_event_id(text)
+    if parsed is None:
+        raise InvalidRequest(
+            path=EVENT_ID_HEADER, problem='has to be REQUEST:OFFSET'
+        )
+    return parsed
+
+
+def find_key(request: Request) -> str | None:
+    """Return the idempotency key, checked."""
+    key = request.headers.get(KEY_HEADER)
+    if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
+        raise InvalidRequest(
+            path=KEY_HEADER,
+            problem=f'has to have 1 to {MAX_KEY_LENGTH} characters',
+        )
+    return key
 
 
 def _as_request(
@@ -96,7 +192,7 @@
         prompt=body.prompt,
         max_tokens=body.max_tokens,
         arrived=anyio.current_time(),
-        idempotency_key=request.headers.get(KEY_HEADER),
+        idempotency_key=find_key(request),
         parameters=body.parameters,
     )
 
@@ -122,41 +218,3 @@
         reason=Reason.UNKNOWN_CLASS,
         message=f'{CLASS_HEADER}: {name!r} is not one of: {known}',
     )
-
-
-def stream_response(active: ActiveRequest, offset: int) -> Response:
-    """Return the answer as server-sent events from `offset` on."""
-    return StreamingResponse(
-        stream_events(active, offset),
-        media_type='text/event-stream',
-        headers={
-            REQUEST_HEADER: active.request.id,
-            'Cache-Control': 'no-store',
-        },
-    )
-
-
-async def whole_response(active: ActiveRequest) -> Response:
-    """Return the whole answer once it is there."""
-    while not active.has_ended:
-        await active.wait_beyond(len(active.tokens))
-    if not isinstance(active.outcome, Answered):
-        return outcome_response(active.outcome)
-    answer = active.outcome
-    return JSONResponse(
-        {
-            'id': answer.request,
-            'object': 'chat.completion',
-            'model': active.request.model,
-            'choices': [
-                {
-                    'index': 0,
-                    'message': {'role': 'assistant', 'content': answer.text},
-                    'text': answer.text,
-                    'finish_reason': answer.finish_reason,
-                }
-            ],
-            'usage': {'completion_tokens': answer.tokens},
-        },
-        headers={REQUEST_HEADER: answer.request},
-    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/models.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/models.py
@@ -2,6 +2,7 @@
 
 from typing import Any, TypeVar
 
+import orjson
 import pydantic
 
 from mimosamux_daemon.errors import InvalidRequest
@@ -57,8 +58,35 @@
 def parse_body(kind: type[BodyT], data: bytes) -> BodyT:
     """Return the checked body; `InvalidRequest` names a wrong field."""
     try:
-        return kind.model_validate_json(data)
+        body = kind.model_validate_json(data)
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         path = '.'.join(str(part) for part in first['loc']) or '$'
         raise InvalidRequest(path=path, problem=first['msg']) from error
+    _check_text('model', body.model)
+    _check_text('prompt', body.prompt)
+    for name, value in body.parameters.items():
+        _check_parameter(name, value)
+    return body
+
+
+def _check_text(path: str, text: str) -> None:
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise InvalidRequest(
+            path=path, problem='holds half a character'
+        ) from error
+
+
+def _check_parameter(name: str, value: object) -> None:
+    """Refuse what cannot be passed on to an engine as JSON.
+
+    Numbers of any size and depths of hundreds are read from a body, and
+    would only fail when the call is sent, after the request was accepted.
+    """
+    try:
+        orjson.dumps({name: value})
+    except (TypeError, orjson.JSONEncodeError) as error:
+        path = ascii(name)[1:-1]
+        raise InvalidRequest(path=path, problem=str(error)) from error
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/streams.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/streams.py
@@ -1,14 +1,25 @@
 """Server-sent events of a model request."""
 
 from collections.abc import AsyncIterator, Mapping
+from dataclasses import dataclass
 
 import orjson
 
 from mimosamux_daemon.api.errors import outcome_body
+from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.outcomes import Answered
 from mimosamux_daemon.serving.requests import ActiveRequest
 
 DONE = b'data: [DONE]\n\n'
+MAX_OFFSET_DIGITS = 9
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EventId:
+    """The event of a request's answer that ends at `offset` tokens."""
+
+    request: RequestId
+    offset: int
 
 
 def event_id(active: ActiveRequest, offset: int) -> str:
@@ -16,12 +27,14 @@
     return f'{active.request.id}:{offset}'
 
 
-def parse_event_id(text: str) -> tuple[str, int] | None:
-    """Return request id and offset of an event id, None if malformed."""
+def parse_event_id(text: str) -> EventId | None:
+    """Return the parts of an event id, None if it is malformed."""
     request, colon, offset = text.rpartition(':')
-    if not (colon and request and offset.isdecimal()):
+    if not (colon and request and offset.isascii() and offset.isdecimal()):
+        return None
+    if len(offset) > MAX_OFFSET_DIGITS:
         return None
-    return request, int(offset)
+    return EventId(request=RequestId(request), offset=int(offset))
 
 
 def chunk(
@@ -47,7 +60,7 @@
     active: ActiveRequest, offset: int
 ) -> AsyncIterator[bytes]:
     """Yield events from `offset` on, with all that is ready in each."""
-    active.readers += 1
+    active.add_reader()
     try:
         while True:
             await active.wait_beyond(offset)
@@ -60,7 +73,7 @@
             if active.has_ended and len(active.tokens) <= offset:
                 break
     finally:
-        active.readers -= 1
+        active.remove_reader()
     for last in _last_events(active, offset):
         yield last
 
--- a/packages/mimosamux-standins/mimosamux_standins/engine.py
+++ b/packages/mimosamux-standins/mimosamux_standins/engine.py
@@ -4,7 +4,6 @@
 routes below `/control` inject faults and show what was run.
 """
 
-import os
 from collections.abc import AsyncIterator
 from dataclasses import asdict, dataclass, field, replace
 from typing import Any
@@ -47,6 +46,8 @@
 from starlette.responses import JSONResponse, Response, StreamingResponse
 from starlette.routing import Route
 
+from mimosamux_standins.program import GRACE_S, announce, wait_for_signal
+
 EVENT_STREAM = 'text/event-stream'
 FETCH_TIMEOUT_S = 5.0
 
@@ -290,19 +291,20 @@
     )
 
     async def serve() -> None:
-        print(f'engine {identity} serves on {address}', flush=True)
-        await serve_http(
-            program.build_app(),
-            listener,
-            shutdown=anyio.sleep_forever,
-            grace_s=0,
-        )
+        stopping = anyio.Event()
+        announce(f'engine {identity} serves on', address)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait_for_signal, stopping.set)
+            await serve_http(
+                program.build_app(),
+                listener,
+                shutdown=stopping.wait,
+                grace_s=GRACE_S,
+            )
+            tasks.cancel_scope.cancel()
 
     anyio.run(serve, backend_options={'use_uvloop': True})
 
 
 if __name__ == '__main__':
-    try:
-        fire.Fire(run)
-    except KeyboardInterrupt:
-        os._exit(130)
+    fire.Fire(run)
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -1,7 +1,7 @@
 """The HTTP port to model engines, against the stand-in program."""
 
 import unittest
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import replace
 
 import anyio
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http_engine import (
+    HttpEngines,
     HttpEngineStream,
-    open_http_engines,
 )
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.memory_engine import (
@@ -60,7 +60,7 @@
             )
             programs.append(program)
             tasks.start_soon(serve, program, listener, stop)
-        async with open_http_engines() as port:
+        async with aclosing(HttpEngines()) as port:
             yield port, [program.engine for program in programs]
         stop.set()
 
@@ -131,7 +131,7 @@
                 closed, address=f'127.0.0.1:{listener.getsockname()[1]}'
             )
             listener.close()
-            async with open_http_engines() as port:
+            async with aclosing(HttpEngines()) as port:
                 (failed,) = await read_all(port, closed)
                 self.assertIsInstance(failed, ConnectFailed)
                 async with port.watch(closed) as watched:
