--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -21,7 +21,7 @@
     build_news,
     build_planning,
 )
-from mimosamux_daemon.platform import Platform, build_platform
+from mimosamux_daemon.platform import Platform, open_platform
 from mimosamux_daemon.serving_parts import build_serving
 from mimosamux_daemon.settings import Settings
 
@@ -35,11 +35,9 @@
         self,
         *,
         settings: Settings,
-        platform: Platform,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.settings = settings
-        self.platform = platform
         self.address = ''
         """`host:port` of the caller API once it listens."""
         self.in_force = ConfigurationInForce()
@@ -58,8 +56,11 @@
         """Serve until the stop, and finish what is open by then."""
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
-        async with anyio.create_task_group() as tasks:
-            parts = self._build_parts(tasks)
+        async with (
+            open_platform(self.settings) as platform,
+            anyio.create_task_group() as tasks,
+        ):
+            parts = self._build_parts(platform, tasks)
             await self._start(tasks, parts)
             await serve_http(
                 self._build_app(parts),
@@ -69,8 +70,6 @@
                 context=self._start_tls(tasks),
             )
             tasks.cancel_scope.cancel()
-        with anyio.CancelScope(shield=True):
-            await self.platform.close()
         log.info('stopped', daemon=self.settings.daemon)
 
     async def _start(
@@ -108,10 +107,12 @@
             version=self.in_force.current.version,
         )
 
-    def _build_parts(self, tasks: anyio.abc.TaskGroup) -> DaemonParts:
+    def _build_parts(
+        self, platform: Platform, tasks: anyio.abc.TaskGroup
+    ) -> DaemonParts:
         control = build_control(
             settings=self.settings,
-            platform=self.platform,
+            platform=platform,
             metrics=self.metrics,
             in_force=self.in_force,
             caller_address=lambda: self.address,
@@ -120,7 +121,7 @@
         news = build_news(self.settings, control)
         serving = build_serving(
             settings=self.settings,
-            platform=self.platform,
+            platform=platform,
             control=control,
             news=news,
             metrics=self.metrics,
@@ -129,7 +130,7 @@
         )
         planning = build_planning(
             settings=self.settings,
-            platform=self.platform,
+            platform=platform,
             control=control,
             serving=serving,
             news=news,
@@ -161,7 +162,7 @@
 
 def build_daemon(settings: Settings) -> Daemon:
     """Return a daemon over the platform that its settings name."""
-    return Daemon(settings=settings, platform=build_platform(settings))
+    return Daemon(settings=settings)
 
 
 def _address_of(listener: socket.socket) -> str:
