--- a/packages/mimosamux-cli/mimosamux_cli/commands.py
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -20,7 +20,7 @@
 )
 from mimosamux_cli.errors import UsageError
 from mimosamux_cli.operators import OperatorClient
-from mimosamux_cli.output import write_json, write_table
+from mimosamux_cli.output import as_time, write_json, write_table
 
 ENTRY_VARIABLE = 'MIMOSAMUX_ENTRY'
 KEY_VARIABLE = 'MIMOSAMUX_KEY'
@@ -199,6 +199,8 @@
         if json:
             write_json(answer, self._env.stdout)
             return
+        daemon, version = answer.pop('daemon'), answer.pop('version')
+        self._write(f'version {version}, as {daemon} sees it\n')
         for name, rows in answer.items():
             self._write_section(name, rows)
 
@@ -234,9 +236,12 @@
         if json:
             write_json({'entries': entries}, self._env.stdout)
             return
-        columns = ('at', 'kind', 'who', 'what', 'why', 'version')
-        rows = [[item.get(c) for c in columns] for item in entries]
-        write_table(columns, rows, self._env.stdout)
+        columns = ('kind', 'who', 'what', 'why', 'version')
+        rows = [
+            [as_time(entry['at']), *(entry.get(name) for name in columns)]
+            for entry in entries
+        ]
+        write_table(('at', *columns), rows, self._env.stdout)
 
     def addresses(
         self, *, entry: str | None = None, json: bool = False
@@ -314,11 +319,8 @@
         key = self._env.variables.get(KEY_VARIABLE, '')
         return {'Authorization': f'Bearer {key}'}
 
-    def _write_section(self, name: str, rows: Any) -> None:
-        self._write(f'{name}\n')
-        if not isinstance(rows, list):
-            self._write(f'  {rows}\n')
-            return
+    def _write_section(self, name: str, rows: list[dict[str, Any]]) -> None:
+        self._write(f'\n{name}\n')
         columns = list(dict.fromkeys(key for row in rows for key in row))
         cells = [[row.get(column) for column in columns] for row in rows]
         write_table(columns, cells, self._env.stdout)
--- a/packages/mimosamux-cli/mimosamux_cli/output.py
+++ b/packages/mimosamux-cli/mimosamux_cli/output.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Sequence
+from datetime import UTC, datetime
 from typing import Any, TextIO
 
 
@@ -26,6 +27,11 @@
         stream.write(text.rstrip() + '\n')
 
 
+def as_time(seconds: float) -> str:
+    """Return a wall time, in seconds since 1970, as people read it."""
+    return datetime.fromtimestamp(seconds, UTC).isoformat(' ', 'seconds')
+
+
 def _as_text(value: Any) -> str:
     if value is None:
         return '-'
--- a/packages/mimosamux-standins/mimosamux_standins/engine.py
+++ b/packages/mimosamux-standins/mimosamux_standins/engine.py
@@ -290,7 +290,7 @@
     )
 
     async def serve() -> None:
-        print(f'engine {identity} serves on {address}', flush=True)
+        print(f'listening {address}', flush=True)
         await serve_http(
             program.build_app(),
             listener,
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -1,9 +1,13 @@
 """A small site of real processes: a platform and daemons on loopback."""
 
 import hashlib
+import time
+from collections.abc import Callable
 from typing import Any
 
 import httpx
+from mimosamux_cli.addresses import EntryAddresses
+from mimosamux_cli.caller import Caller
 
 from tests.support.processes import Process, Processes, free_ports
 
@@ -47,6 +51,7 @@
             for n, name in enumerate(names)
         }
         self.daemons: dict[str, Process] = {}
+        self.engines: dict[str, Process] = {}
 
     def start(self, *names: str, **settings: Any) -> None:
         """Start daemons, all if none is named, and wait until ready."""
@@ -55,6 +60,64 @@
         for name in names or tuple(self.ports):
             self.daemons[name].wait_until_ready()
 
+    def start_engines(
+        self, *data_centres: str, decode_interval_s: float = 0.02
+    ) -> None:
+        """Start an engine `engine-DC` in each data centre, and list it."""
+        for data_centre in data_centres:
+            name = f'engine-{data_centre}'
+            self.engines[name] = self.processes.start_standin(
+                'engine',
+                f'--identity={name}',
+                f'--data_centre={data_centre}',
+                f'--decode_interval_s={decode_interval_s}',
+            )
+        for name, engine in self.engines.items():
+            self.list_vm(name, address=engine.address, model='demo')
+
+    def list_vm(self, name: str, **fields: Any) -> None:
+        """Have the platform list an endpoint VM."""
+        self.control_platform(
+            'vms',
+            vm={
+                'id': name,
+                'data_centre': name[-1],
+                'machine_class': 'standard',
+                'market': 'reclaimable',
+                'role': 'endpoint',
+                'state': 'live',
+                **fields,
+            },
+        )
+
+    def reclaim(self, name: str, seconds_left: float) -> None:
+        """Have the platform take a VM back after a notice."""
+        self.control_platform('notices', vm=name, seconds_left=seconds_left)
+
+    def runs_at(self, engine: str) -> list[dict[str, Any]]:
+        """Return the attempts that an engine recorded."""
+        address = self.engines[engine].address
+        runs: list[dict[str, Any]] = httpx.get(
+            f'http://{address}/control/runs'
+        ).json()
+        return runs
+
+    def caller(
+        self, *names: str, on_text: Callable[[str], None] = lambda text: None
+    ) -> Caller:
+        """Return a client that knows some daemons, all if none named."""
+        headers = {
+            'Authorization': f'Bearer {KEY}',
+            'X-Mimosamux-Class': 'draft',
+        }
+        seeds = [self.daemons[name].address for name in names or self.daemons]
+        return Caller(
+            addresses=EntryAddresses(seeds=seeds, headers=headers),
+            headers=headers,
+            sleep=time.sleep,
+            show=on_text,
+        )
+
     def operate(
         self, name: str, method: str, path: str, **content: Any
     ) -> httpx.Response:
