A planned stop hands over what does not end in time

Cause: the daemon closed its listener at once and gave open streams the grace time of the HTTP server, so a draft that took longer was cut off: the process test of a planned stop failed. Now the stop tells the peers, serves older address answers, waits, hands over, and only then closes.

--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -24,9 +24,17 @@
 from mimosamux_daemon.platform import Platform, open_platform
 from mimosamux_daemon.serving_parts import build_serving
 from mimosamux_daemon.settings import Settings
+from mimosamux_daemon.stopping import (
+    StopParts,
+    StopSequence,
+    wait_for_notice,
+)
 
 log = get_log('daemon')
 
+CLOSE_GRACE_S = 5.0
+"""Time for the last bytes of answers that have ended to be sent."""
+
 
 class Daemon:
     """One daemon; `run` returns after `stop` was asked for."""
@@ -46,6 +54,8 @@
         self.started = anyio.Event()
         """Set once the daemon is ready to serve."""
         self.stopping = anyio.Event()
+        self._closed = anyio.Event()
+        self._seconds_left: float | None = None
         self._wall_clock = wall_clock
 
     def stop(self) -> None:
@@ -62,11 +72,13 @@
         ):
             parts = self._build_parts(platform, tasks)
             await self._start(tasks, parts)
+            tasks.start_soon(self._wait_for_reclaim, platform)
+            tasks.start_soon(self._stop_in_order, parts)
             await serve_http(
                 self._build_app(parts),
                 listener,
-                shutdown=self.stopping.wait,
-                grace_s=self.settings.stop_grace_s,
+                shutdown=self._closed.wait,
+                grace_s=CLOSE_GRACE_S,
                 context=self._start_tls(tasks),
             )
             tasks.cancel_scope.cancel()
@@ -147,6 +159,20 @@
             drain=self.stop,
         )
 
+    async def _wait_for_reclaim(self, platform: Platform) -> None:
+        self._seconds_left = await wait_for_notice(
+            platform.cloud, self.settings.vm
+        )
+        self.stopping.set()
+
+    async def _stop_in_order(self, parts: DaemonParts) -> None:
+        await self.stopping.wait()
+        sequence = StopSequence(
+            parts=_as_stop_parts(parts), grace_s=self.settings.stop_grace_s
+        )
+        await sequence.run(self._seconds_left)
+        self._closed.set()
+
     def _why_not_ready(self) -> str | None:
         if self.stopping.is_set():
             return 'stopping'
@@ -165,6 +191,18 @@
     return Daemon(settings=settings)
 
 
+def _as_stop_parts(parts: DaemonParts) -> StopParts:
+    serving = parts.serving
+    return StopParts(
+        leave=parts.control.membership.leave,
+        has_peers=serving.targets.has_any,
+        drained_at=lambda: parts.control.discovery.drained_at,
+        open_requests=lambda: sum(1 for _ in serving.registry.open_requests()),
+        hand_over=serving.handover.hand_over,
+        drain_side_effects=serving.side_effects.drain,
+    )
+
+
 def _address_of(listener: socket.socket) -> str:
     host, port = listener.getsockname()[:2]
     return f'{host}:{port}'
--- a/packages/mimosamux-daemon/mimosamux_daemon/platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/platform.py
@@ -1,11 +1,11 @@
 """Everything outside a daemon, behind the ports: over HTTP or in memory."""
 
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, aclosing, asynccontextmanager
 from dataclasses import dataclass
 
 from mimosamux_daemon.adapters.http_cloud import HttpCloud
-from mimosamux_daemon.adapters.http_engine import open_http_engines
+from mimosamux_daemon.adapters.http_engine import HttpEngines
 from mimosamux_daemon.adapters.http_object_store import HttpObjectStore
 from mimosamux_daemon.adapters.http_platform import PlatformClient
 from mimosamux_daemon.adapters.http_service import HttpServices
@@ -49,7 +49,7 @@
             objects=HttpObjectStore(client=client),
             cloud=HttpCloud(client=client),
             weights=HttpWeightStore(client=client),
-            engines=await stack.enter_async_context(open_http_engines()),
+            engines=await stack.enter_async_context(aclosing(HttpEngines())),
             services=HttpServices(),
         )
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -7,6 +7,7 @@
 import anyio.abc
 
 from mimosamux_daemon.control.endpoints import EndpointKeeper
+from mimosamux_daemon.control.handover_targets import MembershipTargets
 from mimosamux_daemon.control.journal_claims import JournalClaims
 from mimosamux_daemon.control.ownership import Ownership
 from mimosamux_daemon.control.planning_exchange import PlanningNews
@@ -25,6 +26,7 @@
 from mimosamux_daemon.platform import Platform
 from mimosamux_daemon.serving.admission import Admission
 from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.handover import Handover
 from mimosamux_daemon.serving.journal import Journal
 from mimosamux_daemon.serving.model_serving import HandedOver, ModelServing
 from mimosamux_daemon.serving.prices import Distances, PriceBook
@@ -54,6 +56,8 @@
     side_effects: SideEffects
     journal: Journal
     claims: JournalClaims
+    handover: Handover
+    targets: MembershipTargets
     keeper: EndpointKeeper
     ownership: Ownership
 
@@ -116,6 +120,7 @@
         router=router,
         wall_clock=wall_clock,
     )
+    targets = MembershipTargets(membership=membership)
     return ServingParts(
         fleet=fleet,
         prices=prices,
@@ -141,6 +146,14 @@
             membership=membership,
             go_on=_go_on_with(models, control),
         ),
+        handover=Handover(
+            serving=models,
+            peers=control.peers,
+            targets=targets,
+            in_force=control.in_force,
+            journal=journal,
+        ),
+        targets=targets,
         keeper=EndpointKeeper(
             cloud=platform.cloud,
             fleet=fleet,
