--- a/packages/mimosamux-standins/mimosamux_standins/engine.py
+++ b/packages/mimosamux-standins/mimosamux_standins/engine.py
@@ -292,7 +292,7 @@
 
     async def serve() -> None:
         stopping = anyio.Event()
-        announce(f'engine {identity} serves on', address)
+        announce('listening', address)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(wait_for_signal, stopping.set)
             await serve_http(
