--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -21,12 +21,20 @@
     build_news,
     build_planning,
 )
-from mimosamux_daemon.platform import Platform, build_platform
+from mimosamux_daemon.platform import Platform, open_platform
 from mimosamux_daemon.serving_parts import build_serving
 from mimosamux_daemon.settings import Settings
+from mimosamux_daemon.stopping import (
+    StopParts,
+    StopSequence,
+    wait_for_notice,
+)
 
 log = get_log('daemon')
 
+CLOSE_GRACE_S = 5.0
+"""Time for the last bytes of answers that have ended to be sent."""
+
 
 class Daemon:
     """One daemon; `run` returns after `stop` was asked for."""
@@ -35,11 +43,9 @@
         self,
         *,
         settings: Settings,
-        platform: Platform,
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self.settings = settings
-        self.platform = platform
         self.address = ''
         """`host:port` of the caller API once it listens."""
         self.in_force = ConfigurationInForce()
@@ -48,6 +54,8 @@
         self.started = anyio.Event()
         """Set once the daemon is ready to serve."""
         self.stopping = anyio.Event()
+        self._closed = anyio.Event()
+        self._seconds_left: float | None = None
         self._wall_clock = wall_clock
 
     def stop(self) -> None:
@@ -58,19 +66,22 @@
         """Serve until the stop, and finish what is open by then."""
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
-        async with anyio.create_task_group() as tasks:
-            parts = self._build_parts(tasks)
+        async with (
+            open_platform(self.settings) as platform,
+            anyio.create_task_group() as tasks,
+        ):
+            parts = self._build_parts(platform, tasks)
             await self._start(tasks, parts)
+            tasks.start_soon(self._wait_for_reclaim, platform)
+            tasks.start_soon(self._stop_in_order, parts)
             await serve_http(
                 self._build_app(parts),
                 listener,
-                shutdown=self.stopping.wait,
-                grace_s=self.settings.stop_grace_s,
+                shutdown=self._closed.wait,
+                grace_s=CLOSE_GRACE_S,
                 context=self._start_tls(tasks),
             )
             tasks.cancel_scope.cancel()
-        with anyio.CancelScope(shield=True):
-            await self.platform.close()
         log.info('stopped', daemon=self.settings.daemon)
 
     async def _start(
@@ -108,10 +119,12 @@
             version=self.in_force.current.version,
         )
 
-    def _build_parts(self, tasks: anyio.abc.TaskGroup) -> DaemonParts:
+    def _build_parts(
+        self, platform: Platform, tasks: anyio.abc.TaskGroup
+    ) -> DaemonParts:
         control = build_control(
             settings=self.settings,
-            platform=self.platform,
+            platform=platform,
             metrics=self.metrics,
             in_force=self.in_force,
             caller_address=lambda: self.address,
@@ -120,7 +133,7 @@
         news = build_news(self.settings, control)
         serving = build_serving(
             settings=self.settings,
-            platform=self.platform,
+            platform=platform,
             control=control,
             news=news,
             metrics=self.metrics,
@@ -129,7 +142,7 @@
         )
         planning = build_planning(
             settings=self.settings,
-            platform=self.platform,
+            platform=platform,
             control=control,
             serving=serving,
             news=news,
@@ -146,6 +159,20 @@
             drain=self.stop,
         )
 
+    async def _wait_for_reclaim(self, platform: Platform) -> None:
+        self._seconds_left = await wait_for_notice(
+            platform.cloud, self.settings.vm
+        )
+        self.stopping.set()
+
+    async def _stop_in_order(self, parts: DaemonParts) -> None:
+        await self.stopping.wait()
+        sequence = StopSequence(
+            parts=_as_stop_parts(parts), grace_s=self.settings.stop_grace_s
+        )
+        await sequence.run(self._seconds_left)
+        self._closed.set()
+
     def _why_not_ready(self) -> str | None:
         if self.stopping.is_set():
             return 'stopping'
@@ -161,7 +188,19 @@
 
 def build_daemon(settings: Settings) -> Daemon:
     """Return a daemon over the platform that its settings name."""
-    return Daemon(settings=settings, platform=build_platform(settings))
+    return Daemon(settings=settings)
+
+
+def _as_stop_parts(parts: DaemonParts) -> StopParts:
+    serving = parts.serving
+    return StopParts(
+        leave=parts.control.membership.leave,
+        has_peers=serving.targets.has_any,
+        drained_at=lambda: parts.control.discovery.drained_at,
+        open_requests=lambda: sum(1 for _ in serving.registry.open_requests()),
+        hand_over=serving.handover.hand_over,
+        drain_side_effects=serving.side_effects.drain,
+    )
 
 
 def _address_of(listener: socket.socket) -> str:
