--- a/packages/mimosamux-daemon/mimosamux_daemon/control/digests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/digests.py
@@ -1,5 +1,6 @@
 """Digests: what a daemon tells its peers about endpoints each second."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -25,12 +26,14 @@
 from mimosamux_daemon.serving.load import Sent
 
 DIGEST_INTERVAL_S = 1.0
+SPEED_TOLERANCE = 0.1
+"""Change of a speed, as a share, that peers are not told of."""
 BUDGET_BYTES_PER_S = 20_000
 """Bytes of digests a second that a daemon sends and receives in all."""
 LEAST_CACHE_KEYS = 16
 FULL_CACHE_KEYS = 1_600
 """Keys in a full digest, which goes to a peer that is new."""
-REPORT_BYTES = 24
+REPORT_BYTES = 20
 """Size of an endpoint's load and sends in a digest, as measured."""
 CACHE_ITEM_BYTES = 4
 """What the two lists of keys add to an endpoint, without the keys."""
@@ -44,14 +47,31 @@
     prefill_tokens_per_s: int
     decode_interval_us: int
 
+    def has_moved(self, known: 'Speeds | None') -> bool:
+        """Whether peers who know `known` have to be told."""
+        if known is None or known.slots != self.slots:
+            return True
+        return not (
+            math.isclose(
+                known.prefill_tokens_per_s,
+                self.prefill_tokens_per_s,
+                rel_tol=SPEED_TOLERANCE,
+            )
+            and math.isclose(
+                known.decode_interval_us,
+                self.decode_interval_us,
+                rel_tol=SPEED_TOLERANCE,
+            )
+        )
+
 
 def speeds_of(state: EndpointState) -> Speeds:
     """Return the speeds that a peer has to know."""
     load = state.load
     return Speeds(
         slots=load.slots,
-        prefill_tokens_per_s=_round(load.prefill_tokens_per_s),
-        decode_interval_us=_round(load.decode_interval_s * 1e6),
+        prefill_tokens_per_s=int(load.prefill_tokens_per_s),
+        decode_interval_us=int(load.decode_interval_s * 1e6),
     )
 
 
@@ -139,7 +159,7 @@
         if id_ in self._reported:
             _write_report(item, state, now)
             speeds = speeds_of(state)
-            if self._speeds_by_id.get(id_) != speeds:
+            if speeds.has_moved(self._speeds_by_id.get(id_)):
                 self._speeds_by_id[id_] = speeds
                 _write_speeds(item, speeds)
         if recent is not None:
@@ -252,8 +272,3 @@
     item.sent_requests = news.sent_requests
     item.sent_tokens = news.sent_tokens
     item.ended_requests = news.ended_requests
-
-
-def _round(value: float) -> int:
-    """Return the value with two significant digits, so it rarely moves."""
-    return int(float(f'{value:.1e}'))
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/estimates.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/estimates.py
@@ -19,11 +19,25 @@
     Level,
     hash_prompt,
 )
-from mimosamux_daemon.serving.prices import Distances, PriceBook
+from mimosamux_daemon.serving.prices import (
+    Distances,
+    Place,
+    PriceBook,
+)
 from mimosamux_daemon.serving.service_times import WorkKind
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlaceTerms:
+    """What the place of an endpoint adds to its estimates."""
+
+    away_s: float
+    is_near: bool
+    money_weight: float
+    recompute_weight: float
+
+
+@dataclass(slots=True)
 class Candidate:
     """An endpoint with its estimate; made many times a decision."""
 
@@ -84,15 +98,31 @@
     ) -> list[Candidate]:
         """Return a candidate for each endpoint."""
         now = anyio.current_time()
-        weights = self._configuration()
         service_s = self._fleet.service_times.of_model(
             request.model,
             unseen_s=request.max_tokens * DEFAULT_DECODE_INTERVAL_S,
         )
-        return [
-            self._estimate(state, request, prompt, now, service_s, weights)
-            for state in states
-        ]
+        terms_by_place: dict[Place, PlaceTerms] = {}
+        candidates = []
+        for state in states:
+            terms = terms_by_place.get(state.place)
+            if terms is None:
+                terms = self._terms_of(state.place)
+                terms_by_place[state.place] = terms
+            candidates.append(
+                self._estimate(state, request, prompt, now, service_s, terms)
+            )
+        return candidates
+
+    def _terms_of(self, place: Place) -> PlaceTerms:
+        weights = self._configuration()
+        one_way_s = self._distances.one_way_s(place.data_centre)
+        return PlaceTerms(
+            away_s=2 * one_way_s,
+            is_near=self._distances.is_near(place.data_centre),
+            money_weight=weights.cost_weight * self._prices.relative(place),
+            recompute_weight=weights.recompute_weight / 1000,
+        )
 
     def work_of(
         self, candidate: Candidate, request: ModelRequest, prompt: Prompt
@@ -121,7 +151,7 @@
         prompt: Prompt,
         now: float,
         service_s: float,
-        weights: Configuration,
+        terms: PlaceTerms,
     ) -> Candidate:
         load = state.load
         cached = self._fleet.cache.cached_tokens(
@@ -129,25 +159,30 @@
         )
         uncached = max(prompt.tokens - cached, 1.0)
         prefill_s = uncached / load.prefill_tokens_per_s
-        unseen = self._unsure * math.sqrt(load.unseen_requests(now))
+        seen = load.look(now)
+        unseen = self._unsure * math.sqrt(seen.unseen_requests)
         unsure_s = unseen * prefill_s
-        kept = 0.0 if state.is_own else self._kept_slots * load.slots
-        wait_s = max(
-            load.backlog_s(now),
-            state.slot_wait_s(now, service_s, more=unseen + kept),
-        )
-        data_centre = state.endpoint.data_centre
-        away_s = 2 * self._distances.one_way_s(data_centre)
+        occupied = seen.occupied + unseen
+        if not state.is_own:
+            occupied += self._kept_slots * load.slots
+        wait_s = seen.backlog_s
+        if occupied > load.slots - 1:
+            slot_s = state.slot_wait_s(now, service_s, occupied=occupied)
+            wait_s = max(wait_s, slot_s)
         decode_s = request.max_tokens * load.decode_interval_s / load.slots
-        money = self._prices.relative(state.place) * (prefill_s + decode_s)
-        recompute_s = request.work_class.recompute_weight * uncached / 1000
+        recompute = request.work_class.recompute_weight * uncached
         first_token_s = (
-            away_s + wait_s + unsure_s + prefill_s + load.decode_interval_s
+            terms.away_s
+            + wait_s
+            + unsure_s
+            + prefill_s
+            + load.decode_interval_s
         )
         cost = (
             self._wait_weight * (wait_s + unsure_s)
-            + weights.cost_weight * money
-            + weights.recompute_weight * recompute_s
+            + terms.money_weight * (prefill_s + decode_s)
+            + terms.recompute_weight * recompute
+        )
+        return Candidate(
+            state, first_token_s, cost, wait_s, cached, terms.is_near
         )
-        is_near = self._distances.is_near(data_centre)
-        return Candidate(state, first_token_s, cost, wait_s, cached, is_near)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fleet.py
@@ -95,12 +95,9 @@
         return self.load.report
 
     def slot_wait_s(
-        self, now: float, service_s: float, *, more: float = 0.0
+        self, now: float, service_s: float, *, occupied: float
     ) -> float:
-        """Return the wait for a slot there if `more` requests came."""
-        occupied = self.load.occupied(now) + more
-        if occupied <= self.load.slots - 1:
-            return 0.0
+        """Return the wait for a slot if `occupied` requests fill them."""
         ends = [each.ends_at for each in self.started_by_request.values()]
         return self.load.slot_wait_s(now, service_s, ends, occupied=occupied)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/load.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/load.py
@@ -36,6 +36,18 @@
     """Requests seen to end there; `requests` may then be 0."""
 
 
+@dataclass(slots=True)
+class LoadNow:
+    """Load of an endpoint now; made for each candidate of a decision."""
+
+    backlog_s: float
+    """Time that the queued prompts still take."""
+    occupied: float
+    """Requests that run or wait there."""
+    unseen_requests: float
+    """Those of them that peers have likely sent unseen."""
+
+
 @dataclass(kw_only=True, slots=True)
 class Load:
     """What is known of an endpoint's queue; times are anyio's."""
@@ -90,20 +102,22 @@
         else:
             self._add(sent)
 
-    def backlog_s(self, now: float) -> float:
-        """Return the time that the queued prompts still take."""
+    def look(self, now: float) -> LoadNow:
+        """Return the load as it is likely to be now."""
         drained = self.prefill_tokens_per_s * (now - self._backlog_at)
         backlog = max(0.0, self._backlog - drained) if self._backlog else 0.0
-        if self._peer_tokens:
-            unseen = self._unseen(now)
-            backlog += self._peer_tokens / PEER_RATE_WINDOW_S * unseen
-        return backlog / self.prefill_tokens_per_s
-
-    def occupied(self, now: float) -> float:
-        """Return the requests that run or wait there."""
         if not self._peer_requests:
-            return self._occupied
-        return self._occupied + self.unseen_requests(now)
+            return LoadNow(
+                backlog / self.prefill_tokens_per_s, self._occupied, 0.0
+            )
+        unseen = self._unseen_s(now) / PEER_RATE_WINDOW_S
+        backlog += self._peer_tokens * unseen
+        requests = self._peer_requests * unseen
+        return LoadNow(
+            backlog / self.prefill_tokens_per_s,
+            self._occupied + requests,
+            requests,
+        )
 
     def slot_wait_s(
         self,
@@ -128,11 +142,8 @@
             return mean_s
         return max(mean_s, sorted(ends)[index] - now)
 
-    def unseen_requests(self, now: float) -> float:
-        """Return the requests that peers have likely sent unseen."""
-        return self._peer_requests / PEER_RATE_WINDOW_S * self._unseen(now)
-
-    def _unseen(self, now: float) -> float:
+    def _unseen_s(self, now: float) -> float:
+        """Return the time of sends unseen, at the rate of the last."""
         since = now - max(self._peers_at, self.reported_at)
         return min(max(since, 0.0), UNSEEN_LIMIT_S) * self._decay(now)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/prefix_cache.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/prefix_cache.py
@@ -150,14 +150,16 @@
         """
         levels: list[Level] = []
         find = self._holders_by_key.get
-        last: tuple[EndpointId, ...] = ()
+        last = 0
         for depth in range(len(blocks), 0, -1):
             key = blocks[depth - 1] & KEY_MASK
             holders = find(key)
-            if holders is None or holders == last:
+            # Who holds a prefix holds its shorter ones too, so as many
+            # holders are the same holders.
+            if holders is None or len(holders) <= last:
                 continue
             levels.append(Level(blocks=depth, key=key, holders=holders))
-            last = holders
+            last = len(holders)
         return tuple(levels)
 
     def cached_tokens(
@@ -208,6 +210,8 @@
         room = limit - len(picked)
         if room <= 0:
             break
-        new = [holder for holder in level.holders if holder not in picked]
-        picked.extend(new if len(new) <= room else rng.sample(new, room))
+        holders = level.holders
+        picked.extend(
+            holders if len(holders) <= room else rng.sample(holders, room)
+        )
     return picked
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -36,8 +36,8 @@
 class RoutingPolicy:
     """Constants of the choice; docs/DECISIONS.md has the sweeps."""
 
-    sample: int = 12
-    """Endpoints looked at, beside those that hold a prefix."""
+    sample: int = 4
+    """Endpoints looked at, and as many that this daemon watches."""
     wide_sample: int = 48
     """Endpoints looked at before a request is refused."""
     holders: int = 4
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -69,10 +69,10 @@
             )
             now = anyio.current_time()
             # 3000 at -0.5 s have drained to 0 when 2000 came at -0.1 s.
-            self.assertAlmostEqual(load.backlog_s(now), 0.1)
-            self.assertEqual(load.occupied(now), 5)
+            self.assertAlmostEqual(load.look(now).backlog_s, 0.1)
+            self.assertEqual(load.look(now).occupied, 5)
             fleet.note_finished('e0', RequestId('b'))
-            self.assertEqual(load.occupied(now), 4)
+            self.assertEqual(load.look(now).occupied, 4)
 
         run_paused(check)
 
@@ -97,8 +97,8 @@
             await anyio.sleep(0.5)
             after = anyio.current_time()
             # 3 s of work less 0.5 s done; 0.5 s of unseen sends more.
-            self.assertGreater(load.backlog_s(after), 2.6)
-            self.assertGreater(load.occupied(after), 3.3)
+            self.assertGreater(load.look(after).backlog_s, 2.6)
+            self.assertGreater(load.look(after).occupied, 3.3)
 
         run_paused(check)
 
