--- a/tests/test_side_effect_processes.py
+++ b/tests/test_side_effect_processes.py
@@ -10,7 +10,7 @@
 import httpx
 import yaml
 from mimosamux_daemon.api.accounts import digest_key
-from mimosamux_standins.local import Site, free_addresses
+from mimosamux_standins.processes import Site, free_addresses
 from mimosamux_standins.proxy import FaultProxy
 
 PATIENCE_S = 60.0
