--- a/packages/mimosamux-standins/mimosamux_standins/local.py
+++ b/packages/mimosamux-standins/mimosamux_standins/local.py
@@ -83,10 +83,12 @@
         yaml.safe_load(pathlib.Path(file).read_text())
     )
     with tempfile.TemporaryDirectory(prefix='mimosamux-') as folder:
-        anyio.run(partial(_serve, content, pathlib.Path(folder)))
+        if not anyio.run(partial(_serve, content, pathlib.Path(folder))):
+            sys.exit(1)
 
 
-async def _serve(content: LocalFile, folder: pathlib.Path) -> None:
+async def _serve(content: LocalFile, folder: pathlib.Path) -> bool:
+    """Return whether every program came up."""
     stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(wait_for_signal, stopping.set)
@@ -95,12 +97,15 @@
             daemons = await start_site(site, content)
             print(describe(site, daemons), flush=True)
             await stopping.wait()
+            has_started = True
         except NotStarted as error:
             print(error, file=sys.stderr)
+            has_started = False
         finally:
             with anyio.CancelScope(shield=True):
                 await site.stop()
         tasks.cancel_scope.cancel()
+    return has_started
 
 
 async def start_site(site: Site, content: LocalFile) -> list[Program]:
--- a/packages/mimosamux-standins/mimosamux_standins/processes.py
+++ b/packages/mimosamux-standins/mimosamux_standins/processes.py
@@ -14,6 +14,8 @@
 HOST = '127.0.0.1'
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
+TAIL_LINES = 20
+"""Lines of a log that are shown when a program has not started."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,7 +63,7 @@
                 self.programs[-1] = program
                 self.tasks.start_soon(lines.drain)
                 return program
-        raise NotStarted(f'{name} has not started; see {log}')
+        raise NotStarted(f'{name} has not started:\n{_tail(log)}')
 
     async def stop(self) -> None:
         """Stop every program that this site has started, newest first."""
@@ -94,6 +96,11 @@
             pass
 
 
+def _tail(log: pathlib.Path) -> str:
+    lines = log.read_text(errors='replace').splitlines()
+    return '\n'.join(lines[-TAIL_LINES:])
+
+
 async def _stop(program: Program) -> None:
     process = program.process
     with contextlib.suppress(ProcessLookupError):
