Tests run side by side; a reserved port is nobody else's

The version watch of the configuration tests remembered daemons by id(), which a replaced daemon's successor can get again: it raised 'went from 1 to 0' once for a new daemon. The version seen is kept on the daemon now, which is as strict.

--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -57,6 +57,7 @@
             membership=self.membership,
             sleep=self.peers.sleep,
         )
+        self.version_seen = 0
         self.acceptor = cluster.acceptor_class(
             replica=self.replica,
             log=self.log,
@@ -118,7 +119,6 @@
         self.membership_class = membership
         self.log_class = log
         self.nodes_by_name = {}
-        self.versions_seen = {}
         self.accepted = {}
         self.tasks = None
         self.make_in_force = in_force
@@ -208,10 +208,10 @@
         while True:
             for node in self.nodes:
                 version = node.in_force.current.version
-                seen = self.versions_seen.get(id(node), 0)
+                seen = node.version_seen
                 if version < seen:
                     raise AssertionError(
                         f'{node.name} went from {seen} to {version}'
                     )
-                self.versions_seen[id(node)] = version
+                node.version_seen = version
             await anyio.sleep(0.05)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -81,6 +81,7 @@
     def __init__(self, *, folder: pathlib.Path) -> None:
         self.folder = folder
         self._started: list[Process] = []
+        self._reserved: list[socket.socket] = []
 
     def start_standin(self, name: str, *args: str) -> Process:
         """Start a stand-in; its first line is `listening HOST:PORT`."""
@@ -94,8 +95,24 @@
             'mimosamux_daemon', 'serve', '--settings', str(path)
         )
 
+    def reserve_port(self) -> int:
+        """Return a free port that stays ours until the end.
+
+        The bound socket does not listen, so a process of this test may
+        bind the port as well, and the system gives it to nobody else.
+        Tests that run side by side would otherwise take each other's.
+        """
+        bound = socket.socket()
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(('127.0.0.1', 0))
+        self._reserved.append(bound)
+        port: int = bound.getsockname()[1]
+        return port
+
     def end_all(self) -> None:
         """End what is left, by id."""
+        for bound in self._reserved:
+            bound.close()
         for process in self._started:
             process.end()
 
@@ -123,12 +140,3 @@
         started = Processes(folder=pathlib.Path(folder))
         stack.callback(started.end_all)
         yield started
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that the system has free, all different."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(('127.0.0.1', 0))
-        return [each.getsockname()[1] for each in sockets]
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -9,7 +9,7 @@
 from mimosamux_cli.addresses import EntryAddresses
 from mimosamux_cli.caller import Caller
 
-from tests.support.processes import Process, Processes, free_ports
+from tests.support.processes import Process, Processes
 
 KEY = 'school-key'
 TOKEN = 'operator-token'
@@ -45,10 +45,9 @@
             for data_centre, count in daemons.items()
             for number in range(1, count + 1)
         ]
-        ports = free_ports(2 * len(names))
         self.ports = {
-            name: (ports[2 * n], ports[2 * n + 1])
-            for n, name in enumerate(names)
+            name: (processes.reserve_port(), processes.reserve_port())
+            for name in names
         }
         self.daemons: dict[str, Process] = {}
         self.engines: dict[str, Process] = {}
--- a/tests/test_side_effect_processes.py
+++ b/tests/test_side_effect_processes.py
@@ -10,9 +10,11 @@
 import httpx
 import yaml
 from mimosamux_daemon.api.accounts import digest_key
-from mimosamux_standins.local import Site, free_addresses
+from mimosamux_standins.local import Site
 from mimosamux_standins.proxy import FaultProxy
 
+from tests.support.processes import Processes
+
 PATIENCE_S = 60.0
 SLOW_S = 1.5
 VM_FIELDS = {
@@ -42,6 +44,7 @@
         self.site = site
         self.proxy = proxy
         self.client = client
+        self.reserved = Processes(folder=site.folder)
 
     def program(self, name):
         return next(each for each in self.site.programs if each.name == name)
@@ -61,7 +64,7 @@
             f'http://{platform.address}/control/vms',
             json={'vm': {**VM_FIELDS, 'address': service.address}},
         )
-        ports = free_addresses(2)
+        ports = [f'127.0.0.1:{self.reserved.reserve_port()}' for _ in range(2)]
         for number in (1, 2):
             await self.start_daemon(number, ports)
         for name in ('d1', 'd2'):
@@ -143,6 +146,7 @@
             finally:
                 with anyio.CancelScope(shield=True):
                     await site.stop()
+                started.reserved.end_all()
             tasks.cancel_scope.cancel()
 
 
