Table and object store have circuits of their own

Cause: one circuit stood for both, so five failures of the object store refused every call that may not be repeated, though it needs only the table. Shown by a test with the objects down and the table up.

Change: a guard of calls for each port; limits stay the same.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/store_guard.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/store_guard.py
@@ -45,12 +45,11 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class StoreGuard:
-    """Shared state of the guarded ports towards one store."""
+class CallGuard:
+    """Guards the calls of one port; its users share one circuit."""
 
-    metrics: Metrics
-    limits: GuardLimits = field(default_factory=GuardLimits)
-    chance: random.Random = field(default_factory=random.Random)
+    limits: GuardLimits
+    chance: random.Random
     budget: RetryAllowance = field(init=False)
     breaker: CircuitBreaker = field(init=False)
 
@@ -60,14 +59,6 @@
         )
         self.breaker = CircuitBreaker(limits=self.limits, chance=self.chance)
 
-    def table(self, table: Table, *, mechanism: str) -> 'GuardedTable':
-        """Return a guarded table whose rows count for a mechanism."""
-        return GuardedTable(guard=self, table=table, mechanism=mechanism)
-
-    def objects(self, objects: ObjectStore) -> 'GuardedObjectStore':
-        """Return a guarded object store."""
-        return GuardedObjectStore(guard=self, objects=objects)
-
     async def read(
         self,
         call: Callable[[], Awaitable[ResultT | Unavailable]],
@@ -130,6 +121,33 @@
         return True
 
 
+@dataclass(kw_only=True, slots=True)
+class StoreGuard:
+    """Guards of the table and the object store.
+
+    Each has a circuit of its own: the object store can be down while the
+    table is up, and calls that need only the table must go on then.
+    """
+
+    metrics: Metrics
+    limits: GuardLimits = field(default_factory=GuardLimits)
+    chance: random.Random = field(default_factory=random.Random)
+    table_calls: CallGuard = field(init=False)
+    object_calls: CallGuard = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.table_calls = CallGuard(limits=self.limits, chance=self.chance)
+        self.object_calls = CallGuard(limits=self.limits, chance=self.chance)
+
+    def table(self, table: Table, *, mechanism: str) -> 'GuardedTable':
+        """Return a guarded table whose rows count for a mechanism."""
+        return GuardedTable(guard=self, table=table, mechanism=mechanism)
+
+    def objects(self, objects: ObjectStore) -> 'GuardedObjectStore':
+        """Return a guarded object store."""
+        return GuardedObjectStore(guard=self, objects=objects)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GuardedTable:
     """The `Table` port with deadlines, retries and a breaker."""
@@ -141,7 +159,7 @@
     async def read(self, key: str) -> Row | None | Unavailable:
         """Return the row, None where there is none."""
         self._count(ROWS_READ, 1)
-        return await self.guard.read(
+        return await self.guard.table_calls.read(
             lambda: self.table.read(key),
             timeout_s=self.guard.limits.call_timeout_s,
         )
@@ -150,7 +168,7 @@
         self, prefix: str, *, after: str = '', limit: int = 1000
     ) -> tuple[Row, ...] | Unavailable:
         """Return rows whose key starts with `prefix`, sorted by key."""
-        rows = await self.guard.read(
+        rows = await self.guard.table_calls.read(
             lambda: self.table.scan(prefix, after=after, limit=limit),
             timeout_s=self.guard.limits.call_timeout_s,
         )
@@ -162,7 +180,7 @@
         self, checks: Sequence[Check], writes: Sequence[Write]
     ) -> CommitOutcome:
         """Write all rows together if every check holds."""
-        outcome: CommitOutcome = await self.guard.write(
+        outcome: CommitOutcome = await self.guard.table_calls.write(
             lambda: self.table.commit(checks, writes),
             timeout_s=self.guard.limits.call_timeout_s,
         )
@@ -185,14 +203,14 @@
 
     async def put(self, key: str, data: bytes) -> None | Unavailable:
         """Store the object; a repeat stores the same once more."""
-        return await self.guard.read(
+        return await self.guard.object_calls.read(
             lambda: self.objects.put(key, data),
             timeout_s=self.guard.limits.object_timeout_s,
         )
 
     async def get(self, key: str) -> bytes | None | Unavailable:
         """Return the object, None where there is none."""
-        return await self.guard.read(
+        return await self.guard.object_calls.read(
             lambda: self.objects.get(key),
             timeout_s=self.guard.limits.object_timeout_s,
         )
--- a/tests/test_store_guard.py
+++ b/tests/test_store_guard.py
@@ -98,12 +98,12 @@
             for _ in range(600):
                 await self.table.read('a')
                 await anyio.sleep(1)
-            self.assertTrue(self.guard.breaker.is_open)
+            self.assertTrue(self.guard.table_calls.breaker.is_open)
             self.assertLess(self.memory.calls, 200)
             self.memory.faults.down = False
             await anyio.sleep(15)
             self.assertIsNone(await self.table.read('a'))
-            self.assertFalse(self.guard.breaker.is_open)
+            self.assertFalse(self.guard.table_calls.breaker.is_open)
 
         run_paused(check)
 
@@ -154,3 +154,21 @@
             self.assertIsInstance(await objects.get('a'), Unavailable)
 
         run_paused(check)
+
+    def test_an_outage_of_the_objects_leaves_the_table_usable(self):
+        """The object store is down and the table is up.
+
+        With one circuit for both, every call that may not be repeated
+        would be refused, though it needs only the table.
+        """
+
+        async def check():
+            memory = MemoryObjectStore(down=True)
+            objects = self.guard.objects(memory)
+            for _ in range(10):
+                await objects.get('a')
+            self.assertTrue(self.guard.object_calls.breaker.is_open)
+            outcome = await self.table.commit(CHECKS, WRITES)
+            self.assertIsInstance(outcome, Committed)
+
+        run_paused(check)
