--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -10,6 +10,11 @@
 import orjson
 import pydantic
 
+from mimosamux_daemon.adapters.engine_clients import (
+    CONNECT_TIMEOUT_S,
+    EngineClients,
+    Pace,
+)
 from mimosamux_daemon.adapters.http_engine_models import (
     ExportModel,
     FrameModel,
@@ -17,7 +22,6 @@
     RefusalModel,
     ReportModel,
 )
-from mimosamux_daemon.adapters.paced_network import Pace, PacedTransport
 from mimosamux_daemon.domain.engine import (
     ConnectFailed,
     EngineCall,
@@ -40,7 +44,6 @@
 from mimosamux_daemon.errors import InvariantBroken
 from mimosamux_daemon.ports.engine import EngineStream, ReportStream
 
-CONNECT_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 1.0
 EXPORT_TIMEOUT_S = 10.0
 IMPORT_TIMEOUT_S = 60.0
@@ -52,6 +55,8 @@
 """Statuses with which an engine says that it does not take a call."""
 NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
 """Errors that come before the first byte of a call is sent."""
+BUFFERED_S = 0.0005
+"""A read that takes no longer came from a buffer, which may hold more."""
 EVENT_END = b'\n\n'
 DATA = b'data:'
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
@@ -64,11 +69,16 @@
         # The raw stream: `aiter_raw` adds two layers to each event.
         self._chunks = aiter(as_byte_stream(response))
         self._rest = b''
+        self.waited_at: float | None = None
+        """When the last read ended, if it had to wait for the engine."""
 
     async def receive(self) -> list[bytes] | None:
         """Return all events that are ready, None at the end."""
         while True:
+            begun = anyio.current_time()
             chunk = await anext(self._chunks, None)
+            now = anyio.current_time()
+            self.waited_at = now if now - begun > BUFFERED_S else None
             if chunk is None:
                 return None
             *whole, self._rest = (self._rest + chunk).split(EVENT_END)
@@ -99,8 +109,10 @@
 class HttpEngineStream:
     """An answer that comes as server-sent events."""
 
-    def __init__(self, response: httpx.Response) -> None:
+    def __init__(self, response: httpx.Response, pace: Pace) -> None:
         self._reader = EventReader(response)
+        self._pace = pace
+        self._has_begun = False
         self._ready: deque[EngineEvent] = deque()
         self._has_end = False
 
@@ -118,6 +130,7 @@
     async def receive(self) -> EngineEvent:
         """Return the next event, with frames that are ready joined."""
         while not self._ready:
+            await self._pause()
             try:
                 events = await self._reader.receive()
                 if events is None:
@@ -131,6 +144,22 @@
         self._has_end = isinstance(event, StreamEnd)
         return event
 
+    async def _pause(self) -> None:
+        """Let tokens gather before the next read, under load.
+
+        The first token is never put off, and what was read already is
+        passed on before any pause.
+        """
+        waited_at = self._reader.waited_at
+        if waited_at is None:
+            return
+        if not self._has_begun:
+            self._has_begun = True
+            return
+        gap_s = self._pace.gap_s
+        if gap_s:
+            await anyio.sleep(waited_at + gap_s - anyio.current_time())
+
 
 def parse_events(events: list[bytes]) -> Iterable[EngineEvent]:
     """Return the checked events of an answer."""
@@ -191,21 +220,11 @@
 
     def __init__(self) -> None:
         self._pace = Pace()
-        # Silence of an engine is watched by the serving, which knows
-        # each class's patience; a read timeout here would cut off the
-        # calls that wait in a long queue.
-        self._client = httpx.AsyncClient(
-            transport=PacedTransport(self._pace),
-            timeout=httpx.Timeout(
-                None, connect=CONNECT_TIMEOUT_S, write=CONNECT_TIMEOUT_S
-            ),
-            # Compressed events would not be readable as they come.
-            headers={'Accept-Encoding': 'identity'},
-        )
+        self._clients = EngineClients()
 
     async def aclose(self) -> None:
         """Close every connection."""
-        await self._client.aclose()
+        await self._clients.aclose()
 
     def generate(
         self, endpoint: Endpoint, call: EngineCall
@@ -234,11 +253,14 @@
     ) -> AsyncIterator[
         EngineStream | ConnectFailed | EngineRefused | StreamBroken
     ]:
-        request = self._client.build_request(
-            'POST', url_of(endpoint, '/v1/generate'), content=encode_call(call)
-        )
+        client = await self._clients.get(endpoint.address)
         try:
-            response = await self._client.send(request, stream=True)
+            request = client.build_request(
+                'POST',
+                url_of(endpoint, '/v1/generate'),
+                content=encode_call(call),
+            )
+            response = await client.send(request, stream=True)
         except NOT_SENT as error:
             yield ConnectFailed(reason=describe(error))
             return
@@ -247,7 +269,7 @@
             return
         try:
             if response.status_code == httpx.codes.OK:
-                stream = HttpEngineStream(response)
+                stream = HttpEngineStream(response, self._pace)
                 yield stream
                 await stream.finish()
             else:
@@ -265,11 +287,12 @@
     async def _watch(
         self, endpoint: Endpoint
     ) -> AsyncIterator[ReportStream | ConnectFailed]:
-        request = self._client.build_request(
-            'GET', url_of(endpoint, '/v1/reports')
-        )
+        client = await self._clients.get(endpoint.address)
         try:
-            response = await self._client.send(request, stream=True)
+            request = client.build_request(
+                'GET', url_of(endpoint, '/v1/reports')
+            )
+            response = await client.send(request, stream=True)
         except (httpx.HTTPError, httpx.InvalidURL) as error:
             yield ConnectFailed(reason=describe(error))
             return
@@ -359,8 +382,9 @@
         timeout_s: float,
     ) -> httpx.Response | str:
         """Return the answer, or why there is none."""
+        client = await self._clients.get(endpoint.address)
         try:
-            return await self._client.post(
+            return await client.post(
                 url_of(endpoint, path),
                 content=orjson.dumps(body),
                 timeout=httpx.Timeout(timeout_s, connect=CONNECT_TIMEOUT_S),
