--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/recovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/recovery.py
@@ -16,8 +16,14 @@
 
 log = get_log('recovery')
 
-MOVES_AT_ONCE = 4
-"""Exports from one endpoint that this daemon has under way."""
+MOVES_AT_ONCE = 1
+"""Exports from one endpoint that this daemon has under way: a stream
+stands still from its export on, so it does not wait behind others."""
+SHORTEST_TRY_S = 1.0
+"""Time that a move may take in any case, if the notice allows it."""
+TRY_SHARE = 0.5
+"""Share of what is left of the notice that one move may take; a target
+that stands still would hold up all the others."""
 LAST_SECONDS = 0.5
 """What is left of a notice when the remaining requests prompt again."""
 UNKNOWN_NOTICE_S = 2.0
@@ -94,7 +100,7 @@
             moved = anyio.Event()
             attempt.moving = moved
             try:
-                with anyio.CancelScope(deadline=last_call):
+                with anyio.CancelScope(deadline=limit_move(last_call)):
                     await self._export_and_import(attempt)
             finally:
                 moved.set()
@@ -198,6 +204,13 @@
     scope.cancel()
 
 
+def limit_move(last_call: float) -> float:
+    """Return the time by which one move has to be done."""
+    now = anyio.current_time()
+    seconds = max(SHORTEST_TRY_S, TRY_SHARE * (last_call - now))
+    return min(last_call, now + seconds)
+
+
 def is_running(attempt: Attempt) -> bool:
     """Whether the attempt still runs and nobody moves it."""
     return (
