--- a/benchmarks/bench_relay.py
+++ b/benchmarks/bench_relay.py
@@ -17,6 +17,8 @@
 ENGINES = 5
 INTERVAL_S = STREAMS / TOKENS_PER_S
 SETTLE_S = 3.0
+REPORTS_S = 2.0
+"""Time until the daemon has a load report of each engine."""
 WINDOW_S = 8.0
 PROBE_RATE = 20.0
 
@@ -57,6 +59,7 @@
 
 async def _measure(daemon: Program, prober: Program) -> list[Table]:
     seen = StreamCount()
+    await anyio.sleep(REPORTS_S)
     await probe(daemon.address, prober.address, 10.0, 1.0)
     idle = await probe(daemon.address, prober.address, PROBE_RATE, 3.0)
     memory = daemon.resident_bytes
--- a/benchmarks/relay_daemon.py
+++ b/benchmarks/relay_daemon.py
@@ -12,6 +12,7 @@
 from mimosamux_daemon.api.callers import CallerRoutes
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.control.configuration_models import parse_configuration
+from mimosamux_daemon.domain.engine import ConnectFailed, LoadReport
 from mimosamux_daemon.domain.names import (
     DataCentreName,
     EndpointId,
@@ -53,6 +54,8 @@
             registry=RequestRegistry(),
             tasks=tasks,
         )
+        for state in tuple(fleet.by_id.values()):
+            tasks.start_soon(watch, engine_port, fleet, state.endpoint)
         callers = CallerRoutes(in_force=in_force, serving=serving)
         print(f'127.0.0.1:{listener.getsockname()[1]}', flush=True)
         await serve_http(
@@ -62,6 +65,18 @@
         )
 
 
+async def watch(
+    engine_port: HttpEngines, fleet: Fleet, endpoint: Endpoint
+) -> None:
+    """Take the load reports of an engine."""
+    async with engine_port.watch(endpoint) as reports:
+        if isinstance(reports, ConnectFailed):
+            return
+        while (report := await reports.receive()) is not None:
+            if isinstance(report, LoadReport):
+                fleet.take_report(report)
+
+
 def make_endpoint(address: str, model: str) -> Endpoint:
     """Return the endpoint of a stand-in."""
     return Endpoint(
