--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -8,6 +8,7 @@
 import httpx
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from mimosamux_daemon.adapters.engine_clients import Pace
 from mimosamux_daemon.adapters.http_engine import (
     HttpEngines,
     HttpEngineStream,
@@ -236,7 +237,8 @@
     def test_any_bytes_end_as_a_value(self, pieces):
         async def check():
             stream = HttpEngineStream(
-                httpx.Response(200, content=in_pieces(pieces))
+                httpx.Response(200, content=in_pieces(pieces)),
+                pace=Pace(),
             )
             while True:
                 event = await stream.receive()
