--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -145,7 +145,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             return LinkClosed(reason=f'{type(error).__name__}: {error}')
         # A peer whose machine vanished acknowledges nothing. Without this
         # the kernel would go on sending for a quarter of an hour.
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_changes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_changes.py
@@ -208,12 +208,16 @@
         what=fields['what'],
         why=fields['why'],
         at=fields['at'],
-        edits=tuple(
-            Edit(
-                path=tuple(edit['path']),
-                value=edit.get('value'),
-                is_removal=edit.get('remove', False),
-            )
-            for edit in fields['edits']
-        ),
+        edits=tuple(_parse_edit(edit) for edit in fields['edits']),
+    )
+
+
+def _parse_edit(fields: dict[str, Any]) -> Edit:
+    path = tuple(fields['path'])
+    if not path or not all(isinstance(key, str) for key in path):
+        raise ValueError('an edit names no path')
+    return Edit(
+        path=path,
+        value=fields.get('value'),
+        is_removal=bool(fields.get('remove', False)),
     )
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
@@ -145,6 +145,8 @@
     for section, name in entries:
         part = parts.setdefault(section, dict(getattr(previous, section)))
         content = document.get(section) or {}
+        if not isinstance(content, dict):
+            return parse_committed(document, version=version)
         if name not in content:
             part.pop(name, None)
             continue
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_push.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_push.py
@@ -34,7 +34,7 @@
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports import Peers, PeerUnavailable
+from mimosamux_daemon.ports import Peers
 
 log = get_log('configuration')
 
@@ -47,6 +47,8 @@
 FETCH_TIMEOUT_S = 2.0
 START_RETRY_S = 1.0
 MAX_PUSHED = 64
+BEFORE_ANY_VERSION = -1
+"""Asked for with this, a peer sends a snapshot."""
 
 
 class ConfigurationSync:
@@ -191,26 +193,40 @@
 
     async def _fetch(self, daemon: DaemonId) -> bool:
         """Take what a peer has more; False if it did not answer."""
-        message = ConfigurationFetch(after=self._replica.version)
+        answer = await self._ask(daemon, self._replica.version)
+        if answer is None:
+            return False
+        if self._take_state(answer):
+            return True
+        # The records do not fit what is held here. Asking for them again
+        # would leave this daemon behind for good; a snapshot replaces it.
+        log.error('replica_differs', version=self._replica.version)
+        answer = await self._ask(daemon, BEFORE_ANY_VERSION)
+        return answer is not None and self._take_state(answer)
+
+    async def _ask(
+        self, daemon: DaemonId, after: int
+    ) -> ConfigurationState | None:
         answer = await self._peers.call(
-            daemon, message, timeout_s=FETCH_TIMEOUT_S
+            daemon, ConfigurationFetch(after=after), timeout_s=FETCH_TIMEOUT_S
         )
-        if isinstance(answer, PeerUnavailable):
-            return False
-        if not isinstance(answer, ConfigurationState):
-            return False
-        if answer.snapshot:
-            snapshot = parse_snapshot(answer.snapshot)
-            return snapshot is not None and self._replica.replace(snapshot)
-        taken = []
-        for item in answer.versions:
+        return answer if isinstance(answer, ConfigurationState) else None
+
+    def _take_state(self, state: ConfigurationState) -> bool:
+        if state.snapshot:
+            snapshot = parse_snapshot(state.snapshot)
+            if snapshot is None:
+                return False
+            self._replica.replace(snapshot)
+            return True
+        for item in state.versions:
             record = parse_record(item.row)
             if record is None:
                 return False
-            result = self._replica.advance(record)
-            if result is Advance.TAKEN:
-                taken.append(record)
-            elif result is Advance.CORRUPT:
+            if self._replica.advance(record) in (
+                Advance.CORRUPT,
+                Advance.GAP,
+            ):
                 return False
         return True
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,8 +4,16 @@
 
 import anyio
 import orjson
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from mimosamux_daemon.adapters.memory_table import MemoryTable
-from mimosamux_daemon.control.configuration import Advance, parse_snapshot
+from mimosamux_daemon.control.configuration import (
+    Advance,
+    ConfigurationInForce,
+    ConfigurationReplica,
+    Snapshot,
+    parse_snapshot,
+)
 from mimosamux_daemon.control.configuration_acceptor import (
     ConfigurationAcceptor,
 )
@@ -36,6 +44,18 @@
 from tests.support.clock import run_paused
 from tests.support.configuration import DOCUMENT, Participant, Store
 
+JSON_KEYS = st.one_of(
+    st.sampled_from(['classes', 'draft', 'accounts', 'first_token_s', '']),
+    st.integers(0, 3),
+)
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 5) | st.just('text'),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(st.sampled_from(['draft', 'a']), inner, max_size=2)
+    ),
+    max_leaves=4,
+)
 DRAFT_TARGET = 'classes.draft.first_token_s'
 
 
@@ -385,6 +405,49 @@
 
         run_paused(check)
 
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        path=st.lists(JSON_KEYS, max_size=3),
+        value=JSON_VALUES,
+        spoilt=st.one_of(st.none(), JSON_VALUES),
+    )
+    def test_no_record_from_a_peer_ends_a_daemon(self, path, value, spoilt):
+        """A faulty peer sends records that nobody would have accepted.
+
+        They are taken or left, and the daemon goes on with a document
+        that is as committed.
+        """
+        replica = ConfigurationReplica(in_force=ConfigurationInForce())
+        replica.replace(
+            Snapshot(
+                version=1,
+                digest=digest_of(DOCUMENT),
+                document=DOCUMENT,
+                operations=(),
+            )
+        )
+        edit = {'path': path, 'value': value}
+        try:
+            after = apply_edits(
+                DOCUMENT, [Edit(path=tuple(path), value=value)]
+            )
+            digest = digest_of(after)
+        except (TypeError, IndexError):
+            digest = 0
+        change = {
+            'operation': 'op-1',
+            'who': 'anna',
+            'what': 'set',
+            'why': '',
+            'at': 0.0,
+            'edits': [edit] if spoilt is None else spoilt,
+        }
+        fields = {'version': 2, 'digest': str(digest), 'changes': [change]}
+        record = parse_record(orjson.dumps(fields))
+        if record is not None:
+            replica.advance(record)
+        self.assertEqual(replica.digest, digest_of(replica.document))
+
     def test_digest_of_a_change_equals_that_of_the_whole(self):
         before = DOCUMENT
         after = {
--- a/tests/test_configuration_properties.py
+++ b/tests/test_configuration_properties.py
@@ -317,6 +317,27 @@
 
         run_paused(main)
 
+    def test_replica_that_differs_is_replaced(self):
+        """A daemon's document was spoilt in its memory.
+
+        The next change does not fit it. It takes a whole snapshot from a
+        peer and does not stay behind.
+        """
+
+        async def main():
+            cluster = Cluster(SIZES)
+            async with cluster.running():
+                replica = cluster.nodes_by_name['two-3'].replica
+                replica.document = {**replica.document, 'cost_weight': 9.0}
+                replica.digest += 1
+                await cluster.accept(cluster.nodes[0], 'op-1', 2.0)
+                await cluster.wait_in_force(2, IN_FORCE_S)
+                self.assertEqual(
+                    replica.document, cluster.nodes[0].replica.document
+                )
+
+        run_paused(main)
+
     def test_lost_pushes_are_repaired_by_heartbeats(self):
         """Every push of a change is lost on the way.
 
