--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/journal.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/journal.py
@@ -63,6 +63,8 @@
     entry: JournalEntry
     done: anyio.Event = field(default_factory=anyio.Event)
     failed: Unavailable | None = None
+    is_unwanted: bool = False
+    """The one who waited was cancelled: nobody will forget the entry."""
 
 
 class Journal:
@@ -101,7 +103,10 @@
         )
         self._pending.append(pending)
         self._added.set()
-        await pending.done.wait()
+        try:
+            await pending.done.wait()
+        finally:
+            pending.is_unwanted = not pending.done.is_set()
         return pending.failed
 
     async def forget(self, request: RequestId) -> None:
@@ -214,6 +219,8 @@
         elif written.may_have_landed:
             self._void.add(name)
         for pending in taken:
+            if pending.is_unwanted:
+                self._batches.end(pending.entry.request.id)
             pending.failed = failed
             pending.done.set()
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/journal_batches.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/journal_batches.py
@@ -45,7 +45,9 @@
     def __init__(self, *, key_of: Callable[[str], str]) -> None:
         self._key_of = key_of
         self._by_name: dict[str, _Batch] = {}
-        self._name_by_request: dict[RequestId, str] = {}
+        self._names_by_request: dict[RequestId, list[str]] = {}
+        """A request can stand in two rows: recorded here after a hand-over,
+        and claimed from the daemon that handed it over."""
         self._ended_count = self._listed_count = 0
         self._has_done_row = False
         self._done_due = 0.0
@@ -56,17 +58,16 @@
         """Note a row that was written."""
         ids = set(requests)
         self._by_name[name] = _Batch(open=ids, is_doubtful=is_doubtful)
-        self._name_by_request.update(dict.fromkeys(ids, name))
+        for request in ids:
+            self._names_by_request.setdefault(request, []).append(name)
 
     def end(self, request: RequestId) -> None:
         """Note that a request has its outcome."""
-        name = self._name_by_request.pop(request, None)
-        if name is None:
-            return
-        batch = self._by_name[name]
-        batch.open.discard(request)
-        batch.ended.add(request)
-        self._ended_count += 1
+        for name in self._names_by_request.pop(request, ()):
+            batch = self._by_name[name]
+            batch.open.discard(request)
+            batch.ended.add(request)
+            self._ended_count += 1
 
     def ended_writes(self, now: float) -> EndedWrites:
         """Return the writes for what has ended, none if there are none."""
--- a/packages/mimosamux-standins/mimosamux_standins/cloud.py
+++ b/packages/mimosamux-standins/mimosamux_standins/cloud.py
@@ -38,7 +38,8 @@
 class StandInCloud:
     """The `Cloud` port over VMs that run already.
 
-    A start takes a VM out of `spares` and lists it; nothing is started.
+    A start takes a VM out of `spares` and lists it, and a stop puts it
+    back there; no process is started or stopped.
     """
 
     faults: CloudFaults = field(default_factory=CloudFaults)
@@ -117,6 +118,9 @@
         if not await self._is_up():
             return DOWN
         self.stops.append(vm)
+        stopped = self.by_id.get(vm)
+        if stopped is not None:
+            self.spares.append(replace(stopped, order_id=''))
         self.remove(vm)
         return None
 
--- a/packages/mimosamux-standins/mimosamux_standins/local.py
+++ b/packages/mimosamux-standins/mimosamux_standins/local.py
@@ -128,7 +128,7 @@
     daemons = []
     for item in content.daemons:
         path = site.folder / f'{item.id}.yaml'
-        settings = _settings(item, content, platform.address, peers)
+        settings = local_settings(item, content, platform.address, peers)
         path.write_text(yaml.safe_dump(settings))
         daemon = await site.start(
             item.id, 'mimosamux_daemon', 'serve', '--settings', str(path)
@@ -200,12 +200,13 @@
         )
 
 
-def _settings(
+def local_settings(
     item: DaemonItem,
     content: LocalFile,
     platform_address: str,
     peers: dict[str, str],
 ) -> dict[str, object]:
+    """Return the settings file of one daemon."""
     return {
         'daemon': item.id,
         'data_centre': item.data_centre,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -165,6 +165,35 @@
 
         self.play(check)
 
+    def test_a_request_in_two_rows_leaves_neither_behind(self):
+        """A request is handed over, and claimed again after a death.
+
+        A row that stays would have it run once more, long after its end.
+        """
+
+        async def check(daemons):
+            await daemons.record('d1', 'r0')
+            await daemons.record('d2', 'r0')
+            daemons.kill('d1')
+            await daemons.claim('d2', 'd1')
+            await daemons.forget('d2', 'r0')
+            await anyio.sleep(30)
+            self.assertEqual(daemons.table.rows_by_key, {})
+
+        self.play(check)
+
+    def test_a_caller_who_is_gone_leaves_no_entry_behind(self):
+        """The client hangs up while its draft is being recorded."""
+
+        async def check(daemons):
+            daemons.table.faults.delay_s = 1.0
+            with anyio.move_on_after(0.5):
+                await daemons.record('d1', 'r0')
+            await anyio.sleep(30)
+            self.assertEqual(daemons.table.rows_by_key, {})
+
+        self.play(check)
+
     def test_a_claim_whose_answer_was_lost_is_found_again(self):
         """The claim takes effect, and the store goes down before it says.
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -1,10 +1,12 @@
 """The HTTP adapters towards the platform and the services."""
 
 import contextlib
+import pathlib
 import unittest
 
 import anyio
 import httpx
+import yaml
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http_cloud import HttpCloud
@@ -21,6 +23,7 @@
     RowReply,
 )
 from mimosamux_daemon.adapters.http_weight_store import HttpWeightStore
+from mimosamux_daemon.control.configuration_models import parse_configuration
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.store import (
     Check,
@@ -34,12 +37,15 @@
 from mimosamux_daemon.domain.work import ServiceCall, WorkClass
 from mimosamux_daemon.ports.cloud import StartRefused, StartVM
 from mimosamux_daemon.ports.service import ServiceAnswer, ServiceUnanswered
+from mimosamux_daemon.settings import parse_settings
+from mimosamux_standins.local import LocalFile, local_settings
 from mimosamux_standins.platform import PlatformFile, build_platform
 from mimosamux_standins.proxy import FaultProxy
 from mimosamux_standins.service import Service
 
 from tests.support.http import serving
 
+ROOT = pathlib.Path(__file__).parents[1]
 WRITE = [Write(key='a/ü', value=b'\xff\x00')]
 VM_FIELDS = {
     'id': 'vm1',
@@ -188,6 +194,8 @@
                 self.assertEqual((await cloud.list_vms())[1].state, 'leaving')
                 self.assertIsNone(await cloud.stop_vm('vm2'))
                 self.assertEqual(len(await cloud.list_vms()), 1)
+                again = await cloud.start_vm(ORDER)
+                self.assertEqual(again.id, 'vm2')
                 self.assertEqual(await cloud.list_prices(), ())
 
         anyio.run(check)
@@ -294,3 +302,14 @@
                 self.assertEqual(stand_in.cloud.by_id['vm3'].state, 'leaving')
 
         anyio.run(check)
+
+    def test_the_local_example_can_be_started(self):
+        text = (ROOT / 'examples' / 'local.yaml').read_text()
+        content = LocalFile.model_validate(yaml.safe_load(text))
+        parse_configuration(content.configuration, version=1)
+        daemon = content.daemons[0]
+        written = local_settings(
+            daemon, content, '127.0.0.1:1', {daemon.id: '127.0.0.1:2'}
+        )
+        settings = parse_settings(yaml.safe_dump(written))
+        self.assertEqual(settings.peer_port, 2)
