--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/routing.py
@@ -48,7 +48,7 @@
     """Share of the target up to which the cheapest endpoint is taken."""
     miss_allowed: float = 1.0
     """Multiple of the target beyond which a request is refused."""
-    wait_weight: float = 0.25
+    wait_weight: float = 0.5
     """How much a second of wait within the target counts as cost."""
     unsure: float = 0.5
     """Weight of what peers may have sent unseen to their endpoints."""
