Hang up on a peer that asks and does not read its answers

Forty calls with answers of 1 MB each were all held until read. Answers that wait are bounded by 8 MiB for each link now. Ending the link because of an answer that could not be sent ended the whole daemon with an unbound variable; the new test found it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -23,7 +23,11 @@
     Side,
     open_link,
 )
-from mimosamux_daemon.adapters.thrift_links import OutgoingLink, write_all
+from mimosamux_daemon.adapters.thrift_links import (
+    QUEUE_BYTES,
+    OutgoingLink,
+    write_all,
+)
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
@@ -210,9 +214,11 @@
         self._count = count
         self._writing = anyio.Lock()
         self._places = anyio.Semaphore(CALLS_AT_ONCE)
+        self._unsent_bytes = 0
 
     async def run(self) -> str:
         """Serve the peer until the link ends; return why it did."""
+        reason = 'peer does not take its answers'
         async with anyio.create_task_group() as tasks:
             reason = await self._read(tasks)
             tasks.cancel_scope.cancel()
@@ -237,18 +243,31 @@
     ) -> None:
         try:
             answer = await self._give(envelope)
+            if not await self._send(envelope, answer):
+                scope.cancel()
         finally:
             self._places.release()
+
+    async def _send(self, envelope: Envelope, answer: Message | None) -> bool:
+        """Send an answer; False if the peer does not take it."""
         kind = EnvelopeType.REPLY
         if answer is None:
             kind = EnvelopeType.REJECTION
             answer = Rejected(problem=f'no answer to {envelope.name!r}')
         payload = encode(answer, kind, envelope.sequence)
         self._count(type(answer).__name__, len(payload))
+        # A peer that asks and does not read would have its answers pile
+        # up here: 64 snapshots of some megabytes fill a small VM.
+        if self._unsent_bytes and (
+            self._unsent_bytes + len(payload) > QUEUE_BYTES
+        ):
+            return False
+        self._unsent_bytes += len(payload)
         async with self._writing:
             frame = self._link.writer.seal(payload)
-            if not await write_all(self._link.stream, frame):
-                scope.cancel()
+            is_sent = await write_all(self._link.stream, frame)
+        self._unsent_bytes -= len(payload)
+        return is_sent
 
     async def _give(self, envelope: Envelope) -> Message | None:
         message = envelope.message
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,11 @@
 import mimosamux_wire as wire
 import trustme
 from mimosamux_daemon.adapters import thrift_links
-from mimosamux_daemon.adapters.link_security import LinkSecurity
+from mimosamux_daemon.adapters.link_security import (
+    LinkSecurity,
+    Side,
+    open_link,
+)
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports import PeerUnavailable
@@ -246,6 +250,42 @@
 
         anyio.run(check)
 
+    def test_peer_that_asks_and_does_not_read_is_hung_up_on(self):
+        """A peer sends forty calls and reads none of the large answers.
+
+        Holding them all would fill the memory of a small VM, so the link
+        ends once eight megabytes wait.
+        """
+
+        async def check():
+            two = make_peers('two')
+
+            async def answer_large(sender, message):
+                return wire.ConfigurationState(snapshot=b'x' * 1_000_000)
+
+            two.handle(wire.ConfigurationFetch, answer_large)
+            async with running(two):
+                host, port = two.address.split(':')
+                stream = await anyio.connect_tcp(host, int(port))
+                link = await open_link(
+                    stream, me='one', side=Side.INITIATOR, security=SECRET
+                )
+                payload = wire.encode(
+                    wire.ConfigurationFetch(), wire.EnvelopeType.CALL, 1
+                )
+                await stream.send(
+                    b''.join(link.writer.seal(payload) for _ in range(40))
+                )
+                answers = 0
+                while answers < 40 and isinstance(
+                    await link.reader.receive(), bytes
+                ):
+                    answers += 1
+                self.assertLess(answers, 10)
+                await stream.aclose()
+
+        anyio.run(check)
+
     def test_link_comes_back_after_the_peer_was_replaced(self):
         """The peer's VM is replaced; its successor listens elsewhere.
 
