--- a/packages/mimosamux-daemon/mimosamux_daemon/control/placement.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/placement.py
@@ -17,7 +17,7 @@
 
     reclaimed_share: float = 0.44
     """Share of all reclaimable VMs that may go at once."""
-    stickiness: float = 0.2
+    stickiness: float = 0.35
     """Share by which another VM has to be cheaper than a running one
     before it takes its place."""
 
