Planners tell each other counts of VMs instead of listing them all

Cause: each planner asked the platform for the VMs of every data centre at each look; at 12,000 VMs that is far more than the 26 KB a second that control may use. A summary now carries the counts by model and offer, and only the own data centre and those that have not told theirs for 20 s are listed.

--- a/benchmarks/bench_planner.py
+++ b/benchmarks/bench_planner.py
@@ -21,6 +21,7 @@
 from mimosamux_daemon.domain.plan import (
     ClassDemand,
     Offer,
+    OfferCount,
     Plan,
     ServiceRate,
 )
@@ -108,6 +109,13 @@
         rates=known.rates,
         refused=(),
         stopping=(),
+        counts=[
+            OfferCount(
+                model=MODEL, offer=offer, running=count, live=count, paid=count
+            )
+            for (_, offer), count in plan.counts.items()
+            if offer.data_centre == names[0]
+        ],
     )
     return (
         data_centres,
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
@@ -28,11 +28,17 @@
 from mimosamux_daemon.control.steps import Steps, World, find_steps
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.engine import LoadReport
-from mimosamux_daemon.domain.names import DaemonId, DataCentreName, VMId
+from mimosamux_daemon.domain.names import (
+    DaemonId,
+    DataCentreName,
+    ModelName,
+    VMId,
+)
 from mimosamux_daemon.domain.plan import (
     ClassDemand,
     ModelOffer,
     Offer,
+    OfferCount,
     Plan,
     offer_of,
 )
@@ -160,10 +166,14 @@
         may_order: bool,
     ) -> None:
         demands = forecast.update(self._exchange.own_demand())
-        await self._share(orders, lease, demands)
-        may_order &= await orders.settle(view.vms, view.asked_at)
+        own_vms = [
+            vm for vm in view.vms if vm.data_centre == self._data_centre
+        ]
+        may_order &= await orders.settle(own_vms, view.asked_at)
         self._rates.learn(self._reports())
-        world = self._describe(orders, view)
+        counts = count_own(orders, view, own_vms)
+        await self._share(orders, lease, demands, counts)
+        world = self._describe(orders, view, counts)
         self.plan = make_plan(
             PlanInput(
                 configuration=self._configuration(),
@@ -203,6 +213,7 @@
         orders: Orders,
         lease: Lease,
         demands: Sequence[ClassDemand],
+        counts: Sequence[OfferCount],
     ) -> None:
         self._sequence += 1
         summary = make_summary(
@@ -213,6 +224,7 @@
             rates=self._rates.current,
             refused=self._parts.backoff.current(),
             stopping=orders.stopping(),
+            counts=counts,
         )
         await self._exchange.exchange(summary, self.plan.ceiling_shortfalls)
 
@@ -223,8 +235,12 @@
         would be started a second time.
         """
         asked_at = anyio.current_time()
+        told = self._exchange.counts_elsewhere()
+        unknown = set(self._configuration().data_centres) - told.keys()
         with anyio.move_on_after(self._policy.call_timeout_s):
-            vms = await self._cloud.list_vms()
+            # Whole lists of all data centres would be most of what a
+            # planner receives; those that told their counts are left out.
+            vms = await self._cloud.list_vms({self._data_centre, *unknown})
             notices = await self._cloud.list_notices()
             prices = await self._cloud.list_prices()
             if isinstance(vms, Unavailable) or isinstance(
@@ -258,62 +274,102 @@
                 return any(notice.vm not in noticed for notice in notices)
         return False
 
-    def _describe(self, orders: Orders, view: View) -> World:
-        own = [
-            order for order in orders.active() if order.vm not in view.noticed
-        ]
-        stopping = orders.stopping() | self._exchange.stopping_elsewhere()
-        others = [
+    def _describe(
+        self, orders: Orders, view: View, own_counts: Sequence[OfferCount]
+    ) -> World:
+        own = _own_orders(orders, view)
+        told = self._exchange.counts_elsewhere()
+        stopping = self._exchange.stopping_elsewhere()
+        listed = [
             vm
             for vm in view.vms
             if vm.data_centre != self._data_centre
-            and vm.role is VMRole.ENDPOINT
-            and vm.model is not None
-            and vm.state is not VMState.LEAVING
+            and vm.data_centre not in told
             and vm.id not in view.noticed
-            and vm.id not in stopping
         ]
-        paid = [vm for vm in view.vms if vm.id not in view.noticed]
+        counts = [
+            *own_counts,
+            *_count_listed(listed, stopping),
+            *(item for items in told.values() for item in items),
+        ]
         return World(
             data_centre=self._data_centre,
             own=tuple(own),
             live=frozenset(order.id for order in own if orders.is_live(order)),
-            running=_count_running(own, others),
-            live_counts=_count_live(own, others, orders),
-            per_hour=self._spend(own, paid),
+            running=_sum_counts(counts, lambda item: item.running),
+            live_counts=_sum_counts(counts, lambda item: item.live),
+            per_hour=sum(
+                item.paid * self._prices.get(item.offer, 0.0)
+                for item in counts
+            ),
             prices=self._prices,
         )
 
-    def _spend(self, own: Sequence[VMOrder], paid: Sequence[VM]) -> float:
-        """Return the money an hour, with VMs that are not listed yet."""
-        listed = {vm.id for vm in paid}
-        offers = [
-            offer_of(vm)
-            for vm in paid
-            if vm.role is VMRole.ENDPOINT and vm.model is not None
-        ] + [order.offer for order in own if order.vm not in listed]
-        return sum(self._prices.get(offer, 0.0) for offer in offers)
-
 
-def _count_running(
-    own: Sequence[VMOrder], others: Sequence[VM]
-) -> Mapping[ModelOffer, int]:
-    counts: Counter[ModelOffer] = Counter()
-    counts.update((order.model, order.offer) for order in own)
-    counts.update((vm.model, offer_of(vm)) for vm in others if vm.model)
-    return counts
+def count_own(
+    orders: Orders, view: View, vms: Sequence[VM]
+) -> tuple[OfferCount, ...]:
+    """Return the VMs of the planner's own data centre."""
+    running: Counter[ModelOffer] = Counter()
+    live: Counter[ModelOffer] = Counter()
+    paid: Counter[ModelOffer] = Counter()
+    for order in _own_orders(orders, view):
+        running[order.model, order.offer] += 1
+        live[order.model, order.offer] += orders.is_live(order)
+    listed = {vm.id for vm in vms}
+    for vm in vms:
+        if _is_paid_endpoint(vm) and vm.id not in view.noticed:
+            paid[vm.model or ModelName(''), offer_of(vm)] += 1
+    for order in _own_orders(orders, view):
+        paid[order.model, order.offer] += order.vm not in listed
+    return _as_counts(running, live, paid)
+
+
+def _own_orders(orders: Orders, view: View) -> list[VMOrder]:
+    return [order for order in orders.active() if order.vm not in view.noticed]
+
+
+def _count_listed(
+    vms: Sequence[VM], stopping: frozenset[VMId]
+) -> tuple[OfferCount, ...]:
+    """Return the VMs of data centres that have not told their counts."""
+    running: Counter[ModelOffer] = Counter()
+    live: Counter[ModelOffer] = Counter()
+    paid: Counter[ModelOffer] = Counter()
+    for vm in filter(_is_paid_endpoint, vms):
+        key = (vm.model or ModelName(''), offer_of(vm))
+        paid[key] += 1
+        stays = vm.state is not VMState.LEAVING and vm.id not in stopping
+        running[key] += stays
+        live[key] += stays and vm.state is VMState.LIVE
+    return _as_counts(running, live, paid)
+
+
+def _is_paid_endpoint(vm: VM) -> bool:
+    return vm.role is VMRole.ENDPOINT and vm.model is not None
+
+
+def _as_counts(
+    running: Counter[ModelOffer],
+    live: Counter[ModelOffer],
+    paid: Counter[ModelOffer],
+) -> tuple[OfferCount, ...]:
+    return tuple(
+        OfferCount(
+            model=key[0],
+            offer=key[1],
+            running=running[key],
+            live=live[key],
+            paid=paid[key],
+        )
+        for key in running.keys() | paid.keys()
+    )
 
 
-def _count_live(
-    own: Sequence[VMOrder], others: Sequence[VM], orders: Orders
+def _sum_counts(
+    counts: Sequence[OfferCount], value: Callable[[OfferCount], int]
 ) -> Mapping[ModelOffer, int]:
-    counts: Counter[ModelOffer] = Counter()
-    counts.update(
-        (order.model, order.offer) for order in own if orders.is_live(order)
-    )
-    counts.update(
-        (vm.model, offer_of(vm))
-        for vm in others
-        if vm.model and vm.state is VMState.LIVE
-    )
-    return counts
+    total: Counter[ModelOffer] = Counter()
+    for item in counts:
+        total[item.model, item.offer] += value(item)
+    return total
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planning_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planning_exchange.py
@@ -13,6 +13,7 @@
 import anyio
 from mimosamux_wire import Message
 from mimosamux_wire.planning_messages import (
+    CountRecord,
     DemandRecord,
     DemandTold,
     OfferRecord,
@@ -35,6 +36,7 @@
     CeilingShortfall,
     ClassDemand,
     Offer,
+    OfferCount,
     ServiceRate,
 )
 from mimosamux_daemon.domain.vms import Market
@@ -46,6 +48,8 @@
 Regions lose each other for minutes; dropping their demand sooner would
 take VMs away that are needed when they come together again.
 """
+COUNTS_STALE_S = 20.0
+"""Age at which the VMs of a data centre are looked up in the list."""
 DAEMON_STALE_S = 20.0
 """Age at which what a daemon told is left out."""
 ASK_TIMEOUT_S = 1.0
@@ -227,6 +231,20 @@
             for vm in summary.stopping
         )
 
+    def counts_elsewhere(
+        self,
+    ) -> dict[DataCentreName, tuple[OfferCount, ...]]:
+        """Return the VMs of the data centres that told lately."""
+        now = anyio.current_time()
+        return {
+            DataCentreName(name): tuple(
+                _as_count(DataCentreName(name), record)
+                for record in heard.summary.counts
+            )
+            for name, heard in self._news.by_data_centre.items()
+            if now - heard.at <= COUNTS_STALE_S
+        }
+
     def rates_elsewhere(self) -> dict[tuple[ModelName, str], ServiceRate]:
         """Return the rates that other planners have learned."""
         return {
@@ -260,6 +278,7 @@
     rates: Mapping[tuple[ModelName, str], ServiceRate],
     refused: Iterable[Offer],
     stopping: Iterable[VMId],
+    counts: Iterable[OfferCount],
 ) -> PlanningSummary:
     """Return the summary of a data centre for the others."""
     return PlanningSummary(
@@ -285,6 +304,17 @@
             if offer.data_centre == data_centre
         ],
         stopping=list(stopping),
+        counts=[
+            CountRecord(
+                model=item.model,
+                machine_class=item.offer.machine_class,
+                market=str(item.offer.market),
+                running=item.running,
+                live=item.live,
+                paid=item.paid,
+            )
+            for item in counts
+        ],
     )
 
 
@@ -299,6 +329,20 @@
     return summary.fencing, summary.sequence
 
 
+def _as_count(data_centre: DataCentreName, record: CountRecord) -> OfferCount:
+    return OfferCount(
+        model=ModelName(record.model),
+        offer=Offer(
+            data_centre=data_centre,
+            machine_class=record.machine_class,
+            market=Market(record.market),
+        ),
+        running=record.running,
+        live=record.live,
+        paid=record.paid,
+    )
+
+
 def _as_record(demand: ClassDemand) -> DemandRecord:
     return DemandRecord(
         model=demand.model,
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/plan.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/plan.py
@@ -60,6 +60,20 @@
 ModelOffer = tuple[ModelName, Offer]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OfferCount:
+    """VMs of one offer for one model."""
+
+    model: ModelName
+    offer: Offer
+    running: int
+    """There to stay, those that are starting included."""
+    live: int
+    """Those of them that serve."""
+    paid: int
+    """All that are paid for, those being drained included."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Need:
     """Replicas of a model that its targets ask for."""
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -148,16 +148,6 @@
   2: string market
 }
 
-struct PlanningSummary {
-  1: string data_centre
-  2: i64 fencing
-  3: i64 sequence
-  4: list<DemandRecord> demands
-  5: list<RateRecord> rates
-  6: list<OfferRecord> refused
-  7: list<string> stopping
-}
-
 struct ShortfallRecord {
   1: string work_class
   2: double needed_per_hour
@@ -199,3 +189,23 @@
   1: string request
   2: i32 attempt
 }
+
+struct CountRecord {
+  1: string model
+  2: string machine_class
+  3: string market
+  4: i32 running
+  5: i32 live
+  6: i32 paid
+}
+
+struct PlanningSummary {
+  1: string data_centre
+  2: i64 fencing
+  3: i64 sequence
+  4: list<DemandRecord> demands
+  5: list<RateRecord> rates
+  6: list<OfferRecord> refused
+  7: list<string> stopping
+  8: list<CountRecord> counts
+}
--- a/packages/mimosamux-wire/mimosamux_wire/planning_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/planning_messages.py
@@ -63,6 +63,30 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class CountRecord(Message):
+    """VMs of one offer for one model in a data centre."""
+
+    model: str = ''
+    machine_class: str = ''
+    market: str = ''
+    running: int = 0
+    """There to stay, those that are starting included."""
+    live: int = 0
+    """Those of them that serve."""
+    paid: int = 0
+    """All that are paid for, those being drained included."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'model', 'UTF8', ''),
+        (2, TType.STRING, 'machine_class', 'UTF8', ''),
+        (3, TType.STRING, 'market', 'UTF8', ''),
+        (4, TType.I32, 'running', None, 0),
+        (5, TType.I32, 'live', None, 0),
+        (6, TType.I32, 'paid', None, 0),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class PlanningSummary(Message):
     """What the other planners need to know of a data centre."""
@@ -77,6 +101,7 @@
     """Offers that had no VM to give a short time ago."""
     stopping: list[str] = field(default_factory=list)
     """VMs that are being drained."""
+    counts: list[CountRecord] = field(default_factory=list)
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'data_centre', 'UTF8', ''),
@@ -86,6 +111,7 @@
         (5, TType.LIST, 'rates', _list_of(RateRecord), None),
         (6, TType.LIST, 'refused', _list_of(OfferRecord), None),
         (7, TType.LIST, 'stopping', (TType.STRING, 'UTF8', False), None),
+        (8, TType.LIST, 'counts', _list_of(CountRecord), None),
     )
 
 
