--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -53,7 +53,13 @@
 MAX_REFUSAL_BYTES = 64 * 1024
 REFUSALS = frozenset({400, 404, 409, 413, 422, 429, 503})
 """Statuses with which an engine says that it does not take a call."""
-NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+NOT_SENT = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+    httpx.UnsupportedProtocol,
+    httpx.InvalidURL,
+)
 """Errors that come before the first byte of a call is sent."""
 BUFFERED_S = 0.0005
 """A read that takes no longer came from a buffer, which may hold more."""
@@ -264,7 +270,7 @@
         except NOT_SENT as error:
             yield ConnectFailed(reason=describe(error))
             return
-        except (httpx.HTTPError, httpx.InvalidURL) as error:
+        except httpx.HTTPError as error:
             yield StreamBroken(reason=describe(error))
             return
         try:
