--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -346,6 +346,7 @@
             rng=random.Random(rng.random()),
         )
         choose = router.choose if chooser is None else chooser(fleet, router)
+        gate = Admission(policy=admission, rng=random.Random(1))
         ownership = Ownership(
             daemon=DaemonId(name),
             data_centre=HERE,
@@ -354,11 +355,12 @@
             peers=network.join(name),  # type: ignore[arg-type]
             members=members,
             rng=random.Random(rng.random()),
+            shares=gate.shares,
         )
         built.append(
             ModelledDaemon(
                 fleet=fleet,
-                admission=Admission(policy=admission, rng=random.Random(1)),
+                admission=gate,
                 ownership=ownership,
                 choose=choose,
             )
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/digests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/digests.py
@@ -149,6 +149,7 @@
             interval_ms=news.interval_ms,
             full=True,
             endpoints=list(sent.values()),
+            accounts=news.accounts,
         )
 
     def _write_load(
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -14,6 +14,10 @@
 import xxhash
 from mimosamux_wire import FleetDigest, FullDigestWanted, Message
 
+from mimosamux_daemon.control.account_digests import (
+    apply_accounts,
+    write_accounts,
+)
 from mimosamux_daemon.control.digests import (
     DIGEST_INTERVAL_S,
     DigestWriter,
@@ -34,6 +38,7 @@
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports.engine import Engines, ReportStream
 from mimosamux_daemon.ports.peer import Peers
+from mimosamux_daemon.serving.fair_shares import FairShares
 from mimosamux_daemon.serving.fleet import Fleet
 
 log = get_log('ownership')
@@ -101,6 +106,7 @@
         group: Callable[[], tuple[DataCentreName, ...]] | None = None,
         rng: random.Random | None = None,
         metrics: Metrics | None = None,
+        shares: FairShares | None = None,
     ) -> None:
         """Take the parts; `group` names data centres that share digests.
 
@@ -122,6 +128,7 @@
         self._full_for: set[DaemonId] = set()
         self._known_peers: frozenset[DaemonId] = frozenset()
         self._metrics = metrics
+        self._shares = shares
         peers.handle(FleetDigest, self._take_digest)
         peers.handle(FullDigestWanted, self._take_wish)
 
@@ -241,6 +248,8 @@
         self._full_for |= set(peers) - self._known_peers
         self._known_peers = frozenset(peers)
         news = self._writer.write(peers=len(peers))
+        if self._shares is not None:
+            news.accounts = write_accounts(self._shares)
         full: FleetDigest | None = None
         # Wishes that come while this digest is sent are for the next one.
         wishes, self._full_for = self._full_for, set()
@@ -264,6 +273,8 @@
         self, sender: DaemonId, digest: FleetDigest
     ) -> Message | None:
         apply_digest(self._fleet, digest)
+        if self._shares is not None:
+            apply_accounts(self._shares, digest)
         last = self._sequence_by_peer.get(sender)
         self._sequence_by_peer[sender] = digest.sequence
         in_order = last is not None and digest.sequence == last + 1
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/admission.py
@@ -61,7 +61,7 @@
         self._over_ceiling = over_ceiling
         self._policy = AdmissionPolicy() if policy is None else policy
         self._rng = random.Random() if rng is None else rng
-        self._shares = FairShares(window_s=self._policy.window_s)
+        self.shares = FairShares(window_s=self._policy.window_s)
         self._open_by_account: Counter[AccountId] = Counter()
         self._account_by_request: dict[RequestId, AccountId] = {}
 
@@ -82,7 +82,7 @@
         """
         if request.id in self._account_by_request:
             raise InvariantBroken(f'request {request.id} acquired twice')
-        self._shares.note_offered(
+        self.shares.note_offered(
             account.id,
             share=account.share,
             tokens=tokens,
@@ -92,7 +92,7 @@
         refused = self._find_refusal(account, request, first_token_s, limit)
         if refused is not None:
             return refused
-        self._shares.note_admitted(account.id, tokens=tokens)
+        self.shares.note_admitted(account.id, tokens=tokens)
         self._open_by_account[account.id] += 1
         self._account_by_request[request.id] = account.id
         return None
@@ -117,7 +117,7 @@
         demand all the same; without it an account that floods would
         look as if it got all that it asks for.
         """
-        self._shares.note_offered(
+        self.shares.note_offered(
             account.id,
             share=account.share,
             tokens=tokens,
@@ -155,7 +155,7 @@
         )
 
     def _limit_share(self, account: AccountId, is_sure: bool) -> float:
-        if not self._shares.is_over(account):
+        if not self.shares.is_over(account):
             return self._policy.full_share
         if is_sure:
             return self._policy.over_share
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -16,6 +16,7 @@
     encode,
 )
 from mimosamux_wire.fleet_messages import (
+    AccountUse,
     EndpointDigest,
     FleetDigest,
     FullDigestWanted,
@@ -68,6 +69,7 @@
     'FullDigestWanted',
     'LeavingEndpoint',
     'LeavingEndpoints',
+    'AccountUse',
     'Acknowledged',
     'CommittedVersion',
     'ConfigurationFetch',
--- a/packages/mimosamux-wire/mimosamux_wire/fleet_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/fleet_messages.py
@@ -56,6 +56,25 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class AccountUse(Message):
+    """What a client account asked for and got at the sender lately."""
+
+    account: int = 0
+    """xxh32 of the account's id, as a signed number."""
+    share_percent: int = 0
+    offered_tokens: int = 0
+    admitted_tokens: int = 0
+
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.I32, 'account', None, 0),
+        (2, TType.I32, 'share_percent', None, 0),
+        (3, TType.I64, 'offered_tokens', None, 0),
+        (4, TType.I64, 'admitted_tokens', None, 0),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class FleetDigest(Message):
     """News of the endpoints that the sender owns or sent work to."""
@@ -67,6 +86,8 @@
     full: bool = False
     """True: it brings everything the sender knows, not just news."""
     endpoints: list[EndpointDigest] = field(default_factory=list)
+    accounts: list[AccountUse] = field(default_factory=list)
+    """The accounts that asked the sender for the most."""
 
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
@@ -84,6 +105,13 @@
             ),
             None,
         ),
+        (
+            5,
+            TType.LIST,
+            'accounts',
+            (TType.STRUCT, [AccountUse, AccountUse.thrift_spec], False),
+            None,
+        ),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -113,6 +113,14 @@
   2: i32 interval_ms
   3: bool full
   4: list<EndpointDigest> endpoints
+  5: list<AccountUse> accounts
+}
+
+struct AccountUse {
+  1: i32 account
+  2: i32 share_percent
+  3: i64 offered_tokens
+  4: i64 admitted_tokens
 }
 
 struct FullDigestWanted {
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -9,6 +9,11 @@
 from mimosamux_daemon.domain.work import Account
 from mimosamux_daemon.errors import InvariantBroken
 from mimosamux_daemon.serving.admission import Admission, AdmissionPolicy
+from mimosamux_daemon.serving.fair_shares import (
+    FairShares,
+    NewUse,
+    key_of_account,
+)
 
 from tests.support.clock import run_paused
 from tests.support.fleets import LOOKUP, make_request
@@ -108,6 +113,49 @@
         run_paused(check)
 
 
+class TestSharedUse(unittest.TestCase):
+    """Two accounts at one daemon, and a flood that others see too.
+
+    All callers of a small account come to one daemon, where it asks for
+    more than the part of the flood that comes there. By this daemon's
+    view alone it would be the one that takes too much.
+    """
+
+    def use_here(self, shares):
+        for account, offered in ((SMALL.id, 40), (LARGE.id, 30)):
+            shares.note_offered(account, share=1.0, tokens=offered, now=0.0)
+            shares.note_admitted(account, tokens=25)
+
+    def test_small_account_is_not_over_where_peers_tell_of_the_flood(self):
+        shares = FairShares(window_s=5.0)
+        self.use_here(shares)
+        for _ in range(10):
+            elsewhere = NewUse(
+                key=key_of_account(LARGE.id),
+                share=1.0,
+                offered=30,
+                admitted=20,
+            )
+            shares.note_peer(elsewhere)
+        shares.note_offered(SMALL.id, share=1.0, tokens=1, now=0.5)
+        self.assertFalse(shares.is_over(SMALL.id))
+        self.assertTrue(shares.is_over(LARGE.id))
+
+    def test_check_fails_without_the_peers(self):
+        shares = FairShares(window_s=5.0)
+        self.use_here(shares)
+        shares.note_offered(SMALL.id, share=1.0, tokens=1, now=0.5)
+        self.assertTrue(shares.is_over(SMALL.id))
+
+    def test_new_use_is_told_once_and_the_largest_first(self):
+        shares = FairShares(window_s=5.0)
+        self.use_here(shares)
+        (first,) = shares.take_new(1)
+        self.assertEqual(first.key, key_of_account(SMALL.id))
+        self.assertEqual((first.offered, first.admitted), (40, 25))
+        self.assertEqual(shares.take_new(1), [])
+
+
 async def flood(admission: Admission) -> tuple[int, int]:
     """Return what got in where room is kept for others, after a flood."""
     for _ in range(100):
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -17,7 +17,13 @@
     spread_endpoints,
 )
 from mimosamux_daemon.domain.engine import CacheEvent
-from mimosamux_daemon.domain.names import DaemonId, EndpointId, RequestId
+from mimosamux_daemon.domain.names import (
+    AccountId,
+    DaemonId,
+    EndpointId,
+    RequestId,
+)
+from mimosamux_daemon.serving.fair_shares import FairShares
 from mimosamux_daemon.serving.fleet import SUSPECT_AFTER, PromptWork
 from mimosamux_daemon.serving.prefix_cache import hash_prompt
 
@@ -38,6 +44,7 @@
         self.members = FakeMembers({'riga-1': list(DAEMONS)})
         self.fleets = {name: make_fleet(endpoints) for name in DAEMONS}
         self.scopes = {}
+        self.shares = {name: FairShares(window_s=5.0) for name in DAEMONS}
         self.parts = {
             name: Ownership(
                 daemon=DaemonId(name),
@@ -46,6 +53,7 @@
                 engines=self.engines,
                 peers=self.network.join(name),
                 members=self.members,
+                shares=self.shares[name],
                 rng=random.Random(name),
             )
             for name, fleet in self.fleets.items()
@@ -195,6 +203,23 @@
 
         run_paused(group.run, check)
 
+    def test_use_of_accounts_reaches_the_others(self):
+        group = Group()
+
+        async def check():
+            account = AccountId('large')
+            here = group.shares['d0']
+            here.note_offered(account, share=2.0, tokens=500, now=0.0)
+            here.note_admitted(account, tokens=400)
+            await anyio.sleep(1.5)
+            for name in ('d1', 'd2'):
+                shares = group.shares[name]
+                now = anyio.current_time()
+                shares.note_offered(account, share=2.0, tokens=1, now=now)
+                self.assertTrue(shares.is_over(account))
+
+        run_paused(group.run, check)
+
     def test_cache_changes_reach_the_others_and_gaps_bring_doubt(self):
         group = Group()
         blocks = hash_prompt(b'p' * 2048)
