--- a/benchmarks/bench_routing.py
+++ b/benchmarks/bench_routing.py
@@ -12,6 +12,7 @@
 
 import anyio
 import anyio.abc
+from mimosamux_daemon.control.account_digests import write_accounts
 from mimosamux_daemon.control.digests import DigestWriter
 from mimosamux_daemon.domain.engine import CacheEvent, LoadReport
 from mimosamux_daemon.domain.names import (
@@ -22,6 +23,7 @@
 )
 from mimosamux_daemon.domain.work import ModelRequest, WorkClass
 from mimosamux_daemon.serving.admission import AdmissionPolicy
+from mimosamux_daemon.serving.fair_shares import FairShares
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.prefix_cache import PrefixCache, hash_prompt
 from mimosamux_daemon.serving.routing import Router
@@ -44,6 +46,7 @@
 SIZES = (12, 35, 375, 1_500, 3_000)
 SHARED_BYTES = 2_048
 BLOCKS = 32
+ACCOUNTS = 8
 NO_ADMISSION = AdmissionPolicy(
     full_share=1e9, over_share=1e9, unsure_share=1e9
 )
@@ -253,6 +256,7 @@
         fleet.add(make_endpoint(number))
     ids = list(fleet.by_id)
     writer = DigestWriter(fleet=fleet)
+    shares = FairShares(window_s=5.0)
     sizes = []
     for second in range(11):
         await anyio.sleep(1)
@@ -274,7 +278,15 @@
             id_ = rng.choice(ids)
             fleet.note_sent(id_, request, 1)
             fleet.note_finished(id_, request)
-        digest = writer.write(peers=daemons - 1)
+        for number in range(ACCOUNTS):
+            account = AccountId(f'account-{number}')
+            shares.note_offered(
+                account, share=1.0, tokens=2_000.0 + number, now=second
+            )
+            shares.note_admitted(account, tokens=1_900.0)
+        digest = writer.write(
+            peers=daemons - 1, accounts=write_accounts(shares)
+        )
         sizes.append(len(serialize(digest, FACTORY)))
     return sizes[1:]
 
@@ -305,8 +317,8 @@
             'sent and received B/s',
         ),
         rows=tuple(rows),
-        note='20 requests/s a daemon, each with 32 new and 32 evicted blocks'
-        '; thrift compact, without framing',
+        note='20 requests/s a daemon, each with 32 new and 32 evicted blocks;'
+        ' 8 accounts; thrift compact, without framing',
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/account_digests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/account_digests.py
@@ -4,9 +4,9 @@
 
 from mimosamux_daemon.serving.fair_shares import FairShares, NewUse
 
-MOST_ACCOUNTS = 16
-"""Accounts in a digest: about 270 bytes. One that is left out asked for
-less than 16 others, and its use elsewhere is not missed much."""
+MOST_ACCOUNTS = 8
+"""Accounts in a digest: about 140 bytes. One that is left out asked for
+less than 8 others, and its use elsewhere is not missed much."""
 
 
 def write_accounts(shares: FairShares) -> list[AccountUse]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/digests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/digests.py
@@ -1,11 +1,11 @@
 """Digests: what a daemon tells its peers about endpoints each second."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 import anyio
-from mimosamux_wire import EndpointDigest, FleetDigest
+from mimosamux_wire import AccountUse, EndpointDigest, FleetDigest
 
 from mimosamux_daemon.control.cache_news import (
     KEY_BYTES,
@@ -35,6 +35,8 @@
 """Keys in a full digest, which goes to a peer that is new."""
 REPORT_BYTES = 20
 """Size of an endpoint's load and sends in a digest, as measured."""
+ACCOUNT_BYTES = 17
+"""Size of an account's use in a digest, as measured."""
 CACHE_ITEM_BYTES = 4
 """What the two lists of keys add to an endpoint, without the keys."""
 
@@ -102,7 +104,9 @@
         self._speeds_by_id.pop(endpoint, None)
         self._doubt_by_id.pop(endpoint, None)
 
-    def write(self, *, peers: int) -> FleetDigest:
+    def write(
+        self, *, peers: int, accounts: Sequence[AccountUse] = ()
+    ) -> FleetDigest:
         """Return the news since the last digest, for `peers` peers."""
         now = anyio.current_time()
         recent = self._fleet.take_recent()
@@ -114,6 +118,7 @@
         }
         allowed = BUDGET_BYTES_PER_S * DIGEST_INTERVAL_S / 2 / max(peers, 1)
         left = allowed - len(items) * REPORT_BYTES
+        left -= len(accounts) * ACCOUNT_BYTES
         self._write_cache(items, int(left))
         self._sequence += 1
         since = now if self._written_at is None else self._written_at
@@ -123,6 +128,7 @@
             sequence=self._sequence,
             interval_ms=int((now - since) * 1000),
             endpoints=list(items.values()),
+            accounts=list(accounts),
         )
 
     def write_full(
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -247,9 +247,8 @@
         peers = self.peers()
         self._full_for |= set(peers) - self._known_peers
         self._known_peers = frozenset(peers)
-        news = self._writer.write(peers=len(peers))
-        if self._shares is not None:
-            news.accounts = write_accounts(self._shares)
+        accounts = write_accounts(self._shares) if self._shares else []
+        news = self._writer.write(peers=len(peers), accounts=accounts)
         full: FleetDigest | None = None
         # Wishes that come while this digest is sent are for the next one.
         wishes, self._full_for = self._full_for, set()
