--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine_streams.py
@@ -0,0 +1,161 @@
+"""Event streams of model engines: answers and reports."""
+
+from collections import deque
+from collections.abc import Iterable
+
+import anyio
+import httpx
+import pydantic
+
+from mimosamux_daemon.adapters.http_engine_models import (
+    FrameModel,
+    ReportModel,
+)
+from mimosamux_daemon.domain.engine import (
+    EngineEvent,
+    EngineReport,
+    StreamBroken,
+    StreamEnd,
+    TokenFrame,
+)
+from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.errors import InvariantBroken
+
+FINISH_TIMEOUT_S = 0.1
+MAX_EVENT_BYTES = 1024 * 1024
+EVENT_END = b'\n\n'
+DATA = b'data:'
+
+
+class EventReader:
+    """Server-sent events of a response, as the bytes of their data."""
+
+    def __init__(self, response: httpx.Response) -> None:
+        # The raw stream: `aiter_raw` adds two layers to each event.
+        self._chunks = aiter(as_byte_stream(response))
+        self._rest = b''
+
+    async def receive(self) -> list[bytes] | None:
+        """Return all events that are ready, None at the end."""
+        while True:
+            chunk = await anext(self._chunks, None)
+            if chunk is None:
+                return None
+            *whole, self._rest = (self._rest + chunk).split(EVENT_END)
+            if len(self._rest) > MAX_EVENT_BYTES:
+                return None
+            events = [data for event in whole if (data := data_of(event))]
+            if events:
+                return events
+
+
+def as_byte_stream(response: httpx.Response) -> httpx.AsyncByteStream:
+    """Return the body of a response as it comes."""
+    if not isinstance(response.stream, httpx.AsyncByteStream):
+        raise InvariantBroken('a response without an asynchronous body')
+    return response.stream
+
+
+def data_of(event: bytes) -> bytes:
+    """Return the data of one event, empty for a comment."""
+    if event.startswith(DATA) and b'\n' not in event:
+        return event[len(DATA) :]
+    lines = event.splitlines()
+    return b'\n'.join(
+        line[len(DATA) :].strip() for line in lines if line.startswith(DATA)
+    )
+
+
+class HttpEngineStream:
+    """An answer that comes as server-sent events."""
+
+    def __init__(self, response: httpx.Response) -> None:
+        self._reader = EventReader(response)
+        self._ready: deque[EngineEvent] = deque()
+        self._has_end = False
+
+    async def finish(self) -> None:
+        """Read to the end of the body, so that the connection is kept.
+
+        Without this, every call would open a new connection, which
+        takes several passes of a busy event loop.
+        """
+        if self._has_end:
+            with anyio.move_on_after(FINISH_TIMEOUT_S):
+                while await self._reader.receive() is not None:
+                    pass
+
+    async def receive(self) -> EngineEvent:
+        """Return the next event, with frames that are ready joined."""
+        while not self._ready:
+            try:
+                events = await self._reader.receive()
+                if events is None:
+                    return StreamBroken(reason='ended without its end marker')
+                self._ready.extend(join_frames(parse_events(events)))
+            except httpx.HTTPError as error:
+                return StreamBroken(reason=describe(error))
+            except pydantic.ValidationError:
+                return StreamBroken(reason='malformed event')
+        event = self._ready.popleft()
+        self._has_end = isinstance(event, StreamEnd)
+        return event
+
+
+def parse_events(events: list[bytes]) -> Iterable[EngineEvent]:
+    """Return the checked events of an answer."""
+    for data in events:
+        yield FrameModel.model_validate_json(data).as_event()
+
+
+def join_frames(events: Iterable[EngineEvent]) -> list[EngineEvent]:
+    """Return the events with adjoining frames made one."""
+    joined: list[EngineEvent] = []
+    for event in events:
+        last = joined[-1] if joined else None
+        if (
+            isinstance(event, TokenFrame)
+            and isinstance(last, TokenFrame)
+            and event.request == last.request
+            and event.attempt == last.attempt
+            and event.offset == last.offset + len(last.tokens)
+        ):
+            joined[-1] = TokenFrame(
+                request=last.request,
+                attempt=last.attempt,
+                offset=last.offset,
+                tokens=last.tokens + event.tokens,
+            )
+        else:
+            joined.append(event)
+    return joined
+
+
+class HttpReportStream:
+    """Reports that come as server-sent events."""
+
+    def __init__(self, response: httpx.Response, endpoint: Endpoint) -> None:
+        self._reader = EventReader(response)
+        self._endpoint = endpoint
+        self._ready: deque[EngineReport] = deque()
+
+    async def receive(self) -> EngineReport | None:
+        """Return the next report, None when the stream has ended."""
+        while not self._ready:
+            try:
+                events = await self._reader.receive()
+                if events is None:
+                    return None
+                for data in events:
+                    model = ReportModel.model_validate_json(data)
+                    report = model.as_report(self._endpoint.id)
+                    if report is not None:
+                        self._ready.append(report)
+            except (httpx.HTTPError, pydantic.ValidationError):
+                return None
+        return self._ready.popleft()
+
+
+def describe(error: Exception) -> str:
+    """Return a short text that names an error."""
+    return f'{type(error).__name__}: {error}'
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/drivers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/drivers.py
@@ -7,11 +7,7 @@
 from mimosamux_daemon.domain.engine import EngineCall, StreamEnd
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.domain.outcomes import (
-    Answered,
-    Failed,
-    Outcome,
     Reason,
-    Unknown,
 )
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
@@ -23,6 +19,7 @@
     Transferred,
     count_tokens,
 )
+from mimosamux_daemon.serving.endings import answered, failed, given_up
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.relay import (
     AttemptBroken,
@@ -33,6 +30,7 @@
 from mimosamux_daemon.serving.requests import ActiveRequest
 from mimosamux_daemon.serving.retries import RetryBudget
 from mimosamux_daemon.serving.routing import Choice, Router
+from mimosamux_daemon.serving.suspects import Suspects
 from mimosamux_daemon.serving.watch import AttemptWatch
 
 log = get_log('serving')
@@ -40,13 +38,6 @@
 SHORTEST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
 """Pauses between looks for an endpoint double between these two."""
-SUSPECT_S = {
-    BreakCause.CONNECT: 3.0,
-    BreakCause.STREAM: 1.0,
-    BreakCause.SILENT: 10.0,
-    BreakCause.REFUSED: 0.5,
-}
-"""How long an endpoint is passed over after each kind of break."""
 PAID_CAUSES = frozenset({BreakCause.STREAM, BreakCause.FRAMES})
 """Breaks that spend the retry budget; silence has paid before."""
 FLAT_REFUSALS = 3
@@ -54,33 +45,6 @@
 CANCEL_TIMEOUT_S = 1.0
 
 
-@dataclass(kw_only=True, slots=True)
-class Suspects:
-    """Endpoints that failed a moment ago, passed over for a while.
-
-    Without them, every request of a dead endpoint would find out by
-    itself, and new ones would go there until the fleet forgets it.
-    """
-
-    _until_by_id: dict[EndpointId, float] = field(default_factory=dict)
-
-    def note(self, endpoint: EndpointId, cause: BreakCause) -> None:
-        """Pass an endpoint over for a while."""
-        pause = SUSPECT_S.get(cause)
-        if pause is not None:
-            self._until_by_id[endpoint] = anyio.current_time() + pause
-
-    def current(self) -> frozenset[EndpointId]:
-        """Return the endpoints to pass over now."""
-        if not self._until_by_id:
-            return frozenset()
-        now = anyio.current_time()
-        for endpoint, until in tuple(self._until_by_id.items()):
-            if until <= now:
-                del self._until_by_id[endpoint]
-        return frozenset(self._until_by_id)
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DriverParts:
     """What all drivers of a daemon share."""
@@ -119,7 +83,7 @@
             with self.scope:
                 await self._go_through_attempts(choice)
             if not (self.active.has_ended or self.is_parked):
-                self.active.end(self._give_up())
+                self.active.end(given_up(self.active))
         finally:
             self.stopped.set()
 
@@ -131,12 +95,12 @@
             result = await self._attempt(choice, handle)
             choice, handle = None, None
             if isinstance(result, StreamEnd):
-                self.active.end(self._answered(result))
+                self.active.end(answered(self.active, result))
             elif isinstance(result, Transferred):
                 choice, handle = result.choice, result.handle
                 self.cause = BreakCause.RECLAIM
             elif isinstance(result, CallerGone):
-                self.active.end(self._failed(Reason.CALLER_GONE))
+                self.active.end(failed(self.active, Reason.CALLER_GONE))
             else:
                 await self._after_break(result)
 
@@ -280,7 +244,7 @@
             await self._pause()
             return
         if not request.work_class.repeatable:
-            self.active.end(self._give_up())
+            self.active.end(given_up(self.active))
             return
         if broken.cause is BreakCause.REFUSED:
             await self._after_refusal(broken)
@@ -295,7 +259,7 @@
             return
         self.flat_refusals += 1
         if self.flat_refusals >= FLAT_REFUSALS:
-            self.active.end(self._failed(Reason.ENDPOINT_FAILED))
+            self.active.end(failed(self.active, Reason.ENDPOINT_FAILED))
             return
         await self._pause()
 
@@ -305,39 +269,6 @@
                 attempt.endpoint, attempt.call.request, attempt.call.attempt
             )
 
-    def _answered(self, end: StreamEnd) -> Answered:
-        return Answered(
-            request=self.active.request.id,
-            text=''.join(self.active.tokens),
-            tokens=len(self.active.tokens),
-            finish_reason=end.finish_reason,
-        )
-
-    def _give_up(self) -> Outcome:
-        request = self.active.request
-        if anyio.current_time() >= request.deadline:
-            return self._failed(Reason.DEADLINE)
-        if self.active.tokens:
-            return self._failed(Reason.ENDPOINT_FAILED)
-        return Unknown(
-            request=request.id,
-            message='the endpoint was lost before it gave an answer',
-        )
-
-    def _failed(self, reason: Reason) -> Failed:
-        return Failed(
-            request=self.active.request.id,
-            reason=reason,
-            message=FAILURE_TEXT[reason],
-        )
-
-
-FAILURE_TEXT = {
-    Reason.CALLER_GONE: 'nobody read the answer any more',
-    Reason.DEADLINE: 'the deadline of its class passed',
-    Reason.ENDPOINT_FAILED: 'no endpoint gave a whole answer',
-}
-
 
 def is_silence(result: AttemptResult) -> bool:
     """Whether the attempt was given up because the engine was silent."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -19,7 +19,6 @@
 from mimosamux_daemon.serving.drivers import (
     DriverParts,
     RequestDriver,
-    Suspects,
 )
 from mimosamux_daemon.serving.first_tokens import FirstTokens
 from mimosamux_daemon.serving.fleet import Fleet
@@ -33,6 +32,7 @@
 )
 from mimosamux_daemon.serving.retries import RetryBudget
 from mimosamux_daemon.serving.routing import Choice, Router
+from mimosamux_daemon.serving.suspects import Suspects
 from mimosamux_daemon.serving.watch import AttemptWatch
 
 log = get_log('serving')
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http_engine import (
     HttpEngines,
-    HttpEngineStream,
 )
+from mimosamux_daemon.adapters.http_engine_streams import HttpEngineStream
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.memory_engine import (
     EngineSpeed,
