--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -11,8 +11,8 @@
 from mimosamux_daemon.adapters.engine_clients import Pace
 from mimosamux_daemon.adapters.http_engine import (
     HttpEngines,
-    HttpEngineStream,
 )
+from mimosamux_daemon.adapters.http_engine_streams import HttpEngineStream
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.memory_engine import (
     EngineSpeed,
