Serving is built once the daemon's incarnation is final

Nothing stopped a daemon that a newer process had superseded, and a reclaim notice that came during a planned stop was not heeded.

--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -11,9 +11,13 @@
 
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.tls import ReloadingCertificate
-from mimosamux_daemon.api.app import build_app
+from mimosamux_daemon.api.app import (
+    SwitchedApp,
+    build_app,
+    build_starting_app,
+)
 from mimosamux_daemon.control.configuration import ConfigurationInForce
-from mimosamux_daemon.control_parts import build_control
+from mimosamux_daemon.control_parts import ControlParts, build_control
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.parts import DaemonParts
@@ -55,7 +59,9 @@
         """Set once the daemon is ready to serve."""
         self.stopping = anyio.Event()
         self._closed = anyio.Event()
-        self._seconds_left: float | None = None
+        self._gone_at: float | None = None
+        """Time at which the platform takes this VM, if it said so."""
+        self._stop_scope = anyio.CancelScope()
         self._wall_clock = wall_clock
 
     def stop(self) -> None:
@@ -66,16 +72,15 @@
         """Serve until the stop, and finish what is open by then."""
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
+        app = SwitchedApp(current=build_starting_app(self._why_not_ready))
         async with (
             open_platform(self.settings) as platform,
             anyio.create_task_group() as tasks,
         ):
-            parts = self._build_parts(platform, tasks)
-            await self._start(tasks, parts)
+            tasks.start_soon(self._run_parts, platform, tasks, app)
             tasks.start_soon(self._wait_for_reclaim, platform)
-            tasks.start_soon(self._stop_in_order, parts)
             await serve_http(
-                self._build_app(parts),
+                app,
                 listener,
                 shutdown=self._closed.wait,
                 grace_s=CLOSE_GRACE_S,
@@ -84,16 +89,35 @@
             tasks.cancel_scope.cancel()
         log.info('stopped', daemon=self.settings.daemon)
 
-    async def _start(
-        self, tasks: anyio.abc.TaskGroup, parts: DaemonParts
+    async def _run_parts(
+        self,
+        platform: Platform,
+        tasks: anyio.abc.TaskGroup,
+        app: SwitchedApp,
+    ) -> None:
+        control = self._build_control(platform)
+        tasks.start_soon(self._stop_when_superseded, control)
+        with anyio.CancelScope() as starting:
+            tasks.start_soon(self._stop_early, starting)
+            await self._start_control(tasks, control)
+            control.membership.become_ready()
+            # Only now is the incarnation final, which rows in the table
+            # carry: one that changed later would make this daemon's own
+            # calls and records look like those of a dead one.
+            parts = self._build_parts(platform, control, tasks)
+            app.current = self._build_app(parts)
+            await self._start_serving(tasks, parts)
+        if self.started.is_set():
+            await self._stop_in_order(parts)
+        self._closed.set()
+
+    async def _start_control(
+        self, tasks: anyio.abc.TaskGroup, control: ControlParts
     ) -> None:
-        control = parts.control
         tasks.start_soon(control.peers.run)
         await control.peers.listening.wait()
         tasks.start_soon(control.membership.run)
         tasks.start_soon(control.acceptor.run)
-        parts.serving.start(tasks)
-        tasks.start_soon(self._become_ready, tasks, parts)
         log.info(
             'listening',
             daemon=self.settings.daemon,
@@ -101,17 +125,16 @@
             peer_address=control.peers.address,
         )
         self.listening.set()
+        await control.start()
+        tasks.start_soon(control.sync.run)
 
-    async def _become_ready(
+    async def _start_serving(
         self, tasks: anyio.abc.TaskGroup, parts: DaemonParts
     ) -> None:
-        control = parts.control
-        await control.start()
-        tasks.start_soon(control.sync.run)
         await parts.serving.keeper.poll_vms()
+        parts.serving.start(tasks)
         if parts.planning.planner is not None:
             tasks.start_soon(parts.planning.planner.run)
-        control.membership.become_ready()
         self.started.set()
         log.info(
             'ready',
@@ -119,10 +142,8 @@
             version=self.in_force.current.version,
         )
 
-    def _build_parts(
-        self, platform: Platform, tasks: anyio.abc.TaskGroup
-    ) -> DaemonParts:
-        control = build_control(
+    def _build_control(self, platform: Platform) -> ControlParts:
+        return build_control(
             settings=self.settings,
             platform=platform,
             metrics=self.metrics,
@@ -130,6 +151,13 @@
             caller_address=lambda: self.address,
             wall_clock=self._wall_clock,
         )
+
+    def _build_parts(
+        self,
+        platform: Platform,
+        control: ControlParts,
+        tasks: anyio.abc.TaskGroup,
+    ) -> DaemonParts:
         news = build_news(self.settings, control)
         serving = build_serving(
             settings=self.settings,
@@ -160,18 +188,32 @@
         )
 
     async def _wait_for_reclaim(self, platform: Platform) -> None:
-        self._seconds_left = await wait_for_notice(
-            platform.cloud, self.settings.vm
-        )
+        left_s = await wait_for_notice(platform.cloud, self.settings.vm)
+        self._gone_at = anyio.current_time() + left_s
+        self.stopping.set()
+        # A stop that is under way without a limit starts over with one.
+        self._stop_scope.cancel()
+
+    async def _stop_when_superseded(self, control: ControlParts) -> None:
+        """Stop when a newer process runs under this daemon's name."""
+        await control.membership.superseded.wait()
         self.stopping.set()
 
+    async def _stop_early(self, starting: anyio.CancelScope) -> None:
+        """Give up a start that has not come to its end."""
+        await self.stopping.wait()
+        if not self.started.is_set():
+            starting.cancel()
+
     async def _stop_in_order(self, parts: DaemonParts) -> None:
         await self.stopping.wait()
         sequence = StopSequence(
             parts=_as_stop_parts(parts), grace_s=self.settings.stop_grace_s
         )
-        await sequence.run(self._seconds_left)
-        self._closed.set()
+        while not self._closed.is_set():
+            with anyio.CancelScope() as self._stop_scope:
+                await sequence.run(self._gone_at)
+                self._closed.set()
 
     def _why_not_ready(self) -> str | None:
         if self.stopping.is_set():
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -172,6 +172,7 @@
             engines=platform.engines,
             peers=control.peers,
             members=membership,
+            shares=admission.shares,
             group=lambda: (
                 settings.endpoint_data_centres or membership.data_centres()
             ),
--- a/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
@@ -46,15 +46,13 @@
         self._parts = parts
         self._grace_s = grace_s
 
-    async def run(self, seconds_left: float | None = None) -> None:
+    async def run(self, last: float | None = None) -> None:
         """Return when nothing is open here any more.
 
-        `seconds_left` is the time of a reclaim notice; a planned stop
-        has no such limit and takes the time it needs.
+        `last` is when a reclaimed VM is gone, by `anyio.current_time`; a
+        planned stop has no such limit and takes the time it needs.
         """
-        now = anyio.current_time()
-        last = None if seconds_left is None else now + seconds_left
-        log.info('leaving', seconds_left=seconds_left)
+        log.info('leaving', is_reclaimed=last is not None)
         await self._parts.leave()
         await self._serve_on(last)
         await self._finish(last)
@@ -89,7 +87,10 @@
                 log.warning('cut_off', requests=self._parts.open_requests())
                 return
             if self._parts.has_peers():
-                await self._parts.hand_over(HAND_OVER_S)
+                # Cut short, it would leave requests that neither go on
+                # here nor at a peer.
+                with anyio.CancelScope(shield=True):
+                    await self._parts.hand_over(HAND_OVER_S)
             await anyio.sleep(POLL_S)
 
     async def _drain(self, last: float | None) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -61,7 +61,8 @@
     async def check():
         start = anyio.current_time()
         daemon.ends = [start + end for end in daemon.ends]
-        await daemon.sequence().run(seconds_left)
+        last = None if seconds_left is None else start + seconds_left
+        await daemon.sequence().run(last)
         return anyio.current_time() - start
 
     return run_paused(check)
