--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -113,6 +113,14 @@
   2: i32 interval_ms
   3: bool full
   4: list<EndpointDigest> endpoints
+  5: list<AccountUse> accounts
+}
+
+struct AccountUse {
+  1: i32 account
+  2: i32 share_percent
+  3: i64 offered_tokens
+  4: i64 admitted_tokens
 }
 
 struct FullDigestWanted {
@@ -148,16 +156,6 @@
   2: string market
 }
 
-struct PlanningSummary {
-  1: string data_centre
-  2: i64 fencing
-  3: i64 sequence
-  4: list<DemandRecord> demands
-  5: list<RateRecord> rates
-  6: list<OfferRecord> refused
-  7: list<string> stopping
-}
-
 struct ShortfallRecord {
   1: string work_class
   2: double needed_per_hour
@@ -199,3 +197,23 @@
   1: string request
   2: i32 attempt
 }
+
+struct CountRecord {
+  1: string model
+  2: string machine_class
+  3: string market
+  4: i32 running
+  5: i32 live
+  6: i32 paid
+}
+
+struct PlanningSummary {
+  1: string data_centre
+  2: i64 fencing
+  3: i64 sequence
+  4: list<DemandRecord> demands
+  5: list<RateRecord> rates
+  6: list<OfferRecord> refused
+  7: list<string> stopping
+  8: list<CountRecord> counts
+}
