Targets that cannot be met are refused; daemons tell their load

A ceiling below the cheapest VM, and tokens faster than any engine gives, are refused with the path of the field, for classes that change only.

--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/feasibility.py
@@ -0,0 +1,62 @@
+"""Refuses targets that nothing there is could ever meet."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mimosamux_daemon.control.proposals import Invalid
+from mimosamux_daemon.domain.configuration import Configuration
+from mimosamux_daemon.domain.work import WorkClass
+from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.prices import PriceBook
+
+
+@dataclass(kw_only=True, slots=True)
+class TargetCheck:
+    """Compares targets with the prices and engines that are known.
+
+    What is not known yet refuses nothing: a daemon that has just started
+    must not turn a good configuration away.
+    """
+
+    prices: PriceBook
+    fleet: Fleet
+    in_force: Callable[[], Configuration]
+
+    def __call__(self, configuration: Configuration) -> Invalid | None:
+        """Return the first new target that cannot be met, if any.
+
+        A class that stays as it is passes: prices that have risen since
+        must not keep operators from changing anything else.
+        """
+        known = self.in_force().classes
+        for name, work_class in configuration.classes.items():
+            if known.get(name) == work_class:
+                continue
+            problem = self._find_problem(f'classes.{name}', work_class)
+            if problem is not None:
+                return problem
+        return None
+
+    def _find_problem(
+        self, path: str, work_class: WorkClass
+    ) -> Invalid | None:
+        cheapest = min(self.prices.by_place.values(), default=0.0)
+        if work_class.cost_ceiling_per_hour < cheapest:
+            return Invalid(
+                path=f'{path}.cost_ceiling_per_hour',
+                problem=f'the cheapest VM costs {cheapest:g} an hour',
+            )
+        fastest = min(self._decode_intervals(), default=0.0)
+        if work_class.token_interval_s < fastest:
+            return Invalid(
+                path=f'{path}.token_interval_s',
+                problem=f'the fastest engine takes {fastest:g} s a token',
+            )
+        return None
+
+    def _decode_intervals(self) -> list[float]:
+        return [
+            state.report.decode_interval_s
+            for state in self.fleet.by_id.values()
+            if state.report is not None
+        ]
--- a/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -17,6 +17,7 @@
 from mimosamux_daemon.control.configuration_log import ConfigurationLog
 from mimosamux_daemon.control.configuration_push import ConfigurationSync
 from mimosamux_daemon.control.discovery import Discovery
+from mimosamux_daemon.control.feasibility import TargetCheck
 from mimosamux_daemon.control.liveness import MembershipLiveness
 from mimosamux_daemon.control.membership import Membership
 from mimosamux_daemon.control.proposals import (
@@ -32,11 +33,16 @@
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.platform import Platform
 from mimosamux_daemon.ports import Table
+from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.prices import PriceBook
 from mimosamux_daemon.settings import Settings
 
 log = get_log('control')
 
 SETTINGS_AUTHOR = 'settings'
+FULL_STREAMS = 300
+"""Open streams that take about a core: 250 take 0.74, as measured by
+`python -m benchmarks relay`."""
 
 
 @dataclass(kw_only=True)
@@ -53,6 +59,8 @@
     log: ConfigurationLog
     acceptor: ConfigurationAcceptor
     sync: ConfigurationSync
+    fleet: Fleet
+    prices: PriceBook
     discovery: Discovery
     audit_table: Table
 
@@ -89,6 +97,8 @@
 ) -> ControlParts:
     """Return the control parts over a platform."""
     guard = StoreGuard(metrics=metrics)
+    fleet = Fleet()
+    prices = PriceBook()
     peers = ThriftPeers(
         daemon=settings.daemon,
         host=settings.host,
@@ -104,6 +114,7 @@
         peers=peers,
         seeds=lambda: settings.peers,
         version=lambda: in_force.current.version,
+        load=lambda: find_load(fleet),
         wall_clock=wall_clock,
     )
     replica = ConfigurationReplica(in_force=in_force)
@@ -132,8 +143,15 @@
             log=changes,
             spread=spread,
             wall_clock=wall_clock,
+            check=TargetCheck(
+                prices=prices,
+                fleet=fleet,
+                in_force=lambda: in_force.current,
+            ),
         ),
         sync=sync,
+        fleet=fleet,
+        prices=prices,
         discovery=Discovery(
             membership=membership, ttl_s=settings.address_ttl_s
         ),
@@ -141,6 +159,12 @@
     )
 
 
+def find_load(fleet: Fleet) -> int:
+    """Return the share of this daemon's capacity in use, in thousandths."""
+    streams = sum(len(state.open_by_request) for state in fleet.by_id.values())
+    return min(1000, 1000 * streams // FULL_STREAMS)
+
+
 def guard_table(
     guard: StoreGuard, platform: Platform, mechanism: str
 ) -> GuardedTable:
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -82,8 +82,8 @@
 ) -> ServingParts:
     """Return the serving parts; requests run as tasks of `tasks`."""
     membership = control.membership
-    fleet = Fleet()
-    prices = PriceBook()
+    fleet = control.fleet
+    prices = control.prices
     router = Router(
         fleet=fleet,
         prices=prices,
