--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -6,12 +6,11 @@
 """
 
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
 import anyio
 import anyio.abc
-import xxhash
 from mimosamux_wire import FleetDigest, FullDigestWanted, Message
 
 from mimosamux_daemon.control.account_digests import (
@@ -23,6 +22,7 @@
     DigestWriter,
     apply_digest,
 )
+from mimosamux_daemon.control.spread import spread_endpoints
 from mimosamux_daemon.domain.engine import (
     ConnectFailed,
     EngineReport,
@@ -60,37 +60,6 @@
         """Return the daemons that are up there, this one included."""
 
 
-def spread_endpoints(
-    endpoints: Iterable[EndpointId], daemons: Iterable[DaemonId]
-) -> dict[EndpointId, tuple[DaemonId, ...]]:
-    """Return the daemons that watch each endpoint, mostly one.
-
-    This is rendezvous hashing with a bound: every daemon gets as many as
-    the next, or one more. Each sends to its own endpoints first, so one
-    with few of them would have to refuse what another has room for. Where
-    there are fewer endpoints than daemons, several watch the same one.
-    """
-    names = sorted(daemons)
-    ids = sorted(endpoints)
-    if not names or not ids:
-        return {}
-    copies = -(-len(names) // len(ids))
-    each, _ = divmod(len(ids) * copies, len(names))
-    room = dict.fromkeys(names, max(each, 1))
-    owners: dict[EndpointId, tuple[DaemonId, ...]] = dict.fromkeys(ids, ())
-    for id_ in ids * copies:
-        free = [name for name in room if name not in owners[id_]]
-        if not free:
-            continue
-        owner = max(free, key=lambda daemon: _weight(daemon, id_))
-        owners[id_] = (*owners[id_], owner)
-        room[owner] -= 1
-        if not room[owner]:
-            del room[owner]
-        room = room or dict.fromkeys(names, 1)
-    return owners
-
-
 class Ownership:
     """Watches this daemon's endpoints and exchanges digests."""
 
@@ -291,10 +260,6 @@
         return None
 
 
-def _weight(daemon: DaemonId, endpoint: EndpointId) -> int:
-    return xxhash.xxh64_intdigest(f'{daemon}/{endpoint}'.encode())
-
-
 async def _receive(stream: ReportStream) -> EngineReport | None:
     with anyio.move_on_after(SILENCE_S):
         return await stream.receive()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -12,10 +12,8 @@
     pack_keys,
     unpack_keys,
 )
-from mimosamux_daemon.control.ownership import (
-    Ownership,
-    spread_endpoints,
-)
+from mimosamux_daemon.control.ownership import Ownership
+from mimosamux_daemon.control.spread import spread_endpoints
 from mimosamux_daemon.domain.engine import CacheEvent
 from mimosamux_daemon.domain.names import (
     AccountId,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,9 +15,11 @@
 from mimosamux_daemon.serving.prefix_cache import hash_prompt
 from mimosamux_daemon.serving.prices import Distances, PriceBook
 from mimosamux_daemon.serving.routing import Choice, RoutingPolicy
+from mimosamux_daemon.serving.service_times import WorkKind
 
 from tests.support.clock import run_paused
 from tests.support.fleets import (
+    LOOKUP,
     MODEL,
     SERVICE,
     make_endpoint,
@@ -102,6 +104,27 @@
 
         run_paused(check)
 
+    def test_failed_connects_do_not_count_as_short_requests(self):
+        """A dead endpoint refuses one connect after the other.
+
+        Learnt as requests that took no time, they would make every full
+        engine look as if a slot were about to come free.
+        """
+
+        async def check():
+            fleet = make_fleet(2)
+            kind = WorkKind(MODEL, LOOKUP.name)
+            work = PromptWork(kind=kind)
+            for name, failed in (('e0', False), ('e1', True)):
+                fleet.note_sent(name, RequestId(name), 1, work=work)
+                fleet.note_connect(name, failed=failed)
+                await anyio.sleep(0.01 if failed else 4.0)
+                fleet.note_finished(name, RequestId(name))
+            seen_s = fleet.service_times.of_model(MODEL, unseen_s=9.0)
+            self.assertAlmostEqual(seen_s, 4.0)
+
+        run_paused(check)
+
     def test_full_slots_make_a_request_wait(self):
         async def check():
             fleet = make_fleet(2)
