--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planning_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planning_exchange.py
@@ -78,7 +78,7 @@
         self.ceilings = ceilings
         self.by_data_centre: dict[str, Heard] = {}
         self.on_news: Callable[[], None] = lambda: None
-        """Called when another data centre has VMs to give or no more."""
+        """Called when another data centre lost VMs or is refused some."""
         self._data_centre = data_centre
         self.own_summary: PlanningSummary | None = None
         self._untold: set[str] = set()
@@ -98,7 +98,7 @@
             summary=summary, at=anyio.current_time()
         )
         self._untold.add(name)
-        if known is None or known.summary.refused != summary.refused:
+        if known is None or _needs_help(known.summary, summary):
             self.on_news()
 
     def current_summaries(self) -> list[PlanningSummary]:
@@ -158,7 +158,7 @@
         ] = {}
 
     def call_on_news(self, action: Callable[[], None]) -> None:
-        """Have an action run when refusals elsewhere change."""
+        """Have an action run when VMs elsewhere are lost or refused."""
         self._news.on_news = action
 
     async def exchange(
@@ -325,6 +325,13 @@
         await peers.notify(daemon, summary)
 
 
+def _needs_help(old: PlanningSummary, new: PlanningSummary) -> bool:
+    """Return whether a data centre has fewer VMs, or other refusals."""
+    before = sum(record.running for record in old.counts)
+    after = sum(record.running for record in new.counts)
+    return after < before or old.refused != new.refused
+
+
 def _age(summary: PlanningSummary) -> tuple[int, int]:
     return summary.fencing, summary.sequence
 
