--- a/benchmarks/decisions/curves.py
+++ b/benchmarks/decisions/curves.py
@@ -7,7 +7,7 @@
 from matplotlib import pyplot  # noqa: E402 - the backend is chosen first
 
 from benchmarks.decisions.day import DayResult  # noqa: E402
-from benchmarks.decisions.users import HOUR_S  # noqa: E402
+from benchmarks.decisions.users import HOUR_S, USERS  # noqa: E402
 from benchmarks.report import RESULTS  # noqa: E402
 
 
@@ -26,5 +26,5 @@
     money.set_ylabel('money spent')
     money.set_xlabel('hour')
     RESULTS.mkdir(exist_ok=True)
-    figure.savefig(RESULTS / f'decisions_{user.lower()}.png', dpi=90)
+    figure.savefig(RESULTS / f'decisions_{USERS[user].file_name}.png', dpi=90)
     pyplot.close(figure)
--- a/benchmarks/decisions/users.py
+++ b/benchmarks/decisions/users.py
@@ -37,6 +37,7 @@
     """One user's configuration and load."""
 
     name: str
+    file_name: str
     flows: tuple[Flow, ...]
     classes: dict[str, dict[str, object]]
     cost_weight: float
@@ -61,6 +62,7 @@
 
 KLASSRESAN = User(
     name='Klassresan',
+    file_name='klassresan',
     flows=(
         Flow(
             work_class='draft',
@@ -96,6 +98,7 @@
 )
 RASEJUMU = User(
     name='Rasējumu',
+    file_name='rasejumu',
     flows=(
         Flow(
             work_class='summary',
