--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -11,6 +11,7 @@
 from mimosamux_daemon.control.journal_claims import JournalClaims
 from mimosamux_daemon.control.ownership import Ownership
 from mimosamux_daemon.control.planning_exchange import PlanningNews
+from mimosamux_daemon.control.round_trips import OneWayTimes
 from mimosamux_daemon.control.store_guard import GuardedObjectStore
 from mimosamux_daemon.control_parts import ControlParts, guard_table
 from mimosamux_daemon.domain.names import (
@@ -87,7 +88,10 @@
     router = Router(
         fleet=fleet,
         prices=prices,
-        distances=Distances(own=settings.data_centre),
+        distances=Distances(
+            own=settings.data_centre,
+            one_way_s_by_data_centre=OneWayTimes(membership=membership),
+        ),
         configuration=lambda: control.in_force.current,
         metrics=metrics,
     )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,10 +1,13 @@
 """Who is there: joining, leaving, suspicion, pauses and partitions."""
 
+import math
 import unittest
+from types import SimpleNamespace
 
 import anyio
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.round_trips import OneWayTimes
 from mimosamux_daemon.settings import PeerAddress
 from mimosamux_wire import Superseded
 
@@ -263,3 +266,15 @@
             )
 
         run_cluster(check)
+
+
+class TestOneWayTimes(unittest.TestCase):
+    def test_half_of_a_measured_round_trip_and_none_without_one(self):
+        times = OneWayTimes(
+            membership=SimpleNamespace(
+                distance_to={'near': 0.004, 'unknown': math.inf}.__getitem__,
+                data_centres=lambda: ('near', 'unknown'),
+            )
+        )
+        self.assertEqual(times.get('near'), 0.002)
+        self.assertIsNone(times.get('unknown'))
