--- a/packages/mimosamux-cli/mimosamux_cli/operators.py
+++ b/packages/mimosamux-cli/mimosamux_cli/operators.py
@@ -24,7 +24,7 @@
 AUDIT_PAGE = 500
 MAX_ROUNDS = 3
 TRY_AGAIN_S = 0.5
-TIMEOUT = httpx.Timeout(30.0, connect=3.0)
+TIMEOUT = httpx.Timeout(60.0, connect=3.0)
 
 
 @dataclass(kw_only=True)
