--- a/packages/mimosamux-cli/mimosamux_cli/commands.py
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -16,6 +16,7 @@
 from mimosamux_cli.errors import UsageError
 from mimosamux_cli.groups import CommandGroup
 from mimosamux_cli.output import as_time, write_json, write_table
+from mimosamux_cli.service_caller import ServiceCaller
 
 KEY_VARIABLE = 'MIMOSAMUX_KEY'
 AUDIT_DEFAULT_S = 86_400.0
@@ -146,6 +147,33 @@
             return
         self._write('\n' if stream else f'{answer.text}\n')
 
+    def call(
+        self,
+        service: str,
+        path: str = '',
+        *,
+        data: str = '',
+        key: str = '',
+        work_class: str | None = None,
+        entry: str | None = None,
+    ) -> None:
+        """Call a plain service under one key until the call is settled.
+
+        With --key an earlier call is looked up, or sent if there was none.
+
+        Example: mimosamux call echo slips --data 'consent slip'
+        """
+        headers = self._key_headers()
+        if work_class is not None:
+            headers['X-Mimosamux-Class'] = work_class
+        caller = ServiceCaller(
+            addresses=self._addresses(entry, headers),
+            headers=headers,
+            sleep=self._env.sleep,
+        )
+        text = caller.call(service, path, str(data), key=str(key))
+        self._write(f'{text}\n')
+
     def check(self, file: str, *, kind: str = 'settings') -> None:
         """Check a settings or configuration file without any daemon.
 
--- a/tests/test_caller_command.py
+++ b/tests/test_caller_command.py
@@ -66,6 +66,34 @@
         self.assertEqual(result.status, ExitStatus.UNAVAILABLE)
 
 
+class TestCallCommand(unittest.TestCase):
+    def call(self, daemon, *args):
+        return mimosamux(
+            'call',
+            'echo',
+            'slips',
+            '--data=consent slip',
+            *args,
+            MIMOSAMUX_ENTRY=f'127.0.0.1:1,{daemon.address}',
+            MIMOSAMUX_KEY='demo-key',
+        )
+
+    def test_the_same_key_gives_the_same_answer(self):
+        with running_daemon(parse_settings(EMBEDDED_SETTINGS)) as daemon:
+            first = self.call(daemon, '--key=slip-1')
+            again = self.call(daemon, '--key=slip-1')
+            other = self.call(daemon)
+        self.assertEqual(first.out, 'run 1: consent slip\n', first.err)
+        self.assertEqual(again.out, first.out)
+        self.assertEqual(other.out, 'run 2: consent slip\n')
+
+    def test_a_key_with_another_body_is_refused(self):
+        with running_daemon(parse_settings(EMBEDDED_SETTINGS)) as daemon:
+            self.call(daemon, '--key=slip-1')
+            result = self.call(daemon, '--key=slip-1', '--data=other')
+        self.assertEqual(result.status, ExitStatus.REFUSED)
+
+
 class TestAnswer(unittest.TestCase):
     def test_an_answer_that_starts_afresh_is_not_mixed_with_the_old(self):
         """The daemon died suddenly and another ran the request again.
