--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/engine_clients.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/engine_clients.py
@@ -1,4 +1,4 @@
-"""HTTP clients of model engines, and the pace at which streams are read."""
+"""HTTP clients of model engines."""
 
 import ssl
 from collections import OrderedDict
@@ -10,31 +10,6 @@
 KEEPALIVE_S = 30.0
 MAX_ENGINES = 1000
 """Engines above which the client that was used longest ago is closed."""
-GAP_PER_STREAM_S = 0.0004
-"""Pause between two reads of a stream, for each stream that is open."""
-SHORTEST_GAP_S = 0.01
-"""Pauses below this are left out, as they join nothing."""
-LONGEST_GAP_S = 0.1
-
-
-@dataclass(kw_only=True, slots=True)
-class Pace:
-    """Says how far apart the reads of each stream are.
-
-    A read, and the write to the caller that follows it, cost about the
-    same for one token as for several. With 250 streams open, reading
-    each token as it comes takes more than a core, and every first token
-    waits for it. A pause lets the kernel join what comes meanwhile.
-    """
-
-    streams: int = 0
-    """Streams that are open now."""
-
-    @property
-    def gap_s(self) -> float:
-        """Pause between two reads of one stream, in seconds."""
-        gap = min(GAP_PER_STREAM_S * self.streams, LONGEST_GAP_S)
-        return gap if gap >= SHORTEST_GAP_S else 0.0
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -11,7 +11,6 @@
 from mimosamux_daemon.adapters.engine_clients import (
     CONNECT_TIMEOUT_S,
     EngineClients,
-    Pace,
 )
 from mimosamux_daemon.adapters.http_engine_models import (
     ExportModel,
@@ -38,6 +37,7 @@
 )
 from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.vms import Endpoint
+from mimosamux_daemon.pace import Pace
 from mimosamux_daemon.ports.engine import EngineStream, ReportStream
 
 CANCEL_TIMEOUT_S = 1.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine_streams.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine_streams.py
@@ -7,7 +7,6 @@
 import httpx
 import pydantic
 
-from mimosamux_daemon.adapters.engine_clients import Pace
 from mimosamux_daemon.adapters.http_engine_models import (
     FrameModel,
     ReportModel,
@@ -21,6 +20,7 @@
 )
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.errors import InvariantBroken
+from mimosamux_daemon.pace import Pace
 
 FINISH_TIMEOUT_S = 0.1
 MAX_EVENT_BYTES = 1024 * 1024
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/answers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/answers.py
@@ -10,6 +10,7 @@
 from mimosamux_daemon.api.errors import outcome_response
 from mimosamux_daemon.api.streams import event_id, stream_events
 from mimosamux_daemon.domain.outcomes import Answered
+from mimosamux_daemon.pace import Pace
 from mimosamux_daemon.serving.requests import ActiveRequest, Moved
 
 REQUEST_HEADER = 'X-Mimosamux-Request'
@@ -18,10 +19,12 @@
 """Status of an answer that nobody reads, as other servers log it."""
 
 
-def stream_response(active: ActiveRequest, offset: int) -> Response:
+def stream_response(
+    active: ActiveRequest, offset: int, pace: Pace
+) -> Response:
     """Return the answer as server-sent events from `offset` on."""
     return StreamingResponse(
-        stream_events(active, offset),
+        stream_events(active, offset, pace=pace),
         media_type=EVENT_STREAM,
         headers={
             REQUEST_HEADER: active.request.id,
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/callers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/callers.py
@@ -1,7 +1,7 @@
 """Routes that callers use."""
 
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 from starlette.requests import Request
@@ -28,6 +28,7 @@
 from mimosamux_daemon.domain.outcomes import InDoubt, Reason, Refused
 from mimosamux_daemon.domain.work import Account, ModelRequest, WorkClass
 from mimosamux_daemon.errors import InvalidRequest
+from mimosamux_daemon.pace import Pace
 from mimosamux_daemon.serving.model_serving import ModelServing
 from mimosamux_daemon.serving.requests import ActiveRequest, has_same_body
 
@@ -51,6 +52,7 @@
 
     in_force: ConfigurationInForce
     serving: ModelServing
+    pace: Pace = field(default_factory=Pace)
 
     def routes(self) -> list[Route]:
         """Return the routes for the application."""
@@ -106,7 +108,8 @@
         if isinstance(active, Refused | InDoubt):
             return outcome_response(active)
         if body.stream:
-            return stream_response(active, resume.offset if resume else 0)
+            offset = resume.offset if resume else 0
+            return stream_response(active, offset, self.pace)
         return await whole_response(request, active)
 
     def _find_resumed(
@@ -140,7 +143,7 @@
         if EVENT_STREAM in request.headers.get('accept', ''):
             is_same = resume is not None and resume.request == identity
             return stream_response(
-                active, resume.offset if resume and is_same else 0
+                active, resume.offset if resume and is_same else 0, self.pace
             )
         if request.query_params.get('wait') == 'true':
             return await whole_response(request, active)
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/streams.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/streams.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.api.errors import outcome_body
 from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.outcomes import Answered
+from mimosamux_daemon.pace import Pace
 from mimosamux_daemon.serving.requests import ActiveRequest
 
 DONE = b'data: [DONE]\n\n'
@@ -62,10 +63,16 @@
 
 
 async def stream_events(
-    active: ActiveRequest, offset: int
+    active: ActiveRequest, offset: int, *, pace: Pace | None = None
 ) -> AsyncIterator[bytes]:
-    """Yield events from `offset` on, with all that is ready in each."""
+    """Yield events from `offset` on, with all that is ready in each.
+
+    The first one comes at once, and those after it at the pace.
+    """
+    pace = Pace() if pace is None else pace
+    pace.streams += 1
     active.add_reader()
+    has_begun = False
     try:
         while True:
             with anyio.move_on_after(KEEP_ALIVE_S) as waiting:
@@ -78,10 +85,14 @@
                 yield _event(
                     event_id(active, offset), chunk(active, text, None)
                 )
+                if has_begun and pace.gap_s and not active.has_ended:
+                    await anyio.sleep(pace.gap_s)
+                has_begun = True
             if active.has_ended and len(active.tokens) <= offset:
                 break
     finally:
         active.remove_reader()
+        pace.streams -= 1
     for last in _last_events(active, offset):
         yield last
 
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -11,7 +11,9 @@
 from mimosamux_daemon.adapters.memory_engine import expected_token
 from mimosamux_daemon.api.bodies import MAX_BODY_BYTES
 from mimosamux_daemon.api.models import ChatBody, CompletionBody, parse_body
+from mimosamux_daemon.api.streams import stream_events
 from mimosamux_daemon.errors import InvalidRequest
+from mimosamux_daemon.pace import Pace
 
 from tests.support.clock import run_paused
 from tests.support.examples import KEY_HEADERS
@@ -299,3 +301,28 @@
             else:
                 parsed.prompt.encode()
                 self.assertGreater(parsed.max_tokens, 0)
+
+
+class TestPace(unittest.TestCase):
+    def test_events_of_a_busy_daemon_carry_several_tokens(self):
+        """A daemon has 250 streams open.
+
+        With an event for each token it would fall behind its engines; the
+        answer stays whole, and its first token comes at once.
+        """
+
+        async def check():
+            async with open_site(engines=1) as site:
+                active = await site.offer('a trip', max_tokens=100)
+                pace = Pace(streams=250)
+                events = [
+                    event
+                    async for event in stream_events(active, 0, pace=pace)
+                ]
+                return active, events
+
+        active, events = run_paused(check)
+        self.assertLess(len(events), 50)
+        self.assertTrue(is_whole(active))
+        self.assertIn(b':1\n', events[0])
+        self.assertIn(b':100\n', events[-2])
--- a/tests/test_http_engine.py
+++ b/tests/test_http_engine.py
@@ -8,7 +8,6 @@
 import httpx
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from mimosamux_daemon.adapters.engine_clients import Pace
 from mimosamux_daemon.adapters.http_engine import (
     HttpEngines,
 )
@@ -36,6 +35,7 @@
     StreamEnd,
     TokenFrame,
 )
+from mimosamux_daemon.pace import Pace
 from mimosamux_standins.engine import build_program
 
 from tests.support.clock import run_paused
