--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
@@ -9,6 +9,7 @@
 import pydantic
 
 from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.validation import first_problem
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
@@ -109,10 +110,9 @@
     try:
         return kind.model_validate_json(reply.body)
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        path = '.'.join(str(part) for part in first['loc']) or '$'
+        problem = first_problem(error)
         return Unavailable(
-            reason=f'malformed answer: {path}: {first["msg"]}',
+            reason=f'malformed answer: {problem.path}: {problem.message}',
             may_have_landed=True,
         )
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/models.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/models.py
@@ -6,6 +6,7 @@
 import pydantic
 
 from mimosamux_daemon.errors import InvalidRequest
+from mimosamux_daemon.validation import first_problem
 
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 65_536
@@ -60,9 +61,10 @@
     try:
         body = kind.model_validate_json(data)
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        path = '.'.join(str(part) for part in first['loc']) or '$'
-        raise InvalidRequest(path=path, problem=first['msg']) from error
+        problem = first_problem(error)
+        raise InvalidRequest(
+            path=problem.path, problem=problem.message
+        ) from error
     _check_text('model', body.model)
     _check_text('prompt', body.prompt)
     for name, value in body.parameters.items():
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/operator_models.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operator_models.py
@@ -5,6 +5,7 @@
 import pydantic
 
 from mimosamux_daemon.errors import InvalidRequest
+from mimosamux_daemon.validation import first_problem
 
 MAX_WHY = 1000
 
@@ -93,6 +94,5 @@
 
 
 def _as_invalid(error: pydantic.ValidationError) -> InvalidRequest:
-    first = error.errors()[0]
-    path = '.'.join(str(part) for part in first['loc']) or '$'
-    return InvalidRequest(path=path, problem=first['msg'])
+    problem = first_problem(error)
+    return InvalidRequest(path=problem.path, problem=problem.message)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_models.py
@@ -23,6 +23,7 @@
 )
 from mimosamux_daemon.domain.work import Account, WorkClass
 from mimosamux_daemon.errors import InvalidConfiguration
+from mimosamux_daemon.validation import first_problem
 
 DIGEST = re.compile('[0-9a-f]{64}')
 
@@ -166,9 +167,8 @@
 def _as_invalid(
     error: pydantic.ValidationError, prefix: tuple[str, ...] = ()
 ) -> InvalidConfiguration:
-    first = error.errors()[0]
-    path = '.'.join(str(part) for part in (*prefix, *first['loc'])) or '$'
-    return InvalidConfiguration(path=path, problem=first['msg'])
+    problem = first_problem(error, below=prefix)
+    return InvalidConfiguration(path=problem.path, problem=problem.message)
 
 
 def _check_references(model: ConfigurationModel) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/demand.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/demand.py
@@ -15,8 +15,7 @@
 from mimosamux_daemon.domain.names import ClassName, ModelName
 from mimosamux_daemon.domain.plan import ClassDemand
 from mimosamux_daemon.domain.work import ModelRequest
-
-BYTES_PER_TOKEN = 4
+from mimosamux_daemon.serving.prefix_cache import BYTES_PER_TOKEN
 
 DemandKey = tuple[ModelName, ClassName]
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -8,6 +8,7 @@
 
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName, VMId
 from mimosamux_daemon.errors import InvalidSettings
+from mimosamux_daemon.validation import first_problem
 
 
 class _Strict(pydantic.BaseModel):
@@ -108,9 +109,10 @@
     except yaml.YAMLError as error:
         raise InvalidSettings(path='$', problem=str(error)) from error
     except pydantic.ValidationError as error:
-        first = error.errors()[0]
-        path = '.'.join(str(part) for part in first['loc']) or '$'
-        raise InvalidSettings(path=path, problem=first['msg']) from error
+        problem = first_problem(error)
+        raise InvalidSettings(
+            path=problem.path, problem=problem.message
+        ) from error
     if not model.embedded and model.platform_url is None:
         raise InvalidSettings(
             path='platform_url',
--- a/packages/mimosamux-standins/mimosamux_standins/platform.py
+++ b/packages/mimosamux-standins/mimosamux_standins/platform.py
@@ -20,6 +20,7 @@
 from mimosamux_daemon.domain.store import Conflict, Unavailable
 from mimosamux_daemon.domain.vms import VM, Price
 from mimosamux_daemon.ports.cloud import StartRefused
+from mimosamux_daemon.validation import first_problem
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import Response
@@ -268,10 +269,10 @@
 
 
 def _malformed(error: pydantic.ValidationError) -> Response:
-    first = error.errors()[0]
-    path = '.'.join(str(part) for part in first['loc']) or '$'
+    problem = first_problem(error)
+    message = f'{problem.path}: {problem.message}'
     return _reply(
-        {'message': f'{path}: {first["msg"]}', 'not_applied': True},
+        {'message': message, 'not_applied': True},
         status=400,
     )
 
