Seeds from the platform's list; a lone daemon takes nobody in

Cause: a new daemon found nobody once all that its settings name had been replaced; and without peers and secret the links took an empty secret, with which any process could join (the new test failed before).

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/link_security.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/link_security.py
@@ -39,6 +39,7 @@
 NONCE_BYTES = 16
 HANDSHAKE_FRAME_BYTES = 1024
 HANDSHAKE_TIMEOUT_S = 3.0
+SECRET_BYTES = 32
 
 
 class Side(StrEnum):
@@ -78,9 +79,10 @@
             path='peer_tls.authority',
             problem='needed to check the certificates of peers',
         )
-    return LinkSecurity(
-        secret=settings.peer_secret.encode(), tls=settings.peer_tls
-    )
+    # Without a secret of its own a lone daemon would take an empty one,
+    # which every process that reaches its port knows as well.
+    secret = settings.peer_secret.encode() or secrets.token_bytes(SECRET_BYTES)
+    return LinkSecurity(secret=secret, tls=settings.peer_tls)
 
 
 async def open_link(
--- a/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -20,6 +20,7 @@
 from mimosamux_daemon.control.feasibility import TargetCheck
 from mimosamux_daemon.control.liveness import MembershipLiveness
 from mimosamux_daemon.control.membership import Membership
+from mimosamux_daemon.control.platform_seeds import PlatformSeeds
 from mimosamux_daemon.control.proposals import (
     Accepted,
     ApplyDocument,
@@ -52,6 +53,7 @@
     settings: Settings
     guard: StoreGuard
     peers: ThriftPeers
+    seeds: PlatformSeeds
     membership: Membership
     liveness: MembershipLiveness
     in_force: ConfigurationInForce
@@ -106,13 +108,18 @@
         security=security_of(settings),
         metrics=metrics,
     )
+    seeds = PlatformSeeds(
+        cloud=platform.cloud,
+        data_centre=settings.data_centre,
+        fixed=settings.peers,
+    )
     membership = Membership(
         daemon=settings.daemon,
         data_centre=settings.data_centre,
         address=lambda: peers.address,
         caller_address=caller_address,
         peers=peers,
-        seeds=lambda: settings.peers,
+        seeds=seeds.current,
         version=lambda: in_force.current.version,
         load=lambda: find_load(fleet),
         wall_clock=wall_clock,
@@ -133,6 +140,7 @@
         settings=settings,
         guard=guard,
         peers=peers,
+        seeds=seeds,
         membership=membership,
         liveness=MembershipLiveness(membership=membership),
         in_force=in_force,
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -116,6 +116,8 @@
     ) -> None:
         tasks.start_soon(control.peers.run)
         await control.peers.listening.wait()
+        await control.seeds.poll()
+        tasks.start_soon(control.seeds.run)
         tasks.start_soon(control.membership.run)
         tasks.start_soon(control.acceptor.run)
         log.info(
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,11 +14,14 @@
     LinkSecurity,
     Side,
     open_link,
+    security_of,
 )
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports import PeerUnavailable
-from mimosamux_daemon.settings import TLSFiles
+from mimosamux_daemon.settings import TLSFiles, parse_settings
+
+from tests.support.examples import EMBEDDED_SETTINGS
 
 SECRET = LinkSecurity(secret=b'a shared secret')
 
@@ -348,3 +351,24 @@
 
         with certificates() as pair:
             anyio.run(check, *pair)
+
+
+class TestSecurity(unittest.TestCase):
+    def test_a_lone_daemon_without_a_secret_takes_nobody_in(self):
+        """No secret is set, as there are no peers.
+
+        With an empty one, any process on the network could send this
+        daemon a configuration.
+        """
+        lone = security_of(parse_settings(EMBEDDED_SETTINGS))
+
+        async def check():
+            one = make_peers('one', security=lone)
+            stranger = make_peers('two', security=LinkSecurity(secret=b''))
+            one.handle(wire.ConfigurationFetch, answer_state)
+            async with running(one, stranger):
+                fetch = wire.ConfigurationFetch(after=1)
+                answer = await stranger.call('one', fetch, timeout_s=0.5)
+                self.assertIsInstance(answer, PeerUnavailable)
+
+        anyio.run(check)
