--- a/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -116,7 +116,7 @@
     membership = Membership(
         daemon=settings.daemon,
         data_centre=settings.data_centre,
-        address=lambda: peers.address,
+        address=lambda: settings.peer_address or peers.address,
         caller_address=caller_address,
         peers=peers,
         seeds=seeds.current,
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -39,6 +39,10 @@
     host: str = '127.0.0.1'
     port: int = pydantic.Field(default=0, ge=0, le=65535)
     peer_port: int = pydantic.Field(default=0, ge=0, le=65535)
+    peer_address: str = pydantic.Field(
+        default='', pattern=r'^([^\s:]+:\d{1,5})?$'
+    )
+    """Where other daemons reach this one, if not where it listens."""
     peers: tuple[PeerModel, ...] = ()
     peer_secret: str = ''
     peer_tls: TLSModel | None = None
@@ -87,6 +91,7 @@
     host: str
     port: int
     peer_port: int
+    peer_address: str
     peers: tuple[PeerAddress, ...]
     peer_secret: str
     peer_tls: TLSFiles | None
@@ -129,6 +134,7 @@
         host=model.host,
         port=model.port,
         peer_port=model.peer_port,
+        peer_address=model.peer_address,
         peers=tuple(
             PeerAddress(id=DaemonId(peer.id), address=peer.address)
             for peer in model.peers
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -156,21 +156,23 @@
 
     def _start_one(self, name: str, settings: dict[str, Any]) -> Process:
         port, peer_port = self.ports[name]
-        return self.processes.start_daemon(
-            daemon=name,
-            data_centre=name[0],
-            port=port,
-            peer_port=peer_port,
-            peer_secret='secret',
-            peers=[
+        usual: dict[str, Any] = {
+            'data_centre': name[0],
+            'port': port,
+            'peer_port': peer_port,
+            'peer_secret': 'secret',
+            'peers': [
                 {'id': other, 'address': f'127.0.0.1:{ports[1]}'}
                 for other, ports in self.ports.items()
                 if other != name
             ],
-            platform_url=f'http://{self.platform.address}',
-            operator_tokens={
+            'platform_url': f'http://{self.platform.address}',
+            'operator_tokens': {
                 hashlib.sha256(TOKEN.encode()).hexdigest(): 'write'
             },
-            configuration=CONFIGURATION,
-            **{'plans_vms': False, **settings},
+            'configuration': CONFIGURATION,
+            'plans_vms': False,
+        }
+        return self.processes.start_daemon(
+            daemon=name, **{**usual, **settings}
         )
