--- a/packages/mimosamux-daemon/mimosamux_daemon/context.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/context.py
@@ -26,6 +26,8 @@
 
     stdout: TextIO = field(default_factory=_stdout)
     stderr: TextIO = field(default_factory=_stderr)
+    program: str = field(default_factory=lambda: sys.argv[0])
+    """Path with which the program was started."""
     variables: Mapping[str, str] = field(default_factory=_variables)
     wall_clock: Callable[[], float] = time.time
     """Seconds since 1970, for people; decisions use anyio's clock."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -58,6 +58,15 @@
         print(f'{settings}: valid', file=self._env.stdout)
 
 
+def find_command(env: Environment) -> str:
+    """Return how to start `mimosamux`, as the line has to work as printed.
+
+    The programs of a virtual environment are not on everybody's path.
+    """
+    beside = pathlib.Path(env.program).with_name('mimosamux')
+    return str(beside) if beside.exists() else beside.name
+
+
 def read_settings(path: str) -> Settings:
     """Return the settings of a file, its configuration checked as well.
 
@@ -99,7 +108,8 @@
             f" -H 'Authorization: Bearer {DEMO_KEY}'"
             f" -H 'X-Mimosamux-Class: draft' -d '{body}'\n"
             f'  MIMOSAMUX_ENTRY={address} MIMOSAMUX_KEY={DEMO_KEY}'
-            f" mimosamux request 'plan a trip' --work-class draft --stream",
+            f" {find_command(env)} request 'plan a trip'"
+            ' --work-class draft --stream',
             file=env.stdout,
         )
     env.stdout.flush()
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.control.configuration_models import parse_configuration
-from mimosamux_daemon.core import main
+from mimosamux_daemon.core import find_command, main
 from mimosamux_daemon.errors import InvalidConfiguration, InvalidSettings
 from mimosamux_daemon.settings import Settings, parse_settings
 from mimosamux_daemon.status import ExitStatus
@@ -80,6 +80,16 @@
         self.assertIn('classes.draft.first_token_s', env.stderr.getvalue())
 
 
+class TestPrintedCommand(unittest.TestCase):
+    def test_the_command_beside_the_program_is_named_with_its_path(self):
+        with tempfile.TemporaryDirectory() as folder:
+            beside = pathlib.Path(folder) / 'mimosamux'
+            env = Environment(program=str(beside) + 'd')
+            self.assertEqual(find_command(env), 'mimosamux')
+            beside.touch()
+            self.assertEqual(find_command(env), str(beside))
+
+
 class TestConfiguration(unittest.TestCase):
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(st.sampled_from([*VALID['configuration'], 'unknown']), values)
