--- a/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
@@ -1,6 +1,5 @@
 """Routes that operators use."""
 
-import hashlib
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import asdict, dataclass, field
 from http import HTTPStatus
@@ -11,7 +10,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from mimosamux_daemon.api.accounts import bearer_token
+from mimosamux_daemon.api.accounts import bearer_token, digest_key
 from mimosamux_daemon.api.decisions import (
     decision_response,
     error_response,
@@ -263,7 +262,7 @@
         token = bearer_token(request)
         if token is None:
             return None
-        digest = hashlib.sha256(token.encode()).hexdigest()
+        digest = digest_key(token)
         role = self.roles_by_digest.get(digest)
         if role is None:
             return None
