--- a/packages/mimosamux-cli/mimosamux_cli/commands.py
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -7,7 +7,7 @@
 
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.control.configuration_models import parse_configuration
-from mimosamux_daemon.core import read_settings
+from mimosamux_daemon.model_program import read_settings
 
 from mimosamux_cli.caller import Caller
 from mimosamux_cli.config_commands import ConfigCommands
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -15,7 +15,11 @@
 import anyio.abc
 import h11
 
-from mimosamux_daemon.adapters.http1_channel import BROKEN, READ_BYTES
+from mimosamux_daemon.adapters.http1_channel import (
+    BROKEN,
+    READ_BYTES,
+    describe,
+)
 from mimosamux_daemon.domain.http_messages import (
     RawHeaders,
     RequestHead,
@@ -138,6 +142,7 @@
         self, *, handler: Handler, limits: Callable[[], TrafficLimits]
     ) -> None:
         self.connections = 0
+        self.open_requests = 0
         self.is_draining = False
         self._handler = handler
         self._limits = limits
@@ -162,6 +167,10 @@
         connection = _Connection(server=self, stream=stream)
         try:
             await connection.run()
+        except Exception as error:
+            # One request that runs into a fault of this program must not
+            # end the requests of all other callers with the process.
+            log.exception('connection_failed', error=describe(error))
         finally:
             self.connections -= 1
             with anyio.CancelScope(shield=True):
@@ -205,10 +214,14 @@
 
     async def _handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Have the request answered, and watch for its caller to go."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch, request)
-            await self._server._handler(request, reply)
-            tasks.cancel_scope.cancel()
+        self._server.open_requests += 1
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch, request)
+                await self._server._handler(request, reply)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._server.open_requests -= 1
 
     async def _watch(self, request: IncomingRequest) -> None:
         """Read on while a request is worked on, until the caller goes."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
@@ -29,6 +29,7 @@
 
     version: int = FIRST_FRESH_VERSION
     since: float = 0.0
+    clock: Callable[[], float] = anyio.current_time
 
     def note(self, version: int) -> float:
         """Note a row just read; return how long it has not changed.
@@ -36,7 +37,7 @@
         The time runs from after the first read of it, never from before,
         as the row may have been written until then.
         """
-        now = anyio.current_time()
+        now = self.clock()
         if version != self.version:
             self.version = version
             self.since = now
@@ -53,7 +54,15 @@
         policy: LeasePolicy,
         randomness: random.Random,
         fencing_is_honoured: Callable[[], bool] = lambda: False,
+        may_try: Callable[[], bool] = lambda: True,
+        clock: Callable[[], float] = anyio.current_time,
     ) -> None:
+        """Take the parts; `may_try` says whether to look for the lease.
+
+        Daemons that know of a live holder need not ask the table.
+        """
+        self._may_try = may_try
+        self._clock = clock
         self._leases = leases
         self._policy = policy
         self._random = randomness
@@ -79,9 +88,9 @@
 
     async def acquire(self) -> Lease:
         """Return the lease once it may be taken and was taken."""
-        watch = RowWatch()
+        watch = RowWatch(clock=self._clock)
         while True:
-            lease = await self._try_once(watch)
+            lease = await self._try_once(watch) if self._may_try() else None
             if lease is not None:
                 return lease
             await anyio.sleep(self._jittered(self._policy.poll_interval_s))
@@ -122,11 +131,12 @@
     ) -> None:
         pause = self._jittered(self._policy.renew_interval_s)
         while lease.is_valid():
-            left = lease.valid_until - anyio.current_time()
+            left = lease.valid_until - self._clock()
             await anyio.sleep(min(pause, left))
             if not lease.is_valid():
                 break
-            with anyio.move_on_at(lease.valid_until):
+            left = lease.valid_until - self._clock()
+            with anyio.move_on_after(left):
                 outcome = await self._leases.renew(lease)
                 if isinstance(outcome, LeaseHeld):
                     break
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
@@ -70,6 +70,7 @@
     record: LeaseRecord
     version: int
     valid_until: float
+    clock: Callable[[], float] = anyio.current_time
 
     @property
     def fencing(self) -> int:
@@ -83,7 +84,7 @@
         have taken over; its task runs on before any timer of it. Without
         this look right before an order, two holders would act at once.
         """
-        return anyio.current_time() < self.valid_until
+        return self.clock() < self.valid_until
 
     def end(self) -> None:
         """Stop acting under this lease for good."""
@@ -126,7 +127,13 @@
         incarnation: int,
         wall_clock: Callable[[], float],
         policy: LeasePolicy,
+        clock: Callable[[], float] = anyio.current_time,
     ) -> None:
+        """Take the parts.
+
+        Where the platform suspends VMs, `clock` has to count that time.
+        """
+        self._clock = clock
         self._table = table
         self._name = name
         self._holder = holder
@@ -160,7 +167,7 @@
             duration_s=self._policy.duration_s,
         )
         version = seen.version if seen else 0
-        sent = anyio.current_time()
+        sent = self._clock()
         audit = self._describe_change('take', old, record)
         outcome = await self._write(record, version, audit)
         if isinstance(outcome, Committed):
@@ -187,7 +194,7 @@
         self, lease: Lease
     ) -> Renewed | LeaseHeld | LeaseUnsettled:
         """Hold the lease for another full time."""
-        sent = anyio.current_time()
+        sent = self._clock()
         outcome = await self._write(lease.record, lease.version, None)
         if isinstance(outcome, Committed):
             lease.version = outcome.versions[self._key]
@@ -248,6 +255,7 @@
             record=record,
             version=version,
             valid_until=self._end_of(sent),
+            clock=self._clock,
         )
 
     def _end_of(self, sent: float) -> float:
--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -1,21 +1,31 @@
 """The program `mimosamuxd`."""
 
+import importlib
 import pathlib
-import signal
 from collections.abc import Sequence
+from typing import Protocol
 
-import anyio
 import fire
+import yaml
 
 from mimosamux_daemon.context import Environment
-from mimosamux_daemon.control.configuration_models import parse_configuration
-from mimosamux_daemon.daemon import Daemon, build_daemon
 from mimosamux_daemon.errors import InvalidInput
-from mimosamux_daemon.logs import configure_logs
-from mimosamux_daemon.settings import Settings, parse_settings
 from mimosamux_daemon.status import ExitStatus
 
-DEMO_KEY = 'demo-key'
+MODELS = 'mimosamux_daemon.model_program'
+GATEWAY = 'mimosamux_daemon.gateway.program'
+GATEWAY_FIELD = 'adapter'
+"""Field that only the settings of a gateway have."""
+
+
+class Face(Protocol):
+    """One of the two kinds of daemon that the program can run as."""
+
+    def check(self, path: str) -> None:
+        """Raise `InvalidInput` for a settings file that is wrong."""
+
+    def serve(self, path: str, env: Environment) -> None:
+        """Run a daemon until it is stopped."""
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
@@ -43,75 +53,24 @@
 
     def serve(self, settings: str) -> None:
         """Run a daemon with the settings file until SIGTERM or Ctrl-C."""
-        parsed = read_settings(settings)
-        configure_logs(self._env.stderr)
-        anyio.run(
-            _serve,
-            parsed,
-            self._env,
-            backend_options={'use_uvloop': True},
-        )
+        find_face(settings).serve(settings, self._env)
 
     def check(self, settings: str) -> None:
         """Check a settings file and say what is wrong with it."""
-        read_settings(settings)
+        find_face(settings).check(settings)
         print(f'{settings}: valid', file=self._env.stdout)
 
 
-def find_command(env: Environment) -> str:
-    """Return how to start `mimosamux`, as the line has to work as printed.
+def find_face(path: str) -> Face:
+    """Return the kind of daemon that a settings file is for.
 
-    The programs of a virtual environment are not on everybody's path.
+    Only its modules are loaded: those of the other kind, with their
+    libraries, would cost 25 MB of a small VM and delay each start.
     """
-    beside = pathlib.Path(env.program).with_name('mimosamux')
-    return str(beside) if beside.exists() else beside.name
-
-
-def read_settings(path: str) -> Settings:
-    """Return the settings of a file, its configuration checked as well.
-
-    A wrong first configuration would be turned down only after the start,
-    and the daemon would wait for another one, ready for nothing.
-    """
-    settings = parse_settings(pathlib.Path(path).read_text())
-    if settings.configuration is not None:
-        parse_configuration(settings.configuration, version=1)
-    return settings
-
-
-async def _serve(settings: Settings, env: Environment) -> None:
-    daemon = build_daemon(settings)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_stop_on_signal, daemon)
-        tasks.start_soon(_announce, daemon, env)
-        await daemon.run()
-        tasks.cancel_scope.cancel()
-
-
-async def _stop_on_signal(daemon: Daemon) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            daemon.stop()
-
-
-async def _announce(daemon: Daemon, env: Environment) -> None:
-    await daemon.listening.wait()
-    address = daemon.address
-    print(f'listening http://{address}', file=env.stdout)
-    if daemon.settings.embedded:
-        body = (
-            '{"model": "demo", "stream": true, "max_tokens": 20, "messages":'
-            ' [{"role": "user", "content": "plan a trip"}]}'
-        )
-        print(
-            f'Try:\n  curl -N http://{address}/v1/chat/completions'
-            f" -H 'Authorization: Bearer {DEMO_KEY}'"
-            f" -H 'X-Mimosamux-Class: draft' -d '{body}'\n"
-            f'  MIMOSAMUX_ENTRY={address} MIMOSAMUX_KEY={DEMO_KEY}'
-            f" {find_command(env)} request 'plan a trip'"
-            ' --work-class draft --stream',
-            file=env.stdout,
-        )
-    env.stdout.flush()
-    await daemon.started.wait()
-    print('ready', file=env.stdout, flush=True)
+    try:
+        fields = yaml.safe_load(pathlib.Path(path).read_text())
+    except yaml.YAMLError:
+        fields = None
+    is_gateway = isinstance(fields, dict) and GATEWAY_FIELD in fields
+    face: Face = importlib.import_module(GATEWAY if is_gateway else MODELS)
+    return face
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
@@ -38,6 +38,16 @@
         """Return what the request counts against a usage cap."""
         return self.tokens_in + self.most_tokens_out
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens that no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.tokens_in
+
+    @property
+    def shared_key(self) -> str:
+        """Return the id of the longest prefix that others may share."""
+        return self.parts[-2].id if len(self.parts) > 1 else ''
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GatewayRequest:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -0,0 +1,155 @@
+"""Which endpoint a request is sent to."""
+
+import random
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from mimosamux_daemon.domain.gateway import PromptUse
+from mimosamux_daemon.domain.names import (
+    DataCentreName,
+    EndpointId,
+    ServiceName,
+)
+from mimosamux_daemon.domain.routes import Route, ServiceEntry
+from mimosamux_daemon.gateway.engine_speed import EngineSpeed
+from mimosamux_daemon.gateway.prompt_parts import PromptParts
+from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+
+HOME_SHARE = 0.4
+"""Share of the latency target up to which a request goes to the endpoint
+that keeps its prompt's shared parts, however idle others are."""
+FAR_REQUESTS = 0.5
+"""Requests under way that the way to another data centre counts for."""
+OUTPUT_SHARE = 0.5
+"""Part of the longest answer that is taken for the likely one, where the
+caller gives no estimate."""
+OUTPUT_TOKEN_S = 0.0001
+"""Time that one token of an answer adds to the work of an engine which
+makes many at once."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """An endpoint, and what the request brings it."""
+
+    record: EndpointRecord
+    unread_tokens: float = 0.0
+    """Prompt tokens that it likely has to read."""
+    first_event_s: float = 0.0
+    """Likely time until the answer begins."""
+    is_alone: bool = False
+    """Whether no other prompt waits there to be read."""
+
+
+class Chooser:
+    """Chooses endpoints of model engines and of plain services."""
+
+    def __init__(
+        self,
+        *,
+        roster: Roster,
+        data_centre: DataCentreName,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.parts = PromptParts(clock=clock)
+        self._roster = roster
+        self._data_centre = data_centre
+        self._clock = clock
+        self._rng = rng
+        self._speed_by_service: dict[ServiceName, EngineSpeed] = {}
+
+    def speed_of(self, service: ServiceName) -> EngineSpeed:
+        """Return what is known of the engines of a service."""
+        return self._speed_by_service.setdefault(service, EngineSpeed())
+
+    def choose(
+        self,
+        service: ServiceEntry,
+        route: Route,
+        prompt: PromptUse | None,
+        *,
+        excluding: Collection[EndpointId] = (),
+    ) -> Choice | None:
+        """Return the endpoint for one send, None if none takes work."""
+        now = self._clock()
+        records = [
+            record
+            for record in self._roster.serving(service.name)
+            if record.id not in excluding
+        ]
+        usable = [record for record in records if not record.is_avoided(now)]
+        records = usable or records
+        if not records:
+            return None
+        if service.engine is not None and prompt is not None:
+            return self._choose_engine(records, service, route, prompt, now)
+        return Choice(record=self._choose_plain(records, now))
+
+    def busy_s(self, service: ServiceName, prompt: PromptUse) -> float:
+        """Return how long a request keeps one engine busy."""
+        out = prompt.likely_tokens_out
+        if out is None:
+            out = int(prompt.most_tokens_out * OUTPUT_SHARE)
+        read_s = self.speed_of(service).read_s(prompt.own_tokens)
+        return read_s + out * OUTPUT_TOKEN_S
+
+    def _choose_engine(
+        self,
+        records: Sequence[EndpointRecord],
+        service: ServiceEntry,
+        route: Route,
+        prompt: PromptUse,
+        now: float,
+    ) -> Choice:
+        choices = [
+            self._estimate(record, service, prompt, now) for record in records
+        ]
+        key = prompt.shared_key
+        choices.sort(key=lambda choice: _rank(choice.record.id, key))
+        least = min(choice.first_event_s for choice in choices)
+        limit = max(HOME_SHARE * route.target_s, least)
+        return next(
+            choice for choice in choices if choice.first_event_s <= limit
+        )
+
+    def _estimate(
+        self,
+        record: EndpointRecord,
+        service: ServiceEntry,
+        prompt: PromptUse,
+        now: float,
+    ) -> Choice:
+        speed = self.speed_of(service.name)
+        use = record.load.total(now)
+        cached = self.parts.cached_tokens(record.id, prompt)
+        unread = max(prompt.tokens_in - cached, 1.0)
+        first_s = speed.first_s + speed.read_s(use.unread_tokens + unread)
+        if use.requests >= record.listed.slots:
+            # Without a free slot it waits for a whole answer to end.
+            first_s += 1.0 + use.requests / record.listed.slots
+        return Choice(
+            record=record,
+            unread_tokens=unread,
+            first_event_s=first_s,
+            is_alone=use.unread_tokens < 1,
+        )
+
+    def _choose_plain(
+        self, records: Sequence[EndpointRecord], now: float
+    ) -> EndpointRecord:
+        def cost(record: EndpointRecord) -> float:
+            use = record.load.total(now)
+            is_far = record.listed.data_centre != self._data_centre
+            far = FAR_REQUESTS if is_far else 0.0
+            return (use.requests + far) / record.listed.slots
+
+        shuffled = self._rng.sample(list(records), len(records))
+        return min(shuffled, key=cost)
+
+
+def _rank(endpoint: EndpointId, key: str) -> int:
+    """Return the place of an endpoint for a key, the same at each daemon."""
+    return xxhash.xxh3_64_intdigest(f'{endpoint} {key}'.encode())
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties.py
@@ -0,0 +1,102 @@
+"""Work that one daemon does for all, under a lease."""
+
+import random
+from collections.abc import Callable
+
+import anyio
+from mimosamux_wire import StateDigest
+
+from mimosamux_daemon.control.lease_keeper import LeaseKeeper
+from mimosamux_daemon.control.leases import Lease, LeasePolicy, LeaseTable
+from mimosamux_daemon.domain.names import DaemonId
+from mimosamux_daemon.gateway.metering import Metering
+from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.scaling import Scaling
+from mimosamux_daemon.ports import Table
+
+LEASE_NAME = 'duties'
+RENEW_SHARE = 0.3
+"""Part of a lease's time after which it is renewed: three renewals may
+fail before it is lost."""
+STOP_SHARE = 0.15
+"""Part of its time before the end at which the holder stops acting."""
+TAKE_SHARE = 0.15
+"""Part of its time that a successor waits beyond the end."""
+POLL_S = 0.4
+CALL_TIMEOUT_S = 0.8
+
+
+def lease_policy(duration_s: float) -> LeasePolicy:
+    """Return the times of a lease of a duration."""
+    return LeasePolicy(
+        duration_s=duration_s,
+        renew_interval_s=RENEW_SHARE * duration_s,
+        poll_interval_s=POLL_S,
+        stop_margin_s=STOP_SHARE * duration_s,
+        take_margin_s=TAKE_SHARE * duration_s,
+        call_timeout_s=CALL_TIMEOUT_S,
+    )
+
+
+class Duties:
+    """Takes part in holding the duties' lease, and does the duties."""
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        states: PeerStates,
+        policy: LeasePolicy,
+        checks_fencing: bool,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.is_stopping = False
+        self._states = states
+        self._keeper = LeaseKeeper(
+            leases=LeaseTable(
+                table=table,
+                name=LEASE_NAME,
+                holder=DaemonId(states.place.id),
+                incarnation=states.lifetime,
+                wall_clock=wall_clock,
+                policy=policy,
+                clock=clock,
+            ),
+            policy=policy,
+            randomness=rng,
+            fencing_is_honoured=lambda: checks_fencing,
+            may_try=self._may_try,
+            clock=clock,
+        )
+
+    @property
+    def held(self) -> Lease | None:
+        """The lease, while this daemon holds it."""
+        return self._keeper.held
+
+    async def run(self, *, metering: Metering, scaling: Scaling) -> None:
+        """Do the duties whenever the lease is held, until cancelled."""
+
+        async def act(lease: Lease) -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(metering.run, lease)
+                tasks.start_soon(scaling.run, lease)
+
+        await self._keeper.run(act)
+
+    def write(self, digest: StateDigest) -> None:
+        """Tell whether this daemon holds the lease."""
+        held = self.held
+        if held is not None and held.is_valid():
+            digest.lease_fencing = held.fencing
+
+    def take(self, peer: PeerState, digest: StateDigest) -> None:
+        """Nothing to do: it is part of the peer's state."""
+
+    def _may_try(self) -> bool:
+        """Whether no live holder is known, so that the table is asked."""
+        if self.is_stopping:
+            return False
+        return not any(peer.lease_fencing for peer in self._states.fresh())
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -1,29 +1,30 @@
 """Passes a request on to endpoints until it has its answer."""
 
-import math
-import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from http import HTTPStatus
 
 import anyio
 
-from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
-from mimosamux_daemon.domain.http_messages import RawHeaders
-from mimosamux_daemon.domain.names import (
-    AccountId,
-    EndpointId,
-    RequestId,
-    ServiceName,
-)
-from mimosamux_daemon.domain.outcomes import Failed, Reason, Refused
-from mimosamux_daemon.domain.routes import (
-    GatewayConfiguration,
-    Route,
-    RouteKind,
-)
+from mimosamux_daemon.domain.gateway import GatewayRequest
+from mimosamux_daemon.domain.outcomes import Reason, Refused
+from mimosamux_daemon.domain.routes import RouteKind
+from mimosamux_daemon.gateway.admission import Admission
+from mimosamux_daemon.gateway.begun_counts import BegunCounts
+from mimosamux_daemon.gateway.choice import Choice, Chooser
+from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.events import EventSplitter
+from mimosamux_daemon.gateway.jobs import (
+    BrokenOff,
+    CallerGone,
+    Delivered,
+    GatewayOutcome,
+    Job,
+)
+from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.sinks import AnswerSink, Caller
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import (
     CallBroken,
@@ -31,265 +32,192 @@
     EndpointCall,
     EndpointCalls,
     NotSent,
-    ResumePoint,
     TurnedDown,
 )
 
 log = get_log('forwarding')
 
-CONNECTS = 3
-"""Endpoints tried in a row that cannot be connected to."""
+CONNECTS = 4
+"""Endpoints that cannot be connected to before a request is given up."""
 SOON_S = 0.1
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Delivered:
-    """The endpoint's whole answer went to the caller."""
-
-    status: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CallerGone:
-    """The caller left before its answer was whole."""
-
-
-GatewayOutcome = Delivered | Refused | Failed | CallerGone
-
-
-class Caller(Protocol):
-    """Who waits for an answer."""
-
-    def cancel_when_gone(self, scope: anyio.CancelScope) -> None:
-        """Have a scope cancelled once the caller is gone."""
-
-
-class AnswerSink(Protocol):
-    """Where an answer goes; each call is False if the caller is gone."""
-
-    is_started: bool
-
-    async def answer(
-        self, status: int, headers: RawHeaders, body: bytes = b''
-    ) -> bool:
-        """Send a whole answer."""
-
-    async def start(
-        self, status: int, headers: RawHeaders, first: bytes = b''
-    ) -> bool:
-        """Send the head and the first part."""
-
-    async def write(self, data: bytes) -> bool:
-        """Send a part of the body."""
-
-    async def finish(self) -> bool:
-        """End the answer, so that it counts as whole."""
+"""When to come again after a cause that passes quickly."""
+NO_ENDPOINT_RETRY_S = 0.5
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Answers up to this size are received whole before any of it is passed
+on, so that one that breaks off can still be had elsewhere."""
 
 
 @dataclass(kw_only=True, slots=True)
-class _Job:
-    """A request on its way: what was tried and what came of it."""
+class _Progress:
+    """What one send has still to read at its endpoint."""
 
-    request: GatewayRequest
-    route: Route
-    service: ServiceName
-    account: AccountId | None
-    sink: AnswerSink
-    sent: int = 0
-    unsent: int = 0
-    has_run: bool = False
-    """Whether it may have run, as far as can be known here."""
-    tried: set[EndpointId] = field(default_factory=set)
-    last_event_id: str | None = None
-    weights_version: str | None = None
+    choice: Choice
+    sent_at: float
+    is_read: bool = False
 
 
+@dataclass(kw_only=True, slots=True)
 class Forwarder:
     """Forwards requests, one call each."""
 
-    def __init__(
-        self,
-        *,
-        configuration: Callable[[], GatewayConfiguration],
-        roster: Roster,
-        calls: EndpointCalls,
-        clock: Callable[[], float],
-        rng: random.Random,
-    ) -> None:
-        self._configuration = configuration
-        self._roster = roster
-        self._calls = calls
-        self._clock = clock
-        self._rng = rng
+    admission: Admission
+    roster: Roster
+    chooser: Chooser
+    calls: EndpointCalls
+    budget: RetryBudget
+    begun: BegunCounts
+    demand: Demand
+    clock: Callable[[], float]
 
     async def forward(
         self, request: GatewayRequest, caller: Caller, sink: AnswerSink
     ) -> GatewayOutcome:
         """Have a request answered; the outcome tells if it was not."""
-        job = self._admit(request, sink)
+        job = self.admission.admit(request, sink)
         if isinstance(job, Refused):
             return job
-        left_s = self._left_s(job)
+        self._note_demand(job)
         outcome: GatewayOutcome = CallerGone()
-        with anyio.move_on_after(left_s) as timer:
+        with anyio.move_on_after(job.left_s(self.clock())) as timer:
             with anyio.CancelScope() as scope:
                 if job.route.kind is not RouteKind.NON_IDEMPOTENT:
                     caller.cancel_when_gone(scope)
                 outcome = await self._run(job)
         if timer.cancelled_caught:
-            return self._late(job)
+            outcome = self._end_late(job)
+        if isinstance(outcome, Refused):
+            self.admission.release_cap(job)
         return outcome
 
-    def _admit(
-        self, request: GatewayRequest, sink: AnswerSink
-    ) -> _Job | Refused:
-        configuration = self._configuration()
-        if configuration.version == 0:
-            return Refused(
-                reason=Reason.NO_CONFIGURATION,
-                message='no configuration yet',
-                retry_after_s=0.5,
-            )
-        route = configuration.find_route(request.host, request.head.path)
-        if route is None:
-            return Refused(reason=Reason.NO_ROUTE, message='no route')
-        account = None
-        if configuration.needs_key and not route.is_anonymous:
-            entry = configuration.accounts_by_key.get(request.key or '')
-            if entry is None:
-                return Refused(reason=Reason.NOT_AUTHORISED, message='key')
-            account = entry.id
-        return _Job(
-            request=request,
-            route=route,
-            service=self._pick_service(route),
-            account=account,
-            sink=sink,
-        )
-
-    def _pick_service(self, route: Route) -> ServiceName:
-        if len(route.splits) == 1:
-            return route.splits[0].service
-        weights = [split.weight for split in route.splits]
-        return self._rng.choices(route.splits, weights)[0].service
-
-    def _left_s(self, job: _Job) -> float:
-        passed_s = self._clock() - job.request.received_at
-        patience_s = job.request.patience_s
-        limit_s = min(
-            job.route.timeout_s, math.inf if patience_s is None else patience_s
-        )
-        return limit_s - passed_s
+    def _note_demand(self, job: Job) -> None:
+        self.budget.note_request(job.service.name)
+        prompt = job.request.prompt
+        if prompt is not None:
+            busy_s = self.chooser.busy_s(job.service.name, prompt)
+            self.demand.note(job.service.name, busy_s)
 
-    async def _run(self, job: _Job) -> GatewayOutcome:
+    async def _run(self, job: Job) -> GatewayOutcome:
+        unsent = 0
         while True:
-            endpoint = self._choose(job)
-            if isinstance(endpoint, Refused):
-                return endpoint
-            outcome = await self._try_at(job, endpoint)
-            if outcome is not None:
-                return outcome
-
-    def _choose(self, job: _Job) -> ListedEndpoint | Refused:
-        endpoints = [
-            endpoint
-            for endpoint in self._roster.serving(job.service)
-            if endpoint.id not in job.tried
-        ]
-        if not endpoints:
-            return Refused(
-                reason=Reason.NO_ENDPOINT,
-                message=f'no endpoint serves {job.service}',
-                retry_after_s=0.5,
+            choice = self.chooser.choose(
+                job.service,
+                job.route,
+                job.request.prompt,
+                excluding=job.tried,
             )
-        return self._rng.choice(endpoints)
+            if choice is None or unsent >= CONNECTS:
+                return job.give_up(
+                    Reason.NO_ENDPOINT,
+                    f'no endpoint of {job.service.name} takes it',
+                    retry_after_s=NO_ENDPOINT_RETRY_S,
+                )
+            outcome = await self._send(job, choice)
+            if isinstance(outcome, NotSent):
+                unsent += 1
+            elif outcome is not None:
+                return outcome
 
-    async def _try_at(
-        self, job: _Job, endpoint: ListedEndpoint
-    ) -> GatewayOutcome | None:
-        """Return the outcome, None to go on elsewhere."""
-        job.tried.add(endpoint.id)
+    async def _send(
+        self, job: Job, choice: Choice
+    ) -> GatewayOutcome | NotSent | None:
+        """Return the outcome, or None to go on at another endpoint."""
+        record = choice.record
+        job.tried.add(record.id)
+        now = self.clock()
         call = EndpointCall(
             request=job.request,
-            endpoint=endpoint,
-            left_s=self._left_s(job),
-            account=job.account,
-            resume=_resume_point(job),
-        )
-        async with self._calls.send(call) as answer:
-            if isinstance(answer, NotSent):
-                job.unsent += 1
-                if job.unsent < CONNECTS:
-                    return None
-                return Refused(
-                    reason=Reason.NO_ENDPOINT,
-                    message=answer.reason,
-                    retry_after_s=SOON_S,
-                )
-            job.sent += 1
-            if isinstance(answer, TurnedDown):
-                if job.sent < job.route.max_endpoints:
-                    return None
-                return self._refuse(job, answer)
-            job.has_run = True
-            if isinstance(answer, CallBroken):
-                return self._broken(job, answer)
-            if job.route.kind is RouteKind.STREAM and answer.status == 200:
-                return await self._relay(job, answer)
-            return await self._pass_on(job, answer)
-
-    def _refuse(self, job: _Job, answer: TurnedDown) -> GatewayOutcome:
-        if job.has_run:
-            return Failed(
-                request=RequestId(job.request.id),
-                reason=Reason.ENDPOINT_FAILED,
-                message='turned down after it had run elsewhere',
-            )
-        return Refused(
-            reason=Reason.TURNED_DOWN,
-            message=f'status {answer.status}',
-            retry_after_s=answer.retry_after_s or SOON_S,
-        )
-
-    def _broken(self, job: _Job, broken: CallBroken) -> GatewayOutcome | None:
-        log.info('call_broken', request=job.request.id, reason=broken.reason)
-        if job.route.may_repeat and job.sent < job.route.max_endpoints:
-            return None
-        return Failed(
-            request=RequestId(job.request.id),
-            reason=Reason.ENDPOINT_FAILED,
-            message=broken.reason,
+            endpoint=record.listed,
+            left_s=job.left_s(now),
+            account=None if job.account is None else job.account.id,
+            resume=job.resume_point(),
         )
+        progress = _Progress(choice=choice, sent_at=now)
+        sending = job.begin_send()
+        with self._counted(progress):
+            async with self.calls.send(call) as answer:
+                if isinstance(answer, NotSent):
+                    sending.note_unsent()
+                    self._note_unsent(job, record.id, answer)
+                    self.roster.note_connect(record, failed=True)
+                    return answer
+                self.roster.note_connect(record, failed=False)
+                if isinstance(answer, TurnedDown):
+                    sending.note_unrun()
+                    return self._turned_down(job, record.id, answer)
+                if isinstance(answer, CallBroken):
+                    self._note_begun(job)
+                    return self._broken(job, record.id, answer)
+                if job.is_stream and answer.status == HTTPStatus.OK:
+                    return await self._relay(job, answer, progress)
+                self._note_begun(job)
+                return await self._pass_on(job, answer, progress)
+
+    @contextmanager
+    def _counted(self, progress: _Progress) -> Iterator[None]:
+        """Count a send as under way at its endpoint."""
+        load = progress.choice.record.load
+        unread = progress.choice.unread_tokens
+        load.begin(unread)
+        try:
+            yield
+        finally:
+            load.end(0.0 if progress.is_read else unread)
 
     async def _pass_on(
-        self, job: _Job, answer: EndpointAnswer
+        self, job: Job, answer: EndpointAnswer, progress: _Progress
     ) -> GatewayOutcome | None:
+        """Pass a whole answer on."""
         body = bytearray()
         while (part := await answer.receive()) is not None:
             if isinstance(part, CallBroken):
-                return self._broken(job, part)
+                record = progress.choice.record
+                return self._broken(job, record.id, part)
             body += part
-        can_retry = job.route.may_repeat and (
-            job.sent < job.route.max_endpoints
-        )
-        if answer.status >= 500 and can_retry:
+            if len(body) > MAX_BUFFERED_BYTES:
+                return await self._pass_on_long(job, answer, bytes(body))
+        is_error = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_error and self._may_send_again(job):
+            log.info(
+                'answer_is_error',
+                request=job.request.id,
+                status=answer.status,
+                endpoint=progress.choice.record.id,
+            )
             return None
         is_sent = await job.sink.answer(
             answer.status, answer.headers, bytes(body)
         )
         return Delivered(status=answer.status) if is_sent else CallerGone()
 
+    async def _pass_on_long(
+        self, job: Job, answer: EndpointAnswer, first: bytes
+    ) -> GatewayOutcome:
+        is_sent = await job.sink.start(answer.status, answer.headers, first)
+        while is_sent:
+            part = await answer.receive()
+            if isinstance(part, CallBroken):
+                return BrokenOff(reason=part.reason)
+            if part is None:
+                await job.sink.finish()
+                return Delivered(status=answer.status)
+            is_sent = await job.sink.write(part)
+        return CallerGone()
+
     async def _relay(
-        self, job: _Job, answer: EndpointAnswer
+        self, job: Job, answer: EndpointAnswer, progress: _Progress
     ) -> GatewayOutcome | None:
+        """Pass events on as they arrive, whole ones only."""
+        record = progress.choice.record
         splitter = EventSplitter()
         job.weights_version = answer.weights_version
         while (part := await answer.receive()) is not None:
             if isinstance(part, CallBroken):
-                return self._broken(job, part)
+                return self._broken(job, record.id, part)
             events = splitter.feed(part)
             if events is None:
                 continue
+            if not progress.is_read:
+                self._note_first_event(job, progress)
             job.last_event_id = events.last_id or job.last_event_id
             if job.sink.is_started:
                 is_sent = await job.sink.write(events.data)
@@ -300,27 +228,87 @@
             if not is_sent:
                 return CallerGone()
         if splitter.has_rest or not job.sink.is_started:
-            return self._broken(job, CallBroken(reason='ended in an event'))
+            broken = CallBroken(reason='ended within an event')
+            return self._broken(job, record.id, broken)
         await job.sink.finish()
         return Delivered(status=answer.status)
 
-    def _late(self, job: _Job) -> GatewayOutcome:
-        if job.has_run or job.sent:
-            return Failed(
-                request=RequestId(job.request.id),
-                reason=Reason.DEADLINE,
-                message='no answer in time',
+    def _note_first_event(self, job: Job, progress: _Progress) -> None:
+        self._note_begun(job)
+        progress.is_read = True
+        choice = progress.choice
+        choice.record.load.note_read(choice.unread_tokens)
+        prompt = job.request.prompt
+        if prompt is None:
+            return
+        self.chooser.parts.note_read(choice.record.id, prompt)
+        if choice.is_alone:
+            self.chooser.speed_of(job.service.name).note(
+                choice.unread_tokens, self.clock() - progress.sent_at
             )
-        return Refused(
-            reason=Reason.NO_ENDPOINT,
-            message='no endpoint in time',
-            retry_after_s=SOON_S,
+
+    def _note_begun(self, job: Job) -> None:
+        if not job.has_begun and job.account is not None:
+            job.has_begun = True
+            self.begun.note(job.account.id)
+
+    def _note_unsent(self, job: Job, endpoint: str, answer: NotSent) -> None:
+        log.info(
+            'connect_failed',
+            request=job.request.id,
+            endpoint=endpoint,
+            reason=answer.reason,
         )
 
+    def _turned_down(
+        self, job: Job, endpoint: str, answer: TurnedDown
+    ) -> GatewayOutcome | None:
+        log.info(
+            'turned_down',
+            request=job.request.id,
+            endpoint=endpoint,
+            status=answer.status,
+        )
+        if self._may_send_again(job, is_proven_unrun=True):
+            return None
+        return job.give_up(
+            Reason.TURNED_DOWN,
+            f'the endpoint answered {answer.status}',
+            retry_after_s=answer.retry_after_s or SOON_S,
+        )
 
-def _resume_point(job: _Job) -> ResumePoint | None:
-    if job.last_event_id is None:
-        return None
-    return ResumePoint(
-        last_event_id=job.last_event_id, weights_version=job.weights_version
-    )
+    def _broken(
+        self, job: Job, endpoint: str, broken: CallBroken
+    ) -> GatewayOutcome | None:
+        log.info(
+            'call_broken',
+            request=job.request.id,
+            endpoint=endpoint,
+            reason=broken.reason,
+        )
+        if self._may_send_again(job):
+            return None
+        if job.sink.is_started:
+            return BrokenOff(reason=broken.reason)
+        return job.fail(Reason.ENDPOINT_FAILED, broken.reason)
+
+    def _may_send_again(
+        self, job: Job, *, is_proven_unrun: bool = False
+    ) -> bool:
+        """Whether it may go to a further endpoint; spends a retry."""
+        if not job.route.may_repeat and (
+            job.may_have_run or not is_proven_unrun
+        ):
+            return False
+        if job.sends >= job.route.max_endpoints:
+            return False
+        return self.budget.take(job.service.name)
+
+    def _end_late(self, job: Job) -> GatewayOutcome:
+        if job.sink.is_started:
+            return BrokenOff(reason='no whole answer in time')
+        if job.sends or job.may_have_run:
+            return job.fail(Reason.DEADLINE, 'no answer in time')
+        return job.give_up(
+            Reason.NO_ENDPOINT, 'not sent in time', retry_after_s=SOON_S
+        )
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -0,0 +1,127 @@
+"""A request on its way: what was tried and what came of it."""
+
+import math
+from dataclasses import dataclass, field
+
+from mimosamux_daemon.domain.gateway import GatewayRequest
+from mimosamux_daemon.domain.names import EndpointId, RequestId
+from mimosamux_daemon.domain.outcomes import Failed, Reason, Refused
+from mimosamux_daemon.domain.routes import (
+    AccountEntry,
+    Route,
+    RouteKind,
+    ServiceEntry,
+)
+from mimosamux_daemon.gateway.sinks import AnswerSink
+from mimosamux_daemon.ports.endpoint_calls import ResumePoint
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Delivered:
+    """The endpoint's whole answer went to the caller."""
+
+    status: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerGone:
+    """The caller left before its answer was whole."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BrokenOff:
+    """The answer ended early, and does not look complete."""
+
+    reason: str
+
+
+GatewayOutcome = Delivered | Refused | Failed | CallerGone | BrokenOff
+
+
+@dataclass(kw_only=True, slots=True)
+class Sending:
+    """One send of a job, until it is known what became of it."""
+
+    job: 'Job'
+    could_have_run: bool
+    """Whether the job may have run before this send."""
+
+    def note_unsent(self) -> None:
+        """Note that no byte was sent."""
+        self.job.sends -= 1
+        self.note_unrun()
+
+    def note_unrun(self) -> None:
+        """Note that the endpoint says that it has not run it."""
+        self.job.may_have_run = self.could_have_run
+
+
+@dataclass(kw_only=True, slots=True)
+class Job:
+    """One caller's request while it is passed on."""
+
+    request: GatewayRequest
+    route: Route
+    service: ServiceEntry
+    account: AccountEntry | None
+    sink: AnswerSink
+    cost: float = 0.0
+    """What was taken from the account's usage cap."""
+    sends: int = 0
+    """Endpoints that it was sent to."""
+    may_have_run: bool = False
+    has_begun: bool = False
+    """Whether it was counted as begun."""
+    tried: set[EndpointId] = field(default_factory=set)
+    last_event_id: str | None = None
+    weights_version: str | None = None
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether its answer is a series of events."""
+        return self.route.kind is RouteKind.STREAM
+
+    def left_s(self, now: float) -> float:
+        """Return the time until the caller is to have its answer."""
+        patience_s = self.request.patience_s
+        limit_s = min(
+            self.route.timeout_s,
+            math.inf if patience_s is None else patience_s,
+        )
+        return self.request.received_at + limit_s - now
+
+    def begin_send(self) -> Sending:
+        """Count a send before any byte of it leaves.
+
+        The time limit can strike while the send is under way. Counted
+        only afterwards, a request that runs would be called not run.
+        """
+        sending = Sending(job=self, could_have_run=self.may_have_run)
+        self.sends += 1
+        self.may_have_run = True
+        return sending
+
+    def resume_point(self) -> ResumePoint | None:
+        """Return where its stream goes on, None at its beginning."""
+        if self.last_event_id is None:
+            return None
+        return ResumePoint(
+            last_event_id=self.last_event_id,
+            weights_version=self.weights_version,
+        )
+
+    def fail(self, reason: Reason, message: str) -> Failed:
+        """Return the outcome of a request that may have run."""
+        return Failed(
+            request=RequestId(self.request.id), reason=reason, message=message
+        )
+
+    def give_up(
+        self, reason: Reason, message: str, *, retry_after_s: float
+    ) -> Refused | Failed:
+        """Return the outcome that is true: it has not run, or it may."""
+        if self.may_have_run:
+            return self.fail(reason, message)
+        return Refused(
+            reason=reason, message=message, retry_after_s=retry_after_s
+        )
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -0,0 +1,229 @@
+"""How things stand at the other daemons, exchanged several times a second.
+
+Every daemon tells every other one. What they tell replaces what they told
+before, and counters count from the start of a process, so a message that
+is lost does no harm beyond its age.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+from mimosamux_wire import DaemonsKnown, Message, StateDigest
+
+from mimosamux_daemon.control.members import MemberState
+from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports import PeerLinks
+
+log = get_log('peer_states')
+
+INTERVAL_S = 0.25
+INTERVAL_PER_PEER_S = 0.0125
+"""The interval grows with the peers, so that the messages of a daemon stay
+at 80 a second however many there are."""
+FRESH_S = 1.0
+"""A digest older than this, and than four intervals, is out of date."""
+GONE_S = 30.0
+"""A daemon that is silent for so long is not sent anything any more."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DaemonPlace:
+    """Where a daemon is and where it is reached."""
+
+    id: DaemonId
+    """Address at which its peers reach it."""
+    data_centre: DataCentreName
+    region: str
+    entry_address: str
+
+
+@dataclass(kw_only=True, slots=True)
+class PeerState:
+    """What is known of one peer."""
+
+    place: DaemonPlace
+    lifetime: int
+    state: MemberState
+    heard_at: float
+    sequence: int = 0
+    lease_fencing: int = 0
+    configuration_version: int = 0
+
+
+class DigestPart(Protocol):
+    """Something that daemons tell each other about."""
+
+    def write(self, digest: StateDigest) -> None:
+        """Add what this daemon has to tell."""
+
+    def take(self, peer: PeerState, digest: StateDigest) -> None:
+        """Take what a peer tells."""
+
+
+class PeerStates:
+    """The known peers, and the exchange with them."""
+
+    def __init__(
+        self,
+        *,
+        place: DaemonPlace,
+        lifetime: int,
+        peers: PeerLinks,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.place = place
+        self.lifetime = lifetime
+        self.state = MemberState.JOINING
+        self.by_id: dict[DaemonId, PeerState] = {}
+        """Peers that were heard of at least once."""
+        self.parts: list[DigestPart] = []
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._sequence = 0
+        self._known_since: dict[DaemonId, float] = {}
+        self._queue: list[Message] = []
+        self._queued = anyio.Event()
+        peers.handle(StateDigest, self._take)
+        peers.handle(DaemonsKnown, self._take_known)
+
+    @property
+    def interval_s(self) -> float:
+        """Time between two digests to each peer."""
+        return max(INTERVAL_S, INTERVAL_PER_PEER_S * len(self._known_since))
+
+    @property
+    def fresh_s(self) -> float:
+        """Age up to which a digest tells how things stand now."""
+        return max(FRESH_S, 4 * self.interval_s)
+
+    def introduce(self, ids: Iterable[DaemonId]) -> None:
+        """Begin to tell these daemons; known ones change nothing."""
+        for id_ in ids:
+            if id_ == self.place.id or id_ in self._known_since:
+                continue
+            self._known_since[id_] = self._clock()
+            self._peers.set_address(id_, id_)
+
+    def fresh(self) -> list[PeerState]:
+        """Return the peers whose digests are up to date."""
+        oldest = self._clock() - self.fresh_s
+        return [peer for peer in self.by_id.values() if peer.heard_at > oldest]
+
+    def expected(self) -> int:
+        """Return how many daemons may be serving, this one included.
+
+        Those that are silent count until they are given up: they may be
+        cut off from here and serve callers all the same.
+        """
+        serving = (MemberState.JOINING, MemberState.READY)
+        return 1 + sum(peer.state in serving for peer in self.by_id.values())
+
+    async def run(self) -> None:
+        """Tell the peers until cancelled."""
+        while True:
+            await self.tell()
+            self._forget_silent()
+            pause_s = self.interval_s * self._rng.uniform(0.9, 1.1)
+            with anyio.move_on_after(pause_s):
+                await self._queued.wait()
+            await self._send_queued()
+
+    def queue(self, message: Message) -> None:
+        """Have a message sent to every known daemon at once."""
+        self._queue.append(message)
+        self._queued.set()
+
+    async def tell(self) -> None:
+        """Send a digest to every known daemon."""
+        digest = self._write()
+        for id_ in tuple(self._known_since):
+            await self._peers.notify(id_, digest)
+
+    async def _send_queued(self) -> None:
+        queue, self._queue = self._queue, []
+        self._queued = anyio.Event()
+        for message in queue:
+            for id_ in tuple(self._known_since):
+                await self._peers.notify(id_, message)
+
+    def _write(self) -> StateDigest:
+        self._sequence += 1
+        digest = StateDigest(
+            address=self.place.id,
+            data_centre=self.place.data_centre,
+            region=self.place.region,
+            entry_address=self.place.entry_address,
+            lifetime=self.lifetime,
+            sequence=self._sequence,
+            state=self.state,
+        )
+        for part in self.parts:
+            part.write(digest)
+        return digest
+
+    async def _take(self, sender: DaemonId, digest: StateDigest) -> None:
+        id_ = DaemonId(digest.address)
+        if sender != id_:
+            return
+        known = self.by_id.get(id_)
+        is_new = known is None or known.lifetime != digest.lifetime
+        if is_new:
+            log.info('peer_heard', peer=id_, lifetime=digest.lifetime)
+            self.introduce([id_])
+            known = self.by_id[id_] = PeerState(
+                place=_place_of(digest),
+                lifetime=digest.lifetime,
+                state=MemberState.JOINING,
+                heard_at=self._clock(),
+            )
+        elif known is None or digest.sequence <= known.sequence:
+            return
+        known.state = _state_of(digest)
+        known.heard_at = self._clock()
+        known.sequence = digest.sequence
+        known.lease_fencing = digest.lease_fencing
+        known.configuration_version = digest.configuration_version
+        for part in self.parts:
+            part.take(known, digest)
+        if is_new:
+            others = [str(each) for each in self._known_since if each != id_]
+            await self._peers.notify(id_, DaemonsKnown(addresses=others))
+
+    async def _take_known(
+        self, sender: DaemonId, message: DaemonsKnown
+    ) -> None:
+        self.introduce(DaemonId(address) for address in message.addresses)
+
+    def _forget_silent(self) -> None:
+        oldest = self._clock() - GONE_S
+        for id_, since in tuple(self._known_since.items()):
+            peer = self.by_id.get(id_)
+            if (since if peer is None else peer.heard_at) > oldest:
+                continue
+            log.info('peer_forgotten', peer=id_)
+            del self._known_since[id_]
+            self.by_id.pop(id_, None)
+            self._peers.forget(id_)
+
+
+def _place_of(digest: StateDigest) -> DaemonPlace:
+    return DaemonPlace(
+        id=DaemonId(digest.address),
+        data_centre=DataCentreName(digest.data_centre),
+        region=digest.region,
+        entry_address=digest.entry_address,
+    )
+
+
+def _state_of(digest: StateDigest) -> MemberState:
+    try:
+        return MemberState(digest.state)
+    except ValueError:
+        # A newer daemon may know more states; it is alive at least.
+        return MemberState.JOINING
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -1,40 +1,265 @@
-"""The endpoints that the platform lists, and which of them serve."""
+"""The endpoints that the platform lists, and which of them take work."""
 
-from collections.abc import Iterable, Mapping
+import math
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+
+import anyio
+from mimosamux_wire import EndpointsLeave, EndpointUse, StateDigest
 
 from mimosamux_daemon.domain.gateway import EndpointState, ListedEndpoint
-from mimosamux_daemon.domain.names import EndpointId, ServiceName
+from mimosamux_daemon.domain.names import (
+    DaemonId,
+    DataCentreName,
+    EndpointId,
+    ServiceName,
+)
+from mimosamux_daemon.gateway.loads import EndpointLoad
+from mimosamux_daemon.gateway.peer_states import PeerState
 from mimosamux_daemon.logs import get_log
 
 log = get_log('roster')
 
+LAPSE_S = 2.0
+"""Time after the platform's store is back within which live endpoints that
+lapsed from its list meanwhile are listed again."""
+KEEP_GONE_S = 30.0
+"""Endpoints that are gone are remembered for so long: a peer whose view is
+older may still tell of them."""
+FIRST_PAUSE_S = 0.25
+LAST_PAUSE_S = 4.0
+"""An endpoint that cannot be connected to is left alone for the first of
+these; the pause doubles with each failed connect up to the last."""
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class EndpointRecord:
+    """What is known of one endpoint; times are of the steady clock."""
+
+    listed: ListedEndpoint
+    since: float
+    """When it was first heard of."""
+    is_leaving: bool = False
+    """Set for good once it is known to go away."""
+    leaves_at: float | None = None
+    gone_at: float | None = None
+    """When it was found missing in the list."""
+    lapses_at: float | None = None
+    """When it counts as gone unless it is listed again by then."""
+    failed_connects: int = 0
+    avoid_until: float = -math.inf
+    load: EndpointLoad = field(default_factory=EndpointLoad)
+    left: anyio.Event = field(default_factory=anyio.Event)
+    """Set with `is_leaving`."""
+
+    @property
+    def id(self) -> EndpointId:
+        """Return the id of the endpoint's lifetime."""
+        return self.listed.id
+
+    def takes_work(self, now: float) -> bool:
+        """Whether new requests may be sent there."""
+        if self.is_leaving or self.gone_at is not None:
+            return False
+        return self.lapses_at is None or now < self.lapses_at
+
+    def is_avoided(self, now: float) -> bool:
+        """Whether connects fail there and the next try is not due."""
+        return now < self.avoid_until
+
+
+Listener = Callable[[EndpointRecord], None]
+
 
 class Roster:
-    """Endpoints by id; those that leave get nothing new."""
+    """Endpoints by id."""
 
-    def __init__(self) -> None:
-        self.by_id: dict[EndpointId, ListedEndpoint] = {}
+    def __init__(
+        self,
+        *,
+        clock: Callable[[], float],
+        regained_at: Callable[[], float | None] = lambda: None,
+    ) -> None:
+        """Take the clock; `regained_at` says when the list was back."""
+        self.by_id: dict[EndpointId, EndpointRecord] = {}
+        self.changed = anyio.Event()
+        """Set, and replaced by a new one, with each change of the list."""
+        self.on_leaving: list[Listener] = []
+        """Told of each endpoint that was learned to leave here first."""
+        self._clock = clock
+        self._regained_at = regained_at
 
     def replace(self, items: Mapping[str, ListedEndpoint]) -> None:
         """Take the whole list as it is now."""
-        self.by_id = {EndpointId(key): item for key, item in items.items()}
+        for id_, record in tuple(self.by_id.items()):
+            if id_ not in items and record.gone_at is None:
+                self._note_missing(record)
+        self.apply(tuple(items.items()))
 
     def apply(
         self, changes: Iterable[tuple[str, ListedEndpoint | None]]
     ) -> None:
         """Take changes of the list in their order."""
         for key, item in changes:
-            log.info('endpoint', id=key, item=repr(item))
-            if item is None:
-                self.by_id.pop(EndpointId(key), None)
-            else:
-                self.by_id[EndpointId(key)] = item
+            id_ = EndpointId(key)
+            record = self.by_id.get(id_)
+            if item is not None:
+                self._take(item)
+            elif record is not None and record.gone_at is None:
+                self._note_missing(record)
+        self._forget_old()
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def confirm(self, at: float) -> None:
+        """Nothing to do: entries carry no time that has to be fresh."""
+
+    def note_leaving(
+        self, id_: EndpointId, *, left_s: float | None, source: str
+    ) -> None:
+        """Give an endpoint nothing new from now on."""
+        record = self.by_id.get(id_)
+        if record is None:
+            return
+        if left_s is not None:
+            leaves_at = self._clock() + left_s
+            known = record.leaves_at
+            record.leaves_at = min(known or leaves_at, leaves_at)
+        if record.is_leaving:
+            return
+        record.is_leaving = True
+        record.left.set()
+        log.info(
+            'endpoint_leaving',
+            endpoint=id_,
+            service=record.listed.service,
+            left_s=left_s,
+            source=source,
+        )
+        if source == 'platform':
+            for listener in self.on_leaving:
+                listener(record)
 
-    def serving(self, service: ServiceName) -> list[ListedEndpoint]:
+    def serving(self, service: ServiceName) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new requests."""
+        now = self._clock()
         return [
-            endpoint
-            for endpoint in self.by_id.values()
-            if endpoint.service == service
-            and endpoint.state is EndpointState.READY
+            record
+            for record in self.by_id.values()
+            if record.listed.service == service and record.takes_work(now)
         ]
+
+    def of_service(self, service: ServiceName) -> Iterator[EndpointRecord]:
+        """Return every endpoint of a service that is listed."""
+        for record in self.by_id.values():
+            if record.listed.service == service and record.gone_at is None:
+                yield record
+
+    def note_connect(self, record: EndpointRecord, *, failed: bool) -> None:
+        """Note how a connect went; failures keep others from trying.
+
+        An endpoint that died stays listed for seconds. Each request sent
+        there meanwhile would lose the time of a connect that fails.
+        """
+        if not failed:
+            record.failed_connects = 0
+            record.avoid_until = -math.inf
+            return
+        pause = min(FIRST_PAUSE_S * 2**record.failed_connects, LAST_PAUSE_S)
+        record.failed_connects += 1
+        record.avoid_until = self._clock() + pause
+
+    def write(self, digest: StateDigest) -> None:
+        """Tell what is under way at each endpoint from here."""
+        for record in self.by_id.values():
+            use = record.load.take_told()
+            if use is not None:
+                digest.endpoints.append(
+                    EndpointUse(
+                        endpoint=record.id,
+                        open_requests=use.requests,
+                        unread_tokens=int(use.unread_tokens),
+                    )
+                )
+
+    def take(self, peer: PeerState, digest: StateDigest) -> None:
+        """Take what a peer has under way."""
+        now = self._clock()
+        told = {use.endpoint: use for use in digest.endpoints}
+        for record in self.by_id.values():
+            use = told.get(record.id)
+            record.load.note_peer(
+                peer.place.id,
+                requests=use.open_requests if use else 0,
+                unread_tokens=use.unread_tokens if use else 0,
+                now=now,
+            )
+
+    async def take_leaving(
+        self, sender: DaemonId, message: EndpointsLeave
+    ) -> None:
+        """Take what a peer has learned of endpoints that leave."""
+        for id_, left_ms in zip(
+            message.endpoints, message.leave_in_ms, strict=False
+        ):
+            self.note_leaving(
+                EndpointId(id_),
+                left_s=None if left_ms < 0 else left_ms / 1000,
+                source=sender,
+            )
+
+    def data_centres(self, service: ServiceName) -> set[DataCentreName]:
+        """Return where a service has endpoints listed."""
+        return {
+            record.listed.data_centre for record in self.of_service(service)
+        }
+
+    def _take(self, item: ListedEndpoint) -> None:
+        record = self.by_id.get(item.id)
+        if record is None:
+            record = EndpointRecord(listed=item, since=self._clock())
+            self.by_id[item.id] = record
+            log.info(
+                'endpoint_listed',
+                endpoint=item.id,
+                service=item.service,
+                address=item.address,
+                data_centre=item.data_centre,
+                market=item.market,
+                state=item.state,
+            )
+        record.listed = item
+        record.gone_at = record.lapses_at = None
+        if item.state is EndpointState.LEAVING:
+            self.note_leaving(
+                item.id, left_s=item.leaves_in_s, source='platform'
+            )
+
+    def _note_missing(self, record: EndpointRecord) -> None:
+        """Take an endpoint that is no longer listed as gone.
+
+        While the platform's store was away, live endpoints could not
+        renew their entries. Taken as gone at once, all of a service could
+        vanish together, and every request would be refused.
+        """
+        now = self._clock()
+        regained_at = self._regained_at()
+        if regained_at is not None and now - regained_at < LAPSE_S:
+            record.lapses_at = regained_at + LAPSE_S
+            log.info('endpoint_lapsed', endpoint=record.id)
+            return
+        record.gone_at = now
+        log.info('endpoint_gone', endpoint=record.id)
+        if not record.is_leaving:
+            self.note_leaving(record.id, left_s=None, source='platform')
+
+    def _forget_old(self) -> None:
+        now = self._clock()
+        for id_, record in tuple(self.by_id.items()):
+            lapses_at = record.lapses_at
+            if lapses_at is not None and now >= lapses_at:
+                record.lapses_at = None
+                self._note_missing(record)
+            gone_at = record.gone_at
+            if gone_at is not None and now - gone_at > KEEP_GONE_S:
+                del self.by_id[id_]
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -0,0 +1,229 @@
+"""Orders endpoints, as the holder of the duty."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+
+from mimosamux_daemon.control.leases import Lease
+from mimosamux_daemon.domain.names import DataCentreName, ServiceName
+from mimosamux_daemon.domain.routes import GatewayConfiguration, ScalingBounds
+from mimosamux_daemon.domain.vms import Market
+from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.scaling_plan import (
+    ScalingPolicy,
+    Slot,
+    plan_counts,
+)
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.duty_calls import (
+    DutyCalls,
+    DutyOutcome,
+    EndpointOrder,
+)
+
+log = get_log('scaling')
+
+TICK_S = 0.5
+DRY_S = 2.0
+"""Time between two tries to order where there was nothing to be had. A try
+costs one call; endpoints that come back sooner save the difference to the
+price of on-demand ones."""
+REPEAT_S = 15.0
+"""Orders are repeated after this time: one that was given before, and
+carried out late, would otherwise stay in force."""
+SETTLE_S = 6.0
+"""Time over the start of an endpoint after which an order that was taken
+and has no effect is given again."""
+
+
+@dataclass(kw_only=True, slots=True)
+class _Given:
+    """An order that was given last for one slot."""
+
+    count: int
+    at: float
+
+
+@dataclass(kw_only=True, slots=True)
+class Scaling:
+    """The duty of ordering endpoints, for as long as a lease is held."""
+
+    calls: DutyCalls
+    roster: Roster
+    demand: Demand
+    configuration: Callable[[], GatewayConfiguration]
+    clock: Callable[[], float]
+    lose_lease: Callable[[Lease], None]
+    policy: ScalingPolicy = field(default_factory=ScalingPolicy)
+    _given: dict[tuple[ServiceName, Slot], _Given] = field(
+        default_factory=dict
+    )
+    _shrunk: set[tuple[ServiceName, Slot]] = field(default_factory=set)
+    """Slots whose last order was for fewer endpoints."""
+    _dry: dict[tuple[ServiceName, DataCentreName], float] = field(
+        default_factory=dict
+    )
+    """Places without reclaimable endpoints, and when to try them again.
+    They stay here until an order is taken: a place that counted as good
+    again before would have on-demand endpoints sent away in vain."""
+
+    async def run(self, lease: Lease) -> None:
+        """Order what is missing until cancelled."""
+        self._given.clear()
+        while True:
+            changed = self.roster.changed
+            if lease.is_valid():
+                await self._order_all(lease)
+            with anyio.move_on_after(TICK_S):
+                await changed.wait()
+
+    def note_leaving(self, record: EndpointRecord) -> None:
+        """Take a reclaimed endpoint as a sign that none is to be had."""
+        listed = record.listed
+        if listed.market is not Market.RECLAIMABLE:
+            return
+        slot = Slot(data_centre=listed.data_centre, market=listed.market)
+        key = (listed.service, slot)
+        if key in self._shrunk:
+            return
+        place = (listed.service, listed.data_centre)
+        self._dry[place] = self.clock() + DRY_S
+        # What was ordered is gone with it, so it is to be given anew.
+        self._given.pop(key, None)
+
+    async def _order_all(self, lease: Lease) -> None:
+        services = self.configuration().services_by_name
+        for name, service in services.items():
+            if service.scaling is not None:
+                await self._order_service(name, service.scaling, lease)
+
+    async def _order_service(
+        self, service: ServiceName, bounds: ScalingBounds, lease: Lease
+    ) -> None:
+        held = self._count_held(service)
+        await self._try_dry(service, bounds, held, lease)
+        counts = plan_counts(
+            bounds=bounds,
+            busy=self.demand.busy_most(service),
+            dry=self._find_dry(service),
+            held=held,
+            given=self._find_given(service),
+            policy=self.policy,
+        )
+        for slot, count in counts.items():
+            if self._is_due(service, slot, count, held, bounds):
+                await self._give(service, slot, count, lease)
+
+    async def _try_dry(
+        self,
+        service: ServiceName,
+        bounds: ScalingBounds,
+        held: dict[Slot, int],
+        lease: Lease,
+    ) -> None:
+        """Order one endpoint where there was none, if a try is due."""
+        now = self.clock()
+        for place, next_try in tuple(self._dry.items()):
+            if place[0] != service or now < next_try:
+                continue
+            self._dry[place] = now + DRY_S
+            slot = Slot(data_centre=place[1], market=Market.RECLAIMABLE)
+            count = min(held.get(slot, 0) + 1, bounds.most)
+            await self._give(service, slot, count, lease)
+
+    def _is_due(
+        self,
+        service: ServiceName,
+        slot: Slot,
+        count: int,
+        held: dict[Slot, int],
+        bounds: ScalingBounds,
+    ) -> bool:
+        given = self._given.get((service, slot))
+        if given is None:
+            return count > 0 or held.get(slot, 0) > 0
+        if given.count != count:
+            return True
+        passed_s = self.clock() - given.at
+        if held.get(slot, 0) != count:
+            return passed_s > bounds.boot_s + SETTLE_S
+        return passed_s > REPEAT_S and count > 0
+
+    async def _give(
+        self, service: ServiceName, slot: Slot, count: int, lease: Lease
+    ) -> None:
+        if not lease.is_valid():
+            return
+        outcome = await self.calls.order_endpoints(
+            EndpointOrder(
+                service=service,
+                data_centre=slot.data_centre,
+                market=slot.market,
+                count=count,
+            ),
+            fencing=lease.fencing,
+        )
+        log.info(
+            'endpoints_ordered',
+            service=service,
+            data_centre=slot.data_centre,
+            market=slot.market,
+            count=count,
+            busy=round(self.demand.busy(service), 2),
+            fencing=lease.fencing,
+            outcome=outcome.name.lower(),
+        )
+        if outcome is DutyOutcome.DONE:
+            self._note_given(service, slot, count)
+        elif outcome is DutyOutcome.REFUSED:
+            self._note_refused(service, slot, lease)
+
+    def _note_given(
+        self, service: ServiceName, slot: Slot, count: int
+    ) -> None:
+        key = (service, slot)
+        before = self._given.get(key)
+        if before is not None and before.count != count:
+            is_less = before.count > count
+            (self._shrunk.add if is_less else self._shrunk.discard)(key)
+        self._given[key] = _Given(count=count, at=self.clock())
+        if slot.market is Market.RECLAIMABLE:
+            self._dry.pop((service, slot.data_centre), None)
+
+    def _note_refused(
+        self, service: ServiceName, slot: Slot, lease: Lease
+    ) -> None:
+        """Take a refusal: nothing is to be had, or there is a new holder.
+
+        The platform says both in the same way. On-demand endpoints can
+        always be had, so for them it is a new holder.
+        """
+        if slot.market is Market.RECLAIMABLE:
+            place = (service, slot.data_centre)
+            self._dry[place] = self.clock() + DRY_S
+        else:
+            self.lose_lease(lease)
+
+    def _find_given(self, service: ServiceName) -> dict[Slot, int]:
+        return {
+            slot: given.count
+            for (name, slot), given in self._given.items()
+            if name == service
+        }
+
+    def _find_dry(self, service: ServiceName) -> frozenset[DataCentreName]:
+        return frozenset(
+            place[1] for place in self._dry if place[0] == service
+        )
+
+    def _count_held(self, service: ServiceName) -> dict[Slot, int]:
+        held: dict[Slot, int] = {}
+        for record in self.roster.serving(service):
+            slot = Slot(
+                data_centre=record.listed.data_centre,
+                market=record.listed.market,
+            )
+            held[slot] = held.get(slot, 0) + 1
+        return held
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
@@ -0,0 +1,81 @@
+"""A time of day on which the daemons agree.
+
+The clocks of VMs differ, and some jump by seconds. The platform's store
+has a steady clock that all daemons see. Each tells how far its own time of
+day is from that clock, and the median of what all tell is taken: the jump
+of a few VMs moves nothing.
+"""
+
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mimosamux_wire import StateDigest
+
+from mimosamux_daemon.domain.names import DaemonId
+from mimosamux_daemon.gateway.peer_states import PeerState
+
+KEEP_S = 600.0
+"""What a daemon told of its clock is used for so long after it is gone."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Told:
+    offset_s: float
+    at: float
+
+
+class SharedTime:
+    """Tells the agreed time of day."""
+
+    def __init__(
+        self, *, clock: Callable[[], float], wall_clock: Callable[[], float]
+    ) -> None:
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._store_lead_s: float | None = None
+        """The store's clock less the clock of this machine."""
+        self._told_by_peer: dict[DaemonId, _Told] = {}
+
+    def note_store_time(self, store_s: float) -> None:
+        """Take a reading of the store's clock that has just arrived.
+
+        An answer that took long shows an older time; the largest lead is
+        that of the quickest answer.
+        """
+        lead = store_s - self._clock()
+        if self._store_lead_s is None or lead > self._store_lead_s:
+            self._store_lead_s = lead
+
+    def now(self) -> float:
+        """Return the agreed time of day, in seconds since 1970."""
+        if self._store_lead_s is None:
+            return self._wall_clock()
+        return self._store_now() + self._agreed_offset_s()
+
+    def write(self, digest: StateDigest) -> None:
+        """Tell how far the time of day here is from the store's clock."""
+        if self._store_lead_s is not None:
+            digest.wall_offset_ms = int(self._own_offset_s() * 1000)
+
+    def take(self, peer: PeerState, digest: StateDigest) -> None:
+        """Take what a peer tells of its clock."""
+        if digest.wall_offset_ms:
+            self._told_by_peer[peer.place.id] = _Told(
+                offset_s=digest.wall_offset_ms / 1000, at=self._clock()
+            )
+
+    def _agreed_offset_s(self) -> float:
+        oldest = self._clock() - KEEP_S
+        told = [
+            each.offset_s
+            for each in self._told_by_peer.values()
+            if each.at > oldest
+        ]
+        return statistics.median_low([*told, self._own_offset_s()])
+
+    def _own_offset_s(self) -> float:
+        return self._wall_clock() - self._store_now()
+
+    def _store_now(self) -> float:
+        return self._clock() + (self._store_lead_s or 0.0)
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/model_program.py
@@ -0,0 +1,85 @@
+"""Runs a daemon that serves models under its own caller API."""
+
+import pathlib
+import signal
+
+import anyio
+
+from mimosamux_daemon.context import Environment
+from mimosamux_daemon.control.configuration_models import parse_configuration
+from mimosamux_daemon.daemon import Daemon, build_daemon
+from mimosamux_daemon.logs import configure_logs
+from mimosamux_daemon.settings import Settings, parse_settings
+
+DEMO_KEY = 'demo-key'
+
+
+def check(path: str) -> None:
+    """Raise `InvalidInput` for a settings file that is wrong."""
+    read_settings(path)
+
+
+def serve(path: str, env: Environment) -> None:
+    """Run a daemon until SIGTERM or Ctrl-C."""
+    settings = read_settings(path)
+    configure_logs(env.stderr)
+    anyio.run(_serve, settings, env, backend_options={'use_uvloop': True})
+
+
+def find_command(env: Environment) -> str:
+    """Return how to start `mimosamux`, as the line has to work as printed.
+
+    The programs of a virtual environment are not on everybody's path.
+    """
+    beside = pathlib.Path(env.program).with_name('mimosamux')
+    return str(beside) if beside.exists() else beside.name
+
+
+def read_settings(path: str) -> Settings:
+    """Return the settings of a file, its configuration checked as well.
+
+    A wrong first configuration would be turned down only after the start,
+    and the daemon would wait for another one, ready for nothing.
+    """
+    settings = parse_settings(pathlib.Path(path).read_text())
+    if settings.configuration is not None:
+        parse_configuration(settings.configuration, version=1)
+    return settings
+
+
+async def _serve(settings: Settings, env: Environment) -> None:
+    daemon = build_daemon(settings)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_on_signal, daemon)
+        tasks.start_soon(_announce, daemon, env)
+        await daemon.run()
+        tasks.cancel_scope.cancel()
+
+
+async def _stop_on_signal(daemon: Daemon) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            daemon.stop()
+
+
+async def _announce(daemon: Daemon, env: Environment) -> None:
+    await daemon.listening.wait()
+    address = daemon.address
+    print(f'listening http://{address}', file=env.stdout)
+    if daemon.settings.embedded:
+        body = (
+            '{"model": "demo", "stream": true, "max_tokens": 20, "messages":'
+            ' [{"role": "user", "content": "plan a trip"}]}'
+        )
+        print(
+            f'Try:\n  curl -N http://{address}/v1/chat/completions'
+            f" -H 'Authorization: Bearer {DEMO_KEY}'"
+            f" -H 'X-Mimosamux-Class: draft' -d '{body}'\n"
+            f'  MIMOSAMUX_ENTRY={address} MIMOSAMUX_KEY={DEMO_KEY}'
+            f" {find_command(env)} request 'plan a trip'"
+            ' --work-class draft --stream',
+            file=env.stdout,
+        )
+    env.stdout.flush()
+    await daemon.started.wait()
+    print('ready', file=env.stdout, flush=True)
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -0,0 +1,35 @@
+"""Everything that a daemon which passes requests on meets outside."""
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from mimosamux_daemon.adapters.http1_server import Handler
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.gateway.configuration import ConfigurationDocument
+from mimosamux_daemon.gateway.discovery import Discovery
+from mimosamux_daemon.gateway.forwarding import Forwarder
+from mimosamux_daemon.ports.duty_calls import DutyCalls
+from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
+from mimosamux_daemon.ports.feeds import Feed
+from mimosamux_daemon.ports.table import Table
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewayPlatform:
+    """The ports, as an adapter package fills them."""
+
+    configurations: Feed[ConfigurationDocument]
+    configuration_key: str
+    """Key of the configuration in its table."""
+    parse_configuration: Callable[[bytes], ConfigurationDocument]
+    endpoints: Feed[ListedEndpoint]
+    calls: EndpointCalls
+    table: Table
+    duties: DutyCalls | None
+    handle_requests: Callable[[Forwarder], Handler]
+    """Makes the handler of callers' requests."""
+    handle_questions: Callable[[Discovery, Callable[[], bool]], Handler]
+    """Makes the handler of questions for addresses and readiness."""
+    run: Callable[[], Coroutine[Any, Any, None]]
+    """Upkeep of connections, until cancelled."""
--- /dev/null
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -0,0 +1,164 @@
+"""Messages with which daemons share what requests they pass on."""
+
+from dataclasses import dataclass, field
+from typing import Any, ClassVar
+
+from thrift.Thrift import TType
+
+from mimosamux_wire.messages import Message
+
+
+def _list_of(kind: type[Message]) -> tuple[Any, ...]:
+    return (TType.STRUCT, [kind, kind.thrift_spec], False)
+
+
+@dataclass(kw_only=True, slots=True)
+class EndpointUse(Message):
+    """What the sender has under way at one endpoint."""
+
+    endpoint: str = ''
+    open_requests: int = 0
+    unread_tokens: int = 0
+    """Prompt tokens of requests that have not begun to answer."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'endpoint', 'UTF8', ''),
+        (2, TType.I32, 'open_requests', None, 0),
+        (3, TType.I64, 'unread_tokens', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class CapUse(Message):
+    """What the sender let through of an account's cap since it started."""
+
+    account: str = ''
+    used: int = 0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'account', 'UTF8', ''),
+        (2, TType.I64, 'used', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class WindowUse(Message):
+    """Requests of an account that began at the sender in one window."""
+
+    window: int = 0
+    account: str = ''
+    requests: int = 0
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.I64, 'window', None, 0),
+        (2, TType.STRING, 'account', 'UTF8', ''),
+        (3, TType.I32, 'requests', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class ServiceDemand(Message):
+    """Work that callers brought for a service since the sender started."""
+
+    service: str = ''
+    busy_ms: int = 0
+    """Time for which it keeps one endpoint busy."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'service', 'UTF8', ''),
+        (2, TType.I64, 'busy_ms', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class StateDigest(Message):
+    """How things stand at one daemon; a later one replaces it."""
+
+    address: str = ''
+    """Where the sender's peers reach it; also its id."""
+    data_centre: str = ''
+    region: str = ''
+    entry_address: str = ''
+    lifetime: int = 0
+    """Drawn at the start of the process; counters begin with it."""
+    sequence: int = 0
+    state: int = 0
+    configuration_version: int = 0
+    lease_fencing: int = 0
+    """Fencing number of the duties' lease, 0: not the holder."""
+    wall_offset_ms: int = 0
+    """Time of day less the store's clock, as the sender sees both."""
+    endpoints: list[EndpointUse] = field(default_factory=list)
+    caps: list[CapUse] = field(default_factory=list)
+    windows: list[WindowUse] = field(default_factory=list)
+    demands: list[ServiceDemand] = field(default_factory=list)
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'address', 'UTF8', ''),
+        (2, TType.STRING, 'data_centre', 'UTF8', ''),
+        (3, TType.STRING, 'region', 'UTF8', ''),
+        (4, TType.STRING, 'entry_address', 'UTF8', ''),
+        (5, TType.I64, 'lifetime', None, 0),
+        (6, TType.I64, 'sequence', None, 0),
+        (7, TType.I32, 'state', None, 0),
+        (8, TType.I64, 'configuration_version', None, 0),
+        (9, TType.I64, 'lease_fencing', None, 0),
+        (10, TType.I64, 'wall_offset_ms', None, 0),
+        (11, TType.LIST, 'endpoints', _list_of(EndpointUse), None),
+        (12, TType.LIST, 'caps', _list_of(CapUse), None),
+        (13, TType.LIST, 'windows', _list_of(WindowUse), None),
+        (14, TType.LIST, 'demands', _list_of(ServiceDemand), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class DaemonsKnown(Message):
+    """Peer addresses of every daemon that the sender knows."""
+
+    addresses: list[str] = field(default_factory=list)
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class EndpointsLeave(Message):
+    """Endpoints of which the sender has learned that they leave."""
+
+    endpoints: list[str] = field(default_factory=list)
+    leave_in_ms: list[int] = field(default_factory=list)
+    """Time left for each of them, -1: not known."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None),
+        (2, TType.LIST, 'leave_in_ms', (TType.I64, None, False), None),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class Vouch(Message):
+    """Asks up to when the receiver knows its configuration as newest."""
+
+    version: int = 0
+    """Version that the sender has in force."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.I64, 'version', None, 0),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class Vouched(Message):
+    """Version in force, its age, and the document if the asker lags."""
+
+    version: int = 0
+    age_ms: int = 0
+    """Time since the platform confirmed that no newer one existed."""
+    document: bytes = b''
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.I64, 'version', None, 0),
+        (2, TType.I64, 'age_ms', None, 0),
+        (3, TType.STRING, 'document', 'BINARY', b''),
+    )
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -217,3 +217,61 @@
   7: list<string> stopping
   8: list<CountRecord> counts
 }
+
+struct EndpointUse {
+  1: string endpoint
+  2: i32 open_requests
+  3: i64 unread_tokens
+}
+
+struct CapUse {
+  1: string account
+  2: i64 used
+}
+
+struct WindowUse {
+  1: i64 window
+  2: string account
+  3: i32 requests
+}
+
+struct ServiceDemand {
+  1: string service
+  2: i64 busy_ms
+}
+
+struct StateDigest {
+  1: string address
+  2: string data_centre
+  3: string region
+  4: string entry_address
+  5: i64 lifetime
+  6: i64 sequence
+  7: i32 state
+  8: i64 configuration_version
+  9: i64 lease_fencing
+  10: i64 wall_offset_ms
+  11: list<EndpointUse> endpoints
+  12: list<CapUse> caps
+  13: list<WindowUse> windows
+  14: list<ServiceDemand> demands
+}
+
+struct DaemonsKnown {
+  1: list<string> addresses
+}
+
+struct EndpointsLeave {
+  1: list<string> endpoints
+  2: list<i64> leave_in_ms
+}
+
+struct Vouch {
+  1: i64 version
+}
+
+struct Vouched {
+  1: i64 version
+  2: i64 age_ms
+  3: binary document
+}
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.control.configuration_models import parse_configuration
-from mimosamux_daemon.core import find_command, main
+from mimosamux_daemon.core import main
 from mimosamux_daemon.errors import InvalidConfiguration, InvalidSettings
+from mimosamux_daemon.model_program import find_command
 from mimosamux_daemon.settings import Settings, parse_settings
 from mimosamux_daemon.status import ExitStatus
 
