--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -5,13 +5,10 @@
 an answer, and an answer that comes before its request is fully sent.
 """
 
-import select
-import socket
 from contextlib import suppress
 from dataclasses import dataclass
 
 import anyio
-import anyio.abc
 import h11
 
 from mimosamux_daemon.domain.http_messages import (
@@ -19,14 +16,12 @@
     RequestHead,
     find_value,
 )
+from mimosamux_daemon.ports.network import Connection
 
 READ_BYTES = 64 * 1024
 SENT_AT_ONCE_BYTES = 32 * 1024
 """Requests up to this size fit into the buffers of a connection, so that
 sending one cannot wait for the other side to read."""
-SENT_DATA_TIMEOUT_MS = 3000
-"""Sent data that is not acknowledged for so long ends the connection: a
-machine without power answers nothing, not even with a reset."""
 DEFAULT_IDLE_S = 4.0
 """Idle time after which a connection is not used again, unless the other
 side states a limit: five seconds is the lowest usual default of servers."""
@@ -54,14 +49,11 @@
 class Channel:
     """A connection that carries one request at a time."""
 
-    def __init__(
-        self, *, address: str, stream: anyio.abc.SocketStream
-    ) -> None:
+    def __init__(self, *, address: str, connection: Connection) -> None:
         self.address = address
         self.exchanges = 0
         """Requests that were sent on it so far."""
-        self._stream = stream
-        self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._connection = connection
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._unsent = b''
@@ -88,7 +80,7 @@
                 data[:SENT_AT_ONCE_BYTES],
                 data[SENT_AT_ONCE_BYTES:],
             )
-            await self._stream.send(first)
+            await self._connection.send(first)
         except BROKEN as error:
             return ChannelBroken(reason=describe(error))
         return None
@@ -100,7 +92,7 @@
         that waited first would wait for a reader that waits for it.
         """
         with suppress(*BROKEN):
-            await self._stream.send(self._unsent)
+            await self._connection.send(self._unsent)
             # Cut off in the middle, the rest stays due: whatever came next
             # on the connection would be read as part of this body.
             self._unsent = b''
@@ -161,8 +153,12 @@
         some may send more of them in place of the next answer.
         """
         if self._parser.our_state is h11.IDLE:
-            return not self._has_input()
-        if self.has_rest or not self._is_at_end or self._has_input():
+            return not self._connection.has_input()
+        if (
+            self.has_rest
+            or not self._is_at_end
+            or self._connection.has_input()
+        ):
             return False
         return not self._parser.trailing_data[0]
 
@@ -180,7 +176,7 @@
     async def close(self) -> None:
         """Close it at once, whatever is under way."""
         with suppress(*BROKEN):
-            await anyio.aclose_forcefully(self._stream)
+            await self._connection.aclose()
 
     @property
     def _is_at_end(self) -> bool:
@@ -189,11 +185,6 @@
             and self._parser.their_state is h11.DONE
         )
 
-    def _has_input(self) -> bool:
-        poller = select.poll()
-        poller.register(self._socket.fileno(), select.POLLIN | select.POLLHUP)
-        return bool(poller.poll(0))
-
     def _render(self, request: h11.Request, body: bytes) -> bytes:
         parts = [self._parser.send(request)]
         if body:
@@ -217,7 +208,7 @@
         # The end of the connection is the end of an answer without a
         # length; a reset is an error and never taken for an end.
         try:
-            return await self._stream.receive(READ_BYTES)
+            return await self._connection.receive(READ_BYTES)
         except anyio.EndOfStream:
             return b''
 
@@ -231,20 +222,6 @@
                 self._idle_limit_s = int(number) * IDLE_SHARE
 
 
-async def open_channel(address: str) -> Channel | ChannelBroken:
-    """Connect to `host:port`; the caller bounds the time."""
-    host, _, port = address.rpartition(':')
-    try:
-        stream = await anyio.connect_tcp(host, int(port))
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SENT_DATA_TIMEOUT_MS
-        )
-    except (OSError, ValueError) as error:
-        return ChannelBroken(reason=describe(error))
-    return Channel(address=address, stream=stream)
-
-
 def describe(error: Exception) -> str:
     """Return the type of an error and what it says."""
     return f'{type(error).__name__} {error}'.strip()
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -7,8 +7,9 @@
 from mimosamux_daemon.adapters.http1_channel import (
     Channel,
     ChannelBroken,
-    open_channel,
+    describe,
 )
+from mimosamux_daemon.ports.network import Network
 
 SWEEP_S = 1.0
 """Time between two looks for idle connections that are to be closed."""
@@ -20,6 +21,7 @@
 class Channels:
     """Idle connections by address; one that is in use belongs to its user."""
 
+    network: Network
     connect_timeout_s: float
     opened: int = 0
     """Connections opened so far."""
@@ -38,12 +40,13 @@
 
     async def open(self, address: str) -> Channel | ChannelBroken:
         """Return a new connection."""
-        opened: Channel | ChannelBroken = ChannelBroken(reason='timeout')
-        with anyio.move_on_after(self.connect_timeout_s):
-            opened = await open_channel(address)
-        if isinstance(opened, Channel):
-            self.opened += 1
-        return opened
+        try:
+            with anyio.fail_after(self.connect_timeout_s):
+                connection = await self.network.connect(address)
+        except (OSError, TimeoutError) as error:
+            return ChannelBroken(reason=describe(error))
+        self.opened += 1
+        return Channel(address=address, connection=connection)
 
     async def give_back(self, channel: Channel) -> None:
         """Keep a connection for later if it is still good."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -5,14 +5,12 @@
 gone, and how a connection ends, see docs/DECISIONS.md.
 """
 
-import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import anyio
-import anyio.abc
 import h11
 
 from mimosamux_daemon.adapters.http1_channel import (
@@ -27,6 +25,7 @@
 )
 from mimosamux_daemon.domain.routes import TrafficLimits
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.network import Connection
 
 log = get_log('http1_server')
 
@@ -36,8 +35,6 @@
 LINGER_BYTES = 256 * 1024
 UNREAD_BYTES = 64 * 1024
 """Bytes of later requests that are read while one is worked on."""
-SENT_DATA_TIMEOUT_MS = 10_000
-"""A caller that takes no data for so long is gone."""
 CLOSE: RawHeaders = ((b'Connection', b'close'),)
 
 Handler = Callable[['IncomingRequest', 'Reply'], Awaitable[None]]
@@ -80,13 +77,13 @@
         self,
         *,
         parser: h11.Connection,
-        stream: anyio.abc.ByteStream,
+        connection: Connection,
         closes: Callable[[], bool],
     ) -> None:
         self.is_started = False
         self.is_finished = False
         self._parser = parser
-        self._stream = stream
+        self._connection = connection
         self._closes = closes
 
     async def answer(
@@ -129,7 +126,7 @@
 
     async def _send(self, data: bytes) -> bool:
         try:
-            await self._stream.send(data)
+            await self._connection.send(data)
         except BROKEN:
             return False
         return True
@@ -157,34 +154,27 @@
         for scope in tuple(self._idle_scopes):
             scope.cancel()
 
-    async def serve(self, stream: anyio.abc.SocketStream) -> None:
+    async def serve(self, connection: Connection) -> None:
         """Serve one connection until it ends."""
         self.connections += 1
-        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        raw.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SENT_DATA_TIMEOUT_MS
-        )
-        connection = _Connection(server=self, stream=stream)
         try:
-            await connection.run()
+            await _Session(server=self, connection=connection).run()
         except Exception as error:
             # One request that runs into a fault of this program must not
             # end the requests of all other callers with the process.
             log.exception('connection_failed', error=describe(error))
         finally:
             self.connections -= 1
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(stream)
+            with anyio.CancelScope(shield=True), suppress(*BROKEN):
+                await connection.aclose()
 
 
-class _Connection:
+class _Session:
     """One connection: its requests, one after the other."""
 
-    def __init__(
-        self, *, server: Http1Server, stream: anyio.abc.SocketStream
-    ) -> None:
+    def __init__(self, *, server: Http1Server, connection: Connection) -> None:
         self._server = server
-        self._stream = stream
+        self._connection = connection
         limits = server._limits()
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
@@ -201,7 +191,7 @@
                 return
             reply = Reply(
                 parser=self._parser,
-                stream=self._stream,
+                connection=self._connection,
                 closes=lambda: self._server.is_draining,
             )
             await self._handle(request, reply)
@@ -227,7 +217,7 @@
         """Read on while a request is worked on, until the caller goes."""
         while len(self._parser.trailing_data[0]) < UNREAD_BYTES:
             try:
-                data = await self._stream.receive(READ_BYTES)
+                data = await self._connection.receive(READ_BYTES)
             except BROKEN:
                 request.note_gone()
                 return
@@ -254,7 +244,7 @@
         with anyio.move_on_after(idle_timeout_s) as scope:
             self._server._idle_scopes.add(scope)
             try:
-                received = await self._stream.receive(READ_BYTES)
+                received = await self._connection.receive(READ_BYTES)
             except BROKEN:
                 return False
             finally:
@@ -308,9 +298,9 @@
                 return event
             if self._parser.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
-                await self._stream.send(self._parser.send(go_on) or b'')
+                await self._connection.send(self._parser.send(go_on) or b'')
             try:
-                data = await self._stream.receive(READ_BYTES)
+                data = await self._connection.receive(READ_BYTES)
             except BROKEN:
                 return None
             self._parser.receive_data(data)
@@ -324,7 +314,9 @@
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         reply = Reply(
-            parser=self._parser, stream=self._stream, closes=lambda: True
+            parser=self._parser,
+            connection=self._connection,
+            closes=lambda: True,
         )
         await reply.answer(int(problem.status), ())
         await self._linger()
@@ -338,9 +330,9 @@
         """
         unread = 0
         with anyio.move_on_after(LINGER_S), suppress(*BROKEN):
-            await self._stream.send_eof()
+            await self._connection.send_eof()
             while unread < LINGER_BYTES:
-                unread += len(await self._stream.receive(READ_BYTES))
+                unread += len(await self._connection.receive(READ_BYTES))
 
 
 def find_problem(event: h11.Request) -> Unreadable | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -1,6 +1,5 @@
 """The `Peers` port over thrift messages in frames on TCP links."""
 
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -23,6 +22,7 @@
     Side,
     open_link,
 )
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.adapters.thrift_links import (
     QUEUE_BYTES,
     OutgoingLink,
@@ -31,6 +31,7 @@
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
+from mimosamux_daemon.ports.network import Connection, Network
 from mimosamux_daemon.ports.peer import Handler, MessageT, PeerUnavailable
 
 log = get_log('peers')
@@ -39,8 +40,6 @@
 """Calls of one peer that are worked on together; more wait in TCP."""
 CONNECT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 1024
-SENT_DATA_TIMEOUT_MS = 5000
-"""A link whose data nobody acknowledges for so long is broken."""
 
 
 class ThriftPeers:
@@ -54,7 +53,9 @@
         port: int,
         security: LinkSecurity,
         metrics: Metrics | None = None,
+        network: Network | None = None,
     ) -> None:
+        self._network = TcpNetwork() if network is None else network
         self.listening = anyio.Event()
         self.address = ''
         """Host and port of the listener once it listens."""
@@ -108,12 +109,9 @@
 
     async def run(self) -> None:
         """Listen, and keep the links open, until cancelled."""
-        listener = await anyio.create_tcp_listener(
-            local_host=self._host, local_port=self._port
-        )
-        local = listener.extra(anyio.abc.SocketAttribute.local_address)
-        self.address = f'{local[0]}:{local[1]}'
-        async with listener, anyio.create_task_group() as tasks:
+        listener = await self._network.listen(f'{self._host}:{self._port}')
+        self.address = listener.address
+        async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self.listening.set()
             await listener.serve(self._serve, tasks)
@@ -145,19 +143,11 @@
         if address is None:
             # The peer was forgotten before the link's task first ran.
             return LinkClosed(reason='address not known')
-        host, _, port = address.rpartition(':')
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError, ValueError) as error:
+                stream = await self._network.connect(address)
+        except (OSError, TimeoutError) as error:
             return LinkClosed(reason=f'{type(error).__name__}: {error}')
-        # A peer whose machine vanished acknowledges nothing. Without this
-        # the kernel would go on sending for a quarter of an hour.
-        stream.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            SENT_DATA_TIMEOUT_MS,
-        )
         link = await open_link(
             stream,
             me=self._daemon,
@@ -169,7 +159,7 @@
             await anyio.aclose_forcefully(stream)
         return link
 
-    async def _serve(self, stream: anyio.abc.SocketStream) -> None:
+    async def _serve(self, stream: Connection) -> None:
         if self._connections >= MAX_CONNECTIONS:
             await anyio.aclose_forcefully(stream)
             return
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from mimosamux_daemon.adapters.http1_server import Handler, Http1Server
 from mimosamux_daemon.adapters.link_security import LinkSecurity
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
@@ -38,10 +39,10 @@
 from mimosamux_daemon.gateway.vouching import Vouching
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
+from mimosamux_daemon.ports.network import Network
 
 log = get_log('daemon')
 
-BACKLOG = 1024
 CONFIGURATION_WAIT_S = 1.3
 """Time after which the platform says that nothing has changed. Twice this
 is the age that the confirmation of a key can reach in calm."""
@@ -61,6 +62,7 @@
         settings: GatewaySettings,
         platform: GatewayPlatform,
         shared_time: SharedTime,
+        network: Network | None = None,
         clock: Callable[[], float] = steady_time,
         wall_clock: Callable[[], float] = time.time,
         rng: random.Random | None = None,
@@ -68,6 +70,7 @@
         self.settings = settings
         self.started = anyio.Event()
         self._platform = platform
+        self._network = TcpNetwork() if network is None else network
         self._clock = clock
         self._rng = random.Random() if rng is None else rng
         self._stopping = anyio.Event()
@@ -123,6 +126,7 @@
             # The platform's network is closed, and its settings hold no
             # secret that the daemons could share.
             security=LinkSecurity(secret=b''),
+            network=self._network,
         )
         self.states = PeerStates(
             place=settings.place,
@@ -267,17 +271,13 @@
         server: Http1Server,
         scope: anyio.CancelScope,
     ) -> None:
-        host, _, port = address.rpartition(':')
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=int(port), backlog=BACKLOG
-        )
+        listener = await self._network.listen(address)
 
         async def accept() -> None:
             # Connections belong to the daemon's tasks: they outlive the
             # end of accepting.
-            async with listener:
-                with scope:
-                    await listener.serve(server.serve, tasks)
+            with scope:
+                await listener.serve(server.serve, tasks)
 
         tasks.start_soon(accept)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -3,11 +3,13 @@
 import importlib
 import signal
 import time
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from typing import Protocol
 
 import anyio
 
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.errors import InvalidInput, InvalidSettings
 from mimosamux_daemon.gateway.clock import steady_time
@@ -19,6 +21,7 @@
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.logs import configure_logs, get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
+from mimosamux_daemon.ports.network import Network
 
 log = get_log('program')
 
@@ -31,7 +34,11 @@
     """What an adapter package offers."""
 
     def open_platform(
-        self, settings: GatewaySettings, shared_time: SharedTime
+        self,
+        settings: GatewaySettings,
+        shared_time: SharedTime,
+        network: Network,
+        clock: Callable[[], float],
     ) -> AbstractAsyncContextManager[GatewayPlatform]:
         """Give the ports until the block ends."""
 
@@ -66,9 +73,15 @@
     settings = read_gateway_settings(path)
     shared_time = SharedTime(clock=steady_time, wall_clock=time.time)
     adapter = find_adapter(settings)
-    async with adapter.open_platform(settings, shared_time) as platform:
+    network = TcpNetwork()
+    async with adapter.open_platform(
+        settings, shared_time, network, steady_time
+    ) as platform:
         daemon = GatewayDaemon(
-            settings=settings, platform=platform, shared_time=shared_time
+            settings=settings,
+            platform=platform,
+            shared_time=shared_time,
+            network=network,
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_obey_signals, daemon, path)
