--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -83,7 +83,7 @@
         self.is_started = False
         self.is_finished = False
         self._parser = parser
-        self._connection = connection
+        self.connection = connection
         self._closes = closes
 
     async def answer(
@@ -126,7 +126,7 @@
 
     async def _send(self, data: bytes) -> bool:
         try:
-            await self._connection.send(data)
+            await self.connection.send(data)
         except BROKEN:
             return False
         return True
@@ -174,7 +174,7 @@
 
     def __init__(self, *, server: Http1Server, connection: Connection) -> None:
         self._server = server
-        self._connection = connection
+        self.connection = connection
         limits = server._limits()
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
@@ -191,7 +191,7 @@
                 return
             reply = Reply(
                 parser=self._parser,
-                connection=self._connection,
+                connection=self.connection,
                 closes=lambda: self._server.is_draining,
             )
             await self._handle(request, reply)
@@ -217,7 +217,7 @@
         """Read on while a request is worked on, until the caller goes."""
         while len(self._parser.trailing_data[0]) < UNREAD_BYTES:
             try:
-                data = await self._connection.receive(READ_BYTES)
+                data = await self.connection.receive(READ_BYTES)
             except BROKEN:
                 request.note_gone()
                 return
@@ -244,7 +244,7 @@
         with anyio.move_on_after(idle_timeout_s) as scope:
             self._server._idle_scopes.add(scope)
             try:
-                received = await self._connection.receive(READ_BYTES)
+                received = await self.connection.receive(READ_BYTES)
             except BROKEN:
                 return False
             finally:
@@ -298,9 +298,9 @@
                 return event
             if self._parser.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
-                await self._connection.send(self._parser.send(go_on) or b'')
+                await self.connection.send(self._parser.send(go_on) or b'')
             try:
-                data = await self._connection.receive(READ_BYTES)
+                data = await self.connection.receive(READ_BYTES)
             except BROKEN:
                 return None
             self._parser.receive_data(data)
@@ -315,7 +315,7 @@
             return
         reply = Reply(
             parser=self._parser,
-            connection=self._connection,
+            connection=self.connection,
             closes=lambda: True,
         )
         await reply.answer(int(problem.status), ())
@@ -330,9 +330,9 @@
         """
         unread = 0
         with anyio.move_on_after(LINGER_S), suppress(*BROKEN):
-            await self._connection.send_eof()
+            await self.connection.send_eof()
             while unread < LINGER_BYTES:
-                unread += len(await self._connection.receive(READ_BYTES))
+                unread += len(await self.connection.receive(READ_BYTES))
 
 
 def find_problem(event: h11.Request) -> Unreadable | None:
--- /dev/null
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -0,0 +1,158 @@
+"""Stand-in of a caller: asks for addresses, sends, and checks answers."""
+
+import random
+import uuid
+from dataclasses import dataclass, field
+from urllib.parse import urlencode
+
+import anyio
+import orjson
+from mimosamux_daemon.adapters.http1_channel import Channel, ChannelBroken
+from mimosamux_daemon.adapters.http1_channels import Channels
+from mimosamux_daemon.domain.http_messages import (
+    AnswerHead,
+    RawHeaders,
+    RequestHead,
+    find_value,
+)
+from mimosamux_daemon.ports.network import Network
+
+HOST = 'site.example'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerAnswer:
+    """What a caller got for one attempt."""
+
+    id: str
+    sent_at: float
+    ended_at: float
+    status: int | None
+    """None: no answer, or one that broke off in its head."""
+    headers: RawHeaders = ()
+    body: bytes = b''
+    is_whole: bool = False
+    problem: str = ''
+
+    @property
+    def retry_after_s(self) -> float | None:
+        """Return when the caller is told to come again."""
+        value = find_value(self.headers, b'retry-after')
+        return None if value is None else float(value)
+
+
+@dataclass(kw_only=True, slots=True)
+class StandInCaller:
+    """Sends requests to daemons, each on a connection that may be kept."""
+
+    network: Network
+    key: str | None = None
+    patience_s: float = 3.0
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    answers: list[CallerAnswer] = field(default_factory=list)
+    channels: Channels = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.channels = Channels(network=self.network, connect_timeout_s=1.0)
+
+    async def resolve(self, directory: str, zone: str = '') -> list[str]:
+        """Return the addresses that a daemon tells."""
+        query = urlencode({'name': HOST, 'zone': zone, 'region': ''})
+        answer = await self._exchange(
+            directory,
+            RequestHead(
+                method=b'GET',
+                target=f'/api/resolution?{query}'.encode(),
+                headers=((b'Host', directory.encode()),),
+            ),
+            b'',
+            'resolve',
+        )
+        addresses: list[str] = orjson.loads(answer.body)['addresses']
+        return addresses
+
+    async def send(
+        self,
+        address: str,
+        target: str,
+        *,
+        method: str = 'POST',
+        body: bytes = b'',
+        headers: RawHeaders = (),
+        id_: str | None = None,
+    ) -> CallerAnswer:
+        """Send one attempt and return what came of it."""
+        id_ = id_ or uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
+        own: list[tuple[bytes, bytes]] = [
+            (b'Host', HOST.encode()),
+            (b'X-Attempt-Id', id_.encode()),
+            (b'X-Deadline-Ms', b'%d' % (self.patience_s * 1000)),
+        ]
+        if self.key is not None:
+            own.append((b'X-Key', self.key.encode()))
+        if body or method != 'GET':
+            own.append((b'Content-Length', b'%d' % len(body)))
+        head = RequestHead(
+            method=method.encode(),
+            target=target.encode(),
+            headers=(*own, *headers),
+        )
+        answer = await self._exchange(address, head, body, id_)
+        self.answers.append(answer)
+        return answer
+
+    async def _exchange(
+        self, address: str, head: RequestHead, body: bytes, id_: str
+    ) -> CallerAnswer:
+        sent_at = anyio.current_time()
+        channel = await self.channels.take(address)
+        if isinstance(channel, ChannelBroken):
+            return _no_answer(id_, sent_at, channel.reason)
+        answer: CallerAnswer | None = None
+        try:
+            with anyio.move_on_after(self.patience_s + 0.05):
+                answer = await _read(channel, head, body, id_, sent_at)
+        finally:
+            if answer is not None and answer.is_whole:
+                await self.channels.give_back(channel)
+            else:
+                with anyio.CancelScope(shield=True):
+                    await channel.close()
+        return answer or _no_answer(id_, sent_at, 'patience is over')
+
+
+async def _read(
+    channel: Channel, head: RequestHead, body: bytes, id_: str, sent_at: float
+) -> CallerAnswer:
+    await channel.send(head, body)
+    await channel.send_rest()
+    answer = await channel.receive_head()
+    if not isinstance(answer, AnswerHead):
+        return _no_answer(id_, sent_at, answer.reason)
+    parts = bytearray()
+    problem = ''
+    while (part := await channel.receive_body()) is not None:
+        if isinstance(part, ChannelBroken):
+            problem = part.reason
+            break
+        parts += part
+    return CallerAnswer(
+        id=id_,
+        sent_at=sent_at,
+        ended_at=anyio.current_time(),
+        status=answer.status,
+        headers=answer.headers,
+        body=bytes(parts),
+        is_whole=not problem,
+        problem=problem,
+    )
+
+
+def _no_answer(id_: str, sent_at: float, problem: str) -> CallerAnswer:
+    return CallerAnswer(
+        id=id_,
+        sent_at=sent_at,
+        ended_at=anyio.current_time(),
+        status=None,
+        problem=problem,
+    )
--- /dev/null
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -0,0 +1,249 @@
+"""Stand-in of a replica: a queue, slots, answers, and faults."""
+
+import hashlib
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+import anyio
+import orjson
+from mimosamux_daemon.adapters.http1_server import IncomingRequest, Reply
+from mimosamux_daemon.domain.http_messages import RawHeaders, find_value
+
+EVENT_BYTES = 24
+
+
+class Fault(Enum):
+    """What is wrong with a replica."""
+
+    NONE = auto()
+    ERROR = auto()
+    """Runs requests and answers 500."""
+    HANG = auto()
+    """Runs requests and never answers."""
+    LOST = auto()
+    """Runs requests and ends the connection in place of an answer."""
+    CUT = auto()
+    """Ends the connection in the middle of an answer."""
+    EXTRA = auto()
+    """Sends a second answer behind each."""
+    SHED = auto()
+    """Turns requests down, as if it were full."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReplicaSpeed:
+    """How long things take, in seconds."""
+
+    work_s: float = 0.03
+    token_s: float = 1e-5
+    """Time to read one token of a prompt."""
+    event_s: float = 0.02
+    events: int = 6
+
+
+@dataclass(kw_only=True, slots=True)
+class Run:
+    """A request that the replica has begun to work on."""
+
+    id: str
+    replica: str
+    method: str
+    target: str
+    body: bytes
+    tenant: str | None
+    began_at: float
+    ended_at: float | None = None
+    events: int = 0
+    resumed_behind: int = 0
+    """Events that an earlier run of the request had made."""
+
+
+@dataclass(kw_only=True, slots=True)
+class StandInReplica:
+    """One lifetime of a replica."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int = 6
+    queue: int = 24
+    speed: ReplicaSpeed = field(default_factory=ReplicaSpeed)
+    fault: Fault = Fault.NONE
+    is_reclaimable: bool = False
+    state: str = 'ready'
+    leaves_ms: float | None = None
+    runs: list[Run] = field(default_factory=list)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    """Time and id of each request that reached it, run or not."""
+    _slots: anyio.Semaphore | None = None
+    _waiting: int = 0
+    _run_by_id: dict[str, Run] = field(default_factory=dict)
+    _handles: dict[str, int] = field(default_factory=dict)
+
+    def entry(self) -> dict[str, object]:
+        """Return its entry in the list."""
+        entry: dict[str, object] = {
+            'service': self.service,
+            'address': self.address,
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': self.slots,
+            'state': self.state,
+            'sequence': 1,
+            'coldRemainingMs': 0,
+        }
+        if self.is_reclaimable:
+            entry['spotInstances'] = True
+        return entry
+
+    async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
+        """Answer one request."""
+        target = incoming.head.target.decode('latin-1')
+        if target == '/healthz':
+            is_well = self.state == 'ready'
+            headers = ((b'X-Replica-Id', self.id.encode()),)
+            await reply.answer(200 if is_well else 503, headers)
+        elif target == '/api/report':
+            await reply.answer(200, (), orjson.dumps(self._report()))
+        else:
+            await self._answer(incoming, reply)
+
+    async def _answer(self, incoming: IncomingRequest, reply: Reply) -> None:
+        headers = incoming.head.headers
+        id_ = (find_value(headers, b'x-attempt-id') or b'').decode()
+        self.arrivals.append((anyio.current_time(), id_))
+        expected = find_value(headers, b'x-expected-replica')
+        if expected is not None and expected.decode() != self.id:
+            own = ((b'X-Replica-Id', self.id.encode()),)
+            await reply.answer(421, own)
+            return
+        is_full = self._waiting >= self.queue + self.slots
+        if not id_ or is_full or self.fault is Fault.SHED:
+            await reply.answer(
+                400 if not id_ else 503, ((b'X-Not-Executed', b'1'),)
+            )
+            return
+        with anyio.CancelScope() as scope:
+            incoming.cancel_when_gone(scope)
+            async with self._slot():
+                await self._run(incoming, reply, id_)
+
+    @asynccontextmanager
+    async def _slot(self) -> AsyncIterator[None]:
+        if self._slots is None:
+            self._slots = anyio.Semaphore(self.slots)
+        self._waiting += 1
+        try:
+            async with self._slots:
+                yield
+        finally:
+            self._waiting -= 1
+
+    async def _run(
+        self, incoming: IncomingRequest, reply: Reply, id_: str
+    ) -> None:
+        headers = incoming.head.headers
+        last = find_value(headers, b'last-event-id')
+        tenant = find_value(headers, b'x-tenant')
+        run = Run(
+            id=id_,
+            replica=self.id,
+            method=incoming.head.method.decode(),
+            target=incoming.head.target.decode('latin-1'),
+            body=incoming.body,
+            tenant=None if tenant is None else tenant.decode(),
+            began_at=anyio.current_time(),
+            resumed_behind=int(last or b'0'),
+        )
+        self.runs.append(run)
+        self._run_by_id[id_] = run
+        try:
+            if find_value(headers, b'x-model') is not None:
+                await self._stream(incoming, reply, run)
+            else:
+                await self._work(reply, run)
+        finally:
+            run.ended_at = anyio.current_time()
+
+    async def _work(self, reply: Reply, run: Run) -> None:
+        await anyio.sleep(self.speed.work_s)
+        if self.fault is Fault.HANG:
+            await anyio.sleep_forever()
+        if self.fault is Fault.LOST:
+            return
+        body = f'done {run.id} by {self.id}'.encode() * 8
+        if self.fault is Fault.CUT:
+            await reply.start(
+                200,
+                (*self._headers(run, body), (b'Content-Length', b'9999')),
+                body,
+            )
+            return
+        status = 500 if self.fault is Fault.ERROR else 200
+        await reply.answer(status, self._headers(run, body), body)
+        if self.fault is Fault.EXTRA:
+            await reply.connection.send(
+                b'HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n'
+                b'Content-Length: 5\r\n\r\nextra'
+            )
+
+    async def _stream(
+        self, incoming: IncomingRequest, reply: Reply, run: Run
+    ) -> None:
+        tokens = find_value(incoming.head.headers, b'x-token-usage') or b'0'
+        await anyio.sleep(int(tokens.partition(b',')[0]) * self.speed.token_s)
+        if self.fault is Fault.HANG:
+            await anyio.sleep_forever()
+        if self.fault is Fault.LOST:
+            return
+        if self.fault is Fault.ERROR:
+            await reply.answer(500, self._headers(run, b''))
+            return
+        headers = (
+            *self._headers(run, b''),
+            (b'Content-Type', b'text/event-stream'),
+            (b'X-Weight-Versions', b'1'),
+        )
+        await reply.start(200, headers)
+        for number in range(run.resumed_behind + 1, self.speed.events + 1):
+            await anyio.sleep(self.speed.event_s)
+            run.events = number
+            event = render_event(run.id, number)
+            if self.fault is Fault.CUT and number > self.speed.events // 2:
+                await reply.write(event[: len(event) // 2])
+                return
+            if not await reply.write(event):
+                return
+        await reply.finish()
+
+    def _headers(self, run: Run, body: bytes) -> RawHeaders:
+        return (
+            (b'X-Attempt-Id', run.id.encode()),
+            (b'X-Replica-Signature', sign(self.id, run.id, body)),
+        )
+
+    def _report(self) -> dict[str, object]:
+        report: dict[str, object] = {
+            'phase': 'unified',
+            'state': self.state,
+            'queuedRequests': max(0, self._waiting - self.slots),
+            'activeRequests': min(self._waiting, self.slots),
+        }
+        if self.leaves_ms is not None:
+            report['leaves_ms'] = self.leaves_ms
+        return report
+
+
+def sign(replica: str, request: str, body: bytes) -> bytes:
+    """Return the proof that a replica gave an answer to a request."""
+    digest = hashlib.sha256(f'{replica} {request} '.encode() + body)
+    return f'{replica}.{digest.hexdigest()[:16]}'.encode()
+
+
+def render_event(request: str, number: int) -> bytes:
+    """Return an event of a stream; nobody else makes the same."""
+    text = hashlib.sha256(f'{request} {number}'.encode()).hexdigest()
+    return f'id: {number}\ndata: {text[:EVENT_BYTES]}\n\n'.encode()
