--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
@@ -1,12 +1,18 @@
 """Usage caps of client accounts, kept by all daemons together.
 
-Each daemon keeps a bucket of every account. It takes from it what it lets
-through itself and what its peers tell that they did, so all buckets are
-about the same. Between two digests several daemons may let through the
-same tokens; the buckets then go below zero and are paid back before any
-daemon lets more through.
+An account may use its rate times a window, and its burst on top, in any
+span of the window's length. Each daemon adds up what it let through itself
+and what its peers tell that they did. Between two digests several daemons
+may let through the same tokens; the cap's tolerance is for that, and what
+went over is missing afterwards.
+
+A daemon that starts does not know what was used before. It takes that from
+its peers, or from marks that are left in the platform's table while an
+account uses much of its cap: all daemons can die at once.
 """
 
+import math
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -16,104 +22,187 @@
 from mimosamux_daemon.domain.routes import AccountEntry, UsageCap
 from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
 
+STEP_S = 0.25
+"""Time over which uses are added up to one entry; as long as the time
+between two digests, so a finer step would not be more exact."""
+MARKED_SHARE = 0.45
+"""Part of a cap from which an account is marked as using much."""
+UNMARKED_SHARE = 0.45
+"""Part of a cap that a daemon which starts takes as used for an account
+that is not marked: it cannot have used more."""
+TOLERANCE_USED = 0.5
+"""Part of what may be used on top of a cap that is let through; the rest
+is for what daemons let through unseen by each other, a fourth of it with
+nine daemons before an account that asks for seven times its cap."""
 LEAST_WAIT_S = 0.05
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CapRules:
+    """How exactly caps have to be kept."""
+
+    window_s: float
+    """Span of time over which uses are counted."""
+    overage: float
+    """Share of a cap that may be used on top of it."""
+    tolerance: float
+    """Amount that may be used on top of that."""
+
+
 @dataclass(kw_only=True, slots=True)
-class _Bucket:
-    """Tokens that an account may still use; below zero they are owed."""
+class _Account:
+    """What was used in the last window, by all daemons."""
 
-    level: float
-    filled_at: float
+    entries: deque[tuple[float, float]] = field(default_factory=deque)
+    """Time at which each entry began, and the amount used in it."""
     used: float = 0.0
+    own: float = 0.0
     """What this daemon let through since it started."""
-    used_by_peer: dict[DaemonId, tuple[int, float]] = field(
-        default_factory=dict
-    )
-    """Lifetime and use of each peer, as it told last."""
+    told_by_peer: dict[DaemonId, tuple[int, int]] = field(default_factory=dict)
+    limit: float = math.inf
+    assumed: float = 0.0
+    """What may have been used before this daemon knew of it."""
+    assumed_until: float = -math.inf
 
 
 class UsageCaps:
     """Lets requests through as far as the caps of their accounts allow."""
 
     def __init__(
-        self, *, states: PeerStates, clock: Callable[[], float]
+        self,
+        *,
+        states: PeerStates,
+        rules: CapRules,
+        clock: Callable[[], float],
     ) -> None:
         self._states = states
+        self._rules = rules
+        self._window_s = rules.window_s
         self._clock = clock
         self._started_at = clock()
-        self._by_account: dict[AccountId, _Bucket] = {}
+        self._by_id: dict[AccountId, _Account] = {}
+        self._is_informed = False
+        """Whether marks or a peer have told what was used before."""
 
     def acquire(self, account: AccountEntry, cost: float) -> float | None:
-        """Take from the account's bucket; None once that is done.
+        """Count a use that fits under the account's cap; None if it does.
 
         Otherwise the result is the time until it may be tried again.
         """
         cap = account.cap
         if cap is None:
             return None
-        bucket = self._fill(account.id, cap)
-        if bucket.level <= 0:
-            wait_s = -bucket.level / max(self._rate(cap), 1.0)
-            return max(wait_s, LEAST_WAIT_S)
-        bucket.level -= cost
-        bucket.used += cost
+        state = self._state_of(account.id)
+        state.limit = self._limit(cap)
+        self._forget_old(state)
+        if self._used(state) + cost > state.limit:
+            return max(self._wait_s(state, cost), LEAST_WAIT_S)
+        self._add(state, cost)
+        state.own += cost
         return None
 
     def give_back(self, account: AccountEntry, cost: float) -> None:
         """Undo an `acquire`: the request has not run."""
-        bucket = self._by_account.get(account.id)
-        if bucket is not None and account.cap is not None:
-            bucket.level += cost
-            bucket.used -= cost
+        state = self._by_id.get(account.id)
+        if state is not None and account.cap is not None:
+            self._add(state, -cost)
+            state.own -= cost
+
+    def marked(self) -> list[AccountId]:
+        """Return the accounts that use much of their cap."""
+        found = []
+        for id_, state in self._by_id.items():
+            self._forget_old(state)
+            if self._used(state) > MARKED_SHARE * state.limit:
+                found.append(id_)
+        return found
+
+    def take_marks(self, age_by_account: dict[AccountId, float]) -> None:
+        """Take the marks that daemons left, by their age in seconds."""
+        self._is_informed = True
+        for id_, age_s in age_by_account.items():
+            if age_s < self._window_s:
+                self._assume(self._state_of(id_), math.inf, -age_s)
 
     def write(self, digest: StateDigest) -> None:
-        """Tell what was let through here."""
-        digest.caps.extend(
-            CapUse(account=account, used=int(bucket.used))
-            for account, bucket in self._by_account.items()
-        )
+        """Tell what was let through here, and what is known in all."""
+        for id_, state in self._by_id.items():
+            self._forget_old(state)
+            digest.caps.append(
+                CapUse(
+                    account=id_,
+                    used=int(state.own),
+                    recent=int(min(self._used(state), 1e15)),
+                )
+            )
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
-        """Take out what a peer has let through since it told last."""
+        """Add what a peer has let through since it told last."""
         for use in digest.caps:
-            bucket = self._by_account.get(AccountId(use.account))
-            if bucket is None:
-                bucket = self._add(AccountId(use.account))
-            lifetime, before = bucket.used_by_peer.get(
-                peer.place.id, (peer.lifetime, float(use.used))
-            )
-            if lifetime != peer.lifetime:
-                before = 0.0
-            bucket.used_by_peer[peer.place.id] = (
-                peer.lifetime,
-                float(use.used),
-            )
-            bucket.level -= use.used - before
-
-    def _add(self, account: AccountId) -> _Bucket:
-        # Empty when the process starts: one that starts while an account
-        # is at its cap would otherwise let a whole burst through again.
-        bucket = _Bucket(level=0.0, filled_at=self._started_at)
-        self._by_account[account] = bucket
-        return bucket
-
-    def _fill(self, account: AccountId, cap: UsageCap) -> _Bucket:
-        bucket = self._by_account.get(account) or self._add(account)
+            state = self._state_of(AccountId(use.account))
+            told = state.told_by_peer.get(peer.place.id)
+            state.told_by_peer[peer.place.id] = (peer.lifetime, use.used)
+            if told is not None:
+                before = told[1] if told[0] == peer.lifetime else 0
+                self._add(state, use.used - before)
+            elif not self._is_informed:
+                self._assume(state, use.recent, 0.0)
+        self._is_informed = True
+
+    def _state_of(self, id_: AccountId) -> _Account:
+        state = self._by_id.get(id_)
+        if state is None:
+            state = self._by_id[id_] = _Account()
+        return state
+
+    def _assume(self, state: _Account, amount: float, since_s: float) -> None:
+        state.assumed = max(state.assumed, amount)
+        until = self._clock() + since_s + self._window_s
+        state.assumed_until = max(state.assumed_until, until)
+
+    def _used(self, state: _Account) -> float:
         now = self._clock()
-        passed_s = now - bucket.filled_at
-        bucket.filled_at = now
-        bucket.level = min(
-            bucket.level + passed_s * self._rate(cap), cap.burst
-        )
-        return bucket
+        assumed = state.assumed if now < state.assumed_until else 0.0
+        if now < self._started_at + self._window_s:
+            # Nobody has told of it: below this part it is not marked.
+            assumed = max(assumed, UNMARKED_SHARE * state.limit)
+        return state.used + assumed
 
-    def _rate(self, cap: UsageCap) -> float:
-        """Return the rate at which this daemon may fill the bucket.
+    def _limit(self, cap: UsageCap) -> float:
+        """Return what all daemons that can talk may let through.
 
         Peers that are out of touch may let requests through unseen, so
-        their part of the rate is left to them.
+        their part of the cap is left to them.
         """
         reachable = 1 + len(self._states.fresh())
         expected = max(self._states.expected(), reachable)
-        return cap.rate_per_s * reachable / expected
+        amount = cap.rate_per_s * self._window_s + cap.burst
+        amount *= 1 + TOLERANCE_USED * self._rules.overage
+        amount += TOLERANCE_USED * self._rules.tolerance
+        return amount * reachable / expected
+
+    def _wait_s(self, state: _Account, cost: float) -> float:
+        """Return the time until enough of what was used is past."""
+        now = self._clock()
+        missing = self._used(state) + cost - state.limit
+        for began_at, amount in state.entries:
+            missing -= amount
+            if missing <= 0:
+                return began_at + self._window_s - now
+        return self._window_s
+
+    def _add(self, state: _Account, amount: float) -> None:
+        now = self._clock()
+        state.used += amount
+        if state.entries and now < state.entries[-1][0] + STEP_S:
+            began_at, before = state.entries[-1]
+            state.entries[-1] = (began_at, before + amount)
+        else:
+            state.entries.append((now, amount))
+
+    def _forget_old(self, state: _Account) -> None:
+        # An entry counts until its last moment is a window ago.
+        oldest = self._clock() - self._window_s - STEP_S
+        while state.entries and state.entries[0][0] <= oldest:
+            _, amount = state.entries.popleft()
+            state.used -= amount
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -22,6 +22,8 @@
 that keeps its prompt's shared parts, however idle others are."""
 FAR_REQUESTS = 0.5
 """Requests under way that the way to another data centre counts for."""
+OWN_READ_S = 0.1
+"""Time of reading its own prompt that counts as part of a request's wait."""
 OUTPUT_SHARE = 0.5
 """Part of the longest answer that is taken for the likely one, where the
 caller gives no estimate."""
@@ -39,8 +41,11 @@
     """Prompt tokens that it likely has to read."""
     first_event_s: float = 0.0
     """Likely time until the answer begins."""
-    is_alone: bool = False
-    """Whether no other prompt waits there to be read."""
+    alone_s: float = 0.0
+    """Part of it that the request's own prompt takes beyond the usual, so
+    that waiting cannot be its cause."""
+    ahead_tokens: float = 0.0
+    """Tokens of other prompts that wait there to be read."""
 
 
 class Chooser:
@@ -54,7 +59,7 @@
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
-        self.parts = PromptParts(clock=clock)
+        self.parts = PromptParts()
         self._roster = roster
         self._data_centre = data_centre
         self._clock = clock
@@ -134,7 +139,8 @@
             record=record,
             unread_tokens=unread,
             first_event_s=first_s,
-            is_alone=use.unread_tokens < 1,
+            alone_s=max(0.0, speed.read_s(unread) - OWN_READ_S),
+            ahead_tokens=use.unread_tokens,
         )
 
     def _choose_plain(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -15,6 +15,7 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
+from mimosamux_daemon.gateway.cap_marks import CapMarks
 from mimosamux_daemon.gateway.caps import UsageCaps
 from mimosamux_daemon.gateway.choice import Chooser
 from mimosamux_daemon.gateway.clock import steady_time
@@ -29,6 +30,7 @@
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.metering import Metering
+from mimosamux_daemon.gateway.overload import WINDOW_S, Overload
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
@@ -40,6 +42,7 @@
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
 from mimosamux_daemon.ports.network import Network
+from mimosamux_daemon.serving.fair_shares import FairShares
 
 log = get_log('daemon')
 
@@ -100,6 +103,7 @@
                 self.configuration_reader.run,
                 self.endpoint_reader.run,
                 self.vouching.run,
+                self.marks.run,
             ):
                 tasks.start_soon(loop)
             await self._listen(tasks)
@@ -166,6 +170,7 @@
             shared_time,
             self.begun,
             self.demand,
+            self.chooser.parts,
             self.duties,
         ]
 
@@ -192,7 +197,17 @@
         )
 
     def _build_counts(self, shared_time: SharedTime) -> None:
-        self.caps = UsageCaps(states=self.states, clock=self._clock)
+        self.caps = UsageCaps(
+            states=self.states,
+            rules=self.settings.caps,
+            clock=self._clock,
+        )
+        self.marks = CapMarks(
+            table=self._platform.table,
+            caps=self.caps,
+            states=self.states,
+            store_time=shared_time.store_now,
+        )
         self.begun = BegunCounts(
             window_s=self.settings.usage_window_s, now=shared_time.now
         )
@@ -234,6 +249,9 @@
             ),
             begun=self.begun,
             demand=self.demand,
+            overload=Overload(
+                shares=FairShares(window_s=WINDOW_S), clock=self._clock
+            ),
             clock=self._clock,
         )
         self.server = self._build_server(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand.py
@@ -11,7 +11,7 @@
 
 STEP_S = 1.0
 """Time over which work is added up to one point of the record."""
-SHORT_STEPS = 3
+SHORT_STEPS = 2
 """Newest points that make the demand of now: long enough that the length
 of single prompts does not move it much."""
 KEPT_STEPS = 30
@@ -25,6 +25,8 @@
         default_factory=lambda: deque([0.0], maxlen=KEPT_STEPS)
     )
     own_s: float = 0.0
+    first_at: float | None = None
+    """When the first work came."""
     told_by_peer: dict[DaemonId, tuple[int, int]] = field(default_factory=dict)
 
 
@@ -38,10 +40,10 @@
 
     def note(self, service: ServiceName, busy_s: float) -> None:
         """Count a request that keeps one endpoint busy for a time."""
+        self._step()
         record = self._record(service)
         record.own_s += busy_s
-        self._step()
-        record.points[-1] += busy_s
+        self._add(record, busy_s)
 
     def busy(self, service: ServiceName) -> float:
         """Return how many endpoints the work of now keeps busy."""
@@ -61,6 +63,11 @@
             return self.busy(service)
         return max(sums) / (SHORT_STEPS * STEP_S)
 
+    def seen_s(self, service: ServiceName) -> float:
+        """Return for how long work has been coming for a service."""
+        first_at = self._record(service).first_at
+        return 0.0 if first_at is None else self._clock() - first_at
+
     def write(self, digest: StateDigest) -> None:
         """Tell the work that was brought here."""
         digest.demands.extend(
@@ -82,7 +89,12 @@
                 peer.lifetime,
                 demand.busy_ms,
             )
-            record.points[-1] += max(0, demand.busy_ms - before) / 1000
+            self._add(record, max(0, demand.busy_ms - before) / 1000)
+
+    def _add(self, record: _Record, busy_s: float) -> None:
+        record.points[-1] += busy_s
+        if record.first_at is None and busy_s > 0:
+            record.first_at = self._clock()
 
     def _record(self, service: ServiceName) -> _Record:
         return self._by_service.setdefault(service, _Record())
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -22,6 +22,8 @@
     GatewayOutcome,
     Job,
 )
+from mimosamux_daemon.gateway.outcome_log import log_outcome, log_refusal
+from mimosamux_daemon.gateway.overload import Overload
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.sinks import AnswerSink, Caller
@@ -67,6 +69,7 @@
     budget: RetryBudget
     begun: BegunCounts
     demand: Demand
+    overload: Overload
     clock: Callable[[], float]
 
     async def forward(
@@ -75,6 +78,7 @@
         """Have a request answered; the outcome tells if it was not."""
         job = self.admission.admit(request, sink)
         if isinstance(job, Refused):
+            log_refusal(request, job)
             return job
         self._note_demand(job)
         outcome: GatewayOutcome = CallerGone()
@@ -87,6 +91,7 @@
             outcome = self._end_late(job)
         if isinstance(outcome, Refused):
             self.admission.release_cap(job)
+        log_outcome(job, outcome, now=self.clock())
         return outcome
 
     def _note_demand(self, job: Job) -> None:
@@ -111,6 +116,9 @@
                     f'no endpoint of {job.service.name} takes it',
                     retry_after_s=NO_ENDPOINT_RETRY_S,
                 )
+            refused = self.overload.find_refusal(job, choice)
+            if refused is not None:
+                return refused
             outcome = await self._send(job, choice)
             if isinstance(outcome, NotSent):
                 unsent += 1
@@ -242,7 +250,7 @@
         if prompt is None:
             return
         self.chooser.parts.note_read(choice.record.id, prompt)
-        if choice.is_alone:
+        if choice.ahead_tokens < 1:
             self.chooser.speed_of(job.service.name).note(
                 choice.unread_tokens, self.clock() - progress.sent_at
             )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -33,6 +33,9 @@
 REPEAT_S = 15.0
 """Orders are repeated after this time: one that was given before, and
 carried out late, would otherwise stay in force."""
+LEARN_S = 15.0
+"""Time for which work has to come before there are fewer endpoints than
+were found: those who set up the service knew what it needs."""
 SETTLE_S = 6.0
 """Time over the start of an endpoint after which an order that was taken
 and has no effect is given again."""
@@ -60,6 +63,8 @@
     _given: dict[tuple[ServiceName, Slot], _Given] = field(
         default_factory=dict
     )
+    _found: dict[ServiceName, int] = field(default_factory=dict)
+    """Most endpoints that a service was seen to have, while learning."""
     _shrunk: set[tuple[ServiceName, Slot]] = field(default_factory=set)
     """Slots whose last order was for fewer endpoints."""
     _dry: dict[tuple[ServiceName, DataCentreName], float] = field(
@@ -107,6 +112,7 @@
         counts = plan_counts(
             bounds=bounds,
             busy=self.demand.busy_most(service),
+            least=self._find_least(service, held),
             dry=self._find_dry(service),
             held=held,
             given=self._find_given(service),
@@ -116,6 +122,14 @@
             if self._is_due(service, slot, count, held, bounds):
                 await self._give(service, slot, count, lease)
 
+    def _find_least(self, service: ServiceName, held: dict[Slot, int]) -> int:
+        """Return how many endpoints to keep whatever the demand is."""
+        if self.demand.seen_s(service) > LEARN_S:
+            return 0
+        most = max(self._found.get(service, 0), sum(held.values()))
+        self._found[service] = most
+        return most
+
     async def _try_dry(
         self,
         service: ServiceName,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling_plan.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling_plan.py
@@ -41,6 +41,7 @@
     *,
     bounds: ScalingBounds,
     busy: float,
+    least: int,
     dry: frozenset[DataCentreName],
     held: Counts,
     given: Counts,
@@ -49,14 +50,15 @@
     """Return the counts to order.
 
     `busy` is the number of endpoints that the demand would keep busy all
-    the time; `dry` are the data centres where no reclaimable endpoints
-    can be had now, `held` the endpoints that take work, and `given` the
-    last orders. Slots that are left out stay as they are.
+    the time, `least` how many there shall be at least; `dry` are the data
+    centres where no reclaimable endpoints can be had now, `held` the
+    endpoints that take work, and `given` the last orders. Slots that are
+    left out stay as they are.
     """
     centres = sort_centres(bounds)
     has_market = bounds.reclaimable_price is not None
     wet = [each for each in centres if has_market and each not in dry]
-    wanted = find_wanted(bounds, busy / policy.busy_share)
+    wanted = find_wanted(bounds, max(busy / policy.busy_share, least))
     counts: dict[Slot, int] = {}
     reclaimable = 0
     kept = {
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -8,6 +8,7 @@
 
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.errors import InvalidSettings
+from mimosamux_daemon.gateway.caps import CapRules
 from mimosamux_daemon.gateway.peer_states import DaemonPlace
 from mimosamux_daemon.gateway.retry_budget import RetryLimits
 from mimosamux_daemon.validation import first_problem
@@ -61,6 +62,14 @@
     extra: float = pydantic.Field(ge=0)
 
 
+class CapsModel(_Model):
+    """How exactly the caps of client accounts are kept."""
+
+    window_s: float = pydantic.Field(gt=0)
+    overage: float = pydantic.Field(default=0.0, ge=0)
+    tolerance: float = pydantic.Field(default=0.0, ge=0)
+
+
 class GatewaySettingsModel(_Model):
     """The settings file."""
 
@@ -75,6 +84,7 @@
     platform: PlatformModel
     bounds: BoundsModel
     retries: RetriesModel
+    caps: CapsModel
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +109,7 @@
     usage_lateness_s: float
     address_ttl_s: float
     retries: RetryLimits
+    caps: CapRules
 
 
 def read_gateway_settings(path: str) -> GatewaySettings:
@@ -150,4 +161,9 @@
             window_s=model.retries.window_s,
             extra=model.retries.extra,
         ),
+        caps=CapRules(
+            window_s=model.caps.window_s,
+            overage=model.caps.overage,
+            tolerance=model.caps.tolerance,
+        ),
     )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
@@ -49,14 +49,23 @@
 
     def now(self) -> float:
         """Return the agreed time of day, in seconds since 1970."""
-        if self._store_lead_s is None:
+        store_now = self.store_now()
+        if store_now is None:
             return self._wall_clock()
-        return self._store_now() + self._agreed_offset_s()
+        return store_now + self._agreed_offset_s(store_now)
+
+    def store_now(self) -> float | None:
+        """Return the store's clock, None before it was ever seen."""
+        if self._store_lead_s is None:
+            return None
+        return self._clock() + self._store_lead_s
 
     def write(self, digest: StateDigest) -> None:
         """Tell how far the time of day here is from the store's clock."""
-        if self._store_lead_s is not None:
-            digest.wall_offset_ms = int(self._own_offset_s() * 1000)
+        store_now = self.store_now()
+        if store_now is not None:
+            offset_s = self._wall_clock() - store_now
+            digest.wall_offset_ms = int(offset_s * 1000)
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
         """Take what a peer tells of its clock."""
@@ -65,17 +74,12 @@
                 offset_s=digest.wall_offset_ms / 1000, at=self._clock()
             )
 
-    def _agreed_offset_s(self) -> float:
+    def _agreed_offset_s(self, store_now: float) -> float:
         oldest = self._clock() - KEEP_S
         told = [
             each.offset_s
             for each in self._told_by_peer.values()
             if each.at > oldest
         ]
-        return statistics.median_low([*told, self._own_offset_s()])
-
-    def _own_offset_s(self) -> float:
-        return self._wall_clock() - self._store_now()
-
-    def _store_now(self) -> float:
-        return self._clock() + (self._store_lead_s or 0.0)
+        own = self._wall_clock() - store_now
+        return statistics.median_low([*told, own])
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/fair_shares.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/fair_shares.py
@@ -107,6 +107,10 @@
         news.sort(key=lambda new: new.offered, reverse=True)
         return news[:limit]
 
+    def is_known(self, account: AccountId) -> bool:
+        """Whether the account has asked for anything lately."""
+        return key_of_account(account) in self._by_key
+
     def is_over(self, account: AccountId) -> bool:
         """Whether the account asks for more than its fair part and has it.
 
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -34,10 +34,13 @@
 
     account: str = ''
     used: int = 0
+    recent: int = 0
+    """What all daemons let through in the last window, as it knows."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'account', 'UTF8', ''),
         (2, TType.I64, 'used', None, 0),
+        (3, TType.I64, 'recent', None, 0),
     )
 
 
@@ -70,6 +73,19 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class PartsRead(Message):
+    """Parts of prompts that an endpoint has read for the sender."""
+
+    endpoint: str = ''
+    parts: list[str] = field(default_factory=list)
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'endpoint', 'UTF8', ''),
+        (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class StateDigest(Message):
     """How things stand at one daemon; a later one replaces it."""
@@ -92,6 +108,8 @@
     caps: list[CapUse] = field(default_factory=list)
     windows: list[WindowUse] = field(default_factory=list)
     demands: list[ServiceDemand] = field(default_factory=list)
+    parts: list[PartsRead] = field(default_factory=list)
+    """Read since the last digest."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'address', 'UTF8', ''),
@@ -108,6 +126,7 @@
         (12, TType.LIST, 'caps', _list_of(CapUse), None),
         (13, TType.LIST, 'windows', _list_of(WindowUse), None),
         (14, TType.LIST, 'demands', _list_of(ServiceDemand), None),
+        (15, TType.LIST, 'parts', _list_of(PartsRead), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -227,6 +227,7 @@
 struct CapUse {
   1: string account
   2: i64 used
+  3: i64 recent
 }
 
 struct WindowUse {
@@ -240,6 +241,11 @@
   2: i64 busy_ms
 }
 
+struct PartsRead {
+  1: string endpoint
+  2: list<string> parts
+}
+
 struct StateDigest {
   1: string address
   2: string data_centre
@@ -255,6 +261,7 @@
   12: list<CapUse> caps
   13: list<WindowUse> windows
   14: list<ServiceDemand> demands
+  15: list<PartsRead> parts
 }
 
 struct DaemonsKnown {
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.domain.routes import TrafficLimits
+from mimosamux_daemon.gateway.caps import CapRules
 from mimosamux_daemon.gateway.daemon import GatewayDaemon
 from mimosamux_daemon.gateway.peer_states import DaemonPlace
 from mimosamux_daemon.gateway.retry_budget import RetryLimits
@@ -210,6 +211,7 @@
             usage_lateness_s=10.0,
             address_ttl_s=5.0,
             retries=RetryLimits(share=0.2, window_s=10.0, extra=58.0),
+            caps=CapRules(window_s=8.0, overage=0.1, tolerance=140_000.0),
         )
 
     def start_daemon(self, number=None, *, wall_offset_s=0.0):
