On-demand endpoints one data centre ahead while no reclaimable ones are to be had; a record of cap use

Change: while none is to be had, the plan also covers the loss of the next data centre; recent uses of caps are recorded twice a second and taken over by daemons that start.

--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
@@ -0,0 +1,81 @@
+"""A record in the platform's table of what accounts used of their caps."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import orjson
+
+from mimosamux_daemon.domain.names import AccountId
+from mimosamux_daemon.domain.store import Row, Unavailable, Write
+from mimosamux_daemon.gateway.caps import UsageCaps, UseRecord
+from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports import Table
+
+log = get_log('cap_record')
+
+ROW_KEY = 'caps/recent'
+LOOK_S = 0.5
+"""Time between two records: what an account uses in it may be used once
+more if all daemons die just then, and is within the tolerance of a cap."""
+
+
+@dataclass(kw_only=True, slots=True)
+class CapRecord:
+    """Reads the record at the start, and keeps it afterwards."""
+
+    table: Table
+    caps: UsageCaps
+    states: PeerStates
+    store_time: Callable[[], float | None]
+    """The store's clock in seconds, None before it was ever seen."""
+
+    async def run(self) -> None:
+        """Read once, then write until cancelled."""
+        is_read = False
+        while True:
+            if not is_read:
+                is_read = await self._read()
+            elif self._is_writer():
+                await self._write()
+            await anyio.sleep(LOOK_S)
+
+    async def _read(self) -> bool:
+        row = await self.table.read(ROW_KEY)
+        now = self.store_time()
+        if isinstance(row, Unavailable) or now is None:
+            return False
+        if row is not None:
+            parsed = _parse(row)
+            if parsed is not None:
+                at, record = parsed
+                self.caps.take_record(record, age_s=max(now - at, 0.0))
+        return True
+
+    async def _write(self) -> None:
+        record, now = self.caps.record(), self.store_time()
+        if not record or now is None:
+            return
+        value = orjson.dumps({'at': now, 'uses': record})
+        await self.table.commit([], [Write(key=ROW_KEY, value=value)])
+
+    def _is_writer(self) -> bool:
+        """Whether this daemon is the one of those in touch that writes."""
+        ids = [peer.place.id for peer in self.states.fresh()]
+        return self.states.place.id <= min(ids, default='~')
+
+
+def _parse(row: Row) -> tuple[float, UseRecord] | None:
+    try:
+        fields = orjson.loads(row.value)
+        uses = {
+            AccountId(account): [
+                (float(age_s), float(amount)) for age_s, amount in entries
+            ]
+            for account, entries in fields['uses'].items()
+        }
+        return float(fields['at']), uses
+    except (ValueError, TypeError, AttributeError, KeyError) as error:
+        log.error('row_unreadable', key=ROW_KEY, problem=str(error))
+        return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
@@ -7,8 +7,8 @@
 went over is missing afterwards.
 
 A daemon that starts does not know what was used before. It takes that from
-its peers, or from marks that are left in the platform's table while an
-account uses much of its cap: all daemons can die at once.
+its peers, or from a record that is left in the platform's table while an
+account uses a good part of its cap: all daemons can die at once.
 """
 
 import math
@@ -25,11 +25,13 @@
 STEP_S = 0.25
 """Time over which uses are added up to one entry; as long as the time
 between two digests, so a finer step would not be more exact."""
-MARKED_SHARE = 0.45
-"""Part of a cap from which an account is marked as using much."""
-UNMARKED_SHARE = 0.45
-"""Part of a cap that a daemon which starts takes as used for an account
-that is not marked: it cannot have used more."""
+RECORDED_SHARE = 0.3
+"""Part of a cap from which on the use of an account is recorded."""
+RECORD_STEP_S = 2.0
+"""Time over which uses are added up to one entry of the record."""
+UNSEEN_SHARE = 0.1
+"""Part of a cap that a daemon which starts takes as used besides what the
+record shows, which may be half a second old."""
 TOLERANCE_USED = 0.5
 """Part of what may be used on top of a cap that is let through; the rest
 is for what daemons let through unseen by each other, a fourth of it with
@@ -61,8 +63,11 @@
     told_by_peer: dict[DaemonId, tuple[int, int]] = field(default_factory=dict)
     limit: float = math.inf
     assumed: float = 0.0
-    """What may have been used before this daemon knew of it."""
-    assumed_until: float = -math.inf
+    """What was used before this daemon started, as a peer told."""
+
+
+UseRecord = dict[AccountId, list[tuple[float, float]]]
+"""Uses of each account: how long ago, in seconds, and how much."""
 
 
 class UsageCaps:
@@ -82,7 +87,7 @@
         self._started_at = clock()
         self._by_id: dict[AccountId, _Account] = {}
         self._is_informed = False
-        """Whether marks or a peer have told what was used before."""
+        """Whether the record or a peer told what was used before."""
 
     def acquire(self, account: AccountEntry, cost: float) -> float | None:
         """Count a use that fits under the account's cap; None if it does.
@@ -108,21 +113,36 @@
             self._add(state, -cost)
             state.own -= cost
 
-    def marked(self) -> list[AccountId]:
-        """Return the accounts that use much of their cap."""
-        found = []
+    def record(self) -> UseRecord:
+        """Return recent uses of accounts that use much of their cap."""
+        now = self._clock()
+        record: UseRecord = {}
         for id_, state in self._by_id.items():
             self._forget_old(state)
-            if self._used(state) > MARKED_SHARE * state.limit:
-                found.append(id_)
-        return found
-
-    def take_marks(self, age_by_account: dict[AccountId, float]) -> None:
-        """Take the marks that daemons left, by their age in seconds."""
+            if state.used <= RECORDED_SHARE * state.limit:
+                continue
+            by_age: dict[float, float] = {}
+            for began_at, amount in state.entries:
+                # Rounded down: what counts as newer counts for longer.
+                steps = (now - began_at) // RECORD_STEP_S
+                age_s = steps * RECORD_STEP_S
+                by_age[age_s] = by_age.get(age_s, 0.0) + amount
+            record[id_] = sorted(by_age.items(), reverse=True)
+        return record
+
+    def take_record(self, record: UseRecord, *, age_s: float) -> None:
+        """Take the uses of before this daemon started."""
+        if self._is_informed:
+            return
         self._is_informed = True
-        for id_, age_s in age_by_account.items():
-            if age_s < self._window_s:
-                self._assume(self._state_of(id_), math.inf, -age_s)
+        for id_, uses in record.items():
+            state = self._state_of(id_)
+            for use_age_s, amount in uses:
+                began_at = self._clock() - use_age_s - age_s
+                state.entries.append((began_at, amount))
+                state.used += amount
+            state.entries = deque(sorted(state.entries))
+            self._forget_old(state)
 
     def write(self, digest: StateDigest) -> None:
         """Tell what was let through here, and what is known in all."""
@@ -146,7 +166,7 @@
                 before = told[1] if told[0] == peer.lifetime else 0
                 self._add(state, use.used - before)
             elif not self._is_informed:
-                self._assume(state, use.recent, 0.0)
+                state.assumed = max(state.assumed, use.recent)
         self._is_informed = True
 
     def _state_of(self, id_: AccountId) -> _Account:
@@ -155,18 +175,11 @@
             state = self._by_id[id_] = _Account()
         return state
 
-    def _assume(self, state: _Account, amount: float, since_s: float) -> None:
-        state.assumed = max(state.assumed, amount)
-        until = self._clock() + since_s + self._window_s
-        state.assumed_until = max(state.assumed_until, until)
-
     def _used(self, state: _Account) -> float:
-        now = self._clock()
-        assumed = state.assumed if now < state.assumed_until else 0.0
-        if now < self._started_at + self._window_s:
-            # Nobody has told of it: below this part it is not marked.
-            assumed = max(assumed, UNMARKED_SHARE * state.limit)
-        return state.used + assumed
+        if self._clock() > self._started_at + self._window_s:
+            return state.used
+        unseen = UNSEEN_SHARE * state.limit
+        return state.used + max(state.assumed, unseen)
 
     def _limit(self, cap: UsageCap) -> float:
         """Return what all daemons that can talk may let through.
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -15,7 +15,7 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
-from mimosamux_daemon.gateway.cap_marks import CapMarks
+from mimosamux_daemon.gateway.cap_record import CapRecord
 from mimosamux_daemon.gateway.caps import UsageCaps
 from mimosamux_daemon.gateway.choice import Chooser
 from mimosamux_daemon.gateway.clock import steady_time
@@ -103,7 +103,7 @@
                 self.configuration_reader.run,
                 self.endpoint_reader.run,
                 self.vouching.run,
-                self.marks.run,
+                self.cap_record.run,
             ):
                 tasks.start_soon(loop)
             await self._listen(tasks)
@@ -202,7 +202,7 @@
             rules=self.settings.caps,
             clock=self._clock,
         )
-        self.marks = CapMarks(
+        self.cap_record = CapRecord(
             table=self._platform.table,
             caps=self.caps,
             states=self.states,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling_plan.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling_plan.py
@@ -72,7 +72,8 @@
         counts[_slot(centre, Market.RECLAIMABLE)] = count
         reclaimable += count
     reclaimable += sum(kept.values())
-    needed = find_wanted(bounds, busy / policy.busy_share_reduced)
+    at_risk = _largest(held) if dry else 0
+    needed = find_wanted(bounds, busy / policy.busy_share_reduced) + at_risk
     counts.update(
         _plan_on_demand(
             centres=centres,
@@ -119,6 +120,18 @@
     return sum(n for slot, n in counts.items() if slot.market is market)
 
 
+def _largest(held: Counts) -> int:
+    """Return the most reclaimable endpoints of one data centre.
+
+    While none can be had, those of the next data centre may be taken away
+    as well before on-demand ones could start.
+    """
+    counts = [
+        n for slot, n in held.items() if slot.market is Market.RECLAIMABLE
+    ]
+    return max(counts, default=0)
+
+
 def find_wanted(bounds: ScalingBounds, endpoints: float) -> int:
     """Return a number of endpoints within the bounds."""
     centres = len(bounds.price_by_data_centre)
