Running streams move away from endpoints that are about to go

Cause: a draft longer than the notice of a reclaim was cut off; accepted work has to survive it.

What ends in time stays.

Ruled out: copying while the run goes on before it is stopped: a copy of 10,000 tokens takes 8 ms on these links, and each is paid for.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -27,6 +27,7 @@
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.discovery import Discovery
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.metering import Metering
@@ -104,6 +105,7 @@
                 self.endpoint_reader.run,
                 self.vouching.run,
                 self.cap_record.run,
+                self.evacuation.run,
             ):
                 tasks.start_soon(loop)
             await self._listen(tasks)
@@ -179,7 +181,7 @@
             clock=self._clock,
             regained_at=lambda: self.endpoint_reader.regained_at,
         )
-        self.roster.on_leaving.append(self._tell_leaving)
+        self.roster.on_learned.append(self._tell_leaving)
         self.endpoint_reader = FeedReader(
             name='endpoints',
             feed=self._platform.endpoints,
@@ -189,6 +191,15 @@
             rng=self._rng,
         )
         self.peers.handle(EndpointsLeave, self.roster.take_leaving)
+        self.evacuation = Evacuation(
+            roster=self.roster,
+            moves=self._platform.moves,
+            drain_s=self.settings.drain_s,
+            clock=self._clock,
+            rng=self._rng,
+            tell=self._tell_leaving,
+        )
+        self.roster.on_leaving.append(self.evacuation.note_leaving)
         self.chooser = Chooser(
             roster=self.roster,
             data_centre=self.settings.place.data_centre,
@@ -252,6 +263,7 @@
             overload=Overload(
                 shares=FairShares(window_s=WINDOW_S), clock=self._clock
             ),
+            evacuation=self.evacuation,
             clock=self._clock,
         )
         self.server = self._build_server(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -14,6 +14,7 @@
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
 from mimosamux_daemon.gateway.choice import Choice, Chooser
 from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.evacuation import Evacuation, RunningStream
 from mimosamux_daemon.gateway.events import EventSplitter
 from mimosamux_daemon.gateway.jobs import (
     BrokenOff,
@@ -36,6 +37,7 @@
     NotSent,
     TurnedDown,
 )
+from mimosamux_daemon.ports.run_moves import RunKept, RunMoved
 
 log = get_log('forwarding')
 
@@ -70,6 +72,7 @@
     begun: BegunCounts
     demand: Demand
     overload: Overload
+    evacuation: Evacuation
     clock: Callable[[], float]
 
     async def forward(
@@ -104,12 +107,7 @@
     async def _run(self, job: Job) -> GatewayOutcome:
         unsent = 0
         while True:
-            choice = self.chooser.choose(
-                job.service,
-                job.route,
-                job.request.prompt,
-                excluding=job.tried,
-            )
+            choice = self._choose(job)
             if choice is None or unsent >= CONNECTS:
                 return job.give_up(
                     Reason.NO_ENDPOINT,
@@ -122,9 +120,23 @@
             outcome = await self._send(job, choice)
             if isinstance(outcome, NotSent):
                 unsent += 1
+                if not job.may_be_sent_anew:
+                    return self._broken_off(job, outcome.reason)
             elif outcome is not None:
                 return outcome
 
+    def _choose(self, job: Job) -> Choice | None:
+        if job.move_target is not None:
+            record = self.roster.by_id.get(job.move_target)
+            if record is not None:
+                return Choice(record=record)
+        return self.chooser.choose(
+            job.service,
+            job.route,
+            job.request.prompt,
+            excluding=job.tried,
+        )
+
     async def _send(
         self, job: Job, choice: Choice
     ) -> GatewayOutcome | NotSent | None:
@@ -149,6 +161,7 @@
                     self.roster.note_connect(record, failed=True)
                     return answer
                 self.roster.note_connect(record, failed=False)
+                job.kv_source = job.move_target = None
                 if isinstance(answer, TurnedDown):
                     sending.note_unrun()
                     return self._turned_down(job, record.id, answer)
@@ -214,13 +227,43 @@
     async def _relay(
         self, job: Job, answer: EndpointAnswer, progress: _Progress
     ) -> GatewayOutcome | None:
+        """Pass events on until they end, or the run has moved elsewhere."""
+        prompt = job.request.prompt
+        stream = RunningStream(
+            request_id=job.request.id,
+            service=job.service,
+            record=progress.choice.record,
+            tokens=0 if prompt is None else prompt.tokens,
+        )
+        with self.evacuation.running(stream):
+            ended = await self._relay_events(job, answer, progress)
+        if not isinstance(ended, CallBroken):
+            return ended
+        outcome = await stream.find_move()
+        if isinstance(outcome, RunMoved | RunKept) and job.last_event_id:
+            self._go_on_at(job, stream, outcome)
+            return None
+        return self._broken(job, progress.choice.record.id, ended)
+
+    def _go_on_at(
+        self, job: Job, stream: RunningStream, outcome: RunMoved | RunKept
+    ) -> None:
+        """Have a run that was stopped go on where its memory is."""
+        target = stream.record
+        if isinstance(outcome, RunMoved) and stream.target is not None:
+            target = stream.target
+        job.kv_source = outcome.kv_source
+        job.move_target = target.id
+
+    async def _relay_events(
+        self, job: Job, answer: EndpointAnswer, progress: _Progress
+    ) -> GatewayOutcome | CallBroken:
         """Pass events on as they arrive, whole ones only."""
-        record = progress.choice.record
         splitter = EventSplitter()
         job.weights_version = answer.weights_version
         while (part := await answer.receive()) is not None:
             if isinstance(part, CallBroken):
-                return self._broken(job, record.id, part)
+                return part
             events = splitter.feed(part)
             if events is None:
                 continue
@@ -236,8 +279,7 @@
             if not is_sent:
                 return CallerGone()
         if splitter.has_rest or not job.sink.is_started:
-            broken = CallBroken(reason='ended within an event')
-            return self._broken(job, record.id, broken)
+            return CallBroken(reason='ended within an event')
         await job.sink.finish()
         return Delivered(status=answer.status)
 
@@ -296,9 +338,12 @@
         )
         if self._may_send_again(job):
             return None
+        return self._broken_off(job, broken.reason)
+
+    def _broken_off(self, job: Job, reason: str) -> GatewayOutcome:
         if job.sink.is_started:
-            return BrokenOff(reason=broken.reason)
-        return job.fail(Reason.ENDPOINT_FAILED, broken.reason)
+            return BrokenOff(reason=reason)
+        return job.fail(Reason.ENDPOINT_FAILED, reason)
 
     def _may_send_again(
         self, job: Job, *, is_proven_unrun: bool = False
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -75,12 +75,22 @@
     tried: set[EndpointId] = field(default_factory=set)
     last_event_id: str | None = None
     weights_version: str | None = None
+    kv_source: str | None = None
+    """Copy of its memory from which it goes on, if it was moved."""
+    move_target: EndpointId | None = None
+    """Endpoint that has the copy."""
 
     @property
     def is_stream(self) -> bool:
         """Whether its answer is a series of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def may_be_sent_anew(self) -> bool:
+        """Whether a send that did not come about may go elsewhere."""
+        is_moved = self.kv_source is not None
+        return is_moved or not self.may_have_run or self.route.may_repeat
+
     def left_s(self, now: float) -> float:
         """Return the time until the caller is to have its answer."""
         patience_s = self.request.patience_s
@@ -108,6 +118,7 @@
         return ResumePoint(
             last_event_id=self.last_event_id,
             weights_version=self.weights_version,
+            kv_source=self.kv_source,
         )
 
     def fail(self, reason: Reason, message: str) -> Failed:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -20,6 +20,7 @@
 
 log = get_log('roster')
 
+PLATFORM = 'platform'
 LAPSE_S = 2.0
 """Time after the platform's store is back within which live endpoints that
 lapsed from its list meanwhile are listed again."""
@@ -85,7 +86,9 @@
         self.changed = anyio.Event()
         """Set, and replaced by a new one, with each change of the list."""
         self.on_leaving: list[Listener] = []
-        """Told of each endpoint that was learned to leave here first."""
+        """Told of each endpoint that leaves, whoever learned of it."""
+        self.on_learned: list[Listener] = []
+        """Told of those that the platform told this daemon of."""
         self._clock = clock
         self._regained_at = regained_at
 
@@ -136,8 +139,10 @@
             left_s=left_s,
             source=source,
         )
-        if source == 'platform':
-            for listener in self.on_leaving:
+        for listener in self.on_leaving:
+            listener(record)
+        if source == PLATFORM:
+            for listener in self.on_learned:
                 listener(record)
 
     def serving(self, service: ServiceName) -> list[EndpointRecord]:
@@ -232,7 +237,7 @@
         record.gone_at = record.lapses_at = None
         if item.state is EndpointState.LEAVING:
             self.note_leaving(
-                item.id, left_s=item.leaves_in_s, source='platform'
+                item.id, left_s=item.leaves_in_s, source=PLATFORM
             )
 
     def _note_missing(self, record: EndpointRecord) -> None:
@@ -251,7 +256,7 @@
         record.gone_at = now
         log.info('endpoint_gone', endpoint=record.id)
         if not record.is_leaving:
-            self.note_leaving(record.id, left_s=None, source='platform')
+            self.note_leaving(record.id, left_s=None, source=PLATFORM)
 
     def _forget_old(self) -> None:
         now = self._clock()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -45,6 +45,8 @@
 
     revocation_s: float = pydantic.Field(gt=0)
     """A key that was taken away is out everywhere after this time."""
+    drain_s: float = pydantic.Field(gt=0)
+    """An endpoint that is listed as leaving serves on for so long."""
     stop_grace_s: float = pydantic.Field(gt=0)
     """The platform kills a process that was asked to stop after it."""
     lease_s: float = pydantic.Field(gt=0)
@@ -103,6 +105,7 @@
     cloud: str
     checks_fencing: bool
     revocation_s: float
+    drain_s: float
     stop_grace_s: float
     lease_s: float
     usage_window_s: float
@@ -151,6 +154,7 @@
         cloud=model.platform.cloud,
         checks_fencing=model.platform.checks_fencing,
         revocation_s=bounds.revocation_s,
+        drain_s=bounds.drain_s,
         stop_grace_s=bounds.stop_grace_s,
         lease_s=bounds.lease_s,
         usage_window_s=bounds.usage_window_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -12,6 +12,7 @@
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
 from mimosamux_daemon.ports.feeds import Feed
+from mimosamux_daemon.ports.run_moves import RunMoves
 from mimosamux_daemon.ports.table import Table
 
 
@@ -25,6 +26,7 @@
     parse_configuration: Callable[[bytes], ConfigurationDocument]
     endpoints: Feed[ListedEndpoint]
     calls: EndpointCalls
+    moves: RunMoves
     table: Table
     duties: DutyCalls | None
     handle_requests: Callable[[Forwarder], Handler]
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/run_moves.py
@@ -0,0 +1,64 @@
+"""Port to moving running requests between model engines."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.store import Unavailable
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointOutlook:
+    """What an endpoint says of its future."""
+
+    leaves_in_s: float | None
+    """Time until it is taken away, None if it does not know."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunMoved:
+    """The run has stopped at the source; its copy is at the target."""
+
+    kv_source: str
+    """Names the copy for the request that goes on from it."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunKept:
+    """The run has stopped, and its memory is still at the source."""
+
+    kv_source: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NotMoved:
+    """The run goes on where it is, or has ended."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MoveUnanswered:
+    """Nobody can tell whether the run has stopped."""
+
+    reason: str
+
+
+MoveOutcome = RunMoved | RunKept | NotMoved | MoveUnanswered
+
+
+class RunMoves(Protocol):
+    """Calls to the engines of a service."""
+
+    async def look(
+        self, endpoint: ListedEndpoint
+    ) -> EndpointOutlook | Unavailable:
+        """Ask an endpoint when it leaves."""
+
+    async def move(
+        self,
+        source: ListedEndpoint,
+        target: ListedEndpoint,
+        request_id: str,
+    ) -> MoveOutcome:
+        """Stop a run and copy its memory to another engine."""
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -205,6 +205,7 @@
             cloud=CLOUD,
             checks_fencing=True,
             revocation_s=5.0,
+            drain_s=2.0,
             stop_grace_s=8.0,
             lease_s=3.0,
             usage_window_s=5.0,
