--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -48,6 +48,8 @@
     network: Network
     key: str | None = None
     patience_s: float = 3.0
+    leaves_after_s: float | None = None
+    """When it hangs up, although it said that it would wait longer."""
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     answers: list[CallerAnswer] = field(default_factory=list)
     channels: Channels = field(init=False)
@@ -55,6 +57,12 @@
     def __post_init__(self) -> None:
         self.channels = Channels(network=self.network, connect_timeout_s=1.0)
 
+    @property
+    def _waits_s(self) -> float:
+        if self.leaves_after_s is not None:
+            return self.leaves_after_s
+        return self.patience_s + 0.05
+
     async def resolve(self, directory: str, zone: str = '') -> list[str]:
         """Return the addresses that a daemon tells."""
         query = urlencode({'name': HOST, 'zone': zone, 'region': ''})
@@ -110,7 +118,7 @@
             return _no_answer(id_, sent_at, channel.reason)
         answer: CallerAnswer | None = None
         try:
-            with anyio.move_on_after(self.patience_s + 0.05):
+            with anyio.move_on_after(self._waits_s):
                 answer = await _read(channel, head, body, id_, sent_at)
         finally:
             if answer is not None and answer.is_whole:
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -41,6 +41,7 @@
     """Time to read one token of a prompt."""
     event_s: float = 0.02
     events: int = 6
+    move_s: float = 0.01
 
 
 @dataclass(kw_only=True, slots=True)
@@ -58,6 +59,11 @@
     events: int = 0
     resumed_behind: int = 0
     """Events that an earlier run of the request had made."""
+    kv_source: str = ''
+    """Copy of an earlier run that it goes on from."""
+    read_tokens: int = 0
+    """Prompt tokens that were not held in the cache."""
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -81,7 +87,12 @@
     _slots: anyio.Semaphore | None = None
     _waiting: int = 0
     _run_by_id: dict[str, Run] = field(default_factory=dict)
-    _handles: dict[str, int] = field(default_factory=dict)
+    by_address: dict[str, 'StandInReplica'] = field(default_factory=dict)
+    """Every replica, for copies of memory from one to the other."""
+    held_parts: set[str] = field(default_factory=set)
+    _reading: anyio.Lock = field(default_factory=anyio.Lock)
+    _handles: dict[str, str] = field(default_factory=dict)
+    """Requests whose memory is held, by the name of the copy."""
 
     def entry(self) -> dict[str, object]:
         """Return its entry in the list."""
@@ -108,6 +119,8 @@
             await reply.answer(200 if is_well else 503, headers)
         elif target == '/api/report':
             await reply.answer(200, (), orjson.dumps(self._report()))
+        elif target == '/api/kv-move':
+            await self._move(orjson.loads(incoming.body), reply)
         else:
             await self._answer(incoming, reply)
 
@@ -120,6 +133,12 @@
             own = ((b'X-Replica-Id', self.id.encode()),)
             await reply.answer(421, own)
             return
+        source = find_value(headers, b'kv-from')
+        if source is not None:
+            handle = source.decode().rpartition('/')[2]
+            if self._handles.pop(handle, None) != id_:
+                await reply.answer(503, ((b'X-Not-Executed', b'1'),))
+                return
         is_full = self._waiting >= self.queue + self.slots
         if not id_ or is_full or self.fault is Fault.SHED:
             await reply.answer(
@@ -157,14 +176,16 @@
             tenant=None if tenant is None else tenant.decode(),
             began_at=anyio.current_time(),
             resumed_behind=int(last or b'0'),
+            kv_source=(find_value(headers, b'kv-from') or b'').decode(),
         )
         self.runs.append(run)
         self._run_by_id[id_] = run
         try:
-            if find_value(headers, b'x-model') is not None:
-                await self._stream(incoming, reply, run)
-            else:
-                await self._work(reply, run)
+            with run.scope:
+                if find_value(headers, b'x-model') is not None:
+                    await self._stream(incoming, reply, run)
+                else:
+                    await self._work(reply, run)
         finally:
             run.ended_at = anyio.current_time()
 
@@ -193,8 +214,7 @@
     async def _stream(
         self, incoming: IncomingRequest, reply: Reply, run: Run
     ) -> None:
-        tokens = find_value(incoming.head.headers, b'x-token-usage') or b'0'
-        await anyio.sleep(int(tokens.partition(b',')[0]) * self.speed.token_s)
+        await self._read_prompt(incoming, run)
         if self.fault is Fault.HANG:
             await anyio.sleep_forever()
         if self.fault is Fault.LOST:
@@ -219,6 +239,43 @@
                 return
         await reply.finish()
 
+    async def _read_prompt(self, incoming: IncomingRequest, run: Run) -> None:
+        """Read what is not in the cache, one prompt after the other."""
+        if run.kv_source:
+            return
+        headers = incoming.head.headers
+        usage = find_value(headers, b'x-token-usage') or b'0'
+        tokens = int(usage.partition(b',')[0])
+        parts = (find_value(headers, b'x-prompt-prefix') or b'').decode()
+        for entry in filter(None, parts.split(',')):
+            id_, _, count = entry.partition(':')
+            if id_ not in self.held_parts:
+                break
+            tokens -= int(count)
+        run.read_tokens = tokens
+        async with self._reading:
+            await anyio.sleep(tokens * self.speed.token_s)
+        self.held_parts |= {
+            entry.partition(':')[0] for entry in filter(None, parts.split(','))
+        }
+
+    async def _move(self, body: dict[str, object], reply: Reply) -> None:
+        """Copy a run's memory to another replica, and stop the run."""
+        run = self._run_by_id.get(str(body['id']))
+        target = self.by_address.get(str(body['to']))
+        if run is None or run.ended_at is not None:
+            await reply.answer(404, ())
+            return
+        await anyio.sleep(self.speed.move_s)
+        if body.get('final'):
+            run.scope.cancel()
+        handle = f'kv-{run.id}-{run.events}'
+        holder = self if target is None or target.state != 'ready' else target
+        holder._handles[handle] = run.id
+        answer = {'kvHandle': handle, 'createdRevision': run.events}
+        status = 503 if holder is self else 200
+        await reply.answer(status, (), orjson.dumps(answer))
+
     def _headers(self, run: Run, body: bytes) -> RawHeaders:
         return (
             (b'X-Attempt-Id', run.id.encode()),
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -55,12 +55,14 @@
         return machine_of(self.entry)
 
 
-def default_document():
+def default_document(*, is_scaled=False):
+    """Return the operator's document; with `is_scaled`, engines are
+    ordered by the daemons.
+    """
     document = SiteDocument()
+    scaling = scaling_fields(dict.fromkeys(ZONES, 1.0))
     document.add_service(
-        'llm',
-        **engine_fields(),
-        **scaling_fields(dict.fromkeys(ZONES, 1.0)),
+        'llm', **engine_fields(), **(scaling if is_scaled else {})
     )
     document.add_service('app')
     document.add_route(
@@ -98,6 +100,7 @@
     cloud: StandInCloud = field(default_factory=StandInCloud)
     document: SiteDocument = field(default_factory=default_document)
     replicas_by_id: dict = field(default_factory=dict)
+    replicas_by_address: dict = field(default_factory=dict)
     scope_by_replica: dict = field(default_factory=dict)
     daemons: list = field(default_factory=list)
     rng: random.Random = field(default_factory=lambda: random.Random(7))
@@ -141,6 +144,8 @@
             address=f'10.{64 + number}.0.1:8087',
             **fields,
         )
+        replica.by_address = self.replicas_by_address
+        self.replicas_by_address[replica.address] = replica
         scope = anyio.CancelScope()
         self.replicas_by_id[replica.id] = replica
         self.scope_by_replica[replica.id] = scope
--- /dev/null
+++ b/tests/test_gateway_streams.py
@@ -0,0 +1,196 @@
+"""Streams: whole events, resumed, moved, broken off, never joined."""
+
+import unittest
+
+import anyio
+from mimosamux_standins.site import Fault, ReplicaSpeed
+from mimosamux_standins.site.replica import render_event
+
+from tests.support.clock import run_paused
+from tests.support.platform_site import open_site
+
+PROMPT = (
+    (b'X-Model', b'm'),
+    (b'X-Token-Usage', b'1460,80'),
+    (b'X-Prompt-Prefix', b'5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
+)
+
+
+def whole_body(id_, events):
+    numbers = range(1, events + 1)
+    return b''.join(render_event(id_, number) for number in numbers)
+
+
+def engines_of(site):
+    return [
+        replica
+        for replica in site.replicas_by_id.values()
+        if replica.service == 'llm'
+    ]
+
+
+def prompt_of(part):
+    """Return the headers of a prompt that shares `part` with others."""
+    parts = f'5c1e07a2:800,{part}:410,e4402b7d:250'
+    return (*PROMPT[:2], (b'X-Prompt-Prefix', parts.encode()))
+
+
+async def send_draft(site, target='/draft/1', number=0, headers=PROMPT):
+    return await site.caller(patience_s=15.0).send(
+        site.daemons[number].entry, target, body=b'brief', headers=headers
+    )
+
+
+class TestStreams(unittest.TestCase):
+    def test_resumable_stream_goes_on_behind_its_last_whole_event(self):
+        """A replica stops in the middle of an event.
+
+        The stream goes on at another one, and the caller sees each event once.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                engines = engines_of(site)
+                engines[0].fault = engines[1].fault = Fault.CUT
+                answers = [
+                    await send_draft(
+                        site, '/question/1', headers=prompt_of(f'{part:08x}')
+                    )
+                    for part in range(12)
+                ]
+                broken = sum(len(engine.runs) for engine in engines[:2])
+                return answers, broken
+
+        answers, broken = run_paused(check)
+        self.assertGreater(broken, 0)
+        for answer in answers:
+            if answer.is_whole:
+                self.assertEqual(answer.body, whole_body(answer.id, 6))
+        self.assertGreater(sum(answer.is_whole for answer in answers), 0)
+
+    def test_stream_that_may_not_resume_ends_as_broken(self):
+        """The replica of a draft stops in the middle of an event.
+
+        The draft cannot go on elsewhere; what the caller has must not look
+        whole.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for engine in engines_of(site):
+                    engine.fault = Fault.CUT
+                answer = await send_draft(site)
+                return answer, len(site.runs())
+
+        answer, runs = run_paused(check)
+        self.assertFalse(answer.is_whole)
+        self.assertEqual((answer.status, runs), (200, 1))
+        self.assertEqual(answer.body, whole_body(answer.id, 3))
+
+    def test_draft_survives_the_reclaim_of_its_engine(self):
+        """An engine is to be taken away in the middle of a long draft.
+
+        The draft goes on elsewhere from the engine's memory, without a gap and
+        without reading the prompt again.
+        """
+
+        async def check():
+            async with open_site() as site:
+                speed = ReplicaSpeed(events=200, event_s=0.02)
+                for engine in engines_of(site):
+                    engine.speed = speed
+                answers = []
+
+                async def send():
+                    answers.append(await send_draft(site))
+
+                site.tasks.start_soon(send)
+                await anyio.sleep(0.5)
+                source = next(
+                    engine for engine in engines_of(site) if engine.runs
+                )
+                source.leaves_ms = 2000
+                source.is_reclaimable = True
+                site.drain_replica(source)
+                await anyio.sleep(2.0)
+                site.crash_replica(source)
+                await anyio.sleep(5)
+                return answers[0], site.runs()
+
+        answer, runs = run_paused(check)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, whole_body(answer.id, 200))
+        self.assertEqual(len(runs), 2)
+        self.assertTrue(runs[1].kv_source)
+        self.assertEqual(runs[1].read_tokens, 0)
+        self.assertLessEqual(runs[0].ended_at, runs[1].began_at)
+
+    def test_stream_that_ends_before_its_engine_goes_stays_there(self):
+        """An engine is to be taken away, and a stream will end before.
+
+        To move it would cost a copy of its memory for nothing.
+        """
+
+        async def check():
+            async with open_site() as site:
+                for engine in engines_of(site):
+                    engine.speed = ReplicaSpeed(events=20, event_s=0.02)
+                answers = []
+
+                async def send():
+                    answers.append(await send_draft(site))
+
+                site.tasks.start_soon(send)
+                await anyio.sleep(0.1)
+                source = next(
+                    engine for engine in engines_of(site) if engine.runs
+                )
+                source.leaves_ms = 2000
+                site.drain_replica(source)
+                await anyio.sleep(3)
+                return answers[0].is_whole, len(site.runs())
+
+        self.assertEqual(run_paused(check), (True, 1))
+
+    def test_silence_of_an_engine_ends_no_stream_early(self):
+        """An engine says nothing for seconds, then goes on.
+
+        Ended early, the draft would be lost; it is late and whole.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for engine in engines_of(site):
+                    engine.speed = ReplicaSpeed(events=3, event_s=4.0)
+                answer = await send_draft(site)
+                return answer.is_whole, len(site.runs())
+
+        self.assertEqual(run_paused(check), (True, 1))
+
+    def test_engine_that_errs_gives_its_own_answer(self):
+        """Every engine answers a draft with an error.
+
+        It may not run again, so the caller gets the engine's answer with its
+        proof.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for engine in engines_of(site):
+                    engine.fault = Fault.ERROR
+                answer = await send_draft(site)
+                names = [name.lower() for name, _ in answer.headers]
+                return answer.status, b'x-replica-signature' in names
+
+        self.assertEqual(run_paused(check), (500, True))
+
+    def test_requests_that_share_a_part_go_to_the_engine_that_holds_it(self):
+        async def check():
+            async with open_site(daemons=3) as site:
+                for number in range(12):
+                    await send_draft(site, number=number % 3)
+                return [run.read_tokens for run in site.runs()]
+
+        read = run_paused(check)
+        self.assertEqual(read.count(1460), 1)
+        self.assertEqual(read.count(250) + read.count(0), 11)
