--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
@@ -16,9 +16,11 @@
 log = get_log('cap_record')
 
 ROW_KEY = 'caps/recent'
-LOOK_S = 0.5
-"""Time between two records: what an account uses in it may be used once
-more if all daemons die just then, and is within the tolerance of a cap."""
+LOOK_S = 0.2
+"""Time between two looks whether the record is out of date."""
+MOVED_SHARE = 0.35
+"""The record is written anew once an account has used so much of what its
+cap allows in a second: twice a second in calm, at each look in a flood."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -37,7 +39,7 @@
         while True:
             if not is_read:
                 is_read = await self._read()
-            elif self._is_writer():
+            elif self.caps.has_moved(MOVED_SHARE) and self._is_writer():
                 await self._write()
             await anyio.sleep(LOOK_S)
 
@@ -46,11 +48,12 @@
         now = self.store_time()
         if isinstance(row, Unavailable) or now is None:
             return False
-        if row is not None:
-            parsed = _parse(row)
-            if parsed is not None:
-                at, record = parsed
-                self.caps.take_record(record, age_s=max(now - at, 0.0))
+        parsed = None if row is None else _parse(row)
+        if parsed is None:
+            self.caps.take_record(None)
+        else:
+            at, record = parsed
+            self.caps.take_record(record, age_s=max(now - at, 0.0))
         return True
 
     async def _write(self) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
@@ -2,13 +2,16 @@
 
 An account may use its rate times a window, and its burst on top, in any
 span of the window's length. Each daemon adds up what it let through itself
-and what its peers tell that they did. Between two digests several daemons
-may let through the same tokens; the cap's tolerance is for that, and what
-went over is missing afterwards.
+and what its peers tell that they did.
+
+What daemons let through before they hear of each other must not add up to
+more than is left. So each lets through, in the time that a digest may take
+at most, no more than an equal part of what is left as far as it knows. All
+of them together then stay within the cap, wherever the requests come in.
 
 A daemon that starts does not know what was used before. It takes that from
-its peers, or from a record that is left in the platform's table while an
-account uses a good part of its cap: all daemons can die at once.
+its peers, or from a record that is left in the platform's table: all
+daemons can die at once.
 """
 
 import math
@@ -22,21 +25,27 @@
 from mimosamux_daemon.domain.routes import AccountEntry, UsageCap
 from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
 
-STEP_S = 0.25
-"""Time over which uses are added up to one entry; as long as the time
-between two digests, so a finer step would not be more exact."""
-RECORDED_SHARE = 0.3
+STEP_S = 0.1
+"""Time over which uses are added up to one entry."""
+RECORDED_SHARE = 0.05
 """Part of a cap from which on the use of an account is recorded."""
 RECORD_STEP_S = 2.0
 """Time over which uses are added up to one entry of the record."""
-UNSEEN_SHARE = 0.1
-"""Part of a cap that a daemon which starts takes as used besides what the
-record shows, which may be half a second old."""
+UNSEEN_SHARE = 0.85
+"""Part of what was left by the record that may have been used after it was
+written: all daemons together let through no more than that in a second."""
+UNSEEN_S = 2.0
+"""Use at the account's rate that is taken as unseen at most. The record is
+written whenever a third of a second's worth was used, so more can only be
+missing in the first moments of a flood, and is within the tolerance."""
+UNTOLD_S = 0.5
+"""The same for what a single peer let through after its last digest."""
 TOLERANCE_USED = 0.5
 """Part of what may be used on top of a cap that is let through; the rest
-is for what daemons let through unseen by each other, a fourth of it with
-nine daemons before an account that asks for seven times its cap."""
+covers what reaches endpoints later than it was counted."""
 LEAST_WAIT_S = 0.05
+UNINFORMED_S = 1.0
+"""Time after a start for which the record and the peers are waited for."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,18 +61,55 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class _Account:
-    """What was used in the last window, by all daemons."""
+class _Uses:
+    """Amounts in the order in which they were used."""
 
+    total: float = 0.0
+    passed: float = 0.0
+    """All that was ever added."""
     entries: deque[tuple[float, float]] = field(default_factory=deque)
     """Time at which each entry began, and the amount used in it."""
-    used: float = 0.0
+
+    def add(self, now: float, amount: float) -> None:
+        self.total += amount
+        self.passed += amount
+        if self.entries and now < self.entries[-1][0] + STEP_S:
+            began_at, before = self.entries[-1]
+            self.entries[-1] = (began_at, before + amount)
+        else:
+            self.entries.append((now, amount))
+
+    def insert(self, began_at: float, amount: float) -> None:
+        self.total += amount
+        self.entries = deque(sorted([*self.entries, (began_at, amount)]))
+
+    def forget_before(self, oldest: float) -> None:
+        # An entry counts until its last moment is past.
+        while self.entries and self.entries[0][0] <= oldest - STEP_S:
+            _, amount = self.entries.popleft()
+            self.total -= amount
+
+
+@dataclass(kw_only=True, slots=True)
+class _Account:
+    """What an account used in the last window."""
+
+    uses: _Uses = field(default_factory=_Uses)
+    """By all daemons, as far as known."""
+    recent: _Uses = field(default_factory=_Uses)
+    """By this daemon, of which not all peers may have heard."""
     own: float = 0.0
-    """What this daemon let through since it started."""
+    """By this daemon since it started."""
     told_by_peer: dict[DaemonId, tuple[int, int]] = field(default_factory=dict)
     limit: float = math.inf
-    assumed: float = 0.0
+    rate: float = 0.0
+    """What its cap allows in a second."""
+    noted: float = 0.0
+    """What all daemons let through by the last record."""
+    before: float = 0.0
     """What was used before this daemon started, as a peer told."""
+    recorded: float = 0.0
+    """What the record tells of that."""
 
 
 UseRecord = dict[AccountId, list[tuple[float, float]]]
@@ -88,6 +134,7 @@
         self._by_id: dict[AccountId, _Account] = {}
         self._is_informed = False
         """Whether the record or a peer told what was used before."""
+        self._has_record = False
 
     def acquire(self, account: AccountEntry, cost: float) -> float | None:
         """Count a use that fits under the account's cap; None if it does.
@@ -97,12 +144,20 @@
         cap = account.cap
         if cap is None:
             return None
-        state = self._state_of(account.id)
-        state.limit = self._limit(cap)
-        self._forget_old(state)
-        if self._used(state) + cost > state.limit:
-            return max(self._wait_s(state, cost), LEAST_WAIT_S)
-        self._add(state, cost)
+        now = self._clock()
+        if not self._is_informed and now < self._started_at + UNINFORMED_S:
+            return LEAST_WAIT_S
+        state = self._refresh(account.id)
+        state.limit, state.rate = self._limit(cap), cap.rate_per_s
+        left = state.limit - self._used(state)
+        if cost > left:
+            return max(self._wait_s(state, cost - left), LEAST_WAIT_S)
+        # As if nothing of the own recent uses had been heard of yet.
+        part = (left + state.recent.total) / self._reachable()
+        if state.recent.total + cost > part and state.recent.total > 0:
+            return STEP_S
+        state.uses.add(now, cost)
+        state.recent.add(now, cost)
         state.own += cost
         return None
 
@@ -110,19 +165,32 @@
         """Undo an `acquire`: the request has not run."""
         state = self._by_id.get(account.id)
         if state is not None and account.cap is not None:
-            self._add(state, -cost)
+            now = self._clock()
+            state.uses.add(now, -cost)
+            state.recent.add(now, -cost)
             state.own -= cost
 
+    def has_moved(self, share: float) -> bool:
+        """Whether an account has used a good deal since the last record.
+
+        `share` is the part of what its cap allows in a second.
+        """
+        return any(
+            state.uses.passed - state.noted > share * state.rate
+            for state in self._by_id.values()
+        )
+
     def record(self) -> UseRecord:
-        """Return recent uses of accounts that use much of their cap."""
+        """Return recent uses of accounts that use some of their cap."""
         now = self._clock()
         record: UseRecord = {}
-        for id_, state in self._by_id.items():
-            self._forget_old(state)
-            if state.used <= RECORDED_SHARE * state.limit:
+        for id_ in tuple(self._by_id):
+            state = self._refresh(id_)
+            state.noted = state.uses.passed
+            if state.uses.total <= RECORDED_SHARE * state.limit:
                 continue
             by_age: dict[float, float] = {}
-            for began_at, amount in state.entries:
+            for began_at, amount in state.uses.entries:
                 # Rounded down: what counts as newer counts for longer.
                 steps = (now - began_at) // RECORD_STEP_S
                 age_s = steps * RECORD_STEP_S
@@ -130,56 +198,83 @@
             record[id_] = sorted(by_age.items(), reverse=True)
         return record
 
-    def take_record(self, record: UseRecord, *, age_s: float) -> None:
-        """Take the uses of before this daemon started."""
-        if self._is_informed:
-            return
+    def take_record(
+        self, record: UseRecord | None, *, age_s: float = 0.0
+    ) -> None:
+        """Take the uses of before this daemon started; None: there is none."""
         self._is_informed = True
+        if record is None:
+            return
+        self._has_record = True
+        now = self._clock()
         for id_, uses in record.items():
-            state = self._state_of(id_)
-            for use_age_s, amount in uses:
-                began_at = self._clock() - use_age_s - age_s
-                state.entries.append((began_at, amount))
-                state.used += amount
-            state.entries = deque(sorted(state.entries))
-            self._forget_old(state)
+            state = self._by_id.setdefault(id_, _Account())
+            for ago_s, used in uses:
+                state.uses.insert(now - ago_s - age_s, used)
+                state.recorded += used
 
     def write(self, digest: StateDigest) -> None:
         """Tell what was let through here, and what is known in all."""
-        for id_, state in self._by_id.items():
-            self._forget_old(state)
+        for id_ in tuple(self._by_id):
+            state = self._refresh(id_)
             digest.caps.append(
                 CapUse(
                     account=id_,
                     used=int(state.own),
-                    recent=int(min(self._used(state), 1e15)),
+                    recent=int(state.uses.total),
                 )
             )
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
         """Add what a peer has let through since it told last."""
+        now = self._clock()
         for use in digest.caps:
-            state = self._state_of(AccountId(use.account))
+            state = self._by_id.setdefault(AccountId(use.account), _Account())
             told = state.told_by_peer.get(peer.place.id)
             state.told_by_peer[peer.place.id] = (peer.lifetime, use.used)
-            if told is not None:
-                before = told[1] if told[0] == peer.lifetime else 0
-                self._add(state, use.used - before)
-            elif not self._is_informed:
-                state.assumed = max(state.assumed, use.recent)
+            if told is not None and told[0] != peer.lifetime:
+                state.uses.add(now, use.used + self._untold(state))
+            elif told is not None:
+                state.uses.add(now, use.used - told[1])
+            elif now < self._started_at + UNINFORMED_S:
+                state.before = max(state.before, use.recent)
         self._is_informed = True
 
-    def _state_of(self, id_: AccountId) -> _Account:
-        state = self._by_id.get(id_)
-        if state is None:
-            state = self._by_id[id_] = _Account()
+    def _untold(self, state: _Account) -> float:
+        """Return what a peer may have let through before it died.
+
+        Its last digest can be as old as the time between two, and nobody
+        will ever tell what it let through after that.
+        """
+        if math.isinf(state.limit):
+            return 0.0
+        left = max(state.limit - self._used(state), 0.0)
+        return min(
+            UNSEEN_SHARE * left / self._reachable(), UNTOLD_S * state.rate
+        )
+
+    def _refresh(self, id_: AccountId) -> _Account:
+        state = self._by_id.setdefault(id_, _Account())
+        now = self._clock()
+        state.uses.forget_before(now - self._window_s)
+        state.recent.forget_before(now - self._states.fresh_s)
         return state
 
     def _used(self, state: _Account) -> float:
+        used = state.uses.total
         if self._clock() > self._started_at + self._window_s:
-            return state.used
-        unseen = UNSEEN_SHARE * state.limit
-        return state.used + max(state.assumed, unseen)
+            return used
+        # The record may be older than what a peer knew, and a peer may
+        # have started lately itself.
+        used += max(state.before - state.recorded, 0.0)
+        if self._has_record:
+            left = max(state.limit - used, 0.0)
+            used += min(UNSEEN_SHARE * left, UNSEEN_S * state.rate)
+        return used
+
+    def _reachable(self) -> int:
+        """Return how many daemons hear of what this one lets through."""
+        return 1 + len(self._states.fresh())
 
     def _limit(self, cap: UsageCap) -> float:
         """Return what all daemons that can talk may let through.
@@ -187,35 +282,18 @@
         Peers that are out of touch may let requests through unseen, so
         their part of the cap is left to them.
         """
-        reachable = 1 + len(self._states.fresh())
+        reachable = self._reachable()
         expected = max(self._states.expected(), reachable)
         amount = cap.rate_per_s * self._window_s + cap.burst
         amount *= 1 + TOLERANCE_USED * self._rules.overage
         amount += TOLERANCE_USED * self._rules.tolerance
         return amount * reachable / expected
 
-    def _wait_s(self, state: _Account, cost: float) -> float:
+    def _wait_s(self, state: _Account, missing: float) -> float:
         """Return the time until enough of what was used is past."""
         now = self._clock()
-        missing = self._used(state) + cost - state.limit
-        for began_at, amount in state.entries:
+        for began_at, amount in state.uses.entries:
             missing -= amount
             if missing <= 0:
                 return began_at + self._window_s - now
         return self._window_s
-
-    def _add(self, state: _Account, amount: float) -> None:
-        now = self._clock()
-        state.used += amount
-        if state.entries and now < state.entries[-1][0] + STEP_S:
-            began_at, before = state.entries[-1]
-            state.entries[-1] = (began_at, before + amount)
-        else:
-            state.entries.append((now, amount))
-
-    def _forget_old(self, state: _Account) -> None:
-        # An entry counts until its last moment is a window ago.
-        oldest = self._clock() - self._window_s - STEP_S
-        while state.entries and state.entries[0][0] <= oldest:
-            _, amount = state.entries.popleft()
-            state.used -= amount
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -39,6 +39,7 @@
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.gateway.stop import GatewayStop
+from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.vouching import Vouching
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
@@ -142,6 +143,7 @@
             rng=rng,
         )
         self.configuration = ConfirmedConfiguration(clock=clock)
+        self.health = StoreHealth(clock=clock)
         self.configuration_reader = FeedReader(
             name='configuration',
             feed=self._platform.configurations,
@@ -149,6 +151,7 @@
                 configuration=self.configuration,
                 key=self._platform.configuration_key,
             ),
+            health=self.health,
             wait_s=CONFIGURATION_WAIT_S,
             clock=clock,
             rng=rng,
@@ -177,15 +180,13 @@
         ]
 
     def _build_endpoints(self) -> None:
-        self.roster = Roster(
-            clock=self._clock,
-            regained_at=lambda: self.endpoint_reader.regained_at,
-        )
+        self.roster = Roster(clock=self._clock, health=self.health)
         self.roster.on_learned.append(self._tell_leaving)
         self.endpoint_reader = FeedReader(
             name='endpoints',
             feed=self._platform.endpoints,
             items=self.roster,
+            health=self.health,
             wait_s=ENDPOINTS_WAIT_S,
             clock=self._clock,
             rng=self._rng,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -7,6 +7,7 @@
 import anyio
 
 from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.feeds import (
     Feed,
@@ -21,7 +22,7 @@
 TakenT = TypeVar('TakenT', contravariant=True)
 
 FIRST_RETRY_S = 0.1
-LAST_RETRY_S = 1.0
+LAST_RETRY_S = 0.5
 """Pause between two tries while the platform is away: its return has to be
 noticed within the time in which a change must be in force."""
 
@@ -48,21 +49,22 @@
         name: str,
         feed: Feed[ItemT],
         items: FeedItems[ItemT],
+        health: StoreHealth,
         wait_s: float,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.is_current = False
         """Whether the last call to the platform was answered."""
-        self.regained_at: float | None = None
-        """When the platform answered again after a time without."""
         self._name = name
         self._feed = feed
         self._items = items
+        self._health = health
         self._wait_s = wait_s
         self._clock = clock
         self._rng = rng
         self._cursor: int | None = None
+        self._was_lost = False
         self._pause_s = FIRST_RETRY_S
 
     async def run(self) -> None:
@@ -83,27 +85,34 @@
             elif found.changes:
                 self._items.apply(found.changes)
             self._cursor = found.cursor
-            # The answer tells of all changes up to some moment after the
-            # question was sent; that it did is all that is sure.
-            self._items.confirm(sent_at)
+            # However the platform's clock was read, the answer is not
+            # older than the question.
+            self._items.confirm(max(sent_at, found.as_of))
 
     async def _ask(
         self,
     ) -> FeedState[ItemT] | FeedNews[ItemT] | HistoryLost | Unavailable:
         if self._cursor is None:
             return await self._feed.read()
-        return await self._feed.follow(self._cursor, wait_s=self._wait_s)
+        # After an outage the answer is wanted at once: until it comes, it
+        # is not known whether what is held here is still in force.
+        wait_s = self._wait_s if self.is_current else 0.0
+        return await self._feed.follow(self._cursor, wait_s=wait_s)
 
     def _note_answer(self) -> None:
         self._pause_s = FIRST_RETRY_S
-        if not self.is_current:
-            self.is_current = True
-            self.regained_at = self._clock()
-            log.info('feed_regained', feed=self._name)
+        if self.is_current:
+            return
+        self.is_current = True
+        if self._was_lost:
+            self._health.note_regained(self._name)
+        log.info('feed_regained', feed=self._name, was_lost=self._was_lost)
 
     async def _wait_after(self, problem: Unavailable) -> None:
         if self.is_current:
             self.is_current = False
+            self._was_lost = True
+            self._health.note_lost(self._name)
             log.warning('feed_lost', feed=self._name, reason=problem.reason)
         await anyio.sleep(self._pause_s * self._rng.uniform(0.5, 1.0))
         self._pause_s = min(self._pause_s * 2, LAST_RETRY_S)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -16,14 +16,12 @@
 )
 from mimosamux_daemon.gateway.loads import EndpointLoad
 from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.logs import get_log
 
 log = get_log('roster')
 
 PLATFORM = 'platform'
-LAPSE_S = 2.0
-"""Time after the platform's store is back within which live endpoints that
-lapsed from its list meanwhile are listed again."""
 KEEP_GONE_S = 30.0
 """Endpoints that are gone are remembered for so long: a peer whose view is
 older may still tell of them."""
@@ -45,8 +43,8 @@
     leaves_at: float | None = None
     gone_at: float | None = None
     """When it was found missing in the list."""
-    lapses_at: float | None = None
-    """When it counts as gone unless it is listed again by then."""
+    is_lapsed: bool = False
+    """Whether it is missing in the list, and may live all the same."""
     failed_connects: int = 0
     avoid_until: float = -math.inf
     load: EndpointLoad = field(default_factory=EndpointLoad)
@@ -58,11 +56,10 @@
         """Return the id of the endpoint's lifetime."""
         return self.listed.id
 
-    def takes_work(self, now: float) -> bool:
+    @property
+    def takes_work(self) -> bool:
         """Whether new requests may be sent there."""
-        if self.is_leaving or self.gone_at is not None:
-            return False
-        return self.lapses_at is None or now < self.lapses_at
+        return not self.is_leaving and self.gone_at is None
 
     def is_avoided(self, now: float) -> bool:
         """Whether connects fail there and the next try is not due."""
@@ -79,9 +76,8 @@
         self,
         *,
         clock: Callable[[], float],
-        regained_at: Callable[[], float | None] = lambda: None,
+        health: StoreHealth,
     ) -> None:
-        """Take the clock; `regained_at` says when the list was back."""
         self.by_id: dict[EndpointId, EndpointRecord] = {}
         self.changed = anyio.Event()
         """Set, and replaced by a new one, with each change of the list."""
@@ -90,7 +86,7 @@
         self.on_learned: list[Listener] = []
         """Told of those that the platform told this daemon of."""
         self._clock = clock
-        self._regained_at = regained_at
+        self._health = health
 
     def replace(self, items: Mapping[str, ListedEndpoint]) -> None:
         """Take the whole list as it is now."""
@@ -147,11 +143,11 @@
 
     def serving(self, service: ServiceName) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new requests."""
-        now = self._clock()
+        self._settle_lapsed()
         return [
             record
             for record in self.by_id.values()
-            if record.listed.service == service and record.takes_work(now)
+            if record.listed.service == service and record.takes_work
         ]
 
     def of_service(self, service: ServiceName) -> Iterator[EndpointRecord]:
@@ -234,7 +230,8 @@
                 state=item.state,
             )
         record.listed = item
-        record.gone_at = record.lapses_at = None
+        record.gone_at = None
+        record.is_lapsed = False
         if item.state is EndpointState.LEAVING:
             self.note_leaving(
                 item.id, left_s=item.leaves_in_s, source=PLATFORM
@@ -247,24 +244,28 @@
         renew their entries. Taken as gone at once, all of a service could
         vanish together, and every request would be refused.
         """
-        now = self._clock()
-        regained_at = self._regained_at()
-        if regained_at is not None and now - regained_at < LAPSE_S:
-            record.lapses_at = regained_at + LAPSE_S
-            log.info('endpoint_lapsed', endpoint=record.id)
+        if self._health.may_have_lapsed():
+            if not record.is_lapsed:
+                log.info('endpoint_lapsed', endpoint=record.id)
+            record.is_lapsed = True
             return
-        record.gone_at = now
+        record.is_lapsed = False
+        record.gone_at = self._clock()
         log.info('endpoint_gone', endpoint=record.id)
         if not record.is_leaving:
             self.note_leaving(record.id, left_s=None, source=PLATFORM)
 
+    def _settle_lapsed(self) -> None:
+        """Take those as gone that did not come back in time."""
+        if self._health.may_have_lapsed():
+            return
+        for record in self.by_id.values():
+            if record.is_lapsed:
+                self._note_missing(record)
+
     def _forget_old(self) -> None:
         now = self._clock()
         for id_, record in tuple(self.by_id.items()):
-            lapses_at = record.lapses_at
-            if lapses_at is not None and now >= lapses_at:
-                record.lapses_at = None
-                self._note_missing(record)
             gone_at = record.gone_at
             if gone_at is not None and now - gone_at > KEEP_GONE_S:
                 del self.by_id[id_]
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
@@ -15,6 +15,8 @@
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.gateway.peer_states import PeerState
 
+QUICKEST_S = 0.05
+"""More than the quickest answer of the store takes on its way."""
 KEEP_S = 600.0
 """What a daemon told of its clock is used for so long after it is gone."""
 
@@ -37,15 +39,17 @@
         """The store's clock less the clock of this machine."""
         self._told_by_peer: dict[DaemonId, _Told] = {}
 
-    def note_store_time(self, store_s: float) -> None:
+    def note_store_time(self, store_s: float) -> float:
         """Take a reading of the store's clock that has just arrived.
 
         An answer that took long shows an older time; the largest lead is
-        that of the quickest answer.
+        that of the quickest answer. Returns when the reading was made, on
+        the clock of this machine: not later than it truly was.
         """
         lead = store_s - self._clock()
         if self._store_lead_s is None or lead > self._store_lead_s:
             self._store_lead_s = lead
+        return store_s - self._store_lead_s - QUICKEST_S
 
     def now(self) -> float:
         """Return the agreed time of day, in seconds since 1970."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/feeds.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/feeds.py
@@ -16,6 +16,8 @@
     items_by_key: Mapping[str, ItemT]
     cursor: int
     """Where the changes behind it begin."""
+    as_of: float
+    """When it was so, on the steady clock of this machine."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -24,6 +26,8 @@
 
     changes: tuple[tuple[str, ItemT | None], ...]
     cursor: int
+    as_of: float
+    """Up to when these are all, on the steady clock of this machine."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -56,9 +56,7 @@
 
 
 def default_document(*, is_scaled=False):
-    """Return the operator's document; with `is_scaled`, engines are
-    ordered by the daemons.
-    """
+    """Return the operator's document; scaled, daemons order engines."""
     document = SiteDocument()
     scaling = scaling_fields(dict.fromkeys(ZONES, 1.0))
     document.add_service(
@@ -105,6 +103,7 @@
     daemons: list = field(default_factory=list)
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     boot_s: float = 4.0
+    caps: CapRules = CapRules(window_s=8.0, overage=0.1, tolerance=140_000.0)
     _started: int = 0
 
     async def start_platform(self):
@@ -217,7 +216,7 @@
             usage_lateness_s=10.0,
             address_ttl_s=5.0,
             retries=RetryLimits(share=0.2, window_s=10.0, extra=58.0),
-            caps=CapRules(window_s=8.0, overage=0.1, tolerance=140_000.0),
+            caps=self.caps,
         )
 
     def start_daemon(self, number=None, *, wall_offset_s=0.0):
@@ -279,7 +278,10 @@
 
     def caller(self, key='key-school', **fields):
         return StandInCaller(
-            network=self.network.at('10.250.0.1'), key=key, **fields
+            network=self.network.at('10.250.0.1'),
+            key=key,
+            rng=random.Random(self.rng.getrandbits(32)),
+            **fields,
         )
 
     def runs(self):
