Endpoints that answer badly or not at all are left for others

Cause: a near replica that failed every request kept getting a third of them, and a silent one held its callers for the whole time limit.

Change: daemons share what they saw of each endpoint in the last seconds; one that fails clearly more than the best of its service is left out until the window is past. A repeatable request leaves an endpoint that has not begun to answer, within the retry budget.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -14,6 +14,7 @@
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
 from mimosamux_daemon.gateway.engine_speed import EngineSpeed
+from mimosamux_daemon.gateway.health import EXCESS
 from mimosamux_daemon.gateway.prompt_parts import PromptParts
 from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
 
@@ -85,8 +86,7 @@
             for record in self._roster.serving(service.name)
             if record.id not in excluding
         ]
-        usable = [record for record in records if not record.is_avoided(now)]
-        records = usable or records
+        records = _leave_out_doubtful(records, now)
         if not records:
             return None
         if service.engine is not None and prompt is not None:
@@ -156,6 +156,24 @@
         return min(shuffled, key=cost)
 
 
+def _leave_out_doubtful(
+    records: list[EndpointRecord], now: float
+) -> list[EndpointRecord]:
+    """Return the endpoints that answer well; all, if none does."""
+    reached = [each for each in records if not each.is_avoided(now)] or records
+    share_by_id = {
+        record.id: record.health.failed_share(now) for record in reached
+    }
+    known = [share for share in share_by_id.values() if share is not None]
+    if not known:
+        return reached
+    limit = min(known) + EXCESS
+    well = [
+        record for record in reached if (share_by_id[record.id] or 0.0) < limit
+    ]
+    return well or reached
+
+
 def _rank(endpoint: EndpointId, key: str) -> int:
     """Return the place of an endpoint for a key, the same at each daemon."""
     return xxhash.xxh3_64_intdigest(f'{endpoint} {key}'.encode())
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -36,6 +36,7 @@
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
 from mimosamux_daemon.gateway.scaling import Scaling
+from mimosamux_daemon.gateway.sends import SendNotes
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.gateway.stop import GatewayStop
@@ -259,7 +260,12 @@
                 daemons=self.states.expected,
                 clock=self._clock,
             ),
-            begun=self.begun,
+            notes=SendNotes(
+                roster=self.roster,
+                chooser=self.chooser,
+                begun=self.begun,
+                clock=self._clock,
+            ),
             demand=self.demand,
             overload=Overload(
                 shares=FairShares(window_s=WINDOW_S), clock=self._clock
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -38,24 +38,6 @@
 GatewayOutcome = Delivered | Refused | Failed | CallerGone | BrokenOff
 
 
-@dataclass(kw_only=True, slots=True)
-class Sending:
-    """One send of a job, until it is known what became of it."""
-
-    job: 'Job'
-    could_have_run: bool
-    """Whether the job may have run before this send."""
-
-    def note_unsent(self) -> None:
-        """Note that no byte was sent."""
-        self.job.sends -= 1
-        self.note_unrun()
-
-    def note_unrun(self) -> None:
-        """Note that the endpoint says that it has not run it."""
-        self.job.may_have_run = self.could_have_run
-
-
 @dataclass(kw_only=True, slots=True)
 class Job:
     """One caller's request while it is passed on."""
@@ -100,17 +82,6 @@
         )
         return self.request.received_at + limit_s - now
 
-    def begin_send(self) -> Sending:
-        """Count a send before any byte of it leaves.
-
-        The time limit can strike while the send is under way. Counted
-        only afterwards, a request that runs would be called not run.
-        """
-        sending = Sending(job=self, could_have_run=self.may_have_run)
-        self.sends += 1
-        self.may_have_run = True
-        return sending
-
     def resume_point(self) -> ResumePoint | None:
         """Return where its stream goes on, None at its beginning."""
         if self.last_event_id is None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/loads.py
@@ -71,8 +71,6 @@
                 unread += use.unread_tokens
         return Use(requests=requests, unread_tokens=unread)
 
-    def take_told(self) -> Use | None:
-        """Return what peers are to be told, None for nothing new at 0."""
-        if not self.requests:
-            return None
+    def own(self) -> Use:
+        """Return what is under way from here."""
         return Use(requests=self.requests, unread_tokens=self.unread_tokens)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -14,6 +14,7 @@
     EndpointId,
     ServiceName,
 )
+from mimosamux_daemon.gateway.health import Answers, EndpointHealth
 from mimosamux_daemon.gateway.loads import EndpointLoad
 from mimosamux_daemon.gateway.peer_states import PeerState
 from mimosamux_daemon.gateway.store_health import StoreHealth
@@ -48,6 +49,7 @@
     failed_connects: int = 0
     avoid_until: float = -math.inf
     load: EndpointLoad = field(default_factory=EndpointLoad)
+    health: EndpointHealth = field(default_factory=EndpointHealth)
     left: anyio.Event = field(default_factory=anyio.Event)
     """Set with `is_leaving`."""
 
@@ -172,14 +174,17 @@
 
     def write(self, digest: StateDigest) -> None:
         """Tell what is under way at each endpoint from here."""
+        now = self._clock()
         for record in self.by_id.values():
-            use = record.load.take_told()
-            if use is not None:
+            use, answers = record.load.own(), record.health.own(now)
+            if use.requests or answers.ended:
                 digest.endpoints.append(
                     EndpointUse(
                         endpoint=record.id,
                         open_requests=use.requests,
                         unread_tokens=int(use.unread_tokens),
+                        ended=answers.ended,
+                        failed=answers.failed,
                     )
                 )
 
@@ -188,13 +193,15 @@
         now = self._clock()
         told = {use.endpoint: use for use in digest.endpoints}
         for record in self.by_id.values():
-            use = told.get(record.id)
+            use = told.get(record.id) or EndpointUse()
             record.load.note_peer(
                 peer.place.id,
-                requests=use.open_requests if use else 0,
-                unread_tokens=use.unread_tokens if use else 0,
+                requests=use.open_requests,
+                unread_tokens=use.unread_tokens,
                 now=now,
             )
+            answers = Answers(ended=use.ended, failed=use.failed)
+            record.health.note_peer(peer.place.id, answers, now)
 
     async def take_leaving(
         self, sender: DaemonId, message: EndpointsLeave
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -0,0 +1,165 @@
+"""One send of a request to one endpoint, and what is noted of it."""
+
+import math
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.gateway.begun_counts import BegunCounts
+from mimosamux_daemon.gateway.choice import Choice, Chooser
+from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.endpoint_calls import EndpointCall
+
+log = get_log('sends')
+
+SILENT_SHARE = 0.7
+"""Share of the latency target after which an endpoint that has not begun
+to answer may be left for another, where that is allowed: late enough that
+few well ones are, early enough for the other to be in time."""
+SILENT_FACTOR = 3.0
+"""The same as a multiple of the time that the answer was to take."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Send:
+    """A request under way at one endpoint."""
+
+    job: Job
+    choice: Choice
+    sent_at: float
+    could_have_run: bool
+    """Whether the job may have run before this send."""
+    silent_at: float
+    """When the endpoint counts as silent unless it has begun to answer."""
+    notes: 'SendNotes'
+    is_read: bool = False
+    """Whether the endpoint has read the prompt."""
+    is_answered: bool = False
+
+    @property
+    def endpoint(self) -> ListedEndpoint:
+        """Return the endpoint's entry in the list."""
+        return self.choice.record.listed
+
+    def call(self) -> EndpointCall:
+        """Return the call as it goes out."""
+        job = self.job
+        return EndpointCall(
+            request=job.request,
+            endpoint=self.endpoint,
+            left_s=job.left_s(self.sent_at),
+            account=None if job.account is None else job.account.id,
+            resume=job.resume_point(),
+        )
+
+    def note_unsent(self, reason: str) -> None:
+        """Note that no byte was sent."""
+        self.job.sends -= 1
+        self.job.may_have_run = self.could_have_run
+        record = self.choice.record
+        self.notes.roster.note_connect(record, failed=True)
+        self._log('connect_failed', reason=reason)
+
+    def note_connected(self) -> None:
+        """Note that the endpoint was reached."""
+        self.notes.roster.note_connect(self.choice.record, failed=False)
+
+    def note_unrun(self, status: int) -> None:
+        """Note that the endpoint says that it has not run the request."""
+        self.job.may_have_run = self.could_have_run
+        self._log('turned_down', status=status)
+
+    def note_broken(self, reason: str) -> None:
+        """Note that no whole answer came."""
+        self.note_begun()
+        self.note_answer(failed=True)
+        self._log('call_broken', reason=reason)
+
+    def note_silent(self) -> None:
+        """Note that the endpoint is left for its silence."""
+        self.note_answer(failed=True)
+        self._log('endpoint_silent')
+
+    def note_answer(self, *, failed: bool) -> None:
+        """Count an answer for the endpoint's health, once for each send."""
+        if not self.is_answered:
+            self.is_answered = True
+            now = self.notes.clock()
+            self.choice.record.health.note(now, failed=failed)
+
+    def note_begun(self) -> None:
+        """Count the request as begun, once however often it is sent."""
+        job = self.job
+        if not job.has_begun and job.account is not None:
+            job.has_begun = True
+            self.notes.begun.note(job.account.id)
+
+    def note_first_event(self) -> None:
+        """Note that the prompt was read and the answer has begun."""
+        self.silent_at = math.inf
+        self.note_begun()
+        self.is_read = True
+        choice, prompt = self.choice, self.job.request.prompt
+        choice.record.load.note_read(choice.unread_tokens)
+        if prompt is None:
+            return
+        chooser = self.notes.chooser
+        chooser.parts.note_read(choice.record.id, prompt)
+        if choice.ahead_tokens < 1:
+            took_s = self.notes.clock() - self.sent_at
+            speed = chooser.speed_of(self.job.service.name)
+            speed.note(choice.unread_tokens, took_s)
+
+    def _log(self, event: str, **fields: object) -> None:
+        log.info(
+            event,
+            request=self.job.request.id,
+            endpoint=self.endpoint.id,
+            sends=self.job.sends,
+            took_s=round(self.notes.clock() - self.sent_at, 3),
+            **fields,
+        )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SendNotes:
+    """Where sends are counted."""
+
+    roster: Roster
+    chooser: Chooser
+    begun: BegunCounts
+    clock: Callable[[], float]
+
+    @contextmanager
+    def open(self, job: Job, choice: Choice) -> Iterator[Send]:
+        """Count a send as under way until the block ends.
+
+        It counts before any byte of it leaves: the time limit can strike
+        while it is under way. Counted only afterwards, a request that runs
+        would be called not run.
+        """
+        now = self.clock()
+        limit_s = max(
+            SILENT_SHARE * job.route.target_s,
+            SILENT_FACTOR * choice.first_event_s,
+        )
+        send = Send(
+            job=job,
+            choice=choice,
+            sent_at=now,
+            could_have_run=job.may_have_run,
+            silent_at=now + limit_s,
+            notes=self,
+        )
+        job.tried.add(choice.record.id)
+        job.sends += 1
+        job.may_have_run = True
+        load, unread = choice.record.load, choice.unread_tokens
+        load.begin(unread)
+        try:
+            yield send
+        finally:
+            load.end(0.0 if send.is_read else unread)
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -32,8 +32,6 @@
     priority: int | None = None
     """Rank for the engine from 0 to 9, 0 first; None: its default."""
     resume: ResumePoint | None = None
-    backup_address: str | None = None
-    """Engine that keeps a copy of the run as it grows."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,7 +67,20 @@
     weights_version: str | None
 
     async def receive(self) -> bytes | None | CallBroken:
-        """Return the next bytes of the body, None behind its end."""
+        """Return the next bytes of the body, None behind its end.
+
+        A wait that is cancelled loses nothing.
+        """
+
+
+class SentRequest(Protocol):
+    """A request that was sent to an endpoint."""
+
+    async def answer(self) -> EndpointAnswer | TurnedDown | CallBroken:
+        """Return the start of its answer.
+
+        A wait that is cancelled loses nothing, and may be begun again.
+        """
 
 
 class EndpointCalls(Protocol):
@@ -77,7 +88,5 @@
 
     def send(
         self, call: EndpointCall
-    ) -> AbstractAsyncContextManager[
-        EndpointAnswer | NotSent | TurnedDown | CallBroken
-    ]:
-        """Send a request; leaving the block early hangs up."""
+    ) -> AbstractAsyncContextManager[SentRequest | NotSent | CallBroken]:
+        """Send a request; leaving the block before its end hangs up."""
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -20,11 +20,16 @@
     open_requests: int = 0
     unread_tokens: int = 0
     """Prompt tokens of requests that have not begun to answer."""
+    ended: int = 0
+    """Requests of the last seconds that were answered, or failed."""
+    failed: int = 0
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'endpoint', 'UTF8', ''),
         (2, TType.I32, 'open_requests', None, 0),
         (3, TType.I64, 'unread_tokens', None, 0),
+        (4, TType.I32, 'ended', None, 0),
+        (5, TType.I32, 'failed', None, 0),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -222,6 +222,8 @@
   1: string endpoint
   2: i32 open_requests
   3: i64 unread_tokens
+  4: i32 ended
+  5: i32 failed
 }
 
 struct CapUse {
