Bad input at every border of the platform: values, statuses, a daemon that lives

Found by the tests: headers that arrived in one piece passed their limit, and an answer to an earlier request could not be passed over where the own request has a body.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -56,6 +56,7 @@
         self._connection = connection
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._body = b''
         self._unsent = b''
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = anyio.current_time()
@@ -75,6 +76,7 @@
                 target=head.target,
                 headers=list(head.headers),
             )
+            self._body = body
             data = self._render(self._request, body)
             first, self._unsent = (
                 data[:SENT_AT_ONCE_BYTES],
@@ -141,8 +143,7 @@
         with suppress(h11.ProtocolError):
             self._parser.start_next_cycle()
             # Only the parser is told: the bytes were sent long ago.
-            self._parser.send(self._request)
-            self._parser.send(h11.EndOfMessage())
+            self._render(self._request, self._body)
             return True
         return False
 
@@ -172,6 +173,7 @@
         if self._parser.our_state is h11.DONE:
             self._parser.start_next_cycle()
         self._request = None
+        self._body = b''
 
     async def close(self) -> None:
         """Close it at once, whatever is under way."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -234,7 +234,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Request):
             return event if isinstance(event, Unreadable) else None
-        return find_problem(event) or await self._read_body(event, limits)
+        problem = find_problem(event, limits)
+        return problem or await self._read_body(event, limits)
 
     async def _wait_for_bytes(self, idle_timeout_s: float) -> bool:
         """Return whether a request begins before the idle time is over."""
@@ -335,7 +336,9 @@
                 unread += len(await self.connection.receive(READ_BYTES))
 
 
-def find_problem(event: h11.Request) -> Unreadable | None:
+def find_problem(
+    event: h11.Request, limits: TrafficLimits
+) -> Unreadable | None:
     """Return why a request may not be passed on, None if it may.
 
     With two statements of its length, the next server may see another end
@@ -343,6 +346,12 @@
     nobody sent.
     """
     headers = tuple(event.headers)
+    size = len(event.target) + sum(len(k) + len(v) + 4 for k, v in headers)
+    if size > limits.max_header_bytes:
+        return Unreadable(
+            status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            problem=f'headers are above {limits.max_header_bytes} bytes',
+        )
     has_length = bool(find_values(headers, b'content-length'))
     if has_length and find_values(headers, b'transfer-encoding'):
         problem = 'both Content-Length and Transfer-Encoding'
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
@@ -9,6 +9,7 @@
     EndpointId,
     ServiceName,
 )
+from mimosamux_daemon.domain.outcomes import Failed, Refused
 from mimosamux_daemon.domain.vms import Market
 
 
@@ -90,3 +91,25 @@
     slow_for_s: float = 0.0
     """Time after its start for which it is still slow."""
     software: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Delivered:
+    """The endpoint's whole answer went to the caller."""
+
+    status: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerGone:
+    """The caller left before its answer was whole."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BrokenOff:
+    """The answer ended early, and does not look complete."""
+
+    reason: str
+
+
+GatewayOutcome = Delivered | Refused | Failed | CallerGone | BrokenOff
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/routes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/routes.py
@@ -184,3 +184,11 @@
             if route is not None:
                 return route
         return None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigurationDocument:
+    """A configuration, and the bytes from which it was read."""
+
+    configuration: GatewayConfiguration
+    data: bytes
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission.py
@@ -16,7 +16,7 @@
 from mimosamux_daemon.gateway.caps import UsageCaps
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.jobs import Job
-from mimosamux_daemon.gateway.sinks import AnswerSink
+from mimosamux_daemon.ports.callers import AnswerSink
 
 STARTING_RETRY_S = 0.5
 UNCONFIRMED_RETRY_S = 0.3
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/configuration.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/configuration.py
@@ -2,24 +2,18 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 
 import anyio
 
-from mimosamux_daemon.domain.routes import GatewayConfiguration
+from mimosamux_daemon.domain.routes import (
+    ConfigurationDocument,
+    GatewayConfiguration,
+)
 from mimosamux_daemon.logs import get_log
 
 log = get_log('configuration')
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationDocument:
-    """A configuration, and the bytes from which it was read."""
-
-    configuration: GatewayConfiguration
-    data: bytes
-
-
 class ConfirmedConfiguration:
     """Holds the newest configuration; its version only goes up."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -6,19 +6,19 @@
 
 import anyio
 
-from mimosamux_daemon.domain.gateway import GatewayRequest
+from mimosamux_daemon.domain.gateway import (
+    BrokenOff,
+    CallerGone,
+    GatewayOutcome,
+    GatewayRequest,
+)
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway.admission import Admission
 from mimosamux_daemon.gateway.choice import Choice, Chooser
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation, RunningStream
-from mimosamux_daemon.gateway.jobs import (
-    BrokenOff,
-    CallerGone,
-    GatewayOutcome,
-    Job,
-)
+from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.outcome_log import log_outcome, log_refusal
 from mimosamux_daemon.gateway.overload import Overload
 from mimosamux_daemon.gateway.relay import (
@@ -32,7 +32,7 @@
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.sends import Send, SendNotes
-from mimosamux_daemon.gateway.sinks import AnswerSink, Caller
+from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import (
     CallBroken,
     EndpointAnswer,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -12,32 +12,10 @@
     RouteKind,
     ServiceEntry,
 )
-from mimosamux_daemon.gateway.sinks import AnswerSink
+from mimosamux_daemon.ports.callers import AnswerSink
 from mimosamux_daemon.ports.endpoint_calls import ResumePoint
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Delivered:
-    """The endpoint's whole answer went to the caller."""
-
-    status: int
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class CallerGone:
-    """The caller left before its answer was whole."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BrokenOff:
-    """The answer ended early, and does not look complete."""
-
-    reason: str
-
-
-GatewayOutcome = Delivered | Refused | Failed | CallerGone | BrokenOff
-
-
 @dataclass(kw_only=True, slots=True)
 class Job:
     """One caller's request while it is passed on."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
@@ -2,15 +2,15 @@
 
 from functools import singledispatch
 
-from mimosamux_daemon.domain.gateway import GatewayRequest
-from mimosamux_daemon.domain.outcomes import Failed, Refused
-from mimosamux_daemon.gateway.jobs import (
+from mimosamux_daemon.domain.gateway import (
     BrokenOff,
     CallerGone,
     Delivered,
     GatewayOutcome,
-    Job,
+    GatewayRequest,
 )
+from mimosamux_daemon.domain.outcomes import Failed, Refused
+from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.logs import get_log
 
 log = get_log('requests')
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -36,7 +36,7 @@
     def open_platform(
         self,
         settings: GatewaySettings,
-        shared_time: SharedTime,
+        note_store_time: Callable[[float], float],
         network: Network,
         clock: Callable[[], float],
     ) -> AbstractAsyncContextManager[GatewayPlatform]:
@@ -75,7 +75,7 @@
     adapter = find_adapter(settings)
     network = TcpNetwork()
     async with adapter.open_platform(
-        settings, shared_time, network, steady_time
+        settings, shared_time.note_store_time, network, steady_time
     ) as platform:
         daemon = GatewayDaemon(
             settings=settings,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/relay.py
@@ -6,14 +6,14 @@
 
 import anyio
 
-from mimosamux_daemon.gateway.events import EventSplitter
-from mimosamux_daemon.gateway.jobs import (
+from mimosamux_daemon.domain.gateway import (
     BrokenOff,
     CallerGone,
     Delivered,
     GatewayOutcome,
-    Job,
 )
+from mimosamux_daemon.gateway.events import EventSplitter
+from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.sends import Send
 from mimosamux_daemon.ports.endpoint_calls import CallBroken, EndpointAnswer
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -6,12 +6,11 @@
 
 from mimosamux_daemon.adapters.http1_server import Handler
 from mimosamux_daemon.domain.gateway import ListedEndpoint
-from mimosamux_daemon.gateway.configuration import ConfigurationDocument
-from mimosamux_daemon.gateway.discovery import Discovery
-from mimosamux_daemon.gateway.forwarding import Forwarder
+from mimosamux_daemon.domain.routes import ConfigurationDocument
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
 from mimosamux_daemon.ports.feeds import Feed
+from mimosamux_daemon.ports.gateway import AddressBook, RequestForwarder
 from mimosamux_daemon.ports.run_moves import RunMoves
 from mimosamux_daemon.ports.table import Table
 
@@ -29,9 +28,9 @@
     moves: RunMoves
     table: Table
     duties: DutyCalls | None
-    handle_requests: Callable[[Forwarder], Handler]
+    handle_requests: Callable[[RequestForwarder], Handler]
     """Makes the handler of callers' requests."""
-    handle_questions: Callable[[Discovery, Callable[[], bool]], Handler]
+    handle_questions: Callable[[AddressBook, Callable[[], bool]], Handler]
     """Makes the handler of questions for addresses and readiness."""
     run: Callable[[], Coroutine[Any, Any, None]]
     """Upkeep of connections, until cancelled."""
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -241,7 +241,7 @@
         network = self.network.at(machine_of(settings.entry))
         with anyio.CancelScope() as scope:
             async with open_platform(
-                settings, shared_time, network, steady
+                settings, shared_time.note_store_time, network, steady
             ) as platform:
                 daemon = GatewayDaemon(
                     settings=settings,
--- /dev/null
+++ b/tests/test_platform_input.py
@@ -0,0 +1,356 @@
+"""Wrong input from the platform's side: a value, never an end."""
+
+import base64
+import unittest
+
+import anyio
+import orjson
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from mimosamux_daemon.adapters.http1_channels import Channels
+from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
+from mimosamux_daemon.domain.http_messages import RequestHead
+from mimosamux_daemon.domain.names import (
+    DataCentreName,
+    EndpointId,
+    ServiceName,
+)
+from mimosamux_daemon.domain.routes import GatewayConfiguration
+from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.errors import InvalidConfiguration
+from mimosamux_daemon.ports.endpoint_calls import (
+    CallBroken,
+    EndpointCall,
+    NotSent,
+    TurnedDown,
+)
+from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost
+from mimosamux_platform.documents import parse_configuration, parse_endpoint
+from mimosamux_platform.front import read_request
+from mimosamux_platform.http_calls import PlatformCalls
+from mimosamux_platform.replicas import ReplicaCalls
+from mimosamux_platform.store import StoreFeed
+
+from tests.support.clock import run_paused
+from tests.support.memory_network import MemoryNetwork
+from tests.support.platform_site import default_document
+
+ADDRESS = '10.0.0.1:80'
+OWN_ID = 'req-1'
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+def render(fields):
+    return orjson.dumps(fields)
+
+
+async def answer_with(data, use, *, is_reset=False):
+    """Serve fixed bytes to whoever connects, and run `use`."""
+    network = MemoryNetwork()
+
+    async def serve(connection):
+        await connection.receive()
+        for start in range(0, len(data), 7):
+            await connection.send(data[start : start + 7])
+        if is_reset:
+            connection.other.reset()
+        await connection.aclose()
+
+    async with anyio.create_task_group() as tasks:
+        listener = await network.at('10.0.0.1').listen(ADDRESS)
+        tasks.start_soon(listener.serve, serve, tasks)
+        await anyio.sleep(0.01)
+        channels = Channels(
+            network=network.at('10.0.0.9'), connect_timeout_s=1.0
+        )
+        result = await use(channels)
+        tasks.cancel_scope.cancel()
+        return result
+
+
+def endpoint_call():
+    return EndpointCall(
+        request=GatewayRequest(
+            id=OWN_ID,
+            head=RequestHead(
+                method=b'POST',
+                target=b'/slip/1',
+                headers=((b'Host', b'x'), (b'X-Attempt-Id', b'req-1')),
+            ),
+            body=b'slip',
+            host='x',
+            received_at=0.0,
+        ),
+        endpoint=ListedEndpoint(
+            id=EndpointId('i-1'),
+            service=ServiceName('app'),
+            address=ADDRESS,
+            data_centre=DataCentreName('north'),
+            slots=1,
+        ),
+        left_s=2.0,
+    )
+
+
+async def call_replica(channels):
+    """Return what a call came to, its body, and whether it is kept."""
+    calls = ReplicaCalls(channels=channels)
+    body = b''
+    async with calls.send(endpoint_call()) as sent:
+        if isinstance(sent, NotSent | CallBroken):
+            return type(sent), b'', False
+        answer = await sent.answer()
+        if isinstance(answer, TurnedDown | CallBroken):
+            return type(answer), b'', False
+        while True:
+            part = await answer.receive()
+            if part is None:
+                break
+            if isinstance(part, CallBroken):
+                return CallBroken, body, False
+            body += part
+    kept = bool(channels._idle_by_address.get(ADDRESS))
+    return answer.status, body, kept
+
+
+def ask_replica(data, **fields):
+    return run_paused(lambda: answer_with(data, call_replica, **fields))
+
+
+def answer_bytes(id_=OWN_ID, body=b'hello', extra=b''):
+    return (
+        b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nContent-Length: %d\r\n\r\n'
+        b'%b%b' % (id_.encode(), len(body), body, extra)
+    )
+
+
+class TestReplicaAnswers(unittest.TestCase):
+    def test_whole_answer_comes_as_it_was_sent(self):
+        status, body, _ = ask_replica(answer_bytes())
+        self.assertEqual((status, body), (200, b'hello'))
+
+    def test_answer_that_ends_early_is_broken(self):
+        outcome, _, kept = ask_replica(answer_bytes()[:-2])
+        self.assertEqual((outcome, kept), (CallBroken, False))
+
+    def test_answer_without_a_length_ends_with_its_connection(self):
+        data = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: req-1\r\n\r\nhello'
+        status, body, kept = ask_replica(data)
+        self.assertEqual((status, body, kept), (200, b'hello', False))
+
+    def test_answer_without_a_length_that_is_reset_is_broken(self):
+        data = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: req-1\r\n\r\nhello'
+        outcome, _, _ = ask_replica(data, is_reset=True)
+        self.assertEqual(outcome, CallBroken)
+
+    def test_bytes_behind_an_answer_end_the_use_of_the_connection(self):
+        status, body, kept = ask_replica(answer_bytes(extra=b'HTTP/1.1 200'))
+        self.assertEqual((status, body, kept), (200, b'hello', False))
+
+    def test_late_answer_to_another_request_is_passed_over(self):
+        data = answer_bytes('other', b'not yours') + answer_bytes()
+        status, body, _ = ask_replica(data)
+        self.assertEqual((status, body), (200, b'hello'))
+
+    def test_answer_to_another_request_alone_is_no_answer(self):
+        outcome, _, _ = ask_replica(answer_bytes('other', b'not yours'))
+        self.assertEqual(outcome, CallBroken)
+
+    def test_only_a_marked_answer_says_that_nothing_was_run(self):
+        plain = b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n'
+        marked = plain.replace(b'Content', b'X-Not-Executed: 1\r\nContent')
+        self.assertEqual(ask_replica(plain)[0], 503)
+        self.assertEqual(ask_replica(marked)[0], TurnedDown)
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(st.binary(max_size=200), st.integers(0, 80), st.booleans())
+    def test_any_bytes_are_an_answer_or_a_broken_call(
+        self, noise, start, is_spoilt
+    ):
+        """A replica sends bytes that are no answer, or a spoilt one."""
+        data = noise
+        if is_spoilt:
+            whole = answer_bytes()
+            data = whole[:start] + noise + whole[start + len(noise) :]
+        outcome, _, _ = ask_replica(data)
+        self.assertIn(type(outcome), (int, type))
+
+
+class TestStoreAnswers(unittest.TestCase):
+    def follow(self, data):
+        async def use(channels):
+            feed = StoreFeed(
+                calls=PlatformCalls(address=ADDRESS, channels=channels),
+                table='servers',
+                parse=parse_endpoint,
+                note_time=lambda seconds: seconds,
+            )
+            return await feed.follow(0, wait_s=0.1)
+
+        return run_paused(lambda: answer_with(data, use))
+
+    def follow_json(self, status, fields):
+        body = render(fields)
+        return self.follow(
+            b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b'
+            % (status, len(body), body)
+        )
+
+    def test_lost_history_is_told_apart(self):
+        self.assertIsInstance(self.follow_json(410, {}), HistoryLost)
+
+    def test_row_that_cannot_be_read_is_left_out(self):
+        good = {
+            'service': 'app',
+            'address': '10.0.0.2:80',
+            'zone': 'north',
+            'state': 'ready',
+        }
+        rows = [
+            {
+                'tableName': 'servers',
+                'key': key,
+                'value': base64.b64encode(value).decode(),
+                'rowVersion': 5,
+            }
+            for key, value in (
+                ('i-1', render(good)),
+                ('i-2', b'\x00\xff'),
+                ('i-3', render([1])),
+                ('i-4', render(good | {'address': 'nowhere'})),
+            )
+        ]
+        rows.append({'tableName': 'servers', 'key': 'i-5', 'value': '!!'})
+        news = self.follow_json(200, {'rows': rows, 'rowVersion': 9})
+        self.assertEqual([key for key, _ in news.changes], ['i-1'])
+        self.assertEqual(news.cursor, 9)
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(st.sampled_from([200, 200, 404, 412, 500, 503, 429]), JSON)
+    def test_any_answer_is_news_or_a_value(self, status, fields):
+        """The store answers something else than its page says."""
+        body = render_any(fields)
+        found = self.follow(
+            b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b'
+            % (status, len(body), body)
+        )
+        self.assertIsInstance(found, FeedNews | Unavailable)
+
+
+def render_any(fields):
+    try:
+        return orjson.dumps(fields)
+    except TypeError:
+        return repr(fields).encode()
+
+
+class TestDocuments(unittest.TestCase):
+    def test_document_of_the_operator_is_read(self):
+        data = render(default_document(is_scaled=True).render())
+        configuration = parse_configuration(data)
+        route = configuration.find_route('site.example', b'/slip/x/y')
+        self.assertEqual((route.timeout_s, route.may_repeat), (3.0, False))
+
+    def test_problem_names_the_field(self):
+        document = default_document()
+        document.routes[2]['timeoutMs'] = 'soon'
+        with self.assertRaises(InvalidConfiguration) as caught:
+            parse_configuration(render(document.render()))
+        self.assertIn('routes.2.timeoutMs', str(caught.exception))
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(st.data())
+    def test_any_change_is_a_configuration_or_a_clear_error(self, data):
+        """One field of the operator's document holds something else."""
+        document = default_document(is_scaled=True).render()
+        target = document
+        while True:
+            keys = (
+                sorted(target)
+                if isinstance(target, dict)
+                else list(range(len(target)))
+            )
+            key = data.draw(st.sampled_from(keys))
+            value = target[key]
+            goes_in = isinstance(value, dict | list) and value
+            if not goes_in or data.draw(st.booleans()):
+                break
+            target = value
+        target[key] = data.draw(JSON)
+        try:
+            found = parse_configuration(render_any(document))
+        except InvalidConfiguration as error:
+            self.assertTrue(error.path)
+        else:
+            self.assertIsInstance(found, GatewayConfiguration)
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(JSON)
+    def test_any_entry_is_an_endpoint_or_a_clear_error(self, fields):
+        """A replica's entry holds something else."""
+        try:
+            parse_endpoint('i-1', render_any(fields))
+        except InvalidConfiguration as error:
+            self.assertTrue(error.path)
+
+
+class TestRequestHeaders(unittest.TestCase):
+    def read(self, *headers):
+        from mimosamux_daemon.adapters.http1_server import IncomingRequest
+
+        head = RequestHead(
+            method=b'POST',
+            target=b'/x',
+            headers=((b'Host', b'Site.Example:80'), *headers),
+        )
+        return read_request(IncomingRequest(head=head, body=b''), 7.0)
+
+    def test_headers_that_are_the_systems_own_stay_behind(self):
+        """A caller sends headers that only the system may set.
+
+        Passed on, they could claim another account or another's memory.
+        """
+        request = self.read(
+            (b'x-tenant', b'other'),
+            (b'X-TENANT', b'again'),
+            (b'Kv-From', b'10.0.0.1:1/h'),
+            (b'X-Kv-Backup', b'10.0.0.1:1'),
+            (b'X-Cache-Retention', b'r'),
+            (b'X-Cache-Pin-Ms', b'9'),
+            (b'X-Expected-Replica', b'i-1'),
+            (b'X-Request-Priority', b'0'),
+            (b'X-Key', b'secret'),
+            (b'Connection', b'X-Mine, close'),
+            (b'X-Mine', b'1'),
+            (b'X-Yours', b'2'),
+        )
+        self.assertEqual(
+            request.head.headers,
+            ((b'Host', b'Site.Example:80'), (b'X-Yours', b'2')),
+        )
+        self.assertEqual(
+            (request.host, request.key), ('site.example', 'secret')
+        )
+
+    def test_two_keys_are_no_key(self):
+        request = self.read((b'X-Key', b'a'), (b'x-key', b'b'))
+        self.assertIsNone(request.key)
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(
+        st.binary(max_size=40), st.binary(max_size=40), st.binary(max_size=40)
+    )
+    def test_any_values_are_read_or_left_out(self, tokens, parts, patience):
+        request = self.read(
+            (b'X-Model', b'm'),
+            (b'X-Token-Usage', tokens),
+            (b'X-Prompt-Prefix', parts),
+            (b'X-Deadline-Ms', patience),
+        )
+        self.assertGreaterEqual(request.prompt.tokens, 0)
+        if request.patience_s is not None:
+            self.assertGreaterEqual(request.patience_s, 0)
