--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -214,7 +214,7 @@
     def _end_turned_down(
         self, job: Job, send: Send, answer: TurnedDown
     ) -> GatewayOutcome | GoOn:
-        send.note_unrun(answer.status)
+        send.note_unrun(answer)
         if self._may_send_again(job, is_proven_unrun=True):
             return GoOn()
         return job.give_up(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -172,6 +172,14 @@
         record.failed_connects += 1
         record.avoid_until = self._clock() + pause
 
+    def note_replaced(self, record: EndpointRecord) -> None:
+        """Take an endpoint as gone whose address another one has.
+
+        Its entry is listed for some seconds more, and each request that is
+        sent to it meanwhile would be turned down.
+        """
+        self.note_leaving(record.id, left_s=0.0, source='its heir')
+
     def write(self, digest: StateDigest) -> None:
         """Tell what is under way at each endpoint from here."""
         now = self._clock()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -11,7 +11,7 @@
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.endpoint_calls import EndpointCall
+from mimosamux_daemon.ports.endpoint_calls import EndpointCall, TurnedDown
 
 log = get_log('sends')
 
@@ -67,10 +67,12 @@
         """Note that the endpoint was reached."""
         self.notes.roster.note_connect(self.choice.record, failed=False)
 
-    def note_unrun(self, status: int) -> None:
+    def note_unrun(self, answer: TurnedDown) -> None:
         """Note that the endpoint says that it has not run the request."""
         self.job.may_have_run = self.could_have_run
-        self._log('turned_down', status=status)
+        self._log('turned_down', status=answer.status)
+        if answer.is_other_endpoint:
+            self.notes.roster.note_replaced(self.choice.record)
 
     def note_broken(self, reason: str) -> None:
         """Note that no whole answer came."""
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -84,6 +84,8 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     """Time and id of each request that reached it, run or not."""
+    misdirected: list[tuple[float, str]] = field(default_factory=list)
+    """The same for requests that were for another replica."""
     _slots: anyio.Semaphore | None = None
     _waiting: int = 0
     _run_by_id: dict[str, Run] = field(default_factory=dict)
@@ -127,12 +129,14 @@
     async def _answer(self, incoming: IncomingRequest, reply: Reply) -> None:
         headers = incoming.head.headers
         id_ = (find_value(headers, b'x-attempt-id') or b'').decode()
-        self.arrivals.append((anyio.current_time(), id_))
+        arrival = (anyio.current_time(), id_)
         expected = find_value(headers, b'x-expected-replica')
         if expected is not None and expected.decode() != self.id:
+            self.misdirected.append(arrival)
             own = ((b'X-Replica-Id', self.id.encode()),)
             await reply.answer(421, own)
             return
+        self.arrivals.append(arrival)
         source = find_value(headers, b'kv-from')
         if source is not None:
             handle = source.decode().rpartition('/')[2]
@@ -199,8 +203,11 @@
         if self.fault is Fault.CUT:
             await reply.start(
                 200,
-                (*self._headers(run, body), (b'Content-Length', b'9999')),
-                body,
+                (
+                    *self._headers(run, body),
+                    (b'Content-Length', b'%d' % len(body)),
+                ),
+                body[: len(body) // 2],
             )
             return
         status = 500 if self.fault is Fault.ERROR else 200
--- a/tests/test_gateway_once.py
+++ b/tests/test_gateway_once.py
@@ -189,7 +189,7 @@
                 answer = await site.caller().send(
                     site.daemons[0].entry, '/slip/1', body=b'slip'
                 )
-                return answer.status, len(old.runs), len(old.arrivals)
+                return answer.status, len(old.runs), len(old.misdirected)
 
         self.assertEqual(run_paused(check), (503, 0, 1))
 
