--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := packages/mimosamux-wire packages/mimosamux-daemon packages/mimosamux-cli packages/mimosamux-standins platform
 
-.PHONY: venv serve local test bench format clean
+.PHONY: venv serve local platform test bench format clean
 
 venv: $(STAMP)
 
@@ -21,6 +21,9 @@
 local: venv
 	$(BIN)/python -m mimosamux_standins local
 
+platform: venv
+	$(BIN)/python -m mimosamux_standins site-local
+
 test: venv
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -112,9 +112,8 @@
         leaves_at = record.leaves_at
         if leaves_at is None:
             leaves_at = self.clock() + self.drain_s
-        await anyio.sleep(
-            leaves_at - self.clock() - LAST_S - self._copy_s(record.id)
-        )
+        left_s = leaves_at - self.clock() - LAST_S - self._copy_s(record.id)
+        await anyio.sleep(max(left_s, 0.0))
         for stream in self._sort(record.id):
             await self._move(stream)
 
--- a/packages/mimosamux-standins/mimosamux_standins/__main__.py
+++ b/packages/mimosamux-standins/mimosamux_standins/__main__.py
@@ -7,13 +7,15 @@
 import fire
 
 FUNCTION_BY_NAME = {
-    'engine': 'run',
-    'local': 'serve',
-    'platform': 'serve',
-    'proxy': 'serve',
-    'service': 'serve',
+    'engine': ('engine', 'run'),
+    'local': ('local', 'serve'),
+    'platform': ('platform', 'serve'),
+    'proxy': ('proxy', 'serve'),
+    'service': ('service', 'serve'),
+    'site': ('site.host', 'serve'),
+    'site-local': ('site.local', 'serve'),
 }
-"""Function of each module that runs it; its parameters are options."""
+"""Module and function that run each; its parameters are options."""
 
 
 def main(args: Sequence[str]) -> int:
@@ -23,8 +25,9 @@
         print(f'usage: mimosamux_standins {names}', file=sys.stderr)
         return 2
     name = args[0]
-    module = importlib.import_module(f'mimosamux_standins.{name}')
-    function = getattr(module, FUNCTION_BY_NAME[name])
+    module_name, function_name = FUNCTION_BY_NAME[name]
+    module = importlib.import_module(f'mimosamux_standins.{module_name}')
+    function = getattr(module, function_name)
     try:
         fire.Fire(function, command=list(args[1:]), name=name)
     except KeyboardInterrupt:
--- a/packages/mimosamux-standins/mimosamux_standins/processes.py
+++ b/packages/mimosamux-standins/mimosamux_standins/processes.py
@@ -25,6 +25,8 @@
     name: str
     process: anyio.abc.Process
     address: str
+    line: str = ''
+    """The line with which it said that it had started."""
 
 
 class NotStarted(Exception):
@@ -39,10 +41,13 @@
     tasks: anyio.abc.TaskGroup
     programs: list[Program] = field(default_factory=list)
 
-    async def start(self, name: str, *command: str) -> Program:
+    async def start(
+        self, name: str, *command: str, until: str = ''
+    ) -> Program:
         """Start a Python module; the end of its first line is its address.
 
-        Its log goes to a file of its own in the site's folder.
+        With `until`, lines are read up to one that contains it. What it
+        prints and logs goes to a file of its own in the site's folder.
         """
         log = self.folder / f'{name}.log'
         with log.open('wb') as stderr:
@@ -54,12 +59,16 @@
             )
         program = Program(name=name, process=process, address='')
         self.programs.append(program)
-        lines = _Lines(process=process)
+        lines = _Lines(process=process, log=log)
         with anyio.move_on_after(START_TIMEOUT_S):
-            first = await lines.read()
-            if first is not None:
-                address = first.split()[-1].removeprefix('http://')
-                program = Program(name=name, process=process, address=address)
+            line = await lines.read_until(until)
+            if line is not None:
+                program = Program(
+                    name=name,
+                    process=process,
+                    address=line.split()[-1].removeprefix('http://'),
+                    line=line,
+                )
                 self.programs[-1] = program
                 self.tasks.start_soon(lines.drain)
                 return program
@@ -76,8 +85,16 @@
     """Lines that a process prints."""
 
     process: anyio.abc.Process
+    log: pathlib.Path
     _text: str = ''
 
+    async def read_until(self, text: str) -> str | None:
+        """Return the next line that contains a text."""
+        while (line := await self.read()) is not None:
+            if text in line:
+                return line
+        return None
+
     async def read(self) -> str | None:
         """Return the next line, None if the process has ended."""
         assert self.process.stdout is not None
@@ -88,6 +105,8 @@
             except anyio.EndOfStream:
                 return None
         line, _, self._text = self._text.partition('\n')
+        with self.log.open('a') as log:
+            log.write(f'{line}\n')
         return line
 
     async def drain(self) -> None:
--- /dev/null
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -0,0 +1,254 @@
+"""The whole stand-in platform in one process, on loopback ports."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import anyio.abc
+import orjson
+from mimosamux_daemon.adapters.http1_server import (
+    Handler,
+    Http1Server,
+    IncomingRequest,
+    Reply,
+)
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.domain.routes import TrafficLimits
+
+from mimosamux_standins.program import announce, wait_for_signal
+from mimosamux_standins.site.cloud import StandInCloud
+from mimosamux_standins.site.documents import (
+    SiteDocument,
+    engine_fields,
+    scaling_fields,
+)
+from mimosamux_standins.site.replica import (
+    Fault,
+    ReplicaSpeed,
+    StandInReplica,
+)
+from mimosamux_standins.site.store import StandInStore, StoreTrouble
+
+ANY_PORT = '127.0.0.1:0'
+ZONES = ('north', 'middle', 'south')
+BOOT_S = 4.0
+
+
+def demo_document() -> SiteDocument:
+    """Return a configuration with each kind of route, and two accounts."""
+    document = SiteDocument()
+    document.add_service(
+        'llm', **engine_fields(), **scaling_fields(dict.fromkeys(ZONES, 1.0))
+    )
+    document.add_service('app')
+    stream = {'stickySessions': True, 'gapTargetMs': 250}
+    document.add_route(
+        '/draft/',
+        'llm',
+        'streaming',
+        timeoutMs=15000,
+        targetLatencyMs=1000,
+        maxAttempts=1,
+        **stream,
+    )
+    document.add_route(
+        '/question/', 'llm', 'streaming', streamResume=True, **stream
+    )
+    document.add_route('/slip/', 'app', 'non_idempotent', maxAttempts=1)
+    document.add_route('/list/', 'app', 'idempotent')
+    document.add_tenant('school', 'key-school')
+    document.add_tenant('office', 'key-office')
+    return document
+
+
+@dataclass(kw_only=True, slots=True)
+class SiteHost:
+    """Store, cloud and replicas, and a port to spoil them through."""
+
+    tasks: anyio.abc.TaskGroup
+    speed: ReplicaSpeed
+    store: StandInStore = field(default_factory=StandInStore)
+    cloud: StandInCloud = field(default_factory=StandInCloud)
+    document: SiteDocument = field(default_factory=demo_document)
+    replicas_by_id: dict[str, StandInReplica] = field(default_factory=dict)
+    by_address: dict[str, StandInReplica] = field(default_factory=dict)
+    _scope_by_id: dict[str, anyio.CancelScope] = field(default_factory=dict)
+    _started: int = 0
+
+    async def start(self, *, engines: int, apps: int) -> tuple[str, str, str]:
+        """Start everything; return where store, cloud and control are."""
+        self.cloud.on_order = self._take_order
+        store = await self._serve(self.store.handle)
+        cloud = await self._serve(self.cloud.handle)
+        control = await self._serve(self._control)
+        self.store.put('op', 'config', self.document.render())
+        for number in range(engines):
+            await self.add_replica('llm', ZONES[number % 3], slots=8)
+        for number in range(apps):
+            await self.add_replica('app', ZONES[number % 3])
+        return store, cloud, control
+
+    async def add_replica(
+        self,
+        service: str,
+        zone: str,
+        *,
+        slots: int = 6,
+        is_reclaimable: bool = False,
+    ) -> StandInReplica:
+        """Start a replica and list it."""
+        self._started += 1
+        replica = StandInReplica(
+            id=f'i-{self._started:04d}',
+            service=service,
+            zone=zone,
+            address='',
+            slots=slots,
+            speed=self.speed,
+            is_reclaimable=is_reclaimable,
+            by_address=self.by_address,
+        )
+        scope = anyio.CancelScope()
+        replica.address = await self._serve(replica.handle, scope)
+        self.replicas_by_id[replica.id] = replica
+        self.by_address[replica.address] = replica
+        self._scope_by_id[replica.id] = scope
+        self.store.put('servers', replica.id, replica.entry())
+        return replica
+
+    async def _serve(
+        self, handler: Handler, scope: anyio.CancelScope | None = None
+    ) -> str:
+        server = Http1Server(handler=handler, limits=TrafficLimits)
+        listener = await TcpNetwork().listen(ANY_PORT)
+
+        async def run() -> None:
+            with scope or anyio.CancelScope():
+                async with anyio.create_task_group() as tasks:
+                    await listener.serve(server.serve, tasks)
+
+        self.tasks.start_soon(run)
+        return listener.address
+
+    def _take_order(
+        self, service: str, zone: str, is_reclaimable: bool, count: int
+    ) -> None:
+        there = [
+            replica
+            for replica in self.replicas_by_id.values()
+            if (replica.service, replica.zone, replica.is_reclaimable)
+            == (service, zone, is_reclaimable)
+            and replica.state == 'ready'
+        ]
+        for replica in there[count:]:
+            replica.state = 'draining'
+            self.store.put('servers', replica.id, replica.entry())
+        for _ in range(count - len(there)):
+            self.tasks.start_soon(self._boot, service, zone, is_reclaimable)
+
+    async def _boot(
+        self, service: str, zone: str, is_reclaimable: bool
+    ) -> None:
+        await anyio.sleep(BOOT_S)
+        await self.add_replica(
+            service, zone, slots=8, is_reclaimable=is_reclaimable
+        )
+
+    async def _control(self, incoming: IncomingRequest, reply: Reply) -> None:
+        """Spoil something, or tell what was seen."""
+        target = incoming.head.target.decode()
+        body = orjson.loads(incoming.body or b'{}')
+        commands: dict[str, Callable[[dict[str, object]], object]] = {
+            '/store': self._set_store,
+            '/replica': self._set_replica,
+            '/revoke': self._revoke,
+            '/seen': self._tell_seen,
+        }
+        command = commands.get(target)
+        if command is None:
+            await reply.answer(404, ())
+            return
+        await reply.answer(200, (), orjson.dumps(command(body)))
+
+    def _set_store(self, body: dict[str, object]) -> object:
+        self.store.trouble = StoreTrouble[str(body['trouble'])]
+        return {}
+
+    def _set_replica(self, body: dict[str, object]) -> object:
+        replica = self.replicas_by_id[str(body['id'])]
+        if 'fault' in body:
+            replica.fault = Fault[str(body['fault'])]
+        if 'leaves_ms' in body:
+            replica.leaves_ms = float(str(body['leaves_ms']))
+        if 'state' in body:
+            replica.state = str(body['state'])
+            self.store.put('servers', replica.id, replica.entry())
+        if body.get('crash'):
+            replica.state = 'dead'
+            self._scope_by_id[replica.id].cancel()
+        return {}
+
+    def _revoke(self, body: dict[str, object]) -> object:
+        for tenant in self.document.tenants:
+            keys = tenant['apiKeys']
+            assert isinstance(keys, list)
+            tenant['apiKeys'] = [key for key in keys if key != body['key']]
+        self.document.version += 1
+        self.store.put('op', 'config', self.document.render())
+        return {'version': self.document.version}
+
+    def _tell_seen(self, body: dict[str, object]) -> object:
+        return {
+            'runs': [
+                {
+                    'id': run.id,
+                    'target': run.target,
+                    'tenant': run.tenant,
+                    'replica': run.replica,
+                    'is_moved': bool(run.kv_source),
+                }
+                for replica in self.replicas_by_id.values()
+                for run in replica.runs
+            ],
+            'replicas': [
+                {
+                    'id': replica.id,
+                    'service': replica.service,
+                    'state': replica.state,
+                    'is_reclaimable': replica.is_reclaimable,
+                    'open': sum(run.ended_at is None for run in replica.runs),
+                }
+                for replica in self.replicas_by_id.values()
+            ],
+            'duty_calls': [
+                {
+                    'path': call.path,
+                    'holder': call.holder,
+                    'fencing': call.fencing,
+                    'body': call.body,
+                    'is_taken': call.is_taken,
+                }
+                for call in self.cloud.calls
+            ],
+            'store_calls': self.store.calls,
+        }
+
+
+def serve(
+    engines: int = 3,
+    apps: int = 3,
+    events: int = 12,
+    event_s: float = 0.05,
+    work_s: float = 0.03,
+) -> None:
+    """Run the stand-in platform until SIGTERM or Ctrl-C."""
+    speed = ReplicaSpeed(events=events, event_s=event_s, work_s=work_s)
+    anyio.run(_serve, engines, apps, speed)
+
+
+async def _serve(engines: int, apps: int, speed: ReplicaSpeed) -> None:
+    async with anyio.create_task_group() as tasks:
+        host = SiteHost(tasks=tasks, speed=speed)
+        store, cloud, control = await host.start(engines=engines, apps=apps)
+        announce(f'listening {store} {cloud}', control)
+        await wait_for_signal(tasks.cancel_scope.cancel)
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -45,6 +45,14 @@
                 return line
         raise AssertionError(f'{self.popen.args} ended before {start!r}')
 
+    def wait_for_text(self, text: str) -> str:
+        """Return the next line of its output that contains a text."""
+        assert self.popen.stdout is not None
+        for line in self.popen.stdout:
+            if text in line:
+                return line
+        raise AssertionError(f'{self.popen.args} ended before {text!r}')
+
     def freeze(self) -> None:
         """Stop it in its tracks (SIGSTOP)."""
         self.popen.send_signal(signal.SIGSTOP)
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,203 @@
+"""Real daemons on the stand-in platform: signals, freezes, cut networks."""
+
+import threading
+import unittest
+from collections import defaultdict
+
+import anyio
+import httpx
+from mimosamux_standins.site.replica import render_event
+
+from tests.support.platform_processes import (
+    PROMPT,
+    platform_processes,
+    send,
+    send_one,
+)
+
+EVENTS = 12
+
+
+def send_streams(entry, count, answers):
+    """Send drafts side by side, and note what came of each."""
+
+    async def one(number):
+        answers.append(
+            await send(
+                entry, f'/draft/{number}', headers=PROMPT, body=b'brief'
+            )
+        )
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            for number in range(count):
+                tasks.start_soon(one, number)
+
+    anyio.run(run)
+
+
+class TestSignals(unittest.TestCase):
+    def test_stop_cuts_off_no_stream(self):
+        """A daemon is asked to stop in the middle of ten drafts."""
+        with platform_processes(daemons=2) as platform:
+            daemon = platform.daemons[0]
+            answers = []
+            sender = threading.Thread(
+                target=send_streams, args=(daemon.entry, 10, answers)
+            )
+            sender.start()
+            platform.wait_for(
+                lambda: len(platform.seen()['runs']) >= 10, 'ten runs'
+            )
+            daemon.process.terminate()
+            sender.join()
+            status = daemon.process.wait()
+        self.assertEqual(status, 0)
+        self.assertEqual(len(answers), 10)
+        for answer in answers:
+            expected = b''.join(
+                render_event(answer.id, number)
+                for number in range(1, EVENTS + 1)
+            )
+            self.assertEqual((answer.status, answer.body), (200, expected))
+
+    def test_slip_in_the_hands_of_a_frozen_daemon_runs_once_at_most(self):
+        """A daemon stands still with a slip in hand, and wakes up later.
+
+        Its caller has given up; what the daemon says and does then must not
+        contradict what the caller took it for.
+        """
+        with platform_processes(daemons=1, work_s=0.5) as platform:
+            daemon = platform.daemons[0]
+            answers = []
+
+            def work():
+                answers.append(
+                    send_one(
+                        daemon.entry, '/slip/1', body=b's', patience_s=1.5
+                    )
+                )
+
+            sender = threading.Thread(target=work)
+            sender.start()
+            platform.wait_for(lambda: platform.seen()['runs'], 'run')
+            daemon.process.freeze()
+            sender.join()
+            daemon.process.thaw()
+            platform.wait_for(
+                lambda: all(
+                    replica['open'] == 0
+                    for replica in platform.seen()['replicas']
+                ),
+                'end of the run',
+            )
+            runs = platform.runs_of(answers[0].id)
+        self.assertEqual(len(runs), 1)
+        self.assertNotIn(answers[0].status, (408, 421, 429, 503))
+
+    def test_draft_survives_the_reclaim_of_its_engine(self):
+        """An engine is taken away in the middle of a long draft."""
+        with platform_processes(daemons=2, events=80) as platform:
+            answers = []
+            sender = threading.Thread(
+                target=send_streams,
+                args=(platform.daemons[0].entry, 1, answers),
+            )
+            sender.start()
+            (run,) = platform.wait_for(
+                lambda: platform.seen()['runs'], 'run of the draft'
+            )
+            platform.command(
+                '/replica',
+                id=run['replica'],
+                leaves_ms=1500,
+                state='draining',
+            )
+            platform.wait_for(
+                lambda: any(
+                    each['is_moved'] for each in platform.seen()['runs']
+                ),
+                'moved run',
+            )
+            platform.command('/replica', id=run['replica'], crash=True)
+            sender.join()
+        expected = b''.join(
+            render_event(answers[0].id, number) for number in range(1, 81)
+        )
+        self.assertEqual(answers[0].body, expected)
+
+
+class TestDuties(unittest.TestCase):
+    def assert_one_report_a_window(self, platform):
+        counts = defaultdict(set)
+        holders = {}
+        for call in platform.seen()['duty_calls']:
+            if not call['is_taken']:
+                continue
+            holder = holders.setdefault(call['fencing'], call['holder'])
+            self.assertEqual(holder, call['holder'])
+            if call['path'] == '/usage':
+                body = call['body']
+                counts[body['windowNumber']].add(str(body['counts']))
+        for window, different in counts.items():
+            self.assertEqual(len(different), 1, window)
+
+    def test_holder_that_is_killed_has_a_successor(self):
+        with platform_processes(daemons=3) as platform:
+            holder = platform.wait_for_holder()
+            holder.process.kill()
+            platform.daemons.remove(holder)
+            successor = platform.wait_for_holder(but=holder.name)
+            self.assertNotEqual(successor.name, holder.name)
+            self.assert_one_report_a_window(platform)
+
+    def test_holder_frozen_beyond_its_lease_acts_no_more_when_it_wakes(self):
+        """The holder stands still for longer than its lease lasts."""
+        with platform_processes(daemons=3) as platform:
+            holder = platform.wait_for_holder()
+            holder.process.freeze()
+            successor = platform.wait_for_holder(but=holder.name)
+            before = len(platform.seen()['duty_calls'])
+            holder.process.thaw()
+            platform.wait_for(
+                lambda: len(platform.seen()['duty_calls']) > before + 2,
+                'further calls',
+            )
+            calls = platform.seen()['duty_calls'][before:]
+            acted = {call['holder'] for call in calls if call['is_taken']}
+            self.assertEqual(acted, {successor.name})
+            self.assert_one_report_a_window(platform)
+
+
+class TestNetwork(unittest.TestCase):
+    def test_key_is_out_at_a_daemon_whose_store_went_silent(self):
+        """The way to the store goes silent: open, and nothing gets through.
+
+        The daemon has no peers that could tell it of keys taken away.
+        """
+        with platform_processes(daemons=0) as platform:
+            proxy = platform.started.start_standin('proxy', platform.store)
+            address = proxy.address
+            control = proxy.wait_for_line('control').split()[-1]
+            daemon = platform.start_daemon(store=address)
+            self.assertEqual(
+                send_one(daemon.entry, '/list/1', method='GET').status, 200
+            )
+            spoil_proxy(control, blackhole=True)
+            platform.command('/revoke', key='key-school')
+
+            def status():
+                return send_one(daemon.entry, '/list/1', method='GET').status
+
+            platform.wait_for(lambda: status() != 200, 'refusal of the key')
+            self.assertEqual(status(), 503)
+            spoil_proxy(control)
+            platform.wait_for(lambda: status() == 401, 'word of the platform')
+
+
+def spoil_proxy(control, **faults):
+    """Have a proxy spoil what goes through it."""
+    answer = httpx.post(
+        f'http://{control}/control', json=faults, trust_env=False
+    )
+    answer.raise_for_status()
