Metrics and status on the platform, a line for each decision on a request

Cause: on-call engineers have logs and metrics only, and a daemon on the platform had neither metrics nor a line for where a request was sent.

Change: counters and histograms on the metrics address, status and liveness there as well, so that mimosamux status asks a deployed daemon; request_sent with the inputs of the choice and their age, one line for each end; mimosamux check knows both kinds of settings; mimosamux explain puts the story of a request together.

--- a/packages/mimosamux-cli/mimosamux_cli/commands.py
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -7,15 +7,16 @@
 
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.control.configuration_models import parse_configuration
-from mimosamux_daemon.model_program import read_settings
+from mimosamux_daemon.core import find_face
 
 from mimosamux_cli.caller import Caller
 from mimosamux_cli.config_commands import ConfigCommands
 from mimosamux_cli.documents import read_document
-from mimosamux_cli.errors import UsageError
+from mimosamux_cli.errors import NotFoundError, UsageError
 from mimosamux_cli.groups import CommandGroup
 from mimosamux_cli.output import as_time, write_json, write_table
 from mimosamux_cli.service_caller import ServiceCaller
+from mimosamux_cli.stories import read_log, tell_story
 
 KEY_VARIABLE = 'MIMOSAMUX_KEY'
 AUDIT_DEFAULT_S = 86_400.0
@@ -179,13 +180,34 @@
         Example: mimosamux check site.yaml --kind configuration
         """
         if kind == 'settings':
-            read_settings(file)
+            find_face(file).check(file)
         elif kind == 'configuration':
             parse_configuration(read_document(file), version=1)
         else:
             raise UsageError(f'--kind {kind}: use settings or configuration')
         self._write(f'{file}: valid\n')
 
+    def explain(self, request: str, *files: str) -> None:
+        """Tell the story of a request from the logs of daemons, in order.
+
+        Each line is led by the file that it comes from. Lines about its
+        endpoints, and about what its daemons lost meanwhile, are told too.
+
+        Example: mimosamux explain 4f1c edge-1.log edge-2.log
+        """
+        if not files:
+            raise UsageError('explain: name the log files to read')
+        lines = [line for file in files for line in read_log(str(file))]
+        story = tell_story(str(request), lines)
+        if not story:
+            raise NotFoundError(
+                f'no line about request {request} in {len(lines)} events of '
+                f'{", ".join(map(str, files))}; a daemon under load leaves '
+                'lines out, see left_out= and lines_lost= there'
+            )
+        for line in story:
+            self._write(f'{line.source}: {line.text}\n')
+
     def _key_headers(self) -> dict[str, str]:
         key = self._env.variables.get(KEY_VARIABLE, '')
         return {'Authorization': f'Bearer {key}'}
--- a/packages/mimosamux-cli/mimosamux_cli/errors.py
+++ b/packages/mimosamux-cli/mimosamux_cli/errors.py
@@ -22,6 +22,10 @@
     status = ExitStatus.INVALID_INPUT
 
 
+class NotFoundError(CommandError):
+    """What was asked for is not in the files that were named."""
+
+
 class ConflictError(CommandError):
     """Somebody else changed the same thing first."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -31,6 +31,9 @@
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.metering import Metering
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.monitor import Monitor
+from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.overload import WINDOW_S, Overload
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
@@ -75,6 +78,7 @@
     ) -> None:
         self.settings = settings
         self.started = anyio.Event()
+        self.metrics = GatewayMetrics()
         self._platform = platform
         self._network = TcpNetwork() if network is None else network
         self._clock = clock
@@ -200,6 +204,7 @@
             clock=self._clock,
             rng=self._rng,
             tell=self._tell_leaving,
+            metrics=self.metrics,
         )
         self.roster.on_leaving.append(self.evacuation.note_leaving)
         self.chooser = Chooser(
@@ -264,6 +269,8 @@
                 roster=self.roster,
                 chooser=self.chooser,
                 begun=self.begun,
+                metrics=self.metrics,
+                news_age_s=self.states.news_age_s,
                 clock=self._clock,
             ),
             demand=self.demand,
@@ -271,6 +278,11 @@
                 shares=FairShares(window_s=WINDOW_S), clock=self._clock
             ),
             evacuation=self.evacuation,
+            outcomes=OutcomeLog(
+                metrics=self.metrics,
+                configuration=self.configuration,
+                clock=self._clock,
+            ),
             clock=self._clock,
         )
         self.server = self._build_server(
@@ -291,6 +303,11 @@
         )
         for address in {self.settings.discovery, self.settings.readiness}:
             await self._serve(tasks, address, questions, anyio.CancelScope())
+        if self.settings.metrics:
+            monitor = self._build_server(self._build_monitor().handle)
+            await self._serve(
+                tasks, self.settings.metrics, monitor, anyio.CancelScope()
+            )
         await self._serve(
             tasks, self.settings.entry, self.server, self._entry_scope
         )
@@ -301,6 +318,18 @@
             peers=self.settings.place.id,
         )
 
+    def _build_monitor(self) -> Monitor:
+        return Monitor(
+            daemon=self.settings.daemon,
+            metrics=self.metrics,
+            configuration=self.configuration,
+            roster=self.roster,
+            states=self.states,
+            duties=self.duties,
+            open_requests=lambda: self.server.open_requests,
+            clock=self._clock,
+        )
+
     async def _serve(
         self,
         tasks: anyio.abc.TaskGroup,
@@ -336,6 +365,7 @@
             calls=calls,
             begun=self.begun,
             lateness_s=self.settings.usage_lateness_s,
+            metrics=self.metrics,
             lose_lease=lambda lease: lease.end(),
         )
         scaling = Scaling(
@@ -344,6 +374,7 @@
             demand=self.demand,
             configuration=lambda: self.configuration.current,
             clock=self._clock,
+            metrics=self.metrics,
             lose_lease=lambda lease: lease.end(),
         )
         self.roster.on_leaving.append(scaling.note_leaving)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -16,13 +16,13 @@
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.domain.routes import EngineTraits, ServiceEntry
 from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.run_moves import (
     MoveOutcome,
     MoveUnanswered,
     NotMoved,
-    RunMoved,
     RunMoves,
 )
 
@@ -70,6 +70,7 @@
     rng: random.Random
     tell: Callable[[EndpointRecord], None]
     """Tells the peers when an endpoint leaves."""
+    metrics: GatewayMetrics
     _by_endpoint: dict[EndpointId, set[RunningStream]] = field(
         default_factory=dict
     )
@@ -150,6 +151,7 @@
             stream.target = target
             stream.settled.set()
         stream.is_moving = not isinstance(outcome, NotMoved)
+        self.metrics.moves.inc({'result': type(outcome).__name__})
         log.info(
             'stream_moved',
             request=stream.request_id,
@@ -181,18 +183,6 @@
         return min(records, key=cost)
 
 
-def has_stopped(outcome: MoveOutcome | None) -> bool:
-    """Whether a run is known to have stopped, so that it may go on."""
-    return outcome is not None and not isinstance(
-        outcome, NotMoved | MoveUnanswered
-    )
-
-
-def is_copied(outcome: MoveOutcome | None) -> bool:
-    """Whether the run's memory lies at the target."""
-    return isinstance(outcome, RunMoved)
-
-
 def _can_move(stream: RunningStream) -> bool:
     engine = stream.service.engine
     return engine is not None and engine.can_move
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -19,7 +19,7 @@
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation, RunningStream
 from mimosamux_daemon.gateway.jobs import Job
-from mimosamux_daemon.gateway.outcome_log import log_outcome, log_refusal
+from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.overload import Overload
 from mimosamux_daemon.gateway.relay import (
     Patience,
@@ -68,6 +68,7 @@
     demand: Demand
     overload: Overload
     evacuation: Evacuation
+    outcomes: OutcomeLog
     clock: Callable[[], float]
 
     async def forward(
@@ -76,7 +77,7 @@
         """Have a request answered; the outcome tells if it was not."""
         job = self.admission.admit(request, sink)
         if isinstance(job, Refused):
-            log_refusal(request, job)
+            self.outcomes.note_refusal(request, job)
             return job
         self._note_demand(job)
         outcome: GatewayOutcome = CallerGone()
@@ -89,7 +90,7 @@
             outcome = self._end_late(job)
         if isinstance(outcome, Refused):
             self.admission.release_cap(job)
-        log_outcome(job, outcome, now=self.clock())
+        self.outcomes.note_outcome(job, outcome)
         return outcome
 
     def _note_demand(self, job: Job) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
@@ -23,6 +23,7 @@
     Write,
 )
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
 from mimosamux_daemon.ports.duty_calls import (
@@ -50,6 +51,7 @@
     begun: BegunCounts
     lateness_s: float
     """Time after the end of a window up to which its report is due."""
+    metrics: GatewayMetrics
     lose_lease: Callable[[Lease], None]
     """Called when the platform has seen a higher fencing number."""
     _settled: dict[int, dict[AccountId, int]] = field(default_factory=dict)
@@ -136,6 +138,9 @@
             fencing=lease.fencing,
             outcome=outcome.name.lower(),
         )
+        self.metrics.duty_calls.inc(
+            {'duty': 'usage', 'outcome': outcome.name.lower()}
+        )
         if outcome is DutyOutcome.REFUSED:
             self.lose_lease(lease)
         elif outcome in (DutyOutcome.DONE, DutyOutcome.INVALID):
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -0,0 +1,98 @@
+"""Metrics of a daemon that passes requests on, rendered for Prometheus.
+
+Label values come from the configuration and from closed lists; routes
+beyond a number share one value, so a large configuration adds no series.
+"""
+
+from collections.abc import Callable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from mimosamux_daemon.domain.routes import Route
+
+SECONDS = [0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0]
+MOST_ROUTES = 64
+OTHER_ROUTES = 'other'
+
+
+class GatewayMetrics:
+    """Every metric of a daemon; label values are passed with each use."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._routes: set[str] = set()
+        self.collectors: list[Callable[[], None]] = []
+        """Called before each rendering, to set the gauges."""
+        self.requests = self._counter(
+            'mimosamux_gateway_requests_total',
+            'Requests that ended, by route, outcome and reason.',
+        )
+        self.sends = self._counter(
+            'mimosamux_gateway_sends_total',
+            'Sends to endpoints, by service and result.',
+        )
+        self.moves = self._counter(
+            'mimosamux_gateway_moves_total',
+            'Streams moved to another endpoint, by result.',
+        )
+        self.duty_calls = self._counter(
+            'mimosamux_gateway_duty_calls_total',
+            'Calls of the duties, by duty and outcome.',
+        )
+        self.took_s = self._histogram(
+            'mimosamux_gateway_request_seconds',
+            'Time from a request to its end, by route.',
+        )
+        self.first_event_s = self._histogram(
+            'mimosamux_gateway_first_event_seconds',
+            'Time from a send to its first event, by service.',
+        )
+        self.open_requests = self._gauge(
+            'mimosamux_gateway_open_requests', 'Requests under way.'
+        )
+        self.endpoints = self._gauge(
+            'mimosamux_gateway_endpoints',
+            'Known endpoints, by service and state (serving, avoided, '
+            'leaving).',
+        )
+        self.configuration_version = self._gauge(
+            'mimosamux_gateway_configuration_version',
+            'Version of the configuration in force.',
+        )
+        self.configuration_age_s = self._gauge(
+            'mimosamux_gateway_configuration_age_seconds',
+            'Time since no newer version was known to exist.',
+        )
+        self.peers = self._gauge(
+            'mimosamux_gateway_peers',
+            'Other daemons, by state (fresh, silent).',
+        )
+        self.holds_lease = self._gauge(
+            'mimosamux_gateway_holds_lease',
+            'Whether this daemon does the duties, 0 or 1.',
+        )
+
+    def route_label(self, route: Route) -> str:
+        """Return the value of the label `route`."""
+        if route.name in self._routes:
+            return route.name
+        if len(self._routes) >= MOST_ROUTES:
+            return OTHER_ROUTES
+        self._routes.add(route.name)
+        return route.name
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as text, and the HTTP headers for it."""
+        for collect in self.collectors:
+            collect()
+        content, headers = render(self._registry, ['text/plain'])
+        return content, dict(headers)
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(name, doc, buckets=SECONDS, registry=self._registry)
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -0,0 +1,132 @@
+"""What operators and Prometheus read of a daemon."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import orjson
+
+from mimosamux_daemon.adapters.http1_server import IncomingRequest, Reply
+from mimosamux_daemon.control.members import MemberState
+from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
+from mimosamux_daemon.gateway.duties import Duties
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+
+JSON = ((b'Content-Type', b'application/json'),)
+
+
+@dataclass(kw_only=True, slots=True)
+class Monitor:
+    """Serves metrics and the status that `mimosamux status` shows."""
+
+    daemon: str
+    metrics: GatewayMetrics
+    configuration: ConfirmedConfiguration
+    roster: Roster
+    states: PeerStates
+    duties: Duties
+    open_requests: Callable[[], int]
+    clock: Callable[[], float]
+
+    def __post_init__(self) -> None:
+        self.metrics.collectors.append(self.collect)
+
+    async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
+        """Answer one question."""
+        path = incoming.head.path
+        if path == b'/metrics':
+            content, headers = self.metrics.render()
+            fields = tuple(
+                (name.encode(), value.encode())
+                for name, value in headers.items()
+            )
+            await reply.answer(200, fields, content)
+        elif path == b'/v1/operator/status':
+            await reply.answer(200, JSON, orjson.dumps(self.status()))
+        elif path == b'/healthz':
+            await reply.answer(200, (), b'ok\n')
+        else:
+            await reply.answer(404, ())
+
+    def status(self) -> dict[str, object]:
+        """Return how things stand, in sections of rows."""
+        return {
+            'daemon': self.daemon,
+            'version': self.configuration.current.version,
+            'configuration': [
+                {'age_s': round(min(self.configuration.age_s, 1e6), 3)}
+            ],
+            'daemons': self._daemon_rows(),
+            'endpoints': [
+                self._endpoint_row(record)
+                for record in self.roster.by_id.values()
+                if record.gone_at is None
+            ],
+        }
+
+    def collect(self) -> None:
+        """Set the gauges to how things stand."""
+        metrics = self.metrics
+        metrics.open_requests.set({}, self.open_requests())
+        metrics.configuration_version.set(
+            {}, self.configuration.current.version
+        )
+        metrics.configuration_age_s.set({}, min(self.configuration.age_s, 1e6))
+        fresh = len(self.states.fresh())
+        silent = len(self.states.by_id) - fresh
+        metrics.peers.set({'state': 'fresh'}, fresh)
+        metrics.peers.set({'state': 'silent'}, silent)
+        metrics.holds_lease.set({}, int(self.duties.held is not None))
+        counts: dict[tuple[str, str], int] = {}
+        for record in self.roster.by_id.values():
+            if record.gone_at is None:
+                key = (record.listed.service, self._state_of(record))
+                counts[key] = counts.get(key, 0) + 1
+        for service in {key[0] for key in counts}:
+            for state in ('serving', 'avoided', 'leaving'):
+                labels = {'service': service, 'state': state}
+                metrics.endpoints.set(labels, counts.get((service, state), 0))
+
+    def _daemon_rows(self) -> list[dict[str, object]]:
+        fresh = {peer.place.id for peer in self.states.fresh()}
+        held = self.duties.held
+        rows: list[dict[str, object]] = [
+            {
+                'daemon': self.states.place.id,
+                'address': self.states.place.entry_address,
+                'state': self.states.state.name.lower(),
+                'heard': 'itself',
+                'lease': '' if held is None else held.fencing,
+            }
+        ]
+        for id_, peer in self.states.by_id.items():
+            state = MemberState(peer.state).name.lower()
+            rows.append(
+                {
+                    'daemon': id_,
+                    'address': peer.place.entry_address,
+                    'state': state,
+                    'heard': 'fresh' if id_ in fresh else 'silent',
+                    'lease': peer.lease_fencing or '',
+                }
+            )
+        return rows
+
+    def _endpoint_row(self, record: EndpointRecord) -> dict[str, object]:
+        now = self.clock()
+        failed = record.health.failed_share(now)
+        return {
+            'endpoint': record.id,
+            'service': record.listed.service,
+            'data_centre': record.listed.data_centre,
+            'market': record.listed.market,
+            'state': self._state_of(record),
+            'under_way': record.load.total(now).requests,
+            'failed_share': '' if failed is None else round(failed, 2),
+        }
+
+    def _state_of(self, record: EndpointRecord) -> str:
+        if record.is_leaving:
+            return 'leaving'
+        return 'avoided' if record.is_avoided(self.clock()) else 'serving'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
@@ -1,5 +1,7 @@
 """One line for the end of each request."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from functools import singledispatch
 
 from mimosamux_daemon.domain.gateway import (
@@ -9,35 +11,68 @@
     GatewayOutcome,
     GatewayRequest,
 )
-from mimosamux_daemon.domain.outcomes import Failed, Refused
+from mimosamux_daemon.domain.outcomes import Failed, Reason, Refused
+from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.logs import get_log
 
 log = get_log('requests')
 
 
-def log_refusal(request: GatewayRequest, refused: Refused) -> None:
-    """Log a request that was turned away before it became a job."""
-    log.info(
-        'request_refused',
-        request=request.id,
-        reason=refused.reason,
-        message=refused.message,
-        retry_after_s=refused.retry_after_s,
-    )
-
-
-def log_outcome(job: Job, outcome: GatewayOutcome, *, now: float) -> None:
-    """Log what became of a job."""
-    log.info(
-        'request_ended',
-        request=job.request.id,
-        route=job.route.name,
-        account=None if job.account is None else job.account.id,
-        sends=job.sends,
-        took_s=round(now - job.request.received_at, 3),
-        **describe_outcome(outcome),
-    )
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OutcomeLog:
+    """Logs the end of each request, and counts it."""
+
+    metrics: GatewayMetrics
+    configuration: ConfirmedConfiguration
+    clock: Callable[[], float]
+
+    def note_refusal(self, request: GatewayRequest, refused: Refused) -> None:
+        """Note a request that was turned away before it became a job."""
+        self.metrics.requests.inc(
+            {'route': '', 'outcome': 'refused', 'reason': refused.reason}
+        )
+        log.info(
+            'request_refused',
+            request=request.id,
+            host=request.host,
+            reason=refused.reason,
+            message=refused.message,
+            retry_after_s=refused.retry_after_s,
+            **self._known(),
+        )
+
+    def note_outcome(self, job: Job, outcome: GatewayOutcome) -> None:
+        """Note what became of a job."""
+        took_s = self.clock() - job.request.received_at
+        fields = describe_outcome(outcome)
+        route = self.metrics.route_label(job.route)
+        self.metrics.requests.inc(
+            {
+                'route': route,
+                'outcome': str(fields['outcome']),
+                'reason': str(fields.get('reason', '')),
+            }
+        )
+        self.metrics.took_s.observe({'route': route}, took_s)
+        log.info(
+            'request_ended',
+            request=job.request.id,
+            route=job.route.name,
+            account=None if job.account is None else job.account.id,
+            sends=job.sends,
+            took_s=round(took_s, 3),
+            **fields,
+            **self._known(),
+        )
+
+    def _known(self) -> dict[str, object]:
+        """Return what the decision rested on, and how old that is."""
+        return {
+            'version': self.configuration.current.version,
+            'version_age_s': round(min(self.configuration.age_s, 1e6), 2),
+        }
 
 
 @singledispatch
@@ -72,7 +107,11 @@
 
 @describe_outcome.register
 def _(outcome: BrokenOff) -> dict[str, object]:
-    return {'outcome': 'broken_off', 'reason': outcome.reason}
+    return {
+        'outcome': 'broken_off',
+        'reason': Reason.ENDPOINT_FAILED,
+        'message': outcome.reason,
+    }
 
 
 @describe_outcome.register
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -115,6 +115,11 @@
         oldest = self._clock() - self.fresh_s
         return [peer for peer in self.by_id.values() if peer.heard_at > oldest]
 
+    def news_age_s(self) -> float:
+        """Return the age of the oldest digest that is up to date."""
+        oldest = min((peer.heard_at for peer in self.fresh()), default=None)
+        return 0.0 if oldest is None else self._clock() - oldest
+
     def expected(self) -> int:
         """Return how many daemons may be serving, this one included.
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -10,6 +10,7 @@
 from mimosamux_daemon.domain.routes import GatewayConfiguration, ScalingBounds
 from mimosamux_daemon.domain.vms import Market
 from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
 from mimosamux_daemon.gateway.scaling_plan import (
     ScalingPolicy,
@@ -58,6 +59,7 @@
     demand: Demand
     configuration: Callable[[], GatewayConfiguration]
     clock: Callable[[], float]
+    metrics: GatewayMetrics
     lose_lease: Callable[[Lease], None]
     policy: ScalingPolicy = field(default_factory=ScalingPolicy)
     _given: dict[tuple[ServiceName, Slot], _Given] = field(
@@ -189,6 +191,9 @@
             fencing=lease.fencing,
             outcome=outcome.name.lower(),
         )
+        self.metrics.duty_calls.inc(
+            {'duty': 'scaling', 'outcome': outcome.name.lower()}
+        )
         if outcome is DutyOutcome.DONE:
             self._note_given(service, slot, count)
         elif outcome is DutyOutcome.REFUSED:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
 from mimosamux_daemon.gateway.choice import Choice, Chooser
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import EndpointCall, TurnedDown
@@ -59,6 +60,7 @@
         """Note that no byte was sent."""
         self.job.sends -= 1
         self.job.may_have_run = self.could_have_run
+        self._count('unsent')
         record = self.choice.record
         self.notes.roster.note_connect(record, failed=True)
         self._log('connect_failed', reason=reason)
@@ -70,6 +72,7 @@
     def note_unrun(self, answer: TurnedDown) -> None:
         """Note that the endpoint says that it has not run the request."""
         self.job.may_have_run = self.could_have_run
+        self._count('turned_down')
         self._log('turned_down', status=answer.status)
         if answer.is_other_endpoint:
             self.notes.roster.note_replaced(self.choice.record)
@@ -89,6 +92,7 @@
         """Count an answer for the endpoint's health, once for each send."""
         if not self.is_answered:
             self.is_answered = True
+            self._count('failed' if failed else 'answered')
             now = self.notes.clock()
             self.choice.record.health.note(now, failed=failed)
 
@@ -105,16 +109,23 @@
         self.note_begun()
         self.is_read = True
         choice, prompt = self.choice, self.job.request.prompt
+        took_s = self.notes.clock() - self.sent_at
+        self.notes.metrics.first_event_s.observe(
+            {'service': self.job.service.name}, took_s
+        )
         choice.record.load.note_read(choice.unread_tokens)
         if prompt is None:
             return
         chooser = self.notes.chooser
         chooser.parts.note_read(choice.record.id, prompt)
         if choice.ahead_tokens < 1:
-            took_s = self.notes.clock() - self.sent_at
             speed = chooser.speed_of(self.job.service.name)
             speed.note(choice.unread_tokens, took_s)
 
+    def _count(self, result: str) -> None:
+        labels = {'service': self.job.service.name, 'result': result}
+        self.notes.metrics.sends.inc(labels)
+
     def _log(self, event: str, **fields: object) -> None:
         log.info(
             event,
@@ -133,6 +144,9 @@
     roster: Roster
     chooser: Chooser
     begun: BegunCounts
+    metrics: GatewayMetrics
+    news_age_s: Callable[[], float]
+    """Age of the oldest digest that the choice rested on."""
     clock: Callable[[], float]
 
     @contextmanager
@@ -148,6 +162,7 @@
             SILENT_SHARE * job.route.target_s,
             SILENT_FACTOR * choice.first_event_s,
         )
+        self._log_sent(job, choice)
         send = Send(
             job=job,
             choice=choice,
@@ -165,3 +180,21 @@
             yield send
         finally:
             load.end(0.0 if send.is_read else unread)
+
+    def _log_sent(self, job: Job, choice: Choice) -> None:
+        record = choice.record
+        log.info(
+            'request_sent',
+            request=job.request.id,
+            route=job.route.name,
+            service=job.service.name,
+            endpoint=record.id,
+            data_centre=record.listed.data_centre,
+            estimate_s=round(choice.first_event_s, 3),
+            unread_tokens=int(choice.unread_tokens),
+            ahead_tokens=int(choice.ahead_tokens),
+            under_way=record.load.total(self.clock()).requests,
+            news_age_s=round(self.news_age_s(), 2),
+            left_s=round(job.left_s(self.clock()), 2),
+            goes_on_behind=job.last_event_id,
+        )
