--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -40,6 +40,7 @@
     Undecided,
 )
 from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
+from mimosamux_daemon.domain.configuration import Configuration
 
 from tests.support.clock import run_paused
 from tests.support.configuration import DOCUMENT, Participant, Store
@@ -74,6 +75,22 @@
     return anna
 
 
+class TestConfigurationInForce(unittest.TestCase):
+    def test_older_or_equal_version_changes_nothing(self):
+        """A version arrives late, after a newer one.
+
+        Put in force, it would bring back targets and keys that operators
+        replaced.
+        """
+        in_force = ConfigurationInForce()
+        newer = Configuration(version=4)
+        self.assertTrue(in_force.take(newer))
+        for version in (3, 4, 0):
+            self.assertFalse(in_force.take(Configuration(version=version)))
+            self.assertIs(in_force.current, newer)
+        self.assertTrue(in_force.take(Configuration(version=5)))
+
+
 class TableThatGoesDown(MemoryTable):
     """Goes down right after a commit, if asked to."""
 
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -4,9 +4,16 @@
 
 import anyio
 from mimosamux_daemon.control.endpoints import EndpointKeeper, PollPolicy
-from mimosamux_daemon.domain.names import DaemonId, EndpointId
+from mimosamux_daemon.domain.names import (
+    DaemonId,
+    DataCentreName,
+    EndpointId,
+    ModelName,
+    ServiceName,
+    VMId,
+)
 from mimosamux_daemon.domain.outcomes import Refused
-from mimosamux_daemon.domain.vms import VMRole, VMState
+from mimosamux_daemon.domain.vms import Endpoint, VMRole, VMState
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.prices import PriceBook
 
@@ -18,6 +25,17 @@
 POLICY = PollPolicy()
 
 
+def make_endpoint(id_):
+    return Endpoint(
+        id=EndpointId(id_),
+        vm=VMId(id_),
+        address='127.0.0.1:9001',
+        data_centre=DataCentreName('riga-1'),
+        model=ModelName('demo'),
+        service=ServiceName('echo'),
+    )
+
+
 def make_keeper(cloud, fleet, **fields):
     return EndpointKeeper(
         cloud=cloud, fleet=fleet, prices=PriceBook(), **fields
@@ -29,6 +47,31 @@
         await keeper.run()
 
 
+class TestFleet(unittest.TestCase):
+    def test_leaving_endpoint_is_in_no_list_of_those_that_serve(self):
+        """An endpoint is about to be reclaimed.
+
+        A request that is placed there from a list is cut off or moved for
+        nothing; its caller waits longer.
+        """
+
+        async def check():
+            fleet = Fleet()
+            fleet.add(make_endpoint('stays'))
+            fleet.add(make_endpoint('leaves'))
+            fleet.mark_leaving(EndpointId('leaves'), seconds_left=30.0)
+            for served in (
+                fleet.serving_model('demo'),
+                fleet.serving_service('echo'),
+            ):
+                ids = [state.endpoint.id for state in served]
+                self.assertEqual(ids, ['stays'])
+            fleet.set_own(EndpointId('leaves'), is_own=True)
+            self.assertEqual(list(fleet.own_of('demo')), [])
+
+        run_paused(check)
+
+
 class TestList(unittest.TestCase):
     def test_endpoint_vms_with_an_address_are_added(self):
         async def check():
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,205 @@
+"""A failed request is explained from the logs of the daemons alone."""
+
+import logging
+import pathlib
+import tempfile
+import unittest
+from datetime import UTC, datetime, timedelta
+
+import anyio
+import structlog
+from mimosamux_daemon.status import ExitStatus
+from mimosamux_standins.site import Fault, ReplicaSpeed
+from structlog.processors import LogfmtRenderer
+from structlog.testing import capture_logs
+
+from tests.support.clock import run_paused
+from tests.support.memory_network import machine_of
+from tests.support.platform_site import STORE, open_site
+from tests.support.program import mimosamux
+
+START = datetime(2026, 9, 21, 8, tzinfo=UTC)
+PROMPT = (
+    (b'X-Model', b'm'),
+    (b'X-Token-Usage', b'1460,80'),
+    (b'X-Prompt-Prefix', b'5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
+)
+render = LogfmtRenderer(
+    key_order=['at', 'level', 'event'], drop_missing=True, bool_as_flag=False
+)
+
+
+def render_log(events):
+    """Return events as lines, a millisecond apart."""
+    return ''.join(
+        render(
+            None,
+            '',
+            {
+                **{k: v for k, v in event.items() if k != 'log_level'},
+                'at': (START + timedelta(milliseconds=number)).isoformat(),
+                'level': event['log_level'],
+            },
+        )
+        + '\n'
+        for number, event in enumerate(events)
+    )
+
+
+class TestExplaining(unittest.TestCase):
+    def setUp(self):
+        before = structlog.get_config()
+        self.addCleanup(structlog.configure, **before)
+        wrapper = structlog.make_filtering_bound_logger(logging.INFO)
+        structlog.configure(wrapper_class=wrapper)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+
+    def explain(self, request, *texts):
+        """Return what `mimosamux explain` says, given the text of logs."""
+        paths = []
+        for number, text in enumerate(texts):
+            path = self.folder / f'edge-{number}.log'
+            path.write_text(text)
+            paths.append(str(path))
+        return mimosamux('explain', request, *paths)
+
+    def explain_day(self, check):
+        """Play a scenario, then explain the request that it names."""
+        with capture_logs() as events:
+            request = run_paused(check)
+        result = self.explain(request, render_log(events))
+        self.assertEqual(result.status, ExitStatus.SUCCESS, result.err)
+        return result.out.splitlines()
+
+    def test_refused_request_is_traced_to_the_endpoints_that_left(self):
+        """Every endpoint of a service is taken away, then a slip arrives.
+
+        The parent is told to come back later; on-call wants to know why.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for replica in list(site.replicas_by_id.values()):
+                    if replica.service == 'app':
+                        site.drain_replica(replica)
+                await anyio.sleep(1)
+                answer = await site.caller(patience_s=12.0).send(
+                    site.daemons[0].entry, '/slip/1', body=b's'
+                )
+                return answer.id
+
+        lines = self.explain_day(check)
+        end = next(line for line in lines if 'event=request_ended' in line)
+        self.assertIn('outcome=refused', end)
+        self.assertIn('reason=no_endpoint', end)
+        self.assertIn('sends=0', end)
+
+    def test_late_request_is_traced_to_its_slow_endpoint(self):
+        """All engines are slow to begin, so a question comes late."""
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for replica in site.replicas_by_id.values():
+                    if replica.service == 'llm':
+                        replica.speed = ReplicaSpeed(token_s=3e-3)
+                answer = await site.caller(patience_s=20.0).send(
+                    site.daemons[0].entry,
+                    '/question/1',
+                    body=b'b',
+                    headers=PROMPT,
+                )
+                return answer.id
+
+        lines = self.explain_day(check)
+        sent = next(line for line in lines if 'event=request_sent' in line)
+        end = next(line for line in lines if 'event=request_ended' in line)
+        self.assertRegex(sent, r'endpoint=i-\d+ ')
+        self.assertRegex(sent, r'news_age_s=\d')
+        took_s = float(end.split('took_s=')[1].split()[0])
+        self.assertGreater(took_s, 2.0)
+
+    def test_broken_stream_is_traced_to_the_endpoint_that_cut_it(self):
+        """The engine of a draft ends its connection within an event."""
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for replica in site.replicas_by_id.values():
+                    if replica.service == 'llm':
+                        replica.fault = Fault.CUT
+                answer = await site.caller(patience_s=20.0).send(
+                    site.daemons[0].entry,
+                    '/draft/1',
+                    body=b'b',
+                    headers=PROMPT,
+                )
+                return answer.id
+
+        lines = self.explain_day(check)
+        sent = next(line for line in lines if 'event=request_sent' in line)
+        end = next(line for line in lines if 'event=request_ended' in line)
+        self.assertIn('outcome=broken_off', end)
+        endpoint = sent.split('endpoint=')[1].split()[0]
+        self.assertRegex(endpoint, r'^i-\d+$')
+
+    def test_lost_store_is_part_of_the_story(self):
+        """A daemon loses the store while a request is in its hands."""
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                for replica in site.replicas_by_id.values():
+                    replica.speed = ReplicaSpeed(work_s=4.0)
+                caller = site.caller(patience_s=20.0)
+                answers = []
+
+                async def send():
+                    entry = site.daemons[0].entry
+                    answers.append(
+                        await caller.send(entry, '/slip/1', body=b's')
+                    )
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(send)
+                    await anyio.sleep(0.5)
+                    machine = site.daemons[0].machine
+                    site.network.cut(machine, machine_of(STORE))
+                return answers[0].id
+
+        lines = self.explain_day(check)
+        self.assertTrue(any('event=feed_lost' in line for line in lines))
+
+    def test_lines_of_several_daemons_come_in_order_and_strangers_stay_out(
+        self,
+    ):
+        first = (
+            'at=2026-09-21T08:00:01Z event=request_sent request=r1 '
+            'endpoint=i-1\n'
+            'at=2026-09-21T08:00:02Z event=endpoint_gone endpoint=i-1\n'
+            'at=2026-09-21T08:00:02Z event=endpoint_gone endpoint=i-2\n'
+            'at=2026-09-21T08:00:02Z event=request_sent request=r2 '
+            'endpoint=i-1\n'
+            'Traceback (most recent call last):\n'
+        )
+        second = (
+            'at=2026-09-21T08:00:03Z event=request_ended request=r1 '
+            'message="broken off: \\"gone\\""\n'
+            'at=2026-09-21T08:00:00Z event=request_sent request=r1 '
+            'endpoint=i-9\n'
+        )
+        lines = self.explain('r1', first, second).out.splitlines()
+        self.assertEqual(len(lines), 4)
+        self.assertIn('endpoint=i-9', lines[0])
+        self.assertIn('endpoint_gone endpoint=i-1', lines[2])
+        self.assertIn('edge-1.log: at=2026-09-21T08:00:03Z', lines[3])
+
+    def test_unknown_request_and_missing_files_are_said_so(self):
+        result = self.explain('r7', 'at=2026-09-21T08:00:01Z event=ready\n')
+        self.assertEqual(result.status, ExitStatus.ERROR)
+        self.assertIn('no line about request r7 in 1 events', result.err)
+        self.assertIn('left_out', result.err)
+        result = mimosamux('explain', 'r7')
+        self.assertEqual(result.status, ExitStatus.USAGE)
+        result = mimosamux('explain', 'r7', str(self.folder / 'none.log'))
+        self.assertEqual(result.status, ExitStatus.ERROR)
+        self.assertIn('none.log', result.err)
