Endpoints are ordered for what the caps of accounts lead to expect

Ruled out: a larger floor for everybody (paid for where nobody calls).

While one market takes over from the other, both are not taken for a need.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -1,5 +1,7 @@
 """Orders endpoints, as the holder of the duty."""
 
+import math
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,6 +12,7 @@
 from mimosamux_daemon.domain.routes import GatewayConfiguration, ScalingBounds
 from mimosamux_daemon.domain.vms import Market
 from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.demand_prior import expect_busy
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
 from mimosamux_daemon.gateway.scaling_plan import (
@@ -36,7 +39,7 @@
 carried out late, would otherwise stay in force."""
 LEARN_S = 15.0
 """Time for which work has to come before there are fewer endpoints than
-were found: those who set up the service knew what it needs."""
+were found, or than the caps of accounts lead to expect."""
 SETTLE_S = 6.0
 """Time over the start of an endpoint after which an order that was taken
 and has no effect is given again."""
@@ -66,7 +69,7 @@
         default_factory=dict
     )
     _found: dict[ServiceName, int] = field(default_factory=dict)
-    """Most endpoints that a service was seen to have, while learning."""
+    """Most endpoints of one market that a service had, while learning."""
     _shrunk: set[tuple[ServiceName, Slot]] = field(default_factory=set)
     """Slots whose last order was for fewer endpoints."""
     _dry: dict[tuple[ServiceName, DataCentreName], float] = field(
@@ -128,9 +131,15 @@
         """Return how many endpoints to keep whatever the demand is."""
         if self.demand.seen_s(service) > LEARN_S:
             return 0
-        most = max(self._found.get(service, 0), sum(held.values()))
+        # While one market takes over from the other both are there, which
+        # is no sign that all of them are needed.
+        by_market = Counter[Market]()
+        for slot, count in held.items():
+            by_market[slot.market] += count
+        most = max(self._found.get(service, 0), *by_market.values(), 0)
         self._found[service] = most
-        return most
+        expected = expect_busy(self.configuration(), service)
+        return max(most, math.ceil(expected / self.policy.busy_share))
 
     async def _try_dry(
         self,
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -16,6 +16,11 @@
     open_site,
 )
 
+PROMPT = (
+    (b'X-Model', b'm'),
+    (b'X-Token-Usage', b'1460,80'),
+    (b'X-Prompt-Prefix', b'5c1e07a2:800,91bd3f06:410,e4402b7d:250'),
+)
 WINDOW_S = 5.0
 LEASE_S = 3.0
 TOLERANCE = 0.05
@@ -269,6 +274,50 @@
         self.assertGreaterEqual(reclaimable, 3)
         self.assertGreaterEqual(least, 3)
 
+    def test_first_callers_find_the_engines_that_their_caps_allow(self):
+        """Nobody has called yet; accounts may use 360,000 tokens a second.
+
+        With one engine a data centre, the first callers wait in line for
+        the seconds in which more start.
+        """
+
+        async def check():
+            document = default_document(is_scaled=True)
+            document.tenants = [
+                {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
+                for tenant in document.tenants
+            ]
+            async with open_site(document=document) as site:
+                await anyio.sleep(10)
+                return count_of(site, is_reclaimable=True)
+
+        # 2 of 4 busy endpoints are expected, and six keep them a third busy.
+        self.assertEqual(run_paused(check), 6)
+
+    def test_engines_expected_in_vain_are_given_up_again(self):
+        """Accounts have large caps and hardly use them.
+
+        Engines that wait for nobody are paid for.
+        """
+
+        async def check():
+            document = default_document(is_scaled=True)
+            document.tenants = [
+                {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
+                for tenant in document.tenants
+            ]
+            async with open_site(document=document) as site:
+                caller, end = site.caller(), anyio.current_time() + 25
+                while anyio.current_time() < end:
+                    entry = site.daemons[0].entry
+                    await caller.send(
+                        entry, '/draft/1', body=b'b', headers=PROMPT
+                    )
+                    await anyio.sleep(1)
+                return count_of(site, is_reclaimable=True)
+
+        self.assertEqual(run_paused(check), 3)
+
     def test_reclaimed_engines_are_made_up_for_at_once(self):
         """All reclaimable engines go, and none are to be had for a while.
 
