Orders for endpoints that still start are kept, and fit beside the other market

Also: the first orders for reclaimable endpoints were cut by the platform to what fits beside the on-demand ones and counted as given in full, so half of them came 10 s later, at second 3; the crash of one endpoint counted as a reclaim of its data centre, and endpoints elsewhere were sent away and ordered again.

Ruled out: too few on order (seven were, of seven needed).

Change: on-demand endpoints that are there or on order are kept before others are added, the dearest go first; reclaimable ones are ordered as far as they fit, the rest when there is room; a data centre counts as reclaimed when its last reclaimable endpoint leaves.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -90,7 +90,13 @@
                 await changed.wait()
 
     def note_leaving(self, record: EndpointRecord) -> None:
-        """Take a reclaimed endpoint as a sign that none is to be had."""
+        """Take the last reclaimable endpoint of a place as a sign.
+
+        All of a place are reclaimed together, and none is to be had there
+        for a while. One that leaves alone has crashed, or is replaced:
+        with its place given up for that, endpoints elsewhere would be
+        ordered and sent away again.
+        """
         listed = record.listed
         if listed.market is not Market.RECLAIMABLE:
             return
@@ -98,10 +104,11 @@
         key = (listed.service, slot)
         if key in self._shrunk:
             return
-        place = (listed.service, listed.data_centre)
-        self._dry[place] = self.clock() + DRY_S
         # What was ordered is gone with it, so it is to be given anew.
         self._given.pop(key, None)
+        if self._count_held(listed.service).get(slot, 0) == 0:
+            place = (listed.service, listed.data_centre)
+            self._dry[place] = self.clock() + DRY_S
 
     async def _order_all(self, lease: Lease) -> None:
         services = self.configuration().services_by_name
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling_plan.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling_plan.py
@@ -59,61 +59,79 @@
     has_market = bounds.reclaimable_price is not None
     wet = [each for each in centres if has_market and each not in dry]
     wanted = find_wanted(bounds, max(busy / policy.busy_share, least))
-    counts: dict[Slot, int] = {}
-    reclaimable = 0
+    on_demand = _find_on_demand(centres, given, held)
     kept = {
         centre: held.get(_slot(centre, Market.RECLAIMABLE), 0)
         for centre in centres
         if centre not in wet
     }
-    for centre, count in spread(
-        wanted - sum(kept.values()), wet, bounds
-    ).items():
-        counts[_slot(centre, Market.RECLAIMABLE)] = count
-        reclaimable += count
-    reclaimable += sum(kept.values())
+    ordered = spread(
+        wanted - sum(kept.values()),
+        {centre: bounds.most - on_demand[centre] for centre in wet},
+        least=bounds.least,
+    )
+    reclaimable = kept | ordered
     at_risk = _largest(held) if dry else 0
     needed = find_wanted(bounds, busy / policy.busy_share_reduced) + at_risk
-    counts.update(
-        _plan_on_demand(
-            centres=centres,
-            bounds=bounds,
-            missing=needed - reclaimable,
-            missing_now=needed - _count(held, Market.RECLAIMABLE),
-            reclaimable=kept | {s.data_centre: n for s, n in counts.items()},
-            given=given,
-            held=held,
-        )
+    counts = {
+        _slot(centre, Market.RECLAIMABLE): count
+        for centre, count in ordered.items()
+    }
+    counts |= _plan_on_demand(
+        room={
+            centre: bounds.most - reclaimable.get(centre, 0)
+            for centre in centres
+        },
+        missing=needed - sum(reclaimable.values()),
+        missing_now=needed - _count(held, Market.RECLAIMABLE),
+        there=on_demand,
     )
     return counts
 
 
+def _find_on_demand(
+    centres: list[DataCentreName], given: Counts, held: Counts
+) -> dict[DataCentreName, int]:
+    """Return the on-demand endpoints ordered, or found, in each place."""
+    slots = {each: _slot(each, Market.ON_DEMAND) for each in centres}
+    return {
+        centre: given.get(slot, held.get(slot, 0))
+        for centre, slot in slots.items()
+    }
+
+
 def _plan_on_demand(
     *,
-    centres: list[DataCentreName],
-    bounds: ScalingBounds,
+    room: Mapping[DataCentreName, int],
     missing: int,
     missing_now: int,
-    reclaimable: Mapping[DataCentreName, int],
-    given: Counts,
-    held: Counts,
+    there: Mapping[DataCentreName, int],
 ) -> dict[Slot, int]:
     """Return the on-demand endpoints of each data centre.
 
     Those that are there stay until reclaimable ones have taken their
     place (`missing_now`); new ones are ordered only for what will still
     be missing when all that was ordered has started (`missing`).
+
+    Endpoints that still start count as there. Were they given up for a
+    cheaper data centre that has room of late, the work would wait for the
+    start of others: seen as seconds of refusals behind the second of two
+    losses.
     """
     counts = {}
-    for centre in centres:
-        slot = _slot(centre, Market.ON_DEMAND)
-        there = given.get(slot, held.get(slot, 0))
-        room = bounds.most - reclaimable.get(centre, 0)
-        count = max(min(missing, room), min(there, missing_now), 0)
-        counts[slot] = count
-        missing -= count
-        missing_now -= count
-    return counts
+    kept = max(missing, missing_now, 0)
+    for centre, count in there.items():
+        counts[centre] = min(count, kept)
+        kept -= counts[centre]
+    missing -= sum(counts.values())
+    for centre, most in room.items():
+        added = max(min(missing, most - counts[centre]), 0)
+        counts[centre] += added
+        missing -= added
+    return {
+        _slot(centre, Market.ON_DEMAND): count
+        for centre, count in counts.items()
+    }
 
 
 def _count(counts: Counts, market: Market) -> int:
@@ -142,16 +160,22 @@
 
 
 def spread(
-    wanted: int, centres: list[DataCentreName], bounds: ScalingBounds
+    wanted: int, room: Mapping[DataCentreName, int], *, least: int
 ) -> dict[DataCentreName, int]:
-    """Return the share of each data centre: even, the first get more."""
-    share = dict.fromkeys(centres, bounds.least)
-    left = wanted - bounds.least * len(centres)
+    """Return the share of each data centre: even, the first get more.
+
+    `room` is what fits there beside the endpoints of the other market: an
+    order beyond it would be cut to it, and the rest never start.
+    """
+    share = {centre: max(min(least, most), 0) for centre, most in room.items()}
+    left = wanted - sum(share.values())
     while left > 0:
-        room = [centre for centre in centres if share[centre] < bounds.most]
-        if not room:
+        open_ = [
+            centre for centre, most in room.items() if share[centre] < most
+        ]
+        if not open_:
             break
-        centre = min(room, key=lambda each: (share[each], centres.index(each)))
+        centre = min(open_, key=lambda each: share[each])
         share[centre] += 1
         left -= 1
     return share
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -346,6 +346,40 @@
         self.assertGreaterEqual(reclaimable, 3)
         self.assertEqual(on_demand, 0)
 
+    def test_a_crash_of_one_engine_moves_no_others(self):
+        """One of two reclaimable engines of a data centre crashes.
+
+        Taken for a reclaim, its data centre would be given up: engines are
+        ordered elsewhere, and sent away again seconds later.
+        """
+
+        async def check():
+            document = default_document(is_scaled=True)
+            document.tenants = [
+                {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
+                for tenant in document.tenants
+            ]
+            async with open_site(document=document) as site:
+                await anyio.sleep(12)
+                before = len(site.cloud.calls)
+                engine = next(
+                    replica
+                    for replica in site.replicas_by_id.values()
+                    if replica.is_reclaimable and replica.state == 'ready'
+                )
+                site.crash_replica(engine)
+                engine.state = 'crashed'
+                site.unlist_replica(engine)
+                await anyio.sleep(2)
+                return {
+                    (call.body['zone'], call.body['desiredCount'])
+                    for call in site.cloud.calls[before:]
+                    if call.path == '/scaling'
+                }, engine.zone
+
+        orders, zone = run_paused(check)
+        self.assertEqual(orders, {(zone, 2)})
+
     def test_orders_settle_under_constant_conditions(self):
         async def check():
             async with self.open_scaled() as site:
--- /dev/null
+++ b/tests/test_gateway_scaling_plan.py
@@ -0,0 +1,112 @@
+"""The plan of endpoints: what is ordered where, without a network."""
+
+import unittest
+
+from mimosamux_daemon.domain.names import DataCentreName
+from mimosamux_daemon.domain.routes import ScalingBounds
+from mimosamux_daemon.domain.vms import Market
+from mimosamux_daemon.gateway.scaling_plan import (
+    ScalingPolicy,
+    Slot,
+    plan_counts,
+)
+
+NORTH, MIDDLE, SOUTH = map(DataCentreName, ('north', 'middle', 'south'))
+EVERYWHERE = frozenset({NORTH, MIDDLE, SOUTH})
+POLICY = ScalingPolicy(busy_share=0.5, busy_share_reduced=0.5)
+
+
+def reclaimable(centre):
+    return Slot(data_centre=centre, market=Market.RECLAIMABLE)
+
+
+def on_demand(centre):
+    return Slot(data_centre=centre, market=Market.ON_DEMAND)
+
+
+def plan(*, busy=0.0, least=0, dry=frozenset(), held=None, given=None):
+    """Return the orders; north is the cheapest, south the dearest."""
+    bounds = ScalingBounds(
+        least=1,
+        most=4,
+        boot_s=4.0,
+        reclaimable_price=0.2,
+        price_by_data_centre={NORTH: 0.8, MIDDLE: 1.0, SOUTH: 1.2},
+    )
+    return plan_counts(
+        bounds=bounds,
+        busy=busy,
+        least=least,
+        dry=dry,
+        held=held or {},
+        given=given or {},
+        policy=POLICY,
+    )
+
+
+def total(counts, market):
+    return sum(n for slot, n in counts.items() if slot.market is market)
+
+
+class TestReclaimableEndpoints(unittest.TestCase):
+    def test_are_spread_over_the_data_centres(self):
+        counts = plan(busy=4.0)
+        self.assertEqual(
+            [counts[reclaimable(each)] for each in (NORTH, MIDDLE, SOUTH)],
+            [3, 3, 2],
+        )
+
+    def test_are_ordered_only_as_far_as_they_fit_beside_the_others(self):
+        """Two on-demand endpoints a data centre are there at the start.
+
+        The platform cuts an order to what fits beside them. An order that
+        counts as given in full is not given again, and half of the
+        endpoints are missing when callers come.
+        """
+        held = {on_demand(each): 2 for each in EVERYWHERE}
+        counts = plan(least=12, held=held)
+        self.assertEqual(
+            {counts[reclaimable(each)] for each in EVERYWHERE}, {2}
+        )
+        given = {on_demand(each): 0 for each in EVERYWHERE}
+        counts = plan(least=12, held=held, given=given)
+        self.assertEqual(
+            {counts[reclaimable(each)] for each in EVERYWHERE}, {4}
+        )
+
+
+class TestOnDemandEndpoints(unittest.TestCase):
+    def test_stay_until_reclaimable_ones_serve(self):
+        held = {on_demand(each): 1 for each in EVERYWHERE}
+        counts = plan(least=3, held=held)
+        self.assertEqual(total(counts, Market.ON_DEMAND), 3)
+
+    def test_that_still_start_are_kept_when_a_cheaper_place_has_room(self):
+        """Two data centres lose their endpoints, one after the other.
+
+        Four endpoints were ordered in the south when the first went. Given
+        up for four in the north when that goes as well, they would be
+        missing just when they are needed, and callers are refused for the
+        seconds in which others start.
+        """
+        counts = plan(
+            busy=2.0, dry=EVERYWHERE, held={}, given={on_demand(SOUTH): 4}
+        )
+        self.assertEqual(counts[on_demand(SOUTH)], 4)
+        self.assertEqual(counts[on_demand(NORTH)], 0)
+
+    def test_missing_ones_are_added_where_they_are_cheapest(self):
+        counts = plan(
+            busy=3.0, dry=EVERYWHERE, held={}, given={on_demand(SOUTH): 4}
+        )
+        self.assertEqual(counts[on_demand(SOUTH)], 4)
+        self.assertEqual(counts[on_demand(NORTH)], 2)
+
+    def test_the_dearest_are_given_up_first(self):
+        counts = plan(
+            busy=1.0,
+            dry=EVERYWHERE,
+            given={on_demand(SOUTH): 2, on_demand(NORTH): 2},
+        )
+        self.assertEqual(counts[on_demand(SOUTH)], 1)
+        self.assertEqual(counts[on_demand(NORTH)], 2)
