Shared parts are copied between engines, ranks told; nothing kept of gone engines

Ruled out: wrong endpoints by the order of keys (parts were read where they were known to be missing: after reclaims, starts and on full engines).

Change: a request that goes to an engine without the shared parts has them copied from one that holds them, also from one that is leaving; engines are told the rank of the account or route; an endpoint that is forgotten takes what was known of its cache with it.

Each new test fails without its change.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -31,6 +31,9 @@
 OUTPUT_TOKEN_S = 0.0001
 """Time that one token of an answer adds to the work of an engine which
 makes many at once."""
+LEAST_FETCHED = 256
+"""Tokens from which on they are copied from another engine's cache. A copy
+takes 2 ms to begin, in which an engine computes about as many."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -47,6 +50,8 @@
     that waiting cannot be its cause."""
     ahead_tokens: float = 0.0
     """Tokens of other prompts that wait there to be read."""
+    fetch_from: EndpointRecord | None = None
+    """Endpoint from whose cache it had better copy shared parts."""
 
 
 class Chooser:
@@ -109,8 +114,10 @@
         prompt: PromptUse,
         now: float,
     ) -> Choice:
+        holder = self._find_holder(service, prompt)
         choices = [
-            self._estimate(record, service, prompt, now) for record in records
+            self._estimate(record, service, prompt, holder, now)
+            for record in records
         ]
         key = prompt.shared_key
         choices.sort(key=lambda choice: _rank(choice.record.id, key))
@@ -120,16 +127,37 @@
             choice for choice in choices if choice.first_event_s <= limit
         )
 
+    def _find_holder(
+        self, service: ServiceEntry, prompt: PromptUse
+    ) -> EndpointRecord | None:
+        """Return an endpoint that holds most of a prompt's shared parts.
+
+        It may be leaving: until it is gone its cache can be copied, which
+        saves computing all of it again elsewhere.
+        """
+        most, holder = LEAST_FETCHED - 1, None
+        for record in self._roster.of_service(service.name):
+            tokens = self.parts.cached_tokens(record.id, prompt)
+            if tokens > most:
+                most, holder = tokens, record
+        return holder
+
     def _estimate(
         self,
         record: EndpointRecord,
         service: ServiceEntry,
         prompt: PromptUse,
+        holder: EndpointRecord | None,
         now: float,
     ) -> Choice:
         speed = self.speed_of(service.name)
         use = record.load.total(now)
         cached = self.parts.cached_tokens(record.id, prompt)
+        source = None
+        if holder is not None and holder is not record:
+            held = self.parts.cached_tokens(holder.id, prompt)
+            if held - cached >= LEAST_FETCHED:
+                source, cached = holder, held
         unread = max(prompt.tokens_in - cached, 1.0)
         first_s = speed.first_s + speed.read_s(use.unread_tokens + unread)
         if use.requests >= record.listed.slots:
@@ -141,6 +169,7 @@
             first_event_s=first_s,
             alone_s=max(0.0, speed.read_s(unread) - OWN_READ_S),
             ahead_tokens=use.unread_tokens,
+            fetch_from=source,
         )
 
     def _choose_plain(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -213,6 +213,7 @@
             clock=self._clock,
             rng=self._rng,
         )
+        self.roster.on_forgotten.append(self.chooser.parts.forget)
 
     def _build_counts(self, shared_time: SharedTime) -> None:
         self.caps = UsageCaps(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -15,6 +15,9 @@
 from mimosamux_daemon.ports.callers import AnswerSink
 from mimosamux_daemon.ports.endpoint_calls import ResumePoint
 
+FIRST_RANK, LAST_RANK = 0, 9
+"""Ranks that engines know; operators may have more."""
+
 
 @dataclass(kw_only=True, slots=True)
 class Job:
@@ -45,6 +48,17 @@
         """Whether its answer is a series of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def priority(self) -> int | None:
+        """Return the rank for the engine, None where it has none."""
+        if self.service.engine is None:
+            return None
+        account = self.account
+        rank = self.route.priority
+        if account is not None and account.priority is not None:
+            rank = account.priority
+        return min(max(rank, FIRST_RANK), LAST_RANK)
+
     @property
     def may_be_sent_anew(self) -> bool:
         """Whether a send that did not come about may go elsewhere."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/prompt_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/prompt_parts.py
@@ -34,7 +34,11 @@
             self._add(held, part.id)
 
     def forget(self, endpoint: EndpointId) -> None:
-        """Forget an endpoint that is gone."""
+        """Forget an endpoint that is gone.
+
+        Reclaimed endpoints come back under new ids; what was known of the
+        old ones would fill the memory of a daemon that runs for days.
+        """
         self._held_by_endpoint.pop(endpoint, None)
         self._news.pop(endpoint, None)
 
@@ -54,6 +58,10 @@
             tokens += part.tokens
         return tokens
 
+    def __len__(self) -> int:
+        """Return of how many endpoints something is known."""
+        return len(self._held_by_endpoint)
+
     def write(self, digest: StateDigest) -> None:
         """Tell what was read since the last digest."""
         news, self._news = self._news, {}
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -87,6 +87,8 @@
         """Told of each endpoint that leaves, whoever learned of it."""
         self.on_learned: list[Listener] = []
         """Told of those that the platform told this daemon of."""
+        self.on_forgotten: list[Callable[[EndpointId], None]] = []
+        """Told of each endpoint that is remembered no longer."""
         self._clock = clock
         self._health = health
 
@@ -284,3 +286,5 @@
             gone_at = record.gone_at
             if gone_at is not None and now - gone_at > KEEP_GONE_S:
                 del self.by_id[id_]
+                for listener in self.on_forgotten:
+                    listener(id_)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -47,13 +47,15 @@
 
     def call(self) -> EndpointCall:
         """Return the call as it goes out."""
-        job = self.job
+        job, source = self.job, self.choice.fetch_from
         return EndpointCall(
             request=job.request,
             endpoint=self.endpoint,
             left_s=job.left_s(self.sent_at),
             account=None if job.account is None else job.account.id,
+            priority=job.priority,
             resume=job.resume_point(),
+            fetch_from=None if source is None else source.listed.address,
         )
 
     def note_unsent(self, reason: str) -> None:
@@ -193,6 +195,7 @@
             estimate_s=round(choice.first_event_s, 3),
             unread_tokens=int(choice.unread_tokens),
             ahead_tokens=int(choice.ahead_tokens),
+            fetch_from=choice.fetch_from and choice.fetch_from.id,
             under_way=record.load.total(self.clock()).requests,
             news_age_s=round(self.news_age_s(), 2),
             left_s=round(job.left_s(self.clock()), 2),
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -32,6 +32,9 @@
     priority: int | None = None
     """Rank for the engine from 0 to 9, 0 first; None: its default."""
     resume: ResumePoint | None = None
+    fetch_from: str | None = None
+    """Address of an endpoint whose cache holds parts of the prompt that this
+    one lacks: copying them is faster than computing them again."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -61,6 +61,8 @@
     """Events that an earlier run of the request had made."""
     kv_source: str = ''
     """Copy of an earlier run that it goes on from."""
+    rank: int | None = None
+    """Rank that the system gave it, if any."""
     read_tokens: int = 0
     """Prompt tokens that were not held in the cache."""
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
@@ -171,6 +173,7 @@
         headers = incoming.head.headers
         last = find_value(headers, b'last-event-id')
         tenant = find_value(headers, b'x-tenant')
+        rank = find_value(headers, b'x-request-priority')
         run = Run(
             id=id_,
             replica=self.id,
@@ -179,6 +182,7 @@
             body=incoming.body,
             tenant=None if tenant is None else tenant.decode(),
             began_at=anyio.current_time(),
+            rank=None if rank is None else int(rank),
             resumed_behind=int(last or b'0'),
             kv_source=(find_value(headers, b'kv-from') or b'').decode(),
         )
@@ -254,6 +258,7 @@
         usage = find_value(headers, b'x-token-usage') or b'0'
         tokens = int(usage.partition(b',')[0])
         parts = (find_value(headers, b'x-prompt-prefix') or b'').decode()
+        self._fetch_parts((find_value(headers, b'kv-fetch') or b'').decode())
         for entry in filter(None, parts.split(',')):
             id_, _, count = entry.partition(':')
             if id_ not in self.held_parts:
@@ -266,6 +271,12 @@
             entry.partition(':')[0] for entry in filter(None, parts.split(','))
         }
 
+    def _fetch_parts(self, address: str) -> None:
+        """Copy what another replica holds in its cache, if it is there."""
+        source = self.by_address.get(address)
+        if source is not None:
+            self.held_parts |= source.held_parts
+
     async def _move(self, body: dict[str, object], reply: Reply) -> None:
         """Copy a run's memory to another replica, and stop the run."""
         run = self._run_by_id.get(str(body['id']))
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -3,6 +3,9 @@
 import unittest
 
 import anyio
+from mimosamux_daemon.domain.gateway import PromptPart, PromptUse
+from mimosamux_daemon.domain.names import EndpointId
+from mimosamux_daemon.gateway.roster import KEEP_GONE_S
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.clock import run_paused
@@ -10,6 +13,11 @@
 from tests.support.platform_site import STORE, open_site
 
 LEARNED_S = 2.0
+USE = PromptUse(
+    model='m',
+    tokens_in=600,
+    parts=(PromptPart(id='a1', tokens=500), PromptPart(id='b2', tokens=100)),
+)
 
 
 def apps_of(site):
@@ -156,3 +164,26 @@
         counts = run_paused(check)
         self.assertEqual(sum(counts), 60)
         self.assertLess(max(counts), 2 * min(counts) + 5)
+
+    def test_nothing_is_kept_of_engines_that_are_gone_for_long(self):
+        """Engines are reclaimed and come back under new ids, for days.
+
+        What each held in its cache is remembered; kept for good, it fills the
+        memory of the daemon until it is killed, and open streams break.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                daemon = site.daemons[0].daemon
+                for _ in range(3):
+                    engine = await site.add_replica('llm', 'north')
+                    daemon.chooser.parts.note_read(EndpointId(engine.id), USE)
+                    await anyio.sleep(1)
+                    site.drain_replica(engine)
+                    site.unlist_replica(engine)
+                    await anyio.sleep(KEEP_GONE_S + 1)
+                await site.add_replica('llm', 'north')
+                await anyio.sleep(1)
+                return len(daemon.chooser.parts)
+
+        self.assertEqual(run_paused(check), 0)
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -7,7 +7,7 @@
 from mimosamux_standins.site.replica import render_event
 
 from tests.support.clock import run_paused
-from tests.support.platform_site import open_site
+from tests.support.platform_site import default_document, open_site
 
 PROMPT = (
     (b'X-Model', b'm'),
@@ -194,3 +194,47 @@
         read = run_paused(check)
         self.assertEqual(read.count(1460), 1)
         self.assertEqual(read.count(250) + read.count(0), 11)
+
+    def test_shared_parts_of_an_engine_that_leaves_are_not_read_again(self):
+        """The engine that holds a school's brief is about to be taken away.
+
+        The next request for it goes to another engine. Read again there, the
+        brief would make its caller, and all behind it, wait.
+        """
+
+        async def check():
+            async with open_site(daemons=2) as site:
+                await send_draft(site)
+                await anyio.sleep(1)
+                source = next(
+                    engine for engine in engines_of(site) if engine.runs
+                )
+                site.drain_replica(source)
+                await anyio.sleep(1)
+                await send_draft(site, number=1)
+                return [(run.replica, run.read_tokens) for run in site.runs()]
+
+        (first, read), (second, read_again) = run_paused(check)
+        self.assertNotEqual(first, second)
+        self.assertEqual((read, read_again), (1460, 0))
+
+    def test_engines_are_told_the_rank_of_a_request(self):
+        """A client account is ranked before the route's other callers.
+
+        Engines admit by rank: without it, urgent requests wait behind others.
+        """
+
+        async def check():
+            document = default_document()
+            document.tenants[1]['priority'] = 7
+            document.routes[0]['priority'] = 2
+            async with open_site(document=document, daemons=1) as site:
+                entry = site.daemons[0].entry
+                for key in ('key-school', 'key-office'):
+                    caller = site.caller(key, patience_s=15.0)
+                    await caller.send(
+                        entry, '/draft/1', body=b'b', headers=PROMPT
+                    )
+                return [run.rank for run in site.runs()]
+
+        self.assertEqual(run_paused(check), [2, 7])
