--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -0,0 +1,283 @@
+"""The parts of a daemon that passes requests on, put together."""
+
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from mimosamux_wire import EndpointsLeave
+
+from mimosamux_daemon.adapters.link_security import LinkSecurity
+from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
+from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
+from mimosamux_daemon.gateway.begun_counts import BegunCounts
+from mimosamux_daemon.gateway.cap_record import CapRecord
+from mimosamux_daemon.gateway.caps import UsageCaps
+from mimosamux_daemon.gateway.choice import Chooser
+from mimosamux_daemon.gateway.configuration import (
+    ConfigurationItems,
+    ConfirmedConfiguration,
+)
+from mimosamux_daemon.gateway.daemon_rows import DaemonRows
+from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.evacuation import Evacuation
+from mimosamux_daemon.gateway.feed_reader import FeedReader
+from mimosamux_daemon.gateway.forwarding import Forwarder
+from mimosamux_daemon.gateway.metering import Metering
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.outcome_log import OutcomeLog
+from mimosamux_daemon.gateway.overload import WINDOW_S, Overload
+from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.retry_budget import RetryBudget
+from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.scaling import Scaling
+from mimosamux_daemon.gateway.sends import SendNotes
+from mimosamux_daemon.gateway.settings import GatewaySettings
+from mimosamux_daemon.gateway.shared_time import SharedTime
+from mimosamux_daemon.gateway.store_health import StoreHealth
+from mimosamux_daemon.gateway.vouching import Vouching
+from mimosamux_daemon.ports.duty_calls import DutyCalls
+from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
+from mimosamux_daemon.ports.network import Network
+from mimosamux_daemon.serving.fair_shares import FairShares
+
+CONFIGURATION_WAIT_S = 1.3
+"""Time after which the platform says that nothing has changed. Twice this
+is the age that the confirmation of a key can reach in calm."""
+ENDPOINTS_WAIT_S = 10.0
+KEY_SLACK_S = 0.5
+"""Part of the revocation bound for a request's way to the daemon and for
+clocks that run differently."""
+ABSENCE_S = 3.0
+
+
+class GatewayParts:
+    """Everything that a daemon consists of beside its listeners."""
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        platform: GatewayPlatform,
+        shared_time: SharedTime,
+        network: Network,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.metrics = GatewayMetrics()
+        self._platform = platform
+        self._clock = clock
+        self._rng = rng
+        self._build_states(network)
+        self._build_configuration()
+        self._build_endpoints()
+        self._build_counts(shared_time)
+        self._build_duties(wall_clock)
+        self._build_forwarding()
+        self.states.parts = [
+            self.vouching,
+            self.roster,
+            self.caps,
+            shared_time,
+            self.begun,
+            self.demand,
+            self.chooser.parts,
+            self.duties,
+        ]
+
+    def loops(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
+        """Return what runs for as long as the daemon does."""
+        return (
+            self.states.run,
+            self.rows.run,
+            self.configuration_reader.run,
+            self.endpoint_reader.run,
+            self.vouching.run,
+            self.cap_record.run,
+            self.evacuation.run,
+        )
+
+    def _build_states(self, network: Network) -> None:
+        settings, rng = self.settings, self._rng
+        host, _, port = settings.place.id.rpartition(':')
+        self.peers = ThriftPeers(
+            daemon=settings.place.id,
+            host=host,
+            port=int(port),
+            # The platform's network is closed, and its settings hold no
+            # secret that the daemons could share.
+            security=LinkSecurity(secret=b''),
+            network=network,
+        )
+        self.states = PeerStates(
+            place=settings.place,
+            lifetime=rng.getrandbits(62),
+            peers=self.peers,
+            clock=self._clock,
+            rng=rng,
+        )
+
+    def _build_configuration(self) -> None:
+        self.configuration = ConfirmedConfiguration(clock=self._clock)
+        self.health = StoreHealth(clock=self._clock)
+        self.configuration_reader = FeedReader(
+            name='configuration',
+            feed=self._platform.configurations,
+            items=ConfigurationItems(
+                configuration=self.configuration,
+                key=self._platform.configuration_key,
+            ),
+            health=self.health,
+            wait_s=CONFIGURATION_WAIT_S,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self.vouching = Vouching(
+            configuration=self.configuration,
+            states=self.states,
+            peers=self.peers,
+            parse=self._platform.parse_configuration,
+            clock=self._clock,
+            rng=self._rng,
+        )
+
+    def _build_endpoints(self) -> None:
+        self.roster = Roster(clock=self._clock, health=self.health)
+        self.roster.on_learned.append(self._tell_leaving)
+        self.endpoint_reader = FeedReader(
+            name='endpoints',
+            feed=self._platform.endpoints,
+            items=self.roster,
+            health=self.health,
+            wait_s=ENDPOINTS_WAIT_S,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self.peers.handle(EndpointsLeave, self.roster.take_leaving)
+        self.evacuation = Evacuation(
+            roster=self.roster,
+            moves=self._platform.moves,
+            drain_s=self.settings.drain_s,
+            clock=self._clock,
+            rng=self._rng,
+            tell=self._tell_leaving,
+            metrics=self.metrics,
+        )
+        self.roster.on_leaving.append(self.evacuation.note_leaving)
+        self.chooser = Chooser(
+            roster=self.roster,
+            data_centre=self.settings.place.data_centre,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self.roster.on_forgotten.append(self.chooser.parts.forget)
+
+    def _build_counts(self, shared_time: SharedTime) -> None:
+        self.caps = UsageCaps(
+            states=self.states,
+            rules=self.settings.caps,
+            clock=self._clock,
+        )
+        self.cap_record = CapRecord(
+            table=self._platform.table,
+            caps=self.caps,
+            states=self.states,
+            store_time=shared_time.store_now,
+        )
+        self.begun = BegunCounts(
+            window_s=self.settings.usage_window_s, now=shared_time.now
+        )
+        self.demand = Demand(clock=self._clock)
+        self.rows = DaemonRows(
+            table=self._platform.table, states=self.states, rng=self._rng
+        )
+
+    def _build_duties(self, wall_clock: Callable[[], float]) -> None:
+        self.duties = Duties(
+            table=self._platform.table,
+            states=self.states,
+            policy=lease_policy(self.settings.lease_s),
+            checks_fencing=self.settings.checks_fencing,
+            clock=self._clock,
+            wall_clock=wall_clock,
+            rng=self._rng,
+        )
+
+    def _build_forwarding(self) -> None:
+        self.admission = Admission(
+            configuration=self.configuration,
+            caps=self.caps,
+            limits=ConfirmationLimits(
+                keys_s=self.settings.revocation_s - KEY_SLACK_S,
+                absence_s=ABSENCE_S,
+            ),
+            rng=self._rng,
+        )
+        self.forwarder = Forwarder(
+            admission=self.admission,
+            roster=self.roster,
+            chooser=self.chooser,
+            calls=self._platform.calls,
+            budget=RetryBudget(
+                limits=self.settings.retries,
+                daemons=self.states.expected,
+                clock=self._clock,
+            ),
+            notes=SendNotes(
+                roster=self.roster,
+                chooser=self.chooser,
+                begun=self.begun,
+                metrics=self.metrics,
+                news_age_s=self.states.news_age_s,
+                clock=self._clock,
+            ),
+            demand=self.demand,
+            overload=Overload(
+                shares=FairShares(window_s=WINDOW_S), clock=self._clock
+            ),
+            evacuation=self.evacuation,
+            outcomes=OutcomeLog(
+                metrics=self.metrics,
+                configuration=self.configuration,
+                clock=self._clock,
+            ),
+            clock=self._clock,
+        )
+
+    def build_metering(self, calls: DutyCalls) -> Metering:
+        """Return the duty of reporting usage."""
+        return Metering(
+            table=self._platform.table,
+            calls=calls,
+            begun=self.begun,
+            lateness_s=self.settings.usage_lateness_s,
+            metrics=self.metrics,
+            lose_lease=lambda lease: lease.end(),
+        )
+
+    def build_scaling(self, calls: DutyCalls) -> Scaling:
+        """Return the duty of ordering endpoints."""
+        scaling = Scaling(
+            calls=calls,
+            roster=self.roster,
+            demand=self.demand,
+            configuration=lambda: self.configuration.current,
+            clock=self._clock,
+            metrics=self.metrics,
+            lose_lease=lambda lease: lease.end(),
+        )
+        self.roster.on_leaving.append(scaling.note_leaving)
+        return scaling
+
+    def _tell_leaving(self, record: EndpointRecord) -> None:
+        left_s = (
+            None
+            if record.leaves_at is None
+            else record.leaves_at - self._clock()
+        )
+        left_ms = -1 if left_s is None else int(max(left_s, 0.0) * 1000)
+        self.states.queue(
+            EndpointsLeave(endpoints=[record.id], leave_in_ms=[left_ms])
+        )
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -165,8 +165,8 @@
         while True:
             await anyio.sleep(0.05)
             for handle in self.site.daemons:
-                version = handle.daemon.configuration.current.version
-                lifetime = handle.daemon.states.lifetime
+                version = handle.daemon.parts.configuration.current.version
+                lifetime = handle.daemon.parts.states.lifetime
                 before = self.versions.get(lifetime, 0)
                 if version < before:
                     self.log.reverted.append(f'{before} became {version}')
@@ -259,7 +259,7 @@
 async def kill_holder(run, rng):
     """Kill the daemon that holds the duties."""
     for number, handle in enumerate(run.site.daemons):
-        if handle.daemon.duties.held is not None:
+        if handle.daemon.parts.duties.held is not None:
             run.begin_trouble()
             run.site.kill_daemon(number)
             return
@@ -269,7 +269,7 @@
     """Cut the holder of the duties from all daemons, and from nothing else."""
     run.begin_trouble()
     for handle in run.site.daemons:
-        if handle.daemon.duties.held is not None:
+        if handle.daemon.parts.duties.held is not None:
             for other in run.site.daemons:
                 if other is not handle:
                     run.site.network.cut(handle.machine, other.machine)
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -134,7 +134,7 @@
                 site.store.forget_history()
                 await anyio.sleep(3)
                 versions = {
-                    handle.daemon.configuration.current.version
+                    handle.daemon.parts.configuration.current.version
                     for handle in site.daemons
                 }
                 return versions, await ask(site, 0)
@@ -189,8 +189,9 @@
                 site.kill_daemon(0)
                 built = site.start_daemon(0)
                 await built.wait()
-                await site.daemons[0].daemon.started.wait()
-                return site.daemons[0].daemon.configuration.current.version
+                daemon = site.daemons[0].daemon
+                await daemon.started.wait()
+                return daemon.parts.configuration.current.version
 
         self.assertEqual(run_paused(check), 1)
 
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -54,7 +54,7 @@
 
 def find_holder(site):
     for number, handle in enumerate(site.daemons):
-        if handle.daemon.duties.held is not None:
+        if handle.daemon.parts.duties.held is not None:
             return number
     return None
 
@@ -203,7 +203,7 @@
         async def check():
             async with open_site() as site:
                 number = find_holder(site)
-                held = site.daemons[number].daemon.duties.held
+                held = site.daemons[number].daemon.parts.duties.held
                 fencing = held.fencing
                 site.cloud._fencing_by_subject[('/usage', None, None)] = 99
                 await anyio.sleep(12)
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -177,13 +177,15 @@
                 daemon = site.daemons[0].daemon
                 for _ in range(3):
                     engine = await site.add_replica('llm', 'north')
-                    daemon.chooser.parts.note_read(EndpointId(engine.id), USE)
+                    daemon.parts.chooser.parts.note_read(
+                        EndpointId(engine.id), USE
+                    )
                     await anyio.sleep(1)
                     site.drain_replica(engine)
                     site.unlist_replica(engine)
                     await anyio.sleep(KEEP_GONE_S + 1)
                 await site.add_replica('llm', 'north')
                 await anyio.sleep(1)
-                return len(daemon.chooser.parts)
+                return len(daemon.parts.chooser.parts)
 
         self.assertEqual(run_paused(check), 0)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -113,12 +113,12 @@
                 number = next(
                     number
                     for number, handle in enumerate(site.daemons)
-                    if handle.daemon.duties.held is not None
+                    if handle.daemon.parts.duties.held is not None
                 )
                 site.daemons[number].daemon.stop()
                 await anyio.sleep(1.5)
                 return [
-                    handle.daemon.duties.held is not None
+                    handle.daemon.parts.duties.held is not None
                     for n, handle in enumerate(site.daemons)
                     if n != number
                 ].count(True)
