--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
@@ -0,0 +1,100 @@
+"""One request of a caller over HTTP/1.1, and the answer to it."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import anyio
+import h11
+
+from mimosamux_daemon.adapters.http1_channel import BROKEN
+from mimosamux_daemon.domain.http_messages import RawHeaders, RequestHead
+from mimosamux_daemon.ports.network import Connection
+
+CLOSE: RawHeaders = ((b'Connection', b'close'),)
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class IncomingRequest:
+    """A whole request, and what becomes of its caller."""
+
+    head: RequestHead
+    body: bytes
+    is_caller_gone: bool = False
+    _scopes: list[anyio.CancelScope] = field(default_factory=list)
+
+    def cancel_when_gone(self, scope: anyio.CancelScope) -> None:
+        """Have a scope cancelled once the caller is gone."""
+        self._scopes.append(scope)
+        if self.is_caller_gone:
+            scope.cancel()
+
+    def note_gone(self) -> None:
+        """Note that the caller has closed its connection."""
+        self.is_caller_gone = True
+        for scope in self._scopes:
+            scope.cancel()
+
+
+class Reply:
+    """The answer to one request; not finished, it breaks off."""
+
+    def __init__(
+        self,
+        *,
+        parser: h11.Connection,
+        connection: Connection,
+        closes: Callable[[], bool],
+    ) -> None:
+        self.is_started = False
+        self.is_finished = False
+        self._parser = parser
+        self.connection = connection
+        self._closes = closes
+
+    async def answer(
+        self, status: int, headers: RawHeaders, body: bytes = b''
+    ) -> bool:
+        """Send a whole answer in one piece; False if the caller is gone."""
+        framed = (*headers, (b'Content-Length', b'%d' % len(body)))
+        parts = [self._render_head(status, framed)]
+        if body:
+            parts.append(self._parser.send(h11.Data(data=body)))
+        parts.append(self._parser.send(h11.EndOfMessage()))
+        self.is_finished = await self._send(b''.join(filter(None, parts)))
+        return self.is_finished
+
+    async def start(
+        self, status: int, headers: RawHeaders, first: bytes = b''
+    ) -> bool:
+        """Send the head and the first part of an answer of any length."""
+        data = self._render_head(status, headers)
+        if first:
+            data += self._parser.send(h11.Data(data=first)) or b''
+        return await self._send(data)
+
+    async def write(self, data: bytes) -> bool:
+        """Send a part of the body; False if the caller is gone."""
+        return await self._send(self._parser.send(h11.Data(data=data)) or b'')
+
+    async def finish(self) -> bool:
+        """End the answer: only now does it look complete."""
+        data = self._parser.send(h11.EndOfMessage()) or b''
+        self.is_finished = await self._send(data)
+        return self.is_finished
+
+    def _render_head(self, status: int, headers: RawHeaders) -> bytes:
+        self.is_started = True
+        if self._closes():
+            headers = (*headers, *CLOSE)
+        response = h11.Response(status_code=status, headers=list(headers))
+        return self._parser.send(response) or b''
+
+    async def _send(self, data: bytes) -> bool:
+        try:
+            await self.connection.send(data)
+        except BROKEN:
+            return False
+        return True
+
+
+Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -5,9 +5,9 @@
 gone, and how a connection ends, see docs/DECISIONS.md.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import anyio
@@ -18,8 +18,12 @@
     READ_BYTES,
     describe,
 )
+from mimosamux_daemon.adapters.http1_exchange import (
+    Handler,
+    IncomingRequest,
+    Reply,
+)
 from mimosamux_daemon.domain.http_messages import (
-    RawHeaders,
     RequestHead,
     find_values,
 )
@@ -35,9 +39,6 @@
 LINGER_BYTES = 256 * 1024
 UNREAD_BYTES = 64 * 1024
 """Bytes of later requests that are read while one is worked on."""
-CLOSE: RawHeaders = ((b'Connection', b'close'),)
-
-Handler = Callable[['IncomingRequest', 'Reply'], Awaitable[None]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,90 +49,6 @@
     problem: str
 
 
-@dataclass(kw_only=True, slots=True, eq=False)
-class IncomingRequest:
-    """A whole request, and what becomes of its caller."""
-
-    head: RequestHead
-    body: bytes
-    is_caller_gone: bool = False
-    _scopes: list[anyio.CancelScope] = field(default_factory=list)
-
-    def cancel_when_gone(self, scope: anyio.CancelScope) -> None:
-        """Have a scope cancelled once the caller is gone."""
-        self._scopes.append(scope)
-        if self.is_caller_gone:
-            scope.cancel()
-
-    def note_gone(self) -> None:
-        """Note that the caller has closed its connection."""
-        self.is_caller_gone = True
-        for scope in self._scopes:
-            scope.cancel()
-
-
-class Reply:
-    """The answer to one request; not finished, it breaks off."""
-
-    def __init__(
-        self,
-        *,
-        parser: h11.Connection,
-        connection: Connection,
-        closes: Callable[[], bool],
-    ) -> None:
-        self.is_started = False
-        self.is_finished = False
-        self._parser = parser
-        self.connection = connection
-        self._closes = closes
-
-    async def answer(
-        self, status: int, headers: RawHeaders, body: bytes = b''
-    ) -> bool:
-        """Send a whole answer in one piece; False if the caller is gone."""
-        framed = (*headers, (b'Content-Length', b'%d' % len(body)))
-        parts = [self._render_head(status, framed)]
-        if body:
-            parts.append(self._parser.send(h11.Data(data=body)))
-        parts.append(self._parser.send(h11.EndOfMessage()))
-        self.is_finished = await self._send(b''.join(filter(None, parts)))
-        return self.is_finished
-
-    async def start(
-        self, status: int, headers: RawHeaders, first: bytes = b''
-    ) -> bool:
-        """Send the head and the first part of an answer of any length."""
-        data = self._render_head(status, headers)
-        if first:
-            data += self._parser.send(h11.Data(data=first)) or b''
-        return await self._send(data)
-
-    async def write(self, data: bytes) -> bool:
-        """Send a part of the body; False if the caller is gone."""
-        return await self._send(self._parser.send(h11.Data(data=data)) or b'')
-
-    async def finish(self) -> bool:
-        """End the answer: only now does it look complete."""
-        data = self._parser.send(h11.EndOfMessage()) or b''
-        self.is_finished = await self._send(data)
-        return self.is_finished
-
-    def _render_head(self, status: int, headers: RawHeaders) -> bytes:
-        self.is_started = True
-        if self._closes():
-            headers = (*headers, *CLOSE)
-        response = h11.Response(status_code=status, headers=list(headers))
-        return self._parser.send(response) or b''
-
-    async def _send(self, data: bytes) -> bool:
-        try:
-            await self.connection.send(data)
-        except BROKEN:
-            return False
-        return True
-
-
 class Http1Server:
     """Serves connections of callers until it is told to stop."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -7,7 +7,8 @@
 import anyio
 import anyio.abc
 
-from mimosamux_daemon.adapters.http1_server import Handler, Http1Server
+from mimosamux_daemon.adapters.http1_exchange import Handler
+from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from mimosamux_daemon.adapters.http1_server import IncomingRequest, Reply
+from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.duties import Duties
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from mimosamux_daemon.adapters.http1_server import Handler
+from mimosamux_daemon.adapters.http1_exchange import Handler
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.domain.routes import ConfigurationDocument
 from mimosamux_daemon.ports.duty_calls import DutyCalls
--- a/packages/mimosamux-standins/mimosamux_standins/site/cloud.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/cloud.py
@@ -5,7 +5,7 @@
 
 import anyio
 import orjson
-from mimosamux_daemon.adapters.http1_server import IncomingRequest, Reply
+from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.domain.http_messages import find_value
 
 JSON = ((b'Content-Type', b'application/json'),)
--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -6,12 +6,12 @@
 import anyio
 import anyio.abc
 import orjson
-from mimosamux_daemon.adapters.http1_server import (
+from mimosamux_daemon.adapters.http1_exchange import (
     Handler,
-    Http1Server,
     IncomingRequest,
     Reply,
 )
+from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.domain.routes import TrafficLimits
 
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -8,7 +8,7 @@
 
 import anyio
 import orjson
-from mimosamux_daemon.adapters.http1_server import IncomingRequest, Reply
+from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.domain.http_messages import RawHeaders, find_value
 
 EVENT_BYTES = 24
--- a/packages/mimosamux-standins/mimosamux_standins/site/store.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/store.py
@@ -9,7 +9,7 @@
 
 import anyio
 import orjson
-from mimosamux_daemon.adapters.http1_server import IncomingRequest, Reply
+from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 
 JSON = ((b'Content-Type', b'application/json'),)
 MAX_ROWS = 500
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -300,7 +300,7 @@
 
 class TestRequestHeaders(unittest.TestCase):
     def read(self, *headers):
-        from mimosamux_daemon.adapters.http1_server import IncomingRequest
+        from mimosamux_daemon.adapters.http1_exchange import IncomingRequest
 
         head = RequestHead(
             method=b'POST',
