Shared parts are copied only from endpoints that can be reached

Cause: read in the code and shown by the new test: an engine that died stays listed for some seconds, and requests for what it held told the next engine to copy from it.

Change: endpoints to which connects fail, or whose time is over, are no source. The test fails without it (one request of three was told to copy from the dead engine).

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -133,10 +133,15 @@
         """Return an endpoint that holds most of a prompt's shared parts.
 
         It may be leaving: until it is gone its cache can be copied, which
-        saves computing all of it again elsewhere.
+        saves computing all of it again elsewhere. From one that cannot be
+        reached nothing comes, and the request would wait for it in vain.
         """
+        now = self._clock()
         most, holder = LEAST_FETCHED - 1, None
         for record in self._roster.of_service(service.name):
+            is_over = record.leaves_at is not None and record.leaves_at < now
+            if is_over or record.is_avoided(now):
+                continue
             tokens = self.parts.cached_tokens(record.id, prompt)
             if tokens > most:
                 most, holder = tokens, record
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -61,6 +61,8 @@
     """Events that an earlier run of the request had made."""
     kv_source: str = ''
     """Copy of an earlier run that it goes on from."""
+    fetched_from: str = ''
+    """Address of the replica whose cache it was told to copy."""
     rank: int | None = None
     """Rank that the system gave it, if any."""
     read_tokens: int = 0
@@ -258,7 +260,9 @@
         usage = find_value(headers, b'x-token-usage') or b'0'
         tokens = int(usage.partition(b',')[0])
         parts = (find_value(headers, b'x-prompt-prefix') or b'').decode()
-        self._fetch_parts((find_value(headers, b'kv-fetch') or b'').decode())
+        source = find_value(headers, b'kv-fetch') or b''
+        run.fetched_from = source.decode()
+        self._fetch_parts(run.fetched_from)
         for entry in filter(None, parts.split(',')):
             id_, _, count = entry.partition(':')
             if id_ not in self.held_parts:
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -218,6 +218,26 @@
         self.assertNotEqual(first, second)
         self.assertEqual((read, read_again), (1460, 0))
 
+    def test_nothing_is_copied_from_an_engine_that_cannot_be_reached(self):
+        """The engine that holds a school's brief dies; its entry stays.
+
+        The next engine would wait for a copy that never comes, and the caller
+        with it.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                await send_draft(site)
+                source = next(
+                    engine for engine in engines_of(site) if engine.runs
+                )
+                site.crash_replica(source)
+                for _ in range(3):
+                    await send_draft(site)
+                return [run.fetched_from for run in site.runs()]
+
+        self.assertEqual(run_paused(check), ['', '', '', ''])
+
     def test_engines_are_told_the_rank_of_a_request(self):
         """A client account is ranked before the route's other callers.
 
