--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
@@ -233,8 +233,7 @@
         """Return recent uses of accounts that use some of their cap."""
         now = self._clock()
         record: UseRecord = {}
-        for id_ in tuple(self._by_id):
-            state = self._refresh(id_)
+        for id_, state in self._refresh_all().items():
             state.noted = state.uses.passed
             if state.uses.total <= RECORDED_SHARE * state.limit:
                 continue
@@ -264,8 +263,7 @@
 
     def write(self, digest: StateDigest) -> None:
         """Tell what was let through here, and what is known in all."""
-        for id_ in tuple(self._by_id):
-            state = self._refresh(id_)
+        for id_, state in self._refresh_all().items():
             digest.caps.append(
                 CapUse(
                     account=id_,
@@ -304,12 +302,20 @@
 
     def _refresh(self, id_: AccountId) -> _Account:
         state = self._by_id.setdefault(id_, _Account())
-        now = self._clock()
-        oldest = now - self._window_s
-        state.uses.forget_before(oldest)
-        state.recent.forget(self._states.heard_by_all(), oldest)
+        self._forget_old(state, self._states.heard_by_all())
         return state
 
+    def _refresh_all(self) -> dict[AccountId, _Account]:
+        confirmed = self._states.heard_by_all()
+        for state in self._by_id.values():
+            self._forget_old(state, confirmed)
+        return self._by_id
+
+    def _forget_old(self, state: _Account, confirmed: int) -> None:
+        oldest = self._clock() - self._window_s
+        state.uses.forget_before(oldest)
+        state.recent.forget(confirmed, oldest)
+
     def _used(self, state: _Account) -> float:
         used = state.uses.total
         if self._clock() > self._started_at + self._window_s:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/health.py
@@ -43,7 +43,10 @@
 
     def note_peer(self, peer: DaemonId, answers: Answers, now: float) -> None:
         """Take what a peer saw in its last window."""
-        self._by_peer[peer] = (now, answers)
+        if answers.ended:
+            self._by_peer[peer] = (now, answers)
+        else:
+            self._by_peer.pop(peer, None)
 
     def own(self, now: float) -> Answers:
         """Return what this daemon saw."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -146,6 +146,7 @@
     def _build_endpoints(self) -> None:
         self.roster = Roster(clock=self._clock, health=self.health)
         self.roster.on_learned.append(self._tell_leaving)
+        self.states.on_forgotten.append(self.roster.forget_peer)
         self.endpoint_reader = FeedReader(
             name='endpoints',
             feed=self._platform.endpoints,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -88,6 +88,8 @@
         self.by_id: dict[DaemonId, PeerState] = {}
         """Peers that were heard of at least once."""
         self.parts: list[DigestPart] = []
+        self.on_forgotten: list[Callable[[DaemonId], None]] = []
+        """Told of each peer that is given up."""
         self._peers = peers
         self._clock = clock
         self._rng = rng
@@ -255,6 +257,8 @@
             del self._known_since[id_]
             self.by_id.pop(id_, None)
             self._peers.forget(id_)
+            for listener in self.on_forgotten:
+                listener(id_)
 
 
 def _place_of(digest: StateDigest) -> DaemonPlace:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -91,6 +91,8 @@
         """Told of each endpoint that is remembered no longer."""
         self._clock = clock
         self._health = health
+        self._told_by_peer: dict[DaemonId, frozenset[EndpointId]] = {}
+        """Endpoints that each peer told of in its last digest."""
 
     def replace(self, items: Mapping[str, ListedEndpoint]) -> None:
         """Take the whole list as it is now."""
@@ -199,19 +201,39 @@
                 )
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
-        """Take what a peer has under way."""
+        """Take what a peer has under way.
+
+        Only endpoints that the peer tells of, or told of last time, are
+        looked at: with 65 daemons and 92 endpoints, going through all of
+        them for each digest took 0.21 of 0.34 ms.
+        """
         now = self._clock()
-        told = {use.endpoint: use for use in digest.endpoints}
-        for record in self.by_id.values():
-            use = told.get(record.id) or EndpointUse()
-            record.load.note_peer(
-                peer.place.id,
-                requests=use.open_requests,
-                unread_tokens=use.unread_tokens,
-                now=now,
-            )
-            answers = Answers(ended=use.ended, failed=use.failed)
-            record.health.note_peer(peer.place.id, answers, now)
+        told = {EndpointId(use.endpoint): use for use in digest.endpoints}
+        before = self._told_by_peer.get(peer.place.id, frozenset())
+        self._told_by_peer[peer.place.id] = frozenset(told)
+        for id_ in before - told.keys():
+            self._note_peer(peer, id_, EndpointUse(), now)
+        for id_, use in told.items():
+            self._note_peer(peer, id_, use, now)
+
+    def forget_peer(self, id_: DaemonId) -> None:
+        """Forget what a daemon told that is given up."""
+        self._told_by_peer.pop(id_, None)
+
+    def _note_peer(
+        self, peer: PeerState, id_: EndpointId, use: EndpointUse, now: float
+    ) -> None:
+        record = self.by_id.get(id_)
+        if record is None:
+            return
+        record.load.note_peer(
+            peer.place.id,
+            requests=use.open_requests,
+            unread_tokens=use.unread_tokens,
+            now=now,
+        )
+        answers = Answers(ended=use.ended, failed=use.failed)
+        record.health.note_peer(peer.place.id, answers, now)
 
     async def take_leaving(
         self, sender: DaemonId, message: EndpointsLeave
