--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -5,6 +5,7 @@
 an answer, and an answer that comes before its request is fully sent.
 """
 
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
 
@@ -49,8 +50,15 @@
 class Channel:
     """A connection that carries one request at a time."""
 
-    def __init__(self, *, address: str, connection: Connection) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        connection: Connection,
+        note_reset: Callable[[str], None] = lambda _: None,
+    ) -> None:
         self.address = address
+        self._note_reset = note_reset
         self.exchanges = 0
         """Requests that were sent on it so far."""
         self._connection = connection
@@ -84,7 +92,7 @@
             )
             await self._connection.send(first)
         except BROKEN as error:
-            return ChannelBroken(reason=describe(error))
+            return self._break(error)
         return None
 
     async def send_rest(self) -> None:
@@ -163,6 +171,10 @@
             return False
         return not self._parser.trailing_data[0]
 
+    def was_used_since(self, at: float) -> bool:
+        """Whether it was opened, or carried a whole answer, after a time."""
+        return self._idle_since > at
+
     def is_fresh(self) -> bool:
         """Whether the other side will not close it for being idle soon."""
         idle_s = anyio.current_time() - self._idle_since
@@ -204,7 +216,12 @@
                     return event
                 self._parser.receive_data(await self._receive())
         except BROKEN as error:
-            return ChannelBroken(reason=describe(error))
+            return self._break(error)
+
+    def _break(self, error: Exception) -> ChannelBroken:
+        if isinstance(error, OSError | anyio.BrokenResourceError):
+            self._note_reset(self.address)
+        return ChannelBroken(reason=describe(error))
 
     async def _receive(self) -> bytes:
         # The end of the connection is the end of an answer without a
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -9,6 +9,7 @@
     ChannelBroken,
     describe,
 )
+from mimosamux_daemon.adapters.reset_watch import ResetWatch
 from mimosamux_daemon.ports.network import Network
 
 SWEEP_S = 1.0
@@ -23,6 +24,7 @@
 
     network: Network
     connect_timeout_s: float
+    resets: ResetWatch = field(default_factory=ResetWatch)
     opened: int = 0
     """Connections opened so far."""
     _idle_by_address: dict[str, list[Channel]] = field(default_factory=dict)
@@ -32,7 +34,7 @@
         idle = self._idle_by_address.get(address, [])
         while idle:
             channel = idle.pop()
-            if channel.is_fresh() and channel.is_reusable():
+            if self._is_good(channel):
                 channel.recycle()
                 return channel
             await channel.close()
@@ -46,7 +48,18 @@
         except (OSError, TimeoutError) as error:
             return ChannelBroken(reason=describe(error))
         self.opened += 1
-        return Channel(address=address, connection=connection)
+        return Channel(
+            address=address,
+            connection=connection,
+            note_reset=self.resets.note,
+        )
+
+    def _is_good(self, channel: Channel) -> bool:
+        return (
+            channel.is_fresh()
+            and channel.was_used_since(self.resets.last_at)
+            and channel.is_reusable()
+        )
 
     async def give_back(self, channel: Channel) -> None:
         """Keep a connection for later if it is still good."""
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -32,6 +32,7 @@
         self._is_ended = False
         self._is_reset = False
         self._is_closed = False
+        self._is_silent = False
         self._changed = anyio.Event()
 
     @property
@@ -79,7 +80,7 @@
 
     def flush(self):
         """Take in what is under way, unless the machines are cut off."""
-        if self.network.is_cut(self.there, self.here):
+        if self._is_silent or self.network.is_cut(self.there, self.here):
             return
         underway, self._underway = self._underway, []
         for item in underway:
@@ -89,6 +90,10 @@
                 self._arrived += item
         self._wake()
 
+    def silence(self):
+        """Deliver nothing any more to this end, without a reset."""
+        self._is_silent = True
+
     def reset(self):
         self._is_reset = True
         self._arrived.clear()
@@ -152,6 +157,11 @@
                 connection.reset()
                 connection.other.reset()
 
+    def silence(self, does_match: Callable[[MemoryConnection], bool]):
+        for connection in tuple(self.connections):
+            if does_match(connection):
+                connection.silence()
+
     def kill(self, machine):
         """Take a machine's listeners and connections away at once."""
         for address in list(self.listeners):
--- a/tests/test_gateway_once.py
+++ b/tests/test_gateway_once.py
@@ -6,6 +6,7 @@
 from mimosamux_standins.site import Fault, ReplicaSpeed
 
 from tests.support.clock import run_paused
+from tests.support.memory_network import machine_of
 from tests.support.platform_site import open_site
 
 NOT_RUN = (408, 421, 429, 503)
@@ -238,3 +239,51 @@
         status, took_s = run_paused(check)
         self.assertEqual(status, 503)
         self.assertLess(took_s, 0.5)
+
+    def test_kept_connections_are_not_trusted_after_many_broke_at_once(self):
+        """A switch fails over: some connections are reset, others stay open.
+
+        Those deliver nothing any more. A slip sent on one of them runs, its
+        answer never comes, and it cannot be sent again: the caller is told
+        nothing but that it may have run.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                caller, entry = site.caller(), site.daemons[0].entry
+                for _ in range(9):
+                    await caller.send(entry, '/slip/1', body=b'slip')
+                apps = {
+                    machine_of(replica.address)
+                    for replica in site.replicas_by_id.values()
+                    if replica.service == 'app'
+                }
+                machine = site.daemons[0].machine
+                for engine in site.replicas_by_id.values():
+                    engine.speed = ReplicaSpeed(events=200, event_s=0.02)
+                prompt = (
+                    (b'X-Model', b'm'),
+                    (b'X-Token-Usage', b'1460,80'),
+                )
+                site.tasks.start_soon(
+                    lambda: site.caller(patience_s=15.0).send(
+                        entry, '/draft/1', body=b'brief', headers=prompt
+                    )
+                )
+                await anyio.sleep(0.5)
+                site.network.silence(
+                    lambda each: each.here == machine and each.there in apps
+                )
+                site.network.reset(
+                    lambda each: (
+                        each.here == machine and each.there not in apps
+                    )
+                )
+                await anyio.sleep(0.05)
+                answers = [
+                    await site.caller().send(entry, '/slip/2', body=b'slip')
+                    for _ in range(3)
+                ]
+                return [answer.status for answer in answers]
+
+        self.assertEqual(run_paused(check), [200, 200, 200])
