Kept connections are not trusted after all peers fell silent together

Change: when no peer at all was heard for two and a half intervals, though two or more are known, connections that were kept until then are not used again.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/reset_watch.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/reset_watch.py
@@ -1,4 +1,4 @@
-"""Notices that many connections broke at once."""
+"""Since when kept connections can be trusted."""
 
 from collections import deque
 from dataclasses import dataclass, field
@@ -15,7 +15,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class ResetWatch:
-    """When connections to several addresses were last reset together.
+    """When connections to several addresses last broke together.
 
     Such an event ends some connections with a reset, and leaves others
     open that deliver nothing any more. A request sent on one of those runs,
@@ -34,3 +34,7 @@
         addresses = {each for _, each in self._resets}
         if len(addresses) >= FEWEST_ADDRESSES:
             self.last_at = now
+
+    def note_silence(self) -> None:
+        """Note that connections fell silent together, without a reset."""
+        self.last_at = anyio.current_time()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -76,6 +76,7 @@
         self._build_counts(shared_time)
         self._build_duties(wall_clock)
         self._build_forwarding()
+        self.states.on_silence.append(platform.distrust_connections)
         self.states.parts = [
             self.vouching,
             self.roster,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -30,6 +30,11 @@
 for the bound above."""
 FRESH_S = 1.0
 """A digest older than this, and than four intervals, is out of date."""
+SILENT_INTERVALS = 2.5
+"""Intervals without a word from any peer after which something is wrong
+with this daemon's connections, and not with a peer."""
+FEWEST_SILENT = 2
+"""Peers that have to be silent: one alone may have died."""
 GONE_S = 30.0
 """A daemon that is silent for so long is not sent anything any more."""
 
@@ -88,6 +93,9 @@
         self.by_id: dict[DaemonId, PeerState] = {}
         """Peers that were heard of at least once."""
         self.parts: list[DigestPart] = []
+        self.on_silence: list[Callable[[], None]] = []
+        """Told when all peers in touch have fallen silent together."""
+        self._is_silent = False
         self.on_forgotten: list[Callable[[DaemonId], None]] = []
         """Told of each peer that is given up."""
         self._peers = peers
@@ -167,6 +175,7 @@
         """Tell the peers until cancelled."""
         while True:
             await self.tell()
+            self._look_for_silence()
             self._forget_silent()
             pause_s = self.interval_s * self._rng.uniform(0.9, 1.1)
             with anyio.move_on_after(pause_s):
@@ -247,6 +256,24 @@
     ) -> None:
         self.introduce(DaemonId(address) for address in message.addresses)
 
+    def _look_for_silence(self) -> None:
+        """Notice when every peer has fallen silent at once.
+
+        Open connections can stop to deliver without a reset, while new ones
+        work. A request sent on a kept one then runs, and its answer never
+        comes; nothing but the silence of all peers tells so in time.
+        """
+        oldest = self._clock() - SILENT_INTERVALS * self.interval_s
+        peers = self.by_id.values()
+        is_silent = len(peers) >= FEWEST_SILENT and all(
+            peer.heard_at < oldest for peer in peers
+        )
+        if is_silent and not self._is_silent:
+            log.warning('peers_silent', peers=len(peers))
+            for listener in self.on_silence:
+                listener()
+        self._is_silent = is_silent
+
     def _forget_silent(self) -> None:
         oldest = self._clock() - GONE_S
         for id_, since in tuple(self._known_since.items()):
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -32,5 +32,7 @@
     """Makes the handler of callers' requests."""
     handle_questions: Callable[[AddressBook, Callable[[], bool]], Handler]
     """Makes the handler of questions for addresses and readiness."""
+    distrust_connections: Callable[[], None]
+    """Has no connection used again that was kept until now."""
     run: Callable[[], Coroutine[Any, Any, None]]
     """Upkeep of connections, until cancelled."""
--- a/tests/test_gateway_once.py
+++ b/tests/test_gateway_once.py
@@ -287,3 +287,34 @@
                 return [answer.status for answer in answers]
 
         self.assertEqual(run_paused(check), [200, 200, 200])
+
+    def test_kept_connections_are_not_trusted_after_all_peers_fell_silent(
+        self,
+    ):
+        """All open connections of a daemon stop to deliver, without a reset.
+
+        New ones work. Slips sent on kept ones run and are never answered, one
+        after the other, until each connection was tried once.
+        """
+
+        async def check():
+            async with open_site() as site:
+                entry, machine = site.daemons[0].entry, site.daemons[0].machine
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(12):
+                        tasks.start_soon(
+                            lambda: site.caller().send(
+                                entry, '/slip/1', body=b'slip'
+                            )
+                        )
+                site.network.silence(
+                    lambda each: machine in (each.here, each.there)
+                )
+                await anyio.sleep(1.2)
+                answers = [
+                    await site.caller().send(entry, '/slip/2', body=b'slip')
+                    for _ in range(3)
+                ]
+                return [answer.status for answer in answers]
+
+        self.assertEqual(run_paused(check), [200, 200, 200])
