Caps count the first uses of an account at each peer

Cause (new property test: four daemons, messages lost, late or one way; it failed without any of these): the first time that a peer named an account, what it had let through was taken as the value to count from, and left out for good. In the shortest case daemons knew of 195 of 221.

Ruled out: what is not confirmed (nothing was), the window's edges, one request over the part (15 at most here).

Change: where earlier digests of the same process had nothing of the account, all of it is new; of a process that is new here, what it says that all let through in the last window is the most.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
@@ -169,6 +169,8 @@
         self._clock = clock
         self._started_at = clock()
         self._by_id: dict[AccountId, _Account] = {}
+        self._lifetimes_by_peer: dict[DaemonId, int] = {}
+        """Process of each peer that a digest was last taken from."""
         self._is_informed = False
         """Whether the record or a peer told what was used before."""
         self._has_record = False
@@ -274,17 +276,27 @@
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
         """Add what a peer has let through since it told last."""
-        now = self._clock()
+        now, id_ = self._clock(), peer.place.id
+        is_known = self._lifetimes_by_peer.get(id_) == peer.lifetime
+        self._lifetimes_by_peer[id_] = peer.lifetime
         for use in digest.caps:
             state = self._by_id.setdefault(AccountId(use.account), _Account())
-            told = state.told_by_peer.get(peer.place.id)
-            state.told_by_peer[peer.place.id] = (peer.lifetime, use.used)
+            told = state.told_by_peer.get(id_)
+            state.told_by_peer[id_] = (peer.lifetime, use.used)
             if told is not None and told[0] != peer.lifetime:
                 state.uses.add(now, use.used + self._untold(state))
             elif told is not None:
                 state.uses.add(now, use.used - told[1])
+            elif is_known:
+                # Its earlier digests had nothing of this account, so all
+                # of it is new. Taken as where to count from, the first
+                # requests at each peer would be left out for good.
+                state.uses.add(now, use.used)
             elif now < self._started_at + UNINFORMED_S:
                 state.before = max(state.before, use.recent)
+            else:
+                # A peer that is new to this daemon may have run for long.
+                state.uses.add(now, min(use.used, use.recent))
         self._is_informed = True
 
     def _untold(self, state: _Account) -> float:
