Caps hold where two daemons talk only to a third

Ruled out: late confirmations (all peers in touch had confirmed).

Change: while a daemon is missing, what a peer in touch knows that all let through counts if it is more than the own knowledge.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
@@ -138,6 +138,8 @@
     own: float = 0.0
     """By this daemon since it started."""
     told_by_peer: dict[DaemonId, tuple[int, int]] = field(default_factory=dict)
+    known_by_peer: dict[DaemonId, int] = field(default_factory=dict)
+    """By all daemons in the last window, as each peer last told."""
     limit: float = math.inf
     rate: float = 0.0
     """What its cap allows in a second."""
@@ -282,6 +284,7 @@
         for use in digest.caps:
             state = self._by_id.setdefault(AccountId(use.account), _Account())
             told = state.told_by_peer.get(id_)
+            state.known_by_peer[id_] = use.recent
             state.told_by_peer[id_] = (peer.lifetime, use.used)
             if told is not None and told[0] != peer.lifetime:
                 state.uses.add(now, use.used + self._untold(state))
@@ -329,7 +332,7 @@
         state.recent.forget(confirmed, oldest)
 
     def _used(self, state: _Account) -> float:
-        used = state.uses.total
+        used = max(state.uses.total, self._known_to_peers(state))
         if self._clock() > self._started_at + self._window_s:
             return used
         # The record may be older than what a peer knew, and a peer may
@@ -340,6 +343,20 @@
             used += min(UNSEEN_SHARE * left, UNSEEN_S * state.rate)
         return used
 
+    def _known_to_peers(self, state: _Account) -> float:
+        """Return the most that a peer in touch knows of, in a partition.
+
+        Two daemons that cannot talk may both talk to a third. Each would
+        leave the other's part alone and still use what the other has used
+        of the rest; the third one knows of both. While all are in touch
+        this adds nothing but delay, and is left out.
+        """
+        fresh = self._states.fresh()
+        if 1 + len(fresh) >= self._states.expected():
+            return 0.0
+        known = (state.known_by_peer.get(peer.place.id, 0) for peer in fresh)
+        return max(known, default=0)
+
     def _reachable(self) -> int:
         """Return how many daemons hear of what this one lets through."""
         return 1 + len(self._states.fresh())
--- a/tests/test_gateway_caps.py
+++ b/tests/test_gateway_caps.py
@@ -109,6 +109,28 @@
 
         self.assertLessEqual(run_paused(check), ALLOWED)
 
+    def test_cap_holds_while_two_daemons_talk_only_to_a_third(self):
+        """Two data centres lose each other, and both reach a third one.
+
+        Each daemon leaves the part of the one that it cannot hear, and both
+        would use up the rest: a third more than the cap.
+        """
+
+        async def check():
+            async with open_site(
+                document=capped_document(), caps=RULES, apps=6
+            ) as site:
+                await anyio.sleep(10)
+                machines = [handle.machine for handle in site.daemons]
+                site.network.cut(machines[0], machines[1])
+                await anyio.sleep(2)
+                async with anyio.create_task_group() as tasks:
+                    for number in (0, 1):
+                        tasks.start_soon(flood, site, number, 7.0)
+                return most_in_window(site)
+
+        self.assertLessEqual(run_paused(check), ALLOWED)
+
     def test_most_of_a_cap_is_let_through_before_anything_is_refused(self):
         """An account sends far more than usual, all at once.
 
