A fault soak of real processes

Daemons are frozen, killed, stopped and started again, the ways to the store are delayed, refused, cut, silenced one way or both, the store and replicas misbehave, a key is taken away; in series and overlapping, while twelve callers keep their connections. Promises are checked from what callers and the platform saw, and each check is shown to fail on a doctored record.

--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -206,6 +206,7 @@
                     'tenant': run.tenant,
                     'replica': run.replica,
                     'is_moved': bool(run.kv_source),
+                    'began_at': run.began_at,
                 }
                 for replica in self.replicas_by_id.values()
                 for run in replica.runs
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,137 @@
+"""A short soak with a fixed seed, and checks that can fail."""
+
+import unittest
+from types import SimpleNamespace
+
+from mimosamux_standins.site.replica import render_event
+
+from tests.support.soak import REVOKED_KEY, Record, Sent, play
+from tests.support.soak_checks import EVENTS, find_problems
+
+SEED = 7
+SECONDS = 5.0
+
+
+class TestSoak(unittest.TestCase):
+    def test_no_promise_is_broken_by_faults_from_outside(self):
+        """Daemons are frozen, killed and stopped, and the store misbehaves.
+
+        A caller would see a slip sent twice, an answer that is not its own, or
+        a refusal of what has run.
+        """
+        record = play(SEED, seconds=SECONDS)
+        self.assertEqual(find_problems(record), [], record.log)
+        answered = [each for each in record.sent if each.answer.status == 200]
+        self.assertGreater(len(answered), 20)
+
+
+def answer_to(id_='a1', **fields):
+    fields = {'status': 200, 'is_whole': True, 'body': b'', **fields}
+    return SimpleNamespace(id=id_, sent_at=100.0, headers=(), **fields)
+
+
+def run_of(target, id_='a1', **fields):
+    run = {'id': id_, 'target': target, 'tenant': 'school', 'is_moved': False}
+    return run | fields
+
+
+def record_of(target, answer, runs, **fields):
+    key = fields.pop('key', 'key-school')
+    return Record(
+        sent=[Sent(target=target, key=key, answer=answer)],
+        seen={
+            'runs': runs,
+            'replicas': [{'id': 'i-0001'}],
+            'duty_calls': fields.pop('duty_calls', []),
+        },
+        revoked_at=fields.pop('revoked_at', None),
+        log=[],
+        serves_again=fields.pop('serves_again', True),
+    )
+
+
+class TestChecks(unittest.TestCase):
+    """Each promise is broken in a record, and the checks have to see it."""
+
+    def assert_seen(self, words, record):
+        problems = find_problems(record)
+        self.assertTrue(any(words in each for each in problems), problems)
+
+    def test_slip_that_ran_twice(self):
+        answer = answer_to(status=502)
+        runs = [run_of('/slip/1'), run_of('/slip/1')]
+        self.assert_seen('ran 2 times', record_of('/slip/1', answer, runs))
+
+    def test_draft_that_was_moved_is_one_run(self):
+        answer = answer_to(status=502)
+        runs = [run_of('/draft/1'), run_of('/draft/1', is_moved=True)]
+        self.assertEqual(
+            find_problems(record_of('/draft/1', answer, runs)), []
+        )
+
+    def test_slip_that_was_called_not_run_and_ran(self):
+        record = record_of(
+            '/slip/1', answer_to(status=503), [run_of('/slip/1')]
+        )
+        self.assert_seen('called not run', record)
+
+    def test_request_that_nobody_sent(self):
+        record = record_of(
+            '/slip/1', answer_to(status=502), [run_of('/slip/1', 'b2')]
+        )
+        self.assert_seen('nobody sent it', record)
+
+    def test_request_that_ran_for_another_account(self):
+        runs = [run_of('/slip/1', tenant='office')]
+        record = record_of('/slip/1', answer_to(status=502), runs)
+        self.assert_seen('ran for office', record)
+
+    def test_key_that_was_taken_away(self):
+        record = record_of(
+            '/slip/1',
+            answer_to(status=502),
+            [run_of('/slip/1', tenant='office')],
+            key=REVOKED_KEY,
+            revoked_at=90.0,
+        )
+        self.assert_seen('after its key was taken away', record)
+
+    def test_stream_that_misses_an_event(self):
+        events = [render_event('a1', number) for number in range(EVENTS)]
+        answer = answer_to(body=b''.join(events))
+        record = record_of('/draft/1', answer, [run_of('/draft/1')])
+        self.assert_seen('out of order', record)
+
+    def test_stream_that_ends_early_as_whole(self):
+        events = [render_event('a1', number) for number in range(1, EVENTS)]
+        answer = answer_to(body=b''.join(events))
+        record = record_of('/draft/1', answer, [run_of('/draft/1')])
+        self.assert_seen('as whole', record)
+
+    def test_success_that_no_replica_made(self):
+        record = record_of('/slip/1', answer_to(), [run_of('/slip/1')])
+        self.assert_seen('no replica made', record)
+
+    def test_window_that_was_reported_in_two_ways(self):
+        calls = [
+            {
+                'path': '/usage',
+                'holder': holder,
+                'fencing': fencing,
+                'is_taken': True,
+                'body': {'windowNumber': 5, 'counts': {'school': count}},
+            }
+            for holder, fencing, count in (('one', 1, 3), ('two', 2, 4))
+        ]
+        record = record_of(
+            '/slip/1', answer_to(status=502), [], duty_calls=calls
+        )
+        self.assert_seen('reported in 2 ways', record)
+        calls[1]['fencing'] = 1
+        self.assert_seen('one and two used 1', record)
+
+    def test_daemon_that_serves_no_more(self):
+        record = record_of(
+            '/slip/1', answer_to(status=502), [], serves_again=False
+        )
+        self.assert_seen('serves no more', record)
