--- a/tests/test_gateway_caps.py
+++ b/tests/test_gateway_caps.py
@@ -26,6 +26,11 @@
 RULES = CapRules(window_s=WINDOW_S, overage=OVERAGE, tolerance=TOLERANCE)
 
 
+def open_capped_site(**fields):
+    """Return a site with one account whose cap is small."""
+    return open_site(document=capped_document(), caps=RULES, apps=6, **fields)
+
+
 async def flood(site, number, seconds, pause_s=0.02):
     """Send to one daemon as if the account knew no cap."""
     caller = site.caller()
@@ -49,9 +54,7 @@
 class TestCaps(unittest.TestCase):
     def run_flood(self, act, seconds=12.0, **fields):
         async def check():
-            async with open_site(
-                document=capped_document(), caps=RULES, apps=6, **fields
-            ) as site:
+            async with open_capped_site(**fields) as site:
                 await anyio.sleep(10)
                 async with anyio.create_task_group() as tasks:
                     for number in range(3):
@@ -93,9 +96,7 @@
         """
 
         async def check():
-            async with open_site(
-                document=capped_document(), caps=RULES, apps=6
-            ) as site:
+            async with open_capped_site() as site:
                 await anyio.sleep(10)
                 machines = [handle.machine for handle in site.daemons]
                 for other in machines[1:]:
@@ -117,9 +118,7 @@
         """
 
         async def check():
-            async with open_site(
-                document=capped_document(), caps=RULES, apps=6
-            ) as site:
+            async with open_capped_site() as site:
                 await anyio.sleep(10)
                 machines = [handle.machine for handle in site.daemons]
                 site.network.cut(machines[0], machines[1])
@@ -138,9 +137,7 @@
         """
 
         async def check():
-            async with open_site(
-                document=capped_document(), caps=RULES, apps=6
-            ) as site:
+            async with open_capped_site() as site:
                 await anyio.sleep(10)
                 answers = []
 
@@ -195,9 +192,7 @@
         """
 
         async def check():
-            async with open_site(
-                document=capped_document(), caps=RULES, apps=6
-            ) as site:
+            async with open_capped_site() as site:
                 await anyio.sleep(10)
                 await flood(site, 0, 6.0, pause_s=0.1)
                 for number in range(3):
@@ -213,9 +208,7 @@
 
     def test_refusal_says_when_to_come_again(self):
         async def check():
-            async with open_site(
-                document=capped_document(), caps=RULES, apps=6
-            ) as site:
+            async with open_capped_site() as site:
                 await anyio.sleep(10)
                 answers = await flood(site, 0, 3.0, pause_s=0.01)
                 refused = [each for each in answers if each.status == 429]
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -247,6 +247,16 @@
     )
 
 
+def generous_document():
+    """Return a document whose accounts may use 360,000 tokens a second."""
+    document = default_document(is_scaled=True)
+    document.tenants = [
+        {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
+        for tenant in document.tenants
+    ]
+    return document
+
+
 class TestScaling(unittest.TestCase):
     def open_scaled(self, **fields):
         return open_site(document=default_document(is_scaled=True), **fields)
@@ -282,12 +292,7 @@
         """
 
         async def check():
-            document = default_document(is_scaled=True)
-            document.tenants = [
-                {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
-                for tenant in document.tenants
-            ]
-            async with open_site(document=document) as site:
+            async with open_site(document=generous_document()) as site:
                 await anyio.sleep(10)
                 return count_of(site, is_reclaimable=True)
 
@@ -301,12 +306,7 @@
         """
 
         async def check():
-            document = default_document(is_scaled=True)
-            document.tenants = [
-                {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
-                for tenant in document.tenants
-            ]
-            async with open_site(document=document) as site:
+            async with open_site(document=generous_document()) as site:
                 caller, end = site.caller(), anyio.current_time() + 25
                 while anyio.current_time() < end:
                     entry = site.daemons[0].entry
@@ -354,12 +354,7 @@
         """
 
         async def check():
-            document = default_document(is_scaled=True)
-            document.tenants = [
-                {**tenant, 'ratePerS': 180_000, 'burst': 1e6, 'unit': 'tokens'}
-                for tenant in document.tenants
-            ]
-            async with open_site(document=document) as site:
+            async with open_site(document=generous_document()) as site:
                 await anyio.sleep(12)
                 before = len(site.cloud.calls)
                 engine = next(
