Endpoints that start anew under their id; rows of other writers

The roster knew an endpoint by its id alone, so the new process inherited the old one's load, failures, cache and leaving; behind a cut, requests at the dead process waited out their time limit. A row of the list with a field missing was filled with defaults and used; a row that became unreadable left its endpoint in use.

Ruled out: a record by (id, start): the retry of a request, the peers' digests and the platform's own check of the endpoint all go by the id, and two records would both be offered for it.

Change: `ListedEndpoint.incarnation`, filled from `born`; an entry of an earlier start changes nothing, one of a later start begins a new record (`endpoint_record.py`, out of `roster.py`). Peers' digests, read parts and leaving notices name the start they mean and count only for that one. What was sent before the new process began ends at once; what may have reached the new one (0.5 s of slack) is left alone. Kept connections to the old process are not used. `Unreadable` is a value of the feed: such an endpoint is withheld until its entry can be read. Entries are read strictly, their key as well, which is sent in a header.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -28,6 +28,7 @@
     opened: int = 0
     """Connections opened so far."""
     _idle_by_address: dict[str, list[Channel]] = field(default_factory=dict)
+    _forgotten: list[Channel] = field(default_factory=list)
 
     async def take(self, address: str) -> Channel | ChannelBroken:
         """Return an idle connection, or a new one."""
@@ -69,6 +70,14 @@
         else:
             await channel.close()
 
+    def forget(self, address: str) -> None:
+        """Use none of the idle connections to an address any more.
+
+        They led to a process that is gone. A request sent on one of them
+        may count as run and never be answered.
+        """
+        self._forgotten += self._idle_by_address.pop(address, [])
+
     async def drop(self, address: str) -> None:
         """Close the idle connections to an address."""
         for channel in self._idle_by_address.pop(address, []):
@@ -82,6 +91,7 @@
         """
         while True:
             await anyio.sleep(SWEEP_S)
+            await self._close_forgotten()
             for address, idle in tuple(self._idle_by_address.items()):
                 kept = [channel for channel in idle if channel.is_fresh()]
                 old = [channel for channel in idle if channel not in kept]
@@ -93,5 +103,11 @@
 
     async def close(self) -> None:
         """Close every idle connection."""
+        await self._close_forgotten()
         for address in tuple(self._idle_by_address):
             await self.drop(address)
+
+    async def _close_forgotten(self) -> None:
+        forgotten, self._forgotten = self._forgotten, []
+        for channel in forgotten:
+            await channel.close()
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListedEndpoint:
-    """An endpoint in the platform's list; each start has a new id."""
+    """An endpoint in the platform's list."""
 
     id: EndpointId
     service: ServiceName
@@ -91,6 +91,9 @@
     slow_for_s: float = 0.0
     """Time after its start for which it is still slow."""
     software: str = ''
+    incarnation: int = 0
+    """Grows with each start of a process under the same id: its start in
+    milliseconds since 1970. 0 where the platform does not tell it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -13,10 +13,11 @@
     ServiceName,
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.engine_speed import EngineSpeed
 from mimosamux_daemon.gateway.health import EXCESS
 from mimosamux_daemon.gateway.prompt_parts import PromptParts
-from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.roster import Roster
 
 HOME_SHARE = 0.4
 """Share of the latency target up to which a request goes to the endpoint
@@ -60,12 +61,13 @@
     def __init__(
         self,
         *,
+        parts: PromptParts,
         roster: Roster,
         data_centre: DataCentreName,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
-        self.parts = PromptParts()
+        self.parts = parts
         self._roster = roster
         self._data_centre = data_centre
         self._clock = clock
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/configuration.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/configuration.py
@@ -10,6 +10,7 @@
     GatewayConfiguration,
 )
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.feeds import Unreadable
 
 log = get_log('configuration')
 
@@ -74,16 +75,26 @@
         self._configuration = configuration
         self._key = key
 
-    def replace(self, items: Mapping[str, ConfigurationDocument]) -> None:
+    def replace(
+        self, items: Mapping[str, ConfigurationDocument | Unreadable]
+    ) -> None:
         """Take what the whole table holds."""
         self.apply(items.items())
 
     def apply(
-        self, changes: Iterable[tuple[str, ConfigurationDocument | None]]
+        self,
+        changes: Iterable[
+            tuple[str, ConfigurationDocument | Unreadable | None]
+        ],
     ) -> None:
-        """Take the newest of some changes."""
+        """Take the newest of some changes.
+
+        What cannot be read changes nothing: what is in force stays so.
+        """
         for key, document in changes:
-            if key == self._key and document is not None:
+            if key == self._key and isinstance(
+                document, ConfigurationDocument
+            ):
                 self._configuration.take(document, source='platform')
 
     def confirm(self, at: float) -> None:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
@@ -0,0 +1,92 @@
+"""What a daemon knows of one start of one endpoint."""
+
+import math
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import anyio
+
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.names import EndpointId
+from mimosamux_daemon.gateway.health import EndpointHealth
+from mimosamux_daemon.gateway.loads import EndpointLoad
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class OpenSend:
+    """A request under way at an endpoint."""
+
+    sent_at: float
+    """On the steady clock."""
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    """Cancelled when the endpoint has started anew since."""
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class EndpointRecord:
+    """What is known of one endpoint; times are of the steady clock."""
+
+    listed: ListedEndpoint
+    since: float
+    """When it was first heard of."""
+    is_leaving: bool = False
+    """Set for good once it is known to go away."""
+    leaves_at: float | None = None
+    gone_at: float | None = None
+    """When it was found missing in the list."""
+    is_lapsed: bool = False
+    """Whether it is missing in the list, and may live all the same."""
+    is_withheld: bool = False
+    """Whether its entry cannot be read at the moment."""
+    leaving_incarnation: int = 0
+    """Newest start of the endpoint of which peers said that it leaves; it
+    may be one that the list has not told of yet."""
+    failed_connects: int = 0
+    avoid_until: float = -math.inf
+    load: EndpointLoad = field(default_factory=EndpointLoad)
+    health: EndpointHealth = field(default_factory=EndpointHealth)
+    open_sends: set[OpenSend] = field(default_factory=set)
+
+    @property
+    def id(self) -> EndpointId:
+        """Return the id, which an endpoint keeps when it starts anew."""
+        return self.listed.id
+
+    @property
+    def incarnation(self) -> int:
+        """Return which start of the endpoint this is, 0: not known."""
+        return self.listed.incarnation
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new requests may be sent there."""
+        return not (
+            self.is_leaving or self.is_withheld or self.gone_at is not None
+        )
+
+    def is_avoided(self, now: float) -> bool:
+        """Whether connects fail there and the next try is not due."""
+        return now < self.avoid_until
+
+    @contextmanager
+    def sending(self, now: float) -> Iterator[anyio.CancelScope]:
+        """Count a request as under way; its scope ends with the process."""
+        send = OpenSend(sent_at=now)
+        self.open_sends.add(send)
+        try:
+            with send.scope:
+                yield send.scope
+        finally:
+            self.open_sends.discard(send)
+
+    def end_sends(self, *, before: float) -> int:
+        """Cancel what was sent before a moment; return how much it was.
+
+        Its process is gone. Behind a cut, or from a VM that lost power,
+        no reset tells so, and callers would wait for nothing.
+        """
+        lost = [send for send in self.open_sends if send.sent_at < before]
+        for send in lost:
+            send.scope.cancel()
+        return len(lost)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -13,11 +13,11 @@
 import anyio
 import anyio.abc
 
-from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.domain.routes import EngineTraits, ServiceEntry
 from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.run_moves import (
     MoveOutcome,
@@ -71,23 +71,25 @@
     tell: Callable[[EndpointRecord], None]
     """Tells the peers when an endpoint leaves."""
     metrics: GatewayMetrics
-    _by_endpoint: dict[EndpointId, set[RunningStream]] = field(
+    _by_endpoint: dict[EndpointRecord, set[RunningStream]] = field(
         default_factory=dict
     )
+    """By record, not by id: streams of a process that is gone are not those
+    of the one that has started under its id."""
     _waiting: list[EndpointRecord] = field(default_factory=list)
     _arrived: anyio.Event = field(default_factory=anyio.Event)
 
     @contextmanager
     def running(self, stream: RunningStream) -> Iterator[None]:
         """Count a stream as running at its endpoint."""
-        streams = self._by_endpoint.setdefault(stream.record.id, set())
+        streams = self._by_endpoint.setdefault(stream.record, set())
         streams.add(stream)
         try:
             yield
         finally:
             streams.discard(stream)
             if not streams:
-                self._by_endpoint.pop(stream.record.id, None)
+                self._by_endpoint.pop(stream.record, None)
 
     def note_leaving(self, record: EndpointRecord) -> None:
         """Have the streams of an endpoint looked after."""
@@ -105,7 +107,7 @@
                     tasks.start_soon(self._evacuate, record)
 
     async def _evacuate(self, record: EndpointRecord) -> None:
-        streams = self._by_endpoint.get(record.id)
+        streams = self._by_endpoint.get(record)
         if not streams or not _can_move(next(iter(streams))):
             return
         if record.leaves_at is None:
@@ -113,32 +115,34 @@
         leaves_at = record.leaves_at
         if leaves_at is None:
             leaves_at = self.clock() + self.drain_s
-        left_s = leaves_at - self.clock() - LAST_S - self._copy_s(record.id)
+        left_s = leaves_at - self.clock() - LAST_S - self._copy_s(record)
         await anyio.sleep(max(left_s, 0.0))
-        for stream in self._sort(record.id):
+        for stream in self._sort(record):
             await self._move(stream)
 
     async def _ask(self, record: EndpointRecord) -> None:
         outlook = await self.moves.look(record.listed)
         if isinstance(outlook, Unavailable) or outlook.leaves_in_s is None:
             return
+        if 0 < record.incarnation != outlook.incarnation > 0:
+            return
         record.leaves_at = self.clock() + outlook.leaves_in_s
         self.tell(record)
 
-    def _copy_s(self, endpoint: EndpointId) -> float:
+    def _copy_s(self, record: EndpointRecord) -> float:
         """Return the time that copying all streams there takes."""
-        return sum(map(_copy_s, self._by_endpoint.get(endpoint, ())))
+        return sum(map(_copy_s, self._by_endpoint.get(record, ())))
 
-    def _sort(self, endpoint: EndpointId) -> list[RunningStream]:
+    def _sort(self, record: EndpointRecord) -> list[RunningStream]:
         """Return the streams still there, the largest first."""
-        streams = self._by_endpoint.get(endpoint, set())
+        streams = self._by_endpoint.get(record, set())
         return sorted(streams, key=lambda each: -each.tokens)
 
     async def _move(self, stream: RunningStream) -> None:
         target = self._find_target(stream)
-        if target is None or stream.record.id not in self._by_endpoint:
+        if target is None or stream.record not in self._by_endpoint:
             return
-        if stream not in self._by_endpoint[stream.record.id]:
+        if stream not in self._by_endpoint[stream.record]:
             return
         stream.is_moving = True
         outcome: MoveOutcome = MoveUnanswered(reason='cancelled')
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -14,6 +14,7 @@
     FeedNews,
     FeedState,
     HistoryLost,
+    Unreadable,
 )
 
 log = get_log('feed_reader')
@@ -30,10 +31,12 @@
 class FeedItems(Protocol[TakenT]):
     """What takes the items of a table."""
 
-    def replace(self, items: Mapping[str, TakenT]) -> None:
+    def replace(self, items: Mapping[str, TakenT | Unreadable]) -> None:
         """Take everything that is in the table."""
 
-    def apply(self, changes: tuple[tuple[str, TakenT | None], ...]) -> None:
+    def apply(
+        self, changes: tuple[tuple[str, TakenT | Unreadable | None], ...]
+    ) -> None:
         """Take changes in their order."""
 
     def confirm(self, at: float) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -48,6 +48,7 @@
 SOON_S = 0.1
 """When to come again after a cause that passes quickly."""
 NO_ENDPOINT_RETRY_S = 0.5
+RESTARTED = CallBroken(reason='the endpoint has started anew since')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -137,15 +138,22 @@
         self, job: Job, choice: Choice
     ) -> GatewayOutcome | NotSent | GoOn:
         with self.notes.open(job, choice) as send:
-            async with self.calls.send(send.call()) as sent:
-                if isinstance(sent, NotSent):
-                    send.note_unsent(sent.reason)
-                    return sent
-                send.note_connected()
-                job.kv_source = job.move_target = None
-                if isinstance(sent, CallBroken):
-                    return self._end_broken(job, send, sent)
-                return await self._take_answer(job, send, sent)
+            with choice.record.sending(send.sent_at):
+                return await self._exchange(job, send)
+            return self._end_broken(job, send, RESTARTED)
+
+    async def _exchange(
+        self, job: Job, send: Send
+    ) -> GatewayOutcome | NotSent | GoOn:
+        async with self.calls.send(send.call()) as sent:
+            if isinstance(sent, NotSent):
+                send.note_unsent(sent.reason)
+                return sent
+            send.note_connected()
+            job.kv_source = job.move_target = None
+            if isinstance(sent, CallBroken):
+                return self._end_broken(job, send, sent)
+            return await self._take_answer(job, send, sent)
 
     async def _take_answer(
         self, job: Job, send: Send, sent: SentRequest
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -9,9 +9,10 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.duties import Duties
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.peer_states import PeerStates
-from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.roster import Roster
 
 JSON = ((b'Content-Type', b'application/json'),)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -20,6 +20,7 @@
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
@@ -28,8 +29,9 @@
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.overload import WINDOW_S, Overload
 from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.prompt_parts import PromptParts
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
-from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.gateway.sends import SendNotes
 from mimosamux_daemon.gateway.settings import GatewaySettings
@@ -72,7 +74,7 @@
         self._rng = rng
         self._build_states(network)
         self._build_configuration()
-        self._build_endpoints()
+        self._build_endpoints(shared_time)
         self._build_counts(shared_time)
         self._build_duties(wall_clock)
         self._build_forwarding()
@@ -144,8 +146,12 @@
             rng=self._rng,
         )
 
-    def _build_endpoints(self) -> None:
-        self.roster = Roster(clock=self._clock, health=self.health)
+    def _build_endpoints(self, shared_time: SharedTime) -> None:
+        self.roster = Roster(
+            clock=self._clock,
+            time_of_day=shared_time.now,
+            health=self.health,
+        )
         self.roster.on_learned.append(self._tell_leaving)
         self.states.on_forgotten.append(self.roster.forget_peer)
         self.endpoint_reader = FeedReader(
@@ -169,12 +175,14 @@
         )
         self.roster.on_leaving.append(self.evacuation.note_leaving)
         self.chooser = Chooser(
+            parts=PromptParts(is_current=self.roster.is_current),
             roster=self.roster,
             data_centre=self.settings.place.data_centre,
             clock=self._clock,
             rng=self._rng,
         )
         self.roster.on_forgotten.append(self.chooser.parts.forget)
+        self.roster.on_restarted.append(self._forget_before_restart)
 
     def _build_counts(self, shared_time: SharedTime) -> None:
         self.caps = UsageCaps(
@@ -281,5 +289,14 @@
         )
         left_ms = -1 if left_s is None else int(max(left_s, 0.0) * 1000)
         self.states.queue(
-            EndpointsLeave(endpoints=[record.id], leave_in_ms=[left_ms])
+            EndpointsLeave(
+                endpoints=[record.id],
+                leave_in_ms=[left_ms],
+                incarnations=[record.incarnation],
+            )
         )
+
+    def _forget_before_restart(self, old: EndpointRecord) -> None:
+        """Drop what an endpoint held, and connections to it, before."""
+        self.chooser.parts.forget(old.id)
+        self._platform.forget_connections(old.listed.address)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/prompt_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/prompt_parts.py
@@ -1,6 +1,7 @@
 """Which parts of prompts the engines likely hold in their cache."""
 
 from collections import OrderedDict
+from collections.abc import Callable
 
 from mimosamux_wire import PartsRead, StateDigest
 
@@ -21,16 +22,25 @@
     reads whatever it does not hold.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, is_current: Callable[[EndpointId, int], bool]
+    ) -> None:
+        self._is_current = is_current
+        """Whether a start of an endpoint is the one that runs now."""
         self._held_by_endpoint: dict[EndpointId, Held] = {}
-        self._news: dict[EndpointId, list[str]] = {}
-
-    def note_read(self, endpoint: EndpointId, prompt: PromptUse) -> None:
-        """Note that an endpoint has read a prompt."""
+        self._news: dict[tuple[EndpointId, int], list[str]] = {}
+
+    def note_read(
+        self, endpoint: EndpointId, prompt: PromptUse, incarnation: int = 0
+    ) -> None:
+        """Note that a start of an endpoint has read a prompt."""
+        if not self._is_current(endpoint, incarnation):
+            return
         held = self._held_by_endpoint.setdefault(endpoint, OrderedDict())
         for part in prompt.parts[:-1]:
             if part.id not in held:
-                self._news.setdefault(endpoint, []).append(part.id)
+                key = (endpoint, incarnation)
+                self._news.setdefault(key, []).append(part.id)
             self._add(held, part.id)
 
     def forget(self, endpoint: EndpointId) -> None:
@@ -40,7 +50,8 @@
         old ones would fill the memory of a daemon that runs for days.
         """
         self._held_by_endpoint.pop(endpoint, None)
-        self._news.pop(endpoint, None)
+        for key in [each for each in self._news if each[0] == endpoint]:
+            del self._news[key]
 
     def cached_tokens(self, endpoint: EndpointId, prompt: PromptUse) -> int:
         """Return the tokens that need not be read again there.
@@ -66,16 +77,17 @@
         """Tell what was read since the last digest."""
         news, self._news = self._news, {}
         digest.parts.extend(
-            PartsRead(endpoint=endpoint, parts=parts)
-            for endpoint, parts in news.items()
+            PartsRead(endpoint=endpoint, parts=parts, incarnation=incarnation)
+            for (endpoint, incarnation), parts in news.items()
         )
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
         """Take what endpoints have read for a peer."""
         for read in digest.parts:
-            held = self._held_by_endpoint.setdefault(
-                EndpointId(read.endpoint), OrderedDict()
-            )
+            endpoint = EndpointId(read.endpoint)
+            if not self._is_current(endpoint, read.incarnation):
+                continue
+            held = self._held_by_endpoint.setdefault(endpoint, OrderedDict())
             for part in read.parts:
                 self._add(held, part)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Callable, Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
 
 import anyio
 from mimosamux_wire import EndpointsLeave, EndpointUse, StateDigest
@@ -14,11 +13,12 @@
     EndpointId,
     ServiceName,
 )
-from mimosamux_daemon.gateway.health import Answers, EndpointHealth
-from mimosamux_daemon.gateway.loads import EndpointLoad
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.health import Answers
 from mimosamux_daemon.gateway.peer_states import PeerState
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.feeds import Unreadable
 
 log = get_log('roster')
 
@@ -30,42 +30,9 @@
 LAST_PAUSE_S = 4.0
 """An endpoint that cannot be connected to is left alone for the first of
 these; the pause doubles with each failed connect up to the last."""
-
-
-@dataclass(kw_only=True, slots=True, eq=False)
-class EndpointRecord:
-    """What is known of one endpoint; times are of the steady clock."""
-
-    listed: ListedEndpoint
-    since: float
-    """When it was first heard of."""
-    is_leaving: bool = False
-    """Set for good once it is known to go away."""
-    leaves_at: float | None = None
-    gone_at: float | None = None
-    """When it was found missing in the list."""
-    is_lapsed: bool = False
-    """Whether it is missing in the list, and may live all the same."""
-    failed_connects: int = 0
-    avoid_until: float = -math.inf
-    load: EndpointLoad = field(default_factory=EndpointLoad)
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    left: anyio.Event = field(default_factory=anyio.Event)
-    """Set with `is_leaving`."""
-
-    @property
-    def id(self) -> EndpointId:
-        """Return the id of the endpoint's lifetime."""
-        return self.listed.id
-
-    @property
-    def takes_work(self) -> bool:
-        """Whether new requests may be sent there."""
-        return not self.is_leaving and self.gone_at is None
-
-    def is_avoided(self, now: float) -> bool:
-        """Whether connects fail there and the next try is not due."""
-        return now < self.avoid_until
+START_SLACK_S = 0.5
+"""Time before an endpoint's start, as it tells it, from which on a request
+may have reached the new process: its clock and ours differ by less."""
 
 
 Listener = Callable[[EndpointRecord], None]
@@ -78,6 +45,7 @@
         self,
         *,
         clock: Callable[[], float],
+        time_of_day: Callable[[], float],
         health: StoreHealth,
     ) -> None:
         self.by_id: dict[EndpointId, EndpointRecord] = {}
@@ -87,14 +55,19 @@
         """Told of each endpoint that leaves, whoever learned of it."""
         self.on_learned: list[Listener] = []
         """Told of those that the platform told this daemon of."""
+        self.on_restarted: list[Listener] = []
+        """Told of what was known of an endpoint that has started anew."""
         self.on_forgotten: list[Callable[[EndpointId], None]] = []
         """Told of each endpoint that is remembered no longer."""
         self._clock = clock
+        self._time_of_day = time_of_day
         self._health = health
         self._told_by_peer: dict[DaemonId, frozenset[EndpointId]] = {}
         """Endpoints that each peer told of in its last digest."""
 
-    def replace(self, items: Mapping[str, ListedEndpoint]) -> None:
+    def replace(
+        self, items: Mapping[str, ListedEndpoint | Unreadable]
+    ) -> None:
         """Take the whole list as it is now."""
         for id_, record in tuple(self.by_id.items()):
             if id_ not in items and record.gone_at is None:
@@ -102,13 +75,14 @@
         self.apply(tuple(items.items()))
 
     def apply(
-        self, changes: Iterable[tuple[str, ListedEndpoint | None]]
+        self, changes: Iterable[tuple[str, ListedEndpoint | Unreadable | None]]
     ) -> None:
         """Take changes of the list in their order."""
         for key, item in changes:
-            id_ = EndpointId(key)
-            record = self.by_id.get(id_)
-            if item is not None:
+            record = self.by_id.get(EndpointId(key))
+            if isinstance(item, Unreadable):
+                self._withhold(record, item)
+            elif item is not None:
                 self._take(item)
             elif record is not None and record.gone_at is None:
                 self._note_missing(record)
@@ -120,12 +94,25 @@
         """Nothing to do: entries carry no time that has to be fresh."""
 
     def note_leaving(
-        self, id_: EndpointId, *, left_s: float | None, source: str
+        self,
+        id_: EndpointId,
+        *,
+        left_s: float | None,
+        source: str,
+        incarnation: int = 0,
     ) -> None:
-        """Give an endpoint nothing new from now on."""
+        """Give an endpoint nothing new from now on.
+
+        `incarnation` tells which start of it is meant, 0: the known one.
+        An earlier one has left anyway, and says nothing of the known one;
+        a later one is kept in mind until the list tells of it.
+        """
         record = self.by_id.get(id_)
-        if record is None:
+        if record is None or 0 < incarnation < record.incarnation:
             return
+        record.leaving_incarnation = max(
+            record.leaving_incarnation, incarnation
+        )
         if left_s is not None:
             leaves_at = self._clock() + left_s
             known = record.leaves_at
@@ -133,7 +120,6 @@
         if record.is_leaving:
             return
         record.is_leaving = True
-        record.left.set()
         log.info(
             'endpoint_leaving',
             endpoint=id_,
@@ -182,7 +168,12 @@
         Its entry is listed for some seconds more, and each request that is
         sent to it meanwhile would be turned down.
         """
-        self.note_leaving(record.id, left_s=0.0, source='its heir')
+        self.note_leaving(
+            record.id,
+            left_s=0.0,
+            source='its heir',
+            incarnation=record.incarnation,
+        )
 
     def write(self, digest: StateDigest) -> None:
         """Tell what is under way at each endpoint from here."""
@@ -197,6 +188,7 @@
                         unread_tokens=int(use.unread_tokens),
                         ended=answers.ended,
                         failed=answers.failed,
+                        incarnation=record.incarnation,
                     )
                 )
 
@@ -208,7 +200,11 @@
         them for each digest took 0.21 of 0.34 ms.
         """
         now = self._clock()
-        told = {EndpointId(use.endpoint): use for use in digest.endpoints}
+        told = {
+            EndpointId(use.endpoint): use
+            for use in digest.endpoints
+            if self.is_current(EndpointId(use.endpoint), use.incarnation)
+        }
         before = self._told_by_peer.get(peer.place.id, frozenset())
         self._told_by_peer[peer.place.id] = frozenset(told)
         for id_ in before - told.keys():
@@ -216,6 +212,17 @@
         for id_, use in told.items():
             self._note_peer(peer, id_, use, now)
 
+    def is_current(self, id_: EndpointId, incarnation: int) -> bool:
+        """Whether a start of an endpoint is the known one, 0: it is.
+
+        What peers tell of an earlier one would count its load and its
+        failures for the new process, which has neither.
+        """
+        record = self.by_id.get(id_)
+        if record is None or not incarnation:
+            return True
+        return record.incarnation in (0, incarnation)
+
     def forget_peer(self, id_: DaemonId) -> None:
         """Forget what a daemon told that is given up."""
         self._told_by_peer.pop(id_, None)
@@ -239,13 +246,13 @@
         self, sender: DaemonId, message: EndpointsLeave
     ) -> None:
         """Take what a peer has learned of endpoints that leave."""
-        for id_, left_ms in zip(
-            message.endpoints, message.leave_in_ms, strict=False
-        ):
+        told = zip(message.endpoints, message.leave_in_ms, strict=False)
+        for place, (id_, left_ms) in enumerate(told):
             self.note_leaving(
                 EndpointId(id_),
                 left_s=None if left_ms < 0 else left_ms / 1000,
                 source=sender,
+                incarnation=_get(message.incarnations, place),
             )
 
     def data_centres(self, service: ServiceName) -> set[DataCentreName]:
@@ -256,26 +263,77 @@
 
     def _take(self, item: ListedEndpoint) -> None:
         record = self.by_id.get(item.id)
-        if record is None:
-            record = EndpointRecord(listed=item, since=self._clock())
-            self.by_id[item.id] = record
+        if record is not None and item.incarnation < record.incarnation:
+            # Written by an earlier process, or by another writer: it says
+            # nothing of the process that is known to run there.
             log.info(
-                'endpoint_listed',
+                'endpoint_entry_stale',
                 endpoint=item.id,
-                service=item.service,
-                address=item.address,
-                data_centre=item.data_centre,
-                market=item.market,
-                state=item.state,
+                incarnation=item.incarnation,
+                known=record.incarnation,
             )
+            return
+        if record is None:
+            record = self._add(item)
+        elif 0 < record.incarnation < item.incarnation:
+            record = self._restart(record, item)
         record.listed = item
         record.gone_at = None
         record.is_lapsed = False
+        record.is_withheld = False
         if item.state is EndpointState.LEAVING:
             self.note_leaving(
                 item.id, left_s=item.leaves_in_s, source=PLATFORM
             )
 
+    def _add(self, item: ListedEndpoint) -> EndpointRecord:
+        record = EndpointRecord(listed=item, since=self._clock())
+        self.by_id[item.id] = record
+        log.info(
+            'endpoint_listed',
+            endpoint=item.id,
+            incarnation=item.incarnation,
+            service=item.service,
+            address=item.address,
+            data_centre=item.data_centre,
+            market=item.market,
+            state=item.state,
+        )
+        return record
+
+    def _restart(
+        self, old: EndpointRecord, item: ListedEndpoint
+    ) -> EndpointRecord:
+        """Begin anew with an endpoint that has lost all that it held."""
+        now = self._clock()
+        old.gone_at = now
+        age_s = self._time_of_day() - item.incarnation / 1000
+        lost = old.end_sends(before=now - max(age_s, 0.0) - START_SLACK_S)
+        log.info(
+            'endpoint_restarted',
+            endpoint=item.id,
+            before=old.incarnation,
+            age_s=round(age_s, 2),
+            lost_requests=lost,
+        )
+        record = self._add(item)
+        for listener in self.on_restarted:
+            listener(old)
+        if item.incarnation <= old.leaving_incarnation:
+            self.note_leaving(item.id, left_s=None, source='a peer')
+        return record
+
+    def _withhold(
+        self, record: EndpointRecord | None, item: Unreadable
+    ) -> None:
+        """Use an endpoint no longer until its entry can be read again."""
+        if record is None or record.is_withheld:
+            return
+        record.is_withheld = True
+        log.warning(
+            'endpoint_withheld', endpoint=record.id, problem=item.problem
+        )
+
     def _note_missing(self, record: EndpointRecord) -> None:
         """Take an endpoint that is no longer listed as gone.
 
@@ -310,3 +368,8 @@
                 del self.by_id[id_]
                 for listener in self.on_forgotten:
                     listener(id_)
+
+
+def _get(numbers: list[int], place: int) -> int:
+    """Return a number that an older peer does not tell as 0."""
+    return numbers[place] if place < len(numbers) else 0
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -13,8 +13,9 @@
 from mimosamux_daemon.domain.vms import Market
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.demand_prior import expect_busy
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.roster import EndpointRecord, Roster
+from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.scaling_plan import (
     ScalingPolicy,
     Slot,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -119,7 +119,8 @@
         if prompt is None:
             return
         chooser = self.notes.chooser
-        chooser.parts.note_read(choice.record.id, prompt)
+        record = choice.record
+        chooser.parts.note_read(record.id, prompt, record.incarnation)
         if choice.ahead_tokens < 1:
             speed = chooser.speed_of(self.job.service.name)
             speed.note(choice.unread_tokens, took_s)
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/feeds.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/feeds.py
@@ -9,11 +9,23 @@
 ItemT = TypeVar('ItemT')
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unreadable:
+    """An item that is there and says nothing that can be understood.
+
+    Whoever may write to a table may write anything there. Taken as gone,
+    such an item would end what it stood for; left out, what stood there
+    before would be used on.
+    """
+
+    problem: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class FeedState(Generic[ItemT]):
     """Everything in a table at one moment."""
 
-    items_by_key: Mapping[str, ItemT]
+    items_by_key: Mapping[str, ItemT | Unreadable]
     cursor: int
     """Where the changes behind it begin."""
     as_of: float
@@ -24,7 +36,7 @@
 class FeedNews(Generic[ItemT]):
     """Changes in their order; None stands for an item that is gone."""
 
-    changes: tuple[tuple[str, ItemT | None], ...]
+    changes: tuple[tuple[str, ItemT | Unreadable | None], ...]
     cursor: int
     as_of: float
     """Up to when these are all, on the steady clock of this machine."""
@@ -36,7 +48,7 @@
 
 
 class Feed(Protocol[ItemT]):
-    """One table; items that cannot be read are left out and logged."""
+    """One table."""
 
     async def read(self) -> FeedState[ItemT] | Unavailable:
         """Return everything that is there now."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -34,5 +34,7 @@
     """Makes the handler of questions for addresses and readiness."""
     distrust_connections: Callable[[], None]
     """Has no connection used again that was kept until now."""
+    forget_connections: Callable[[str], None]
+    """Has no kept connection to an endpoint's address used again."""
     run: Callable[[], Coroutine[Any, Any, None]]
     """Upkeep of connections, until cancelled."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/run_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/run_moves.py
@@ -13,6 +13,8 @@
 
     leaves_in_s: float | None
     """Time until it is taken away, None if it does not know."""
+    incarnation: int = 0
+    """Which start of the endpoint says so, 0: not known."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -83,6 +83,8 @@
     speed: ReplicaSpeed = field(default_factory=ReplicaSpeed)
     fault: Fault = Fault.NONE
     is_reclaimable: bool = False
+    born_ms: int | None = None
+    """Start of its process in ms since 1970; some replicas tell none."""
     state: str = 'ready'
     leaves_ms: float | None = None
     runs: list[Run] = field(default_factory=list)
@@ -114,6 +116,8 @@
         }
         if self.is_reclaimable:
             entry['spotInstances'] = True
+        if self.born_ms is not None:
+            entry['born'] = self.born_ms
         return entry
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
@@ -313,6 +317,8 @@
         }
         if self.leaves_ms is not None:
             report['leaves_ms'] = self.leaves_ms
+        if self.born_ms is not None:
+            report['born'] = self.born_ms
         return report
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -23,6 +23,8 @@
     ended: int = 0
     """Requests of the last seconds that were answered, or failed."""
     failed: int = 0
+    incarnation: int = 0
+    """Start of the endpoint that is meant, 0: not known."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'endpoint', 'UTF8', ''),
@@ -30,6 +32,7 @@
         (3, TType.I64, 'unread_tokens', None, 0),
         (4, TType.I32, 'ended', None, 0),
         (5, TType.I32, 'failed', None, 0),
+        (6, TType.I64, 'incarnation', None, 0),
     )
 
 
@@ -84,10 +87,13 @@
 
     endpoint: str = ''
     parts: list[str] = field(default_factory=list)
+    incarnation: int = 0
+    """Start of the endpoint that read them, 0: not known."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'endpoint', 'UTF8', ''),
         (2, TType.LIST, 'parts', (TType.STRING, 'UTF8', False), None),
+        (3, TType.I64, 'incarnation', None, 0),
     )
 
 
@@ -169,10 +175,13 @@
     endpoints: list[str] = field(default_factory=list)
     leave_in_ms: list[int] = field(default_factory=list)
     """Time left for each of them, -1: not known."""
+    incarnations: list[int] = field(default_factory=list)
+    """Start of each of them, 0: not known."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.LIST, 'endpoints', (TType.STRING, 'UTF8', False), None),
         (2, TType.LIST, 'leave_in_ms', (TType.I64, None, False), None),
+        (3, TType.LIST, 'incarnations', (TType.I64, None, False), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -224,6 +224,7 @@
   3: i64 unread_tokens
   4: i32 ended
   5: i32 failed
+  6: i64 incarnation
 }
 
 struct CapUse {
@@ -246,6 +247,7 @@
 struct PartsRead {
   1: string endpoint
   2: list<string> parts
+  3: i64 incarnation
 }
 
 struct DigestHeard {
@@ -279,6 +281,7 @@
 struct EndpointsLeave {
   1: list<string> endpoints
   2: list<i64> leave_in_ms
+  3: list<i64> incarnations
 }
 
 struct Vouch {
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -37,6 +37,11 @@
     return anyio.current_time()
 
 
+def wall_ms():
+    """Return the true time of day, in whole milliseconds."""
+    return int((WALL_START + anyio.current_time()) * 1000)
+
+
 @dataclass(kw_only=True)
 class DaemonHandle:
     """A daemon that runs, or ran."""
@@ -162,6 +167,34 @@
     def unlist_replica(self, replica):
         self.store.put('servers', replica.id, None)
 
+    async def restart_replica(self, replica):
+        """Start a replica anew, under its id, behind a cut.
+
+        Whoever had a connection to the old process sees no reset.
+        """
+        machine = machine_of(replica.address)
+        self.network.silence(lambda each: machine in (each.here, each.there))
+        self.scope_by_replica[replica.id].cancel()
+        await anyio.sleep(0.01)
+        self.network.listeners.pop(replica.address, None)
+        heir = StandInReplica(
+            id=replica.id,
+            service=replica.service,
+            zone=replica.zone,
+            address=replica.address,
+            slots=replica.slots,
+            speed=replica.speed,
+            born_ms=wall_ms(),
+        )
+        heir.by_address = self.replicas_by_address
+        self.replicas_by_address[heir.address] = heir
+        self.replicas_by_id[heir.id] = heir
+        scope = anyio.CancelScope()
+        self.scope_by_replica[heir.id] = scope
+        await self.serve(heir.address, heir.handle, scope)
+        self.list_replica(heir)
+        return heir
+
     def crash_replica(self, replica):
         """End a replica at once; the list shows it for a while."""
         self.network.kill(machine_of(replica.address))
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -24,12 +24,13 @@
     NotSent,
     TurnedDown,
 )
-from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost
+from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost, Unreadable
 from mimosamux_platform.documents import parse_configuration, parse_endpoint
 from mimosamux_platform.front import read_request
 from mimosamux_platform.http_calls import PlatformCalls
 from mimosamux_platform.replicas import ReplicaCalls
 from mimosamux_platform.store import StoreFeed
+from mimosamux_standins.site import StandInReplica
 
 from tests.support.clock import run_paused
 from tests.support.memory_network import MemoryNetwork
@@ -203,13 +204,8 @@
     def test_lost_history_is_told_apart(self):
         self.assertIsInstance(self.follow_json(410, {}), HistoryLost)
 
-    def test_row_that_cannot_be_read_is_left_out(self):
-        good = {
-            'service': 'app',
-            'address': '10.0.0.2:80',
-            'zone': 'north',
-            'state': 'ready',
-        }
+    def test_row_that_cannot_be_read_is_told_as_such(self):
+        good = entry_fields()
         rows = [
             {
                 'tableName': 'servers',
@@ -226,7 +222,11 @@
         ]
         rows.append({'tableName': 'servers', 'key': 'i-5', 'value': '!!'})
         news = self.follow_json(200, {'rows': rows, 'rowVersion': 9})
-        self.assertEqual([key for key, _ in news.changes], ['i-1'])
+        found = {key: type(item) for key, item in news.changes}
+        self.assertEqual(found.pop('i-1'), ListedEndpoint)
+        self.assertEqual(
+            found, dict.fromkeys(('i-2', 'i-3', 'i-4', 'i-5'), Unreadable)
+        )
         self.assertEqual(news.cursor, 9)
 
     @settings(derandomize=True, deadline=None, max_examples=150)
@@ -241,6 +241,16 @@
         self.assertIsInstance(found, FeedNews | Unavailable)
 
 
+def entry_fields():
+    return StandInReplica(
+        id='i-1',
+        service='app',
+        address='10.0.0.2:80',
+        zone='north',
+        born_ms=1_790_000_000_000,
+    ).entry()
+
+
 def render_any(fields):
     try:
         return orjson.dumps(fields)
@@ -297,6 +307,81 @@
         except InvalidConfiguration as error:
             self.assertTrue(error.path)
 
+    def test_entry_of_a_replica_is_read_whole(self):
+        found = parse_endpoint('i-1', render(entry_fields()))
+        self.assertEqual(
+            (found.id, found.service, found.slots, found.incarnation),
+            ('i-1', 'app', 6, 1_790_000_000_000),
+        )
+
+    def test_entry_without_its_start_is_read(self):
+        fields = entry_fields()
+        del fields['born']
+        found = parse_endpoint('i-1', render(fields))
+        self.assertEqual(found.incarnation, 0)
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.sampled_from(sorted(entry_fields().keys() - {'born'})))
+    def test_entry_that_lacks_a_field_is_refused_by_its_name(self, name):
+        """Another writer's entry looks like a replica's, less a field.
+
+        Read with a guess in its place, callers' requests would be sent to
+        whatever is at its address.
+        """
+        fields = entry_fields()
+        del fields[name]
+        with self.assertRaises(InvalidConfiguration) as caught:
+            parse_endpoint('i-1', render(fields))
+        self.assertIn(name, str(caught.exception))
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(st.sampled_from(sorted(entry_fields())), JSON)
+    def test_entry_with_a_field_of_another_type_is_refused(self, name, value):
+        """Another writer's entry has a text where a number belongs."""
+        fields = entry_fields()
+        if type(value) is type(fields[name]) or (
+            name == 'coldRemainingMs' and type(value) is float
+        ):
+            return
+        with self.assertRaises(InvalidConfiguration) as caught:
+            parse_endpoint('i-1', render_any(fields | {name: value}))
+        self.assertTrue(caught.exception.path)
+
+    def test_entry_with_an_unknown_state_or_address_is_refused(self):
+        for name, value in (
+            ('state', 'warming'),
+            ('state', ''),
+            ('service', ''),
+            ('address', '10.0.0.2'),
+            ('address', '10.0.0.2:0'),
+            ('address', '10.0.0.2:65536'),
+            ('address', '10.0.0.2:8O'),
+            ('address', 'replica.example:80'),
+            ('slots', 0),
+            ('slots', 10**9),
+            ('born', -1),
+            ('born', 1e300),
+            ('leaves_ms', '5'),
+            ('spotInstances', 1),
+            ('models', [{'name': 'm'}]),
+        ):
+            with self.subTest(name=name, value=value):
+                fields = entry_fields() | {name: value}
+                with self.assertRaises(InvalidConfiguration):
+                    parse_endpoint('i-1', render_any(fields))
+
+    def test_entry_whose_key_could_end_a_header_is_refused(self):
+        """Another writer's key holds a line break.
+
+        Sent along with a request, it would begin a header of its own.
+        """
+        for key in ('i-1\r\nX-Tenant: other', 'i 1', 'i-\u0101', ''):
+            with (
+                self.subTest(key=key),
+                self.assertRaises(InvalidConfiguration),
+            ):
+                parse_endpoint(key, render(entry_fields()))
+
 
 class TestRequestHeaders(unittest.TestCase):
     def read(self, *headers):
