--- a/benchmarks/bench_side_effects.py
+++ b/benchmarks/bench_side_effects.py
@@ -37,8 +37,8 @@
 )
 from mimosamux_daemon.logs import configure_logs
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.object_store import ObjectStore
-from mimosamux_daemon.ports.service import Services
+from mimosamux_daemon.ports.models.object_store import ObjectStore
+from mimosamux_daemon.ports.models.service import Services
 from mimosamux_daemon.ports.table import Table as TablePort
 from mimosamux_daemon.serving.journal import Journal
 from mimosamux_daemon.serving.side_effects import SideEffects
--- a/benchmarks/decisions/ways.py
+++ b/benchmarks/decisions/ways.py
@@ -11,7 +11,7 @@
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.vms import Market
 from mimosamux_daemon.domain.work import ModelRequest
-from mimosamux_daemon.ports.cloud import StartVM
+from mimosamux_daemon.ports.models.cloud import StartVM
 from mimosamux_daemon.serving.fleet import EndpointState, Fleet
 from mimosamux_daemon.serving.routing import Choice, Router
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_cloud.py
@@ -14,7 +14,7 @@
 from mimosamux_daemon.domain.names import DataCentreName, VMId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Price, ReclaimNotice
-from mimosamux_daemon.ports.cloud import StartRefused, StartVM
+from mimosamux_daemon.ports.models.cloud import StartRefused, StartVM
 
 
 class VMsReply(PlatformModel):
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine.py
@@ -38,7 +38,7 @@
 from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.pace import Pace
-from mimosamux_daemon.ports.engine import EngineStream, ReportStream
+from mimosamux_daemon.ports.models.engine import EngineStream, ReportStream
 
 CANCEL_TIMEOUT_S = 1.0
 EXPORT_TIMEOUT_S = 10.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -10,7 +10,10 @@
 from mimosamux_daemon.domain.http_headers import end_to_end_headers
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
-from mimosamux_daemon.ports.service import ServiceAnswer, ServiceUnanswered
+from mimosamux_daemon.ports.models.service import (
+    ServiceAnswer,
+    ServiceUnanswered,
+)
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 256
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_weight_store.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_weight_store.py
@@ -9,7 +9,7 @@
 )
 from mimosamux_daemon.domain.names import DataCentreName, ModelName
 from mimosamux_daemon.domain.store import Unavailable
-from mimosamux_daemon.ports.weight_store import WeightLimits
+from mimosamux_daemon.ports.models.weight_store import WeightLimits
 
 
 class SizeReply(PlatformModel):
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_cloud.py
@@ -21,7 +21,7 @@
     VMRole,
     VMState,
 )
-from mimosamux_daemon.ports.cloud import StartRefused, StartVM
+from mimosamux_daemon.ports.models.cloud import StartRefused, StartVM
 
 HOUR_S = 3600.0
 NEVER = float('inf')
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_engine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_engine.py
@@ -40,7 +40,7 @@
 )
 from mimosamux_daemon.domain.names import EndpointId, RequestId
 from mimosamux_daemon.domain.vms import Endpoint
-from mimosamux_daemon.ports.engine import EngineStream, ReportStream
+from mimosamux_daemon.ports.models.engine import EngineStream, ReportStream
 
 __all__ = [
     'EngineAbilities',
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_service.py
@@ -10,7 +10,10 @@
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
-from mimosamux_daemon.ports.service import ServiceAnswer, ServiceUnanswered
+from mimosamux_daemon.ports.models.service import (
+    ServiceAnswer,
+    ServiceUnanswered,
+)
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_weight_store.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/memory_weight_store.py
@@ -6,7 +6,7 @@
 
 from mimosamux_daemon.domain.names import DataCentreName, ModelName
 from mimosamux_daemon.domain.store import Unavailable
-from mimosamux_daemon.ports.weight_store import WeightLimits
+from mimosamux_daemon.ports.models.weight_store import WeightLimits
 
 DEFAULT_BYTES_PER_S = 1e9
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -8,9 +8,9 @@
 import anyio
 import anyio.abc
 
+from mimosamux_daemon.early_listeners import BACKLOG, SocketsByAddress
 from mimosamux_daemon.ports.network import Connection, ConnectionHandler
 
-BACKLOG = 1024
 SENT_DATA_TIMEOUT_MS = 5000
 """Sent data that is not acknowledged for so long ends a connection: a
 machine without power answers nothing, not even with a reset, and the
@@ -83,6 +83,10 @@
 class TcpNetwork:
     """TCP by IP addresses."""
 
+    def __init__(self, *, opened: SocketsByAddress | None = None) -> None:
+        self._opened = {} if opened is None else opened
+        """Sockets that listen already, by address; each is taken once."""
+
     async def connect(self, address: str) -> Connection:
         """Return a new connection; raises `OSError` if there is none."""
         host, port = split_address(address)
@@ -90,6 +94,11 @@
 
     async def listen(self, address: str) -> TcpListener:
         """Take connections to an address; port 0 takes a free one."""
+        opened = self._opened.pop(address, None)
+        if opened is not None:
+            return TcpListener(
+                listener=await anyio.abc.SocketListener.from_socket(opened)
+            )
         host, port = split_address(address)
         created = await anyio.create_tcp_listener(
             local_host=host, local_port=port, backlog=BACKLOG
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/build_planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/build_planner.py
@@ -19,11 +19,11 @@
 from mimosamux_daemon.control.weight_queue import WeightQueue
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.ports.cloud import Cloud
-from mimosamux_daemon.ports.engine import Engines
+from mimosamux_daemon.ports.models.cloud import Cloud
+from mimosamux_daemon.ports.models.engine import Engines
+from mimosamux_daemon.ports.models.weight_store import WeightStore
 from mimosamux_daemon.ports.peer import Peers
 from mimosamux_daemon.ports.table import Table
-from mimosamux_daemon.ports.weight_store import WeightStore
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/configuration_log.py
@@ -31,7 +31,8 @@
 )
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports import ObjectStore, Table
+from mimosamux_daemon.ports import Table
+from mimosamux_daemon.ports.models import ObjectStore
 
 log = get_log('configuration')
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/endpoints.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/endpoints.py
@@ -18,7 +18,7 @@
 from mimosamux_daemon.domain.vms import VM, Endpoint, VMRole, VMState
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.cloud import Cloud
+from mimosamux_daemon.ports.models.cloud import Cloud
 from mimosamux_daemon.ports.peer import Peers
 from mimosamux_daemon.serving.fleet import STATE_NAMES, Fleet
 from mimosamux_daemon.serving.prices import PriceBook
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/orders.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/orders.py
@@ -39,8 +39,8 @@
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Endpoint, VMRole, VMState
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.cloud import Cloud, StartRefused, StartVM
-from mimosamux_daemon.ports.engine import Engines
+from mimosamux_daemon.ports.models.cloud import Cloud, StartRefused, StartVM
+from mimosamux_daemon.ports.models.engine import Engines
 
 log = get_log('orders')
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/ownership.py
@@ -36,7 +36,7 @@
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.engine import Engines, ReportStream
+from mimosamux_daemon.ports.models.engine import Engines, ReportStream
 from mimosamux_daemon.ports.peer import Peers
 from mimosamux_daemon.serving.fair_shares import FairShares
 from mimosamux_daemon.serving.fleet import Fleet
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/planner.py
@@ -45,7 +45,7 @@
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Endpoint, VMRole, VMState
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.cloud import Cloud
+from mimosamux_daemon.ports.models.cloud import Cloud
 from mimosamux_daemon.ports.table import Table
 
 log = get_log('planner')
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/platform_seeds.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/platform_seeds.py
@@ -5,7 +5,7 @@
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VMRole, VMState
-from mimosamux_daemon.ports import Cloud
+from mimosamux_daemon.ports.models import Cloud
 from mimosamux_daemon.settings import PeerAddress
 
 POLL_S = 60.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/store_guard.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/store_guard.py
@@ -27,7 +27,7 @@
     Write,
 )
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.object_store import ObjectStore
+from mimosamux_daemon.ports.models.object_store import ObjectStore
 from mimosamux_daemon.ports.table import Table
 
 __all__ = [
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/weight_queue.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/weight_queue.py
@@ -8,7 +8,7 @@
 from mimosamux_daemon.domain.configuration import ModelSpec
 from mimosamux_daemon.domain.names import DataCentreName
 from mimosamux_daemon.domain.store import Unavailable
-from mimosamux_daemon.ports.weight_store import WeightStore
+from mimosamux_daemon.ports.models.weight_store import WeightStore
 
 RETRY_S = 5.0
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -9,6 +9,7 @@
 import yaml
 
 from mimosamux_daemon.context import Environment
+from mimosamux_daemon.early_listeners import SocketsByAddress, open_early
 from mimosamux_daemon.errors import InvalidInput
 from mimosamux_daemon.status import ExitStatus
 
@@ -16,6 +17,8 @@
 GATEWAY = 'mimosamux_daemon.gateway.program'
 GATEWAY_FIELD = 'adapter'
 """Field that only the settings of a gateway have."""
+EARLY = ('entry', 'discovery', 'readiness', 'peers')
+"""Addresses of a gateway that others may connect to at any time."""
 
 
 class Face(Protocol):
@@ -24,8 +27,13 @@
     def check(self, path: str) -> None:
         """Raise `InvalidInput` for a settings file that is wrong."""
 
-    def serve(self, path: str, env: Environment) -> None:
-        """Run a daemon until it is stopped."""
+    def serve(
+        self, path: str, env: Environment, listening: SocketsByAddress
+    ) -> None:
+        """Run a daemon until it is stopped.
+
+        `listening` are sockets that may be open for its addresses.
+        """
 
 
 def main(args: Sequence[str], env: Environment) -> ExitStatus:
@@ -53,24 +61,42 @@
 
     def serve(self, settings: str) -> None:
         """Run a daemon with the settings file until SIGTERM or Ctrl-C."""
-        find_face(settings).serve(settings, self._env)
+        fields = read_fields(settings)
+        listening = open_early(find_early_addresses(fields))
+        find_face(fields).serve(settings, self._env, listening)
 
     def check(self, settings: str) -> None:
         """Check a settings file and say what is wrong with it."""
-        find_face(settings).check(settings)
+        find_face(read_fields(settings)).check(settings)
         print(f'{settings}: valid', file=self._env.stdout)
 
 
-def find_face(path: str) -> Face:
-    """Return the kind of daemon that a settings file is for.
+def read_fields(path: str) -> dict[str, object]:
+    """Return the fields of a settings file, none where it is unreadable.
 
-    Only its modules are loaded: those of the other kind, with their
-    libraries, would cost 25 MB of a small VM and delay each start.
+    What is wrong with it is said where it is checked.
     """
     try:
         fields = yaml.safe_load(pathlib.Path(path).read_text())
     except yaml.YAMLError:
-        fields = None
-    is_gateway = isinstance(fields, dict) and GATEWAY_FIELD in fields
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def find_early_addresses(fields: dict[str, object]) -> list[object]:
+    """Return where a gateway with these settings will listen."""
+    listen = fields.get('listen')
+    if GATEWAY_FIELD not in fields or not isinstance(listen, dict):
+        return []
+    return [listen.get(name) for name in EARLY]
+
+
+def find_face(fields: dict[str, object]) -> Face:
+    """Return the kind of daemon that settings are for.
+
+    Only its modules are loaded: those of the other kind, with their
+    libraries, would cost 25 MB of a small VM and delay each start.
+    """
+    is_gateway = GATEWAY_FIELD in fields
     face: Face = importlib.import_module(GATEWAY if is_gateway else MODELS)
     return face
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -24,6 +24,11 @@
 
 log = get_log('daemon')
 
+FIRST_READ_S = 0.5
+"""Longest wait of a start for the configuration and the endpoints. They come
+within 20 ms of it; without them each request that waits to be accepted would
+be told to come back, 0.5 s later."""
+
 
 class GatewayDaemon:
     """One daemon; `run` returns after `stop` was asked for."""
@@ -78,6 +83,8 @@
             self.parts.states.introduce(self.settings.seeds)
             for loop in self.parts.loops():
                 tasks.start_soon(loop)
+            with anyio.move_on_after(FIRST_READ_S):
+                await self.parts.wait_for_first_read()
             await self._listen(tasks)
             tasks.start_soon(self._become_ready)
             tasks.start_soon(self._run_duties)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -59,6 +59,8 @@
     ) -> None:
         self.is_current = False
         """Whether the last call to the platform was answered."""
+        self.first_read = anyio.Event()
+        """Set once the whole table was read."""
         self._name = name
         self._feed = feed
         self._items = items
@@ -85,6 +87,7 @@
                 continue
             if isinstance(found, FeedState):
                 self._items.replace(found.items_by_key)
+                self.first_read.set()
             elif found.changes:
                 self._items.apply(found.changes)
             self._cursor = found.cursor
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -102,6 +102,11 @@
             self.evacuation.run,
         )
 
+    async def wait_for_first_read(self) -> None:
+        """Wait until configuration and endpoints were read once."""
+        await self.configuration_reader.first_read.wait()
+        await self.endpoint_reader.first_read.wait()
+
     def _build_states(self, network: Network) -> None:
         settings, rng = self.settings, self._rng
         host, _, port = settings.place.id.rpartition(':')
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -11,6 +11,7 @@
 
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.context import Environment
+from mimosamux_daemon.early_listeners import SocketsByAddress
 from mimosamux_daemon.errors import InvalidInput, InvalidSettings
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.daemon import GatewayDaemon
@@ -62,18 +63,21 @@
     find_adapter(read_gateway_settings(path))
 
 
-def serve(path: str, env: Environment) -> None:
+def serve(path: str, env: Environment, listening: SocketsByAddress) -> None:
     """Run a daemon until it is asked to stop."""
     configure_logs(env.stdout)
-    anyio.run(run_gateway, path, backend_options={'use_uvloop': True})
+    anyio.run(
+        run_gateway, path, listening, backend_options={'use_uvloop': True}
+    )
 
 
-async def run_gateway(path: str) -> None:
+async def run_gateway(path: str, listening: SocketsByAddress) -> None:
     """Run a daemon with a settings file until it is asked to stop."""
+    log.info('starting', settings=path, listening=len(listening))
     settings = read_gateway_settings(path)
     shared_time = SharedTime(clock=steady_time, wall_clock=time.time)
     adapter = find_adapter(settings)
-    network = TcpNetwork()
+    network = TcpNetwork(opened=listening)
     async with adapter.open_platform(
         settings, shared_time.note_store_time, network, steady_time
     ) as platform:
--- a/packages/mimosamux-daemon/mimosamux_daemon/model_program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/model_program.py
@@ -8,6 +8,7 @@
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.control.configuration_models import parse_configuration
 from mimosamux_daemon.daemon import Daemon, build_daemon
+from mimosamux_daemon.early_listeners import SocketsByAddress
 from mimosamux_daemon.logs import configure_logs
 from mimosamux_daemon.settings import Settings, parse_settings
 
@@ -19,8 +20,9 @@
     read_settings(path)
 
 
-def serve(path: str, env: Environment) -> None:
-    """Run a daemon until SIGTERM or Ctrl-C."""
+def serve(path: str, env: Environment, listening: SocketsByAddress) -> None:
+    """Run a daemon until SIGTERM or Ctrl-C; nothing listens for it early."""
+    assert not listening
     settings = read_settings(path)
     configure_logs(env.stderr)
     anyio.run(_serve, settings, env, backend_options={'use_uvloop': True})
--- a/packages/mimosamux-daemon/mimosamux_daemon/platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/platform.py
@@ -12,12 +12,12 @@
 from mimosamux_daemon.adapters.http_table import HttpTable
 from mimosamux_daemon.adapters.http_weight_store import HttpWeightStore
 from mimosamux_daemon.embedded import embed_platform
-from mimosamux_daemon.ports import (
+from mimosamux_daemon.ports import Table
+from mimosamux_daemon.ports.models import (
     Cloud,
     Engines,
     ObjectStore,
     Services,
-    Table,
     WeightStore,
 )
 from mimosamux_daemon.settings import Settings
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/attempts.py
@@ -13,7 +13,7 @@
     StreamEnd,
 )
 from mimosamux_daemon.domain.vms import Endpoint
-from mimosamux_daemon.ports.engine import EngineStream
+from mimosamux_daemon.ports.models.engine import EngineStream
 from mimosamux_daemon.serving.fleet import EndpointState
 from mimosamux_daemon.serving.prefix_cache import BYTES_PER_TOKEN
 from mimosamux_daemon.serving.relay import (
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/drivers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/drivers.py
@@ -11,7 +11,7 @@
 )
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.engine import Engines
+from mimosamux_daemon.ports.models.engine import Engines
 from mimosamux_daemon.serving.attempts import (
     Attempt,
     AttemptResult,
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/handover.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/handover.py
@@ -35,8 +35,8 @@
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.work import ModelRequest
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.models.request_journal import RequestJournal
 from mimosamux_daemon.ports.peer import Peers, PeerUnavailable
-from mimosamux_daemon.ports.request_journal import RequestJournal
 from mimosamux_daemon.serving.model_serving import HandedOver, ModelServing
 from mimosamux_daemon.serving.requests import ActiveRequest, Moved
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -13,8 +13,8 @@
 from mimosamux_daemon.domain.work import ModelRequest
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.engine import Engines
-from mimosamux_daemon.ports.request_journal import RequestJournal
+from mimosamux_daemon.ports.models.engine import Engines
+from mimosamux_daemon.ports.models.request_journal import RequestJournal
 from mimosamux_daemon.serving.admission import Admission
 from mimosamux_daemon.serving.drivers import (
     DriverParts,
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/recovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/recovery.py
@@ -8,7 +8,7 @@
     KvUnavailable,
 )
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.engine import Engines
+from mimosamux_daemon.ports.models.engine import Engines
 from mimosamux_daemon.serving.attempts import Attempt, Transferred
 from mimosamux_daemon.serving.fleet import EndpointState, Fleet
 from mimosamux_daemon.serving.relay import AttemptBroken, BreakCause
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/relay.py
@@ -10,7 +10,7 @@
     StreamEnd,
     TokenFrame,
 )
-from mimosamux_daemon.ports.engine import EngineStream
+from mimosamux_daemon.ports.models.engine import EngineStream
 from mimosamux_daemon.serving.requests import ActiveRequest
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/repeatable_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/repeatable_calls.py
@@ -15,7 +15,7 @@
 )
 from mimosamux_daemon.domain.work import ServiceCall
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.service import ServiceAnswer, Services
+from mimosamux_daemon.ports.models.service import ServiceAnswer, Services
 from mimosamux_daemon.serving.retries import RetryBudget
 from mimosamux_daemon.serving.side_effects import ChooseEndpoint
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
@@ -8,7 +8,7 @@
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
 from mimosamux_daemon.metrics import Metrics
-from mimosamux_daemon.ports.service import (
+from mimosamux_daemon.ports.models.service import (
     ServiceAnswer,
     Services,
     ServiceUnanswered,
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_dispatch.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_dispatch.py
@@ -12,7 +12,7 @@
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.service import ServiceAnswer, Services
+from mimosamux_daemon.ports.models.service import ServiceAnswer, Services
 from mimosamux_daemon.serving.side_effect_limits import SideEffectLimits
 from mimosamux_daemon.serving.side_effect_outcomes import (
     deadline_passed,
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_rows.py
@@ -12,7 +12,7 @@
 
 from mimosamux_daemon.domain.names import AccountId, DaemonId, RequestId
 from mimosamux_daemon.domain.work import ServiceCall
-from mimosamux_daemon.ports.service import ServiceAnswer
+from mimosamux_daemon.ports.models.service import ServiceAnswer
 
 SIDE_EFFECT_PREFIX = 'side-effects/'
 KEY_DIGEST_LENGTH = 40
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_store.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_store.py
@@ -19,7 +19,7 @@
     Unavailable,
     Write,
 )
-from mimosamux_daemon.ports.object_store import ObjectStore
+from mimosamux_daemon.ports.models.object_store import ObjectStore
 from mimosamux_daemon.ports.table import Table
 from mimosamux_daemon.serving.side_effect_rows import (
     BodyPlace,
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effects.py
@@ -19,8 +19,8 @@
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.work import ServiceCall
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.object_store import ObjectStore
-from mimosamux_daemon.ports.service import Services
+from mimosamux_daemon.ports.models.object_store import ObjectStore
+from mimosamux_daemon.ports.models.service import Services
 from mimosamux_daemon.ports.table import Table
 from mimosamux_daemon.serving.side_effect_dispatch import (
     ChooseEndpoint,
--- a/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
@@ -8,7 +8,7 @@
 from mimosamux_daemon.domain.names import VMId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports import Cloud
+from mimosamux_daemon.ports.models import Cloud
 
 log = get_log('stopping')
 
--- a/packages/mimosamux-standins/mimosamux_standins/cloud.py
+++ b/packages/mimosamux-standins/mimosamux_standins/cloud.py
@@ -9,7 +9,7 @@
 from mimosamux_daemon.domain.names import DataCentreName, VMId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VM, Price, ReclaimNotice, VMState
-from mimosamux_daemon.ports.cloud import StartRefused, StartVM
+from mimosamux_daemon.ports.models.cloud import StartRefused, StartVM
 
 DOWN = Unavailable(reason='down', may_have_landed=False)
 ANSWER_LOST = Unavailable(reason='answer lost', may_have_landed=True)
--- a/packages/mimosamux-standins/mimosamux_standins/platform.py
+++ b/packages/mimosamux-standins/mimosamux_standins/platform.py
@@ -19,7 +19,7 @@
 from mimosamux_daemon.domain.names import DataCentreName, VMId
 from mimosamux_daemon.domain.store import Conflict, Unavailable
 from mimosamux_daemon.domain.vms import VM, Price
-from mimosamux_daemon.ports.cloud import StartRefused
+from mimosamux_daemon.ports.models.cloud import StartRefused
 from mimosamux_daemon.validation import first_problem
 from starlette.applications import Starlette
 from starlette.requests import Request
--- /dev/null
+++ b/tests/test_early_listeners.py
@@ -0,0 +1,67 @@
+"""Callers who connect while a daemon is still loading its modules."""
+
+import socket
+import unittest
+
+import anyio
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.core import find_early_addresses
+from mimosamux_daemon.early_listeners import open_early
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+class TestEarlyListeners(unittest.TestCase):
+    def test_caller_who_connects_during_the_start_is_served(self):
+        """All daemons were killed and are starting again.
+
+        A caller connects before the modules are loaded. Turned away with a
+        reset at every daemon, it has used up its tries before one is ready.
+        """
+
+        async def check():
+            address = free_address()
+            opened = open_early([address])
+            network = TcpNetwork(opened=opened)
+            caller = await TcpNetwork().connect(address)
+            await caller.send(b'early')
+            received = []
+
+            async def answer(connection):
+                received.append(await connection.receive())
+                await connection.send(b'served')
+
+            async with anyio.create_task_group() as tasks:
+                listener = await network.listen(address)
+                tasks.start_soon(listener.serve, answer, tasks)
+                received.append(await caller.receive())
+                tasks.cancel_scope.cancel()
+            await caller.aclose()
+            return received, listener.address == address, opened
+
+        received, is_same, left = anyio.run(check)
+        self.assertEqual(received, [b'early', b'served'])
+        self.assertTrue(is_same)
+        self.assertEqual(left, {})
+
+    def test_address_that_cannot_be_had_is_left_to_the_listener(self):
+        """Another process has the address, or the settings hold none."""
+        with socket.socket() as other:
+            other.bind(('127.0.0.1', 0))
+            other.listen()
+            taken = f'127.0.0.1:{other.getsockname()[1]}'
+            odd = [taken, 'nowhere', '127.0.0.1:no', '127.0.0.1:99999', None]
+            self.assertEqual(open_early(odd), {})
+
+    def test_only_a_gateway_listens_early(self):
+        listen = {'entry': '10.0.0.1:80', 'peers': '10.0.0.1:81'}
+        fields = {'adapter': 'some_platform', 'listen': listen}
+        found = find_early_addresses(fields)
+        self.assertEqual(found[0], '10.0.0.1:80')
+        self.assertEqual(found[-1], '10.0.0.1:81')
+        self.assertEqual(find_early_addresses({'listen': listen}), [])
+        self.assertEqual(find_early_addresses({'adapter': 'x'}), [])
--- a/tests/test_gateway_configuration.py
+++ b/tests/test_gateway_configuration.py
@@ -215,3 +215,25 @@
         status, retry_after_s = run_paused(check)
         self.assertEqual(status, 503)
         self.assertIsNotNone(retry_after_s)
+
+    def test_first_caller_of_a_daemon_that_starts_is_served(self):
+        """A caller waits to be accepted while the daemon starts.
+
+        The configuration arrives within milliseconds. Accepted before it,
+        the caller is told to come back, and loses half a second.
+        """
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                site.kill_daemon(0)
+                entry = site.daemons[0].entry
+                await site.start_daemon(0).wait()
+                for _ in range(200):
+                    caller = site.caller()
+                    answer = await caller.send(entry, '/slip/1', body=b'slip')
+                    if answer.status is not None:
+                        return answer.status
+                    await anyio.sleep(0.001)
+                return None
+
+        self.assertEqual(run_paused(check), 200)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -9,7 +9,7 @@
 from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.vms import VMState
-from mimosamux_daemon.ports.cloud import StartVM
+from mimosamux_daemon.ports.models.cloud import StartVM
 
 from tests.support.clock import run_paused
 from tests.support.planning import (
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -35,8 +35,11 @@
 )
 from mimosamux_daemon.domain.vms import VM, Endpoint, Market
 from mimosamux_daemon.domain.work import ServiceCall, WorkClass
-from mimosamux_daemon.ports.cloud import StartRefused, StartVM
-from mimosamux_daemon.ports.service import ServiceAnswer, ServiceUnanswered
+from mimosamux_daemon.ports.models.cloud import StartRefused, StartVM
+from mimosamux_daemon.ports.models.service import (
+    ServiceAnswer,
+    ServiceUnanswered,
+)
 from mimosamux_daemon.settings import parse_settings
 from mimosamux_standins.local import LocalFile, local_settings
 from mimosamux_standins.platform import PlatformFile, build_platform
--- a/tests/test_side_effects.py
+++ b/tests/test_side_effects.py
@@ -13,7 +13,7 @@
     Refused,
     Unknown,
 )
-from mimosamux_daemon.ports.service import ServiceAnswer
+from mimosamux_daemon.ports.models.service import ServiceAnswer
 from mimosamux_daemon.serving.side_effect_dispatch import Dispatcher
 from mimosamux_daemon.serving.side_effect_rows import (
     OBJECT_ANSWER_LIMIT,
