--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -2,83 +2,92 @@
 
 import pathlib
 from dataclasses import dataclass
+from typing import Annotated
 
-import pydantic
+import msgspec
 import yaml
 
+from mimosamux_daemon.decoding import convert_settings
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.errors import InvalidSettings
 from mimosamux_daemon.gateway.caps import CapRules
 from mimosamux_daemon.gateway.peer_states import DaemonPlace
 from mimosamux_daemon.gateway.retry_budget import RetryLimits
-from mimosamux_daemon.validation import first_problem
 
 ADDRESS = r'^[^\s:]+:\d{1,5}$'
 MAYBE_ADDRESS = r'^([^\s:]+:\d{1,5})?$'
 
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+class _Model(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A section of the file."""
 
 
-class ListenModel(_Model):
+Address = Annotated[str, msgspec.Meta(pattern=ADDRESS)]
+MaybeAddress = Annotated[str, msgspec.Meta(pattern=MAYBE_ADDRESS)]
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NotNegative = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class ListenModel(_Model, frozen=True, kw_only=True):
     """Addresses to listen on; they are also those that others use."""
 
-    entry: str = pydantic.Field(pattern=ADDRESS)
-    peers: str = pydantic.Field(pattern=ADDRESS)
-    discovery: str = pydantic.Field(pattern=ADDRESS)
-    readiness: str = pydantic.Field(pattern=ADDRESS)
-    metrics: str = pydantic.Field(default='', pattern=MAYBE_ADDRESS)
+    entry: Address
+    peers: Address
+    discovery: Address
+    readiness: Address
+    metrics: MaybeAddress = ''
 
 
-class PlatformModel(_Model):
+class PlatformModel(_Model, frozen=True, kw_only=True):
     """Where the platform's services are."""
 
-    store: str = pydantic.Field(pattern=ADDRESS)
-    cloud: str = pydantic.Field(default='', pattern=MAYBE_ADDRESS)
+    store: Address
+    cloud: MaybeAddress = ''
     """Empty: there is nothing to report or to order."""
     checks_fencing: bool = False
 
 
-class BoundsModel(_Model):
+class BoundsModel(_Model, frozen=True, kw_only=True):
     """Times within which operators rely on something, in seconds."""
 
-    revocation_s: float = pydantic.Field(gt=0)
+    revocation_s: Positive
     """A key that was taken away is out everywhere after this time."""
-    drain_s: float = pydantic.Field(gt=0)
+    drain_s: Positive
     """An endpoint that is listed as leaving serves on for so long."""
-    stop_grace_s: float = pydantic.Field(gt=0)
+    stop_grace_s: Positive
     """The platform kills a process that was asked to stop after it."""
-    lease_s: float = pydantic.Field(gt=0)
-    usage_window_s: float = pydantic.Field(gt=0)
-    usage_lateness_s: float = pydantic.Field(gt=0)
-    address_ttl_s: float = pydantic.Field(gt=0)
+    lease_s: Positive
+    usage_window_s: Positive
+    usage_lateness_s: Positive
+    address_ttl_s: Positive
     """Longest time for which callers may keep an address answer."""
 
 
-class RetriesModel(_Model):
+class RetriesModel(_Model, frozen=True, kw_only=True):
     """Limits on sending requests to further endpoints."""
 
-    share: float = pydantic.Field(ge=0)
-    window_s: float = pydantic.Field(gt=0)
-    extra: float = pydantic.Field(ge=0)
+    share: NotNegative
+    window_s: Positive
+    extra: NotNegative
 
 
-class CapsModel(_Model):
+class CapsModel(_Model, frozen=True, kw_only=True):
     """How exactly the caps of client accounts are kept."""
 
-    window_s: float = pydantic.Field(gt=0)
-    overage: float = pydantic.Field(default=0.0, ge=0)
-    tolerance: float = pydantic.Field(default=0.0, ge=0)
+    window_s: Positive
+    overage: NotNegative = 0.0
+    tolerance: NotNegative = 0.0
 
 
-class GatewaySettingsModel(_Model):
+class GatewaySettingsModel(_Model, frozen=True, kw_only=True):
     """The settings file."""
 
-    adapter: str = pydantic.Field(pattern=r'^[a-z_][a-z0-9_.]*$')
+    adapter: Annotated[str, msgspec.Meta(pattern=r'^[a-z_][a-z0-9_.]*$')]
     """Package that translates for the platform."""
-    daemon: str = pydantic.Field(min_length=1, max_length=64)
-    data_centre: str = pydantic.Field(min_length=1)
+    daemon: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+    data_centre: Annotated[str, msgspec.Meta(min_length=1)]
     region: str = ''
     listen: ListenModel
     seeds: tuple[str, ...] = ()
@@ -123,15 +132,10 @@
 def parse_gateway_settings(text: str) -> GatewaySettings:
     """Return checked settings; `InvalidSettings` names a wrong field."""
     try:
-        model = GatewaySettingsModel.model_validate(yaml.safe_load(text))
+        fields = yaml.safe_load(text)
     except yaml.YAMLError as error:
         raise InvalidSettings(path='$', problem=str(error)) from error
-    except pydantic.ValidationError as error:
-        problem = first_problem(error)
-        raise InvalidSettings(
-            path=problem.path, problem=problem.message
-        ) from error
-    return _as_settings(model)
+    return _as_settings(convert_settings(fields, GatewaySettingsModel))
 
 
 def _as_settings(model: GatewaySettingsModel) -> GatewaySettings:
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -124,7 +124,7 @@
 )
 
 PORTS = re.compile(
-    r'mimosamux_daemon\.(ports|domain|adapters|errors|logs|validation'
+    r'mimosamux_daemon\.(ports|domain|adapters|decoding|errors|logs'
     r'|gateway\.settings)(\.|$)'
 )
 """What the adapter may import: ports, data, plumbing, and settings."""
