--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -192,7 +192,7 @@
                 EndpointId(id_),
                 left_s=None if left_ms < 0 else left_ms / 1000,
                 source=sender,
-                incarnation=_get(message.incarnations, place),
+                incarnation=_number_at(message.incarnations, place),
             )
 
     def data_centres(self, service: ServiceName) -> set[DataCentreName]:
@@ -310,6 +310,6 @@
                     listener(id_)
 
 
-def _get(numbers: list[int], place: int) -> int:
+def _number_at(numbers: list[int], place: int) -> int:
     """Return a number that an older peer does not tell as 0."""
     return numbers[place] if place < len(numbers) else 0
