--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -15,6 +15,8 @@
 
 ZONES = ('north', 'middle', 'south')
 HOST = '127.0.0.1'
+TOLD_CHARACTERS = 4000
+"""Of each daemon's log, the last."""
 WAIT_S = 20.0
 POLL_S = 0.02
 PROMPT = ((b'X-Model', b'm'), (b'X-Token-Usage', b'1460,80'))
@@ -95,7 +97,18 @@
             if found:
                 return found
             time.sleep(POLL_S)
-        raise AssertionError(f'no {what} within {WAIT_S} s')
+        raise AssertionError(f'no {what} within {WAIT_S} s\n{self.tell()}')
+
+    def tell(self):
+        """End the daemons; return what the platform saw and they logged.
+
+        A failure that shows once has to be traced from this alone.
+        """
+        told = [json.dumps(self.seen()['runs'])]
+        for daemon in self.daemons:
+            daemon.process.kill()
+            told.append(daemon.process.read_rest()[-TOLD_CHARACTERS:])
+        return '\n'.join(told)
 
     def wait_for_holder(self, *, but=''):
         """Return the daemon that acts under the duties' lease."""
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -53,6 +53,11 @@
                 return line
         raise AssertionError(f'{self.popen.args} ended before {text!r}')
 
+    def read_rest(self) -> str:
+        """Return what a process that has ended wrote and nobody read."""
+        assert self.popen.stdout is not None
+        return self.popen.stdout.read()
+
     def freeze(self) -> None:
         """Stop it in its tracks (SIGSTOP)."""
         self.popen.send_signal(signal.SIGSTOP)
