--- a/packages/mimosamux-daemon/mimosamux_daemon/decoding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/decoding.py
@@ -1,6 +1,6 @@
 """Checked decoding of what a gateway reads: settings, tables, answers.
 
-msgspec checks types and bounds as pydantic does, and is loaded in a fifth of
+msgspec checks types and bounds as pydantic does, and is loaded in a quarter of
 the time. A gateway that was killed is awaited by callers; with pydantic a
 quarter of its start went into loading that library and building models.
 """
