--- a/tests/test_gateway_cap_loans.py
+++ b/tests/test_gateway_cap_loans.py
@@ -171,7 +171,8 @@
     def test_prompts_under_the_cap_are_all_served(self):
         """An account uses two thirds of its cap, one long prompt at a time.
 
-        Each is larger than the part of the daemon that it comes to. Callers were told to come back though there was room.
+        Each is larger than the part of the daemon that it comes to. Callers
+        were told to come back though there was room.
         """
         answers = self.play(gap_s=1.5, seconds=24.0)
         self.assertEqual({answer.status for answer in answers}, {200})
