Requests that lay unread count as that old; confirmations are a module

Change: the lateness of the daemon's own timer is taken off what a request has left, from 0.2 s on; one without time left is refused at once, with the time to come back. What peers confirm, and the records of peers, are modules of their own.

Tests: 72 of the forwarding paths and 67 of the exchange, all green; the whole suite follows.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -1,7 +1,7 @@
 """Passes a request on to endpoints until it has its answer."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 
 import anyio
@@ -19,6 +19,7 @@
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.overload import Overload
 from mimosamux_daemon.gateway.relay import (
@@ -70,12 +71,18 @@
     overload: Overload
     evacuation: Evacuation
     outcomes: OutcomeLog
+    lag: LoopLag
     clock: Callable[[], float]
 
     async def forward(
         self, request: GatewayRequest, caller: Caller, sink: AnswerSink
     ) -> GatewayOutcome:
         """Have a request answered; the outcome tells if it was not."""
+        waited_s = self.lag.waited_s()
+        if waited_s:
+            request = replace(
+                request, received_at=request.received_at - waited_s
+            )
         with anyio.CancelScope() as waiting:
             # A caller that leaves while a cap is waited for is not let in
             # afterwards: what may not be repeated would run for nobody.
@@ -88,6 +95,15 @@
             self.outcomes.note_refusal(request, job)
             return job
         self._note_demand(job)
+        if job.left_s(self.clock()) <= 0:
+            refused = Refused(
+                reason=Reason.DEADLINE,
+                message=f'it waited {waited_s:.1f} s here to be read',
+                retry_after_s=SOON_S,
+            )
+            self.admission.release_cap(job)
+            self.outcomes.note_outcome(job, refused)
+            return refused
         outcome: GatewayOutcome = CallerGone()
         with anyio.move_on_after(job.left_s(self.clock())) as timer:
             with anyio.CancelScope() as scope:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -27,6 +27,7 @@
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
+from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
@@ -106,6 +107,7 @@
             self.vouching.run,
             self.cap_record.run,
             self.cap_loans.run,
+            self.lag.run,
             self.evacuation.run,
         )
 
@@ -268,7 +270,9 @@
             clock=self._clock,
             rng=self._rng,
         )
+        self.lag = LoopLag(clock=self._clock)
         self.forwarder = Forwarder(
+            lag=self.lag,
             admission=self.admission,
             roster=self.roster,
             chooser=self.chooser,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -10,7 +10,6 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 from typing import Protocol
 
 import anyio
@@ -18,7 +17,6 @@
     DaemonsKnown,
     DigestHeard,
     EnvelopeType,
-    GroupHeard,
     Message,
     StateBatch,
     StateDigest,
@@ -29,12 +27,21 @@
 
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.gateway.confirmations import Confirmations
 from mimosamux_daemon.gateway.groups import LARGEST_GROUP, NOWHERE
-from mimosamux_daemon.gateway.neighbours import Encoded, Neighbour, News
+from mimosamux_daemon.gateway.neighbours import Encoded, News
+from mimosamux_daemon.gateway.peer_records import (
+    DaemonPlace,
+    PeerState,
+    place_of,
+    state_of,
+)
 from mimosamux_daemon.gateway.relays import ANSWER_S, Relays, longest_silence
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import PeerLinks
 
+__all__ = ['DaemonPlace', 'DigestPart', 'PeerState', 'PeerStates']
+
 log = get_log('peer_states')
 
 INTERVAL_S = 0.25
@@ -70,45 +77,6 @@
 """Processes that are remembered to have ended, against their late news."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DaemonPlace:
-    """Where a daemon is and where it is reached."""
-
-    id: DaemonId
-    """Address at which its peers reach it."""
-    data_centre: DataCentreName
-    region: str
-    entry_address: str
-
-
-@dataclass(kw_only=True, slots=True)
-class PeerState:
-    """What is known of one peer."""
-
-    place: DaemonPlace
-    lifetime: int
-    state: MemberState
-    heard_at: float
-    via: DaemonId
-    """Daemon that told of it last, often itself."""
-    news: News
-    sequence: int = 0
-    heard_sequence: int = 0
-    """Newest digest of this daemon that the peer is known to have taken."""
-    lease_fencing: int = 0
-    configuration_version: int = 0
-    is_relay: bool = False
-    reads_tables: bool = False
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _RelayHeard:
-    """What the group of a foreign relay has taken, as it told last."""
-
-    heard: GroupHeard
-    at: float
-
-
 class DigestPart(Protocol):
     """Something that daemons tell each other about."""
 
@@ -153,11 +121,12 @@
             is_relay=self._is_relay,
         )
         self._news = News(lifetime=lifetime)
-        self._heard_by_relay: dict[DaemonId, _RelayHeard] = {}
-        """What each foreign relay's group has taken."""
-        self.confirmed = anyio.Event()
-        """Set, and replaced by a new one, when a peer confirms more."""
-        self._has_confirmed = False
+        self._confirmations = Confirmations(
+            lifetime=lifetime,
+            by_id=self.by_id,
+            relays=self._relays,
+            clock=clock,
+        )
         self._ended: dict[int, None] = {}
         """Lifetimes of processes that others have followed."""
         self._sequence = 0
@@ -192,6 +161,11 @@
         """Whether so few daemons are known that all tell each other."""
         return self._daemons <= LARGEST_GROUP
 
+    @property
+    def confirmed(self) -> anyio.Event:
+        """Set, and replaced by a new one, when a peer confirms more."""
+        return self._confirmations.changed
+
     @property
     def acts_as_relay(self) -> bool:
         """Whether this daemon passes on what others tell."""
@@ -347,13 +321,12 @@
             return None
         members = list(relays.members())
         if not batch.is_member:
-            batch.confirmed.append(self._group_heard(id_, members))
+            batch.confirmed.append(
+                self._confirmations.group_heard(id_, members)
+            )
         if id_ in members:
-            oldest = self._clock() - self.fresh_s
             batch.confirmed.extend(
-                each.heard
-                for each in self._heard_by_relay.values()
-                if each.at > oldest
+                self._confirmations.for_members(self.fresh_s)
             )
         return batch
 
@@ -376,42 +349,6 @@
             ):
                 yield peer.news
 
-    def _group_heard(
-        self, id_: DaemonId, members: list[DaemonId]
-    ) -> GroupHeard:
-        """Return what this daemon and its members have all taken.
-
-        Only of those daemons that the receiver answers for.
-        """
-        stands_for = [
-            peer
-            for peer in map(self.by_id.get, members)
-            if peer is not None
-            and self._relays.neighbour(peer.place.id).confirmed
-        ]
-        of_group = id_ in members
-        heard = [
-            DigestHeard(
-                lifetime=peer.lifetime,
-                sequence=self._taken_by_all(peer, stands_for),
-            )
-            for peer in self.by_id.values()
-            if id_ in (peer.place.id, peer.via)
-            or (of_group and peer.place.id in members)
-        ]
-        lifetimes = [peer.lifetime for peer in stands_for]
-        return GroupHeard(members=[self.lifetime, *lifetimes], heard=heard)
-
-    def _taken_by_all(
-        self, origin: PeerState, members: list[PeerState]
-    ) -> int:
-        taken = [
-            self._relays.neighbour(member.place.id).has(origin.lifetime)
-            for member in members
-            if member is not origin
-        ]
-        return min([origin.sequence, *taken])
-
     async def _take_batch(self, sender: DaemonId, batch: StateBatch) -> None:
         if batch.lifetime in self._ended:
             return
@@ -424,7 +361,7 @@
             self._relays.note_member(neighbour)
         for data in batch.digests:
             self._take_data(data, sender)
-        self._note_confirmed(sender, neighbour, batch)
+        self._confirmations.take(sender, neighbour, batch)
         if is_new:
             await self._tell_known(sender)
 
@@ -439,8 +376,8 @@
         peer = self.by_id.get(sender)
         for heard in digest.heard:
             if peer is not None and heard.lifetime == self.lifetime:
-                self._note_heard(peer, heard.sequence)
-        self._wake_waiters()
+                self._confirmations.note_heard(peer, heard.sequence)
+        self._confirmations.wake_waiters()
         if is_new:
             await self._tell_known(sender)
 
@@ -463,7 +400,7 @@
             return
         known.via = via
         known.news.entries.append(Encoded(sequence=digest.sequence, data=data))
-        known.state = _state_of(digest)
+        known.state = state_of(digest)
         known.heard_at = self._clock()
         known.sequence = digest.sequence
         known.lease_fencing = digest.lease_fencing
@@ -487,7 +424,7 @@
             self._ended[before.lifetime] = None
             if len(self._ended) > KEPT_ENDED:
                 del self._ended[next(iter(self._ended))]
-        place = _place_of(digest)
+        place = place_of(digest)
         self.introduce([id_], {id_: place.data_centre})
         peer = self.by_id[id_] = PeerState(
             place=place,
@@ -499,44 +436,6 @@
         )
         return peer
 
-    def _note_confirmed(
-        self, sender: DaemonId, neighbour: Neighbour, batch: StateBatch
-    ) -> None:
-        """Take which of this daemon's digests others have."""
-        peer = self.by_id.get(sender)
-        if peer is not None and peer.lifetime == neighbour.lifetime:
-            self._note_heard(peer, neighbour.has(self.lifetime))
-        heard_by_lifetime: dict[int, int] = {}
-        for group in batch.confirmed:
-            for heard in group.heard:
-                if heard.lifetime == self.lifetime:
-                    for lifetime in group.members:
-                        known = heard_by_lifetime.get(lifetime, 0)
-                        heard_by_lifetime[lifetime] = max(
-                            known, heard.sequence
-                        )
-        if heard_by_lifetime:
-            for each in self.by_id.values():
-                sequence = heard_by_lifetime.get(each.lifetime)
-                if sequence is not None:
-                    self._note_heard(each, sequence)
-        if batch.confirmed and not batch.is_member:
-            self._heard_by_relay[sender] = _RelayHeard(
-                heard=batch.confirmed[0], at=self._clock()
-            )
-        self._wake_waiters()
-
-    def _note_heard(self, peer: PeerState, sequence: int) -> None:
-        if sequence > peer.heard_sequence:
-            peer.heard_sequence = sequence
-            self._has_confirmed = True
-
-    def _wake_waiters(self) -> None:
-        if self._has_confirmed:
-            self._has_confirmed = False
-            self.confirmed.set()
-            self.confirmed = anyio.Event()
-
     async def _tell_known(self, id_: DaemonId) -> None:
         """Tell a daemon that brought news of another which ones there are."""
         others = {
@@ -599,26 +498,9 @@
                 continue
             log.info('peer_forgotten', peer=id_)
             self._relays.forget(id_)
-            self._heard_by_relay.pop(id_, None)
+            self._confirmations.forget(id_)
             self._plain.pop(id_, None)
             self.by_id.pop(id_, None)
             self._peers.forget(id_)
             for listener in self.on_forgotten:
                 listener(id_)
-
-
-def _place_of(digest: StateDigest) -> DaemonPlace:
-    return DaemonPlace(
-        id=DaemonId(digest.address),
-        data_centre=DataCentreName(digest.data_centre),
-        region=digest.region,
-        entry_address=digest.entry_address,
-    )
-
-
-def _state_of(digest: StateDigest) -> MemberState:
-    try:
-        return MemberState(digest.state)
-    except ValueError:
-        # A newer daemon may know more states; it is alive at least.
-        return MemberState.JOINING
