--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -32,6 +32,7 @@
 ANY_PORT = '127.0.0.1:0'
 ZONES = ('north', 'middle', 'south')
 BOOT_S = 4.0
+MS_PER_S = 1000
 
 
 def demo_document() -> SiteDocument:
@@ -73,6 +74,7 @@
     replicas_by_id: dict[str, StandInReplica] = field(default_factory=dict)
     by_address: dict[str, StandInReplica] = field(default_factory=dict)
     _scope_by_id: dict[str, anyio.CancelScope] = field(default_factory=dict)
+    _leaves_at_by_id: dict[str, float] = field(default_factory=dict)
     _started: int = 0
 
     async def start(self, *, engines: int, apps: int) -> tuple[str, str, str]:
@@ -180,6 +182,8 @@
             replica.fault = Fault[str(body['fault'])]
         if 'leaves_ms' in body:
             replica.leaves_ms = float(str(body['leaves_ms']))
+            left_s = replica.leaves_ms / MS_PER_S
+            self._leaves_at_by_id[replica.id] = anyio.current_time() + left_s
         if 'state' in body:
             replica.state = str(body['state'])
             self.store.put('servers', replica.id, replica.entry())
@@ -207,6 +211,8 @@
                     'replica': run.replica,
                     'is_moved': bool(run.kv_source),
                     'began_at': run.began_at,
+                    'ended_at': run.ended_at,
+                    'events': run.events,
                 }
                 for replica in self.replicas_by_id.values()
                 for run in replica.runs
@@ -216,6 +222,7 @@
                     'id': replica.id,
                     'service': replica.service,
                     'state': replica.state,
+                    'leaves_at': self._leaves_at_by_id.get(replica.id),
                     'is_reclaimable': replica.is_reclaimable,
                     'open': sum(run.ended_at is None for run in replica.runs),
                 }
@@ -241,9 +248,12 @@
     events: int = 12,
     event_s: float = 0.05,
     work_s: float = 0.03,
+    token_s: float = 1e-5,
 ) -> None:
     """Run the stand-in platform until SIGTERM or Ctrl-C."""
-    speed = ReplicaSpeed(events=events, event_s=event_s, work_s=work_s)
+    speed = ReplicaSpeed(
+        events=events, event_s=event_s, work_s=work_s, token_s=token_s
+    )
     anyio.run(_serve, engines, apps, speed)
 
 
