When an endpoint goes is asked until it answers, and looked at until it is gone

What callers saw: a draft that broke off in an announced reclaim of about a second, where the one question to the engine for its end got lost, or where the engine had been drained before and was reclaimed while it drained.

Cause: the end was looked at once, as the evacuation began. Not answered, it was taken for that of a drain (2 s); an end that was told later, by the list itself, changed nothing any more. The first copy then came after the engine was gone.

Ruled out: the list does not pass the new end on (record.leaves_at had it); longer notices (1.7, 2.4 and 4 s held, since a copy was there in time).

Change: a Departure gives the end as it is known at the moment; the question is asked again until it is answered, and copies begin at once meanwhile.

Conclusion: holds since no decision on the end outlives what it rested on.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -19,7 +19,7 @@
 from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
 from mimosamux_daemon.gateway.stream_moves import COPY_TIMEOUT_S, StreamMoves
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.run_moves import RunMoves
+from mimosamux_daemon.ports.run_moves import EndpointOutlook, RunMoves
 
 log = get_log('evacuation')
 
@@ -36,6 +36,28 @@
 and each still gets a fair part of the link."""
 
 
+@dataclass(kw_only=True, slots=True)
+class Departure:
+    """An endpoint that leaves, and until when it is there."""
+
+    record: EndpointRecord
+    drained_at: float
+    """When it is gone if nobody tells otherwise."""
+    is_unanswered: bool = False
+    """Whether it was asked for its end and has not answered."""
+
+    @property
+    def end(self) -> float:
+        """Return when it is gone, as it is known now.
+
+        A drain may be cut short by a reclaim: kept from the first look, the
+        end would come before the first copy, and streams would break off
+        with no `stream_moved` before them.
+        """
+        told = self.record.leaves_at
+        return self.drained_at if told is None else told
+
+
 @dataclass(kw_only=True, slots=True)
 class Evacuation:
     """Knows the streams of this daemon, and moves them in time."""
@@ -96,58 +118,110 @@
                     tasks.start_soon(self._evacuate, record)
 
     async def _evacuate(self, record: EndpointRecord) -> None:
-        end = self.clock() + self.drain_s
+        departure = Departure(
+            record=record, drained_at=self.clock() + self.drain_s
+        )
         while not self._movable(record):
-            if self.clock() >= (record.leaves_at or end):
+            if self.clock() >= departure.end:
                 return
             await anyio.sleep(LOOK_S)
-        if record.leaves_at is None:
-            await self._ask(record)
-        end = record.leaves_at or end
-        log.info(
-            'evacuation_began',
-            endpoint=record.id,
-            streams=len(self._movable(record)),
-            left_s=round(end - self.clock(), 3),
-            is_told=record.leaves_at is not None,
-        )
-        first_s = LAST_S + COPY_TIMEOUT_S + self._copies_s(record)
-        await anyio.sleep(max(end - first_s - self.clock(), 0.0))
-        await self._move_all(record, end)
+        async with anyio.create_task_group() as tasks:
+            if record.leaves_at is None:
+                tasks.start_soon(self._ask, departure)
+            await self._wait_to_copy(departure)
+            self._log_begin(departure)
+            await self._move_all(departure)
+            tasks.cancel_scope.cancel()
+
+    async def _ask(self, departure: Departure) -> None:
+        """Ask an endpoint for its end until it answers."""
+        record = departure.record
+        while record.leaves_at is None and self.clock() < departure.end:
+            outlook = await self.moves.look(record.listed)
+            departure.is_unanswered = isinstance(outlook, Unavailable)
+            if isinstance(outlook, EndpointOutlook):
+                self._take_outlook(record, outlook)
+                return
+            log.info(
+                'endpoint_end_unknown',
+                endpoint=record.id,
+                reason=outlook.reason,
+            )
+            await anyio.sleep(LOOK_S)
+
+    def _take_outlook(
+        self, record: EndpointRecord, outlook: EndpointOutlook
+    ) -> None:
+        if outlook.leaves_in_s is None:
+            return
+        if 0 < record.incarnation != outlook.incarnation > 0:
+            return
+        record.leaves_at = self.clock() + outlook.leaves_in_s
+        self.tell(record)
 
-    async def _move_all(self, record: EndpointRecord, end: float) -> None:
+    async def _wait_to_copy(self, departure: Departure) -> None:
+        """Wait until copies have to begin for a second try to fit in.
+
+        They begin at once where the endpoint did not say when it goes: that
+        may be sooner than the shortest wait for another answer.
+        """
+        while not departure.is_unanswered:
+            copies_s = self._copies_s(departure.record)
+            first_at = departure.end - LAST_S - COPY_TIMEOUT_S - copies_s
+            left_s = first_at - self.clock()
+            if left_s <= 0:
+                return
+            await anyio.sleep(min(left_s, LOOK_S))
+
+    async def _move_all(self, departure: Departure) -> None:
         """Move the streams of an endpoint, late ones too, until its end."""
         limiter = anyio.CapacityLimiter(SIDE_BY_SIDE)
         seen: set[RunningStream] = set()
         async with anyio.create_task_group() as tasks:
-            while self.clock() < end - LATEST_S:
-                for stream in self._movable(record):
+            while self.clock() < departure.end - LATEST_S:
+                for stream in self._movable(departure.record):
                     if stream not in seen:
                         seen.add(stream)
-                        tasks.start_soon(self._move, stream, end, limiter)
+                        tasks.start_soon(
+                            self._move, stream, departure, limiter
+                        )
                 await anyio.sleep(LOOK_S)
 
     async def _move(
-        self, stream: RunningStream, end: float, limiter: anyio.CapacityLimiter
+        self,
+        stream: RunningStream,
+        departure: Departure,
+        limiter: anyio.CapacityLimiter,
     ) -> None:
         tries: Counter[EndpointId] = Counter()
         while not await self._copy(stream, tries, limiter):
-            if stream.ended.is_set() or self.clock() >= end - LATEST_S:
-                self._log_stay(stream, tries, end)
+            is_over = self.clock() >= departure.end - LATEST_S
+            if stream.ended.is_set() or is_over:
+                self._log_stay(stream, tries, departure)
                 return
             await anyio.sleep(LOOK_S)
-        with anyio.move_on_after(max(end - LAST_S - self.clock(), 0.0)):
-            await stream.ended.wait()
+        await self._wait_to_stop(stream, departure)
         while not stream.ended.is_set() and not stream.is_stopped:
-            if self.clock() >= end:
+            if self.clock() >= departure.end:
                 break
             await self.stream_moves.stop(stream)
             await anyio.sleep(LOOK_S)
         await stream.ended.wait()
         if not stream.is_claimed:
-            self._log_stay(stream, tries, end)
+            self._log_stay(stream, tries, departure)
             await self.stream_moves.release(stream)
 
+    async def _wait_to_stop(
+        self, stream: RunningStream, departure: Departure
+    ) -> None:
+        """Let a stream that was copied run on while its endpoint is there."""
+        while not stream.ended.is_set():
+            left_s = departure.end - LAST_S - self.clock()
+            if left_s <= 0:
+                return
+            with anyio.move_on_after(min(left_s, LOOK_S)):
+                await stream.ended.wait()
+
     async def _copy(
         self,
         stream: RunningStream,
@@ -159,17 +233,21 @@
                 return False
             return await self.stream_moves.copy(stream, tries)
 
-    async def _ask(self, record: EndpointRecord) -> None:
-        outlook = await self.moves.look(record.listed)
-        if isinstance(outlook, Unavailable) or outlook.leaves_in_s is None:
-            return
-        if 0 < record.incarnation != outlook.incarnation > 0:
-            return
-        record.leaves_at = self.clock() + outlook.leaves_in_s
-        self.tell(record)
+    def _log_begin(self, departure: Departure) -> None:
+        log.info(
+            'evacuation_began',
+            endpoint=departure.record.id,
+            streams=len(self._movable(departure.record)),
+            left_s=round(departure.end - self.clock(), 3),
+            is_told=departure.record.leaves_at is not None,
+            is_unanswered=departure.is_unanswered,
+        )
 
     def _log_stay(
-        self, stream: RunningStream, tries: Counter[EndpointId], end: float
+        self,
+        stream: RunningStream,
+        tries: Counter[EndpointId],
+        departure: Departure,
     ) -> None:
         """Tell of a stream that stays at its endpoint.
 
@@ -182,7 +260,7 @@
             endpoint=stream.record.id,
             has_ended=stream.ended.is_set(),
             copy_calls=tries.total(),
-            left_s=round(end - self.clock(), 3),
+            left_s=round(departure.end - self.clock(), 3),
         )
 
     def _movable(self, record: EndpointRecord) -> list[RunningStream]:
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -120,6 +120,10 @@
     """Requests whose memory is held, by the name of the copy."""
     move_faults: list[MoveFault] = field(default_factory=list)
     """What becomes of the next calls that move a run, in their order."""
+    silent_reports: int = 0
+    """How many of the next questions for its report get no answer."""
+    is_end_listed: bool = False
+    """Whether its entry in the list tells when it leaves."""
 
     @property
     def copies(self) -> int:
@@ -142,6 +146,8 @@
             entry['spotInstances'] = True
         if self.born_ms is not None:
             entry['born'] = self.born_ms
+        if self.is_end_listed and self.leaves_ms is not None:
+            entry['leaves_ms'] = self.leaves_ms
         return entry
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
@@ -152,7 +158,7 @@
             headers = ((b'X-Replica-Id', self.id.encode()),)
             await reply.answer(200 if is_well else 503, headers)
         elif target == '/api/report':
-            await reply.answer(200, (), orjson.dumps(self._report()))
+            await self._answer_report(reply)
         elif target == '/api/kv-move':
             await self._move(orjson.loads(incoming.body), reply)
         elif target.startswith(KV_HANDLE):
@@ -161,6 +167,12 @@
         else:
             await self._answer(incoming, reply)
 
+    async def _answer_report(self, reply: Reply) -> None:
+        if self.silent_reports:
+            self.silent_reports -= 1
+            await anyio.sleep_forever()
+        await reply.answer(200, (), orjson.dumps(self._report()))
+
     async def _answer(self, incoming: IncomingRequest, reply: Reply) -> None:
         headers = incoming.head.headers
         id_ = (find_value(headers, b'x-attempt-id') or b'').decode()
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -50,7 +50,9 @@
         )
         self.answers.append(answer)
 
-    async def play(self, *, faults, notice_s, late_streams=0):
+    async def play(
+        self, *, faults, notice_s, late_streams=0, silent_reports=0
+    ):
         site = self.site
         for number in range(self.streams):
             site.tasks.start_soon(self.send, number)
@@ -61,6 +63,7 @@
             await anyio.sleep(0.005)
         source = next(engine for engine in engines_of(site) if engine.arrivals)
         source.move_faults = list(faults)
+        source.silent_reports = silent_reports
         source.leaves_ms = notice_s * 1000
         source.is_reclaimable = True
         site.drain_replica(source)
@@ -81,13 +84,25 @@
 
 
 async def reclaim(
-    *, faults, notice_s, target='/draft/', streams=1, late=0, engines=3
+    *,
+    faults,
+    notice_s,
+    target='/draft/',
+    streams=1,
+    late=0,
+    engines=3,
+    silent_reports=0,
 ):
     async with open_site(document=patient_document(), engines=engines) as site:
         for engine in engines_of(site):
             engine.speed = ReplicaSpeed(events=EVENTS, event_s=EVENT_S)
         played = Reclaim(site, target=target, streams=streams)
-        await played.play(faults=faults, notice_s=notice_s, late_streams=late)
+        await played.play(
+            faults=faults,
+            notice_s=notice_s,
+            late_streams=late,
+            silent_reports=silent_reports,
+        )
         return played.answers, site
 
 
@@ -210,6 +225,58 @@
         self.assert_whole(answers, 'six')
 
 
+class TestUnknownEnds(unittest.TestCase):
+    def test_question_that_gets_no_answer_loses_no_draft(self):
+        """An engine is asked when it goes, and the answer is lost.
+
+        It was taken to be there for as long as one that is only drained, and
+        the first copy came after its end: `evacuation_began` with
+        `is_told=false`, and no `stream_moved`. The draft broke off.
+        """
+        for notice_s in NOTICES_S:
+            for silent in (1, 2, 20):
+                with self.subTest(notice_s=notice_s, silent=silent):
+                    answers, _ = run_paused(
+                        lambda n=notice_s, s=silent: reclaim(
+                            faults=[], notice_s=n, silent_reports=s
+                        )
+                    )
+                    self.assertTrue(answers[0].is_whole)
+                    self.assertEqual(answers[0].body, whole_body(answers[0]))
+
+    def test_reclaim_of_an_engine_that_drains_loses_no_draft(self):
+        """An engine is drained, and reclaimed while it drains.
+
+        When it goes was looked at once, as the drain began. The reclaim
+        takes it away before that, and the draft there went with it though
+        the list told of the new end.
+        """
+
+        async def play(delay_s):
+            async with open_site(document=patient_document()) as site:
+                for engine in engines_of(site):
+                    engine.speed = ReplicaSpeed(events=EVENTS, event_s=EVENT_S)
+                played = Reclaim(site, target='/draft/', streams=1)
+                site.tasks.start_soon(played.send, 0)
+                await anyio.sleep(0.5)
+                source = next(each for each in engines_of(site) if each.runs)
+                site.drain_replica(source)
+                await anyio.sleep(delay_s)
+                source.is_end_listed = True
+                source.leaves_ms = 1000
+                site.list_replica(source)
+                await anyio.sleep(1.0)
+                site.crash_replica(source)
+                await anyio.sleep(12)
+                return played.answers[0]
+
+        for delay_s in (0.05, 0.3, 0.9):
+            with self.subTest(delay_s=delay_s):
+                answer = run_paused(lambda d=delay_s: play(d))
+                self.assertTrue(answer.is_whole)
+                self.assertEqual(answer.body, whole_body(answer))
+
+
 class TestCopies(unittest.TestCase):
     def test_copy_of_a_stream_that_ended_in_time_is_freed(self):
         """A draft ends after it was copied and before its engine goes.
