A request is sent to an endpoint only while its caller is there

Cause: connections wait in the kernel to be accepted, with a request and, when their callers have left, with its end. The request is read and sent on 5 to 20 ms after its connection was accepted; the end is read one pass of the event loop later.

Ruled out: a late event loop (its lag was 0.00 to 0.09 s there, so the guess of loop_lag takes nothing off); time limits (0.03 to 2.4 s were left).

Change: once there is a connection to the endpoint and before a byte is sent, the caller's connection is asked whether its other side has ended it, by a poll without reading. What a cap gave is given back; caller_left_unsent tells of it. It holds whatever made the request wait, and for what may not be repeated too, which nothing cancelled before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
@@ -19,6 +19,8 @@
 
     head: RequestHead
     body: bytes
+    connection: Connection | None = None
+    """Where it came from, None if nobody can leave."""
     is_caller_gone: bool = False
     _scopes: list[anyio.CancelScope] = field(default_factory=list)
 
@@ -28,6 +30,17 @@
         if self.is_caller_gone:
             scope.cancel()
 
+    def has_left(self) -> bool:
+        """Whether the caller is gone, as its connection tells right now.
+
+        A connection that waited to be accepted may bring its request and
+        its end at once. The end is read only after the request was taken to
+        an endpoint, where it would run for nobody.
+        """
+        if self.is_caller_gone or self.connection is None:
+            return self.is_caller_gone
+        return self.connection.has_ended()
+
     def note_gone(self) -> None:
         """Note that the caller has closed its connection."""
         self.is_caller_gone = True
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -199,7 +199,9 @@
             target=event.target,
             headers=tuple(event.headers.raw_items()),
         )
-        return IncomingRequest(head=head, body=bytes(body))
+        return IncomingRequest(
+            head=head, body=bytes(body), connection=self.connection
+        )
 
     async def _next_event(self) -> h11.Event | Unreadable | None:
         """Return the next event, None if the caller is gone."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -50,8 +50,15 @@
 
     def has_input(self) -> bool:
         """Whether bytes, or the end, have arrived and were not read."""
+        return self._poll(select.POLLIN | select.POLLHUP)
+
+    def has_ended(self) -> bool:
+        """Whether the other side has ended it, read or not."""
+        return self._poll(select.POLLRDHUP | select.POLLHUP)
+
+    def _poll(self, events: int) -> bool:
         poller = select.poll()
-        poller.register(self._socket.fileno(), select.POLLIN | select.POLLHUP)
+        poller.register(self._socket.fileno(), events)
         return bool(poller.poll(0))
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -39,6 +39,7 @@
     CallBroken,
     EndpointAnswer,
     EndpointCalls,
+    NotAwaited,
     NotSent,
     SentRequest,
     TurnedDown,
@@ -94,6 +95,7 @@
         if isinstance(job, Refused):
             self.outcomes.note_refusal(request, job)
             return job
+        job.caller = caller
         self._note_demand(job)
         if job.left_s(self.clock()) > 0:
             outcome = await self._run_in_time(job, caller)
@@ -103,7 +105,7 @@
                 f'it waited {waited_s:.1f} s here to be read',
                 retry_after_s=SOON_S,
             )
-        if isinstance(outcome, Refused):
+        if isinstance(outcome, Refused) or not job.may_have_run:
             self.admission.release_cap(job)
         self.outcomes.note_outcome(job, outcome)
         return outcome
@@ -174,6 +176,9 @@
             if isinstance(sent, NotSent):
                 send.note_unsent(sent.reason)
                 return sent
+            if isinstance(sent, NotAwaited):
+                send.note_unawaited()
+                return CallerGone()
             send.note_connected()
             job.kv_source = job.move_target = None
             if isinstance(sent, CallBroken):
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -12,7 +12,7 @@
     RouteKind,
     ServiceEntry,
 )
-from mimosamux_daemon.ports.callers import AnswerSink
+from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import ResumePoint
 
 FIRST_RANK, LAST_RANK = 0, 9
@@ -28,6 +28,8 @@
     service: ServiceEntry
     account: AccountEntry | None
     sink: AnswerSink
+    caller: Caller | None = None
+    """Who waits for the answer, once it is let in."""
     cost: float = 0.0
     """What was taken from the account's usage cap."""
     sends: int = 0
@@ -65,6 +67,10 @@
         is_moved = self.kv_source is not None
         return is_moved or not self.may_have_run or self.route.may_repeat
 
+    def has_caller_left(self) -> bool:
+        """Whether nobody waits for the answer any more."""
+        return self.caller is not None and self.caller.has_left()
+
     def left_s(self, now: float) -> float:
         """Return the time until the caller is to have its answer."""
         patience_s = self.request.patience_s
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -52,21 +52,31 @@
             request=job.request,
             endpoint=self.endpoint,
             left_s=job.left_s(self.sent_at),
+            has_caller_left=job.has_caller_left,
             account=None if job.account is None else job.account.id,
             priority=job.priority,
             resume=job.resume_point(),
             fetch_from=None if source is None else source.listed.address,
         )
 
+    def note_unawaited(self) -> None:
+        """Note that the caller left before a byte was sent."""
+        self._take_back()
+        self._count('unawaited')
+        self._log('caller_left_unsent')
+
     def note_unsent(self, reason: str) -> None:
         """Note that no byte was sent."""
-        self.job.sends -= 1
-        self.job.may_have_run = self.could_have_run
+        self._take_back()
         self._count('unsent')
         record = self.choice.record
         self.notes.roster.note_connect(record, failed=True)
         self._log('connect_failed', reason=reason)
 
+    def _take_back(self) -> None:
+        self.job.sends -= 1
+        self.job.may_have_run = self.could_have_run
+
     def note_connected(self) -> None:
         """Note that the endpoint was reached."""
         self.notes.roster.note_connect(self.choice.record, failed=False)
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/callers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/callers.py
@@ -13,6 +13,9 @@
     def cancel_when_gone(self, scope: anyio.CancelScope) -> None:
         """Have a scope cancelled once the caller is gone."""
 
+    def has_left(self) -> bool:
+        """Whether the caller is gone, as its connection tells right now."""
+
 
 class AnswerSink(Protocol):
     """Where an answer goes; each call is False if the caller is gone."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -1,5 +1,6 @@
 """Port to the endpoints that requests are passed on to."""
 
+from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
 from typing import Protocol
@@ -28,6 +29,8 @@
     endpoint: ListedEndpoint
     left_s: float
     """Time that the endpoint has; it stops work behind that."""
+    has_caller_left: Callable[[], bool]
+    """Asked once there is a connection, before a byte is sent."""
     account: AccountId | None = None
     priority: int | None = None
     """Rank for the engine from 0 to 9, 0 first; None: its default."""
@@ -44,6 +47,11 @@
     reason: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NotAwaited:
+    """The caller left before a byte of its request was sent."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TurnedDown:
     """The endpoint says that it has not run the request."""
@@ -91,5 +99,7 @@
 
     def send(
         self, call: EndpointCall
-    ) -> AbstractAsyncContextManager[SentRequest | NotSent | CallBroken]:
+    ) -> AbstractAsyncContextManager[
+        SentRequest | NotSent | NotAwaited | CallBroken
+    ]:
         """Send a request; leaving the block before its end hangs up."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -18,6 +18,10 @@
     def has_input(self) -> bool:
         """Whether bytes, or the end, have arrived and were not read."""
 
+    @abstractmethod
+    def has_ended(self) -> bool:
+        """Whether the other side has ended it, read or not."""
+
 
 ConnectionHandler = Callable[[Connection], Awaitable[None]]
 
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -72,7 +72,10 @@
         await anyio.lowlevel.checkpoint()
 
     def has_input(self):
-        return bool(self._arrived) or self._is_ended or self._is_reset
+        return bool(self._arrived) or self.has_ended()
+
+    def has_ended(self):
+        return self._is_ended or self._is_reset
 
     def underway(self, item):
         self._underway.append(item)
@@ -111,6 +114,11 @@
     handler: ConnectionHandler | None = None
     tasks: anyio.abc.TaskGroup | None = None
 
+    async def accept(self, connection, delay_s):
+        if delay_s:
+            await anyio.sleep(delay_s)
+        await self.handler(connection)
+
     async def serve(self, handler, tasks):
         self.handler, self.tasks = handler, tasks
         try:
@@ -130,6 +138,8 @@
     """Pairs of machines: nothing gets from the first to the second."""
     dark: set = field(default_factory=set)
     """Machines without power: they answer nothing."""
+    accept_delay_s: dict = field(default_factory=dict)
+    """By address, how long new connections wait to be accepted there."""
 
     def at(self, machine):
         return MachineNetwork(network=self, machine=machine)
@@ -195,7 +205,8 @@
         )
         mine.other, theirs.other = theirs, mine
         network.connections += [mine, theirs]
-        listener.tasks.start_soon(listener.handler, theirs)
+        delay_s = network.accept_delay_s.get(address, 0.0)
+        listener.tasks.start_soon(listener.accept, theirs, delay_s)
         return mine
 
     async def listen(self, address):
--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -150,7 +150,10 @@
     """Send one request as a caller does."""
     patience_s = fields.pop('patience_s', 10.0)
     caller = StandInCaller(
-        network=TcpNetwork(), key=key, patience_s=patience_s
+        network=TcpNetwork(),
+        key=key,
+        patience_s=patience_s,
+        leaves_after_s=fields.pop('leaves_after_s', None),
     )
     try:
         return await caller.send(entry, target, **fields)
--- a/tests/test_gateway_loop_lag.py
+++ b/tests/test_gateway_loop_lag.py
@@ -8,6 +8,8 @@
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site
 
+PROMPT = ((b'X-Model', b'm'), (b'X-Token-Usage', b'1460,80'))
+
 
 class TestLag(unittest.TestCase):
     def test_timer_that_is_late_tells_how_long_things_wait(self):
@@ -62,6 +64,54 @@
         self.assertEqual((answer.status, runs), (200, 1))
 
 
+class TestConnectionsThatWait(unittest.TestCase):
+    def send(self, target, *, wait_s, headers=()):
+        """Send a request on a connection that is accepted late."""
+
+        async def check():
+            async with open_site(daemons=1) as site:
+                entry = site.daemons[0].entry
+                site.network.accept_delay_s[entry] = wait_s
+                answer = await site.caller(patience_s=1.0).send(
+                    entry, target, body=b's', headers=headers
+                )
+                await anyio.sleep(3)
+                arrivals = sum(
+                    len(replica.arrivals)
+                    for replica in site.replicas_by_id.values()
+                )
+                return answer, arrivals, len(site.runs())
+
+        return run_paused(check)
+
+    def test_request_whose_caller_left_before_it_was_accepted_is_not_sent(
+        self,
+    ):
+        """A daemon starts again, and its callers connect all at once.
+
+        Connections are accepted one after the other, so some wait for longer
+        than their callers do. The daemon's own timers are on time meanwhile:
+        the wait is one in the kernel. A slip was sent to an endpoint though
+        its caller had left half a second before, and ran for nobody.
+        """
+        kinds = (
+            ('/slip/1', ()),
+            ('/list/1', ()),
+            ('/draft/1', PROMPT),
+            ('/question/1', PROMPT),
+        )
+        for target, headers in kinds:
+            with self.subTest(target=target):
+                _, arrivals, runs = self.send(
+                    target, wait_s=1.5, headers=headers
+                )
+                self.assertEqual((arrivals, runs), (0, 0))
+
+    def test_request_that_is_accepted_in_time_is_served(self):
+        answer, _, runs = self.send('/slip/1', wait_s=0.5)
+        self.assertEqual((answer.status, runs), (200, 1))
+
+
 class Waited:
     """A lag that does not change."""
 
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -75,6 +75,7 @@
 
 def endpoint_call():
     return EndpointCall(
+        has_caller_left=lambda: False,
         request=GatewayRequest(
             id=OWN_ID,
             head=RequestHead(
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -141,6 +141,36 @@
         self.assertEqual(len(runs), 1)
         self.assertNotIn(answers[0].status, (408, 421, 429, 503))
 
+    def test_requests_whose_callers_left_meanwhile_run_nowhere(self):
+        """A daemon gets no processor time while callers connect and leave.
+
+        Their connections wait in the kernel, each with a request and its
+        end. Sent on, the requests ran for nobody, and those that have
+        somebody waited behind them.
+        """
+        with platform_processes(daemons=1) as platform:
+            daemon = platform.daemons[0]
+            daemon.process.freeze()
+            for target, headers in (
+                ('/slip/1', ()),
+                ('/list/1', ()),
+                ('/draft/1', PROMPT),
+                ('/question/1', PROMPT),
+            ):
+                for _ in range(4):
+                    send_one(
+                        daemon.entry,
+                        target,
+                        headers=headers,
+                        body=b's',
+                        leaves_after_s=0.05,
+                    )
+            daemon.process.thaw()
+            answer = send_one(daemon.entry, '/slip/2', body=b's')
+            targets = [run['target'] for run in platform.seen()['runs']]
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(targets, ['/slip/2'])
+
     def test_draft_survives_the_reclaim_of_its_engine(self):
         """An engine is taken away in the middle of a long draft.
 
