Connections that wait are accepted together

What callers saw: late answers, and requests read when their callers had left, at daemons whose neighbours are down or that have just started.

Cause: one connection was accepted in 3.3 passes of the event loop (6 of 50 that waited, in 20 passes), each of 5 to 20 ms on a busy small VM, so that the queue in the kernel grew to seconds while no timer of the daemon was late.

Change: up to 32 waiting connections are accepted in one pass, each made a stream in its own task.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -2,19 +2,25 @@
 
 import select
 import socket
-from collections.abc import Callable, Mapping
-from typing import Any, cast
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
 
 import anyio
 import anyio.abc
 
 from mimosamux_daemon.early_listeners import BACKLOG, SocketsByAddress
+from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.network import Connection, ConnectionHandler
 
+log = get_log('tcp_network')
+
 SENT_DATA_TIMEOUT_MS = 5000
 """Sent data that is not acknowledged for so long ends a connection: a
 machine without power answers nothing, not even with a reset, and the
 kernel would go on sending for a quarter of an hour."""
+ACCEPTS_AT_ONCE = 32
+"""Connections accepted in one pass of the event loop; requests that are
+under way come to their turn before the next."""
 
 
 class TcpConnection(Connection):
@@ -65,26 +71,50 @@
 class TcpListener:
     """A listening TCP socket."""
 
-    def __init__(self, *, listener: anyio.abc.SocketListener) -> None:
-        self._listener = listener
-        local = listener.extra(anyio.abc.SocketAttribute.local_address)
-        self.address = f'{local[0]}:{local[1]}'
+    def __init__(self, *, listening: socket.socket) -> None:
+        self._listening = listening
+        host, port = listening.getsockname()[:2]
+        self.address = f'{host}:{port}'
 
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
     ) -> None:
         """Give each connection to a task of its own, until cancelled."""
-
-        async def handle(stream: anyio.abc.SocketStream) -> None:
+        with self._listening:
+            while True:
+                await anyio.wait_readable(self._listening)
+                for accepted in self._accept_waiting():
+                    tasks.start_soon(_handle, accepted, handler)
+
+    def _accept_waiting(self) -> Iterator[socket.socket]:
+        """Give the connections that wait to be accepted.
+
+        Taken one in a few passes of the event loop, they wait for as many
+        passes as there are connections before them: after a restart that is
+        longer than callers do, while no timer of the daemon is late.
+        """
+        for _ in range(ACCEPTS_AT_ONCE):
             try:
-                connection = TcpConnection(stream=stream)
-            except OSError:
-                # Reset before it was looked at.
+                accepted, _ = self._listening.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                # Out of descriptors: connections that end give some back.
+                log.warning('accept_failed', reason=str(error))
                 return
-            await handler(connection)
+            yield accepted
 
-        async with self._listener:
-            await self._listener.serve(handle, tasks)
+
+async def _handle(accepted: socket.socket, handler: ConnectionHandler) -> None:
+    try:
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = await anyio.abc.SocketStream.from_socket(accepted)
+        connection = TcpConnection(stream=stream)
+    except (OSError, ValueError):
+        # Reset before it was looked at.
+        accepted.close()
+        return
+    await handler(connection)
 
 
 class TcpNetwork:
@@ -101,17 +131,13 @@
 
     async def listen(self, address: str) -> TcpListener:
         """Take connections to an address; port 0 takes a free one."""
-        opened = self._opened.pop(address, None)
-        if opened is not None:
-            return TcpListener(
-                listener=await anyio.abc.SocketListener.from_socket(opened)
+        listening = self._opened.pop(address, None)
+        if listening is None:
+            listening = socket.create_server(
+                split_address(address), backlog=BACKLOG
             )
-        host, port = split_address(address)
-        created = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=BACKLOG
-        )
-        (listener,) = created.listeners
-        return TcpListener(listener=cast(anyio.abc.SocketListener, listener))
+            listening.setblocking(False)
+        return TcpListener(listening=listening)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/tests/test_early_listeners.py
+++ b/tests/test_early_listeners.py
@@ -4,6 +4,7 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.core import find_early_addresses
 from mimosamux_daemon.early_listeners import open_early
@@ -48,6 +49,39 @@
         self.assertTrue(is_same)
         self.assertEqual(left, {})
 
+    def test_connections_that_waited_are_accepted_together(self):
+        """A daemon starts again, and fifty callers wait to be accepted.
+
+        Accepted one in a few passes of the event loop, the last of them
+        waited for longer than callers do: their requests were read when they
+        had left, though no timer of the daemon was late.
+        """
+        callers, passes = 50, 20
+
+        async def check():
+            address = free_address()
+            network = TcpNetwork(opened=open_early([address]))
+            waiting = [
+                await TcpNetwork().connect(address) for _ in range(callers)
+            ]
+            accepted = []
+
+            async def handle(connection):
+                accepted.append(connection)
+                await anyio.sleep_forever()
+
+            async with anyio.create_task_group() as tasks:
+                listener = await network.listen(address)
+                tasks.start_soon(listener.serve, handle, tasks)
+                for _ in range(passes):
+                    await anyio.lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+            for caller in waiting:
+                await caller.aclose()
+            return len(accepted)
+
+        self.assertEqual(anyio.run(check), callers)
+
     def test_address_that_cannot_be_had_is_left_to_the_listener(self):
         """Another process has the address, or the settings hold none."""
         with socket.socket() as other:
