Streams are moved for as long as they run at an endpoint that leaves

What callers saw: a draft that stayed at an engine past its announced end, and broke off whenever that did go.

Without processor time in the half second in which it was to stop the run, it found the announced end over and left the draft there.

Ruled out: a late notice (0.28 s after the send), a lost call (copied at once), a missing target.

Change: an announced end is an estimate; copies and stops are tried until the stream has ended. What is gone ends its streams by itself.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -26,8 +26,6 @@
 LAST_S = 0.5
 """What is kept of the time before an endpoint goes for stopping runs: two
 tries, and a notice that came late."""
-LATEST_S = 0.1
-"""Time before the end from which on a copy is not begun any more."""
 LOOK_S = 0.1
 """Pause between two looks for streams that have begun at an endpoint that
 leaves: a request that was sent there before may begin its answer later."""
@@ -174,12 +172,19 @@
             await anyio.sleep(min(left_s, LOOK_S))
 
     async def _move_all(self, departure: Departure) -> None:
-        """Move the streams of an endpoint, late ones too, until its end."""
+        """Move the streams of an endpoint, late ones too.
+
+        It goes on past the end for as long as streams run there: what an
+        endpoint tells is an estimate, and a daemon that got no processor
+        time in the last moments would leave streams at an endpoint that is
+        still there (`stream_stays` with a negative `left_s`).
+        """
+        record = departure.record
         limiter = anyio.CapacityLimiter(SIDE_BY_SIDE)
         seen: set[RunningStream] = set()
         async with anyio.create_task_group() as tasks:
-            while self.clock() < departure.end - LATEST_S:
-                for stream in self._movable(departure.record):
+            while self.clock() < departure.end or self._movable(record):
+                for stream in self._movable(record):
                     if stream not in seen:
                         seen.add(stream)
                         tasks.start_soon(
@@ -195,15 +200,12 @@
     ) -> None:
         tries: Counter[EndpointId] = Counter()
         while not await self._copy(stream, tries, limiter):
-            is_over = self.clock() >= departure.end - LATEST_S
-            if stream.ended.is_set() or is_over:
+            if stream.ended.is_set():
                 self._log_stay(stream, tries, departure)
                 return
             await anyio.sleep(LOOK_S)
         await self._wait_to_stop(stream, departure)
         while not stream.ended.is_set() and not stream.is_stopped:
-            if self.clock() >= departure.end:
-                break
             await self.stream_moves.stop(stream)
             await anyio.sleep(LOOK_S)
         await stream.ended.wait()
--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -203,6 +203,7 @@
 
     def _tell_seen(self, body: dict[str, object]) -> object:
         return {
+            'now': anyio.current_time(),
             'runs': [
                 {
                     'id': run.id,
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -51,7 +51,13 @@
         self.answers.append(answer)
 
     async def play(
-        self, *, faults, notice_s, late_streams=0, silent_reports=0
+        self,
+        *,
+        faults,
+        notice_s,
+        late_streams=0,
+        silent_reports=0,
+        overtime_s=0.0,
     ):
         site = self.site
         for number in range(self.streams):
@@ -67,7 +73,7 @@
         source.leaves_ms = notice_s * 1000
         source.is_reclaimable = True
         site.drain_replica(source)
-        await anyio.sleep(notice_s)
+        await anyio.sleep(notice_s + overtime_s)
         site.crash_replica(source)
         await anyio.sleep(12)
         return source
@@ -92,6 +98,7 @@
     late=0,
     engines=3,
     silent_reports=0,
+    overtime_s=0.0,
 ):
     async with open_site(document=patient_document(), engines=engines) as site:
         for engine in engines_of(site):
@@ -102,6 +109,7 @@
             notice_s=notice_s,
             late_streams=late,
             silent_reports=silent_reports,
+            overtime_s=overtime_s,
         )
         return played.answers, site
 
@@ -244,6 +252,19 @@
                     self.assertTrue(answers[0].is_whole)
                     self.assertEqual(answers[0].body, whole_body(answers[0]))
 
+    def test_engine_that_is_there_for_longer_than_it_said_keeps_no_draft(self):
+        """No call gets through in the notice, and the engine stays a while.
+
+        What it says of its end is an estimate. Calls ended with it, and the
+        draft ran on there for seconds until it broke off.
+        """
+        faults = [MoveFault.UNSEEN] * 3
+        answers, _ = run_paused(
+            lambda: reclaim(faults=faults, notice_s=1.0, overtime_s=1.5)
+        )
+        self.assertTrue(answers[0].is_whole)
+        self.assertEqual(answers[0].body, whole_body(answers[0]))
+
     def test_reclaim_of_an_engine_that_drains_loses_no_draft(self):
         """An engine is drained, and reclaimed while it drains.
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -82,6 +82,12 @@
     )
 
 
+def is_past_end(seen):
+    """Whether the engine of a draft is still there past its end."""
+    ends = [each['leaves_at'] for each in seen['replicas']]
+    return any(end is not None and end < seen['now'] for end in ends)
+
+
 class TestSignals(unittest.TestCase):
     def test_stop_cuts_off_no_stream(self):
         """A daemon is asked to stop in the middle of ten drafts."""
@@ -174,13 +180,14 @@
     def test_draft_survives_the_reclaim_of_its_engine(self):
         """An engine is taken away in the middle of a long draft.
 
-        The draft used to break off, rarely, with its engine. The word that
-        the engine leaves could overtake the head of the draft's answer: no
-        stream ran there yet, so nothing was looked after, and no
-        `stream_moved` followed `endpoint_leaving`. A call to move it that
-        got lost, and was not made again, gave the same. A draft that ends
-        before its engine goes has no need to move, and is told apart by the
-        platform: all its events were made in the time of the notice.
+        The draft used to stay with its engine, rarely, on a busy machine: a
+        daemon without processor time in the last half second of the notice
+        came to stop it when the announced end had passed, and did not
+        (`stream_stays` with a negative `left_s`). Before that, a notice that
+        overtook the head of the answer, or one lost call, gave the same. A
+        draft that ends before its engine goes has no need to move, and is
+        told apart by the platform: all its events were made in the time of
+        the notice.
         """
         self.check_reclaim(events=DRAFT_EVENTS)
 
@@ -196,6 +203,38 @@
         """
         self.check_reclaim(events=DRAFT_EVENTS, token_s=3e-4)
 
+    def test_draft_is_moved_by_a_daemon_that_stood_still_at_the_end(self):
+        """A daemon gets no processor time in the last part of a notice.
+
+        It had copied the draft, came to stop it when the announced end was
+        over, and left it there for good: `stream_stays` with `left_s` below
+        zero, and no second `stream_moved`. The engine may be there for
+        longer than it said; the teacher's draft broke off with it.
+        """
+        with (
+            platform_processes(daemons=2, events=DRAFT_EVENTS) as platform,
+            sent_draft(platform) as answers,
+        ):
+            (run,) = platform.wait_for(
+                lambda: platform.seen()['runs'], 'run of the draft'
+            )
+            announce_reclaim(platform, run)
+            daemon = platform.daemons[0].process
+            daemon.wait_for_text('event=stream_moved')
+            daemon.freeze()
+            platform.wait_for(
+                lambda: is_past_end(platform.seen()), 'end of the notice'
+            )
+            daemon.thaw()
+            platform.wait_for(
+                lambda: any(
+                    each['is_moved'] for each in platform.seen()['runs']
+                ),
+                'moved run',
+            )
+            platform.command('/replica', id=run['replica'], crash=True)
+        self.assert_whole(answers[0], DRAFT_EVENTS)
+
     def check_reclaim(self, *, events, **options):
         with (
             platform_processes(
