--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -211,52 +211,49 @@
         zero, and no second `stream_moved`. The engine may be there for
         longer than it said; the teacher's draft broke off with it.
         """
-        with (
-            platform_processes(daemons=2, events=DRAFT_EVENTS) as platform,
-            sent_draft(platform) as answers,
-        ):
-            (run,) = platform.wait_for(
-                lambda: platform.seen()['runs'], 'run of the draft'
-            )
-            announce_reclaim(platform, run)
-            daemon = platform.daemons[0].process
-            daemon.wait_for_text('event=stream_moved')
-            daemon.freeze()
-            platform.wait_for(
-                lambda: is_past_end(platform.seen()), 'end of the notice'
-            )
-            daemon.thaw()
-            platform.wait_for(
-                lambda: any(
-                    each['is_moved'] for each in platform.seen()['runs']
-                ),
-                'moved run',
-            )
-            platform.command('/replica', id=run['replica'], crash=True)
-        self.assert_whole(answers[0], DRAFT_EVENTS)
+        with platform_processes(daemons=2, events=DRAFT_EVENTS) as platform:
+            with sent_draft(platform) as answers:
+                (run,) = platform.wait_for(
+                    lambda: platform.seen()['runs'], 'run of the draft'
+                )
+                announce_reclaim(platform, run)
+                daemon = platform.daemons[0].process
+                daemon.wait_for_text('event=stream_moved')
+                daemon.freeze()
+                platform.wait_for(
+                    lambda: is_past_end(platform.seen()), 'end of the notice'
+                )
+                daemon.thaw()
+                platform.wait_for(
+                    lambda: any(
+                        each['is_moved'] for each in platform.seen()['runs']
+                    ),
+                    'moved run',
+                )
+                platform.command('/replica', id=run['replica'], crash=True)
+            self.assert_whole(platform, answers[0], DRAFT_EVENTS)
 
     def check_reclaim(self, *, events, **options):
-        with (
-            platform_processes(
-                daemons=2, events=events, **options
-            ) as platform,
-            sent_draft(platform) as answers,
-        ):
-            (run,) = platform.wait_for(
-                lambda: platform.seen()['runs'], 'run of the draft'
-            )
-            announce_reclaim(platform, run)
-            platform.wait_for(
-                lambda: is_settled(platform.seen(), events), 'moved run'
-            )
-            platform.command('/replica', id=run['replica'], crash=True)
-        self.assert_whole(answers[0], events)
+        with platform_processes(
+            daemons=2, events=events, **options
+        ) as platform:
+            with sent_draft(platform) as answers:
+                (run,) = platform.wait_for(
+                    lambda: platform.seen()['runs'], 'run of the draft'
+                )
+                announce_reclaim(platform, run)
+                platform.wait_for(
+                    lambda: is_settled(platform.seen(), events), 'moved run'
+                )
+                platform.command('/replica', id=run['replica'], crash=True)
+            self.assert_whole(platform, answers[0], events)
 
-    def assert_whole(self, answer, events):
+    def assert_whole(self, platform, answer, events):
         expected = b''.join(
             render_event(answer.id, number) for number in range(1, events + 1)
         )
-        self.assertEqual(answer.body, expected)
+        if answer.body != expected:
+            self.fail(f'draft broke off: {answer}\n{platform.tell()}')
 
 
 class TestDuties(unittest.TestCase):
