A copy whose holder leaves is made anew before the run is stopped

What callers saw: a draft that went on at the engine it was to leave, and broke off with it, though it had been copied in time (once, in the process test of a daemon that stood still at the end of a notice).

Cause, from that run's log: the endpoint that held the copy was drained 6 ms before the run was stopped; the source answered RunKept, and the draft went on at the source past its announced end, which went 90 ms later.

Ruled out: a lost call; no other target (the next copy was under way to one).

Change: one loop copies a stream while no copy stands at an endpoint that stays, and stops it when that is due. Waits until a moment are never next to nothing: rounded away, one was repeated for ever on a paused clock.

Figures: the new case has two runs at the source before, one now.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -29,6 +29,8 @@
 LOOK_S = 0.1
 """Pause between two looks for streams that have begun at an endpoint that
 leaves: a request that was sent there before may begin its answer later."""
+LEAST_WAIT_S = 0.001
+"""What a stop may come late by."""
 SIDE_BY_SIDE = 8
 """Copies from one endpoint at a time: one that hangs holds up no others,
 and each still gets a fair part of the link."""
@@ -169,7 +171,7 @@
             left_s = first_at - self.clock()
             if left_s <= 0:
                 return
-            await anyio.sleep(min(left_s, LOOK_S))
+            await anyio.sleep(_until_look(left_s))
 
     async def _move_all(self, departure: Departure) -> None:
         """Move the streams of an endpoint, late ones too.
@@ -199,30 +201,41 @@
         limiter: anyio.CapacityLimiter,
     ) -> None:
         tries: Counter[EndpointId] = Counter()
-        while not await self._copy(stream, tries, limiter):
-            if stream.ended.is_set():
-                self._log_stay(stream, tries, departure)
-                return
-            await anyio.sleep(LOOK_S)
-        await self._wait_to_stop(stream, departure)
         while not stream.ended.is_set() and not stream.is_stopped:
-            await self.stream_moves.stop(stream)
-            await anyio.sleep(LOOK_S)
+            await self._advance(stream, departure, tries, limiter)
+            await self._pause(stream, departure)
         await stream.ended.wait()
-        if not stream.is_claimed:
+        if not stream.is_claimed or stream.copy is None:
             self._log_stay(stream, tries, departure)
+        if not stream.is_claimed:
             await self.stream_moves.release(stream)
 
-    async def _wait_to_stop(
+    async def _advance(
+        self,
+        stream: RunningStream,
+        departure: Departure,
+        tries: Counter[EndpointId],
+        limiter: anyio.CapacityLimiter,
+    ) -> None:
+        """Copy a stream, anew if its copy is about to go; stop it at last.
+
+        The endpoint that holds the copy may leave as well. Stopped then, the
+        run found no room there and went on at the endpoint it was to leave
+        (`stream_moved outcome=RunKept`, and `request_sent` to its source).
+        """
+        if not stream.has_lasting_copy:
+            await self._copy(stream, tries, limiter)
+        is_due = self.clock() >= departure.end - LAST_S
+        if is_due and stream.copy is not None and not stream.ended.is_set():
+            await self.stream_moves.stop(stream)
+
+    async def _pause(
         self, stream: RunningStream, departure: Departure
     ) -> None:
-        """Let a stream that was copied run on while its endpoint is there."""
-        while not stream.ended.is_set():
-            left_s = departure.end - LAST_S - self.clock()
-            if left_s <= 0:
-                return
-            with anyio.move_on_after(min(left_s, LOOK_S)):
-                await stream.ended.wait()
+        """Wait for the next look, for less if the stream is to stop."""
+        left_s = departure.end - LAST_S - self.clock()
+        with anyio.move_on_after(_until_look(left_s)):
+            await stream.ended.wait()
 
     async def _copy(
         self,
@@ -281,3 +294,12 @@
         own_s = sum(stream.copy_s() for stream in own)
         everybody = record.load.total(self.clock()).requests
         return own_s * max(1.0, everybody / max(len(own), 1))
+
+
+def _until_look(left_s: float) -> float:
+    """Return the wait until the next look, shorter just before a moment.
+
+    Never next to nothing: a wait that is lost in rounding would come to the
+    moment no nearer, and be repeated for ever.
+    """
+    return min(max(left_s, LEAST_WAIT_S), LOOK_S) if left_s > 0 else LOOK_S
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/running_stream.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/running_stream.py
@@ -51,6 +51,11 @@
         """Whether its engine can hand it over to another one."""
         return self.engine is not None and self.engine.can_move
 
+    @property
+    def has_lasting_copy(self) -> bool:
+        """Whether a copy stands at an endpoint that does not leave."""
+        return self.copy is not None and self.copy.holder.takes_work
+
     def copy_s(self) -> float:
         """Return the time that a copy of its memory takes at most."""
         engine = self.engine
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -290,6 +290,34 @@
 
 
 class TestCopies(unittest.TestCase):
+    def test_copy_whose_holder_leaves_is_made_anew(self):
+        """The engine that holds a draft's copy is drained before the stop.
+
+        The source found no room for the rest there and kept the run, so the
+        draft went on at the engine it was to leave, and broke off with it.
+        """
+
+        async def check():
+            async with open_site(document=patient_document()) as site:
+                for engine in engines_of(site):
+                    engine.speed = ReplicaSpeed(events=EVENTS, event_s=EVENT_S)
+                played = Reclaim(site, target='/draft/', streams=1)
+                site.tasks.start_soon(drain_holder, site)
+                source = await played.play(faults=[], notice_s=2.4)
+                places = [run.replica for run in site.runs()]
+                return played.answers[0], places.count(source.id)
+
+        async def drain_holder(site):
+            # The copy is made 0.9 s before the end, the stop 0.5 s before.
+            await anyio.sleep(0.5 + 2.4 - 0.7)
+            holder = next(each for each in engines_of(site) if each.copies)
+            site.drain_replica(holder)
+
+        answer, runs_at_source = run_paused(check)
+        self.assertEqual(runs_at_source, 1)
+        self.assertTrue(answer.is_whole)
+        self.assertEqual(answer.body, whole_body(answer))
+
     def test_copy_of_a_stream_that_ended_in_time_is_freed(self):
         """A draft ends after it was copied and before its engine goes.
 
