What the last read of the change found: a twin, unused results, a repeated loop

Copies of streams no longer return whether they were made, as nothing asks; whether there is a copy to stop for is checked where it is stopped. Tests set the length of drafts in one place, their assertions stand.

The whole suite was not run again on this commit before it was made.

--- a/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
@@ -31,13 +31,14 @@
 
 def _open(address: str) -> socket.socket | None:
     host, _, port = address.rpartition(':')
-    listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, int(port)))
-        listening.listen(BACKLOG)
-        listening.setblocking(False)
+        return open_listening(host, int(port))
     except (OSError, ValueError, OverflowError):
-        listening.close()
         return None
+
+
+def open_listening(host: str, port: int) -> socket.socket:
+    """Return a listening socket that never blocks; raises `OSError`."""
+    listening = socket.create_server((host, port), backlog=BACKLOG)
+    listening.setblocking(False)
     return listening
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -226,7 +226,7 @@
         if not stream.has_lasting_copy:
             await self._copy(stream, tries, limiter)
         is_due = self.clock() >= departure.end - LAST_S
-        if is_due and stream.copy is not None and not stream.ended.is_set():
+        if is_due and not stream.ended.is_set():
             await self.stream_moves.stop(stream)
 
     async def _pause(
@@ -242,11 +242,10 @@
         stream: RunningStream,
         tries: Counter[EndpointId],
         limiter: anyio.CapacityLimiter,
-    ) -> bool:
+    ) -> None:
         async with limiter:
-            if stream.ended.is_set():
-                return False
-            return await self.stream_moves.copy(stream, tries)
+            if not stream.ended.is_set():
+                await self.stream_moves.copy(stream, tries)
 
     def _log_begin(self, departure: Departure) -> None:
         log.info(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
@@ -52,11 +52,11 @@
 
     async def copy(
         self, stream: RunningStream, tries: Counter[EndpointId]
-    ) -> bool:
+    ) -> None:
         """Have a stream's memory copied; `tries` counts calls by target."""
         target = self._find_target(stream, tries)
         if target is None:
-            return False
+            return
         tries[target.id] += 1
         async with stream.changing:
             outcome = await self.moves.copy(
@@ -66,10 +66,10 @@
                 timeout_s=COPY_TIMEOUT_S + stream.copy_s(),
             )
         self._note(stream, target, outcome)
-        if not isinstance(outcome, RunCopied):
-            return False
-        stream.copy = StreamCopy(kv_source=outcome.kv_source, holder=target)
-        return True
+        if isinstance(outcome, RunCopied):
+            stream.copy = StreamCopy(
+                kv_source=outcome.kv_source, holder=target
+            )
 
     async def stop(self, stream: RunningStream) -> None:
         """Stop a stream that was copied, so that it goes on elsewhere."""
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -34,6 +34,11 @@
     ]
 
 
+def set_draft_length(site, *, events):
+    for engine in engines_of(site):
+        engine.speed = ReplicaSpeed(events=events, event_s=EVENT_S)
+
+
 class Reclaim:
     """A site whose engine is taken away while streams run there."""
 
@@ -101,8 +106,7 @@
     overtime_s=0.0,
 ):
     async with open_site(document=patient_document(), engines=engines) as site:
-        for engine in engines_of(site):
-            engine.speed = ReplicaSpeed(events=EVENTS, event_s=EVENT_S)
+        set_draft_length(site, events=EVENTS)
         played = Reclaim(site, target=target, streams=streams)
         await played.play(
             faults=faults,
@@ -266,8 +270,7 @@
 
         async def play(delay_s):
             async with open_site(document=patient_document()) as site:
-                for engine in engines_of(site):
-                    engine.speed = ReplicaSpeed(events=EVENTS, event_s=EVENT_S)
+                set_draft_length(site, events=EVENTS)
                 played = Reclaim(site, target='/draft/', streams=1)
                 site.tasks.start_soon(played.send, 0)
                 await anyio.sleep(0.5)
@@ -299,8 +302,7 @@
 
         async def check():
             async with open_site(document=patient_document()) as site:
-                for engine in engines_of(site):
-                    engine.speed = ReplicaSpeed(events=EVENTS, event_s=EVENT_S)
+                set_draft_length(site, events=EVENTS)
                 played = Reclaim(site, target='/draft/', streams=1)
                 site.tasks.start_soon(drain_holder, site)
                 source = await played.play(faults=[], notice_s=2.4)
@@ -329,8 +331,7 @@
             async with open_site(daemons=1) as site:
                 # The copy is made 0.9 s before the end, the draft ends
                 # 0.6 s before it.
-                for engine in engines_of(site):
-                    engine.speed = ReplicaSpeed(events=115, event_s=EVENT_S)
+                set_draft_length(site, events=115)
                 played = Reclaim(site, target='/draft/', streams=1)
                 await played.play(faults=[], notice_s=2.4)
                 copies = sum(engine.copies for engine in engines_of(site))
