Requests are logged with a key of what they ask for

Each attempt of a caller has an id of its own, so the logs could not tell whether 33 failed requests with two broken sends each were one request that comes again or 33 that met the same dying engines. request_sent, call_broken, request_ended and their kin now say content=, a digest of method, host, path, account and body that stays the same from attempt to attempt. No figure of this is measured yet.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/names.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/names.py
@@ -4,6 +4,7 @@
 
 AccountId = NewType('AccountId', str)
 ClassName = NewType('ClassName', str)
+ContentKey = NewType('ContentKey', str)
 DaemonId = NewType('DaemonId', str)
 DataCentreName = NewType('DataCentreName', str)
 EndpointId = NewType('EndpointId', str)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -4,7 +4,11 @@
 from dataclasses import dataclass, field
 
 from mimosamux_daemon.domain.gateway import GatewayRequest
-from mimosamux_daemon.domain.names import EndpointId, RequestId
+from mimosamux_daemon.domain.names import (
+    ContentKey,
+    EndpointId,
+    RequestId,
+)
 from mimosamux_daemon.domain.outcomes import Failed, Reason, Refused
 from mimosamux_daemon.domain.routes import (
     AccountEntry,
@@ -12,6 +16,7 @@
     RouteKind,
     ServiceEntry,
 )
+from mimosamux_daemon.gateway.content_keys import find_content_key
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import ResumePoint
 
@@ -44,6 +49,12 @@
     """Copy of its memory from which it goes on, if it was moved."""
     move_target: EndpointId | None = None
     """Endpoint that has the copy."""
+    content: ContentKey = field(init=False)
+    """The same for each attempt of a caller at the same thing."""
+
+    def __post_init__(self) -> None:
+        account = None if self.account is None else self.account.id
+        self.content = find_content_key(self.request, account)
 
     @property
     def is_stream(self) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
@@ -72,6 +72,7 @@
         log.info(
             'request_ended',
             request=job.request.id,
+            content=job.content,
             route=job.route.name,
             account=None if job.account is None else job.account.id,
             sends=job.sends,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -143,6 +143,7 @@
         log.info(
             event,
             request=self.job.request.id,
+            content=self.job.content,
             endpoint=self.endpoint.id,
             sends=self.job.sends,
             took_s=round(self.notes.clock() - self.sent_at, 3),
@@ -199,6 +200,7 @@
         log.info(
             'request_sent',
             request=job.request.id,
+            content=job.content,
             route=job.route.name,
             service=job.service.name,
             endpoint=record.id,
