--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -1,7 +1,7 @@
 """Stand-in of a replica: a queue, slots, answers, and faults."""
 
 import hashlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from enum import Enum, auto
@@ -122,6 +122,12 @@
     """What becomes of the next calls that move a run, in their order."""
     silent_reports: int = 0
     """How many of the next questions for its report get no answer."""
+    crash_targets: set[str] = field(default_factory=set)
+    """Paths of requests that end its process once it runs them."""
+    crash_after_s: float = 0.0
+    """How long such a request runs before that."""
+    on_crash: Callable[['StandInReplica', Run], None] = lambda *_: None
+    """Ends the process."""
     is_end_listed: bool = False
     """Whether its entry in the list tells when it leaves."""
 
@@ -234,7 +240,7 @@
         self.runs.append(run)
         self._run_by_id[id_] = run
         try:
-            with run.scope:
+            async with self._crashing(run):
                 if find_value(headers, b'x-model') is not None:
                     await self._stream(incoming, reply, run)
                 else:
@@ -242,6 +248,20 @@
         finally:
             run.ended_at = anyio.current_time()
 
+    @asynccontextmanager
+    async def _crashing(self, run: Run) -> AsyncIterator[None]:
+        """Run the block; a request of `crash_targets` ends the process."""
+        if run.target not in self.crash_targets:
+            with run.scope:
+                yield
+            return
+        with run.scope, anyio.move_on_after(self.crash_after_s):
+            yield
+            await anyio.sleep_forever()
+        if not run.scope.cancel_called:
+            self.on_crash(self, run)
+            await anyio.sleep_forever()
+
     async def _work(self, reply: Reply, run: Run) -> None:
         await anyio.sleep(self.speed.work_s)
         if self.fault is Fault.HANG:
