Requests that crash endpoints are held back, by all daemons together

Cause: nothing remembered a request beyond its attempt. Each attempt has an id of its own and began with an empty job, at any of nine daemons, so it ended two engines each time.

Ruled out: repeats of others. With content= in the log of the reproduction all arrivals behind the third crash are of one content.

Change: a content (digest of method, host, path, account, body) that was under way where an endpoint's process ended unannounced is suspected. Daemons tell each other, rows of the platform's table outlast a loss of all. From the third crash on it is refused at once as not run; after 30 s, and eight times as long after each further crash, one daemon tries it once. A whole run from its start clears it, one of the last 5 s keeps it from being suspected.

A crash is a broken answer where nothing listens any more, or whose endpoint leaves the list without a notice. Broken and lost answers, resets, drains and VMs without power are none; tests say so.

--- a/packages/mimosamux-cli/mimosamux_cli/commands.py
+++ b/packages/mimosamux-cli/mimosamux_cli/commands.py
@@ -59,6 +59,16 @@
         self._operator(entry).drain(daemon)
         self._write(f'{daemon} is draining\n')
 
+    def release(self, content: str, *, entry: str | None = None) -> None:
+        """Let a request run again that was held for crashing endpoints.
+
+        CONTENT is its key, as status, explain and the logs show it.
+
+        Example: mimosamux release 3f0c6d1e9a7b4c52d8e1f0a9b7c6d5e4
+        """
+        self._operator(entry).release(content)
+        self._write(f'{content} may run again\n')
+
     def audit(
         self,
         *,
--- a/packages/mimosamux-cli/mimosamux_cli/operators.py
+++ b/packages/mimosamux-cli/mimosamux_cli/operators.py
@@ -71,6 +71,10 @@
                 return answer.json()
         raise CommandError(f'there is no daemon {daemon!r}')
 
+    def release(self, content: str) -> Any:
+        """Let a held request run again."""
+        return self._ask('POST', f'release/{content}')
+
     def _ask(self, method: str, path: str, **content: Any) -> Any:
         problem = 'no daemon answers'
         for _ in range(MAX_ROUNDS):
--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -69,7 +69,8 @@
     """Return what bears on a request, in order.
 
     Beside its own lines these are what the daemons that had it in hand
-    learned about its endpoints, and what they lost or regained meanwhile.
+    learned about its endpoints, and what they lost or regained meanwhile,
+    and what any daemon found out about the same content before.
     """
     known = sorted(lines, key=lambda line: line.at)
     own = [line for line in known if line.fields.get('request') == request]
@@ -78,10 +79,14 @@
     first, last = own[0].at - BEFORE, own[-1].at
     sources = {line.source for line in own}
     endpoints = {line.fields.get('endpoint') for line in own} - {None}
+    contents = {line.fields.get('content') for line in own} - {None}
     return [
         line
         for line in known
         if line.fields.get('request') == request
+        or line.at <= last
+        and 'request' not in line.fields
+        and line.fields.get('content') in contents
         or first <= line.at <= last
         and line.source in sources
         and 'request' not in line.fields
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -45,6 +45,8 @@
     """The connection ended, or what came is no answer."""
 
     reason: str
+    is_refused: bool = False
+    """Whether the other VM is there, and no process listens."""
 
 
 class Channel:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -47,7 +47,10 @@
             with anyio.fail_after(self.connect_timeout_s):
                 connection = await self.network.connect(address)
         except (OSError, TimeoutError) as error:
-            return ChannelBroken(reason=describe(error))
+            return ChannelBroken(
+                reason=describe(error),
+                is_refused=isinstance(error, ConnectionRefusedError),
+            )
         self.opened += 1
         return Channel(
             address=address,
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -132,7 +132,15 @@
     async def connect(self, address: str) -> Connection:
         """Return a new connection; raises `OSError` if there is none."""
         host, port = split_address(address)
-        return TcpConnection(stream=await anyio.connect_tcp(host, port))
+        try:
+            stream = await anyio.connect_tcp(host, port)
+        except OSError as error:
+            # anyio hides the kind of error, which says whether the VM is
+            # there and only the process is not.
+            if isinstance(error.__cause__, OSError):
+                raise error.__cause__ from error
+            raise
+        return TcpConnection(stream=stream)
 
     async def listen(self, address: str) -> TcpListener:
         """Take connections to an address; port 0 takes a free one."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
@@ -14,6 +14,7 @@
     CALLER_GONE = 'caller_gone'
     CAP_UNCONFIRMED = 'usage_cap_unconfirmed'
     CEILING = 'cost_ceiling'
+    CRASHES_ENDPOINTS = 'crashes_endpoints'
     CONFLICT = 'key_reused_with_another_body'
     DEADLINE = 'deadline'
     ENDPOINT_FAILED = 'endpoint_failed'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -32,6 +32,8 @@
 OUTPUT_TOKEN_S = 0.0001
 """Time that one token of an answer adds to the work of an engine which
 makes many at once."""
+SPREAD_CHOICES = 2
+"""Endpoints drawn at random, of which the usual order takes one."""
 LEAST_FETCHED = 256
 """Tokens from which on they are copied from another engine's cache. A copy
 takes 2 ms to begin, in which an engine computes about as many."""
@@ -85,8 +87,13 @@
         prompt: PromptUse | None,
         *,
         excluding: Collection[EndpointId] = (),
+        is_spread: bool = False,
     ) -> Choice | None:
-        """Return the endpoint for one send, None if none takes work."""
+        """Return the endpoint for one send, None if none takes work.
+
+        What was at an endpoint that crashed `is_spread`: sent on together by
+        their common prompts, neighbours would meet the cause again.
+        """
         now = self._clock()
         records = [
             record
@@ -97,6 +104,10 @@
         if not records:
             return None
         if service.engine is not None and prompt is not None:
+            if is_spread:
+                records = self._rng.sample(
+                    records, min(SPREAD_CHOICES, len(records))
+                )
             return self._choose_engine(records, service, route, prompt, now)
         return Choice(record=self._choose_plain(records, now))
 
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
@@ -0,0 +1,187 @@
+"""Rows of the platform's table that keep suspects beyond a loss of all.
+
+Daemons tell each other first. The rows are for those that start anew while
+nobody is left who knows, and for daemons that cannot reach each other.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import anyio
+import orjson
+
+from mimosamux_daemon.domain.names import ContentKey
+from mimosamux_daemon.domain.store import (
+    Check,
+    Conflict,
+    Row,
+    Unavailable,
+    Write,
+)
+from mimosamux_daemon.gateway.crash_suspects import Suspect, parse_start
+from mimosamux_daemon.gateway.crash_watch import CrashWatch
+from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports import Table
+
+log = get_log('crash_rows')
+
+PREFIX = 'crashes/'
+RETRY_S = 0.5
+PAGE = 500
+KEPT_FROM = 2
+"""Crashes from which on a suspect is kept. Most are neighbours of a single
+one, and a call for each would tell nobody anything."""
+TRIES = 3
+"""Writes of one suspect in a row; each that fails has learned what another
+daemon wrote meanwhile."""
+ORPHAN_S = 7200.0
+"""Age after which nobody needs a row any more."""
+
+
+@dataclass(kw_only=True, slots=True)
+class CrashRows:
+    """Reads the rows at the start, and keeps them afterwards."""
+
+    table: Table
+    watch: CrashWatch
+    states: PeerStates
+    clock: Callable[[], float]
+    store_time: Callable[[], float | None]
+    """The store's clock in seconds, None before it was ever seen."""
+    first_read: anyio.Event = field(default_factory=anyio.Event)
+    _version_by_content: dict[ContentKey, int] = field(default_factory=dict)
+    _changed: dict[ContentKey, None] = field(default_factory=dict)
+    _cleared: dict[ContentKey, None] = field(default_factory=dict)
+    _woken: anyio.Event = field(default_factory=anyio.Event)
+
+    def __post_init__(self) -> None:
+        self.watch.on_suspected.append(self._note_suspected)
+        self.watch.on_cleared.append(self._note_cleared)
+
+    async def run(self) -> None:
+        """Read until it is done once, then write until cancelled."""
+        await self._read_once()
+        self.first_read.set()
+        while True:
+            await self._woken.wait()
+            self._woken = anyio.Event()
+            if not await self._write_all():
+                await anyio.sleep(RETRY_S)
+                self._woken.set()
+
+    async def _read_once(self) -> None:
+        while True:
+            if await self._read():
+                return
+            await anyio.sleep(RETRY_S)
+
+    def _note_suspected(self, content: ContentKey) -> None:
+        crashes = self.watch.suspects.crashes(content)
+        everybody_heard = len(self.states.fresh()) == len(self.states.by_id)
+        if crashes >= KEPT_FROM or not everybody_heard:
+            self._changed[content] = None
+            self._cleared.pop(content, None)
+            self._woken.set()
+
+    def _note_cleared(self, content: ContentKey) -> None:
+        self._changed.pop(content, None)
+        self._cleared[content] = None
+        self._woken.set()
+
+    async def _read(self) -> bool:
+        after = ''
+        while True:
+            rows = await self.table.scan(PREFIX, after=after, limit=PAGE)
+            if isinstance(rows, Unavailable):
+                return False
+            for row in rows:
+                self._take(row)
+            if len(rows) < PAGE:
+                return True
+            after = rows[-1].key
+
+    def _take(self, row: Row) -> None:
+        content = ContentKey(row.key.removeprefix(PREFIX))
+        self._version_by_content[content] = row.version
+        suspect = self._parse(content, row)
+        if suspect is None:
+            return
+        if self.clock() - suspect.last_at > ORPHAN_S:
+            self._note_cleared(content)
+        else:
+            self.watch.take(suspect, source='the table')
+
+    def _parse(self, content: ContentKey, row: Row) -> Suspect | None:
+        try:
+            fields = orjson.loads(row.value)
+            starts = [parse_start(str(text)) for text in fields['endpoints']]
+            at = float(fields['at'])
+        except (ValueError, TypeError, KeyError) as error:
+            log.error('row_unreadable', key=row.key, problem=str(error))
+            return None
+        now = self.store_time()
+        age_s = 0.0 if now is None else max(now - at, 0.0)
+        return Suspect(
+            content=content,
+            crashed=frozenset(start for start in starts if start is not None),
+            last_at=self.clock() - age_s,
+        )
+
+    async def _write_all(self) -> bool:
+        """Write what has changed; False if some of it is left."""
+        while self._changed or self._cleared:
+            if self._cleared:
+                content = next(iter(self._cleared))
+                is_done = await self._delete(content)
+            else:
+                content = next(iter(self._changed))
+                is_done = await self._write(content)
+            if not is_done:
+                return False
+        return True
+
+    async def _delete(self, content: ContentKey) -> bool:
+        if content in self._version_by_content:
+            outcome = await self.table.commit(
+                [], [Write(key=PREFIX + content, value=None)]
+            )
+            if isinstance(outcome, Unavailable):
+                return False
+        self._version_by_content.pop(content, None)
+        self._cleared.pop(content, None)
+        return True
+
+    async def _write(self, content: ContentKey) -> bool:
+        for _ in range(TRIES):
+            value = self._render(content)
+            if value is None:
+                break
+            key = PREFIX + content
+            version = self._version_by_content.get(content, 0)
+            outcome = await self.table.commit(
+                [Check(key=key, version=version)],
+                [Write(key=key, value=value)],
+            )
+            if isinstance(outcome, Unavailable):
+                return False
+            if not isinstance(outcome, Conflict):
+                self._version_by_content[content] = outcome.versions[key]
+                break
+            self._version_by_content[content] = 0
+            if outcome.found is not None:
+                self._take(outcome.found)
+        self._changed.pop(content, None)
+        return True
+
+    def _render(self, content: ContentKey) -> bytes | None:
+        suspect = self.watch.suspects.by_content.get(content)
+        now = self.store_time()
+        if suspect is None or now is None:
+            return None
+        return orjson.dumps(
+            {
+                'endpoints': [str(start) for start in sorted(suspect.crashed)],
+                'at': now - (self.clock() - suspect.last_at),
+            }
+        )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
@@ -42,6 +42,8 @@
     leaving_incarnation: int = 0
     """Newest start of the endpoint of which peers said that it leaves; it
     may be one that the list has not told of yet."""
+    has_crashed: bool = False
+    """Whether its process ended and nobody had said that it would."""
     failed_connects: int = 0
     avoid_until: float = -math.inf
     load: EndpointLoad = field(default_factory=EndpointLoad)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.domain.gateway import (
     BrokenOff,
     CallerGone,
+    Delivered,
     GatewayOutcome,
     GatewayRequest,
 )
@@ -16,6 +17,7 @@
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway.admission import Admission
 from mimosamux_daemon.gateway.choice import Choice, Chooser
+from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
@@ -71,6 +73,7 @@
     demand: Demand
     overload: Overload
     evacuation: Evacuation
+    crashes: CrashWatch
     outcomes: OutcomeLog
     lag: LoopLag
     clock: Callable[[], float]
@@ -96,21 +99,32 @@
             self.outcomes.note_refusal(request, job)
             return job
         job.caller = caller
-        self._note_demand(job)
-        if job.left_s(self.clock()) > 0:
-            outcome = await self._run_in_time(job, caller)
-        else:
-            outcome = job.give_up(
-                Reason.DEADLINE,
-                f'it waited {waited_s:.1f} s here to be read',
-                retry_after_s=SOON_S,
-            )
+        outcome = await self._run_unless_held(job, caller, waited_s)
+        if isinstance(outcome, Delivered) and not job.is_resumed:
+            self.crashes.note_whole(job.content)
         if isinstance(outcome, Refused) or not job.may_have_run:
             self.admission.release_cap(job)
         self.outcomes.note_outcome(job, outcome)
         return outcome
 
-    async def _run_in_time(self, job: Job, caller: Caller) -> GatewayOutcome:
+    async def _run_unless_held(
+        self, job: Job, caller: Caller, waited_s: float
+    ) -> GatewayOutcome:
+        held = self.crashes.find_refusal(job.content)
+        if held is not None:
+            return held
+        self._note_demand(job)
+        return await self._run_in_time(job, caller, waited_s)
+
+    async def _run_in_time(
+        self, job: Job, caller: Caller, waited_s: float
+    ) -> GatewayOutcome:
+        if job.left_s(self.clock()) <= 0:
+            return job.give_up(
+                Reason.DEADLINE,
+                f'it waited {waited_s:.1f} s here to be read',
+                retry_after_s=SOON_S,
+            )
         outcome: GatewayOutcome = CallerGone()
         with anyio.move_on_after(job.left_s(self.clock())) as timer:
             with anyio.CancelScope() as scope:
@@ -159,6 +173,7 @@
             job.route,
             job.request.prompt,
             excluding=job.tried,
+            is_spread=job.has_broken or self.crashes.is_suspected(job.content),
         )
 
     async def _send(
@@ -240,7 +255,8 @@
         if not isinstance(ended, CallBroken):
             send.note_answer(failed=False)
             return ended
-        if job.last_event_id is not None:
+        is_held = self.crashes.is_held(job.content)
+        if job.last_event_id is not None and not is_held:
             copy = await self.evacuation.claim_copy(stream)
             if copy is not None:
                 send.note_answer(failed=False)
@@ -264,6 +280,7 @@
     def _end_broken(
         self, job: Job, send: Send, broken: CallBroken
     ) -> GatewayOutcome | GoOn:
+        job.has_broken = True
         send.note_broken(broken.reason)
         if self._may_send_again(job):
             return GoOn()
@@ -279,6 +296,8 @@
             return False
         if job.sends >= job.route.max_endpoints:
             return False
+        if not self.crashes.may_go_on(job.content, is_unrun=is_proven_unrun):
+            return False
         if not self._has_other(job):
             return False
         return self.budget.take(job.service.name)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -47,6 +47,10 @@
     weights_version: str | None = None
     kv_source: str | None = None
     """Copy of its memory from which it goes on, if it was moved."""
+    has_broken: bool = False
+    """Whether the answer of an endpoint broke off."""
+    is_resumed: bool = False
+    """Whether its present run goes on behind what another one made."""
     move_target: EndpointId | None = None
     """Endpoint that has the copy."""
     content: ContentKey = field(init=False)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -35,6 +35,14 @@
             'mimosamux_gateway_moves_total',
             'Streams moved to another endpoint, by result.',
         )
+        self.endpoint_crashes = self._counter(
+            'mimosamux_gateway_endpoint_crashes_total',
+            'Endpoints that ended unannounced under requests, by service.',
+        )
+        self.suspects = self._gauge(
+            'mimosamux_gateway_suspects',
+            'Contents under which endpoints crashed (suspected, held).',
+        )
         self.duty_calls = self._counter(
             'mimosamux_gateway_duty_calls_total',
             'Calls of the duties, by duty and outcome.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -7,13 +7,16 @@
 
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.control.members import MemberState
+from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
+from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.duties import Duties
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.roster import Roster
 
+RELEASE_PATH = b'/v1/operator/release/'
 JSON = ((b'Content-Type', b'application/json'),)
 
 
@@ -26,6 +29,7 @@
     configuration: ConfirmedConfiguration
     roster: Roster
     states: PeerStates
+    crashes: CrashWatch
     duties: Duties
     open_requests: Callable[[], int]
     clock: Callable[[], float]
@@ -45,11 +49,26 @@
             await reply.answer(200, fields, content)
         elif path == b'/v1/operator/status':
             await reply.answer(200, JSON, orjson.dumps(self.status()))
+        elif path.startswith(RELEASE_PATH):
+            await self._release(incoming, reply)
         elif path == b'/healthz':
             await reply.answer(200, (), b'ok\n')
         else:
             await reply.answer(404, ())
 
+    async def _release(self, incoming: IncomingRequest, reply: Reply) -> None:
+        if incoming.head.method != b'POST':
+            await reply.answer(405, ((b'Allow', b'POST'),))
+            return
+        name = incoming.head.path.removeprefix(RELEASE_PATH)
+        content = ContentKey(name.decode('latin-1'))
+        if self.crashes.release(content):
+            await reply.answer(200, JSON, orjson.dumps({'content': content}))
+            return
+        message = f'no content {content!r} is suspected'
+        problem = orjson.dumps({'error': {'message': message}})
+        await reply.answer(404, JSON, problem)
+
     def status(self) -> dict[str, object]:
         """Return how things stand, in sections of rows."""
         return {
@@ -64,6 +83,7 @@
                 for record in self.roster.by_id.values()
                 if record.gone_at is None
             ],
+            'held_requests': self._held_rows(),
         }
 
     def collect(self) -> None:
@@ -79,6 +99,11 @@
         metrics.peers.set({'state': 'fresh'}, fresh)
         metrics.peers.set({'state': 'silent'}, silent)
         metrics.holds_lease.set({}, int(self.duties.held is not None))
+        suspects = self.crashes.suspects
+        held = len(list(suspects.held()))
+        metrics.suspects.set({'state': 'held'}, held)
+        others = len(suspects.by_content) - held
+        metrics.suspects.set({'state': 'suspected'}, others)
         counts: dict[tuple[str, str], int] = {}
         for record in self.roster.by_id.values():
             if record.gone_at is None:
@@ -114,6 +139,17 @@
             )
         return rows
 
+    def _held_rows(self) -> list[dict[str, object]]:
+        suspects = self.crashes.suspects
+        return [
+            {
+                'content': suspect.content,
+                'crashes': len(suspect.crashed),
+                'held_s': round(suspects.held_s(suspect.content), 1),
+            }
+            for suspect in suspects.held()
+        ]
+
     def _endpoint_row(self, record: EndpointRecord) -> dict[str, object]:
         now = self.clock()
         failed = record.health.failed_share(now)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -19,6 +19,10 @@
     ConfigurationItems,
     ConfirmedConfiguration,
 )
+from mimosamux_daemon.gateway.crash_rows import CrashRows
+from mimosamux_daemon.gateway.crash_suspects import CrashSuspects
+from mimosamux_daemon.gateway.crash_trials import CrashTrials
+from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
@@ -83,6 +87,7 @@
         self._build_endpoints(shared_time)
         self._build_counts(shared_time)
         self._build_duties(wall_clock)
+        self._build_crashes(shared_time)
         self._build_forwarding()
         self.states.on_silence.append(platform.distrust_connections)
         self.states.parts = [
@@ -109,12 +114,15 @@
             self.cap_loans.run,
             self.lag.run,
             self.evacuation.run,
+            self.crashes.run,
+            self.crash_rows.run,
         )
 
     async def wait_for_first_read(self) -> None:
-        """Wait until configuration and endpoints were read once."""
+        """Wait until configuration, endpoints and suspects were read."""
         await self.configuration_reader.first_read.wait()
         await self.endpoint_reader.first_read.wait()
+        await self.crash_rows.first_read.wait()
 
     def _build_states(self, network: Network) -> None:
         settings, rng = self.settings, self._rng
@@ -259,6 +267,24 @@
             rng=self._rng,
         )
 
+    def _build_crashes(self, shared_time: SharedTime) -> None:
+        self.crashes = CrashWatch(
+            suspects=CrashSuspects(clock=self._clock),
+            calls=self._platform.calls,
+            states=self.states,
+            peers=self.peers,
+            trials=CrashTrials(states=self.states, clock=self._clock),
+            metrics=self.metrics,
+            clock=self._clock,
+        )
+        self.crash_rows = CrashRows(
+            table=self._platform.table,
+            watch=self.crashes,
+            states=self.states,
+            clock=self._clock,
+            store_time=shared_time.store_now,
+        )
+
     def _build_forwarding(self) -> None:
         self.admission = Admission(
             configuration=self.configuration,
@@ -287,6 +313,7 @@
                 roster=self.roster,
                 chooser=self.chooser,
                 begun=self.begun,
+                crashes=self.crashes,
                 metrics=self.metrics,
                 news_age_s=self.states.news_age_s,
                 clock=self._clock,
@@ -296,6 +323,7 @@
                 shares=FairShares(window_s=WINDOW_S), clock=self._clock
             ),
             evacuation=self.evacuation,
+            crashes=self.crashes,
             outcomes=OutcomeLog(
                 metrics=self.metrics,
                 configuration=self.configuration,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Protocol
 
 import anyio
@@ -107,6 +107,8 @@
         self.parts: list[DigestPart] = []
         self.on_silence: list[Callable[[], None]] = []
         """Told when all peers in touch have fallen silent together."""
+        self.on_joined: list[Callable[[DaemonId], Awaitable[None]]] = []
+        """Told of each process that is heard directly for the first time."""
         self._is_silent = False
         self.on_forgotten: list[Callable[[DaemonId], None]] = []
         """Told of each peer that is given up."""
@@ -454,6 +456,8 @@
                 data_centres=[str(centre) for centre in others.values()],
             ),
         )
+        for listener in self.on_joined:
+            await listener(id_)
 
     async def _take_known(
         self, sender: DaemonId, message: DaemonsKnown
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -8,6 +8,7 @@
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
 from mimosamux_daemon.gateway.choice import Choice, Chooser
+from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import Roster
@@ -94,6 +95,7 @@
         self.note_begun()
         self.note_answer(failed=True)
         self._log('call_broken', reason=reason)
+        self.notes.crashes.note_broken(self.job.content, self.choice.record)
 
     def note_silent(self) -> None:
         """Note that the endpoint is left for its silence."""
@@ -158,6 +160,7 @@
     roster: Roster
     chooser: Chooser
     begun: BegunCounts
+    crashes: CrashWatch
     metrics: GatewayMetrics
     news_age_s: Callable[[], float]
     """Age of the oldest digest that the choice rested on."""
@@ -188,6 +191,9 @@
         job.tried.add(choice.record.id)
         job.sends += 1
         job.may_have_run = True
+        job.is_resumed = (
+            job.last_event_id or job.request.last_event_id
+        ) is not None
         load, unread = choice.record.load, choice.unread_tokens
         load.begin(unread)
         try:
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
+from enum import Enum, auto
 from typing import Protocol
 
 from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
@@ -69,6 +70,17 @@
     reason: str
 
 
+class Presence(Enum):
+    """What is found at an endpoint's address."""
+
+    THERE = auto()
+    """A process takes connections."""
+    ENDED = auto()
+    """Its VM answers that no process does."""
+    UNKNOWN = auto()
+    """Nothing answers: it may be gone, or cut off from here."""
+
+
 class EndpointAnswer(Protocol):
     """An answer as it arrives."""
 
@@ -103,3 +115,6 @@
         SentRequest | NotSent | NotAwaited | CallBroken
     ]:
         """Send a request; leaving the block before its end hangs up."""
+
+    async def look_for(self, endpoint: ListedEndpoint) -> Presence:
+        """Look whether the process of an endpoint is there."""
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -6,6 +6,11 @@
     ConfigurationPush,
     ConfigurationState,
 )
+from mimosamux_wire.crash_messages import (
+    SuspectsCleared,
+    SuspectsTold,
+    SuspectTold,
+)
 from mimosamux_wire.envelopes import (
     MAX_MESSAGE_BYTES,
     MAX_SEQUENCE,
@@ -132,4 +137,7 @@
     'WindowUse',
     'decode',
     'encode',
+    'SuspectTold',
+    'SuspectsTold',
+    'SuspectsCleared',
 ]
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -303,6 +303,20 @@
   3: list<i64> incarnations
 }
 
+struct SuspectTold {
+  1: string content
+  2: list<string> endpoints
+  3: i64 age_ms
+}
+
+struct SuspectsTold {
+  1: list<SuspectTold> suspects
+}
+
+struct SuspectsCleared {
+  1: list<string> contents
+}
+
 struct Vouch {
   1: i64 version
 }
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -152,3 +152,19 @@
             served[0],
             answers,
         )
+
+
+async def crash_thrice(crashing, target):
+    """Send a request again until three endpoints have crashed under it."""
+    site, caller = crashing.site, crashing.site.caller()
+    number = 0
+    while len(crashing.crashes) < 3:
+        await send(site, caller, number, target)
+        number += 1
+
+
+def count_arrivals(site):
+    """Return how many requests have reached endpoints so far."""
+    return sum(
+        len(replica.arrivals) for replica in site.replicas_by_id.values()
+    )
--- /dev/null
+++ b/tests/test_gateway_crash_suspects.py
@@ -0,0 +1,142 @@
+"""What is known of contents under which endpoints crashed."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from mimosamux_daemon.gateway.crash_suspects import (
+    FIRST_HOLD_S,
+    HELD_FROM,
+    KEEP_S,
+    LONGEST_HOLD_S,
+    MOST_RECENT,
+    MOST_SUSPECTS,
+    RECENT_S,
+    CrashSuspects,
+    EndpointStart,
+    Suspect,
+    parse_start,
+)
+
+
+def start(number, incarnation=0):
+    return EndpointStart(id=f'i-{number}', incarnation=incarnation)
+
+
+def suspect(content, *numbers, at=0.0):
+    crashed = frozenset(start(number) for number in numbers)
+    return Suspect(content=content, crashed=crashed, last_at=at)
+
+
+CRASHES = st.lists(
+    st.tuples(st.integers(0, 5), st.floats(0, 100)), min_size=1, max_size=8
+)
+
+
+class TestCrashSuspects(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.suspects = CrashSuspects(clock=lambda: self.now)
+
+    def add(self, content, *numbers):
+        return self.suspects.add(suspect(content, *numbers, at=self.now))
+
+    def test_third_crash_holds_a_content_back(self):
+        for number in range(HELD_FROM):
+            self.assertEqual(self.suspects.held_s('a'), 0.0)
+            self.add('a', number)
+        self.assertEqual(self.suspects.held_s('a'), FIRST_HOLD_S)
+        self.assertEqual(self.suspects.held_s('b'), 0.0)
+
+    def test_one_crash_told_by_many_daemons_counts_once(self):
+        self.assertTrue(self.add('a', 1))
+        for _ in range(5):
+            self.assertFalse(self.add('a', 1))
+        self.assertEqual(self.suspects.crashes('a'), 1)
+
+    def test_same_id_that_crashed_twice_counts_twice(self):
+        for incarnation in (1, 2):
+            crashed = frozenset({start(1, incarnation)})
+            self.suspects.add(
+                Suspect(content='a', crashed=crashed, last_at=0.0)
+            )
+        self.assertEqual(self.suspects.crashes('a'), 2)
+
+    def test_content_that_may_crash_its_present_endpoint_goes_no_further(self):
+        self.add('a', 1)
+        self.assertTrue(self.suspects.may_go_on('a'))
+        self.add('a', 2)
+        self.assertFalse(self.suspects.may_go_on('a'))
+
+    def test_hold_ends_and_is_longer_after_each_further_crash(self):
+        self.add('a', 1, 2, 3)
+        holds = []
+        for number in range(4, 20):
+            hold_s = self.suspects.held_s('a')
+            holds.append(hold_s)
+            self.now += hold_s
+            self.assertTrue(self.suspects.is_on_trial('a'))
+            self.assertFalse(self.suspects.may_go_on('a'))
+            self.add('a', number)
+            self.assertFalse(self.suspects.is_on_trial('a'))
+        self.assertEqual(holds, sorted(holds))
+        self.assertEqual(holds[:2], [30.0, 240.0])
+        self.assertEqual(holds[-1], LONGEST_HOLD_S)
+
+    def test_whole_run_clears_a_content(self):
+        self.add('a', 1, 2, 3)
+        self.assertTrue(self.suspects.note_whole('a'))
+        self.assertEqual(self.suspects.held_s('a'), 0.0)
+        self.assertFalse(self.suspects.note_whole('a'))
+
+    def test_content_that_has_just_run_whole_is_not_suspected(self):
+        self.suspects.note_whole('a')
+        self.assertFalse(self.add('a', 1, 2, 3))
+        self.now = RECENT_S
+        self.assertTrue(self.add('a', 1, 2, 3))
+
+    def test_whole_runs_of_many_contents_take_bounded_memory(self):
+        for number in range(MOST_RECENT + 1):
+            self.suspects.note_whole(f'c{number}')
+        self.assertFalse(self.suspects.has_run_whole('c0'))
+        self.assertTrue(self.suspects.has_run_whole('c1'))
+
+    def test_contents_are_forgotten_in_time(self):
+        self.add('a', 1)
+        self.now = KEEP_S
+        self.add('b', 1)
+        self.assertEqual(list(self.suspects.by_content), ['b'])
+        old = suspect('c', 1, at=self.now - KEEP_S)
+        self.assertFalse(self.suspects.add(old))
+
+    def test_many_contents_take_bounded_memory_and_the_held_one_stays(self):
+        self.add('held', 1, 2, 3)
+        for number in range(MOST_SUSPECTS + 100):
+            self.now += 0.001
+            self.add(f'c{number}', 1)
+        self.assertEqual(len(self.suspects.by_content), MOST_SUSPECTS)
+        self.assertGreater(self.suspects.held_s('held'), 0.0)
+
+    def test_starts_are_read_as_they_are_written(self):
+        for text in ('i-1/0', 'a/b/17'):
+            self.assertEqual(str(parse_start(text)), text)
+        for text in ('', 'i-1', 'i-1/', '/1', 'i-1/x', 'i-1/-1'):
+            self.assertIsNone(parse_start(text))
+
+    @given(crashes=CRASHES, data=st.data())
+    def test_daemons_know_the_same_in_whatever_order_they_hear(
+        self, crashes, data
+    ):
+        told = [suspect('a', number, at=at) for number, at in crashes]
+        known = []
+        for order in (told, data.draw(st.permutations(told))):
+            self.now = 100.0
+            suspects = CrashSuspects(clock=lambda: self.now)
+            for each in order:
+                suspects.add(each)
+            known.append(suspects.by_content['a'].crashed)
+        self.assertEqual(known[0], known[1])
+
+
+if __name__ == '__main__':
+    unittest.main()
