--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -128,6 +128,10 @@
     """How long such a request runs before that."""
     on_crash: Callable[['StandInReplica', Run], None] = lambda *_: None
     """Ends the process."""
+    says_leaving: bool = False
+    """Whether its answers say that it leaves, whatever the list shows."""
+    shed_retry_after_s: float | None = None
+    """For how long it wants nothing, as it says when it is full."""
     is_end_listed: bool = False
     """Whether its entry in the list tells when it leaves."""
 
@@ -198,9 +202,7 @@
                 return
         is_full = self._waiting >= self.queue + self.slots
         if not id_ or is_full or self.fault is Fault.SHED:
-            await reply.answer(
-                400 if not id_ else 503, ((b'X-Not-Executed', b'1'),)
-            )
+            await reply.answer(400 if not id_ else 503, self._shed_headers())
             return
         with anyio.CancelScope() as scope:
             incoming.cancel_when_gone(scope)
@@ -377,8 +379,18 @@
         for replica in self.by_address.values():
             replica._handles.pop(handle, None)
 
+    def _shed_headers(self) -> RawHeaders:
+        headers: RawHeaders = ((b'X-Not-Executed', b'1'), *self._word())
+        if self.shed_retry_after_s is None:
+            return headers
+        return (*headers, (b'Retry-After', b'%g' % self.shed_retry_after_s))
+
+    def _word(self) -> RawHeaders:
+        return ((b'Server-Leaving', b'1'),) if self.says_leaving else ()
+
     def _headers(self, run: Run, body: bytes) -> RawHeaders:
         return (
+            *self._word(),
             (b'X-Attempt-Id', run.id.encode()),
             (b'X-Replica-Signature', sign(self.id, run.id, body)),
         )
--- /dev/null
+++ b/tests/test_gateway_endpoint_words.py
@@ -0,0 +1,132 @@
+"""What endpoints say of themselves in their answers."""
+
+import unittest
+
+import anyio
+from mimosamux_standins.site import Fault
+
+from tests.support import crashes
+from tests.support.clock import run_paused
+from tests.support.platform_site import open_site
+
+DRAIN_S = 2.0
+PATHS = ('/draft/', '/question/', '/slip/', '/list/')
+
+
+async def find_first(site, path):
+    """Return the endpoint that requests of a path go to first."""
+    await crashes.send(site, site.caller(), 0, f'{path}first')
+    (first,) = [each for each in of_service(site, path) if each.arrivals]
+    first.arrivals.clear()
+    return first
+
+
+def of_service(site, path):
+    """Return the endpoints of the service that serves a path."""
+    service = 'llm' if path in ('/draft/', '/question/') else 'app'
+    return [
+        replica
+        for replica in site.replicas_by_id.values()
+        if replica.service == service
+    ]
+
+
+async def ask_on(site, path, *, for_s, every_s=0.05, daemons=None):
+    """Send requests to the daemons in turn; return the answers."""
+    caller, answers = site.caller(), []
+    daemons = daemons or (0, 1, 2)
+
+    async def ask(number):
+        place = daemons[number % len(daemons)]
+        target = f'{path}{number}'
+        answers.append(await crashes.send(site, caller, place, target))
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(int(for_s / every_s)):
+            tasks.start_soon(ask, number)
+            await anyio.sleep(every_s)
+    return answers
+
+
+async def count_after_word(path, fault=Fault.NONE):
+    """Return what an endpoint gets past the bound after its first word."""
+    async with open_site() as site:
+        leaving = await find_first(site, path)
+        leaving.says_leaving = True
+        leaving.fault = fault
+        await ask_on(site, path, for_s=10.0)
+        first = min(at for at, _ in leaving.arrivals)
+        return sum(at > first + DRAIN_S for at, _ in leaving.arrivals)
+
+
+class TestLeavingWords(unittest.TestCase):
+    # Guards against sending on to an endpoint that leaves while the list,
+    # which cannot be written, shows it as ready.
+
+    def test_endpoint_whose_answers_say_that_it_leaves_gets_nothing_new(self):
+        for path in PATHS:
+            with self.subTest(path=path):
+                late = run_paused(lambda path=path: count_after_word(path))
+                self.assertEqual(late, 0)
+
+    def test_word_in_a_refusal_or_an_error_counts(self):
+        for fault in (Fault.SHED, Fault.ERROR):
+            with self.subTest(fault=fault):
+                late = run_paused(
+                    lambda fault=fault: count_after_word('/list/', fault)
+                )
+                self.assertEqual(late, 0)
+
+
+class TestRests(unittest.TestCase):
+    # Guards against sending on to an endpoint that asked for a pause.
+
+    def test_endpoint_gets_nothing_for_as_long_as_it_asks(self):
+        async def check(path):
+            async with open_site() as site:
+                resting = await find_first(site, path)
+                resting.fault = Fault.SHED
+                resting.shed_retry_after_s = 5.0
+                await ask_on(site, path, for_s=6.0, daemons=(0,))
+                first = resting.arrivals[0][0]
+                return sum(
+                    first + 0.5 < at < first + 5.0
+                    for at, _ in resting.arrivals
+                )
+
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.assertEqual(run_paused(check, path), 0)
+
+    def test_callers_are_served_beside_an_endpoint_that_turns_all_down(self):
+        async def check(path):
+            async with open_site() as site:
+                (await find_first(site, path)).fault = Fault.SHED
+                answers = await ask_on(site, path, for_s=15.0)
+                return sum(answer.status == 200 for answer in answers)
+
+        for path in PATHS:
+            with self.subTest(path=path):
+                self.assertGreaterEqual(run_paused(check, path), 270)
+
+    def test_wait_for_all_endpoints_is_told_to_the_caller(self):
+        async def check():
+            async with open_site() as site:
+                for replica in of_service(site, '/list/'):
+                    replica.fault = Fault.SHED
+                    replica.shed_retry_after_s = 5.0
+                await ask_on(site, '/list/', for_s=1.0, daemons=(0,))
+                before = crashes.count_arrivals(site)
+                answers = await ask_on(site, '/list/', for_s=2.0, daemons=(0,))
+                return answers, crashes.count_arrivals(site) - before
+
+        answers, arrived = run_paused(check)
+        self.assertEqual(arrived, 0)
+        for answer in answers:
+            self.assertEqual(answer.status, 503)
+            self.assertGreater(answer.retry_after_s, 1.0)
+            self.assertLess(answer.ended_at - answer.sent_at, 0.05)
+
+
+if __name__ == '__main__':
+    unittest.main()
