Endpoints that say in an answer that they leave get nothing new

Cause: daemons learned of a leaving from the platform's list alone, and passed the header of the answers on unread. With the list's table away for 12 s no daemon logged endpoint_leaving for it, which rules out that it was read and revoked. Change: the head of each answer, whole, stream, error or refusal, is looked at before it is passed on; the endpoint leaves at once, peers are told. A new process under its id has said nothing, the word of another endpoint at its address counts for nothing.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -211,10 +211,11 @@
         answer = await patience.wait(sent.answer)
         if isinstance(answer, Silent):
             return GoOn()
-        if isinstance(answer, TurnedDown):
-            return self._end_turned_down(job, send, answer)
         if isinstance(answer, CallBroken):
             return self._end_broken(job, send, answer)
+        send.note_head(answer)
+        if isinstance(answer, TurnedDown):
+            return self._end_turned_down(job, send, answer)
         if job.is_stream and answer.status == HTTPStatus.OK:
             return await self._relay(job, answer, send, patience)
         return await self._pass_on(job, answer, send, patience)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -21,6 +21,7 @@
 log = get_log('roster')
 
 PLATFORM = 'platform'
+OWN_WORD = 'its answer'
 KEEP_GONE_S = 30.0
 """Endpoints that are gone are remembered for so long: a peer whose view is
 older may still tell of them."""
@@ -53,6 +54,8 @@
         """Told of each endpoint that leaves, whoever learned of it."""
         self.on_learned: list[Listener] = []
         """Told of those that the platform told this daemon of."""
+        self.on_word: list[Listener] = []
+        """Told of those that said it themselves, to this daemon."""
         self.on_restarted: list[Listener] = []
         """Told of what was known of an endpoint that has started anew."""
         self.on_forgotten: list[Callable[[EndpointId], None]] = []
@@ -128,6 +131,9 @@
         if source == PLATFORM:
             for listener in self.on_learned:
                 listener(record)
+        elif source == OWN_WORD:
+            for listener in self.on_word:
+                listener(record)
         return True
 
     def serving(self, service: ServiceName) -> list[EndpointRecord]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -11,9 +11,13 @@
 from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.roster import OWN_WORD, Roster
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.endpoint_calls import EndpointCall, TurnedDown
+from mimosamux_daemon.ports.endpoint_calls import (
+    EndpointAnswer,
+    EndpointCall,
+    TurnedDown,
+)
 
 log = get_log('sends')
 
@@ -82,6 +86,20 @@
         """Note that the endpoint was reached."""
         self.notes.roster.note_connect(self.choice.record, failed=False)
 
+    def note_head(self, answer: EndpointAnswer | TurnedDown) -> None:
+        """Note what the start of an answer says of its endpoint.
+
+        The list may tell later, or not at all while it cannot be written.
+        """
+        if answer.is_leaving:
+            record = self.choice.record
+            self.notes.roster.note_leaving(
+                record.id,
+                left_s=None,
+                source=OWN_WORD,
+                incarnation=record.incarnation,
+            )
+
     def note_unrun(self, answer: TurnedDown) -> None:
         """Note that the endpoint says that it has not run the request."""
         self.job.may_have_run = self.could_have_run
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -61,6 +61,9 @@
     is_other_endpoint: bool = False
     """Whether another endpoint has the address now."""
     retry_after_s: float | None = None
+    """For how long the endpoint wants nothing from this daemon."""
+    is_leaving: bool = False
+    """Whether the endpoint says that it leaves."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,6 +91,8 @@
     headers: RawHeaders
     """Those that are passed on to the caller."""
     weights_version: str | None
+    is_leaving: bool
+    """Whether the endpoint says that it leaves."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, None behind its end.
--- a/tests/test_gateway_endpoint_words.py
+++ b/tests/test_gateway_endpoint_words.py
@@ -4,10 +4,11 @@
 
 import anyio
 from mimosamux_standins.site import Fault
+from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support import crashes
 from tests.support.clock import run_paused
-from tests.support.platform_site import open_site
+from tests.support.platform_site import open_site, wall_ms
 
 DRAIN_S = 2.0
 PATHS = ('/draft/', '/question/', '/slip/', '/list/')
@@ -77,6 +78,37 @@
                 )
                 self.assertEqual(late, 0)
 
+    def test_peers_are_told_while_the_table_is_away(self):
+        async def check():
+            async with open_site() as site:
+                leaving = await find_first(site, '/list/')
+                site.store.trouble = StoreTrouble.SILENT
+                leaving.says_leaving = True
+                await ask_on(site, '/list/', for_s=1.0, daemons=(0,))
+                leaving.says_leaving = False
+                leaving.arrivals.clear()
+                await ask_on(site, '/list/', for_s=2.0)
+                return len(leaving.arrivals)
+
+        self.assertEqual(run_paused(check), 0)
+
+    def test_new_process_under_the_same_id_has_said_nothing(self):
+        async def check():
+            async with open_site(apps=0) as site:
+                leaving = await site.add_replica(
+                    'app', 'north', born_ms=wall_ms()
+                )
+                await anyio.sleep(0.5)
+                leaving.says_leaving = True
+                await crashes.send(site, site.caller(), 0, '/list/1')
+                refused = await crashes.send(site, site.caller(), 0, '/list/2')
+                await site.restart_replica(leaving)
+                await anyio.sleep(0.5)
+                served = await crashes.send(site, site.caller(), 0, '/list/3')
+                return refused.status, served.status
+
+        self.assertEqual(run_paused(check), (503, 200))
+
 
 class TestRests(unittest.TestCase):
     # Guards against sending on to an endpoint that asked for a pause.
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -37,6 +37,7 @@
     'X-Key',
     'Kv-From',
     'Kv-Fetch',
+    'Server-Leaving',
 ]
 CALLS = [
     '/api/readyz',
