Endpoints get nothing for as long as their refusal asks

Callers saw: refusals for as long as an endpoint that wanted a pause stayed the first choice. Cause: Retry-After of a refusal was told to the caller and not kept. Change: the endpoint rests for this daemon until then, 300 s at most; requests, repeats and copies of streams go to the others. Where all of them rest, callers are told at once when the first is open again.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -97,7 +97,7 @@
         now = self._clock()
         records = [
             record
-            for record in self._roster.serving(service.name)
+            for record in self._roster.open_to(service.name)
             if record.id not in excluding
         ]
         records = _leave_out_doubtful(records, now)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
@@ -46,6 +46,8 @@
     """Whether its process ended and nobody had said that it would."""
     failed_connects: int = 0
     avoid_until: float = -math.inf
+    rests_until: float = -math.inf
+    """Until when it wants nothing from this daemon, as it said."""
     load: EndpointLoad = field(default_factory=EndpointLoad)
     health: EndpointHealth = field(default_factory=EndpointHealth)
     open_sends: set[OpenSend] = field(default_factory=set)
@@ -71,6 +73,10 @@
         """Whether connects fail there and the next try is not due."""
         return now < self.avoid_until
 
+    def is_resting(self, now: float) -> bool:
+        """Whether it has asked this daemon to send nothing for a time."""
+        return now < self.rests_until
+
     @contextmanager
     def sending(self, now: float) -> Iterator[None]:
         """Count a request as under way; the block ends with the process."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -147,11 +147,7 @@
         while True:
             choice = self._choose(job)
             if choice is None or unsent >= CONNECTS:
-                return job.give_up(
-                    Reason.NO_ENDPOINT,
-                    f'no endpoint of {job.service.name} takes it',
-                    retry_after_s=NO_ENDPOINT_RETRY_S,
-                )
+                return self._give_up_unplaced(job)
             refused = self.overload.find_refusal(job, choice)
             if refused is not None:
                 return refused
@@ -163,6 +159,21 @@
             elif not isinstance(outcome, GoOn):
                 return outcome
 
+    def _give_up_unplaced(self, job: Job) -> GatewayOutcome:
+        name = job.service.name
+        rest_s = self.roster.rest_left_s(name)
+        if rest_s > 0:
+            return job.give_up(
+                Reason.TURNED_DOWN,
+                f'every endpoint of {name} has asked for a pause',
+                retry_after_s=rest_s,
+            )
+        return job.give_up(
+            Reason.NO_ENDPOINT,
+            f'no endpoint of {name} takes it',
+            retry_after_s=NO_ENDPOINT_RETRY_S,
+        )
+
     def _choose(self, job: Job) -> Choice | None:
         if job.move_target is not None:
             record = self.roster.by_id.get(job.move_target)
@@ -275,7 +286,9 @@
         return job.give_up(
             Reason.TURNED_DOWN,
             f'the endpoint answered {answer.status}',
-            retry_after_s=answer.retry_after_s or SOON_S,
+            retry_after_s=max(
+                self.roster.rest_left_s(job.service.name), SOON_S
+            ),
         )
 
     def _end_broken(
@@ -306,7 +319,7 @@
     def _has_other(self, job: Job) -> bool:
         return any(
             record.id not in job.tried
-            for record in self.roster.serving(job.service.name)
+            for record in self.roster.open_to(job.service.name)
         )
 
     def _end_late(self, job: Job) -> GatewayOutcome:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -29,6 +29,9 @@
 LAST_PAUSE_S = 4.0
 """An endpoint that cannot be connected to is left alone for the first of
 these; the pause doubles with each failed connect up to the last."""
+LONGEST_REST_S = 300.0
+"""Longest pause that an endpoint is given: a number that was spoiled on its
+way would take it out of use for good."""
 START_SLACK_S = 0.5
 """Time before an endpoint's start, as it tells it, from which on a request
 may have reached the new process: its clock and ours differ by less."""
@@ -145,6 +148,21 @@
             if record.listed.service == service and record.takes_work
         ]
 
+    def open_to(self, service: ServiceName) -> list[EndpointRecord]:
+        """Return those of them that want requests from this daemon now."""
+        now = self._clock()
+        return [
+            record
+            for record in self.serving(service)
+            if not record.is_resting(now)
+        ]
+
+    def rest_left_s(self, service: ServiceName) -> float:
+        """Return when the first endpoint is open again, 0: some are."""
+        now = self._clock()
+        left_s = [record.rests_until - now for record in self.serving(service)]
+        return max(min(left_s, default=0.0), 0.0)
+
     def of_service(self, service: ServiceName) -> Iterator[EndpointRecord]:
         """Return every endpoint of a service that is listed."""
         for record in self.by_id.values():
@@ -165,6 +183,13 @@
         record.failed_connects += 1
         record.avoid_until = self._clock() + pause
 
+    def note_rest(self, record: EndpointRecord, pause_s: float) -> None:
+        """Send an endpoint nothing for as long as it asks."""
+        until = self._clock() + min(pause_s, LONGEST_REST_S)
+        if until > record.rests_until:
+            record.rests_until = until
+            log.info('endpoint_rests', endpoint=record.id, pause_s=pause_s)
+
     def note_replaced(self, record: EndpointRecord) -> None:
         """Take an endpoint as gone whose address another one has.
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -91,8 +91,10 @@
 
         The list may tell later, or not at all while it cannot be written.
         """
+        record = self.choice.record
+        if answer.retry_after_s is not None:
+            self.notes.roster.note_rest(record, answer.retry_after_s)
         if answer.is_leaving:
-            record = self.choice.record
             self.notes.roster.note_leaving(
                 record.id,
                 left_s=None,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
@@ -118,7 +118,7 @@
         now = self.clock()
         records = [
             record
-            for record in self.roster.serving(stream.service.name)
+            for record in self.roster.open_to(stream.service.name)
             if record.id != stream.record.id and not record.is_avoided(now)
         ]
         if not records:
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -93,6 +93,8 @@
     weights_version: str | None
     is_leaving: bool
     """Whether the endpoint says that it leaves."""
+    retry_after_s: float | None
+    """For how long the endpoint wants nothing from this daemon."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, None behind its end.
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -123,6 +123,17 @@
     return run_paused(lambda: answer_with(data, call_replica, **fields))
 
 
+def ask_words(data):
+    async def read_words(channels):
+        async with ReplicaCalls(channels=channels).send(
+            endpoint_call()
+        ) as sent:
+            answer = await sent.answer()
+            return answer.is_leaving, answer.retry_after_s
+
+    return run_paused(lambda: answer_with(data, read_words))
+
+
 def answer_bytes(id_=OWN_ID, body=b'hello', extra=b''):
     return (
         b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nContent-Length: %d\r\n\r\n'
@@ -168,6 +179,32 @@
         self.assertEqual(ask_replica(plain)[0], 503)
         self.assertEqual(ask_replica(marked)[0], TurnedDown)
 
+    def test_words_of_a_replica_are_read_where_they_hold(self):
+        for status, header, expected in (
+            (503, b'Retry-After: 2.5', (False, 2.5)),
+            (503, b'retry-after: 5', (False, 5.0)),
+            (503, b'Retry-After: inf', (False, None)),
+            (503, b'Retry-After: nan', (False, None)),
+            (503, b'Retry-After: -1', (False, None)),
+            (
+                503,
+                b'Retry-After: Fri, 31 Dec 1999 23:59:59 GMT',
+                (False, None),
+            ),
+            (200, b'Retry-After: 5', (False, None)),
+            (200, b'Server-Leaving: 1', (True, None)),
+            (503, b'Server-Leaving: 1', (True, None)),
+            (200, b'Server-Leaving: 0', (False, None)),
+            (421, b'Server-Leaving: 1', (False, None)),
+        ):
+            for marked in (b'', b'X-Not-Executed: 1\r\n'):
+                data = (
+                    b'HTTP/1.1 %d X\r\nX-Attempt-Id: req-1\r\n%b%b\r\n'
+                    b'Content-Length: 0\r\n\r\n' % (status, marked, header)
+                )
+                with self.subTest(status=status, header=header):
+                    self.assertEqual(ask_words(data), expected)
+
     @settings(derandomize=True, deadline=None, max_examples=200)
     @given(st.binary(max_size=200), st.integers(0, 80), st.booleans())
     def test_any_bytes_are_an_answer_or_a_broken_call(
