An endpoint that turns requests down is passed over for a while

Callers saw: refusals beside idle endpoints. Change: after a refusal for want of room others go first, for 0.25 s, doubled with each refusal in a row up to 8 s, until it takes a request again; it is still used where there is no other.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -207,7 +207,8 @@
     records: list[EndpointRecord], now: float
 ) -> list[EndpointRecord]:
     """Return the endpoints that answer well; all, if none does."""
-    reached = [each for each in records if not each.is_avoided(now)] or records
+    reached = [each for each in records if not each.is_passed_over(now)]
+    reached = reached or records
     share_by_id = {
         record.id: record.health.failed_share(now) for record in reached
     }
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
@@ -48,6 +48,11 @@
     avoid_until: float = -math.inf
     rests_until: float = -math.inf
     """Until when it wants nothing from this daemon, as it said."""
+    refusals: int = 0
+    """Refusals in a row, those of requests that were under way left out."""
+    refused_at: float = -math.inf
+    passed_over_until: float = -math.inf
+    """Until when others go first, since it turned requests down."""
     load: EndpointLoad = field(default_factory=EndpointLoad)
     health: EndpointHealth = field(default_factory=EndpointHealth)
     open_sends: set[OpenSend] = field(default_factory=set)
@@ -73,6 +78,10 @@
         """Whether connects fail there and the next try is not due."""
         return now < self.avoid_until
 
+    def is_passed_over(self, now: float) -> bool:
+        """Whether requests go elsewhere first, where that is possible."""
+        return self.is_avoided(now) or now < self.passed_over_until
+
     def is_resting(self, now: float) -> bool:
         """Whether it has asked this daemon to send nothing for a time."""
         return now < self.rests_until
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -29,6 +29,9 @@
 LAST_PAUSE_S = 4.0
 """An endpoint that cannot be connected to is left alone for the first of
 these; the pause doubles with each failed connect up to the last."""
+LONGEST_PASSED_OVER_S = 8.0
+"""The same for one that turns requests down: each try costs a caller whose
+request may go to one endpoint only."""
 LONGEST_REST_S = 300.0
 """Longest pause that an endpoint is given: a number that was spoiled on its
 way would take it out of use for good."""
@@ -183,6 +186,25 @@
         record.failed_connects += 1
         record.avoid_until = self._clock() + pause
 
+    def note_refusal(self, record: EndpointRecord, sent_at: float) -> None:
+        """Pass over an endpoint for a while that turned a request down.
+
+        It has nothing under way then, and would be taken for the best.
+        """
+        if sent_at < record.refused_at:
+            return
+        now = self._clock()
+        pause = min(FIRST_PAUSE_S * 2**record.refusals, LONGEST_PASSED_OVER_S)
+        record.refusals += 1
+        record.refused_at = now
+        record.passed_over_until = now + pause
+
+    def note_taken(self, record: EndpointRecord, sent_at: float) -> None:
+        """Note that an endpoint took a request that was sent at a time."""
+        if sent_at >= record.refused_at:
+            record.refusals = 0
+            record.passed_over_until = -math.inf
+
     def note_rest(self, record: EndpointRecord, pause_s: float) -> None:
         """Send an endpoint nothing for as long as it asks."""
         until = self._clock() + min(pause_s, LONGEST_REST_S)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -92,10 +92,16 @@
         The list may tell later, or not at all while it cannot be written.
         """
         record = self.choice.record
+        roster = self.notes.roster
+        if not isinstance(answer, TurnedDown):
+            roster.note_taken(record, self.sent_at)
+        elif answer.is_full and not self.job.is_resumed:
+            # What goes on from a copy is turned down where the copy is gone.
+            roster.note_refusal(record, self.sent_at)
         if answer.retry_after_s is not None:
-            self.notes.roster.note_rest(record, answer.retry_after_s)
+            roster.note_rest(record, answer.retry_after_s)
         if answer.is_leaving:
-            self.notes.roster.note_leaving(
+            roster.note_leaving(
                 record.id,
                 left_s=None,
                 source=OWN_WORD,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -58,6 +58,8 @@
     """The endpoint says that it has not run the request."""
 
     status: int
+    is_full: bool = False
+    """Whether it has no room for it now."""
     is_other_endpoint: bool = False
     """Whether another endpoint has the address now."""
     retry_after_s: float | None = None
