A daemon that has just started tries no held request; crashed stand-ins take no copies

Until it has heard its peers a daemon is first for every content, and after a loss of all each of them would have tried a held request at once.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_trials.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_trials.py
@@ -25,10 +25,17 @@
     states: PeerStates
     clock: Callable[[], float]
     _began_at: dict[ContentKey, float] = field(default_factory=dict)
+    _started_at: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._started_at = self.clock()
 
     def begin(self, content: ContentKey) -> bool:
         """Begin a trial; False if it is not for this daemon to do now."""
         now = self.clock()
+        if now - self._started_at < TRIAL_S:
+            # Until it has heard its peers it is first for everything.
+            return False
         for tried, began_at in tuple(self._began_at.items()):
             if now - began_at >= TRIAL_S:
                 del self._began_at[tried]
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -198,6 +198,7 @@
 
     def crash_replica(self, replica):
         """End a replica at once; the list shows it for a while."""
+        replica.state = 'gone'
         self.network.kill(machine_of(replica.address))
         self.scope_by_replica[replica.id].cancel()
 
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -196,6 +196,32 @@
 
         self.assertLessEqual(run_paused(check), MOST_LATE)
 
+    def test_daemons_behind_relays_hear_it_in_time(self):
+        async def check():
+            async with open_crashing_site(daemons=15) as crashing:
+                site = crashing.site
+                await crashes.crash_thrice(crashing, LIST)
+                await anyio.sleep(crashes.BEHIND_S)
+                return [
+                    len(list(suspects_of(site, number).held()))
+                    for number in range(15)
+                ]
+
+        self.assertEqual(run_paused(check), [1] * 15)
+
+    def test_daemon_that_has_just_started_tries_nothing(self):
+        async def check():
+            async with open_crashing_site() as crashing:
+                site = crashing.site
+                await crashes.crash_thrice(crashing, LIST)
+                await anyio.sleep(32.0)
+                await kill_and_start_all(site)
+                before = len(crashing.crashes)
+                await crashes.repeat(site, LIST, for_s=4.0)
+                return len(crashing.crashes) - before
+
+        self.assertEqual(run_paused(check), 0)
+
     def test_request_that_crashes_again_when_let_run_is_held_for_longer(self):
         async def check():
             async with open_crashing_site() as crashing:
