Tests of what is no crash meet requests that run, and count every suspicion

Each now has a path of its own, the trouble meets the endpoint that runs it, and whatever any daemon suspects counts. New: agreement without the table, and one run that tries a held request however many ask at once.

--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -196,6 +196,30 @@
 
         self.assertLessEqual(run_paused(check), MOST_LATE)
 
+    def test_daemons_agree_while_the_table_is_away(self):
+        async def check():
+            async with open_crashing_site() as crashing:
+                crashing.site.store.trouble = StoreTrouble.SILENT
+                return await count_late(crashing)
+
+        self.assertLessEqual(run_paused(check), MOST_LATE)
+
+    def test_one_run_tries_a_held_request_however_many_ask(self):
+        async def check():
+            async with open_crashing_site() as crashing:
+                site = crashing.site
+                await crashes.crash_thrice(crashing, LIST)
+                await anyio.sleep(32.0)
+                before = len(crashing.crashes)
+                async with anyio.create_task_group() as tasks:
+                    for number in range(12):
+                        tasks.start_soon(
+                            crashes.send, site, site.caller(), number, LIST
+                        )
+                return len(crashing.crashes) - before
+
+        self.assertEqual(run_paused(check), 1)
+
     def test_daemons_behind_relays_hear_it_in_time(self):
         async def check():
             async with open_crashing_site(daemons=15) as crashing:
@@ -240,78 +264,93 @@
         self.assertGreater(sent, 50)
 
 
-async def suspected_after(trouble, *, times=8):
-    """Return how much is suspected after lists met a trouble."""
-    async with open_site(engines=0, apps=4) as site:
+RUNNING_S = 0.015
+"""Time after which a list runs that takes twice as long."""
+
+
+async def suspected_after(trouble, *, times=6):
+    """Return what any daemon suspected after lists met a trouble.
+
+    The trouble is given the endpoint that runs the list at that moment.
+    """
+    suspected = []
+    async with open_site(engines=0, apps=8) as site:
+        for handle in site.daemons:
+            crashes_of = handle.daemon.parts.crashes
+            crashes_of.on_suspected.append(suspected.append)
         caller = site.caller()
+
+        async def meet(target):
+            await anyio.sleep(RUNNING_S)
+            for replica in tuple(site.replicas_by_id.values()):
+                for run in replica.runs:
+                    if run.target == target and run.ended_at is None:
+                        await trouble(site, replica)
+
         for number in range(times):
-            apps = list(site.replicas_by_id.values())
-            await trouble(site, apps[number % len(apps)])
-            await crashes.send(site, caller, number, '/list/1')
+            target = f'/list/{number}'
+            site.tasks.start_soon(meet, target)
+            await crashes.send(site, caller, number, target)
         await anyio.sleep(12.0)
-        return [
-            len(suspects_of(site, number).by_content) for number in range(3)
-        ]
+        return suspected
+
+
+def reset_connections(site, replica):
+    machine = machine_of(replica.address)
+    site.network.reset(lambda each: machine in (each.here, each.there))
 
 
 class TestNoCrashes(unittest.TestCase):
     # Guards against holding a request for what is no crash of its endpoint.
 
     def check_trouble(self, trouble):
-        self.assertEqual(run_paused(lambda: suspected_after(trouble)), [0] * 3)
+        self.assertEqual(run_paused(lambda: suspected_after(trouble)), [])
 
     def test_broken_and_lost_answers_are_no_crashes(self):
         for fault in (Fault.CUT, Fault.LOST, Fault.ERROR, Fault.EXTRA):
 
             async def trouble(site, replica, fault=fault):
-                for each in site.replicas_by_id.values():
-                    each.fault = fault
+                replica.fault = fault
 
             with self.subTest(fault=fault):
                 self.check_trouble(trouble)
 
     def test_reset_connections_are_no_crashes(self):
         async def trouble(site, replica):
-            async def reset():
-                await anyio.sleep(0.02)
-                machine = machine_of(replica.address)
-                site.network.reset(
-                    lambda each: machine in (each.here, each.there)
-                )
-
-            site.tasks.start_soon(reset)
+            reset_connections(site, replica)
 
         self.check_trouble(trouble)
 
     def test_announced_ends_are_no_crashes(self):
         async def trouble(site, replica):
-            async def end():
-                site.drain_replica(replica)
-                await anyio.sleep(0.02)
-                site.crash_replica(replica)
-
-            site.tasks.start_soon(end)
+            site.drain_replica(replica)
+            await anyio.sleep(0.01)
+            site.crash_replica(replica)
 
         self.check_trouble(trouble)
 
     def test_vms_without_power_are_no_crashes(self):
         async def trouble(site, replica):
+            reset_connections(site, replica)
             site.network.dark.add(machine_of(replica.address))
 
         self.check_trouble(trouble)
 
+    def test_the_trouble_is_one_of_requests_that_run(self):
+        async def trouble(site, replica):
+            site.crash_replica(replica)
+
+        suspected = run_paused(lambda: suspected_after(trouble))
+        self.assertEqual(len(suspected), 6)
+
     def test_end_that_only_the_list_tells_is_a_crash(self):
         async def check():
             async with open_crashing_site() as crashing:
                 site = crashing.site
-                network = site.network
 
                 def take_dark(replica, run):
-                    machine = machine_of(replica.address)
-                    network.reset(
-                        lambda each: machine in (each.here, each.there)
-                    )
-                    network.dark.add(machine)
+                    reset_connections(site, replica)
+                    site.network.dark.add(machine_of(replica.address))
                     site.tasks.start_soon(unlist, replica)
 
                 async def unlist(replica):
