Held requests are shown, explained and let go: tests

status lists what is held, /metrics counts it, POST release lets it go at all daemons, explain tells the crashes under a content, at whichever daemon.

--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -27,7 +27,8 @@
 
     site: PlatformSite
     targets: set = field(default_factory=set)
-    crash_after_s: float = 0.05
+    crash_after_s: float = 0.02
+    """Less than any answer takes: one that was whole clears a suspect."""
     crashes: list = field(default_factory=list)
     """Time and path of each."""
 
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -238,7 +238,7 @@
             entry=f'{host}:8360',
             discovery=f'{host}:8364',
             readiness=f'{host}:8365',
-            metrics='',
+            metrics=f'{host}:9464',
             seeds=(DaemonId('10.1.0.1:8367'),),
             first_start=False,
             store=STORE,
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -14,6 +14,7 @@
 from structlog.testing import capture_logs
 
 from tests.support.clock import run_paused
+from tests.support.crashes import CrashingSite, crash_thrice, send
 from tests.support.memory_network import machine_of
 from tests.support.platform_site import STORE, open_site
 from tests.support.program import mimosamux
@@ -120,6 +121,24 @@
         took_s = float(end.split('took_s=')[1].split()[0])
         self.assertGreater(took_s, 2.0)
 
+    def test_held_request_is_traced_to_the_crashes_under_it(self):
+        async def check():
+            async with open_site(daemons=2, apps=6) as site:
+                crashing = CrashingSite(site=site, targets={'/list/bad'})
+                crashing.arm()
+                await crash_thrice(crashing, '/list/bad')
+                await anyio.sleep(1.0)
+                answer = await send(site, site.caller(), 1, '/list/bad')
+                return answer.id
+
+        lines = self.explain_day(check)
+        end = next(line for line in lines if 'event=request_ended' in line)
+        held = next(line for line in lines if 'event=content_held' in line)
+        self.assertIn('reason=crashes_endpoints', end)
+        content = end.split('content=')[1].split()[0]
+        self.assertIn(f'content={content}', held)
+        self.assertRegex(held, r'crashes=3 endpoints=i-\d+,i-\d+,i-\d+')
+
     def test_broken_stream_is_traced_to_the_endpoint_that_cut_it(self):
         """The engine of a draft ends its connection within an event."""
 
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -55,7 +55,6 @@
     """Give a site whose endpoints crash under one path."""
     async with open_site(engines=3, apps=9, **fields) as site:
         crashing = CrashingSite(site=site, targets={target})
-        crashing.crash_after_s = 0.02
         crashing.arm()
         yield crashing
 
@@ -156,6 +155,40 @@
         self.assertEqual(run_paused(check), (True, {200}, None))
 
 
+async def ask_operator(site, path, *, method='GET'):
+    address = site.daemons[1].daemon.settings.metrics
+    return await site.caller().send(address, path, method=method)
+
+
+class TestOperators(unittest.TestCase):
+    def test_held_request_is_shown_and_let_go(self):
+        async def check():
+            async with open_crashing_site() as crashing:
+                site = crashing.site
+                await crashes.crash_thrice(crashing, LIST)
+                await anyio.sleep(0.5)
+                crashing.targets.clear()
+                status = await ask_operator(site, '/v1/operator/status')
+                metrics = await ask_operator(site, '/metrics')
+                (row,) = orjson.loads(status.body)['held_requests']
+                path = f'/v1/operator/release/{row["content"]}'
+                answers = [
+                    await ask_operator(site, path, method=method)
+                    for method in ('GET', 'POST', 'POST')
+                ]
+                await anyio.sleep(0.5)
+                served = await crashes.repeat(site, LIST, for_s=2.0)
+                statuses = [answer.status for answer in answers]
+                return row, metrics.body, statuses, served
+
+        row, metrics, statuses, served = run_paused(check)
+        self.assertEqual(row['crashes'], 3)
+        self.assertGreater(row['held_s'], 20.0)
+        self.assertIn(b'mimosamux_gateway_suspects{state="held"} 1', metrics)
+        self.assertEqual(statuses, [405, 200, 404])
+        self.assertEqual({answer.status for answer in served}, {200})
+
+
 class TestHeldForAll(unittest.TestCase):
     def test_loss_of_all_daemons_behind_the_third_crash_releases_nothing(self):
         async def check():
