--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
@@ -18,8 +18,8 @@
     Unavailable,
     Write,
 )
+from mimosamux_daemon.gateway.crash_exchange import CrashExchange
 from mimosamux_daemon.gateway.crash_suspects import Suspect, parse_start
-from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
@@ -44,7 +44,7 @@
     """Reads the rows at the start, and keeps them afterwards."""
 
     table: Table
-    watch: CrashWatch
+    exchange: CrashExchange
     states: PeerStates
     clock: Callable[[], float]
     store_time: Callable[[], float | None]
@@ -56,8 +56,8 @@
     _woken: anyio.Event = field(default_factory=anyio.Event)
 
     def __post_init__(self) -> None:
-        self.watch.on_suspected.append(self._note_suspected)
-        self.watch.on_cleared.append(self._note_cleared)
+        self.exchange.on_suspected.append(self._note_suspected)
+        self.exchange.on_cleared.append(self._note_cleared)
 
     async def run(self) -> None:
         """Read until it is done once, then write until cancelled."""
@@ -77,7 +77,7 @@
             await anyio.sleep(RETRY_S)
 
     def _note_suspected(self, content: ContentKey) -> None:
-        crashes = self.watch.suspects.crashes(content)
+        crashes = self.exchange.suspects.crashes(content)
         everybody_heard = len(self.states.fresh()) == len(self.states.by_id)
         if crashes >= KEPT_FROM or not everybody_heard:
             self._changed[content] = None
@@ -110,7 +110,7 @@
         if self.clock() - suspect.last_at > ORPHAN_S:
             self._note_cleared(content)
         else:
-            self.watch.take(suspect, source='the table')
+            self.exchange.take(suspect, source='the table')
 
     def _parse(self, content: ContentKey, row: Row) -> Suspect | None:
         try:
@@ -175,7 +175,7 @@
         return True
 
     def _render(self, content: ContentKey) -> bytes | None:
-        suspect = self.watch.suspects.by_content.get(content)
+        suspect = self.exchange.suspects.by_content.get(content)
         now = self.store_time()
         if suspect is None or now is None:
             return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
@@ -7,7 +7,7 @@
 After a while that grows with each further crash it is tried once.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from mimosamux_daemon.domain.names import ContentKey, EndpointId
@@ -174,3 +174,8 @@
 
 def _worth_keeping(suspect: Suspect) -> tuple[int, float]:
     return len(suspect.crashed), suspect.last_at
+
+
+def join_ids(starts: Iterable[EndpointStart]) -> str:
+    """Return the ids of endpoints as a log line or a message has them."""
+    return ','.join(sorted({start.id for start in starts}))
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -134,7 +134,7 @@
             configuration=self.parts.configuration,
             roster=self.parts.roster,
             states=self.parts.states,
-            crashes=self.parts.crashes,
+            holds=self.parts.holds,
             duties=self.parts.duties,
             open_requests=lambda: self._server.open_requests,
             clock=self._clock,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -17,7 +17,7 @@
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway.admission import Admission
 from mimosamux_daemon.gateway.choice import Choice, Chooser
-from mimosamux_daemon.gateway.crash_watch import CrashWatch
+from mimosamux_daemon.gateway.crash_holds import CrashHolds
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
@@ -73,7 +73,7 @@
     demand: Demand
     overload: Overload
     evacuation: Evacuation
-    crashes: CrashWatch
+    holds: CrashHolds
     outcomes: OutcomeLog
     lag: LoopLag
     clock: Callable[[], float]
@@ -101,7 +101,7 @@
         job.caller = caller
         outcome = await self._run_unless_held(job, caller, waited_s)
         if isinstance(outcome, Delivered) and not job.is_resumed:
-            self.crashes.note_whole(job.content)
+            self.holds.note_whole(job.content)
         if isinstance(outcome, Refused) or not job.may_have_run:
             self.admission.release_cap(job)
         self.outcomes.note_outcome(job, outcome)
@@ -110,7 +110,7 @@
     async def _run_unless_held(
         self, job: Job, caller: Caller, waited_s: float
     ) -> GatewayOutcome:
-        held = self.crashes.find_refusal(job.content)
+        held = self.holds.find_refusal(job.content)
         if held is not None:
             return held
         self._note_demand(job)
@@ -184,7 +184,7 @@
             job.route,
             job.request.prompt,
             excluding=job.tried,
-            is_spread=job.has_broken or self.crashes.is_suspected(job.content),
+            is_spread=job.has_broken or self.holds.is_suspected(job.content),
         )
 
     async def _send(
@@ -267,7 +267,7 @@
         if not isinstance(ended, CallBroken):
             send.note_answer(failed=False)
             return ended
-        is_held = self.crashes.is_held(job.content)
+        is_held = self.holds.is_held(job.content)
         if job.last_event_id is not None and not is_held:
             copy = await self.evacuation.claim_copy(stream)
             if copy is not None:
@@ -310,7 +310,7 @@
             return False
         if job.sends >= job.route.max_endpoints:
             return False
-        if not self.crashes.may_go_on(job.content, is_unrun=is_proven_unrun):
+        if not self.holds.may_go_on(job.content, is_unrun=is_proven_unrun):
             return False
         if not self._has_other(job):
             return False
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -9,7 +9,7 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
-from mimosamux_daemon.gateway.crash_watch import CrashWatch
+from mimosamux_daemon.gateway.crash_holds import CrashHolds
 from mimosamux_daemon.gateway.duties import Duties
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
@@ -29,7 +29,7 @@
     configuration: ConfirmedConfiguration
     roster: Roster
     states: PeerStates
-    crashes: CrashWatch
+    holds: CrashHolds
     duties: Duties
     open_requests: Callable[[], int]
     clock: Callable[[], float]
@@ -62,7 +62,7 @@
             return
         name = incoming.head.path.removeprefix(RELEASE_PATH)
         content = ContentKey(name.decode('latin-1'))
-        if self.crashes.release(content):
+        if self.holds.release(content):
             await reply.answer(200, JSON, orjson.dumps({'content': content}))
             return
         message = f'no content {content!r} is suspected'
@@ -99,7 +99,7 @@
         metrics.peers.set({'state': 'fresh'}, fresh)
         metrics.peers.set({'state': 'silent'}, silent)
         metrics.holds_lease.set({}, int(self.duties.held is not None))
-        suspects = self.crashes.suspects
+        suspects = self.holds.suspects
         held = len(list(suspects.held()))
         metrics.suspects.set({'state': 'held'}, held)
         others = len(suspects.by_content) - held
@@ -140,7 +140,7 @@
         return rows
 
     def _held_rows(self) -> list[dict[str, object]]:
-        suspects = self.crashes.suspects
+        suspects = self.holds.suspects
         return [
             {
                 'content': suspect.content,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -19,6 +19,8 @@
     ConfigurationItems,
     ConfirmedConfiguration,
 )
+from mimosamux_daemon.gateway.crash_exchange import CrashExchange
+from mimosamux_daemon.gateway.crash_holds import CrashHolds
 from mimosamux_daemon.gateway.crash_rows import CrashRows
 from mimosamux_daemon.gateway.crash_suspects import CrashSuspects
 from mimosamux_daemon.gateway.crash_trials import CrashTrials
@@ -269,18 +271,27 @@
         )
 
     def _build_crashes(self, shared_time: SharedTime) -> None:
-        self.crashes = CrashWatch(
-            suspects=CrashSuspects(clock=self._clock),
-            calls=self._platform.calls,
+        suspects = CrashSuspects(clock=self._clock)
+        exchange = CrashExchange(
+            suspects=suspects,
             states=self.states,
             peers=self.peers,
-            trials=CrashTrials(states=self.states, clock=self._clock),
+            clock=self._clock,
+        )
+        self.crashes = CrashWatch(
+            exchange=exchange,
+            calls=self._platform.calls,
             metrics=self.metrics,
             clock=self._clock,
         )
+        self.holds = CrashHolds(
+            suspects=suspects,
+            trials=CrashTrials(states=self.states, clock=self._clock),
+            exchange=exchange,
+        )
         self.crash_rows = CrashRows(
             table=self._platform.table,
-            watch=self.crashes,
+            exchange=exchange,
             states=self.states,
             clock=self._clock,
             store_time=shared_time.store_now,
@@ -324,7 +335,7 @@
                 shares=FairShares(window_s=WINDOW_S), clock=self._clock
             ),
             evacuation=self.evacuation,
-            crashes=self.crashes,
+            holds=self.holds,
             outcomes=OutcomeLog(
                 metrics=self.metrics,
                 configuration=self.configuration,
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -74,7 +74,7 @@
 
 
 def suspects_of(site, number=0):
-    return site.daemons[number].daemon.parts.crashes.suspects
+    return site.daemons[number].daemon.parts.holds.suspects
 
 
 class TestHeldRequests(unittest.TestCase):
@@ -146,7 +146,7 @@
                 crashing.targets.clear()
                 (held,) = suspects_of(site).held()
                 parts = site.daemons[1].daemon.parts
-                released = parts.crashes.release(held.content)
+                released = parts.holds.release(held.content)
                 await anyio.sleep(0.5)
                 answers = await crashes.repeat(site, LIST, for_s=2.0)
                 rows = site.store.get('crashes', held.content)
@@ -312,8 +312,8 @@
     suspected = []
     async with open_site(engines=0, apps=8) as site:
         for handle in site.daemons:
-            crashes_of = handle.daemon.parts.crashes
-            crashes_of.on_suspected.append(suspected.append)
+            exchange = handle.daemon.parts.crashes.exchange
+            exchange.on_suspected.append(suspected.append)
         caller = site.caller()
 
         async def meet(target):
