An operator's change probes the table although its circuit is open

Callers saw: 503 "the table is not available (circuit open); not changed" to an operator just after the table was back, up to 12 s long. Cause: the circuit puts its next probe off by 0.5 to 12 s, and a change waited for it like any request. Change: a change has the next call probe, 0.25 s after the last probe at the earliest, and its success closes the circuit for all.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/circuit_breaker.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/circuit_breaker.py
@@ -1,5 +1,6 @@
 """Limits of calls to the store, a retry allowance and a breaker."""
 
+import math
 import random
 from dataclasses import dataclass
 
@@ -9,6 +10,9 @@
 
 log = get_log('store_guard')
 
+INVITED_S = 0.25
+"""Least time from one probe to one that somebody invites."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GuardLimits:
@@ -63,6 +67,7 @@
         self._failures = 0
         self._opened = 0
         self._probe_at: float | None = None
+        self._probed_at = -math.inf
 
     @property
     def is_open(self) -> bool:
@@ -75,9 +80,20 @@
             return True
         if anyio.current_time() < self._probe_at:
             return False
+        self._probed_at = anyio.current_time()
         self._put_off_probe()
         return True
 
+    def invite_probe(self) -> None:
+        """Let the next call probe an open circuit, for a person who waits.
+
+        Otherwise a change is refused for as long as the next probe is put
+        off, though the store is back. Probes stay a while apart.
+        """
+        now = anyio.current_time()
+        if self._probe_at is not None and now - self._probed_at >= INVITED_S:
+            self._probe_at = now
+
     def note(self, *, failed: bool) -> None:
         """Take the outcome of a call into account."""
         if not failed:
--- a/tests/support/configuration.py
+++ b/tests/support/configuration.py
@@ -16,6 +16,7 @@
 from mimosamux_daemon.control.proposals import (
     SetValue,
 )
+from mimosamux_daemon.control.store_guard import StoreGuard
 from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
 
 DOCUMENT = {
@@ -53,17 +54,22 @@
     store: Store
     name: str = 'anna'
     spread: list = field(default_factory=list)
+    guard: StoreGuard | None = None
+    """What its calls to the table go through, if anything."""
 
     def __post_init__(self):
         self.replica = ConfigurationReplica(in_force=ConfigurationInForce())
-        self.log = ConfigurationLog(
-            table=self.store.table, objects=self.store.objects
-        )
+        table, invite = self.store.table, None
+        if self.guard is not None:
+            table = self.guard.table(table, mechanism='test')
+            invite = self.guard.table_calls.breaker.invite_probe
+        self.log = ConfigurationLog(table=table, objects=self.store.objects)
         self.acceptor = ConfigurationAcceptor(
             replica=self.replica,
             log=self.log,
             spread=self.spread.extend,
             wall_clock=lambda: 1_700_000_000.0,
+            invite_probe=invite,
         )
 
     async def set(self, operation, path, value, expected=None):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,5 +1,6 @@
 """Accepting changes of the configuration, and the log of them."""
 
+import random
 import unittest
 
 import anyio
@@ -39,8 +40,10 @@
     StoreUnavailable,
     Undecided,
 )
+from mimosamux_daemon.control.store_guard import StoreGuard
 from mimosamux_daemon.domain.audit import AUDIT_PREFIX, parse_entry
 from mimosamux_daemon.domain.configuration import Configuration
+from mimosamux_daemon.metrics import Metrics
 
 from tests.support.clock import run_paused
 from tests.support.configuration import DOCUMENT, Participant, Store
@@ -60,9 +63,9 @@
 DRAFT_TARGET = 'classes.draft.first_token_s'
 
 
-async def make_first(store=None):
+async def make_first(store=None, guard=None):
     """Return a participant whose first document is accepted."""
-    anna = Participant(store=store or Store())
+    anna = Participant(store=store or Store(), guard=guard)
     decision = await anna.acceptor.propose(
         ApplyDocument(
             operation='first',
@@ -280,6 +283,25 @@
 
         run_paused(check)
 
+    def test_change_is_made_at_once_when_the_store_is_back(self):
+        # Guards against a circuit that refuses operators until its next probe.
+        async def check():
+            anna = await make_first(
+                guard=StoreGuard(metrics=Metrics(), chance=random.Random(1))
+            )
+            anna.store.table.faults.down = True
+            for _ in range(60):
+                await anna.log.catch_up(anna.replica)
+                await anyio.sleep(1.0)
+            refused = await anna.set('op-1', DRAFT_TARGET, 4.0)
+            self.assertIsInstance(refused, StoreUnavailable)
+            await anyio.sleep(0.5)
+            anna.store.table.faults.down = False
+            decision = await anna.set('op-2', DRAFT_TARGET, 4.0)
+            self.assertEqual(decision, Accepted(version=2))
+
+        run_paused(check)
+
     def test_change_in_doubt_is_said_so_and_spread_by_nobody(self):
         """The answer to a commit is lost and then the table goes down.
 
