A crash that was none is taken back once the endpoint answers again

What ran there stayed suspected, and a call that may not be repeated has no whole run to clear it. Change: an endpoint that answers again, and that the list does not show as another process a second later, has not crashed; daemons take that crash back together, and late news of it count for nothing. The test fails without it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from mimosamux_wire import SuspectsCleared, SuspectsTold, SuspectTold
+from mimosamux_wire import (
+    CrashWithdrawn,
+    SuspectsCleared,
+    SuspectsTold,
+    SuspectTold,
+)
 
 from mimosamux_daemon.domain.names import ContentKey, DaemonId
 from mimosamux_daemon.gateway.crash_suspects import (
@@ -36,13 +41,15 @@
     peers: PeerLinks
     clock: Callable[[], float]
     on_suspected: list[Listener] = field(default_factory=list)
-    """Told of each content of which this daemon saw one more crash."""
+    """Told of each content whose crashes have changed by what is seen here,
+    or by one that was taken back."""
     on_cleared: list[Listener] = field(default_factory=list)
     """Told of each content that is cleared, here or at a peer."""
 
     def __post_init__(self) -> None:
         self.peers.handle(SuspectsTold, self._take_suspects)
         self.peers.handle(SuspectsCleared, self._take_cleared)
+        self.peers.handle(CrashWithdrawn, self._take_withdrawn)
         self.states.on_joined.append(self._tell_all)
 
     def note_crash(
@@ -63,6 +70,37 @@
             for listener in self.on_suspected:
                 listener(content)
 
+    def withdraw(self, start: EndpointStart, *, source: str = OWN) -> bool:
+        """Take back a crash everywhere; False if that was done before."""
+        changed = self.suspects.withdraw(start)
+        if changed is None:
+            return False
+        log.info(
+            'crash_withdrawn',
+            endpoint=start.id,
+            contents=len(changed),
+            source=source,
+        )
+        for content in changed:
+            is_left = self.suspects.crashes(content) > 0
+            listeners = self.on_suspected if is_left else self.on_cleared
+            for listener in listeners:
+                listener(content)
+        if source == OWN or self._passes_on:
+            self.states.queue(CrashWithdrawn(endpoint=str(start)))
+        return True
+
+    @property
+    def _passes_on(self) -> bool:
+        return not self.states.is_flat and self.states.acts_as_relay
+
+    async def _take_withdrawn(
+        self, sender: DaemonId, message: CrashWithdrawn
+    ) -> None:
+        start = parse_start(message.endpoint)
+        if start is not None:
+            self.withdraw(start, source=sender)
+
     def tell_cleared(self, content: ContentKey, *, source: str) -> None:
         """Have a content cleared everywhere that is cleared here."""
         log.info('suspect_cleared', content=content, source=source)
@@ -135,7 +173,7 @@
             known = self.suspects.by_content.get(suspect.content)
             if known is not None and known.crashed > suspect.crashed:
                 unknown_there.append(suspect.content)
-        if news and not self.states.is_flat and self.states.acts_as_relay:
+        if news and self._passes_on:
             self._queue(news)
         # A sender that missed a message, behind a cut perhaps, would let
         # the content crash as many endpoints once more.
@@ -154,7 +192,7 @@
             log.info('suspect_cleared', content=content, source=sender)
             for listener in self.on_cleared:
                 listener(content)
-        if cleared and not self.states.is_flat and self.states.acts_as_relay:
+        if cleared and self._passes_on:
             self.states.queue(SuspectsCleared(contents=list(cleared)))
 
     def _parse(self, told: SuspectTold) -> Suspect | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
@@ -79,7 +79,8 @@
     def _note_suspected(self, content: ContentKey) -> None:
         crashes = self.exchange.suspects.crashes(content)
         everybody_heard = len(self.states.fresh()) == len(self.states.by_id)
-        if crashes >= KEPT_FROM or not everybody_heard:
+        is_kept = content in self._version_by_content
+        if crashes >= KEPT_FROM or is_kept or not everybody_heard:
             self._changed[content] = None
             self._cleared.pop(content, None)
             self._woken.set()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from mimosamux_daemon.domain.names import ContentKey, EndpointId
 
@@ -23,6 +23,9 @@
 """Time for which a whole run speaks for a content. What many callers ask
 for is often at several endpoints that crash at once."""
 MOST_RECENT = 1024
+MOST_ALIVE = 1024
+"""Endpoints that are remembered to live on: news of their crash may still be
+under way."""
 KEEP_S = 600.0
 """Time after its last crash for which a content is suspected at least."""
 MOST_SUSPECTS = 4096
@@ -87,11 +90,16 @@
         self.by_content: dict[ContentKey, Suspect] = {}
         self._whole_at: dict[ContentKey, float] = {}
         """Last whole runs, the oldest first."""
+        self._alive: dict[EndpointStart, None] = {}
         self._clock = clock
         self._swept_at = clock()
 
     def add(self, suspect: Suspect) -> bool:
         """Take what is known of a content; False if nothing is new."""
+        crashed = suspect.crashed - self._alive.keys()
+        if not crashed:
+            return False
+        suspect = replace(suspect, crashed=crashed)
         known = self._find(suspect.content)
         merged = suspect if known is None else known.merge(suspect)
         if known is not None and merged.crashed == known.crashed:
@@ -119,6 +127,28 @@
         """Suspect a content no longer; False if it was not suspected."""
         return self.by_content.pop(content, None) is not None
 
+    def withdraw(self, start: EndpointStart) -> tuple[ContentKey, ...] | None:
+        """Take back a crash that was none; return what it was held against.
+
+        None if it was taken back before.
+        """
+        if start in self._alive:
+            return None
+        self._alive[start] = None
+        if len(self._alive) > MOST_ALIVE:
+            del self._alive[next(iter(self._alive))]
+        changed = []
+        for content, suspect in tuple(self.by_content.items()):
+            if start not in suspect.crashed:
+                continue
+            changed.append(content)
+            crashed = suspect.crashed - {start}
+            if crashed:
+                self.by_content[content] = replace(suspect, crashed=crashed)
+            else:
+                del self.by_content[content]
+        return tuple(changed)
+
     def crashes(self, content: ContentKey) -> int:
         """Return how many endpoints are known to have crashed under it."""
         suspect = self._find(content)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_watch.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_watch.py
@@ -26,6 +26,9 @@
 connection yet."""
 LOOKS_PRESENT = 2
 """Looks in a row that have to find an endpoint there."""
+ALIVE_S = 1.0
+"""Time after which the list has told whether an endpoint that answers again
+is another process under the same id."""
 UNDECIDED_S = 10.0
 """Time after which an endpoint that neither answers nor leaves the list
 counts as cut off, not as crashed."""
@@ -44,6 +47,8 @@
     )
     """What was under way at endpoints that are looked after."""
     _waiting: list[EndpointRecord] = field(default_factory=list)
+    _answering: list[EndpointRecord] = field(default_factory=list)
+    """Those that were taken for crashed and have answered since."""
     _arrived: anyio.Event = field(default_factory=anyio.Event)
 
     def note_broken(self, content: ContentKey, record: EndpointRecord) -> None:
@@ -59,6 +64,16 @@
             self._waiting.append(record)
             self._arrived.set()
 
+    def note_answer(self, record: EndpointRecord) -> None:
+        """Note that an endpoint has begun to answer.
+
+        Behind a cut that refuses connections it looked as if it had crashed.
+        """
+        if record.has_crashed:
+            record.has_crashed = False
+            self._answering.append(record)
+            self._arrived.set()
+
     async def run(self) -> None:
         """Look after endpoints until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -68,6 +83,14 @@
                 waiting, self._waiting = self._waiting, []
                 for record in waiting:
                     tasks.start_soon(self._look_after, record)
+                answering, self._answering = self._answering, []
+                for record in answering:
+                    tasks.start_soon(self._withdraw, record)
+
+    async def _withdraw(self, record: EndpointRecord) -> None:
+        await anyio.sleep(ALIVE_S)
+        if record.gone_at is None:
+            self.exchange.withdraw(_start_of(record))
 
     async def _look_after(self, record: EndpointRecord) -> None:
         has_crashed = await self._find_whether_crashed(record)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -93,6 +93,8 @@
         """
         record = self.choice.record
         roster = self.notes.roster
+        if not (isinstance(answer, TurnedDown) and answer.is_other_endpoint):
+            self.notes.crashes.note_answer(record)
         if not isinstance(answer, TurnedDown):
             roster.note_taken(record, self.sent_at)
         elif answer.is_full and not self.job.is_resumed:
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -7,6 +7,7 @@
     ConfigurationState,
 )
 from mimosamux_wire.crash_messages import (
+    CrashWithdrawn,
     SuspectsCleared,
     SuspectsTold,
     SuspectTold,
@@ -81,6 +82,7 @@
 )
 
 __all__ = [
+    'CrashWithdrawn',
     'HandOver',
     'HandOverReply',
     'HandOverWithdrawn',
--- a/packages/mimosamux-wire/mimosamux_wire/crash_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/crash_messages.py
@@ -51,3 +51,15 @@
         None,
         (1, TType.LIST, 'contents', (TType.STRING, 'UTF8', False), None),
     )
+
+
+@dataclass(kw_only=True, slots=True)
+class CrashWithdrawn(Message):
+    """An endpoint that was taken for crashed lives on."""
+
+    endpoint: str = ''
+    """The start that is meant."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'endpoint', 'UTF8', ''),
+    )
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -317,6 +317,10 @@
   1: list<string> contents
 }
 
+struct CrashWithdrawn {
+  1: string endpoint
+}
+
 struct Vouch {
   1: i64 version
 }
--- a/tests/test_gateway_crash_exchange.py
+++ b/tests/test_gateway_crash_exchange.py
@@ -9,7 +9,12 @@
     CrashSuspects,
     EndpointStart,
 )
-from mimosamux_wire import SuspectsCleared, SuspectsTold, SuspectTold
+from mimosamux_wire import (
+    CrashWithdrawn,
+    SuspectsCleared,
+    SuspectsTold,
+    SuspectTold,
+)
 
 START = EndpointStart(id='i-1')
 
@@ -81,6 +86,20 @@
         self.assertEqual(self.suspects.by_content, {})
         self.assertEqual(self.states.queued, [SuspectsCleared(contents=['a'])])
 
+    def test_crash_that_is_taken_back_is_so_for_all_and_told_once(self):
+        self.exchange.note_crash(START, ['a'])
+        self.states.queued.clear()
+        self.receive(CrashWithdrawn(endpoint='i-1/0'))
+        self.assertEqual(self.suspects.by_content, {})
+        self.assertEqual(self.states.queued, [])
+        self.tell('a', 'i-1/0')
+        self.assertEqual(self.suspects.by_content, {})
+        self.assertFalse(self.exchange.withdraw(START))
+        self.assertTrue(self.exchange.withdraw(EndpointStart(id='i-2')))
+        self.assertEqual(
+            self.states.queued, [CrashWithdrawn(endpoint='i-2/0')]
+        )
+
     def test_messages_that_make_no_sense_are_passed_over(self):
         for content, endpoints in (
             ('', ['i-1/0']),
--- a/tests/test_gateway_crash_suspects.py
+++ b/tests/test_gateway_crash_suspects.py
@@ -101,6 +101,18 @@
         self.assertFalse(self.suspects.has_run_whole('c0'))
         self.assertTrue(self.suspects.has_run_whole('c1'))
 
+    def test_crash_that_is_taken_back_counts_for_nothing(self):
+        self.add('a', 1, 2, 3)
+        self.add('b', 1)
+        changed = self.suspects.withdraw(start(1))
+        self.assertEqual(sorted(changed), ['a', 'b'])
+        self.assertEqual(self.suspects.crashes('a'), 2)
+        self.assertEqual(self.suspects.held_s('a'), 0.0)
+        self.assertNotIn('b', self.suspects.by_content)
+        self.assertFalse(self.add('b', 1))
+        self.assertIsNone(self.suspects.withdraw(start(1)))
+        self.assertTrue(self.suspects.add(suspect('b', 4)))
+
     def test_contents_are_forgotten_in_time(self):
         self.add('a', 1)
         self.now = KEEP_S
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -372,6 +372,39 @@
 
         self.check_trouble(trouble)
 
+    def test_cuts_that_refuse_connections_are_no_crashes(self):
+        async def check():
+            async with open_site(engines=0, apps=8) as site:
+                listeners = site.network.listeners
+                cut = {}
+
+                async def cut_off(target):
+                    await anyio.sleep(RUNNING_S)
+                    for replica in site.replicas_by_id.values():
+                        for run in replica.runs:
+                            if run.target == target and run.ended_at is None:
+                                reset_connections(site, replica)
+                                at = replica.address
+                                cut[at] = listeners.pop(at)
+
+                caller = site.caller()
+                for number in range(4):
+                    target = f'/slip/{number}'
+                    site.tasks.start_soon(cut_off, target)
+                    await crashes.send(site, caller, number, target)
+                await anyio.sleep(3.0)
+                listeners.update(cut)
+                for number in range(40):
+                    await crashes.send(
+                        site, caller, number, f'/slip/after-{number}'
+                    )
+                await anyio.sleep(5.0)
+                return len(cut), suspects_of(site).by_content
+
+        count, suspected = run_paused(check)
+        self.assertGreaterEqual(count, 4)
+        self.assertEqual(suspected, {})
+
     def test_the_trouble_is_one_of_requests_that_run(self):
         async def trouble(site, replica):
             site.crash_replica(replica)
