Pauses after failures stay bounded in long outages

Found by reading: 0.25 s times 2 to the number of failures in a row is worked out before it is bounded, and overflows at about 1,026 (OverflowError), which ends the request's task. The new pause after refusals has it, and that after failed connects had it before: in an outage of all endpoints each request counts. The doublings are bounded first; the test fails without. With it: rows of suspects are deleted only once the suspect counts no more (a hold may be longer than the two hours they were kept for), and plainer names.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
@@ -36,7 +36,8 @@
 """Writes of one suspect in a row; each that fails has learned what another
 daemon wrote meanwhile."""
 ORPHAN_S = 7200.0
-"""Age after which nobody needs a row any more."""
+"""Age from which on rows of suspects that count no more are deleted. Each
+daemon that starts does so, so it is seldom."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -108,7 +109,8 @@
         suspect = self._parse(content, row)
         if suspect is None:
             return
-        if self.clock() - suspect.last_at > ORPHAN_S:
+        is_past = self.exchange.suspects.is_past(suspect)
+        if is_past and self.clock() - suspect.last_at > ORPHAN_S:
             self._note_cleared(content)
         else:
             self.exchange.take(suspect, source='the table')
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
@@ -19,6 +19,7 @@
 HOLD_FACTOR = 8.0
 """Each further crash holds it back for so many times as long."""
 LONGEST_HOLD_S = 86_400.0
+MOST_STEPS = 8
 RECENT_S = 5.0
 """Time for which a whole run speaks for a content. What many callers ask
 for is often at several endpoints that crash at once."""
@@ -71,7 +72,7 @@
         if beyond < 0:
             return 0.0
         # Bounded before the power is taken, which overflows.
-        steps = min(beyond, 8)
+        steps = min(beyond, MOST_STEPS)
         return min(FIRST_HOLD_S * HOLD_FACTOR**steps, LONGEST_HOLD_S)
 
     def merge(self, other: 'Suspect') -> 'Suspect':
@@ -104,7 +105,7 @@
         merged = suspect if known is None else known.merge(suspect)
         if known is not None and merged.crashed == known.crashed:
             return False
-        if self._is_past(merged) or self.has_run_whole(suspect.content):
+        if self.is_past(merged) or self.has_run_whole(suspect.content):
             return False
         self.by_content[suspect.content] = merged
         self._keep_within_bounds()
@@ -182,9 +183,10 @@
 
     def _find(self, content: ContentKey) -> Suspect | None:
         suspect = self.by_content.get(content)
-        return None if suspect is None or self._is_past(suspect) else suspect
+        return None if suspect is None or self.is_past(suspect) else suspect
 
-    def _is_past(self, suspect: Suspect) -> bool:
+    def is_past(self, suspect: Suspect) -> bool:
+        """Whether its last crash is so long ago that it counts no more."""
         kept_s = max(KEEP_S, 2 * suspect.hold_s)
         return suspect.last_at + kept_s <= self._clock()
 
@@ -194,7 +196,7 @@
         if is_full or now - self._swept_at >= SWEEP_S:
             self._swept_at = now
             for content, suspect in tuple(self.by_content.items()):
-                if self._is_past(suspect):
+                if self.is_past(suspect):
                     del self.by_content[content]
         if len(self.by_content) > MOST_SUSPECTS:
             ranked = sorted(self.by_content.values(), key=_worth_keeping)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -191,7 +191,7 @@
             health=self.health,
         )
         self.roster.on_learned.append(self._tell_learned)
-        self.roster.on_word.append(self._tell_leaving)
+        self.roster.on_own_answer.append(self._tell_leaving)
         self.endpoint_reports = EndpointReports(
             roster=self.roster, clock=self._clock
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -21,7 +21,7 @@
 log = get_log('roster')
 
 PLATFORM = 'platform'
-OWN_WORD = 'its answer'
+OWN_ANSWER = 'its answer'
 KEEP_GONE_S = 30.0
 """Endpoints that are gone are remembered for so long: a peer whose view is
 older may still tell of them."""
@@ -29,6 +29,7 @@
 LAST_PAUSE_S = 4.0
 """An endpoint that cannot be connected to is left alone for the first of
 these; the pause doubles with each failed connect up to the last."""
+MOST_DOUBLINGS = 16
 LONGEST_PASSED_OVER_S = 8.0
 """The same for one that turns requests down: each try costs a caller whose
 request may go to one endpoint only."""
@@ -60,8 +61,8 @@
         """Told of each endpoint that leaves, whoever learned of it."""
         self.on_learned: list[Listener] = []
         """Told of those that the platform told this daemon of."""
-        self.on_word: list[Listener] = []
-        """Told of those that said it themselves, to this daemon."""
+        self.on_own_answer: list[Listener] = []
+        """Told of those that said so in an answer to this daemon."""
         self.on_restarted: list[Listener] = []
         """Told of what was known of an endpoint that has started anew."""
         self.on_forgotten: list[Callable[[EndpointId], None]] = []
@@ -137,8 +138,8 @@
         if source == PLATFORM:
             for listener in self.on_learned:
                 listener(record)
-        elif source == OWN_WORD:
-            for listener in self.on_word:
+        elif source == OWN_ANSWER:
+            for listener in self.on_own_answer:
                 listener(record)
         return True
 
@@ -182,7 +183,7 @@
             record.failed_connects = 0
             record.avoid_until = -math.inf
             return
-        pause = min(FIRST_PAUSE_S * 2**record.failed_connects, LAST_PAUSE_S)
+        pause = _find_pause(record.failed_connects, LAST_PAUSE_S)
         record.failed_connects += 1
         record.avoid_until = self._clock() + pause
 
@@ -194,7 +195,7 @@
         if sent_at < record.refused_at:
             return
         now = self._clock()
-        pause = min(FIRST_PAUSE_S * 2**record.refusals, LONGEST_PASSED_OVER_S)
+        pause = _find_pause(record.refusals, LONGEST_PASSED_OVER_S)
         record.refusals += 1
         record.refused_at = now
         record.passed_over_until = now + pause
@@ -372,3 +373,10 @@
 def _number_at(numbers: list[int], place: int) -> int:
     """Return a number that an older peer does not tell as 0."""
     return numbers[place] if place < len(numbers) else 0
+
+
+def _find_pause(failures: int, longest_s: float) -> float:
+    """Return the pause after so many failures before this one."""
+    # Bounded before the power is taken, which overflows in long outages.
+    doublings = min(failures, MOST_DOUBLINGS)
+    return min(FIRST_PAUSE_S * 2.0**doublings, longest_s)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -11,7 +11,7 @@
 from mimosamux_daemon.gateway.crash_watch import CrashWatch
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.roster import OWN_WORD, Roster
+from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import (
     EndpointAnswer,
@@ -106,7 +106,7 @@
             roster.note_leaving(
                 record.id,
                 left_s=None,
-                source=OWN_WORD,
+                source=OWN_ANSWER,
                 incarnation=record.incarnation,
             )
 
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -380,17 +380,20 @@
             replica._handles.pop(handle, None)
 
     def _shed_headers(self) -> RawHeaders:
-        headers: RawHeaders = ((b'X-Not-Executed', b'1'), *self._word())
+        headers: RawHeaders = (
+            (b'X-Not-Executed', b'1'),
+            *self._leaving_header(),
+        )
         if self.shed_retry_after_s is None:
             return headers
         return (*headers, (b'Retry-After', b'%g' % self.shed_retry_after_s))
 
-    def _word(self) -> RawHeaders:
+    def _leaving_header(self) -> RawHeaders:
         return ((b'Server-Leaving', b'1'),) if self.says_leaving else ()
 
     def _headers(self, run: Run, body: bytes) -> RawHeaders:
         return (
-            *self._word(),
+            *self._leaving_header(),
             (b'X-Attempt-Id', run.id.encode()),
             (b'X-Replica-Signature', sign(self.id, run.id, body)),
         )
--- a/tests/test_gateway_endpoint_words.py
+++ b/tests/test_gateway_endpoint_words.py
@@ -3,6 +3,13 @@
 import unittest
 
 import anyio
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.roster import (
+    LAST_PAUSE_S,
+    LONGEST_PASSED_OVER_S,
+    Roster,
+)
 from mimosamux_standins.site import Fault
 from mimosamux_standins.site.store import StoreTrouble
 
@@ -141,6 +148,20 @@
             with self.subTest(path=path):
                 self.assertGreaterEqual(run_paused(check, path), 270)
 
+    def test_pauses_stay_bounded_in_long_outages(self):
+        roster = Roster(
+            clock=lambda: 0.0, time_of_day=lambda: 0.0, health=None
+        )
+        listed = ListedEndpoint(
+            id='i-1', service='app', address='', data_centre='', slots=1
+        )
+        record = EndpointRecord(listed=listed, since=0.0)
+        for _ in range(3000):
+            roster.note_connect(record, failed=True)
+            roster.note_refusal(record, 0.0)
+        self.assertEqual(record.avoid_until, LAST_PAUSE_S)
+        self.assertEqual(record.passed_over_until, LONGEST_PASSED_OVER_S)
+
     def test_wait_for_all_endpoints_is_told_to_the_caller(self):
         async def check():
             async with open_site() as site:
