Trials ask the rank that the project had; one prelude for tests of held requests

Found by the last read: which daemon tries a held content was worked out by a hash of its own, beside control.members.rank, which does the same (the first of the two orders is the last of the other, so another daemon may be the one; which one it is decides nothing). Six tests began with the same two steps. make test: 724 passed, 0 failed.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_trials.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_trials.py
@@ -7,10 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import xxhash
-
-from mimosamux_daemon.control.members import MemberState
-from mimosamux_daemon.domain.names import ContentKey, DaemonId
+from mimosamux_daemon.control.members import MemberState, rank
+from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.gateway.peer_states import PeerStates
 
 TRIAL_S = 10.0
@@ -52,10 +50,4 @@
             for peer in self.states.fresh()
             if peer.state is MemberState.READY
         ]
-        return all(
-            _rank(own, content) <= _rank(id_, content) for id_ in others
-        )
-
-
-def _rank(daemon: DaemonId, content: ContentKey) -> int:
-    return xxhash.xxh3_64_intdigest(f'{daemon} {content}'.encode())
+        return rank([own, *others], content)[0] == own
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -164,6 +164,12 @@
         number += 1
 
 
+async def have_held(crashing, target):
+    """Have a request held back, and let every daemon hear of it."""
+    await crash_thrice(crashing, target)
+    await anyio.sleep(0.5)
+
+
 def count_arrivals(site):
     """Return how many requests have reached endpoints so far."""
     return sum(
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -82,8 +82,7 @@
         async def check():
             async with open_crashing_site() as crashing:
                 site = crashing.site
-                await crashes.crash_thrice(crashing, LIST)
-                await anyio.sleep(0.5)
+                await crashes.have_held(crashing, LIST)
                 before = count_arrivals(site)
                 answers = await crashes.repeat(site, LIST, for_s=2.0)
                 return answers, count_arrivals(site) - before
@@ -102,8 +101,7 @@
         async def check():
             async with open_crashing_site() as crashing:
                 site = crashing.site
-                await crashes.crash_thrice(crashing, LIST)
-                await anyio.sleep(0.5)
+                await crashes.have_held(crashing, LIST)
                 crashing.targets.clear()
                 statuses = []
                 for key, body in (
@@ -125,8 +123,7 @@
             async with open_crashing_site('/question/crashing') as crashing:
                 site = crashing.site
                 target = '/question/crashing'
-                await crashes.crash_thrice(crashing, target)
-                await anyio.sleep(0.5)
+                await crashes.have_held(crashing, target)
                 parts = site.daemons[0].daemon.parts
                 noted = []
                 parts.forwarder.demand.note = lambda *fields: noted.append(
@@ -141,8 +138,7 @@
         async def check():
             async with open_crashing_site() as crashing:
                 site = crashing.site
-                await crashes.crash_thrice(crashing, LIST)
-                await anyio.sleep(0.5)
+                await crashes.have_held(crashing, LIST)
                 crashing.targets.clear()
                 (held,) = suspects_of(site).held()
                 parts = site.daemons[1].daemon.parts
@@ -165,8 +161,7 @@
         async def check():
             async with open_crashing_site() as crashing:
                 site = crashing.site
-                await crashes.crash_thrice(crashing, LIST)
-                await anyio.sleep(0.5)
+                await crashes.have_held(crashing, LIST)
                 crashing.targets.clear()
                 status = await ask_operator(site, '/v1/operator/status')
                 metrics = await ask_operator(site, '/metrics')
@@ -203,8 +198,7 @@
         async def check():
             async with open_crashing_site() as crashing:
                 site = crashing.site
-                await crashes.crash_thrice(crashing, LIST)
-                await anyio.sleep(0.5)
+                await crashes.have_held(crashing, LIST)
                 site.store.trouble = StoreTrouble.SILENT
                 site.kill_daemon(2)
                 await anyio.sleep(1.0)
