Roll-outs of a version: thin whole path, from the order to completed or reverted

Cause: nothing read the operator's order, endpoints of every version got requests alike, and the duty of ordering endpoints took the new version's away again, since the platform counts them with the on-demand ones.

Change: orders come with the operators' table; the holder of the duties writes each step under the version of its row, and the status with it in one transaction (trial, takeover, clearing, completed or reverted); daemons tell counts with their digests and are told steps and shares. A sequential test against the other versions judges. While two versions run, no order takes endpoints away.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -17,6 +17,7 @@
 from mimosamux_daemon.gateway.engine_speed import EngineSpeed
 from mimosamux_daemon.gateway.health import EXCESS
 from mimosamux_daemon.gateway.prompt_parts import PromptParts
+from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 
 HOME_SHARE = 0.4
@@ -65,12 +66,14 @@
         *,
         parts: PromptParts,
         roster: Roster,
+        rollouts: Rollouts,
         data_centre: DataCentreName,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.parts = parts
         self._roster = roster
+        self._rollouts = rollouts
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
@@ -86,6 +89,7 @@
         route: Route,
         prompt: PromptUse | None,
         *,
+        request_id: str = '',
         excluding: Collection[EndpointId] = (),
         is_spread: bool = False,
     ) -> Choice | None:
@@ -95,11 +99,9 @@
         their common prompts, neighbours would meet the cause again.
         """
         now = self._clock()
-        records = [
-            record
-            for record in self._roster.open_to(service.name)
-            if record.id not in excluding
-        ]
+        records = self.find_open(
+            service.name, request_id=request_id, excluding=excluding
+        )
         records = _leave_out_doubtful(records, now)
         if not records:
             return None
@@ -111,6 +113,30 @@
             return self._choose_engine(records, service, route, prompt, now)
         return Choice(record=self._choose_plain(records, now))
 
+    def find_open(
+        self,
+        service: ServiceName,
+        *,
+        request_id: str,
+        excluding: Collection[EndpointId],
+    ) -> list[EndpointRecord]:
+        """Return the endpoints that a request may be sent to.
+
+        What was sent before goes to versions that are known to be good: a
+        bad one must not fail the same request twice.
+        """
+        records = [
+            record
+            for record in self._roster.open_to(service)
+            if record.id not in excluding
+        ]
+        return self._rollouts.narrow(
+            service,
+            records,
+            request_id=request_id,
+            may_be_trial=not excluding,
+        )
+
     def busy_s(self, service: ServiceName, prompt: PromptUse) -> float:
         """Return how long a request keeps one engine busy."""
         out = prompt.likely_tokens_out
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/configuration.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/configuration.py
@@ -1,7 +1,7 @@
 """The configuration in force, and up to when it is known as the newest."""
 
 import math
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable
 
 import anyio
 
@@ -10,7 +10,6 @@
     GatewayConfiguration,
 )
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.feeds import Unreadable
 
 log = get_log('configuration')
 
@@ -64,39 +63,3 @@
         self.changed.set()
         self.changed = anyio.Event()
         return True
-
-
-class ConfigurationItems:
-    """Takes the configuration from the items of a table."""
-
-    def __init__(
-        self, *, configuration: ConfirmedConfiguration, key: str
-    ) -> None:
-        self._configuration = configuration
-        self._key = key
-
-    def replace(
-        self, items: Mapping[str, ConfigurationDocument | Unreadable]
-    ) -> None:
-        """Take what the whole table holds."""
-        self.apply(items.items())
-
-    def apply(
-        self,
-        changes: Iterable[
-            tuple[str, ConfigurationDocument | Unreadable | None]
-        ],
-    ) -> None:
-        """Take the newest of some changes.
-
-        What cannot be read changes nothing: what is in force stays so.
-        """
-        for key, document in changes:
-            if key == self._key and isinstance(
-                document, ConfigurationDocument
-            ):
-                self._configuration.take(document, source='platform')
-
-    def confirm(self, at: float) -> None:
-        """Note that everything in the table up to a moment was taken."""
-        self._configuration.confirm(self._configuration.current.version, at)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -173,7 +173,11 @@
         metering = self.parts.build_metering(calls)
         scaling = self.parts.build_scaling(calls)
         with self._duties_scope:
-            await self.parts.duties.run(metering=metering, scaling=scaling)
+            await self.parts.duties.run(
+                metering=metering,
+                scaling=scaling,
+                rollouts=self.parts.build_rollout_duty(),
+            )
 
     async def _stop(self) -> None:
         self.parts.states.state = MemberState.LEAVING
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties.py
@@ -12,6 +12,7 @@
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
 from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.ports import Table
 from mimosamux_daemon.ports.duty_calls import DUTY_CALL_TIMEOUT_S
@@ -89,13 +90,16 @@
         """The lease, while this daemon holds it."""
         return self._keeper.held
 
-    async def run(self, *, metering: Metering, scaling: Scaling) -> None:
+    async def run(
+        self, *, metering: Metering, scaling: Scaling, rollouts: RolloutDuty
+    ) -> None:
         """Do the duties whenever the lease is held, until cancelled."""
 
         async def act(lease: Lease) -> None:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(metering.run, lease)
                 tasks.start_soon(scaling.run, lease)
+                tasks.start_soon(rollouts.run, lease)
 
         await self._keeper.run(act)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -183,6 +183,7 @@
             job.service,
             job.route,
             job.request.prompt,
+            request_id=job.request.id,
             excluding=job.tried,
             is_spread=job.has_broken or self.holds.is_suspected(job.content),
         )
@@ -317,9 +318,12 @@
         return self.budget.take(job.service.name)
 
     def _has_other(self, job: Job) -> bool:
-        return any(
-            record.id not in job.tried
-            for record in self.roster.open_to(job.service.name)
+        return bool(
+            self.chooser.find_open(
+                job.service.name,
+                request_id=job.request.id,
+                excluding=job.tried,
+            )
         )
 
     def _end_late(self, job: Job) -> GatewayOutcome:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -43,6 +43,10 @@
             'mimosamux_gateway_suspects',
             'Contents under which endpoints crashed (suspected, held).',
         )
+        self.rollout_steps = self._counter(
+            'mimosamux_gateway_rollout_steps_total',
+            'Steps of roll-outs that this daemon wrote down, by stage.',
+        )
         self.duty_calls = self._counter(
             'mimosamux_gateway_duty_calls_total',
             'Calls of the duties, by duty and outcome.',
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/operator_items.py
@@ -0,0 +1,59 @@
+"""Takes what operators have written: the configuration, and orders."""
+
+from collections.abc import Iterable, Mapping
+from functools import singledispatchmethod
+
+from mimosamux_daemon.domain.rollouts import RolloutOrder
+from mimosamux_daemon.domain.routes import ConfigurationDocument
+from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
+from mimosamux_daemon.gateway.rollouts import Rollouts
+from mimosamux_daemon.ports.feeds import Unreadable
+
+OperatorItem = ConfigurationDocument | RolloutOrder
+
+
+class OperatorItems:
+    """Puts the items of the operators' table in force."""
+
+    def __init__(
+        self,
+        *,
+        configuration: ConfirmedConfiguration,
+        configuration_key: str,
+        rollouts: Rollouts,
+    ) -> None:
+        self._configuration = configuration
+        self._configuration_key = configuration_key
+        self._rollouts = rollouts
+
+    def replace(self, items: Mapping[str, OperatorItem | Unreadable]) -> None:
+        """Take what the whole table holds."""
+        self.apply(items.items())
+
+    def apply(
+        self, changes: Iterable[tuple[str, OperatorItem | Unreadable | None]]
+    ) -> None:
+        """Take changes in their order.
+
+        What cannot be read, or is gone, changes nothing: what is in force
+        stays so.
+        """
+        for key, item in changes:
+            self._take(item, key)
+
+    def confirm(self, at: float) -> None:
+        """Note that everything in the table up to a moment was taken."""
+        self._configuration.confirm(self._configuration.current.version, at)
+
+    @singledispatchmethod
+    def _take(self, item: object, key: str) -> None:
+        """Pass over what is nothing of ours."""
+
+    @_take.register
+    def _(self, item: ConfigurationDocument, key: str) -> None:
+        if key == self._configuration_key:
+            self._configuration.take(item, source='platform')
+
+    @_take.register
+    def _(self, item: RolloutOrder, key: str) -> None:
+        self._rollouts.take_order(item)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -9,16 +9,14 @@
 from mimosamux_daemon.adapters.link_security import LinkSecurity
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
 from mimosamux_daemon.domain.names import DaemonId
+from mimosamux_daemon.domain.rollouts import Rollout, RolloutStage
 from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
 from mimosamux_daemon.gateway.cap_loans import CapLoans
 from mimosamux_daemon.gateway.cap_record import CapRecord
 from mimosamux_daemon.gateway.caps import UsageCaps
 from mimosamux_daemon.gateway.choice import Chooser
-from mimosamux_daemon.gateway.configuration import (
-    ConfigurationItems,
-    ConfirmedConfiguration,
-)
+from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.crash_exchange import CrashExchange
 from mimosamux_daemon.gateway.crash_holds import CrashHolds
 from mimosamux_daemon.gateway.crash_rows import CrashRows
@@ -36,11 +34,16 @@
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.operator_items import OperatorItems
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.overload import WINDOW_S, Overload
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.prompt_parts import PromptParts
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
+from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
+from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
+from mimosamux_daemon.gateway.rollout_rows import RolloutRows
+from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.gateway.sends import SendNotes
@@ -49,6 +52,8 @@
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.stream_moves import StreamMoves
 from mimosamux_daemon.gateway.table_sharing import TableSharing
+from mimosamux_daemon.gateway.trial_judge import SequentialJudge
+from mimosamux_daemon.gateway.trial_tallies import TrialTallies
 from mimosamux_daemon.gateway.vouching import Vouching
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
@@ -63,6 +68,10 @@
 """Part of the revocation bound for a request's way to the daemon and for
 clocks that run differently."""
 ABSENCE_S = 3.0
+CLEAR_S = 2.0
+"""Time for which streams run on at a version that is given up: most end in
+it, and what is left is moved."""
+ROLLOUT = 'a roll-out'
 
 
 class GatewayParts:
@@ -85,6 +94,13 @@
         self._clock = clock
         self._rng = rng
         self._build_states(network)
+        self.health = StoreHealth(clock=self._clock)
+        self.roster = Roster(
+            clock=self._clock,
+            time_of_day=shared_time.now,
+            health=self.health,
+        )
+        self._build_rollouts(shared_time)
         self._build_configuration(shared_time)
         self._build_endpoints(shared_time)
         self._build_counts(shared_time)
@@ -102,6 +118,7 @@
             self.demand,
             self.chooser.parts,
             self.duties,
+            self.trials,
         ]
 
     def loops(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
@@ -118,6 +135,7 @@
             self.evacuation.run,
             self.crashes.run,
             self.crash_rows.run,
+            self.rollout_rows.run,
         )
 
     async def wait_for_first_read(self) -> None:
@@ -125,6 +143,7 @@
         await self.configuration_reader.first_read.wait()
         await self.endpoint_reader.first_read.wait()
         await self.crash_rows.first_read.wait()
+        await self.rollout_rows.first_read.wait()
 
     def _build_states(self, network: Network) -> None:
         settings, rng = self.settings, self._rng
@@ -146,16 +165,40 @@
             rng=rng,
         )
 
+    def _build_rollouts(self, shared_time: SharedTime) -> None:
+        self.rollouts = Rollouts(
+            limits=self.settings.rollouts,
+            serving=self.roster.serving,
+            clock=self._clock,
+        )
+        self.rollout_rows = RolloutRows(
+            table=self._platform.table,
+            rollouts=self.rollouts,
+            render_status=self._platform.render_rollout_status,
+        )
+        self.rollout_exchange = RolloutExchange(
+            rollouts=self.rollouts,
+            states=self.states,
+            peers=self.peers,
+            clock=self._clock,
+        )
+        self.trials = TrialTallies(
+            rollouts=self.rollouts, roster=self.roster, clock=self._clock
+        )
+        self.states.on_forgotten.append(self.trials.forget_peer)
+        self.rollouts.on_changed.append(self._clear_other_versions)
+        self._shared_time = shared_time
+
     def _build_configuration(self, shared_time: SharedTime) -> None:
         self.configuration = ConfirmedConfiguration(clock=self._clock)
-        self.health = StoreHealth(clock=self._clock)
         self.configuration_reader = FeedReader(
             name='configuration',
             sharing=self._share('configuration', shared_time),
-            feed=self._platform.configurations,
-            items=ConfigurationItems(
+            feed=self._platform.operators,
+            items=OperatorItems(
                 configuration=self.configuration,
-                key=self._platform.configuration_key,
+                configuration_key=self._platform.configuration_key,
+                rollouts=self.rollouts,
             ),
             health=self.health,
             wait_s=CONFIGURATION_WAIT_S,
@@ -185,11 +228,6 @@
         )
 
     def _build_endpoints(self, shared_time: SharedTime) -> None:
-        self.roster = Roster(
-            clock=self._clock,
-            time_of_day=shared_time.now,
-            health=self.health,
-        )
         self.roster.on_learned.append(self._tell_learned)
         self.roster.on_own_answer.append(self._tell_leaving)
         self.endpoint_reports = EndpointReports(
@@ -212,6 +250,7 @@
             moves=self._platform.moves,
             stream_moves=StreamMoves(
                 roster=self.roster,
+                rollouts=self.rollouts,
                 moves=self._platform.moves,
                 clock=self._clock,
                 rng=self._rng,
@@ -225,6 +264,7 @@
         self.chooser = Chooser(
             parts=PromptParts(is_current=self.roster.is_current),
             roster=self.roster,
+            rollouts=self.rollouts,
             data_centre=self.settings.place.data_centre,
             clock=self._clock,
             rng=self._rng,
@@ -326,6 +366,7 @@
                 chooser=self.chooser,
                 begun=self.begun,
                 crashes=self.crashes,
+                trials=self.trials,
                 metrics=self.metrics,
                 news_age_s=self.states.news_age_s,
                 clock=self._clock,
@@ -366,10 +407,43 @@
             clock=self._clock,
             metrics=self.metrics,
             lose_lease=lambda lease: lease.end(),
+            rollouts=self.rollouts,
         )
         self.roster.on_leaving.append(scaling.note_leaving)
+        self.rollouts.on_changed.append(scaling.note_rollout)
         return scaling
 
+    def build_rollout_duty(self) -> RolloutDuty:
+        """Return the duty of bringing versions in."""
+        return RolloutDuty(
+            rows=self.rollout_rows,
+            rollouts=self.rollouts,
+            tallies=self.trials,
+            exchange=self.rollout_exchange,
+            states=self.states,
+            roster=self.roster,
+            judge=SequentialJudge(),
+            demand=self.demand,
+            configuration=lambda: self.configuration.current,
+            store_time=self._shared_time.store_now,
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+
+    def _clear_other_versions(self, rollout: Rollout) -> None:
+        """Have streams moved to the version that takes over."""
+        if rollout.stage is not RolloutStage.CLEARING:
+            return
+        for record in tuple(self.roster.by_id.values()):
+            listed = record.listed
+            if (
+                listed.service == rollout.order.service
+                and listed.software != rollout.order.version
+            ):
+                self.roster.note_leaving(
+                    record.id, left_s=CLEAR_S, source=ROLLOUT
+                )
+
     async def _take_table_news(
         self, sender: DaemonId, news: TableNews
     ) -> None:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_exchange.py
@@ -0,0 +1,96 @@
+"""What daemons tell each other of the steps of roll-outs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mimosamux_wire import RolloutTold
+
+from mimosamux_daemon.domain.names import DaemonId, ServiceName
+from mimosamux_daemon.domain.rollouts import (
+    Rollout,
+    RolloutOrder,
+    RolloutStage,
+)
+from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.rollouts import Rollouts
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports import PeerLinks
+
+log = get_log('rollout_exchange')
+
+MS_PER_S = 1000
+
+
+@dataclass(kw_only=True, slots=True)
+class RolloutExchange:
+    """Keeps what the daemons know of roll-outs the same."""
+
+    rollouts: Rollouts
+    states: PeerStates
+    peers: PeerLinks
+    clock: Callable[[], float]
+
+    def __post_init__(self) -> None:
+        self.peers.handle(RolloutTold, self._take)
+        self.states.on_joined.append(self._tell_all)
+
+    def tell(self, rollout: Rollout, *, word: int, share: float) -> None:
+        """Tell every daemon a step, or the share that it allows now."""
+        self.states.queue(_as_message(rollout, word, share))
+
+    async def _tell_all(self, id_: DaemonId) -> None:
+        """Tell a process that has just started what is known here."""
+        for known in self.rollouts.by_service.values():
+            message = _as_message(known.rollout, known.word, known.share)
+            await self.peers.notify(id_, message)
+
+    async def _take(self, sender: DaemonId, message: RolloutTold) -> None:
+        rollout = _as_rollout(message)
+        if rollout is None:
+            log.warning('rollout_unreadable', peer=sender)
+            return
+        is_news = self.rollouts.take(rollout, source=sender)
+        is_news |= self.rollouts.take_share(
+            rollout, message.word, message.share
+        )
+        if is_news and not self.states.is_flat and self.states.acts_as_relay:
+            self.states.queue(message)
+
+
+def _as_message(rollout: Rollout, word: int, share: float) -> RolloutTold:
+    order = rollout.order
+    return RolloutTold(
+        service=order.service,
+        version=order.version,
+        number=order.number,
+        within_ms=int(order.within_s * MS_PER_S),
+        stage=rollout.stage,
+        step=rollout.step,
+        began_at_ms=int(rollout.began_at * MS_PER_S),
+        held_back=list(rollout.held_back),
+        reason=rollout.reason,
+        word=word,
+        share=share,
+    )
+
+
+def _as_rollout(message: RolloutTold) -> Rollout | None:
+    try:
+        stage = RolloutStage(message.stage)
+    except ValueError:
+        return None
+    if not message.service or not message.version:
+        return None
+    return Rollout(
+        order=RolloutOrder(
+            service=ServiceName(message.service),
+            version=message.version,
+            within_s=message.within_ms / MS_PER_S,
+            number=message.number,
+        ),
+        stage=stage,
+        step=message.step,
+        began_at=message.began_at_ms / MS_PER_S,
+        held_back=tuple(message.held_back),
+        reason=message.reason,
+    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -294,6 +294,7 @@
             endpoint=item.id,
             incarnation=item.incarnation,
             service=item.service,
+            software=item.software,
             address=item.address,
             data_centre=item.data_centre,
             market=item.market,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -2,23 +2,26 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
 
 from mimosamux_daemon.control.leases import Lease
 from mimosamux_daemon.domain.names import DataCentreName, ServiceName
+from mimosamux_daemon.domain.rollouts import Rollout, RolloutStage
 from mimosamux_daemon.domain.routes import GatewayConfiguration, ScalingBounds
 from mimosamux_daemon.domain.vms import Market
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.demand_prior import expect_busy
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.scaling_plan import (
     ScalingPolicy,
     Slot,
+    find_wanted,
     plan_counts,
 )
 from mimosamux_daemon.logs import get_log
@@ -67,6 +70,7 @@
     clock: Callable[[], float]
     metrics: GatewayMetrics
     lose_lease: Callable[[Lease], None]
+    rollouts: Rollouts
     first_start: bool = False
     """Whether the whole site has started for the first time."""
     policy: ScalingPolicy = field(default_factory=ScalingPolicy)
@@ -107,6 +111,8 @@
         listed = record.listed
         if listed.market is not Market.RECLAIMABLE:
             return
+        if self._is_given_up(record):
+            return
         slot = Slot(data_centre=listed.data_centre, market=listed.market)
         key = (listed.service, slot)
         if key in self._shrunk:
@@ -117,6 +123,34 @@
             place = (listed.service, listed.data_centre)
             self._dry[place] = self.clock() + DRY_S
 
+    def note_rollout(self, rollout: Rollout) -> None:
+        """Give every order anew once a service has one version again.
+
+        What was ordered of the other version is gone with it.
+        """
+        if rollout.stage.is_over:
+            for key in tuple(self._given):
+                if key[0] == rollout.order.service:
+                    del self._given[key]
+
+    def _has_enough(self, service: ServiceName, bounds: ScalingBounds) -> bool:
+        """Whether the endpoints that requests may go to can carry them."""
+        usable = self.rollouts.find_proven(
+            service, self.roster.serving(service)
+        )
+        busy = self.demand.busy_most(service)
+        share = self.policy.busy_share_reduced
+        return len(usable) >= find_wanted(bounds, busy / share)
+
+    def _is_given_up(self, record: EndpointRecord) -> bool:
+        """Whether it leaves since another version takes over."""
+        rollout = self.rollouts.current(record.listed.service)
+        return (
+            rollout is not None
+            and rollout.stage is RolloutStage.CLEARING
+            and record.listed.software != rollout.order.version
+        )
+
     async def _order_all(self, lease: Lease) -> None:
         services = self.configuration().services_by_name
         for name, service in services.items():
@@ -138,6 +172,10 @@
             policy=self.policy,
             has_callers=not self.first_start or self._has_callers(service),
         )
+        if self.rollouts.is_changing(service):
+            if self._has_enough(service, bounds):
+                return
+            counts = _keep_all(counts, held, self._find_given(service))
         for slot, count in counts.items():
             if self._is_due(service, slot, count, held, bounds):
                 await self._give(service, slot, count, lease)
@@ -293,3 +331,19 @@
             )
             held[slot] = held.get(slot, 0) + 1
         return held
+
+
+def _keep_all(
+    counts: Mapping[Slot, int],
+    held: Mapping[Slot, int],
+    given: Mapping[Slot, int],
+) -> dict[Slot, int]:
+    """Return counts that take no endpoint away.
+
+    While a service has two versions the platform counts both together, and
+    an order for fewer would end those of the new one.
+    """
+    return {
+        slot: max(count, held.get(slot, 0), given.get(slot, 0))
+        for slot, count in counts.items()
+    }
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -12,6 +12,7 @@
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
+from mimosamux_daemon.gateway.trial_tallies import TrialTallies
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import (
     EndpointAnswer,
@@ -44,6 +45,8 @@
     is_read: bool = False
     """Whether the endpoint has read the prompt."""
     is_answered: bool = False
+    first_s: float | None = None
+    """Time until the first event of a stream."""
 
     @property
     def endpoint(self) -> ListedEndpoint:
@@ -115,6 +118,8 @@
         self.job.may_have_run = self.could_have_run
         self._count('turned_down')
         self._log('turned_down', status=answer.status)
+        if answer.is_full and not self.job.is_resumed:
+            self._note_trial(failed=True)
         if answer.is_other_endpoint:
             self.notes.roster.note_replaced(self.choice.record)
 
@@ -137,6 +142,7 @@
             self._count('failed' if failed else 'answered')
             now = self.notes.clock()
             self.choice.record.health.note(now, failed=failed)
+            self._note_trial(failed=failed)
 
     def note_begun(self) -> None:
         """Count the request as begun, once however often it is sent."""
@@ -151,7 +157,7 @@
         self.note_begun()
         self.is_read = True
         choice, prompt = self.choice, self.job.request.prompt
-        took_s = self.notes.clock() - self.sent_at
+        took_s = self.first_s = self.notes.clock() - self.sent_at
         self.notes.metrics.first_event_s.observe(
             {'service': self.job.service.name}, took_s
         )
@@ -165,6 +171,20 @@
             speed = chooser.speed_of(self.job.service.name)
             speed.note(choice.unread_tokens, took_s)
 
+    def _note_trial(self, *, failed: bool) -> None:
+        """Count the end for a version that is under trial, if one is."""
+        job = self.job
+        whole_s = self.notes.clock() - self.sent_at
+        self.notes.trials.note_end(
+            job.service.name,
+            job.route.name,
+            self.endpoint.id,
+            self.endpoint.software,
+            failed=failed,
+            took_s=self.first_s if job.is_stream else whole_s,
+            expected_s=self.choice.first_event_s,
+        )
+
     def _count(self, result: str) -> None:
         labels = {'service': self.job.service.name, 'result': result}
         self.notes.metrics.sends.inc(labels)
@@ -189,6 +209,7 @@
     chooser: Chooser
     begun: BegunCounts
     crashes: CrashWatch
+    trials: TrialTallies
     metrics: GatewayMetrics
     news_age_s: Callable[[], float]
     """Age of the oldest digest that the choice rested on."""
@@ -216,6 +237,7 @@
             silent_at=now + limit_s,
             notes=self,
         )
+        self.trials.note_send(job.service.name, send.endpoint.software)
         job.tried.add(choice.record.id)
         job.sends += 1
         job.may_have_run = True
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -13,6 +13,7 @@
 from mimosamux_daemon.gateway.caps import CapRules
 from mimosamux_daemon.gateway.peer_states import DaemonPlace
 from mimosamux_daemon.gateway.retry_budget import RetryLimits
+from mimosamux_daemon.gateway.rollouts import RolloutLimits
 
 ADDRESS = r'^[^\s:]+:\d{1,5}$'
 MAYBE_ADDRESS = r'^([^\s:]+:\d{1,5})?$'
@@ -81,6 +82,14 @@
     tolerance: NotNegative = 0.0
 
 
+class RolloutsModel(_Model, frozen=True, kw_only=True):
+    """What a new version may get before it is found good."""
+
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    tolerance: NotNegative = 50.0
+    stop_s: Positive = 5.0
+
+
 class GatewaySettingsModel(_Model, frozen=True, kw_only=True):
     """The settings file."""
 
@@ -98,6 +107,7 @@
     bounds: BoundsModel
     retries: RetriesModel
     caps: CapsModel
+    rollouts: RolloutsModel = RolloutsModel()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -125,6 +135,7 @@
     address_ttl_s: float
     retries: RetryLimits
     caps: CapRules
+    rollouts: RolloutLimits = RolloutLimits()
 
 
 def read_gateway_settings(path: str) -> GatewaySettings:
@@ -178,4 +189,9 @@
             overage=model.caps.overage,
             tolerance=model.caps.tolerance,
         ),
+        rollouts=RolloutLimits(
+            share=model.rollouts.share,
+            tolerance=model.rollouts.tolerance,
+            stop_s=model.rollouts.stop_s,
+        ),
     )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
@@ -15,6 +15,7 @@
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
 from mimosamux_daemon.logs import get_log
@@ -45,6 +46,7 @@
     """Copies streams, stops them, and frees copies that nobody needs."""
 
     roster: Roster
+    rollouts: Rollouts
     moves: RunMoves
     clock: Callable[[], float]
     rng: random.Random
@@ -121,6 +123,12 @@
             for record in self.roster.open_to(stream.service.name)
             if record.id != stream.record.id and not record.is_avoided(now)
         ]
+        records = self.rollouts.narrow(
+            stream.service.name,
+            records,
+            request_id=stream.request_id,
+            may_be_trial=False,
+        )
         if not records:
             return None
         here = stream.record.listed.data_centre
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -6,7 +6,9 @@
 
 from mimosamux_daemon.adapters.http1_exchange import Handler
 from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.rollouts import Rollout, RolloutOrder
 from mimosamux_daemon.domain.routes import ConfigurationDocument
+from mimosamux_daemon.domain.store import Write
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
 from mimosamux_daemon.ports.feeds import Feed
@@ -19,10 +21,13 @@
 class GatewayPlatform:
     """The ports, as an adapter package fills them."""
 
-    configurations: Feed[ConfigurationDocument]
+    operators: Feed[ConfigurationDocument | RolloutOrder]
+    """What operators have written."""
     configuration_key: str
     """Key of the configuration in its table."""
     parse_configuration: Callable[[bytes], ConfigurationDocument]
+    render_rollout_status: Callable[[Rollout], Write]
+    """Makes the row in which operators read how far a roll-out is."""
     endpoints: Feed[ListedEndpoint]
     calls: EndpointCalls
     moves: RunMoves
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -100,6 +100,7 @@
     speed: ReplicaSpeed = field(default_factory=ReplicaSpeed)
     fault: Fault = Fault.NONE
     is_reclaimable: bool = False
+    version: str = 'v1'
     born_ms: int | None = None
     """Start of its process in ms since 1970; some replicas tell none."""
     state: str = 'ready'
@@ -146,7 +147,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'sequence': 1,
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -75,6 +75,11 @@
     Message,
     Rejected,
 )
+from mimosamux_wire.rollout_messages import (
+    RolloutTold,
+    RolloutUse,
+    TrialTally,
+)
 from mimosamux_wire.serving_messages import (
     HandOver,
     HandOverReply,
@@ -127,6 +132,8 @@
     'DigestHeard',
     'PartsRead',
     'Rejected',
+    'RolloutTold',
+    'RolloutUse',
     'ServiceDemand',
     'StateBatch',
     'StateDigest',
@@ -134,6 +141,7 @@
     'Superseded',
     'TableNews',
     'TableRow',
+    'TrialTally',
     'Vouch',
     'Vouched',
     'WindowUse',
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -6,6 +6,7 @@
 from thrift.Thrift import TType
 
 from mimosamux_wire.messages import Message
+from mimosamux_wire.rollout_messages import RolloutUse
 
 
 def _list_of(kind: type[Message]) -> tuple[Any, ...]:
@@ -141,6 +142,7 @@
     """Whether the sender passes on what other daemons tell."""
     reads_tables: bool = False
     """Whether the platform's tables answer the sender."""
+    rollouts: list[RolloutUse] = field(default_factory=list)
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'address', 'UTF8', ''),
@@ -161,6 +163,7 @@
         (16, TType.LIST, 'heard', _list_of(DigestHeard), None),
         (17, TType.BOOL, 'is_relay', None, False),
         (18, TType.BOOL, 'reads_tables', None, False),
+        (19, TType.LIST, 'rollouts', _list_of(RolloutUse), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -218,6 +218,24 @@
   8: list<CountRecord> counts
 }
 
+struct TrialTally {
+  1: string endpoint
+  2: string route
+  3: i32 answers
+  4: i32 failed
+  5: list<i32> slower
+}
+
+struct RolloutUse {
+  1: string service
+  2: i64 number
+  3: i32 step
+  4: i32 requests
+  5: i32 trials
+  6: i32 open_elsewhere
+  7: list<TrialTally> tallies
+}
+
 struct EndpointUse {
   1: string endpoint
   2: i32 open_requests
@@ -274,6 +292,7 @@
   16: list<DigestHeard> heard
   17: bool is_relay
   18: bool reads_tables
+  19: list<RolloutUse> rollouts
 }
 
 struct GroupHeard {
@@ -321,6 +340,20 @@
   1: string endpoint
 }
 
+struct RolloutTold {
+  1: string service
+  2: string version
+  3: i64 number
+  4: i64 within_ms
+  5: string stage
+  6: i32 step
+  7: i64 began_at_ms
+  8: list<string> held_back
+  9: string reason
+  10: i32 word
+  11: double share
+}
+
 struct Vouch {
   1: i64 version
 }
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -225,7 +225,7 @@
             feed = StoreFeed(
                 calls=PlatformCalls(address=ADDRESS, channels=channels),
                 table='servers',
-                parse_item=parse_endpoint,
+                parse_item=lambda row, data: parse_endpoint(row.key, data),
                 note_time=lambda seconds: seconds,
             )
             return await feed.follow(0, wait_s=0.1)
