No timer for each event of a stream once its answer has begun

Cause: each wait for the next event entered a cancel scope without an end, though an endpoint whose answer has begun is not left for another one. Callers see nothing of it; a small VM relays more streams at once.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/relay.py
@@ -52,6 +52,10 @@
     ) -> ResultT | Silent:
         """Return what comes; once it may not be left, wait for good."""
         while not self.is_over:
+            if self.send.is_read:
+                # Nothing leaves an endpoint whose answer has begun, and a
+                # timer for each event costs as much as passing it on.
+                break
             left_s = self.send.silent_at - self.clock()
             with anyio.move_on_after(max(left_s, 0.0)):
                 return await receive()
