--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
@@ -90,6 +90,7 @@
         prompt: PromptUse | None,
         *,
         request_id: str = '',
+        trial_weight: float = 1.0,
         excluding: Collection[EndpointId] = (),
         is_spread: bool = False,
     ) -> Choice | None:
@@ -100,7 +101,10 @@
         """
         now = self._clock()
         records = self.find_open(
-            service.name, request_id=request_id, excluding=excluding
+            service.name,
+            request_id=request_id,
+            trial_weight=trial_weight,
+            excluding=excluding,
         )
         records = _leave_out_doubtful(records, now)
         if not records:
@@ -119,6 +123,7 @@
         *,
         request_id: str,
         excluding: Collection[EndpointId],
+        trial_weight: float = 1.0,
     ) -> list[EndpointRecord]:
         """Return the endpoints that a request may be sent to.
 
@@ -135,6 +140,7 @@
             records,
             request_id=request_id,
             may_be_trial=not excluding,
+            weight=trial_weight,
         )
 
     def busy_s(self, service: ServiceName, prompt: PromptUse) -> float:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -184,6 +184,9 @@
             job.route,
             job.request.prompt,
             request_id=job.request.id,
+            trial_weight=self.notes.trials.weight(
+                job.service.name, job.route.name
+            ),
             excluding=job.tried,
             is_spread=job.has_broken or self.holds.is_suspected(job.content),
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -422,7 +422,7 @@
             exchange=self.rollout_exchange,
             states=self.states,
             roster=self.roster,
-            judge=SequentialJudge(),
+            make_judge=SequentialJudge,
             demand=self.demand,
             configuration=lambda: self.configuration.current,
             store_time=self._shared_time.store_now,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
@@ -65,7 +65,7 @@
     exchange: RolloutExchange
     states: PeerStates
     roster: Roster
-    judge: Judge
+    make_judge: Callable[[], Judge]
     demand: Demand
     configuration: Callable[[], GatewayConfiguration]
     store_time: Callable[[], float | None]
@@ -75,6 +75,7 @@
     _needs_read: bool = True
     """Whether a row may have changed that is not known here."""
     _told_at: dict[ServiceName, float] = field(default_factory=dict)
+    _judge_by_order: dict[int, Judge] = field(default_factory=dict)
     _step_at: dict[ServiceName, tuple[int, float]] = field(
         default_factory=dict
     )
@@ -171,7 +172,10 @@
     def _judge(self, rollout: Rollout, now: float) -> Judgement:
         service = rollout.order.service
         total = self.tallies.total(service)
-        return self.judge.judge(
+        judge = self._judge_by_order.setdefault(
+            rollout.order.number, self.make_judge()
+        )
+        return judge.judge(
             Evidence(
                 by_kind={} if total is None else total.by_kind,
                 passed=(now - rollout.began_at) / rollout.order.within_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -173,8 +173,13 @@
         *,
         request_id: str,
         may_be_trial: bool,
+        weight: float = 1.0,
     ) -> list[EndpointRecord]:
-        """Return the endpoints whose version a request may go to."""
+        """Return the endpoints whose version a request may go to.
+
+        `weight` is how much more often than others requests of its route are
+        tried.
+        """
         order = self.orders_by_service.get(service)
         known = self.by_service.get(service)
         if order is None and known is None:
@@ -193,7 +198,8 @@
         ]
         if known.rollout.stage is not RolloutStage.TRIAL:
             return new or proven
-        if may_be_trial and draw(request_id) < self.share(service):
+        share = weight * self.share(service)
+        if may_be_trial and draw(request_id) < share:
             return choose_tried(new, self.limits.share) or proven
         return proven
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_share.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_share.py
@@ -12,7 +12,7 @@
 TOLERANCE_PART = 0.5
 """Part of the tolerance that is spent; the rest is for what is under way
 while counts are."""
-SPEND_S = 4.0
+SPEND_S = 8.0
 """Time over which what is left of it is spent."""
 MOST_SHARE = 0.5
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_tallies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_tallies.py
@@ -17,7 +17,7 @@
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 
-SLOW_FACTORS = (2.0, 3.0, 5.0)
+SLOW_FACTORS = (3.0, 5.0)
 """An answer that took so many times as long as expected counts as slow."""
 CONTROL = EndpointId('')
 """Stands for all endpoints of the other versions."""
@@ -25,6 +25,8 @@
 """Shortest expectation: below it, chance alone multiplies a time."""
 TYPICAL_WEIGHT = 0.1
 """Weight of an answer in the running mean of how long such ones take."""
+MOST_WEIGHT = 4.0
+"""How much more often requests of a rare route are tried at most."""
 MOST_BAD = 25
 """Bad answers of a version under trial at which each daemon stops by itself;
 others may be under way yet, and count as well."""
@@ -46,6 +48,31 @@
         for place, count in enumerate(other.slower):
             self.slower[place] += count
 
+    def copy(self) -> 'Tally':
+        """Return one that stays as it is now."""
+        return Tally(
+            answers=self.answers,
+            failed=self.failed,
+            slower=list(self.slower),
+        )
+
+    def since(self, before: 'Tally | None') -> 'Tally':
+        """Return what has come since an earlier moment.
+
+        Counts of a daemon that died are missing in a sum, which may be less
+        than it was: then nothing is known to have come.
+        """
+        if before is None:
+            return self.copy()
+        return Tally(
+            answers=max(self.answers - before.answers, 0),
+            failed=max(self.failed - before.failed, 0),
+            slower=[
+                max(now - then, 0)
+                for now, then in zip(self.slower, before.slower, strict=True)
+            ],
+        )
+
     @property
     def bad(self) -> int:
         """Return the answers that failed or took several times as long."""
@@ -84,6 +111,9 @@
         default_factory=dict
     )
     """Running mean of how long the control takes, by route."""
+    _weight_by_route: dict[tuple[ServiceName, str], float] = field(
+        default_factory=dict
+    )
 
     def __post_init__(self) -> None:
         self.rollouts.on_changed.append(self._begin)
@@ -149,6 +179,13 @@
         """Return what a peer told last of a service's roll-out."""
         return self._by_peer.get(peer, {}).get(service)
 
+    def weight(self, service: ServiceName, route: str) -> float:
+        """Return how much more often than others a route is to be tried.
+
+        So that each gives as many answers; over all of them it is 1 at most.
+        """
+        return self._weight_by_route.get((service, route), 1.0)
+
     def open_elsewhere(self, service: ServiceName) -> int:
         """Return what is under way from here at other versions."""
         rollout = self.rollouts.current(service)
@@ -175,6 +212,7 @@
     def write(self, digest: StateDigest) -> None:
         """Tell what was counted here."""
         self.stop_bad_trials()
+        self._find_weights()
         for service, counts in self._own.items():
             rollout = self.rollouts.current(service)
             if rollout is None:
@@ -207,6 +245,15 @@
         """Drop what a peer told that is given up."""
         self._by_peer.pop(peer, None)
 
+    def _find_weights(self) -> None:
+        self._weight_by_route.clear()
+        for service in self._own:
+            total = self.total(service)
+            by_kind = {} if total is None else total.by_kind
+            weights = find_weights(by_kind)
+            for route, weight in weights.items():
+                self._weight_by_route[service, route] = weight
+
     def _begin(self, rollout: Rollout) -> None:
         service = rollout.order.service
         known = self._own.get(service)
@@ -236,6 +283,20 @@
         )
 
 
+def find_weights(by_kind: TalliesByKind) -> dict[str, float]:
+    """Return how much more often than others each route is to be tried."""
+    answers = {
+        route: tally.answers
+        for (endpoint, route), tally in by_kind.items()
+        if endpoint == CONTROL and tally.answers
+    }
+    even = sum(answers.values()) / max(len(answers), 1)
+    return {
+        route: min(even / count, MOST_WEIGHT)
+        for route, count in answers.items()
+    }
+
+
 def count_bad(by_kind: TalliesByKind) -> int:
     """Return the bad answers of the new version."""
     return sum(
