Failing tests: word of a crash and of a whole run chase each other

A relay that was told of a suspect which had been cleared took it as news and passed it on; the word that clears it followed, and so on.

--- a/tests/test_gateway_crash_exchange.py
+++ b/tests/test_gateway_crash_exchange.py
@@ -1,5 +1,6 @@
 """What daemons tell each other of crashes."""
 
+import random
 import unittest
 
 import anyio
@@ -109,6 +110,66 @@
             self.tell(content, *endpoints)
         self.assertEqual(self.suspects.by_content, {})
 
+    def test_crash_that_was_cleared_is_not_suspected_again(self):
+        self.exchange.note_crash(START, ['a'])
+        self.receive(SuspectsCleared(contents=['a']))
+        self.tell('a', 'i-1/0')
+        self.assertEqual(self.suspects.by_content, {})
+        self.tell('a', 'i-1/0', 'i-2/0')
+        self.assertEqual(self.suspects.crashes('a'), 1)
+
+
+class RelayStates(FakeStates):
+    """A relay: what it queues goes to every other one."""
+
+    is_flat = False
+    acts_as_relay = True
+
+    def __init__(self, number, under_way):
+        super().__init__()
+        self.number = number
+        self.under_way = under_way
+
+    def queue(self, message):
+        for other in range(RELAYS):
+            if other != self.number:
+                self.under_way.append((self.number, other, message))
+
+
+RELAYS = 4
+MOST_MESSAGES = 200
+
+
+class TestRelays(unittest.TestCase):
+    # Guards against word of a crash and word of its end that chase each
+    # other from relay to relay for ever.
+
+    def test_word_of_a_crash_and_of_a_whole_run_come_to_rest(self):
+        for seed in range(50):
+            with self.subTest(seed=seed):
+                under_way, peers, exchanges = [], [], []
+                for number in range(RELAYS):
+                    peers.append(FakePeers())
+                    exchanges.append(
+                        CrashExchange(
+                            suspects=CrashSuspects(clock=lambda: 100.0),
+                            states=RelayStates(number, under_way),
+                            peers=peers[number],
+                            clock=lambda: 100.0,
+                        )
+                    )
+                exchanges[0].note_crash(START, ['a'])
+                exchanges[1].suspects.note_whole('a')
+                rng = random.Random(seed)
+                passed = 0
+                while under_way and passed < MOST_MESSAGES:
+                    place = rng.randrange(len(under_way))
+                    sender, receiver, message = under_way.pop(place)
+                    handler = peers[receiver].handlers[type(message)]
+                    anyio.run(handler, str(sender), message)
+                    passed += 1
+                self.assertEqual(under_way, [])
+
 
 if __name__ == '__main__':
     unittest.main()
