A content that was cleared of a crash is not suspected of it again

Cause: clearing a suspect forgot its crashes, so late word of the same crash was news: it was taken, passed on and cleared again by the next word of the whole run, without end among relays (sites of more than twelve daemons).

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
@@ -24,6 +24,8 @@
 """Time for which a whole run speaks for a content. What many callers ask
 for is often at several endpoints that crash at once."""
 MOST_RECENT = 1024
+MOST_CLEARED = 64
+"""Crashes that are remembered of one content that was cleared."""
 MOST_ALIVE = 1024
 """Endpoints that are remembered to live on: news of their crash may still be
 under way."""
@@ -91,13 +93,16 @@
         self.by_content: dict[ContentKey, Suspect] = {}
         self._whole_at: dict[ContentKey, float] = {}
         """Last whole runs, the oldest first."""
+        self._cleared: dict[ContentKey, frozenset[EndpointStart]] = {}
+        """Crashes that a content was cleared of, against their late news."""
         self._alive: dict[EndpointStart, None] = {}
         self._clock = clock
         self._swept_at = clock()
 
     def add(self, suspect: Suspect) -> bool:
         """Take what is known of a content; False if nothing is new."""
-        crashed = suspect.crashed - self._alive.keys()
+        cleared = self._cleared.get(suspect.content, frozenset())
+        crashed = suspect.crashed - self._alive.keys() - cleared
         if not crashed:
             return False
         suspect = replace(suspect, crashed=crashed)
@@ -126,7 +131,16 @@
 
     def clear(self, content: ContentKey) -> bool:
         """Suspect a content no longer; False if it was not suspected."""
-        return self.by_content.pop(content, None) is not None
+        suspect = self.by_content.pop(content, None)
+        if suspect is None:
+            return False
+        before = self._cleared.pop(content, frozenset())
+        if len(before) > MOST_CLEARED:
+            before = frozenset()
+        self._cleared[content] = before | suspect.crashed
+        if len(self._cleared) > MOST_RECENT:
+            del self._cleared[next(iter(self._cleared))]
+        return True
 
     def withdraw(self, start: EndpointStart) -> tuple[ContentKey, ...] | None:
         """Take back a crash that was none; return what it was held against.
