Roll-outs: seen by operators, and played beside faults

Status, a gauge and explain show a trial; a daemon that hears no other one tries nothing, since it would not learn of bad answers elsewhere.

--- a/benchmarks/bench_trials.py
+++ b/benchmarks/bench_trials.py
@@ -14,7 +14,7 @@
     play_trial,
 )
 
-SEEDS = 60
+SEEDS = 300
 JUDGES = {'sequential': SequentialJudge, 'thresholds': ThresholdJudge}
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -135,6 +135,8 @@
             roster=self.parts.roster,
             states=self.parts.states,
             holds=self.parts.holds,
+            rollouts=self.parts.rollouts,
+            trials=self.parts.trials,
             duties=self.parts.duties,
             open_requests=lambda: self._server.open_requests,
             clock=self._clock,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -47,6 +47,11 @@
             'mimosamux_gateway_rollout_steps_total',
             'Steps of roll-outs that this daemon wrote down, by stage.',
         )
+        self.rollout_share = self._gauge(
+            'mimosamux_gateway_rollout_share',
+            'Share of requests that a version under trial gets from this '
+            'daemon, by service and version.',
+        )
         self.duty_calls = self._counter(
             'mimosamux_gateway_duty_calls_total',
             'Calls of the duties, by duty and outcome.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -14,7 +14,9 @@
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.trial_tallies import TrialTallies, count_bad
 
 RELEASE_PATH = b'/v1/operator/release/'
 JSON = ((b'Content-Type', b'application/json'),)
@@ -30,6 +32,8 @@
     roster: Roster
     states: PeerStates
     holds: CrashHolds
+    rollouts: Rollouts
+    trials: TrialTallies
     duties: Duties
     open_requests: Callable[[], int]
     clock: Callable[[], float]
@@ -84,6 +88,7 @@
                 if record.gone_at is None
             ],
             'held_requests': self._held_rows(),
+            'rollouts': self._rollout_rows(),
         }
 
     def collect(self) -> None:
@@ -104,6 +109,12 @@
         metrics.suspects.set({'state': 'held'}, held)
         others = len(suspects.by_content) - held
         metrics.suspects.set({'state': 'suspected'}, others)
+        for known in self.rollouts.by_service.values():
+            order = known.rollout.order
+            metrics.rollout_share.set(
+                {'service': order.service, 'version': order.version},
+                self.rollouts.share(order.service),
+            )
         counts: dict[tuple[str, str], int] = {}
         for record in self.roster.by_id.values():
             if record.gone_at is None:
@@ -150,6 +161,23 @@
             for suspect in suspects.held()
         ]
 
+    def _rollout_rows(self) -> list[dict[str, object]]:
+        rows: list[dict[str, object]] = []
+        for service, known in self.rollouts.by_service.items():
+            total = self.trials.total(service)
+            rows.append(
+                {
+                    'service': service,
+                    'version': known.rollout.order.version,
+                    'stage': known.rollout.stage,
+                    'share': round(self.rollouts.share(service), 3),
+                    'tried': '' if total is None else total.trials,
+                    'bad': '' if total is None else count_bad(total.by_kind),
+                    'reason': known.rollout.reason,
+                }
+            )
+        return rows
+
     def _endpoint_row(self, record: EndpointRecord) -> dict[str, object]:
         now = self.clock()
         failed = record.health.failed_share(now)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -169,6 +169,7 @@
         self.rollouts = Rollouts(
             limits=self.settings.rollouts,
             serving=self.roster.serving,
+            is_alone=self.states.is_alone,
             clock=self._clock,
         )
         self.rollout_rows = RolloutRows(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -189,6 +189,10 @@
         oldest = self._clock() - self.fresh_s
         return [peer for peer in self.by_id.values() if peer.heard_at > oldest]
 
+    def is_alone(self) -> bool:
+        """Whether other daemons were heard of, and none is heard now."""
+        return bool(self.by_id) and not self.fresh()
+
     @property
     def next_sequence(self) -> int:
         """Return the number of the digest that will tell what is new now."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -42,8 +42,6 @@
     """Of all requests to its service, for as long as it is tried."""
     tolerance: float = 50.0
     """Requests beyond the share."""
-    stop_s: float = 5.0
-    """Time after which it gets nothing more once it was seen to be bad."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -69,6 +67,8 @@
     limits: RolloutLimits
     serving: Callable[[ServiceName], Sequence[EndpointRecord]]
     """Returns the endpoints of a service that take work."""
+    is_alone: Callable[[], bool]
+    """Whether other daemons are known and none is in touch."""
     clock: Callable[[], float]
     by_service: dict[ServiceName, Known] = field(default_factory=dict)
     orders_by_service: dict[ServiceName, RolloutOrder] = field(
@@ -158,7 +158,8 @@
     def share(self, service: ServiceName) -> float:
         """Return the share of requests that go to a version under trial."""
         known = self.by_service.get(service)
-        if known is None or known.is_stopped:
+        if known is None or known.is_stopped or self.is_alone():
+            # Alone, it would not learn of bad answers that others had.
             return 0.0
         if known.rollout.stage is not RolloutStage.TRIAL:
             return 0.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -260,6 +260,7 @@
             route=job.route.name,
             service=job.service.name,
             endpoint=record.id,
+            software=record.listed.software,
             data_centre=record.listed.data_centre,
             estimate_s=round(choice.first_event_s, 3),
             unread_tokens=int(choice.unread_tokens),
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -87,7 +87,6 @@
 
     share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     tolerance: NotNegative = 50.0
-    stop_s: Positive = 5.0
 
 
 class GatewaySettingsModel(_Model, frozen=True, kw_only=True):
@@ -192,6 +191,5 @@
         rollouts=RolloutLimits(
             share=model.rollouts.share,
             tolerance=model.rollouts.tolerance,
-            stop_s=model.rollouts.stop_s,
         ),
     )
--- a/tests/support/rollouts.py
+++ b/tests/support/rollouts.py
@@ -10,6 +10,7 @@
 from tests.support.crashes import PROMPT
 from tests.support.platform_site import ZONES, open_site
 
+PATIENCE_S = 10.0
 SERVICE_BY_PATH = {
     '/draft/': 'llm',
     '/question/': 'llm',
@@ -76,7 +77,7 @@
 
     async def ask(self, paths, *, for_s, every_s=0.05):
         """Send requests to the daemons in turn."""
-        caller = self.site.caller()
+        caller = self.site.caller(patience_s=PATIENCE_S)
         entries = [
             handle.entry for handle in self.site.daemons if handle is not None
         ]
--- a/tests/support/trial_model.py
+++ b/tests/support/trial_model.py
@@ -26,6 +26,8 @@
 STEP_S = 0.25
 TOLD_LATE_S = 1.5
 """Age of the counts that a holder or a daemon has of the others."""
+STOP_S = 5.0
+"""Bound within which a version gets nothing more that is seen to be bad."""
 LIMITS = RolloutLimits()
 
 
@@ -156,8 +158,7 @@
     def _note_trial(self, now):
         played = self.played
         played.trials += 1
-        bound_s = LIMITS.stop_s
-        played.late_trials += now > self.bad_50_at + bound_s
+        played.late_trials += now > self.bad_50_at + STOP_S
 
     def _answer(self, now, endpoint, route):
         is_new = endpoint != CONTROL
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -3,6 +3,7 @@
 import unittest
 
 import anyio
+import orjson
 from mimosamux_standins.site import Fault
 
 from tests.support.rollouts import bring_in, play
@@ -34,6 +35,23 @@
         self.assertEqual(state, 'completed')
         self.assertEqual(not_served, [])
 
+    def test_operator_sees_the_trial_and_its_figures(self):
+        async def check(rollout):
+            rollout.order('llm', 'v2')
+            await rollout.ask(ENGINE_PATHS, for_s=6.0)
+            site = rollout.site
+            address = site.daemons[0].daemon.settings.metrics
+            status = await site.caller().send(
+                address, '/v1/operator/status', method='GET'
+            )
+            (row,) = orjson.loads(status.body)['rollouts']
+            return row
+
+        row = play(check)
+        self.assertEqual((row['version'], row['stage']), ('v2', 'trial'))
+        self.assertGreater(row['tried'], 0)
+        self.assertEqual(row['bad'], 0)
+
     def test_operator_reads_that_it_is_under_way(self):
         async def check(rollout):
             rollout.order('llm', 'v2')
--- a/tests/test_gateway_trials.py
+++ b/tests/test_gateway_trials.py
@@ -56,11 +56,13 @@
 
     def __init__(self, *, old=4, new=4):
         self.now = 0.0
+        self.is_alone = False
         self.records = [make_record(n, 'v1') for n in range(old)]
         self.records += [make_record(n, 'v2') for n in range(new)]
         self.rollouts = Rollouts(
             limits=LIMITS,
             serving=lambda service: self.records,
+            is_alone=lambda: self.is_alone,
             clock=lambda: self.now,
         )
 
@@ -112,6 +114,12 @@
             (0.5, SAFE_PART * LIMITS.share),
         )
 
+    def test_daemon_that_hears_no_other_tries_nothing(self):
+        fleet = Fleet()
+        fleet.rollouts.take(make_rollout(), source='test')
+        fleet.is_alone = True
+        self.assertEqual(fleet.count_trials(200), 0)
+
     def test_older_word_of_the_share_changes_nothing(self):
         fleet = Fleet()
         rollout = make_rollout()
