--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -6,6 +6,7 @@
 import orjson
 from mimosamux_standins.site import Fault
 
+from tests.support.platform_site import default_document
 from tests.support.rollouts import bring_in, play
 
 ENGINE_PATHS = ('/question/', '/draft/')
@@ -81,6 +82,38 @@
                 self.assertLess(trials, 50)
                 self.assertEqual(later, 0)
 
+    def test_question_that_fails_at_a_trial_is_answered_by_the_old(self):
+        async def check(rollout):
+            rollout.order('llm', 'v2')
+            await anyio.sleep(1.2)
+            rollout.spoil_new(Fault.ERROR)
+            await rollout.ask(('/question/',), for_s=6.0)
+            return rollout.trials(), rollout.not_served()
+
+        trials, not_served = play(check)
+        self.assertGreater(trials, 3)
+        self.assertEqual(not_served, [])
+
+
+class TestOrderedEndpoints(unittest.TestCase):
+    # Guards against orders for fewer endpoints, which end those of the new
+    # version: the platform counts all versions together.
+
+    def test_endpoints_of_a_version_under_trial_are_not_sent_away(self):
+        async def check(rollout):
+            await rollout.ask(ENGINE_PATHS, for_s=12.0)
+            rollout.order('llm', 'v2')
+            states = set()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: rollout.ask(ENGINE_PATHS, for_s=16.0))
+                while rollout.state('llm') != 'completed':
+                    states |= {replica.state for replica in rollout.new}
+                    await anyio.sleep(0.1)
+            return states
+
+        document = default_document(is_scaled=True)
+        self.assertEqual(play(check, document=document), {'ready'})
+
 
 class TestOtherOrders(unittest.TestCase):
     # Guards against orders that stay without an answer.
