Daemons that start read rows of roll-outs only where there are orders

Counted on 40 stand-in daemons at their start: 40 calls to the table for rows that did not exist, of 490 in all; a call each at the price of the others.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -176,6 +176,7 @@
             table=self._platform.table,
             rollouts=self.rollouts,
             render_status=self._platform.render_rollout_status,
+            orders_read=lambda: self.configuration_reader.first_read,
         )
         self.rollout_exchange = RolloutExchange(
             rollouts=self.rollouts,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
@@ -54,12 +54,19 @@
     rollouts: Rollouts
     render_status: Callable[[Rollout], Write]
     """Makes the row in which the operator reads how far a roll-out is."""
+    orders_read: Callable[[], anyio.Event]
+    """Returns what is set once the operators' orders were read."""
     first_read: anyio.Event = field(default_factory=anyio.Event)
     _version_by_service: dict[ServiceName, int] = field(default_factory=dict)
 
     async def run(self) -> None:
-        """Read the rows once, however long that takes."""
-        while True:
+        """Read the rows once, however long that takes.
+
+        Without an order there is nothing to read, and a call of each daemon
+        that starts is spared; of later orders the holder tells.
+        """
+        await self.orders_read().wait()
+        while self.rollouts.orders_by_service:
             if await self.read_all():
                 break
             await anyio.sleep(RETRY_S)
