Daemons with the widest links relay

Cause: relays were drawn by a digest of their address alone. On the shifted site 56 of 62 VMs have links of 10 Mbit/s and six of 200; a relay sends each digest once to each of its dozen members, and its own callers' answers wait behind that. Change: the link's bandwidth comes from the settings and is told with the place; groups are ranked by it, and the widest are dealt out one to a group.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
@@ -28,6 +28,7 @@
 
 PREFIX = 'daemons/'
 CENTRE = 'data_centre'
+LINK = 'link_mbps'
 RETRY_S = 0.5
 CHECK_S = 5.0
 """Time between two looks whether any peer is heard of."""
@@ -72,7 +73,11 @@
     async def _write(self) -> bool:
         place = self.states.place
         value = orjson.dumps(
-            {'entry': place.entry_address, CENTRE: place.data_centre}
+            {
+                'entry': place.entry_address,
+                CENTRE: place.data_centre,
+                LINK: place.link_mbps,
+            }
         )
         outcome = await self.table.commit(
             [], [Write(key=self._key, value=value)]
@@ -88,7 +93,11 @@
             for row in rows
         }
         log.info('daemons_listed', daemons=len(found))
-        self.states.introduce(found, found)
+        links = {
+            DaemonId(row.key.removeprefix(PREFIX)): _parse_link(row)
+            for row in rows
+        }
+        self.states.introduce(found, found, links)
         return True
 
 
@@ -99,3 +108,11 @@
     except (ValueError, TypeError, KeyError):
         log.info('centre_not_told', key=row.key)
         return NOWHERE
+
+
+def _parse_link(row: Row) -> float:
+    """Return the bandwidth that a row tells, 0 if it tells none."""
+    try:
+        return max(float(orjson.loads(row.value)[LINK]), 0.0)
+    except (ValueError, TypeError, KeyError):
+        return 0.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/groups.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/groups.py
@@ -6,7 +6,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 import xxhash
@@ -42,30 +42,64 @@
                 yield group
 
 
-def form_groups(centre_by_id: Mapping[DaemonId, DataCentreName]) -> Groups:
+def form_groups(
+    centre_by_id: Mapping[DaemonId, DataCentreName],
+    link_by_id: Mapping[DaemonId, float] | None = None,
+) -> Groups:
     """Return the groups of these daemons.
 
+    Those with the widest links relay, one in each group while there are
+    enough: what a relay sends goes out over its own link once for each
+    member. Links that are not known count as the narrowest.
+
     Nobody agrees on them: whoever knows the same daemons comes to the same
     groups, and where two views differ a daemon is told twice or late.
     """
+    links = {} if link_by_id is None else link_by_id
+
+    def rank(id_: DaemonId) -> tuple[float, int]:
+        return -links.get(id_, 0.0), _rank(id_)
+
     members: dict[GroupKey, list[DaemonId]] = defaultdict(list)
     is_flat = len(centre_by_id) <= LARGEST_GROUP
-    count_by_centre: dict[DataCentreName, int] = defaultdict(int)
-    for centre in centre_by_id.values():
-        count_by_centre[centre] += 1
+    ids_by_centre: dict[DataCentreName, list[DaemonId]] = defaultdict(list)
     for id_, centre in centre_by_id.items():
         if is_flat or centre == NOWHERE:
             members[(id_, 0)].append(id_)
         else:
-            parts = _parts(count_by_centre[centre])
-            members[(centre, _hash(id_) % parts)].append(id_)
+            ids_by_centre[centre].append(id_)
+    for centre, ids in ids_by_centre.items():
+        for id_, part in _divide(ids, links, rank).items():
+            members[(centre, part)].append(id_)
     by_key = {
-        key: tuple(sorted(group, key=_rank)) for key, group in members.items()
+        key: tuple(sorted(group, key=rank)) for key, group in members.items()
     }
     key_by_id = {id_: key for key, group in by_key.items() for id_ in group}
     return Groups(by_key=by_key, key_by_id=key_by_id)
 
 
+def _divide(
+    ids: Sequence[DaemonId],
+    links: Mapping[DaemonId, float],
+    rank: Callable[[DaemonId], tuple[float, int]],
+) -> dict[DaemonId, int]:
+    """Return the group of each daemon of a data centre.
+
+    The widest links are dealt out, one to each group; all others stay where
+    they are whoever comes or goes.
+    """
+    parts = _parts(len(ids))
+    part_by_id = {id_: _hash(id_) % parts for id_ in ids}
+    widest = max((links.get(id_, 0.0) for id_ in ids), default=0.0)
+    wide = sorted(
+        (id_ for id_ in ids if links.get(id_, 0.0) == widest), key=rank
+    )
+    if len(wide) < len(ids):
+        for place, id_ in enumerate(wide[:parts]):
+            part_by_id[id_] = place
+    return part_by_id
+
+
 def _parts(daemons: int) -> int:
     """Return into how many groups a data centre is divided.
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_records.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_records.py
@@ -18,6 +18,8 @@
     data_centre: DataCentreName
     region: str
     entry_address: str
+    link_mbps: float = 0.0
+    """Bandwidth of its VM's link, 0: not known."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -49,6 +51,7 @@
         data_centre=DataCentreName(digest.data_centre),
         region=digest.region,
         entry_address=digest.entry_address,
+        link_mbps=max(digest.link_mbps, 0.0),
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -118,6 +118,7 @@
         self._relays = Relays(
             own_id=place.id,
             own_centre=place.data_centre,
+            own_link_mbps=place.link_mbps,
             clock=clock,
             is_fresh=self._is_fresh,
             is_relay=self._is_relay,
@@ -177,11 +178,15 @@
         self,
         ids: Iterable[DaemonId],
         centre_by_id: Mapping[DaemonId, DataCentreName] | None = None,
+        link_by_id: Mapping[DaemonId, float] | None = None,
     ) -> None:
         """Begin to count on these daemons; known ones change nothing."""
         centres = {} if centre_by_id is None else centre_by_id
+        links = {} if link_by_id is None else link_by_id
         for id_ in ids:
-            if self._relays.note_known(id_, centres.get(id_, NOWHERE)):
+            if self._relays.note_known(
+                id_, centres.get(id_, NOWHERE), links.get(id_, 0.0)
+            ):
                 self._peers.set_address(id_, id_)
 
     def fresh(self) -> list[PeerState]:
@@ -304,6 +309,7 @@
             data_centre=self.place.data_centre,
             region=self.place.region,
             entry_address=self.place.entry_address,
+            link_mbps=self.place.link_mbps,
             lifetime=self.lifetime,
             sequence=self._sequence,
             state=self.state,
@@ -436,7 +442,7 @@
             if len(self._ended) > KEPT_ENDED:
                 del self._ended[next(iter(self._ended))]
         place = place_of(digest)
-        self.introduce([id_], {id_: place.data_centre})
+        self.introduce([id_], {id_: place.data_centre}, {id_: place.link_mbps})
         peer = self.by_id[id_] = PeerState(
             place=place,
             lifetime=digest.lifetime,
@@ -450,7 +456,7 @@
     async def _tell_known(self, id_: DaemonId) -> None:
         """Tell a process that is heard for the first time who is there."""
         others = {
-            each: known.data_centre
+            each: known
             for each, known in self._relays.known_by_id.items()
             if each != id_
         }
@@ -458,7 +464,10 @@
             id_,
             DaemonsKnown(
                 addresses=[str(each) for each in others],
-                data_centres=[str(centre) for centre in others.values()],
+                data_centres=[
+                    str(each.data_centre) for each in others.values()
+                ],
+                links_mbps=[each.link_mbps for each in others.values()],
             ),
         )
         for listener in self.on_joined:
@@ -469,7 +478,8 @@
     ) -> None:
         ids = [DaemonId(address) for address in message.addresses]
         centres = map(DataCentreName, message.data_centres)
-        self.introduce(ids, dict(zip(ids, centres, strict=False)))
+        links = dict(zip(ids, message.links_mbps, strict=False))
+        self.introduce(ids, dict(zip(ids, centres, strict=False)), links)
 
     def _is_fresh(self, id_: DaemonId) -> bool:
         peer = self.by_id.get(id_)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/relays.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/relays.py
@@ -2,10 +2,10 @@
 
 import math
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway.groups import NOWHERE, Groups, form_groups
+from mimosamux_daemon.gateway.groups import Groups, form_groups
 from mimosamux_daemon.gateway.neighbours import Neighbour
 
 ANSWER_S = 1.0
@@ -30,6 +30,8 @@
 
     since: float
     data_centre: DataCentreName
+    link_mbps: float = 0.0
+    """Bandwidth of its VM's link, 0: not known."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -48,6 +50,7 @@
     is_relay: Callable[[DaemonId], bool]
     """Whether a daemon tells that it is a relay."""
     own_centre: DataCentreName
+    own_link_mbps: float = 0.0
     known_by_id: dict[DaemonId, Known] = field(default_factory=dict)
     neighbours_by_id: dict[DaemonId, Neighbour] = field(default_factory=dict)
     uplinks: tuple[DaemonId, ...] = ()
@@ -61,15 +64,27 @@
         """Whether this daemon passes news on."""
         return not self.uplinks or any(True for _ in self.members())
 
-    def note_known(self, id_: DaemonId, centre: DataCentreName) -> bool:
-        """Note a daemon, or its data centre; False if nothing is new."""
+    def note_known(
+        self, id_: DaemonId, centre: DataCentreName, link_mbps: float = 0.0
+    ) -> bool:
+        """Note a daemon, or where it is; False if it was known before."""
+        if id_ == self.own_id:
+            return False
         known = self.known_by_id.get(id_)
-        if id_ == self.own_id or (
-            known is not None and centre in (NOWHERE, known.data_centre)
-        ):
+        found = Known(
+            since=self.clock() if known is None else known.since,
+            data_centre=centre,
+            link_mbps=link_mbps,
+        )
+        if known is not None:
+            found = replace(
+                known,
+                data_centre=centre or known.data_centre,
+                link_mbps=link_mbps or known.link_mbps,
+            )
+        if found == known:
             return False
-        since = self.clock() if known is None else known.since
-        self.known_by_id[id_] = Known(since=since, data_centre=centre)
+        self.known_by_id[id_] = found
         self._groups = None
         return known is None
 
@@ -134,7 +149,10 @@
                 id_: known.data_centre
                 for id_, known in self.known_by_id.items()
             }
-            self._groups = form_groups(centre_by_id)
+            link_by_id = {self.own_id: self.own_link_mbps} | {
+                id_: known.link_mbps for id_, known in self.known_by_id.items()
+            }
+            self._groups = form_groups(centre_by_id, link_by_id)
         return self._groups
 
     def _choose_uplinks(self) -> tuple[DaemonId, ...]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -97,6 +97,8 @@
     daemon: Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
     data_centre: Annotated[str, msgspec.Meta(min_length=1)]
     region: str = ''
+    link_mbps: NotNegative = 0.0
+    """Bandwidth of the VM's link, 0: not known."""
     listen: ListenModel
     seeds: tuple[str, ...] = ()
     """Peer addresses of daemons that may be there already."""
@@ -161,6 +163,7 @@
             data_centre=DataCentreName(model.data_centre),
             region=model.region,
             entry_address=model.listen.entry,
+            link_mbps=model.link_mbps,
         ),
         entry=model.listen.entry,
         discovery=model.listen.discovery,
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -143,6 +143,8 @@
     reads_tables: bool = False
     """Whether the platform's tables answer the sender."""
     rollouts: list[RolloutUse] = field(default_factory=list)
+    link_mbps: float = 0.0
+    """Bandwidth of the sender's link, 0: not known."""
     lease_ended_version: int = 0
     """Version of the lease's row at which it ended at the sender, which acts
     no more under it, 0: it did not."""
@@ -168,6 +170,7 @@
         (18, TType.BOOL, 'reads_tables', None, False),
         (19, TType.LIST, 'rollouts', _list_of(RolloutUse), None),
         (20, TType.I64, 'lease_ended_version', None, 0),
+        (21, TType.DOUBLE, 'link_mbps', None, 0.0),
     )
 
 
@@ -223,10 +226,13 @@
     addresses: list[str] = field(default_factory=list)
     data_centres: list[str] = field(default_factory=list)
     """Where each of them is, empty: not known."""
+    links_mbps: list[float] = field(default_factory=list)
+    """Bandwidth of their links, 0: not known."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.LIST, 'addresses', (TType.STRING, 'UTF8', False), None),
         (2, TType.LIST, 'data_centres', (TType.STRING, 'UTF8', False), None),
+        (3, TType.LIST, 'links_mbps', (TType.DOUBLE, None, False), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -294,6 +294,7 @@
   18: bool reads_tables
   19: list<RolloutUse> rollouts
   20: i64 lease_ended_version
+  21: double link_mbps
 }
 
 struct GroupHeard {
@@ -315,6 +316,7 @@
 struct DaemonsKnown {
   1: list<string> addresses
   2: list<string> data_centres
+  3: list<double> links_mbps
 }
 
 struct EndpointsLeave {
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -112,6 +112,31 @@
             self.assertEqual(moved, 0, (fewer, more))
 
 
+class TestLinks(unittest.TestCase):
+    # Guards against relays whose links are too narrow for what they pass on:
+    # news come seconds late then, and so do answers on the same link.
+
+    def groups(self, count, wide):
+        ids = [DaemonId(str(each)) for each in range(count)]
+        return form_groups(
+            dict.fromkeys(ids, DataCentreName('north')),
+            {id_: 200.0 if id_ in wide else 10.0 for id_ in ids},
+        )
+
+    def test_widest_links_relay_one_in_each_group(self):
+        wide = {DaemonId('3'), DaemonId('8')}
+        for count in range(13, 25):
+            groups = self.groups(count, wide)
+            first = {group[0] for group in groups.by_key.values()}
+            self.assertEqual(first, wide, count)
+
+    def test_loss_of_a_wide_link_moves_that_daemon_alone(self):
+        before = self.groups(24, {DaemonId('3'), DaemonId('8')}).key_by_id
+        after = self.groups(24, {DaemonId('3')}).key_by_id
+        moved = {id_ for id_ in before if before[id_] != after[id_]}
+        self.assertLessEqual(moved, {DaemonId('3'), DaemonId('8')})
+
+
 class TestNews(unittest.TestCase):
     def test_every_daemon_has_news_of_every_other(self):
         for daemons in (2, 9, 12, 13, 24, 60):
