--- a/benchmarks/bench_trials.py
+++ b/benchmarks/bench_trials.py
@@ -1,12 +1,9 @@
 """Two judges of new versions, on the same seeded trials."""
 
-from mimosamux_daemon.gateway.trial_judge import (
-    SequentialJudge,
-    ThresholdJudge,
-    Verdict,
-)
+from mimosamux_daemon.gateway.trial_judge import SequentialJudge, Verdict
 
 from benchmarks.report import Table
+from benchmarks.threshold_judge import ThresholdJudge
 from tests.support.trial_model import (
     SITES,
     TROUBLES,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -9,7 +9,6 @@
 from mimosamux_daemon.adapters.link_security import LinkSecurity
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
 from mimosamux_daemon.domain.names import DaemonId
-from mimosamux_daemon.domain.rollouts import Rollout, RolloutStage
 from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
 from mimosamux_daemon.gateway.cap_loans import CapLoans
@@ -40,6 +39,7 @@
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.prompt_parts import PromptParts
 from mimosamux_daemon.gateway.retry_budget import RetryBudget
+from mimosamux_daemon.gateway.rollout_clearing import RolloutClearing
 from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
 from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
 from mimosamux_daemon.gateway.rollout_rows import RolloutRows
@@ -68,10 +68,6 @@
 """Part of the revocation bound for a request's way to the daemon and for
 clocks that run differently."""
 ABSENCE_S = 3.0
-CLEAR_S = 2.0
-"""Time for which streams run on at a version that is given up: most end in
-it, and what is left is moved."""
-ROLLOUT = 'a roll-out'
 
 
 class GatewayParts:
@@ -182,14 +178,12 @@
             rollouts=self.rollouts,
             states=self.states,
             peers=self.peers,
-            clock=self._clock,
-        )
-        self.trials = TrialTallies(
-            rollouts=self.rollouts, roster=self.roster, clock=self._clock
         )
+        self.trials = TrialTallies(rollouts=self.rollouts, roster=self.roster)
         self.states.on_forgotten.append(self.trials.forget_peer)
-        self.rollouts.on_changed.append(self._clear_other_versions)
-        self._shared_time = shared_time
+        clearing = RolloutClearing(roster=self.roster)
+        self.rollouts.on_changed.append(clearing.note_step)
+        self._store_time = shared_time.store_now
 
     def _build_configuration(self, shared_time: SharedTime) -> None:
         self.configuration = ConfirmedConfiguration(clock=self._clock)
@@ -427,25 +421,11 @@
             make_judge=SequentialJudge,
             demand=self.demand,
             configuration=lambda: self.configuration.current,
-            store_time=self._shared_time.store_now,
+            store_time=self._store_time,
             clock=self._clock,
             metrics=self.metrics,
         )
 
-    def _clear_other_versions(self, rollout: Rollout) -> None:
-        """Have streams moved to the version that takes over."""
-        if rollout.stage is not RolloutStage.CLEARING:
-            return
-        for record in tuple(self.roster.by_id.values()):
-            listed = record.listed
-            if (
-                listed.service == rollout.order.service
-                and listed.software != rollout.order.version
-            ):
-                self.roster.note_leaving(
-                    record.id, left_s=CLEAR_S, source=ROLLOUT
-                )
-
     async def _take_table_news(
         self, sender: DaemonId, news: TableNews
     ) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_exchange.py
@@ -1,6 +1,5 @@
 """What daemons tell each other of the steps of roll-outs."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from mimosamux_wire import RolloutTold
@@ -28,7 +27,6 @@
     rollouts: Rollouts
     states: PeerStates
     peers: PeerLinks
-    clock: Callable[[], float]
 
     def __post_init__(self) -> None:
         self.peers.handle(RolloutTold, self._take)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class Known:
+class KnownRollout:
     """A roll-out as it is known here."""
 
     rollout: Rollout
@@ -70,7 +70,7 @@
     is_alone: Callable[[], bool]
     """Whether other daemons are known and none is in touch."""
     clock: Callable[[], float]
-    by_service: dict[ServiceName, Known] = field(default_factory=dict)
+    by_service: dict[ServiceName, KnownRollout] = field(default_factory=dict)
     orders_by_service: dict[ServiceName, RolloutOrder] = field(
         default_factory=dict
     )
@@ -98,7 +98,7 @@
         known = self.by_service.get(service)
         if known is not None and rollout.age <= known.rollout.age:
             return False
-        self.by_service[service] = Known(rollout=rollout)
+        self.by_service[service] = KnownRollout(rollout=rollout)
         log.info(
             'rollout_step',
             service=service,
@@ -219,7 +219,7 @@
         )
 
     def _unproven(
-        self, order: RolloutOrder | None, known: Known | None
+        self, order: RolloutOrder | None, known: KnownRollout | None
     ) -> set[str]:
         unproven: set[str] = set()
         if known is not None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_tallies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_tallies.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from mimosamux_wire import RolloutUse, StateDigest, TrialTally
@@ -102,7 +102,6 @@
 
     rollouts: Rollouts
     roster: Roster
-    clock: Callable[[], float]
     _own: dict[ServiceName, Counts] = field(default_factory=dict)
     _by_peer: dict[DaemonId, dict[ServiceName, Counts]] = field(
         default_factory=dict
