A new version is not called slow while its endpoints are cold

Cause: the list tells for how long an endpoint is slow after its start; the judge took that for the version.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
@@ -74,6 +74,10 @@
             self.is_leaving or self.is_withheld or self.gone_at is not None
         )
 
+    def is_cold(self, now: float) -> bool:
+        """Whether it is still slow since its start, as the list tells."""
+        return now < self.since + self.listed.slow_for_s
+
     def is_avoided(self, now: float) -> bool:
         """Whether connects fail there and the next try is not due."""
         return now < self.avoid_until
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -174,14 +174,16 @@
     def _note_trial(self, *, failed: bool) -> None:
         """Count the end for a version that is under trial, if one is."""
         job = self.job
-        whole_s = self.notes.clock() - self.sent_at
+        now = self.notes.clock()
+        took_s = self.first_s if job.is_stream else now - self.sent_at
         self.notes.trials.note_end(
             job.service.name,
             job.route.name,
             self.endpoint.id,
             self.endpoint.software,
             failed=failed,
-            took_s=self.first_s if job.is_stream else whole_s,
+            # Each start is slow for a while, whatever its version.
+            took_s=None if self.choice.record.is_cold(now) else took_s,
             expected_s=self.choice.first_event_s,
         )
 
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -101,6 +101,8 @@
     fault: Fault = Fault.NONE
     is_reclaimable: bool = False
     version: str = 'v1'
+    cold_ms: float = 0.0
+    """For how long it is slow still, as its entry tells."""
     born_ms: int | None = None
     """Start of its process in ms since 1970; some replicas tell none."""
     state: str = 'ready'
@@ -151,7 +153,7 @@
             'slots': self.slots,
             'state': self.state,
             'sequence': 1,
-            'coldRemainingMs': 0,
+            'coldRemainingMs': self.cold_ms,
         }
         if self.is_reclaimable:
             entry['spotInstances'] = True
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -5,12 +5,14 @@
 import anyio
 import orjson
 from mimosamux_standins.site import Fault
+from mimosamux_standins.site.replica import ReplicaSpeed
 
 from tests.support.platform_site import default_document
 from tests.support.rollouts import bring_in, play
 
 ENGINE_PATHS = ('/question/', '/draft/')
 APP_PATHS = ('/slip/', '/list/')
+SLOW = ReplicaSpeed(event_s=0.25)
 
 
 class TestGoodVersions(unittest.TestCase):
@@ -82,6 +84,19 @@
                 self.assertLess(trials, 50)
                 self.assertEqual(later, 0)
 
+    def test_version_that_is_slow_is_reverted_unless_it_is_cold_yet(self):
+        for cold_ms, state in ((0.0, 'reverted'), (60_000.0, 'completed')):
+            with self.subTest(cold_ms=cold_ms):
+
+                async def check(rollout, cold_ms=cold_ms):
+                    await rollout.ask(ENGINE_PATHS, for_s=3.0)
+                    await bring_in(
+                        rollout, ENGINE_PATHS, speed=SLOW, cold_ms=cold_ms
+                    )
+                    return rollout.state('llm')
+
+                self.assertEqual(play(check), state)
+
     def test_question_that_fails_at_a_trial_is_answered_by_the_old(self):
         async def check(rollout):
             rollout.order('llm', 'v2')
