--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
@@ -94,7 +94,8 @@
             return
         self._needs_read = False
         now = self.store_time()
-        if now is None:
+        if now is None or self.configuration().version == 0:
+            # Every service is unknown before the configuration is.
             return
         for service, order in tuple(self.rollouts.orders_by_service.items()):
             known = self.rollouts.by_service.get(service)
