Stand-in endpoints tell whole milliseconds, as they did

Cause: the field that tells for how long an endpoint is cold had become a fraction in the stand-in's entry; the test that swaps types of an entry's fields then took a whole number for another type.

--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -101,7 +101,7 @@
     fault: Fault = Fault.NONE
     is_reclaimable: bool = False
     version: str = 'v1'
-    cold_ms: float = 0.0
+    cold_ms: int = 0
     """For how long it is slow still, as its entry tells."""
     born_ms: int | None = None
     """Start of its process in ms since 1970; some replicas tell none."""
--- a/tests/test_gateway_rollouts.py
+++ b/tests/test_gateway_rollouts.py
@@ -85,7 +85,7 @@
                 self.assertEqual(later, 0)
 
     def test_version_that_is_slow_is_reverted_unless_it_is_cold_yet(self):
-        for cold_ms, state in ((0.0, 'reverted'), (60_000.0, 'completed')):
+        for cold_ms, state in ((0, 'reverted'), (60_000, 'completed')):
             with self.subTest(cold_ms=cold_ms):
 
                 async def check(rollout, cold_ms=cold_ms):
