--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
@@ -115,4 +115,5 @@
     try:
         return max(float(orjson.loads(row.value)[LINK]), 0.0)
     except (ValueError, TypeError, KeyError):
+        log.info('link_not_told', key=row.key)
         return 0.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/relays.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/relays.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway.groups import Groups, form_groups
+from mimosamux_daemon.gateway.groups import NOWHERE, Groups, form_groups
 from mimosamux_daemon.gateway.neighbours import Neighbour
 
 ANSWER_S = 1.0
@@ -71,17 +71,12 @@
         if id_ == self.own_id:
             return False
         known = self.known_by_id.get(id_)
-        found = Known(
-            since=self.clock() if known is None else known.since,
-            data_centre=centre,
-            link_mbps=link_mbps,
+        before = known or Known(since=self.clock(), data_centre=NOWHERE)
+        found = replace(
+            before,
+            data_centre=centre or before.data_centre,
+            link_mbps=link_mbps or before.link_mbps,
         )
-        if known is not None:
-            found = replace(
-                known,
-                data_centre=centre or known.data_centre,
-                link_mbps=link_mbps or known.link_mbps,
-            )
         if found == known:
             return False
         self.known_by_id[id_] = found
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
@@ -173,10 +173,10 @@
     def _judge(self, rollout: Rollout, now: float) -> Judgement:
         service = rollout.order.service
         total = self.tallies.total(service)
-        judge = self._judge_by_order.setdefault(
-            rollout.order.number, self.make_judge()
-        )
-        return judge.judge(
+        number = rollout.order.number
+        if number not in self._judge_by_order:
+            self._judge_by_order[number] = self.make_judge()
+        return self._judge_by_order[number].judge(
             Evidence(
                 by_kind={} if total is None else total.by_kind,
                 passed=(now - rollout.began_at) / rollout.order.within_s,
