--- a/tests/test_gateway_crash_exchange.py
+++ b/tests/test_gateway_crash_exchange.py
@@ -125,50 +125,123 @@
     is_flat = False
     acts_as_relay = True
 
-    def __init__(self, number, under_way):
+    def __init__(self, number, fleet):
         super().__init__()
         self.number = number
-        self.under_way = under_way
+        self.fleet = fleet
 
     def queue(self, message):
-        for other in range(RELAYS):
+        for other in range(len(self.fleet.exchanges)):
             if other != self.number:
-                self.under_way.append((self.number, other, message))
+                self.fleet.under_way.append((self.number, other, message))
+
+
+class RelayPeers(FakePeers):
+    """Has what is sent to one relay alone go there as well."""
+
+    def __init__(self, number, fleet):
+        super().__init__()
+        self.number = number
+        self.fleet = fleet
+
+    async def notify(self, daemon, message):
+        self.fleet.under_way.append((self.number, int(daemon), message))
+
+
+class RelayFleet:
+    """Relays that tell each other of crashes, in an order that is drawn."""
+
+    def __init__(self, seed, relays):
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.passed = 0
+        self.under_way = []
+        self.exchanges = []
+        self.peers = [RelayPeers(number, self) for number in range(relays)]
+        for number, peers in enumerate(self.peers):
+            self.exchanges.append(
+                CrashExchange(
+                    suspects=CrashSuspects(clock=lambda: self.now),
+                    states=RelayStates(number, self),
+                    peers=peers,
+                    clock=lambda: self.now,
+                )
+            )
+
+    async def deliver(self):
+        """Have one of the messages that are under way arrive."""
+        place = self.rng.randrange(len(self.under_way))
+        sender, receiver, message = self.under_way.pop(place)
+        handler = self.peers[receiver].handlers[type(message)]
+        await handler(str(sender), message)
+        self.passed += 1
+
+    async def come_to_rest(self, most):
+        while self.under_way and self.passed < most:
+            await self.deliver()
+
+    async def play(self, events, contents, most):
+        """Have crashes, whole runs and crashes that were none come."""
+        left = events
+        while (left or self.under_way) and self.passed < most:
+            self.now += 0.005
+            if not self.under_way or (
+                left and self.rng.random() < EVENT_SHARE
+            ):
+                left -= 1
+                self.have_event(contents)
+            else:
+                await self.deliver()
+
+    def have_event(self, contents):
+        rng = self.rng
+        exchange = rng.choice(self.exchanges)
+        start = EndpointStart(id=f'i-{rng.randrange(ENDPOINTS)}')
+        kind = rng.random()
+        if kind < 0.5:
+            under_way = rng.sample(contents, rng.randint(1, len(contents)))
+            exchange.note_crash(start, under_way)
+        elif kind < 0.85:
+            content = rng.choice(contents)
+            if exchange.suspects.note_whole(content):
+                exchange.tell_cleared(content, source='a whole run')
+        else:
+            exchange.withdraw(start)
 
 
 RELAYS = 4
 MOST_MESSAGES = 200
+ENDPOINTS = 20
+EVENT_SHARE = 0.05
+"""Share of the steps at which something happens while messages pass."""
 
 
 class TestRelays(unittest.TestCase):
-    # Guards against word of a crash and word of its end that chase each
-    # other from relay to relay for ever.
+    # Guards against word of crashes and word of their end that chase each
+    # other from relay to relay, and hold up all else that daemons tell.
 
     def test_word_of_a_crash_and_of_a_whole_run_come_to_rest(self):
         for seed in range(50):
             with self.subTest(seed=seed):
-                under_way, peers, exchanges = [], [], []
-                for number in range(RELAYS):
-                    peers.append(FakePeers())
-                    exchanges.append(
-                        CrashExchange(
-                            suspects=CrashSuspects(clock=lambda: 100.0),
-                            states=RelayStates(number, under_way),
-                            peers=peers[number],
-                            clock=lambda: 100.0,
-                        )
-                    )
-                exchanges[0].note_crash(START, ['a'])
-                exchanges[1].suspects.note_whole('a')
-                rng = random.Random(seed)
-                passed = 0
-                while under_way and passed < MOST_MESSAGES:
-                    place = rng.randrange(len(under_way))
-                    sender, receiver, message = under_way.pop(place)
-                    handler = peers[receiver].handlers[type(message)]
-                    anyio.run(handler, str(sender), message)
-                    passed += 1
-                self.assertEqual(under_way, [])
+                fleet = RelayFleet(seed, RELAYS)
+                fleet.exchanges[0].note_crash(START, ['a'])
+                fleet.exchanges[1].suspects.note_whole('a')
+                anyio.run(fleet.come_to_rest, MOST_MESSAGES)
+                self.assertEqual(fleet.under_way, [])
+
+    def test_any_mix_of_crashes_and_whole_runs_comes_to_rest(self):
+        for relays, events, contents in (
+            (4, 12, ['a']),
+            (8, 200, ['a', 'b', 'c', 'd', 'e', 'f']),
+            (12, 100, ['a', 'b']),
+        ):
+            # Each event is told from each relay to each other one once.
+            most = events * relays * (relays - 1)
+            for seed in range(10):
+                with self.subTest(relays=relays, seed=seed):
+                    fleet = RelayFleet(seed, relays)
+                    anyio.run(fleet.play, events, contents, most)
+                    self.assertEqual(fleet.under_way, [])
 
 
 if __name__ == '__main__':
