Failing tests, listed: a list of endpoints that is too old hides who leaves

Connections to the platform's table that fall silent, without a reset, leave the daemons with the list of before: 8 to 26 of 120 requests reach an endpoint later than the drain time behind its word (three daemons, for up to 7.9 s), 3 and 13 with fifteen daemons. A daemon that is short of processor time and was told nothing is in the same place: nothing bounds the age of the list that a request is sent by.

--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -109,6 +109,7 @@
     rng: random.Random = field(default_factory=lambda: random.Random(7))
     boot_s: float = 4.0
     checks_fencing: bool = True
+    drain_s: float = 2.0
     caps: CapRules = CapRules(window_s=8.0, overage=0.1, tolerance=140_000.0)
     _started: int = 0
 
@@ -245,7 +246,7 @@
             cloud=CLOUD,
             checks_fencing=self.checks_fencing,
             revocation_s=5.0,
-            drain_s=2.0,
+            drain_s=self.drain_s,
             stop_grace_s=8.0,
             lease_s=3.0,
             usage_window_s=5.0,
--- /dev/null
+++ b/tests/test_gateway_list_age.py
@@ -0,0 +1,99 @@
+"""How old the list of endpoints may be when a request is sent by it."""
+
+import unittest
+
+import anyio
+from mimosamux_standins.site.store import StoreTrouble
+
+from tests.support import crashes
+from tests.support.clock import run_paused
+from tests.support.memory_network import machine_of
+from tests.support.platform_site import STORE, open_site
+
+DRAIN_S = 2.0
+DRAIN_WITH_RELAYS_S = 3.0
+MOST_HELD_S = 0.5
+"""Time for which a request may wait for a newer list in an outage."""
+
+
+async def ask(site, *, for_s, every_s=0.05):
+    """Send lists to the daemons in turn; return the answers."""
+    caller, answers = site.caller(), []
+
+    async def send(number):
+        answers.append(
+            await crashes.send(site, caller, number, f'/list/{number}')
+        )
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(int(for_s / every_s)):
+            tasks.start_soon(send, number)
+            await anyio.sleep(every_s)
+    return answers
+
+
+async def count_late(daemons, quiet_s, gap_s, drain_s):
+    """Have connections to the table fall silent, and an endpoint leave.
+
+    Return how many requests it gets past the time that it has.
+    """
+    async with open_site(daemons=daemons, drain_s=drain_s) as site:
+        await anyio.sleep(quiet_s)
+        site.network.silence(
+            lambda each: machine_of(STORE) in (each.here, each.there)
+        )
+        await anyio.sleep(gap_s)
+        leaving = next(
+            replica
+            for replica in site.replicas_by_id.values()
+            if replica.service == 'app'
+        )
+        site.drain_replica(leaving)
+        until = anyio.current_time() + drain_s
+        await ask(site, for_s=6.0)
+        return sum(at > until for at, _ in leaving.arrivals)
+
+
+class TestListAge(unittest.TestCase):
+    # Guards against requests that are sent by a list so old that it does not
+    # show who leaves.
+
+    def test_silent_connections_to_the_table_hide_no_leaving_endpoint(self):
+        for quiet_s in (1.0, 3.7, 9.0):
+            for gap_s in (0.1, 3.2):
+                with self.subTest(quiet_s=quiet_s, gap_s=gap_s):
+                    late = run_paused(
+                        lambda quiet_s=quiet_s, gap_s=gap_s: count_late(
+                            3, quiet_s, gap_s, DRAIN_S
+                        )
+                    )
+                    self.assertEqual(late, 0)
+
+    def test_nor_do_they_where_few_daemons_read_for_the_others(self):
+        for gap_s in (0.1, 3.2):
+            with self.subTest(gap_s=gap_s):
+                late = run_paused(
+                    lambda gap_s=gap_s: count_late(
+                        15, 3.0, gap_s, DRAIN_WITH_RELAYS_S
+                    )
+                )
+                self.assertEqual(late, 0)
+
+    def test_requests_are_served_while_the_table_tells_nothing(self):
+        for trouble in (StoreTrouble.SILENT, StoreTrouble.BUSY):
+            with self.subTest(trouble=trouble):
+
+                async def check(trouble=trouble):
+                    async with open_site() as site:
+                        site.store.trouble = trouble
+                        return await ask(site, for_s=4.0)
+
+                for answer in run_paused(check):
+                    self.assertEqual(answer.status, 200)
+                    self.assertLess(
+                        answer.ended_at - answer.sent_at, MOST_HELD_S
+                    )
+
+
+if __name__ == '__main__':
+    unittest.main()
