Requests are sent by a list of endpoints that is new enough, or not to be had

What callers saw: requests to endpoints that had said more than the drain time ago that they leave, at daemons whose connections to the table had fallen silent, or that were short of processor time and had been told nothing.

Cause: nothing bounded the age of the list that a request is sent by. It rested on waits that each usually fit: 2.2 s until a daemon that is told nothing looks itself, 1.5 s until a look without an answer is given up, and the way through relays; together more than the 3 s of the bound. In small sites each daemon waited 10 s for an answer on a connection that may be dead.

Change: at the moment of each send a list older than 0.8 of the drain time is read anew first, on a new connection, by one request for all; a request waits 0.3 s for it at most, and once that was in vain endpoints are used as they were listed until the table tells again, as in any outage. The list is read once a second at least, in place of once in ten. An endpoint that leaves while its connection is made gets nothing on it. The age stands in request_sent (list_age_s), and list_was_old tells of each such read.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -92,6 +92,41 @@
         """Set when others know of a change that was not passed on."""
         self._was_lost = False
         self._pause_s = FIRST_RETRY_S
+        self._looking = anyio.Lock()
+        self._looked_in_vain = False
+        """Whether a look found nothing, and nothing was learned since."""
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since the table is known to have had no more."""
+        return self._clock() - self._confirmed_at
+
+    @property
+    def may_look(self) -> bool:
+        """Whether the platform may tell more at once than is known here."""
+        return self.is_current and not self._looked_in_vain
+
+    async def look(self, *, older_than_s: float, timeout_s: float) -> None:
+        """Read at once what is known too long, beside what `run` does.
+
+        Who asks while another one looks waits for what that one finds.
+        """
+        async with self._looking:
+            if not self.may_look or self.age_s <= older_than_s:
+                return
+            age_s, sent_at = self.age_s, self._clock()
+            assert self._cursor is not None, 'current without a first read'
+            found = await self._feed.look(self._cursor, timeout_s=timeout_s)
+            if isinstance(found, FeedNews):
+                self._take(found, max(sent_at, found.as_of))
+            self._looked_in_vain = self.age_s > older_than_s
+            log.info(
+                'list_was_old',
+                feed=self._name,
+                age_s=round(age_s, 3),
+                took_s=round(self._clock() - sent_at, 3),
+                outcome=type(found).__name__,
+            )
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -175,6 +210,7 @@
         self._cursor = max(self._cursor or 0, version)
         self._changed = max(self._changed, changed)
         self._confirmed_at = max(self._confirmed_at, as_of)
+        self._looked_in_vain = False
         self._items.confirm(as_of)
 
     async def _wait_until_untold(self) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -21,6 +21,7 @@
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.list_age import ListAge
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.overload import Overload
@@ -67,6 +68,7 @@
     admission: Admission
     roster: Roster
     chooser: Chooser
+    list_age: ListAge
     calls: EndpointCalls
     budget: RetryBudget
     notes: SendNotes
@@ -145,6 +147,7 @@
     async def _run(self, job: Job) -> GatewayOutcome:
         unsent = 0
         while True:
+            await self.list_age.wait_until_new()
             choice = self._choose(job)
             if choice is None or unsent >= CONNECTS:
                 return self._give_up_unplaced(job)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -30,6 +30,7 @@
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
+from mimosamux_daemon.gateway.list_age import ListAge
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
@@ -63,7 +64,11 @@
 CONFIGURATION_WAIT_S = 1.3
 """Time after which the platform says that nothing has changed. Twice this
 is the age that the confirmation of a key can reach in calm."""
-ENDPOINTS_WAIT_S = 10.0
+ENDPOINTS_WAIT_S = 1.0
+"""The same for the list of endpoints, at the most."""
+ENDPOINTS_WAIT_SHARE = 0.5
+"""Part of the time that an endpoint serves on after it was listed as leaving,
+after which the list is read anew at the latest."""
 KEY_SLACK_S = 0.5
 """Part of the revocation bound for a request's way to the daemon and for
 clocks that run differently."""
@@ -236,7 +241,9 @@
             feed=self._platform.endpoints,
             items=self.roster,
             health=self.health,
-            wait_s=ENDPOINTS_WAIT_S,
+            wait_s=min(
+                ENDPOINTS_WAIT_S, ENDPOINTS_WAIT_SHARE * self.settings.drain_s
+            ),
             clock=self._clock,
             rng=self._rng,
         )
@@ -351,6 +358,10 @@
             admission=self.admission,
             roster=self.roster,
             chooser=self.chooser,
+            list_age=ListAge(
+                reader=self.endpoint_reader,
+                drain_s=self.settings.drain_s,
+            ),
             calls=self._platform.calls,
             budget=RetryBudget(
                 limits=self.settings.retries,
@@ -365,6 +376,7 @@
                 trials=self.trials,
                 metrics=self.metrics,
                 news_age_s=self.states.news_age_s,
+                list_age_s=lambda: self.endpoint_reader.age_s,
                 clock=self._clock,
             ),
             demand=self.demand,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -61,12 +61,21 @@
             endpoint=self.endpoint,
             left_s=job.left_s(self.sent_at),
             has_caller_left=job.has_caller_left,
+            is_too_late=self._is_too_late,
             account=None if job.account is None else job.account.id,
             priority=job.priority,
             resume=job.resume_point(),
             fetch_from=None if source is None else source.listed.address,
         )
 
+    def _is_too_late(self) -> bool:
+        """Whether the endpoint began to leave after it was chosen.
+
+        What goes on from a copy goes where the copy is, whoever leaves.
+        """
+        record = self.choice.record
+        return self.job.move_target is None and not record.takes_work
+
     def note_unawaited(self) -> None:
         """Note that the caller left before a byte was sent."""
         self._take_back()
@@ -215,6 +224,8 @@
     metrics: GatewayMetrics
     news_age_s: Callable[[], float]
     """Age of the oldest digest that the choice rested on."""
+    list_age_s: Callable[[], float]
+    """Age of the list of endpoints that it rested on."""
     clock: Callable[[], float]
 
     @contextmanager
@@ -270,6 +281,7 @@
             fetch_from=choice.fetch_from and choice.fetch_from.id,
             under_way=record.load.total(self.clock()).requests,
             news_age_s=round(self.news_age_s(), 2),
+            list_age_s=round(self.list_age_s(), 2),
             left_s=round(job.left_s(self.clock()), 2),
             goes_on_behind=job.last_event_id,
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -32,6 +32,8 @@
     """Time that the endpoint has; it stops work behind that."""
     has_caller_left: Callable[[], bool]
     """Asked once there is a connection, before a byte is sent."""
+    is_too_late: Callable[[], bool]
+    """The same: whether the endpoint takes nothing new any more."""
     account: AccountId | None = None
     priority: int | None = None
     """Rank for the engine from 0 to 9, 0 first; None: its default."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/feeds.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/feeds.py
@@ -75,6 +75,14 @@
         there was none up to then.
         """
 
+    async def look(
+        self, cursor: int, *, timeout_s: float
+    ) -> FeedNews[ItemT] | HistoryLost | Unavailable:
+        """Return the same without waiting, on a connection of its own.
+
+        Those that are open may have fallen silent.
+        """
+
     def parse(
         self, rows: tuple[FeedRow, ...]
     ) -> tuple[tuple[str, ItemT | Unreadable | None], ...]:
--- a/tests/test_gateway_list_age.py
+++ b/tests/test_gateway_list_age.py
@@ -32,6 +32,12 @@
     return answers
 
 
+async def keep_idle_connections(site):
+    """Have each daemon keep a connection to the table that it may use."""
+    for handle in site.daemons:
+        await handle.daemon.parts.endpoint_reader._feed.read()
+
+
 async def count_late(daemons, quiet_s, gap_s, drain_s):
     """Have connections to the table fall silent, and an endpoint leave.
 
@@ -39,6 +45,7 @@
     """
     async with open_site(daemons=daemons, drain_s=drain_s) as site:
         await anyio.sleep(quiet_s)
+        await keep_idle_connections(site)
         site.network.silence(
             lambda each: machine_of(STORE) in (each.here, each.there)
         )
@@ -79,6 +86,17 @@
                 )
                 self.assertEqual(late, 0)
 
+    def test_requests_cost_no_calls_while_the_list_is_new(self):
+        async def check(per_s):
+            async with open_site() as site:
+                await anyio.sleep(3.0)
+                before = site.store.calls
+                await ask(site, for_s=10.0, every_s=1 / per_s)
+                return site.store.calls - before
+
+        few, many = (run_paused(check, per_s) for per_s in (2, 40))
+        self.assertLessEqual(many, few + 5)
+
     def test_requests_are_served_while_the_table_tells_nothing(self):
         for trouble in (StoreTrouble.SILENT, StoreTrouble.BUSY):
             with self.subTest(trouble=trouble):
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -73,9 +73,10 @@
         return result
 
 
-def endpoint_call():
+def endpoint_call(*, is_too_late=False):
     return EndpointCall(
         has_caller_left=lambda: False,
+        is_too_late=lambda: is_too_late,
         request=GatewayRequest(
             id=OWN_ID,
             head=RequestHead(
@@ -179,6 +180,16 @@
         self.assertEqual(ask_replica(plain)[0], 503)
         self.assertEqual(ask_replica(marked)[0], TurnedDown)
 
+    def test_replica_that_left_during_the_connect_is_sent_nothing(self):
+        async def send(channels):
+            call = endpoint_call(is_too_late=True)
+            async with ReplicaCalls(channels=channels).send(call) as sent:
+                kept = channels._idle_by_address.get(ADDRESS)
+                return type(sent), bool(kept)
+
+        outcome, kept = run_paused(lambda: answer_with(b'', send))
+        self.assertEqual((outcome, kept), (NotSent, True))
+
     def test_words_of_a_replica_are_read_where_they_hold(self):
         for status, header, expected in (
             (503, b'Retry-After: 2.5', (False, 2.5)),
