--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -133,6 +133,8 @@
     """Ends the process."""
     says_leaving: bool = False
     """Whether its answers say that it leaves, whatever the list shows."""
+    limit_per_s: float | None = None
+    """Requests a second that it takes from all, as its answers say."""
     shed_retry_after_s: float | None = None
     """For how long it wants nothing, as it says when it is full."""
     is_end_listed: bool = False
@@ -385,18 +387,24 @@
     def _shed_headers(self) -> RawHeaders:
         headers: RawHeaders = (
             (b'X-Not-Executed', b'1'),
-            *self._leaving_header(),
+            *self._words(),
         )
         if self.shed_retry_after_s is None:
             return headers
         return (*headers, (b'Retry-After', b'%g' % self.shed_retry_after_s))
 
-    def _leaving_header(self) -> RawHeaders:
-        return ((b'Server-Leaving', b'1'),) if self.says_leaving else ()
+    def _words(self) -> RawHeaders:
+        """Return what it says of itself in each answer."""
+        words: list[tuple[bytes, bytes]] = []
+        if self.says_leaving:
+            words.append((b'Server-Leaving', b'1'))
+        if self.limit_per_s is not None:
+            words.append((b'Server-Limit', b'%g' % self.limit_per_s))
+        return tuple(words)
 
     def _headers(self, run: Run, body: bytes) -> RawHeaders:
         return (
-            *self._leaving_header(),
+            *self._words(),
             (b'X-Attempt-Id', run.id.encode()),
             (b'X-Replica-Signature', sign(self.id, run.id, body)),
         )
