Daemons keep the limit that an endpoint names, together

What callers saw: nothing yet; an endpoint in need went on getting as much as the others, up to 121 requests in 4 s where 15 are allowed.

Cause: Server-Limit was passed on unread, as what an endpoint says of itself was before. A limit that each daemon kept for itself would be exceeded by as many times as there are daemons.

Change: the word of each answer is kept, told in digests with the moment at which it was said, and ends with a served answer that does not name it, or with the process. As many daemons as the limit has whole requests a second have an equal share of it, a token bucket; the others send nothing, so that hundreds of daemons cannot send at once. A rendezvous hash tells which ones, anew every 10 s: one without requests, or cut off from the endpoint, keeps no share from the others. All sends count, those that go on from a copy too; streams move to limited endpoints last. Where no endpoint has room, callers are refused at once with the time to come again. A limit that makes no sense changes nothing and is logged once; zero is asked again once in 4 s. status, the endpoints gauge and endpoint_limited tell of it.

Shares add up to the limit for 1 to 62 daemons; 195 and 340 have two shares of 1.7.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
@@ -11,6 +11,7 @@
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.gateway.health import EndpointHealth
 from mimosamux_daemon.gateway.loads import EndpointLoad
+from mimosamux_daemon.gateway.rate_shares import RateShare
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -48,6 +49,8 @@
     avoid_until: float = -math.inf
     rests_until: float = -math.inf
     """Until when it wants nothing from this daemon, as it said."""
+    share: RateShare | None = None
+    """What this daemon may send there, None: as much as comes."""
     refusals: int = 0
     """Refusals in a row, those of requests that were under way left out."""
     refused_at: float = -math.inf
@@ -86,9 +89,16 @@
         """Whether requests go elsewhere first, where that is possible."""
         return self.is_avoided(now) or now < self.passed_over_until
 
-    def is_resting(self, now: float) -> bool:
-        """Whether it has asked this daemon to send nothing for a time."""
-        return now < self.rests_until
+    def is_open(self, now: float) -> bool:
+        """Whether it wants a request of this daemon now, as it has said."""
+        if now < self.rests_until:
+            return False
+        return self.share is None or self.share.has_room(now)
+
+    def opens_in_s(self, now: float) -> float:
+        """Return the time until it wants a request, as far as is known."""
+        wait_s = 0.0 if self.share is None else self.share.opens_in_s(now)
+        return max(self.rests_until - now, wait_s, 0.0)
 
     @contextmanager
     def sending(self, now: float) -> Iterator[None]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -164,12 +164,12 @@
 
     def _give_up_unplaced(self, job: Job) -> GatewayOutcome:
         name = job.service.name
-        rest_s = self.roster.rest_left_s(name)
-        if rest_s > 0:
+        wait_s = self.roster.opens_in_s(name)
+        if wait_s > 0:
             return job.give_up(
                 Reason.TURNED_DOWN,
-                f'every endpoint of {name} has asked for a pause',
-                retry_after_s=rest_s,
+                f'no endpoint of {name} wants more at the moment',
+                retry_after_s=wait_s,
             )
         return job.give_up(
             Reason.NO_ENDPOINT,
@@ -294,7 +294,7 @@
             Reason.TURNED_DOWN,
             f'the endpoint answered {answer.status}',
             retry_after_s=max(
-                self.roster.rest_left_s(job.service.name), SOON_S
+                self.roster.opens_in_s(job.service.name), SOON_S
             ),
         )
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -121,7 +121,7 @@
                 key = (record.listed.service, self._state_of(record))
                 counts[key] = counts.get(key, 0) + 1
         for service in {key[0] for key in counts}:
-            for state in ('serving', 'avoided', 'leaving'):
+            for state in ('serving', 'limited', 'avoided', 'leaving'):
                 labels = {'service': service, 'state': state}
                 metrics.endpoints.set(labels, counts.get((service, state), 0))
 
@@ -181,6 +181,7 @@
     def _endpoint_row(self, record: EndpointRecord) -> dict[str, object]:
         now = self.clock()
         failed = record.health.failed_share(now)
+        share = record.share
         return {
             'endpoint': record.id,
             'service': record.listed.service,
@@ -189,9 +190,13 @@
             'state': self._state_of(record),
             'under_way': record.load.total(now).requests,
             'failed_share': '' if failed is None else round(failed, 2),
+            'limit_per_s': '' if share is None else share.limit_per_s,
+            'own_share_per_s': '' if share is None else round(share.per_s, 2),
         }
 
     def _state_of(self, record: EndpointRecord) -> str:
         if record.is_leaving:
             return 'leaving'
-        return 'avoided' if record.is_avoided(self.clock()) else 'serving'
+        if record.is_avoided(self.clock()):
+            return 'avoided'
+        return 'serving' if record.share is None else 'limited'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -25,6 +25,7 @@
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.endpoint_reports import EndpointReports
 from mimosamux_daemon.gateway.evacuation import Evacuation
@@ -113,6 +114,7 @@
             self.vouching,
             self.endpoint_reader.sharing,
             self.endpoint_reports,
+            self.limits,
             self.caps,
             shared_time,
             self.begun,
@@ -134,6 +136,7 @@
             self.cap_loans.run,
             self.lag.run,
             self.evacuation.run,
+            self.limits.run,
             self.crashes.run,
             self.crash_rows.run,
             self.rollout_rows.run,
@@ -235,6 +238,14 @@
             roster=self.roster, clock=self._clock
         )
         self.states.on_forgotten.append(self.endpoint_reports.forget_peer)
+        self.limits = EndpointLimits(
+            roster=self.roster,
+            states=self.states,
+            shared_time=shared_time,
+            clock=self._clock,
+        )
+        self.roster.on_forgotten.append(self.limits.forget)
+        self.roster.on_restarted.append(self.limits.forget_start)
         self.endpoint_reader = FeedReader(
             name='endpoints',
             sharing=self._share('endpoints', shared_time, passes_rows=True),
@@ -373,6 +384,7 @@
                 chooser=self.chooser,
                 begun=self.begun,
                 crashes=self.crashes,
+                limits=self.limits,
                 trials=self.trials,
                 metrics=self.metrics,
                 news_age_s=self.states.news_age_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -156,16 +156,14 @@
         """Return those of them that want requests from this daemon now."""
         now = self._clock()
         return [
-            record
-            for record in self.serving(service)
-            if not record.is_resting(now)
+            record for record in self.serving(service) if record.is_open(now)
         ]
 
-    def rest_left_s(self, service: ServiceName) -> float:
+    def opens_in_s(self, service: ServiceName) -> float:
         """Return when the first endpoint is open again, 0: some are."""
         now = self._clock()
-        left_s = [record.rests_until - now for record in self.serving(service)]
-        return max(min(left_s, default=0.0), 0.0)
+        waits_s = [record.opens_in_s(now) for record in self.serving(service)]
+        return min(waits_s, default=0.0)
 
     def of_service(self, service: ServiceName) -> Iterator[EndpointRecord]:
         """Return every endpoint of a service that is listed."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/sends.py
@@ -4,11 +4,13 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.gateway.begun_counts import BegunCounts
 from mimosamux_daemon.gateway.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_watch import CrashWatch
+from mimosamux_daemon.gateway.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
@@ -114,6 +116,13 @@
             roster.note_refusal(record, self.sent_at)
         if answer.retry_after_s is not None:
             roster.note_rest(record, answer.retry_after_s)
+        self.notes.limits.note_answer(
+            record,
+            answer.limit_per_s,
+            sent_at=self.sent_at,
+            is_served=not isinstance(answer, TurnedDown)
+            and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR,
+        )
         if answer.is_leaving:
             roster.note_leaving(
                 record.id,
@@ -220,6 +229,7 @@
     chooser: Chooser
     begun: BegunCounts
     crashes: CrashWatch
+    limits: EndpointLimits
     trials: TrialTallies
     metrics: GatewayMetrics
     news_age_s: Callable[[], float]
@@ -257,6 +267,8 @@
         job.is_resumed = (
             job.last_event_id or job.request.last_event_id
         ) is not None
+        if choice.record.share is not None:
+            choice.record.share.take(now)
         load, unread = choice.record.load, choice.unread_tokens
         load.begin(unread)
         try:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
@@ -112,6 +112,9 @@
     ) -> EndpointRecord | None:
         """Return the least loaded endpoint, those with a free slot first.
 
+        One that names a limit comes behind those that do not: streams that
+        move together would exceed it.
+
         One that was tried comes behind the others, but is tried again: a
         call that was lost says nothing of its target, and where only one
         endpoint is left, the stream would end with its own while there is
@@ -133,11 +136,19 @@
             return None
         here = stream.record.listed.data_centre
 
-        def cost(record: EndpointRecord) -> tuple[int, bool, float, float]:
+        def cost(
+            record: EndpointRecord,
+        ) -> tuple[bool, int, bool, float, float]:
             is_far = record.listed.data_centre != here
             share = record.load.total(now).requests / record.listed.slots
             wait = share + FAR_SHARE * is_far
-            return tries[record.id], share >= 1, wait, self.rng.random()
+            return (
+                record.share is not None,
+                tries[record.id],
+                share >= 1,
+                wait,
+                self.rng.random(),
+            )
 
         return min(records, key=cost)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -55,6 +55,13 @@
     """The caller left before a byte of its request was sent."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UnreadableLimit:
+    """The endpoint names a limit that is no number of requests."""
+
+    text: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TurnedDown:
     """The endpoint says that it has not run the request."""
@@ -68,6 +75,9 @@
     """For how long the endpoint wants nothing from this daemon."""
     is_leaving: bool = False
     """Whether the endpoint says that it leaves."""
+    limit_per_s: float | UnreadableLimit | None = None
+    """Requests a second that the endpoint takes from all daemons, if it
+    names them."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,6 +109,9 @@
     """Whether the endpoint says that it leaves."""
     retry_after_s: float | None
     """For how long the endpoint wants nothing from this daemon."""
+    limit_per_s: float | UnreadableLimit | None
+    """Requests a second that the endpoint takes from all daemons, if it
+    names them."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, None behind its end.
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -37,6 +37,26 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class EndpointLimit(Message):
+    """What an endpoint has said to the sender of its limit."""
+
+    endpoint: str = ''
+    per_s: float = 0.0
+    """Requests a second that it takes from all daemons, 0: any number."""
+    said_ms: int = 0
+    """When it said so, on the store's clock."""
+    incarnation: int = 0
+    """Start of the endpoint that is meant, 0: not known."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'endpoint', 'UTF8', ''),
+        (2, TType.DOUBLE, 'per_s', None, 0.0),
+        (3, TType.I64, 'said_ms', None, 0),
+        (4, TType.I64, 'incarnation', None, 0),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class CapUse(Message):
     """What the sender let through of an account's cap since it started."""
@@ -148,6 +168,7 @@
     lease_ended_version: int = 0
     """Version of the lease's row at which it ended at the sender, which acts
     no more under it, 0: it did not."""
+    limits: list[EndpointLimit] = field(default_factory=list)
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'address', 'UTF8', ''),
@@ -171,6 +192,7 @@
         (19, TType.LIST, 'rollouts', _list_of(RolloutUse), None),
         (20, TType.I64, 'lease_ended_version', None, 0),
         (21, TType.DOUBLE, 'link_mbps', None, 0.0),
+        (22, TType.LIST, 'limits', _list_of(EndpointLimit), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -245,6 +245,13 @@
   6: i64 incarnation
 }
 
+struct EndpointLimit {
+  1: string endpoint
+  2: double per_s
+  3: i64 said_ms
+  4: i64 incarnation
+}
+
 struct CapUse {
   1: string account
   2: i64 used
@@ -295,6 +302,7 @@
   19: list<RolloutUse> rollouts
   20: i64 lease_ended_version
   21: double link_mbps
+  22: list<EndpointLimit> limits
 }
 
 struct GroupHeard {
--- a/tests/test_gateway_endpoint_limits.py
+++ b/tests/test_gateway_endpoint_limits.py
@@ -1,12 +1,20 @@
 """Endpoints that name the requests a second that they take."""
 
 import unittest
+from functools import partial
 
 import anyio
+from mimosamux_daemon.domain.names import EndpointId
 
 from tests.support import crashes
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site, wall_ms
+from tests.test_gateway_evacuation import (
+    EVENTS,
+    Reclaim,
+    patient_document,
+    set_draft_length,
+)
 
 CONTACT_S = 3.0
 WINDOW_S = 4.0
@@ -116,6 +124,37 @@
         self.assertGreaterEqual(share, 0.2)
         self.assertLessEqual(share, 0.6)
 
+    def test_streams_move_to_endpoints_without_a_limit(self):
+        async def check():
+            async with open_site(document=patient_document()) as site:
+                set_draft_length(site, events=EVENTS)
+                played = Reclaim(site, target='/draft/', streams=6)
+                limited = of_service(site, '/draft/')
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(partial(name_limits, site, limited))
+                    source = await played.play(faults=(), notice_s=2.4)
+                limited.remove(source)
+                moved = [
+                    len([run for run in each.runs if run.kv_source])
+                    for each in limited
+                ]
+                return moved, played.answers
+
+        moved, answers = run_paused(check)
+        self.assertEqual(min(moved), 0)
+        self.assertEqual(max(moved), 6)
+        self.assertTrue(all(each.is_whole for each in answers))
+
+
+async def name_limits(site, engines):
+    """Have every daemon hear that one idle engine names a limit."""
+    await anyio.sleep(0.4)
+    idle = next(each for each in engines if not each.arrivals)
+    for handle in site.daemons:
+        parts = handle.daemon.parts
+        record = parts.roster.by_id[EndpointId(idle.id)]
+        parts.limits.note_answer(record, 50.0, sent_at=0.0, is_served=True)
+
 
 class TestWords(unittest.TestCase):
     # Guards against limits that are kept by the wrong daemons, or for too
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -23,6 +23,7 @@
     EndpointCall,
     NotSent,
     TurnedDown,
+    UnreadableLimit,
 )
 from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost, Unreadable
 from mimosamux_platform.documents import parse_configuration, parse_endpoint
@@ -180,6 +181,33 @@
         self.assertEqual(ask_replica(plain)[0], 503)
         self.assertEqual(ask_replica(marked)[0], TurnedDown)
 
+    def test_limit_that_a_replica_names_is_read_where_it_holds(self):
+        async def read_limit(channels):
+            async with ReplicaCalls(channels=channels).send(
+                endpoint_call()
+            ) as sent:
+                return (await sent.answer()).limit_per_s
+
+        for status, value, expected in (
+            (200, b'1.7', 1.7),
+            (500, b'0', 0.0),
+            (503, b'1e300', 1e300),
+            (421, b'1.7', None),
+            (200, b'-1', UnreadableLimit(text='-1')),
+            (200, b'nan', UnreadableLimit(text='nan')),
+            (200, b'inf', UnreadableLimit(text='inf')),
+            (200, b'many', UnreadableLimit(text='many')),
+        ):
+            data = (
+                b'HTTP/1.1 %d X\r\nX-Attempt-Id: req-1\r\nServer-Limit: %b'
+                b'\r\nContent-Length: 0\r\n\r\n' % (status, value)
+            )
+            with self.subTest(status=status, value=value):
+                found = run_paused(
+                    lambda data=data: answer_with(data, read_limit)
+                )
+                self.assertEqual(found, expected)
+
     def test_replica_that_left_during_the_connect_is_sent_nothing(self):
         async def send(channels):
             call = endpoint_call(is_too_late=True)
