A list that is read anew as a whole is not looked at beside it

Cause: when the history of the table is lost, the reader has no cursor until it has read the whole list. A request that found the list too old meanwhile would have looked behind a cursor that is not there: a broken invariant, which ends the daemon. The test failed before (no answer), and passes now.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -112,11 +112,11 @@
         Who asks while another one looks waits for what that one finds.
         """
         async with self._looking:
-            if not self.may_look or self.age_s <= older_than_s:
+            cursor, age_s = self._cursor, self.age_s
+            if cursor is None or not self.may_look or age_s <= older_than_s:
                 return
-            age_s, sent_at = self.age_s, self._clock()
-            assert self._cursor is not None, 'current without a first read'
-            found = await self._feed.look(self._cursor, timeout_s=timeout_s)
+            sent_at = self._clock()
+            found = await self._feed.look(cursor, timeout_s=timeout_s)
             if isinstance(found, FeedNews):
                 self._take(found, max(sent_at, found.as_of))
             self._looked_in_vain = self.age_s > older_than_s
--- a/tests/test_gateway_list_age.py
+++ b/tests/test_gateway_list_age.py
@@ -97,6 +97,18 @@
         few, many = (run_paused(check, per_s) for per_s in (2, 40))
         self.assertLessEqual(many, few + 5)
 
+    def test_requests_are_served_while_the_whole_list_is_read_anew(self):
+        async def check():
+            async with open_site() as site:
+                for handle in site.daemons:
+                    reader = handle.daemon.parts.endpoint_reader
+                    reader._cursor = None
+                    reader._confirmed_at -= 10.0
+                return await ask(site, for_s=0.3)
+
+        for answer in run_paused(check):
+            self.assertEqual(answer.status, 200)
+
     def test_requests_are_served_while_the_table_tells_nothing(self):
         for trouble in (StoreTrouble.SILENT, StoreTrouble.BUSY):
             with self.subTest(trouble=trouble):
