--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_limits.py
@@ -21,7 +21,7 @@
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.rate_shares import RateShare
-from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import UnreadableLimit
@@ -44,7 +44,7 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class Word:
+class NamedLimit:
     """What an endpoint has said of its limit last, as far as is known."""
 
     per_s: float | None
@@ -75,7 +75,7 @@
     states: PeerStates
     shared_time: SharedTime
     clock: Callable[[], float]
-    by_id: dict[EndpointId, Word] = field(default_factory=dict)
+    by_id: dict[EndpointId, NamedLimit] = field(default_factory=dict)
     _unreadable: set[EndpointId] = field(default_factory=set)
     """Endpoints of which a limit that makes no sense was logged."""
     _deals: dict[EndpointId, _Deal] = field(default_factory=dict)
@@ -99,20 +99,20 @@
         any more.
         """
         if isinstance(per_s, UnreadableLimit):
-            self._note_unreadable(record.id, per_s.text)
+            self._note_unreadable(record.id, per_s.text, OWN_ANSWER)
             return
         if per_s is None and not (
             is_served and self._is_known_since(record.id, sent_at)
         ):
             return
         now = self.clock()
-        word = Word(
+        word = NamedLimit(
             per_s=per_s if per_s is None else max(per_s, LEAST_PER_S),
             said_ms=self.shared_time.to_store_ms(now) or 0,
             known_at=now,
             is_own=True,
         )
-        self._take(record, word, source='its answer')
+        self._take(record, word, source=OWN_ANSWER)
 
     def forget(self, id_: EndpointId) -> None:
         """Forget an endpoint that is gone."""
@@ -156,9 +156,9 @@
             if known is not None and told.said_ms <= known.said_ms:
                 continue
             if not 0 <= told.per_s < math.inf:
-                log.warning('limit_unreadable', peer=peer.place.id)
+                self._note_unreadable(id_, str(told.per_s), peer.place.id)
                 continue
-            word = Word(
+            word = NamedLimit(
                 per_s=told.per_s or None,
                 said_ms=told.said_ms,
                 known_at=self.clock(),
@@ -181,12 +181,18 @@
             return False
         return at >= known.known_at
 
-    def _note_unreadable(self, id_: EndpointId, text: str) -> None:
+    def _note_unreadable(
+        self, id_: EndpointId, text: str, source: str
+    ) -> None:
         if id_ not in self._unreadable:
             self._unreadable.add(id_)
-            log.warning('limit_unreadable', endpoint=id_, limit=text)
+            log.warning(
+                'limit_unreadable', endpoint=id_, limit=text, source=source
+            )
 
-    def _take(self, record: EndpointRecord, word: Word, source: str) -> None:
+    def _take(
+        self, record: EndpointRecord, word: NamedLimit, source: str
+    ) -> None:
         known = self.by_id.get(record.id)
         before = None if known is None else known.per_s
         self.by_id[record.id] = word
@@ -216,7 +222,10 @@
         return is_any
 
     def _settle(
-        self, record: EndpointRecord, word: Word, ready: tuple[DaemonId, ...]
+        self,
+        record: EndpointRecord,
+        word: NamedLimit,
+        ready: tuple[DaemonId, ...],
     ) -> None:
         if word.per_s is None:
             record.share = None
