--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from mimosamux_wire import EndpointsLeave, TableNews
+from mimosamux_wire import TableNews
 
 from mimosamux_daemon.adapters.link_security import LinkSecurity
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
@@ -31,6 +31,7 @@
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.forwarding import Forwarder
+from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
 from mimosamux_daemon.gateway.list_age import ListAge
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.metering import Metering
@@ -232,8 +233,9 @@
         )
 
     def _build_endpoints(self, shared_time: SharedTime) -> None:
-        self.roster.on_learned.append(self._tell_learned)
-        self.roster.on_own_answer.append(self._tell_leaving)
+        leaving = LeavingExchange(
+            roster=self.roster, states=self.states, peers=self.peers
+        )
         self.endpoint_reports = EndpointReports(
             roster=self.roster, clock=self._clock
         )
@@ -258,7 +260,6 @@
             clock=self._clock,
             rng=self._rng,
         )
-        self.peers.handle(EndpointsLeave, self._take_leaving)
         self.peers.handle(TableNews, self._take_table_news)
         self.evacuation = Evacuation(
             moves=self._platform.moves,
@@ -272,7 +273,7 @@
             ),
             drain_s=self.settings.drain_s,
             clock=self._clock,
-            tell=self._tell_leaving,
+            tell=leaving.tell,
         )
         self.roster.on_leaving.append(self.evacuation.note_leaving)
         self.chooser = Chooser(
@@ -456,37 +457,6 @@
         for reader in (self.configuration_reader, self.endpoint_reader):
             reader.take_news(news)
 
-    async def _take_leaving(
-        self, sender: DaemonId, message: EndpointsLeave
-    ) -> None:
-        is_news = await self.roster.take_leaving(sender, message)
-        if is_news and not self.states.is_flat and self.states.acts_as_relay:
-            self.states.queue(message)
-
-    def _tell_learned(self, record: EndpointRecord) -> None:
-        """Tell of an endpoint that the list shows as leaving.
-
-        Where one daemon reads the list for the others, they have it from
-        there at the same time.
-        """
-        if self.states.is_flat:
-            self._tell_leaving(record)
-
-    def _tell_leaving(self, record: EndpointRecord) -> None:
-        left_s = (
-            None
-            if record.leaves_at is None
-            else record.leaves_at - self._clock()
-        )
-        left_ms = -1 if left_s is None else int(max(left_s, 0.0) * 1000)
-        self.states.queue(
-            EndpointsLeave(
-                endpoints=[record.id],
-                leave_in_ms=[left_ms],
-                incarnations=[record.incarnation],
-            )
-        )
-
     def _forget_before_restart(self, old: EndpointRecord) -> None:
         """Drop what an endpoint held, and connections to it, before."""
         self.chooser.parts.forget(old.id)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -4,11 +4,9 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import anyio
-from mimosamux_wire import EndpointsLeave
 
 from mimosamux_daemon.domain.gateway import EndpointState, ListedEndpoint
 from mimosamux_daemon.domain.names import (
-    DaemonId,
     DataCentreName,
     EndpointId,
     ServiceName,
@@ -235,23 +233,11 @@
             return True
         return record.incarnation in (0, incarnation)
 
-    async def take_leaving(
-        self, sender: DaemonId, message: EndpointsLeave
-    ) -> bool:
-        """Take what a peer has learned of endpoints that leave.
-
-        Return whether any of it was news here.
-        """
-        is_news = False
-        told = zip(message.endpoints, message.leave_in_ms, strict=False)
-        for place, (id_, left_ms) in enumerate(told):
-            is_news |= self.note_leaving(
-                EndpointId(id_),
-                left_s=None if left_ms < 0 else left_ms / 1000,
-                source=sender,
-                incarnation=_number_at(message.incarnations, place),
-            )
-        return is_news
+    def left_s(self, record: EndpointRecord) -> float | None:
+        """Return the time until an endpoint is gone, None: not known."""
+        if record.leaves_at is None:
+            return None
+        return max(record.leaves_at - self._clock(), 0.0)
 
     def data_centres(self, service: ServiceName) -> set[DataCentreName]:
         """Return where a service has endpoints listed."""
@@ -369,11 +355,6 @@
                     listener(id_)
 
 
-def _number_at(numbers: list[int], place: int) -> int:
-    """Return a number that an older peer does not tell as 0."""
-    return numbers[place] if place < len(numbers) else 0
-
-
 def _find_pause(failures: int, longest_s: float) -> float:
     """Return the pause after so many failures before this one."""
     # Bounded before the power is taken, which overflows in long outages.
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -16,6 +16,7 @@
     ServiceName,
 )
 from mimosamux_daemon.gateway.endpoint_reports import EndpointReports
+from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
 from mimosamux_daemon.gateway.neighbours import News
 from mimosamux_daemon.gateway.peer_states import (
     DaemonPlace,
@@ -36,6 +37,7 @@
 
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site, wall_ms
+from tests.test_gateway_crash_exchange import FakePeers, FakeStates
 from tests.test_gateway_streams import PROMPT, engines_of
 
 ID = EndpointId('i-1')
@@ -108,6 +110,10 @@
         )
         self.parts = PromptParts(is_current=self.roster.is_current)
         self.roster.on_restarted.append(lambda old: self.parts.forget(old.id))
+        self.peers = FakePeers()
+        LeavingExchange(
+            roster=self.roster, states=FakeStates(), peers=self.peers
+        )
         self.list(entry())
 
     def list(self, item):
@@ -193,7 +199,8 @@
         message = EndpointsLeave(
             endpoints=[ID], leave_in_ms=[-1], incarnations=[incarnation]
         )
-        run_paused(lambda: self.roster.take_leaving(PEER, message))
+        take = self.peers.handlers[EndpointsLeave]
+        run_paused(lambda: take(PEER, message))
 
     def test_word_that_the_old_process_leaves_comes_late(self):
         self.list(entry(LATER))
