Stand-in store: comes back from a copy some seconds old, with Store-Era

The platform's term has changed: in a drill the store is away for a moment and comes back from an older copy. The stand-in learns it: rows go back to a moment, versions with them and are given out again, a feed from a version that it does not have gets 410, long polls that waited end without an answer, the era in all answers rises by one. Operator's and replicas' rows are written again by whoever plays them, at new versions, unless written since. No product code changed.

--- a/packages/mimosamux-standins/mimosamux_standins/site/store.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/store.py
@@ -10,9 +10,14 @@
 import anyio
 import orjson
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
+from mimosamux_daemon.domain.http_messages import RawHeaders
 
-JSON = ((b'Content-Type', b'application/json'),)
+JSON = (b'Content-Type', b'application/json')
 MAX_ROWS = 500
+COPY_RETENTION_S = 60.0
+"""Time for which the store can go back to a copy of itself."""
+REWRITTEN_TABLES = frozenset({'op', 'servers'})
+"""Tables of the operator and the replicas, who write again what is lost."""
 RowName = tuple[str, str, str]
 """Table, part and key."""
 
@@ -40,11 +45,23 @@
     name: RowName
     value: bytes | None
     version: int
+    at: float
+    previous: _Row | None
+    """The row before this change, None if there was none."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LostWrites:
+    """What the operator and the replicas wrote since the copy was made."""
+
+    newest_by_name: dict[RowName, bytes | None]
+    restored_version: int
+    """Version of the store as it came back."""
 
 
 @dataclass(kw_only=True, slots=True)
 class StandInStore:
-    """Rows by name, and their history for the feed."""
+    """Rows by name, and their history for the feed and for copies."""
 
     latency_s: float = 0.004
     trouble: StoreTrouble = StoreTrouble.NONE
@@ -55,8 +72,13 @@
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     calls: int = 0
     version: int = 0
+    era: int = 1
+    """Rises by one each time the store comes back from a copy."""
     rows_by_name: dict[RowName, _Row] = field(default_factory=dict)
     _changes: deque[_Change] = field(default_factory=deque)
+    """History that feeds are served from."""
+    _recent: deque[_Change] = field(default_factory=deque)
+    """Changes that a copy may lack."""
     _forgotten: int = 0
     """Version up to which the history is lost."""
     _changed: anyio.Event = field(default_factory=anyio.Event)
@@ -78,6 +100,35 @@
         self._forgotten = self.version
         self._wake()
 
+    def restore(self, copy_age_s: float) -> LostWrites:
+        """Come back from a copy of some seconds ago, in the next era."""
+        oldest = anyio.current_time() - copy_age_s
+        newest_by_name: dict[RowName, bytes | None] = {}
+        while self._recent and self._recent[-1].at > oldest:
+            change = self._recent.pop()
+            self.version = change.version - 1
+            if change.previous is None:
+                del self.rows_by_name[change.name]
+            else:
+                self.rows_by_name[change.name] = change.previous
+            if change.name[0] in REWRITTEN_TABLES:
+                newest_by_name.setdefault(change.name, change.value)
+        while self._changes and self._changes[-1].version > self.version:
+            self._changes.pop()
+        self._forgotten = min(self._forgotten, self.version)
+        self.era += 1
+        self._wake()
+        return LostWrites(
+            newest_by_name=newest_by_name, restored_version=self.version
+        )
+
+    def write_again(self, lost: LostWrites) -> None:
+        """Write lost rows again, unless they were written since."""
+        for name, value in reversed(lost.newest_by_name.items()):
+            row = self.rows_by_name.get(name)
+            if row is None or row.version <= lost.restored_version:
+                self._apply([(name, value)])
+
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
         """Answer one call."""
         self.calls += 1
@@ -86,7 +137,7 @@
         if self.trouble is StoreTrouble.RESET:
             return
         if self.trouble is StoreTrouble.BUSY:
-            await reply.answer(503, ())
+            await reply.answer(503, self._headers())
             return
         await anyio.sleep(self.latency_s)
         parts = urlsplit(incoming.head.target.decode('latin-1'))
@@ -103,7 +154,7 @@
         elif parts.path == '/api/rows-tx':
             await self._commit(orjson.loads(incoming.body), reply)
         else:
-            await reply.answer(404, ())
+            await reply.answer(404, self._headers())
 
     def _read(self, query: dict[str, str]) -> list[dict[str, object]]:
         table, part = query['tableName'], query.get('part', '')
@@ -124,13 +175,17 @@
     async def _feed(self, query: dict[str, str], reply: Reply) -> None:
         after = int(query['after'])
         wait_s = int(query.get('waitTimeoutMs', 0)) / 1000
+        era = self.era
         with anyio.move_on_after(wait_s):
             while not self._find_changes(query['tableName'], after):
-                if after < self._forgotten:
+                if not self._has_history(after):
                     break
                 await self._changed.wait()
-        if after < self._forgotten:
-            await reply.answer(410, ())
+        if era != self.era:
+            # The store was away meanwhile: the connection ends.
+            return
+        if not self._has_history(after):
+            await reply.answer(410, self._headers())
             return
         changes = self._find_changes(query['tableName'], after)
         rows = [
@@ -141,6 +196,9 @@
         ]
         await self._send(reply, 200, rows)
 
+    def _has_history(self, after: int) -> bool:
+        return self._forgotten <= after <= self.version
+
     def _find_changes(self, table: str, after: int) -> list[_Change]:
         return [
             change
@@ -184,13 +242,25 @@
 
     def _apply(self, changes: list[tuple[RowName, bytes | None]]) -> None:
         self.version += 1
+        now = anyio.current_time()
         for name, value in changes:
-            self.rows_by_name[name] = _Row(value=value, version=self.version)
-            self._changes.append(
-                _Change(name=name, value=value, version=self.version)
+            change = _Change(
+                name=name,
+                value=value,
+                version=self.version,
+                at=now,
+                previous=self.rows_by_name.get(name),
             )
+            self.rows_by_name[name] = _Row(value=value, version=self.version)
+            self._changes.append(change)
+            self._recent.append(change)
+        while self._recent[0].at < now - COPY_RETENTION_S:
+            self._recent.popleft()
         self._wake()
 
+    def _headers(self) -> RawHeaders:
+        return (JSON, (b'Store-Era', b'%d' % self.era))
+
     def _wake(self) -> None:
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
@@ -204,7 +274,7 @@
             'rowVersion': self.version,
             'nowMs': anyio.current_time() * 1000,
         }
-        await reply.answer(status, JSON, orjson.dumps(body))
+        await reply.answer(status, self._headers(), orjson.dumps(body))
 
 
 def _name(entry: dict[str, str]) -> RowName:
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -24,6 +24,7 @@
     StandInStore,
 )
 from mimosamux_standins.site.documents import engine_fields, scaling_fields
+from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.memory_network import MemoryNetwork, machine_of
 
@@ -225,6 +226,25 @@
             service, zone, is_reclaimable=is_reclaimable, slots=8
         )
 
+    async def restore_store(
+        self,
+        *,
+        copy_age_s,
+        away_s=1.0,
+        rewritten_after_s=0.2,
+        trouble=StoreTrouble.RESET,
+    ):
+        """Have the store go away and come back from a copy.
+
+        The copy was made `copy_age_s` before the store went.
+        """
+        self.store.trouble = trouble
+        await anyio.sleep(away_s)
+        lost = self.store.restore(copy_age_s + away_s)
+        self.store.trouble = StoreTrouble.NONE
+        await anyio.sleep(rewritten_after_s)
+        self.store.write_again(lost)
+
     def settings_of(self, number, zone):
         host = f'10.{number + 1}.0.1'
         return GatewaySettings(
