--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -140,6 +140,7 @@
             rollouts=self.parts.rollouts,
             trials=self.parts.trials,
             duties=self.parts.duties,
+            store_era=self._platform.store_era,
             open_requests=lambda: self._server.open_requests,
             clock=self._clock,
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
@@ -98,6 +98,12 @@
         if isinstance(outcome, Committed):
             self._finalized = finalized
             self._version = outcome.versions[ROW_KEY]
+            log.info(
+                'windows_finalized',
+                windows=windows,
+                requests=[sum(finalized[each].values()) for each in windows],
+                row_version=self._version,
+            )
             return
         # Another daemon has written the row, or the outcome is unknown. Only
         # the stored counts are valid, so the row is read again before anything
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -55,6 +55,10 @@
             'Share of requests that a version under trial gets from this '
             'daemon, by service and version.',
         )
+        self.store_era = self._gauge(
+            'mimosamux_gateway_store_era',
+            "Era of the platform's store; rises with each restore.",
+        )
         self.duty_calls = self._counter(
             'mimosamux_gateway_duty_calls_total',
             'Calls of the duties, by duty and outcome.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -8,6 +8,7 @@
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import ContentKey
+from mimosamux_daemon.domain.store_eras import StoreEra
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
 from mimosamux_daemon.gateway.duties import Duties
@@ -41,6 +42,7 @@
     rollouts: Rollouts
     trials: TrialTallies
     duties: Duties
+    store_era: StoreEra
     open_requests: Callable[[], int]
     clock: Callable[[], float]
 
@@ -112,6 +114,7 @@
         silent = len(self.states.by_id) - fresh
         metrics.peers.set({'state': 'fresh'}, fresh)
         metrics.peers.set({'state': 'silent'}, silent)
+        metrics.store_era.set({}, self.store_era.current)
         metrics.holds_lease.set({}, int(self.duties.held is not None))
         suspects = self.quarantine.suspects
         quarantined = len(list(suspects.quarantined()))
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.domain.rollouts import Rollout, RolloutOrder
 from mimosamux_daemon.domain.routes import ConfigurationDocument
 from mimosamux_daemon.domain.store import Write
+from mimosamux_daemon.domain.store_eras import StoreEra
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
 from mimosamux_daemon.ports.feeds import Feed
@@ -32,6 +33,7 @@
     calls: EndpointCalls
     moves: RunMoves
     table: Table
+    store_era: StoreEra
     duties: DutyCalls | None
     """None: the daemon reports no usage and orders no endpoints."""
     create_request_handler: Callable[[RequestForwarder], Handler]
