Row versions hold the era of the store: none passes for a known one

What callers saw: requests reached an endpoint that had said seconds ago that it leaves. Cause: a store that comes back from an older copy gives its versions out again, while each daemon keeps the highest version that it ever saw: as the cursor of its feed, as the newest change of a table, and in what it tells others. Rows up to that version passed for known and were dropped, and the answer or update that held them still confirmed the list, so that a guard on the list's age saw nothing. The class: numbers compared that are unique only within one life of their source.

Change: inside the daemons a version holds the store's era in its upper bits. Updates between daemons count only within one era; a later one makes the receiver read the table, and the reader tells the others so at once. Entries that are missing after a restore may have lapsed, as after an outage.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -14,6 +14,7 @@
 from mimosamux_wire import TableNews
 
 from mimosamux_daemon.domain.store import Unavailable
+from mimosamux_daemon.domain.store_eras import era_of
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.table_sharing import TableSharing, TableView
 from mimosamux_daemon.logs import get_log
@@ -125,8 +126,13 @@
             if cursor is None or not self.can_refresh or age_s <= older_than_s:
                 return
             sent_at = self._clock()
-            answer = await self._feed.poll(cursor, timeout_s=timeout_s)
-            if isinstance(answer, FeedNews):
+            answer: FeedSnapshot[ItemT] | FeedNews[ItemT] | Unavailable
+            polled = await self._feed.poll(cursor, timeout_s=timeout_s)
+            if isinstance(polled, HistoryLost):
+                answer = await self._feed.read()
+            else:
+                answer = polled
+            if not isinstance(answer, Unavailable):
                 self._apply_answer(answer, max(sent_at, answer.as_of))
             self._refresh_failed = self.age_s > older_than_s
             log.info(
@@ -140,7 +146,8 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if not self.sharing.is_reader() and self.is_connected:
+            has_table = self.is_connected and self._cursor is not None
+            if has_table and not self.sharing.is_reader():
                 await self._wait_for_peer_silence()
             await self._read_once()
 
@@ -149,6 +156,12 @@
         view = self.sharing.receive(update)
         if view is None or self._cursor is None:
             return
+        if era_of(view.version) != era_of(self._cursor):
+            # Neither view says what the other lacks. A later era has lost
+            # rows that are known here, so the whole table is read.
+            if view.version > self._cursor:
+                self._read_now.set()
+            return
         if view.changed > self._cursor:
             if not view.rows or view.preceding_change > self._cursor:
                 self._read_now.set()
@@ -181,11 +194,7 @@
             # rows of this answer would undo later changes.
             return
         if isinstance(answer, FeedSnapshot):
-            # A whole read is not shared: it does not say which row changed
-            # last, and each peer would read the table to find it.
-            self._consumer.replace(answer.items_by_key)
-            self._note_progress(answer.cursor, answer.cursor, as_of)
-            self.first_read.set()
+            self._apply_snapshot(answer, as_of)
             return
         behind = self._last_change
         changed = max((row.version for row in answer.rows), default=behind)
@@ -201,6 +210,26 @@
             )
         )
 
+    def _apply_snapshot(
+        self, answer: FeedSnapshot[ItemT], as_of: float
+    ) -> None:
+        before = self._last_change
+        has_restored = before > 0 and era_of(before) < era_of(answer.cursor)
+        self._consumer.replace(answer.items_by_key)
+        self._note_progress(answer.cursor, answer.cursor, as_of)
+        self.first_read.set()
+        # A whole read does not say which row changed last, and each peer
+        # would read the table to find it. After a restore all have to.
+        if has_restored:
+            self.sharing.send_update(
+                TableView(
+                    version=answer.cursor,
+                    changed=answer.cursor,
+                    preceding_change=answer.cursor,
+                    as_of=as_of,
+                )
+            )
+
     def _apply_changes(
         self,
         rows: tuple[FeedRow, ...],
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -108,6 +108,7 @@
         self._rng = rng
         self._build_states(network)
         self.health = StoreHealth(clock=self._clock)
+        platform.store_era.on_risen.append(self.health.note_restored)
         self.roster = Roster(
             clock=self._clock,
             time_of_day=shared_time.now,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/store_health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/store_health.py
@@ -24,6 +24,7 @@
     clock: Callable[[], float]
     _unanswered_readers: set[str] = field(default_factory=set)
     _regained_at: float | None = None
+    _restored_at: float | None = None
     _peer_outage_at: float | None = None
     """When another daemon last reported an outage."""
 
@@ -36,6 +37,14 @@
         self._unanswered_readers.discard(reader)
         self._regained_at = self.clock()
 
+    def note_restored(self) -> None:
+        """Record that the store came back from an older copy.
+
+        Entries that were written since that copy are missing until the
+        endpoints write them again.
+        """
+        self._restored_at = self.clock()
+
     def note_peer_outage(self) -> None:
         """Record that another daemon reported a current or recent outage."""
         self._peer_outage_at = self.clock()
@@ -47,8 +56,10 @@
 
     def has_local_outage(self) -> bool:
         """Whether this daemon observes an outage or observed a recent one."""
-        return bool(self._unanswered_readers) or self._is_within(
-            self._regained_at, RENEWAL_S
+        return (
+            bool(self._unanswered_readers)
+            or self._is_within(self._regained_at, RENEWAL_S)
+            or self._is_within(self._restored_at, RENEWAL_S)
         )
 
     def may_have_lapsed(self) -> bool:
