Leases: no fencing number comes twice when the store goes back

What callers saw: nothing yet; two daemons acted under one fencing number in the failing test, where the platform cannot tell the later orders from the earlier. Cause: the next number was one above that in the row, and a restored table shows a row from before the last take. A former holder that found its own old row in it also went on with its old number, although another had taken the lease since.

Change: the numbers of an era start above all that earlier eras can have used. A holder stops acting as soon as any answer tells of a new era, until it has renewed in it; its own lease from an earlier era is renewed only while it was held without a break, and never resumed. A daemon that saw an era begin takes no lease until every lease that the copy may lack has run out.

Before: number 2 had two holders; after: three holders, three numbers. Tests of leases, duties and planning pass.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
@@ -128,6 +128,9 @@
         return None if isinstance(result, LeaseUnconfirmed) else result
 
     def _may_take(self, row: Row | None, row_age: RowAge) -> bool:
+        if self._leases.table_era.age_s < self._longest_lease_s():
+            # A holder whose row the restored table lacks may still act.
+            return False
         if row is None or self._holder_has_restarted(row):
             return True
         record = parse_record(row)
@@ -137,10 +140,20 @@
         wait_s = 0.0 if has_ended else record.duration_s
         if not has_ended:
             wait_s += self._policy.take_margin_s
-        if not self._fencing_is_honoured():
-            wait_s += self._policy.unfenced_margin_s
+        wait_s += self._order_transit_s()
         return row_age.observe(row.version) >= wait_s
 
+    def _longest_lease_s(self) -> float:
+        """Return the time after which orders of any lease have landed."""
+        lease_s = self._policy.duration_s + self._policy.take_margin_s
+        return lease_s + self._order_transit_s()
+
+    def _order_transit_s(self) -> float:
+        """Return for how long orders of an ended lease may take effect."""
+        if self._fencing_is_honoured():
+            return 0.0
+        return self._policy.unfenced_margin_s
+
     def _holder_has_restarted(self, row: Row) -> bool:
         """Return whether an ended process of this daemon holds the lease.
 
@@ -164,10 +177,10 @@
         self, lease: Lease, scope: anyio.CancelScope
     ) -> None:
         delay_s = self._jittered(self._policy.renew_interval_s)
-        while lease.is_valid():
+        while not lease.has_expired():
             left_s = lease.valid_until - self._clock()
             await anyio.sleep(min(delay_s, left_s))
-            if not lease.is_valid():
+            if lease.has_expired():
                 break
             left_s = lease.valid_until - self._clock()
             with anyio.move_on_after(left_s):
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
@@ -5,10 +5,14 @@
 write; a successor measures it on its own from after it first reads the
 row. The holder's lease therefore expires before the successor may take
 it, whatever the network delays.
+
+A table that is restored from an older copy may have lost the row that a
+lease rests on. The holder then stops acting until it has renewed, and the
+fencing tokens of each era of the table are above all earlier ones.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 import orjson
@@ -24,9 +28,12 @@
     Unavailable,
     Write,
 )
+from mimosamux_daemon.domain.store_eras import StoreEra, era_of
 from mimosamux_daemon.ports.table import Table
 
 LEASE_PREFIX = 'lease/'
+FENCING_PER_ERA = 1_000_000
+"""Range of fencing tokens of one era; far fewer are ever used in it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,7 +69,7 @@
     holder: DaemonId
     incarnation: int
     fencing: int
-    """Fencing token; it increases by one each time the lease is taken."""
+    """Fencing token; it increases each time the lease is taken."""
     duration_s: float
     released: bool = False
     """Whether the holder has released the lease and stopped acting."""
@@ -77,6 +84,7 @@
     version: int
     valid_until: float
     clock: Callable[[], float] = anyio.current_time
+    table_era: StoreEra = field(default_factory=StoreEra)
 
     @property
     def fencing(self) -> int:
@@ -89,9 +97,15 @@
         Another daemon may have taken the lease over while this daemon's
         VM or process was suspended, and after a resume the task can run
         before its timers fire. Without this check right before an order,
-        two holders would act at once.
+        two holders would act at once. So they would if the table has
+        lost the row that the lease rests on.
         """
-        return self.clock() < self.valid_until
+        is_in_table = era_of(self.version) == self.table_era.current
+        return is_in_table and not self.has_expired()
+
+    def has_expired(self) -> bool:
+        """Return whether the lease has run out without a renewal."""
+        return self.clock() >= self.valid_until
 
     def end(self) -> None:
         """Invalidate this lease permanently."""
@@ -122,6 +136,11 @@
     return LeaseRecord(**orjson.loads(row.value))
 
 
+def first_fencing(era: int) -> int:
+    """Return the lowest fencing token of an era of the table."""
+    return max(era * FENCING_PER_ERA, 1)
+
+
 class LeaseTable:
     """Takes, renews and releases one lease, each in one transaction."""
 
@@ -135,12 +154,14 @@
         wall_clock: Callable[[], float],
         policy: LeasePolicy,
         clock: Callable[[], float] = anyio.current_time,
+        table_era: StoreEra | None = None,
     ) -> None:
         """Set up access to the lease `name` for the daemon `holder`.
 
         Where the platform suspends VMs, `clock` has to advance while the
-        VM is suspended.
+        VM is suspended. Without `table_era`, the table loses nothing.
         """
+        self.table_era = table_era or StoreEra(clock=clock)
         self._clock = clock
         self._table = table
         self._name = name
@@ -157,11 +178,16 @@
         return Unavailable(reason='timeout', may_have_taken_effect=False)
 
     def is_own(self, row: Row) -> bool:
-        """Return whether this incarnation of this daemon holds the lease."""
+        """Return whether this incarnation of this daemon holds the lease.
+
+        Not if it took the lease in an earlier era: a restored table does
+        not show who has taken it since.
+        """
         record = parse_record(row)
         return (
             record.holder == self._holder
             and record.incarnation == self._incarnation
+            and record.fencing >= first_fencing(self.table_era.current)
             and not record.released
         )
 
@@ -176,10 +202,11 @@
     async def take(self, seen: Row | None) -> Lease | LeaseUnconfirmed:
         """Take the lease if its row has not changed since `seen` was read."""
         old = parse_record(seen) if seen else None
+        lowest = first_fencing(self.table_era.current)
         record = LeaseRecord(
             holder=self._holder,
             incarnation=self._incarnation,
-            fencing=old.fencing + 1 if old else 1,
+            fencing=max(old.fencing + 1, lowest) if old else lowest,
             duration_s=self._policy.duration_s,
         )
         version = seen.version if seen else 0
@@ -251,7 +278,9 @@
         self, record: LeaseRecord, sent_at: float
     ) -> Lease | LeaseUnconfirmed:
         row = await self.read()
-        if isinstance(row, Row) and parse_record(row) == record:
+        lowest = first_fencing(self.table_era.current)
+        is_written = isinstance(row, Row) and parse_record(row) == record
+        if isinstance(row, Row) and is_written and record.fencing >= lowest:
             return self._make_lease(record, row.version, sent_at)
         return LeaseUnconfirmed(reason='answer to the take was lost')
 
@@ -276,6 +305,7 @@
             version=version,
             valid_until=self._valid_until(sent_at),
             clock=self._clock,
+            table_era=self.table_era,
         )
 
     def _valid_until(self, sent_at: float) -> float:
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/store_eras.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/store_eras.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import anyio
+
 from mimosamux_daemon.logs import get_log
 
 log = get_log('store_eras')
@@ -41,7 +43,7 @@
 class StoreEra:
     """The newest era that an answer of the store has stated."""
 
-    clock: Callable[[], float]
+    clock: Callable[[], float] = anyio.current_time
     current: int = UNKNOWN_ERA
     has_answered: bool = False
     """Whether any answer arrived; it may have stated no era."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.control.lease_keeper import LeaseKeeper
 from mimosamux_daemon.control.leases import Lease, LeasePolicy, LeaseTable
 from mimosamux_daemon.domain.names import DaemonId
+from mimosamux_daemon.domain.store_eras import StoreEra
 from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
@@ -62,6 +63,7 @@
         self,
         *,
         table: Table,
+        table_era: StoreEra,
         states: PeerStates,
         policy: LeasePolicy,
         checks_fencing: bool,
@@ -80,6 +82,7 @@
                 wall_clock=wall_clock,
                 policy=policy,
                 clock=clock,
+                table_era=table_era,
             ),
             policy=policy,
             randomness=rng,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -335,6 +335,7 @@
     def _build_duties(self, wall_clock: Callable[[], float]) -> None:
         self.duties = Duties(
             table=self._platform.table,
+            table_era=self._platform.store_era,
             states=self.states,
             policy=lease_policy(self.settings.lease_s),
             checks_fencing=self.settings.checks_fencing,
