Metering: a window that the table lost is repeated or abandoned, never recounted

What operators saw: usage of a window was sent twice, with other counts, by one holder under one fencing number (ONE). Cause: the holder took the table's row for the only truth. When a write of it conflicted, it read the row again and forgot the windows that the restored copy lacked; they were due, so it counted them again, with what had arrived from slow daemons since, and reported them. The class: an acknowledged row is taken to be kept forever.

Change: final counts stay in memory, first counts win, and the holder tells them to all daemons as soon as they are stored. What the table lacks is written again before anything is reported. The table tells in which era counts were last written: a holder that finds an earlier one abandons what could have been reported until now and what nobody remembers.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
@@ -128,6 +128,7 @@
         return None if isinstance(result, LeaseUnconfirmed) else result
 
     def _may_take(self, row: Row | None, row_age: RowAge) -> bool:
+        unchanged_s = 0.0 if row is None else row_age.observe(row.version)
         if self._leases.table_era.age_s < self._longest_lease_s():
             # A holder whose row the restored table lacks may still act.
             return False
@@ -141,7 +142,7 @@
         if not has_ended:
             wait_s += self._policy.take_margin_s
         wait_s += self._order_transit_s()
-        return row_age.observe(row.version) >= wait_s
+        return unchanged_s >= wait_s
 
     def _longest_lease_s(self) -> float:
         """Return the time after which orders of any lease have landed."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
@@ -4,9 +4,14 @@
 holders. The counts of a window are therefore finalized in the table before
 their first report; every later report, after a lost answer or by the next
 holder, repeats the stored counts.
+
+A table that is restored from an older copy may lack counts that were
+reported. The holder repeats those that it or a peer remembers, and writes
+them again. A holder that cannot know whether a window was reported abandons
+it: a missing report costs less than a second, different one.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import anyio
@@ -22,6 +27,12 @@
     Unavailable,
     Write,
 )
+from mimosamux_daemon.domain.store_eras import UNKNOWN_ERA, StoreEra
+from mimosamux_daemon.gateway.finalized_windows import (
+    RETAINED_WINDOWS,
+    FinalizedWindows,
+    WindowCounts,
+)
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.logs import get_log
@@ -34,13 +45,23 @@
 
 log = get_log('metering')
 
-ROW_KEY = 'metering/settled'
+PREFIX = 'metering/'
+ROW_KEY = PREFIX + 'settled'
+ERA_KEY = PREFIX + 'era'
+"""Row that tells in which era of the table the counts were last written."""
 FINALIZE_DELAY_S = 1.5
 """Time after the end of a window in which its last digests may still
 arrive."""
 TICK_S = 0.5
-RETAINED_WINDOWS = 6
-"""Finalized windows that the row retains."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _WrittenIn:
+    """Content of the row of the era."""
+
+    era: int = UNKNOWN_ERA
+    first_window: int = 0
+    """Windows before this one that are not in the table are abandoned."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -48,21 +69,30 @@
     """Reports usage while this daemon holds the lease."""
 
     table: Table
+    table_era: StoreEra
     calls: DutyCalls
     request_counts: RequestCounts
+    finalized: FinalizedWindows
     lateness_s: float
     """Time after the end of a window until which its report is due."""
     metrics: GatewayMetrics
     lose_lease: Callable[[Lease], None]
     """Called when the platform has seen a higher fencing number."""
-    _finalized: dict[int, dict[AccountId, int]] = field(default_factory=dict)
     _reported: set[int] = field(default_factory=set)
     _version: int | None = None
     """Version of the row as last read or written, None: unknown."""
+    _first_window: int = 0
+    """First window that may be finalized here."""
+    _has_read: bool = False
+    """Whether the table was read under this lease. From then on, no other
+    daemon can have finalized a window."""
+    _must_write: bool = False
+    """Whether the table lacks counts that are known here."""
 
     async def run(self, lease: Lease) -> None:
         """Finalize and report windows until cancelled."""
         self._version = None
+        self._has_read = False
         self._reported.clear()
         while True:
             if lease.is_valid():
@@ -74,34 +104,51 @@
         if self._version is None and not await self._read():
             return
         now = self.request_counts.now()
-        newest = (
-            int((now - FINALIZE_DELAY_S) // self.request_counts.window_s) - 1
-        )
+        newest = self._newest_due(now)
         due = [
             window
             for window in range(newest - RETAINED_WINDOWS + 1, newest + 1)
-            if window not in self._finalized and self._is_in_time(window, now)
+            if window >= self._first_window
+            and window not in self.finalized.by_window
+            and self._is_in_time(window, now)
         ]
-        if due:
+        if due or self._must_write:
             await self._finalize(due)
 
+    def _newest_due(self, now: float) -> int:
+        """Return the newest window whose counts may be finalized."""
+        window_s = self.request_counts.window_s
+        return int((now - FINALIZE_DELAY_S) // window_s) - 1
+
     async def _finalize(self, windows: list[int]) -> None:
-        finalized = dict(self._finalized)
-        for window in windows:
-            finalized[window] = dict(self.request_counts.total(window))
-        retained = sorted(finalized)[-RETAINED_WINDOWS:]
-        finalized = {window: finalized[window] for window in retained}
+        counts = {
+            window: dict(self.request_counts.total(window))
+            for window in windows
+        }
+        known = self.finalized.by_window | counts
+        retained = sorted(known)[-RETAINED_WINDOWS:]
+        written_in = _WrittenIn(
+            era=self.table_era.current, first_window=self._first_window
+        )
         outcome = await self.table.commit(
             [Check(key=ROW_KEY, version=self._version or 0)],
-            [Write(key=ROW_KEY, value=_render(finalized))],
+            [
+                Write(
+                    key=ROW_KEY,
+                    value=_render({each: known[each] for each in retained}),
+                ),
+                Write(key=ERA_KEY, value=orjson.dumps(written_in)),
+            ],
         )
         if isinstance(outcome, Committed):
-            self._finalized = finalized
             self._version = outcome.versions[ROW_KEY]
+            self._must_write = False
+            self.finalized.add(counts)
+            self.finalized.announce(windows)
             log.info(
                 'windows_finalized',
                 windows=windows,
-                requests=[sum(finalized[each].values()) for each in windows],
+                requests=[sum(counts[each].values()) for each in windows],
                 row_version=self._version,
             )
             return
@@ -115,17 +162,42 @@
         log.info('windows_not_finalized', windows=windows, reason=reason)
 
     async def _read(self) -> bool:
-        row = await self.table.read(ROW_KEY)
-        if isinstance(row, Unavailable):
+        rows = await self.table.scan(PREFIX)
+        if isinstance(rows, Unavailable):
             return False
-        self._finalized = {} if row is None else _parse(row)
+        row_by_key = {row.key: row for row in rows}
+        row = row_by_key.get(ROW_KEY)
+        stored = {} if row is None else _parse(row)
+        written_in = _parse_era(row_by_key.get(ERA_KEY))
+        if not self._has_read:
+            self._first_window = self._find_first_window(written_in)
+        self.finalized.add(stored)
+        self._must_write = (
+            written_in.era != self.table_era.current
+            or not self.finalized.by_window.keys() <= stored.keys()
+        )
+        self._has_read = True
         self._version = 0 if row is None else row.version
         return True
 
+    def _find_first_window(self, written_in: _WrittenIn) -> int:
+        """Return the first window that no other holder may have reported.
+
+        If the counts were last written in an earlier era, the table may
+        have lost any that could be finalized until now.
+        """
+        if written_in.era == self.table_era.current:
+            return written_in.first_window
+        first = self._newest_due(self.request_counts.now()) + 1
+        log.warning(
+            'windows_abandoned', before=first, written_in=written_in.era
+        )
+        return first
+
     async def _report_finalized(self, lease: Lease) -> None:
-        if self._version is None:
+        if self._version is None or self._must_write:
             return
-        for window in sorted(self._finalized):
+        for window in sorted(self.finalized.by_window):
             if window in self._reported:
                 continue
             if not self._is_in_time(window, self.request_counts.now()):
@@ -136,7 +208,7 @@
             await self._report(window, lease)
 
     async def _report(self, window: int, lease: Lease) -> None:
-        counts = self._finalized[window]
+        counts = self.finalized.by_window[window]
         outcome = await self.calls.report_usage(
             UsageReport(window=window, counts=counts),
             fencing=lease.fencing,
@@ -161,11 +233,11 @@
         return now < end + self.lateness_s
 
 
-def _render(finalized: dict[int, dict[AccountId, int]]) -> bytes:
-    return orjson.dumps({str(key): value for key, value in finalized.items()})
+def _render(by_window: Mapping[int, WindowCounts]) -> bytes:
+    return orjson.dumps({str(key): value for key, value in by_window.items()})
 
 
-def _parse(row: Row) -> dict[int, dict[AccountId, int]]:
+def _parse(row: Row) -> dict[int, WindowCounts]:
     try:
         fields = orjson.loads(row.value)
         return {
@@ -176,5 +248,19 @@
             for window, counts in fields.items()
         }
     except (ValueError, AttributeError, TypeError) as error:
-        log.error('row_unreadable', key=ROW_KEY, problem=str(error))
+        log.error('row_unreadable', key=row.key, problem=str(error))
         return {}
+
+
+def _parse_era(row: Row | None) -> _WrittenIn:
+    """Parse the row of the era; none was written in an unknown era."""
+    if row is None:
+        return _WrittenIn()
+    try:
+        fields = orjson.loads(row.value)
+        return _WrittenIn(
+            era=int(fields['era']), first_window=int(fields['first_window'])
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        log.error('row_unreadable', key=row.key, problem=str(error))
+        return _WrittenIn()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -35,6 +35,7 @@
 )
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.feed_reader import FeedReader
+from mimosamux_daemon.gateway.finalized_windows import FinalizedWindows
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
 from mimosamux_daemon.gateway.list_age import ListFreshness
@@ -327,6 +328,9 @@
         self.request_counts = RequestCounts(
             window_s=self.settings.usage_window_s, now=shared_time.now
         )
+        self.finalized_windows = FinalizedWindows(
+            states=self.states, peers=self.peers
+        )
         self.demand = Demand(clock=self._clock)
         self.rows = DaemonRows(
             table=self._platform.table, states=self.states, rng=self._rng
@@ -429,8 +433,10 @@
         """Return the duty of reporting usage."""
         return Metering(
             table=self._platform.table,
+            table_era=self._platform.store_era,
             calls=calls,
             request_counts=self.request_counts,
+            finalized=self.finalized_windows,
             lateness_s=self.settings.usage_lateness_s,
             metrics=self.metrics,
             lose_lease=lambda lease: lease.end(),
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -54,6 +54,7 @@
     TableRow,
     Vouch,
     Vouched,
+    WindowsFinalized,
     WindowUse,
 )
 from mimosamux_wire.link_messages import (
@@ -147,6 +148,7 @@
     'Vouch',
     'Vouched',
     'WindowUse',
+    'WindowsFinalized',
     'decode',
     'encode',
     'SuspectTold',
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -375,6 +375,18 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class WindowsFinalized(Message):
+    """Final counts of usage windows; they never change again."""
+
+    counts: list[WindowUse] = field(default_factory=list)
+    """An entry without an account stands for a window without requests."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.LIST, 'counts', _list_of(WindowUse), None),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class CapLoanWanted(Message):
     """Asks a peer for a temporary loan from its allotment of a usage cap."""
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -393,6 +393,10 @@
   7: bool may_have_lapsed
 }
 
+struct WindowsFinalized {
+  1: list<WindowUse> counts
+}
+
 struct CapLoanWanted {
   1: string account
   2: i64 lifetime
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -96,6 +96,45 @@
                 holders = {call.holder for call in usage_calls(site)}
                 self.assertEqual(len(holders), 2)
 
+    def test_window_that_only_a_dead_holder_knew_is_not_counted_again(self):
+        # Guards against a second report where nobody was told of the first.
+        async def check():
+            async with open_site() as site:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(send_slips, site, 30)
+                    await anyio.sleep(13)
+                    holder = find_holder(site)
+                    cut_from_peers(site, holder)
+                    await anyio.sleep(3.6)
+                    tasks.start_soon(
+                        lambda: site.restore_store(copy_age_s=4.0)
+                    )
+                    await anyio.sleep(0.5)
+                    kill_for_good(site, holder)
+                await anyio.sleep(12)
+                return site
+
+        self.assert_one_count_each(run_paused(check))
+
+    def test_daemons_know_final_counts_that_the_table_may_lose(self):
+        # Guards against windows that are lost with their holder.
+        async def check(daemons):
+            async with open_site(daemons=daemons) as site:
+                await send_slips(site, 12)
+                site.start_daemon()
+                await anyio.sleep(4.9)
+                return [
+                    handle.daemon.parts.finalized_windows.by_window
+                    for handle in site.daemons
+                ]
+
+        for daemons in (3, 15):
+            with self.subTest(daemons=daemons):
+                first, *others = run_paused(check, daemons)
+                self.assertGreater(len(first), 1)
+                for other in others:
+                    self.assertEqual(other, first)
+
 
 class TestFencing(unittest.TestCase):
     def test_lost_lease_gives_out_no_fencing_number_twice(self):
