Rows that a restored table lacks are written again, and orders stay what they were

What callers would see: a roll-out that ended begins again, or a reverted version is tried again on them, since an order's number is the version of its row, which every new era changes; an earlier order in the copy counts as the newest until the operator has written his again; daemons that started lately are found by nobody, and a site whose daemons all restart learns anew which requests crash its endpoints. Cause: as in metering, an acknowledged row is taken to be kept forever, here by each family of rows.

Change: an order that a later era shows unchanged is the same order; its roll-out takes the new number and keeps its step. The holder of the duties writes lost steps again, the daemon with the lowest id the record of the caps' use and the suspects, and each daemon its own row, at its own moment within six seconds.

Tests: five cases on a whole site; each fails without its guard.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/rollouts.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from mimosamux_daemon.domain.names import ServiceName
+from mimosamux_daemon.domain.store_eras import era_of
 
 
 class RolloutStage(StrEnum):
@@ -33,7 +34,23 @@
     version: str
     within_s: float
     number: int
-    """Identifies the order; increases with each order for a service."""
+    """Version of the order's row; a later order has a higher one."""
+
+    def is_rewrite_of(self, other: 'RolloutOrder') -> bool:
+        """Return whether this is the same order, read in a later era.
+
+        Each era of the store gives the row another version, even if it
+        survived the restore.
+        """
+        return (
+            era_of(self.number) > era_of(other.number)
+            and self.version == other.version
+            and self.within_s == other.within_s
+        )
+
+    def replaces(self, other: 'RolloutOrder') -> bool:
+        """Return whether this is a later order than another one."""
+        return self.number > other.number and not self.is_rewrite_of(other)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
@@ -11,7 +11,13 @@
 import orjson
 
 from mimosamux_daemon.domain.names import AccountId
-from mimosamux_daemon.domain.store import Row, Unavailable, Write
+from mimosamux_daemon.domain.store import (
+    Committed,
+    Row,
+    Unavailable,
+    Write,
+)
+from mimosamux_daemon.domain.store_eras import StoreEra
 from mimosamux_daemon.gateway.caps import UsageCaps, UsageRecord
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
@@ -33,10 +39,12 @@
     """Reads the record once at the start and writes it afterwards."""
 
     table: Table
+    table_era: StoreEra
     caps: UsageCaps
     states: PeerStates
     store_time: Callable[[], float | None]
     """Return the store's time in seconds, None before it was ever seen."""
+    _written_in_era: int | None = None
 
     async def run(self) -> None:
         """Read the record once, then keep it up to date until cancelled."""
@@ -44,10 +52,18 @@
         while True:
             if not is_read:
                 is_read = await self._read()
-            elif self.caps.is_record_stale(WRITE_SHARE) and self._is_writer():
+            elif self._is_due() and self.states.has_lowest_id:
                 await self._write()
             await anyio.sleep(POLL_S)
 
+    def _is_due(self) -> bool:
+        """Whether the record is out of date, or may be lost."""
+        is_restored = self._written_in_era not in (
+            None,
+            self.table_era.current,
+        )
+        return is_restored or self.caps.is_record_stale(WRITE_SHARE)
+
     async def _read(self) -> bool:
         row = await self.table.read(ROW_KEY)
         now = self.store_time()
@@ -66,12 +82,12 @@
         if not record or now is None:
             return
         value = orjson.dumps({'at': now, 'uses': record})
-        await self.table.commit([], [Write(key=ROW_KEY, value=value)])
-
-    def _is_writer(self) -> bool:
-        """Whether this daemon writes: it has the lowest id of all in touch."""
-        ids = [peer.place.id for peer in self.states.fresh()]
-        return self.states.place.id <= min(ids, default='~')
+        era = self.table_era.current
+        outcome = await self.table.commit(
+            [], [Write(key=ROW_KEY, value=value)]
+        )
+        if isinstance(outcome, Committed):
+            self._written_in_era = era
 
 
 def _parse(row: Row) -> tuple[float, UsageRecord] | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
@@ -76,6 +76,16 @@
                 await anyio.sleep(RETRY_S)
                 self._has_work.set()
 
+    def write_again(self) -> None:
+        """Write the suspects that a restored table may lack.
+
+        Only one daemon does: all of them know the same suspects.
+        """
+        if not self.states.has_lowest_id:
+            return
+        for content in self.exchange.suspects.by_content:
+            self._queue_write(content)
+
     async def _read_until_done(self) -> None:
         while True:
             if await self._read_all():
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
@@ -19,6 +19,7 @@
     Unavailable,
     Write,
 )
+from mimosamux_daemon.domain.store_eras import UNKNOWN_ERA, StoreEra
 from mimosamux_daemon.gateway.groups import UNKNOWN_DATA_CENTRE
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
@@ -31,7 +32,9 @@
 LINK_FIELD = 'link_mbps'
 RETRY_DELAY_S = 0.5
 CHECK_INTERVAL_S = 5.0
-"""Interval between checks that at least one peer is fresh."""
+"""Interval between checks that at least one peer is fresh, and that the table
+was not restored. Hundreds of daemons check at different moments, so that they
+do not all write their rows at once."""
 WITHDRAW_TIMEOUT_S = 0.5
 SCAN_LIMIT = 500
 
@@ -41,8 +44,10 @@
     """Writes the row of this daemon, and reads the rows of the others."""
 
     table: Table
+    table_era: StoreEra
     states: PeerStates
     rng: random.Random
+    _written_in_era: int = UNKNOWN_ERA
 
     @property
     def _key(self) -> str:
@@ -53,7 +58,7 @@
         while True:
             await self._retry_until_done(self._write_row)
             await self._retry_until_done(self._read_rows)
-            await self._retry_until_done(self._is_alone)
+            await self._wait_until_alone()
 
     async def withdraw(self) -> None:
         """Try to delete the row; a row left behind is harmless."""
@@ -68,11 +73,17 @@
                 return
             await anyio.sleep(RETRY_DELAY_S * self.rng.uniform(0.5, 1.5))
 
-    async def _is_alone(self) -> bool:
-        await anyio.sleep(CHECK_INTERVAL_S * self.rng.uniform(0.8, 1.2))
-        return not self.states.fresh()
+    async def _wait_until_alone(self) -> None:
+        """Wait until no peer is fresh; write the row if it may be lost."""
+        while True:
+            await anyio.sleep(CHECK_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+            if not self.states.fresh():
+                return
+            if self._written_in_era != self.table_era.current:
+                await self._retry_until_done(self._write_row)
 
     async def _write_row(self) -> bool:
+        era = self.table_era.current
         place = self.states.place
         value = orjson.dumps(
             {
@@ -84,7 +95,10 @@
         outcome = await self.table.commit(
             [], [Write(key=self._key, value=value)]
         )
-        return isinstance(outcome, Committed)
+        is_written = isinstance(outcome, Committed)
+        if is_written:
+            self._written_in_era = era
+        return is_written
 
     async def _read_rows(self) -> bool:
         rows = await self.table.scan(PREFIX, limit=SCAN_LIMIT)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -218,6 +218,7 @@
                 configuration=self.configuration,
                 configuration_key=self._platform.configuration_key,
                 rollouts=self.rollouts,
+                table_era=self._platform.store_era,
             ),
             health=self.health,
             wait_s=CONFIGURATION_POLL_S,
@@ -321,6 +322,7 @@
         )
         self.cap_record = CapRecord(
             table=self._platform.table,
+            table_era=self._platform.store_era,
             caps=self.caps,
             states=self.states,
             store_time=shared_time.store_now,
@@ -333,7 +335,10 @@
         )
         self.demand = Demand(clock=self._clock)
         self.rows = DaemonRows(
-            table=self._platform.table, states=self.states, rng=self._rng
+            table=self._platform.table,
+            table_era=self._platform.store_era,
+            states=self.states,
+            rng=self._rng,
         )
 
     def _build_duties(self, wall_clock: Callable[[], float]) -> None:
@@ -374,6 +379,7 @@
             clock=self._clock,
             store_time=shared_time.store_now,
         )
+        self._platform.store_era.on_risen.append(self.crash_rows.write_again)
 
     def _build_forwarding(self) -> None:
         self.admission = Admission(
@@ -463,6 +469,7 @@
         """Return the duty of carrying out roll-outs."""
         return RolloutDuty(
             rows=self.rollout_rows,
+            table_era=self._platform.store_era,
             rollouts=self.rollouts,
             tallies=self.trials,
             exchange=self.rollout_exchange,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
@@ -213,6 +213,15 @@
             peer for peer in self.fresh() if peer.state is MemberState.READY
         ]
 
+    @property
+    def has_lowest_id(self) -> bool:
+        """Whether this daemon has the lowest id of all that are in touch.
+
+        It writes for all what a single daemon has to write.
+        """
+        ids = [peer.place.id for peer in self.fresh()]
+        return self.place.id <= min(ids, default='~')
+
     def is_alone(self) -> bool:
         """Whether peers are known, and the digests of all are stale."""
         return bool(self.by_id) and not self.fresh()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -93,6 +93,8 @@
         if newest is not None and order.number <= newest.number:
             return
         self.orders_by_service[order.service] = order
+        if newest is not None and order.is_rewrite_of(newest):
+            return
         log.info(
             'rollout_ordered',
             service=order.service,
@@ -107,7 +109,12 @@
         view = self.by_service.get(service)
         if view is not None and rollout.progress <= view.rollout.progress:
             return False
-        self.by_service[service] = RolloutView(rollout=rollout)
+        self.by_service[service] = RolloutView(
+            rollout=rollout,
+            is_stopped=view is not None
+            and view.is_stopped
+            and rollout.order.is_rewrite_of(view.rollout.order),
+        )
         log.info(
             'rollout_step',
             service=service,
@@ -161,9 +168,7 @@
         view = self.by_service.get(service)
         if view is None:
             return order is not None
-        is_newer = (
-            order is not None and order.number > view.rollout.order.number
-        )
+        is_newer = order is not None and order.replaces(view.rollout.order)
         return is_newer or not view.rollout.stage.is_over
 
     def share(self, service: ServiceName) -> float:
@@ -236,7 +241,7 @@
         if view is not None:
             unproven |= set(view.rollout.unproven_versions())
         is_pending = order is not None and (
-            view is None or order.number > view.rollout.order.number
+            view is None or order.replaces(view.rollout.order)
         )
         if order is not None and is_pending:
             unproven.add(order.version)
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -4,11 +4,19 @@
 from collections import defaultdict
 
 import anyio
+from mimosamux_standins.site import Fault
 from mimosamux_standins.site.store import StoreTrouble
 
+from tests.support import crashes
 from tests.support.asking import ask, of_service
 from tests.support.clock import run_paused
 from tests.support.platform_site import default_document, open_site
+from tests.support.rollouts import bring_in, play
+from tests.test_gateway_crashing_requests import (
+    LIST,
+    open_crashing_site,
+    suspects_of,
+)
 from tests.test_gateway_duties import (
     counts_by_window,
     find_holder,
@@ -18,6 +26,7 @@
     usage_calls,
 )
 
+ENGINE_PATHS = ('/question/', '/draft/')
 DRAIN_S = 2.0
 DRAIN_WITH_RELAYS_S = 3.0
 
@@ -188,5 +197,96 @@
         self.assert_none_is_late(15, DRAIN_WITH_RELAYS_S)
 
 
+class TestRowsWrittenAgain(unittest.TestCase):
+    def test_finished_rollout_is_not_begun_again(self):
+        # Guards against orders that pass for new as their rows' versions do.
+        async def check(rollout):
+            await bring_in(rollout, ENGINE_PATHS)
+            await rollout.site.restore_store(copy_age_s=4.0)
+            steps = [
+                handle.daemon.parts.rollouts.by_service['llm'].rollout.step
+                for handle in rollout.site.daemons
+            ]
+            await rollout.ask(ENGINE_PATHS, for_s=4.0)
+            rollout.site.kill_daemon(2)
+            await rollout.site.start_daemon(2).wait()
+            await anyio.sleep(3.0)
+            views = [
+                handle.daemon.parts.rollouts.by_service['llm'].rollout
+                for handle in rollout.site.daemons
+            ]
+            return rollout, steps, views
+
+        rollout, steps, views = play(check)
+        self.assertEqual(rollout.status('llm')['state'], 'completed')
+        self.assertEqual([view.step for view in views], steps)
+        self.assertEqual(rollout.not_served(), [])
+
+    def test_reverted_version_is_not_tried_again(self):
+        # Guards against callers who meet a version again that failed others.
+        async def check(rollout):
+            await bring_in(rollout, ENGINE_PATHS, fault=Fault.ERROR)
+            trials = rollout.trials()
+            await rollout.site.restore_store(copy_age_s=8.0)
+            await rollout.ask(ENGINE_PATHS, for_s=5.0)
+            return rollout.trials() - trials, rollout.status('llm')['state']
+
+        self.assertEqual(play(check), (0, 'reverted'))
+
+    def test_earlier_order_in_the_copy_does_not_replace_the_newest(self):
+        # Guards against an older version that comes back with the copy.
+        def order(site, version):
+            fields = {'service': 'llm', 'to': version, 'durationS': 16}
+            site.store.put('op', 'rollout/llm', fields)
+
+        async def check(rollout):
+            order(rollout.site, 'v1')
+            await anyio.sleep(3.0)
+            order(rollout.site, 'v2')
+            await rollout.site.add_replica('llm', 'north', version='v2')
+            await anyio.sleep(0.5)
+            await rollout.site.restore_store(
+                copy_age_s=1.0, rewritten_after_s=1.0
+            )
+            await rollout.ask(ENGINE_PATHS, for_s=6.0)
+            orders = [
+                handle.daemon.parts.rollouts.orders_by_service['llm'].version
+                for handle in rollout.site.daemons
+            ]
+            return orders, rollout.not_served()
+
+        orders, not_served = play(check)
+        self.assertEqual(set(orders), {'v2'})
+        self.assertEqual(not_served, [])
+
+    def test_daemon_that_started_lately_is_found_through_the_table(self):
+        # Guards against daemons that no other can find after a restore.
+        async def check():
+            async with open_site() as site:
+                await site.start_daemon().wait()
+                await anyio.sleep(1.0)
+                await site.restore_store(copy_age_s=2.0)
+                key = site.daemons[3].daemon.settings.place.id
+                was_lost = site.store.get('daemons', key) is None
+                await anyio.sleep(7.0)
+                return was_lost, site.store.get('daemons', key) is not None
+
+        self.assertEqual(run_paused(check), (True, True))
+
+    def test_held_requests_stay_held_for_daemons_that_start_later(self):
+        # Guards against a crash that a whole site has to suffer once more.
+        async def check():
+            async with open_crashing_site() as crashing:
+                site = crashing.site
+                await crashes.have_held(crashing, LIST)
+                (held,) = suspects_of(site, 0).by_content
+                await site.restore_store(copy_age_s=8.0, rewritten_after_s=0)
+                was_lost = site.store.get('crashes', held) is None
+                await anyio.sleep(2.0)
+                return was_lost, site.store.get('crashes', held) is not None
+
+        self.assertEqual(run_paused(check), (True, True))
+
+
 if __name__ == '__main__':
     unittest.main()
