Roll-outs after a restore: one guard for lost steps, and tests that see each

Run with each guard taken out, the test of the earlier order passed, as it asked only after the operator had written again, and nothing saw that lost steps were written again. Now the callers ask throughout, the copy is 14 and 16 s old, so that it lacks the roll-out's end, and the row is looked at.

Writing lost steps again by a comparison of rows is gone: taking over the new number of an unchanged order writes the step as well.

The broken variant in test_gateway_schedules that reports unstored counts used a field that is gone; it now takes out both guards, the stored counts and the abandoned windows, since with the second one alone no second report comes.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -469,7 +469,6 @@
         """Return the duty of carrying out roll-outs."""
         return RolloutDuty(
             rows=self.rollout_rows,
-            table_era=self._platform.store_era,
             rollouts=self.rollouts,
             tallies=self.trials,
             exchange=self.rollout_exchange,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
@@ -20,7 +20,6 @@
     RolloutStage,
 )
 from mimosamux_daemon.domain.routes import GatewayConfiguration
-from mimosamux_daemon.domain.store_eras import StoreEra
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
@@ -67,7 +66,6 @@
     """Advances the roll-outs of all services while a lease is held."""
 
     rows: RolloutRows
-    table_era: StoreEra
     rollouts: Rollouts
     tallies: TrialTallies
     exchange: RolloutExchange
@@ -82,8 +80,6 @@
     metrics: GatewayMetrics
     _needs_read: bool = True
     """Whether the rows may contain steps that this daemon does not know."""
-    _read_in_era: int = -1
-    """Era of the table in which the rows were last read."""
     _announced_at: dict[ServiceName, float] = field(default_factory=dict)
     """Time of the last share announcement for each service."""
     _judge_by_order: dict[int, Judge] = field(default_factory=dict)
@@ -102,8 +98,9 @@
             await anyio.sleep(TICK_S)
 
     async def _advance_all(self) -> None:
-        if not await self._read_rows():
+        if self._needs_read and not await self.rows.read_all():
             return
+        self._needs_read = False
         now = self.store_time()
         if now is None or self.configuration().version == 0:
             # Without a configuration every service would seem unknown.
@@ -111,6 +108,7 @@
         for service, order in tuple(self.rollouts.orders_by_service.items()):
             view = self.rollouts.by_service.get(service)
             if view is not None and order.is_rewrite_of(view.rollout.order):
+                # This also restores the step, if the table has lost it.
                 await self._write(replace(view.rollout, order=order))
             elif view is None or order.replaces(view.rollout.order):
                 previous = None if view is None else view.rollout
@@ -118,25 +116,6 @@
             elif not view.rollout.stage.is_over:
                 await self._advance(view.rollout, now)
 
-    async def _read_rows(self) -> bool:
-        """Read the rows if they may be news; write lost steps again."""
-        era = self.table_era.current
-        if not self._needs_read and era == self._read_in_era:
-            return True
-        if not await self.rows.read_all():
-            return False
-        for rollout in self.rows.find_lost():
-            log.warning(
-                'rollout_written_again',
-                service=rollout.order.service,
-                step=rollout.step,
-            )
-            if await self.rows.write(rollout) is not WriteResult.DONE:
-                return False
-        self._needs_read = False
-        self._read_in_era = era
-        return True
-
     async def _start_rollout(
         self, order: RolloutOrder, previous: Rollout | None, now: float
     ) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
@@ -60,10 +60,6 @@
     first_read: anyio.Event = field(default_factory=anyio.Event)
     """Set once the rows were read, or there was no order to read them for."""
     _version_by_service: dict[ServiceName, int] = field(default_factory=dict)
-    _progress_by_service: dict[ServiceName, tuple[int, int]] = field(
-        default_factory=dict
-    )
-    """Progress of each roll-out in the table."""
 
     async def run(self) -> None:
         """Read the rows once, retrying until the table answers.
@@ -83,21 +79,10 @@
         rows = await self.table.scan(PREFIX, limit=PAGE)
         if isinstance(rows, Unavailable):
             return False
-        self._version_by_service.clear()
-        self._progress_by_service.clear()
         for row in rows:
             self._apply_row(row)
         return True
 
-    def find_lost(self) -> list[Rollout]:
-        """Return the roll-outs whose newest step the table lacks."""
-        return [
-            view.rollout
-            for service, view in self.rollouts.by_service.items()
-            if view.rollout.progress
-            > self._progress_by_service.get(service, (0, 0))
-        ]
-
     async def write(self, rollout: Rollout) -> WriteResult:
         """Write a step and its status row for operators."""
         service = rollout.order.service
@@ -112,7 +97,6 @@
         )
         if isinstance(outcome, Committed):
             self._version_by_service[service] = outcome.versions[key]
-            self._progress_by_service[service] = rollout.progress
             return WriteResult.DONE
         log.info('step_not_written', service=service, outcome=str(outcome))
         if isinstance(outcome, Unavailable):
@@ -127,7 +111,6 @@
         self._version_by_service[service] = row.version
         rollout = parse_rollout(service, row)
         if rollout is not None:
-            self._progress_by_service[service] = rollout.progress
             self.rollouts.apply_step(rollout, source='the table')
 
 
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -131,10 +131,10 @@
 
     def test_usage_reported_before_it_is_finalized(self):
         async def finalize(self, windows):
+            self._must_write = False
             for window in windows:
-                self._finalized[window] = dict(
-                    self.request_counts.total(window)
-                )
+                counts = dict(self.request_counts.total(window))
+                self.finalized.by_window[window] = counts
 
         schedule = [
             (0.0, 'cut_holder_from_peers', 0),
@@ -144,7 +144,11 @@
         self.assert_seen(
             'two reports',
             schedule,
-            mock.patch.object(Metering, '_finalize', finalize),
+            mock.patch.multiple(
+                Metering,
+                _finalize=finalize,
+                _find_first_window=lambda *_: 0,
+            ),
         )
 
     def test_piece_of_an_event_passed_on(self):
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 
 import anyio
+import orjson
 from mimosamux_standins.site import Fault
 from mimosamux_standins.site.store import StoreTrouble
 
@@ -202,7 +203,7 @@
         # Guards against orders that pass for new as their rows' versions do.
         async def check(rollout):
             await bring_in(rollout, ENGINE_PATHS)
-            await rollout.site.restore_store(copy_age_s=4.0)
+            await rollout.site.restore_store(copy_age_s=14.0)
             steps = [
                 handle.daemon.parts.rollouts.by_service['llm'].rollout.step
                 for handle in rollout.site.daemons
@@ -215,9 +216,11 @@
                 handle.daemon.parts.rollouts.by_service['llm'].rollout
                 for handle in rollout.site.daemons
             ]
-            return rollout, steps, views
+            row = rollout.site.store.get('rollouts', 'llm')
+            return rollout, steps, views, orjson.loads(row)
 
-        rollout, steps, views = play(check)
+        rollout, steps, views, row = play(check)
+        self.assertEqual(row['stage'], 'completed')
         self.assertEqual(rollout.status('llm')['state'], 'completed')
         self.assertEqual([view.step for view in views], steps)
         self.assertEqual(rollout.not_served(), [])
@@ -227,7 +230,7 @@
         async def check(rollout):
             await bring_in(rollout, ENGINE_PATHS, fault=Fault.ERROR)
             trials = rollout.trials()
-            await rollout.site.restore_store(copy_age_s=8.0)
+            await rollout.site.restore_store(copy_age_s=16.0)
             await rollout.ask(ENGINE_PATHS, for_s=5.0)
             return rollout.trials() - trials, rollout.status('llm')['state']
 
@@ -245,10 +248,11 @@
             order(rollout.site, 'v2')
             await rollout.site.add_replica('llm', 'north', version='v2')
             await anyio.sleep(0.5)
-            await rollout.site.restore_store(
-                copy_age_s=1.0, rewritten_after_s=1.0
-            )
-            await rollout.ask(ENGINE_PATHS, for_s=6.0)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(lambda: rollout.ask(ENGINE_PATHS, for_s=6.0))
+                await rollout.site.restore_store(
+                    copy_age_s=1.0, rewritten_after_s=1.5
+                )
             orders = [
                 handle.daemon.parts.rollouts.orders_by_service['llm'].version
                 for handle in rollout.site.daemons
