Store adapter: the first write before any answer counts, and tests of eras

Found in reading the change: a daemon's first write, sent before any answer had told the era, was answered in an era that it did not expect and counted as unknown, so that each start wrote its row twice. Only a kept version can be from another era; writes without one are committed in the era that answers. A lease that was taken while an era began is not acted on.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
@@ -214,8 +214,8 @@
         audit = self._describe_change('take', old, record)
         outcome = await self._write(record, version, audit)
         if isinstance(outcome, Committed):
-            return self._make_lease(
-                record, outcome.versions[self._key], sent_at
+            return self._confirm_era(
+                self._make_lease(record, outcome.versions[self._key], sent_at)
             )
         if isinstance(outcome, Unavailable) and outcome.may_have_taken_effect:
             return await self._confirm_take(record, sent_at)
@@ -278,12 +278,18 @@
         self, record: LeaseRecord, sent_at: float
     ) -> Lease | LeaseUnconfirmed:
         row = await self.read()
-        lowest = first_fencing(self.table_era.current)
-        is_written = isinstance(row, Row) and parse_record(row) == record
-        if isinstance(row, Row) and is_written and record.fencing >= lowest:
-            return self._make_lease(record, row.version, sent_at)
+        if isinstance(row, Row) and parse_record(row) == record:
+            return self._confirm_era(
+                self._make_lease(record, row.version, sent_at)
+            )
         return LeaseUnconfirmed(reason='answer to the take was lost')
 
+    def _confirm_era(self, lease: Lease) -> Lease | LeaseUnconfirmed:
+        """Return a lease just taken, unless its token is of an earlier era."""
+        if lease.fencing < first_fencing(self.table_era.current):
+            return LeaseUnconfirmed(reason='the table was restored meanwhile')
+        return lease
+
     async def _write(
         self, record: LeaseRecord, version: int, audit: AuditEntry | None
     ) -> CommitOutcome:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
@@ -17,7 +17,7 @@
     Unavailable,
     Write,
 )
-from mimosamux_daemon.domain.store_eras import StoreEra
+from mimosamux_daemon.domain.store_eras import StoreEra, era_of
 from mimosamux_daemon.gateway.caps import UsageCaps, UsageRecord
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
@@ -82,12 +82,11 @@
         if not record or now is None:
             return
         value = orjson.dumps({'at': now, 'uses': record})
-        era = self.table_era.current
         outcome = await self.table.commit(
             [], [Write(key=ROW_KEY, value=value)]
         )
         if isinstance(outcome, Committed):
-            self._written_in_era = era
+            self._written_in_era = era_of(outcome.versions[ROW_KEY])
 
 
 def _parse(row: Row) -> tuple[float, UsageRecord] | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
@@ -19,7 +19,7 @@
     Unavailable,
     Write,
 )
-from mimosamux_daemon.domain.store_eras import UNKNOWN_ERA, StoreEra
+from mimosamux_daemon.domain.store_eras import UNKNOWN_ERA, StoreEra, era_of
 from mimosamux_daemon.gateway.groups import UNKNOWN_DATA_CENTRE
 from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
@@ -83,7 +83,6 @@
                 await self._retry_until_done(self._write_row)
 
     async def _write_row(self) -> bool:
-        era = self.table_era.current
         place = self.states.place
         value = orjson.dumps(
             {
@@ -95,10 +94,10 @@
         outcome = await self.table.commit(
             [], [Write(key=self._key, value=value)]
         )
-        is_written = isinstance(outcome, Committed)
-        if is_written:
-            self._written_in_era = era
-        return is_written
+        if not isinstance(outcome, Committed):
+            return False
+        self._written_in_era = era_of(outcome.versions[self._key])
+        return True
 
     async def _read_rows(self) -> bool:
         rows = await self.table.scan(PREFIX, limit=SCAN_LIMIT)
--- a/packages/mimosamux-standins/mimosamux_standins/site/store.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/store.py
@@ -74,6 +74,8 @@
     version: int = 0
     era: int = 1
     """Rises by one each time the store comes back from a copy."""
+    states_era: bool = True
+    """Whether answers state the era."""
     rows_by_name: dict[RowName, _Row] = field(default_factory=dict)
     _changes: deque[_Change] = field(default_factory=deque)
     """History that feeds are served from."""
@@ -259,6 +261,8 @@
         self._wake()
 
     def _headers(self) -> RawHeaders:
+        if not self.states_era:
+            return (JSON,)
         return (JSON, (b'Store-Era', b'%d' % self.era))
 
     def _wake(self) -> None:
