Schedules and soak: the store goes back as one fault among the others

The random schedules and the soak on real processes draw a store that is away for up to 2.5 s and comes back from a copy 0.5, 2 or 6 s old; operator and replicas write again after 0.2 s. The stand-in platform's control port has /store/restore for it.

--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -27,11 +27,17 @@
     ReplicaSpeed,
     StandInReplica,
 )
-from mimosamux_standins.site.store import StandInStore, StoreTrouble
+from mimosamux_standins.site.store import (
+    LostWrites,
+    StandInStore,
+    StoreTrouble,
+)
 
 ANY_PORT = '127.0.0.1:0'
 ZONES = ('north', 'middle', 'south')
 BOOT_S = 4.0
+REWRITE_S = 0.2
+"""Time after a restore in which the operator and the replicas write again."""
 MS_PER_S = 1000
 
 
@@ -162,6 +168,7 @@
         body = orjson.loads(incoming.body or b'{}')
         commands: dict[str, Callable[[dict[str, object]], object]] = {
             '/store': self._set_store,
+            '/store/restore': self._restore_store,
             '/replica': self._set_replica,
             '/revoke': self._revoke,
             '/seen': self._tell_seen,
@@ -176,6 +183,15 @@
         self.store.trouble = StoreTrouble[str(body['trouble'])]
         return {}
 
+    def _restore_store(self, body: dict[str, object]) -> object:
+        lost = self.store.restore(float(str(body['copy_age_s'])))
+        self.tasks.start_soon(self._write_again, lost)
+        return {'era': self.store.era}
+
+    async def _write_again(self, lost: LostWrites) -> None:
+        await anyio.sleep(REWRITE_S)
+        self.store.write_again(lost)
+
     def _set_replica(self, body: dict[str, object]) -> object:
         replica = self.replicas_by_id[str(body['id'])]
         if 'fault' in body:
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -303,6 +303,19 @@
     run.site.store.forget_history()
 
 
+async def restore_store(run, rng):
+    """Have the store come back from a copy that is some seconds old."""
+    started_at = anyio.current_time()
+    index = len(run.log.troubled)
+    run.begin_trouble()
+    await run.site.restore_store(
+        copy_age_s=rng.choice([0.5, 2.0, 6.0]),
+        away_s=rng.choice([0.2, 1.0, 2.5]),
+        trouble=rng.choice([StoreTrouble.RESET, StoreTrouble.SILENT]),
+    )
+    run.log.troubled[index] = (started_at, anyio.current_time())
+
+
 async def silence_cloud(run, rng):
     run.site.cloud.is_silent = True
 
@@ -417,6 +430,7 @@
         trouble_store,
         lose_store_answers,
         forget_history,
+        restore_store,
         silence_cloud,
         spoil_replica,
         spoil_service,
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -152,6 +152,7 @@
                 self._spoil_way,
                 self._cut_way,
                 self._spoil_store,
+                self._restore_store,
                 self._spoil_replica,
                 self._drain_replica,
                 self._revoke,
@@ -230,6 +231,16 @@
         self._set_store(trouble)
         self._later(lambda: self._set_store(StoreTrouble.NONE), 3.0)
 
+    def _restore_store(self):
+        copy_age_s = self.rng.choice([0.5, 2.0, 6.0])
+        self._note('store goes back', copy_age_s)
+        self._set_store(StoreTrouble.RESET)
+        self._later(lambda: self._come_back(copy_age_s), 1.5)
+
+    def _come_back(self, copy_age_s):
+        self.platform.command('/store/restore', copy_age_s=copy_age_s)
+        self._set_store(StoreTrouble.NONE)
+
     def _ready_replicas(self):
         return [
             each
