--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -17,6 +17,7 @@
     'listening',
     'ready',
     'feed_lost',
+    'store_era_began',
     'feed_regained',
     'history_lost',
     'configuration_in_force',
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -188,6 +188,25 @@
         lines = self.explain_day(check)
         self.assertTrue(any('event=feed_lost' in line for line in lines))
 
+    def test_restored_store_is_part_of_the_story(self):
+        # Guards against a story that hides what the daemon had to unlearn.
+        async def check():
+            async with open_site(daemons=1) as site:
+                for replica in site.replicas_by_id.values():
+                    replica.speed = ReplicaSpeed(work_s=4.0)
+                caller = site.caller(patience_s=20.0)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(
+                        lambda: site.restore_store(copy_age_s=1.0)
+                    )
+                    answer = await caller.send(
+                        site.daemons[0].entry, '/slip/1', body=b's'
+                    )
+                return answer.id
+
+        lines = self.explain_day(check)
+        self.assertTrue(any('event=store_era_began' in line for line in lines))
+
     def test_lines_of_several_daemons_come_in_order_and_strangers_stay_out(
         self,
     ):
