--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -197,6 +197,27 @@
         # Guards against news that confirms a list which lacks its rows.
         self.assert_none_is_late(15, DRAIN_WITH_RELAYS_S)
 
+    def test_nor_does_a_reader_that_dies_as_the_store_comes_back(self):
+        # Guards against daemons that only the dead reader would have told.
+        async def check():
+            async with open_site(daemons=15, drain_s=3.0) as site:
+                await anyio.sleep(10)
+                (reader,) = [
+                    number
+                    for number, handle in enumerate(site.daemons)
+                    if handle.daemon.parts.endpoint_reader.sharing.is_reader()
+                ]
+                await site.restore_store(copy_age_s=2.0)
+                kill_for_good(site, reader)
+                leaving = of_service(site, '/list/')[0]
+                site.drain_replica(leaving)
+                until = anyio.current_time() + DRAIN_WITH_RELAYS_S
+                others = [each for each in range(15) if each != reader]
+                await ask(site, '/list/', for_s=6.0, daemons=others)
+                return sum(at > until for at, _ in leaving.arrivals)
+
+        self.assertEqual(run_paused(check), 0)
+
 
 class TestRowsWrittenAgain(unittest.TestCase):
     def test_finished_rollout_is_not_begun_again(self):
