Store era: any size of it fits into messages, and the domain keeps no log

An era above 19 bits would have broken every message with a version in it; it is taken modulo that many, as only the order of successive ones matters. The line store_era_began moves to the store's health, out of the data classes.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/store_eras.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/store_eras.py
@@ -12,16 +12,15 @@
 
 import anyio
 
-from mimosamux_daemon.logs import get_log
-
-log = get_log('store_eras')
-
 UNKNOWN_ERA = 0
 """Era of a store that states none; it never ends."""
 NUMBER_BITS = 44
 """Bits of the store's own number in a version. They last for centuries at a
 thousand writes per second, and leave the era 19 bits of a signed integer of
 64 bits, as messages carry it."""
+ERA_COUNT = 1 << 19
+"""Eras that fit into a version. Larger ones are taken modulo this: only the
+order of the last few matters, and each is one above its predecessor."""
 
 
 def make_version(era: int, number: int) -> int:
@@ -49,8 +48,8 @@
     """Whether any answer arrived; it may have stated no era."""
     seen_at: float = -math.inf
     """When an answer first stated it, if this process knew an earlier one."""
-    on_risen: list[Callable[[], None]] = field(default_factory=list)
-    """Called when a new era replaces one that this process knew."""
+    on_risen: list[Callable[[int], None]] = field(default_factory=list)
+    """Called with each era that replaces one that this process knew."""
 
     @property
     def age_s(self) -> float:
@@ -71,11 +70,7 @@
             return None
         self.current = stated
         if not is_first:
-            self._announce(before)
+            self.seen_at = self.clock()
+            for listener in self.on_risen:
+                listener(stated)
         return stated
-
-    def _announce(self, before: int) -> None:
-        self.seen_at = self.clock()
-        log.warning('store_era_began', era=self.current, before=before)
-        for listener in self.on_risen:
-            listener()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -379,7 +379,9 @@
             clock=self._clock,
             store_time=shared_time.store_now,
         )
-        self._platform.store_era.on_risen.append(self.crash_rows.write_again)
+        self._platform.store_era.on_risen.append(
+            lambda era: self.crash_rows.write_again()
+        )
 
     def _build_forwarding(self) -> None:
         self.admission = Admission(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/store_health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/store_health.py
@@ -7,6 +7,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from mimosamux_daemon.logs import get_log
+
+log = get_log('store_health')
+
 RENEWAL_S = 2.0
 """Time after an outage within which live endpoints renew the entries that
 expired during it."""
@@ -37,13 +41,14 @@
         self._unanswered_readers.discard(reader)
         self._regained_at = self.clock()
 
-    def note_restored(self) -> None:
+    def note_restored(self, era: int) -> None:
         """Record that the store came back from an older copy.
 
         Entries that were written since that copy are missing until the
         endpoints write them again.
         """
         self._restored_at = self.clock()
+        log.warning('store_era_began', era=era)
 
     def note_peer_outage(self) -> None:
         """Record that another daemon reported a current or recent outage."""
--- a/tests/test_platform_store_eras.py
+++ b/tests/test_platform_store_eras.py
@@ -111,6 +111,18 @@
         self.assertEqual(era_of(outcome.versions[KEY]), 1)
         self.assertEqual(age_s, float('inf'))
 
+    def test_era_of_any_size_fits_into_messages(self):
+        async def run(adapter):
+            adapter.store.era = 1_790_000_000
+            outcome = await adapter.write(b'a')
+            adapter.store.restore(copy_age_s=1.0)
+            await adapter.table.read(KEY)
+            return outcome.versions[KEY], adapter.era
+
+        version, era = check(run)
+        self.assertLess(version, 2**63)
+        self.assertEqual(era.current, era_of(version) + 1)
+
 
 class TestWrites(unittest.TestCase):
     def test_kept_version_does_not_match_another_row_of_its_number(self):
