Leases: one that its task ends is released, also where no daemon reads the table

Now only a lease that ran out by itself, or whose row a restored table has lost, stays unannounced. test_orders, test_leases and the fencing tests pass.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
@@ -202,6 +202,7 @@
         self, lease: Lease, scope: anyio.CancelScope
     ) -> None:
         delay_s = self._jittered(self._policy.renew_interval_s)
+        has_lost_row = False
         while not lease.has_expired():
             left_s = lease.valid_until - self._clock()
             await anyio.sleep(min(delay_s, left_s))
@@ -211,6 +212,7 @@
             with anyio.move_on_after(left_s):
                 outcome = await self._leases.renew(lease)
                 if isinstance(outcome, LeaseLost):
+                    has_lost_row = True
                     break
                 # An unconfirmed renewal is retried early: after the usual
                 # interval, too little of the lease duration would be left.
@@ -222,8 +224,12 @@
                     self._policy.renew_interval_s
                 )
         is_in_table = era_of(lease.version) == self._leases.table_era.current
-        is_out_of_reach = lease.has_expired() and not self._peers_reach_table()
-        self._unshared = lease if is_out_of_reach or not is_in_table else None
+        is_out_of_reach = not lease.is_ended and not self._peers_reach_table()
+        is_unshared = is_out_of_reach or not is_in_table
+        was_ended_by_task = lease.is_ended and not has_lost_row
+        self._unshared = (
+            lease if is_unshared and not was_ended_by_task else None
+        )
         lease.end()
         scope.cancel()
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
@@ -107,6 +107,11 @@
         is_in_table = era_of(self.version) == self.table_era.current
         return is_in_table and not self.has_expired()
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the lease was ended before it ran out."""
+        return self.valid_until == float('-inf')
+
     def has_expired(self) -> bool:
         """Return whether the lease has run out without a renewal."""
         return self.clock() >= self.valid_until
