Leases: one predicate for a lease that ends unnoticed; tests share one way to cut a daemon off

Which lease stays unannounced was worked out from four flags in the middle of the renewal loop; it is a predicate of its own, with its reason. Whether a lease continues is looked at once in place of twice. The schedules and the new tests each had a loop that cuts one daemon off from its peers; the site has it now.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
@@ -125,10 +125,10 @@
         row = await self._leases.read()
         if isinstance(row, Unavailable):
             return None
+        is_continuous = self._continues(row)
         if row is not None and self._leases.is_own(row):
             result = await self._leases.resume(row)
-        elif self._continues(row) or self._may_take(row, row_age):
-            is_continuous = self._continues(row)
+        elif is_continuous or self._may_take(row, row_age):
             result = await self._leases.take(row)
             if isinstance(result, Lease):
                 result.is_continuous = is_continuous
@@ -223,16 +223,23 @@
                 delay_s = factor * self._jittered(
                     self._policy.renew_interval_s
                 )
-        is_in_table = era_of(lease.version) == self._leases.table_era.current
-        is_out_of_reach = not lease.is_ended and not self._peers_reach_table()
-        is_unshared = is_out_of_reach or not is_in_table
-        was_ended_by_task = lease.is_ended and not has_lost_row
-        self._unshared = (
-            lease if is_unshared and not was_ended_by_task else None
-        )
+        if self._ends_unnoticed(lease, has_lost_row):
+            self._unshared = lease
         lease.end()
         scope.cancel()
 
+    def _ends_unnoticed(self, lease: Lease, has_lost_row: bool) -> bool:
+        """Return whether no other daemon can know that a lease ends.
+
+        One that its task has ended is released instead: the next holder need
+        not wait, and has to act under another token.
+        """
+        if lease.is_ended and not has_lost_row:
+            return False
+        if era_of(lease.version) != self._leases.table_era.current:
+            return True
+        return not lease.is_ended and not self._peers_reach_table()
+
     def _should_release_early(self, lease: Lease) -> bool:
         """Return whether to release a lease that cannot be renewed.
 
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -326,6 +326,13 @@
         self.network.kill(handle.machine)
         handle.scope.cancel()
 
+    def cut_from_peers(self, number):
+        """Cut a daemon from all others, and from nothing else."""
+        alone = self.daemons[number].machine
+        for handle in self.daemons:
+            if handle.machine != alone:
+                self.network.cut(alone, handle.machine)
+
     async def start_daemons(self, count):
         events = [self.start_daemon(number) for number in range(count)]
         for number, built in enumerate(events):
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -222,12 +222,11 @@
 
 async def isolate(run, rng):
     run.begin_trouble()
-    alone = run.site.daemons[run.pick_daemon(rng)].machine
+    number = run.pick_daemon(rng)
+    alone = run.site.daemons[number].machine
     run.site.network.cut(alone, machine_of(STORE))
     run.site.network.cut(alone, machine_of(CLOUD))
-    for handle in run.site.daemons:
-        if handle.machine != alone:
-            run.site.network.cut(alone, handle.machine)
+    run.site.cut_from_peers(number)
 
 
 async def heal(run, rng):
@@ -268,11 +267,9 @@
 async def cut_holder_from_peers(run, rng):
     """Cut the holder of the duties from all daemons, and from nothing else."""
     run.begin_trouble()
-    for handle in run.site.daemons:
+    for number, handle in enumerate(run.site.daemons):
         if handle.daemon.parts.duties.held is not None:
-            for other in run.site.daemons:
-                if other is not handle:
-                    run.site.network.cut(handle.machine, other.machine)
+            run.site.cut_from_peers(number)
 
 
 async def restart(run, rng):
--- a/tests/test_gateway_store_eras.py
+++ b/tests/test_gateway_store_eras.py
@@ -48,17 +48,10 @@
     return holders
 
 
-def cut_from_peers(site, number):
-    alone = site.daemons[number].machine
-    for handle in site.daemons:
-        if handle.machine != alone:
-            site.network.cut(alone, handle.machine)
-
-
 async def report_without_late_word(site):
     """Have a window reported while a daemon's word of it is held up."""
     await anyio.sleep(13)
-    cut_from_peers(site, 2)
+    site.cut_from_peers(2)
     await anyio.sleep(2.6)
     site.network.heal()
 
@@ -114,7 +107,7 @@
                     tasks.start_soon(send_slips, site, 30)
                     await anyio.sleep(13)
                     holder = find_holder(site)
-                    cut_from_peers(site, holder)
+                    site.cut_from_peers(holder)
                     await anyio.sleep(3.6)
                     tasks.start_soon(
                         lambda: site.restore_store(copy_age_s=4.0)
