--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -14,7 +14,7 @@
 
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway.peer_states import (
+from mimosamux_daemon.gateway.exchange.peer_states import (
     DaemonPlace,
     PeerState,
     PeerStates,
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Checks that a request passes before it is sent to an endpoint."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/admission.py
@@ -21,10 +21,10 @@
     ServiceEntry,
     UsageCap,
 )
-from mimosamux_daemon.gateway.cap_loans import CapLoans
-from mimosamux_daemon.gateway.caps import UsageCaps
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.cap_loans import CapLoans
+from mimosamux_daemon.gateway.limits.caps import UsageCaps
 from mimosamux_daemon.ports.callers import AnswerSink
 
 STARTING_RETRY_S = 0.5
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/load_shedding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/load_shedding.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from mimosamux_daemon.domain.outcomes import Reason, Refused
-from mimosamux_daemon.gateway.choice import Choice
+from mimosamux_daemon.gateway.balancing.choice import Choice
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.serving.fair_shares import FairShares
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -11,10 +11,10 @@
 from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
-from mimosamux_daemon.gateway.choice import Choice, Chooser
+from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_detector import CrashDetector
-from mimosamux_daemon.gateway.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -19,10 +19,12 @@
     ServiceName,
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.engine_speed import EngineSpeed
-from mimosamux_daemon.gateway.health import MAX_EXCESS_FAILURE_RATE
-from mimosamux_daemon.gateway.prefix_cache_index import PrefixCacheIndex
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.engine_speed import EngineSpeed
+from mimosamux_daemon.gateway.balancing.health import MAX_EXCESS_FAILURE_RATE
+from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
+    PrefixCacheIndex,
+)
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
@@ -9,9 +9,9 @@
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.domain.names import EndpointId
-from mimosamux_daemon.gateway.health import EndpointHealth
-from mimosamux_daemon.gateway.loads import EndpointLoad
-from mimosamux_daemon.gateway.rate_shares import RateShare
+from mimosamux_daemon.gateway.balancing.health import EndpointHealth
+from mimosamux_daemon.gateway.balancing.loads import EndpointLoad
+from mimosamux_daemon.gateway.limits.rate_shares import RateShare
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/prefix_cache_index.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/prefix_cache_index.py
@@ -12,7 +12,7 @@
 
 from mimosamux_daemon.domain.gateway import PromptInfo
 from mimosamux_daemon.domain.names import EndpointId
-from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 
 MAX_PARTS = 4096
 """Most parts kept for each endpoint; the least recently used are evicted."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
@@ -22,7 +22,7 @@
     join_ids,
     parse_incarnation,
 )
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import PeerLinks
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_probes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_probes.py
@@ -9,7 +9,7 @@
 
 from mimosamux_daemon.control.members import rank
 from mimosamux_daemon.domain.names import ContentKey
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 
 PROBE_INTERVAL_S = 10.0
 """Shortest time between two probe requests for a content, longer than the
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
@@ -20,8 +20,8 @@
     Write,
 )
 from mimosamux_daemon.domain.store_eras import UNKNOWN_ERA, StoreEra, era_of
-from mimosamux_daemon.gateway.groups import UNKNOWN_DATA_CENTRE
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.groups import UNKNOWN_DATA_CENTRE
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand.py
@@ -12,7 +12,7 @@
 from mimosamux_wire import ServiceDemand, StateDigest
 
 from mimosamux_daemon.domain.names import DaemonId, ServiceName
-from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 
 BUCKET_S = 1.0
 """Time span of one bucket of the history."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand_prior.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand_prior.py
@@ -8,7 +8,9 @@
 
 from mimosamux_daemon.domain.names import ServiceName
 from mimosamux_daemon.domain.routes import GatewayConfiguration
-from mimosamux_daemon.gateway.engine_speed import DEFAULT_TOKENS_PER_S
+from mimosamux_daemon.gateway.balancing.engine_speed import (
+    DEFAULT_TOKENS_PER_S,
+)
 
 CAP_UTILISATION = 0.5
 """Expected use, as a share of the sum of all caps. On eight recorded days of
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/discovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/discovery.py
@@ -7,7 +7,10 @@
 from dataclasses import dataclass
 
 from mimosamux_daemon.control.members import MemberState
-from mimosamux_daemon.gateway.peer_states import DaemonPlace, PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import (
+    DaemonPlace,
+    PeerStates,
+)
 
 MAX_DIGEST_AGE_S = 2.0
 """Age of a daemon's newest digest above which it is not offered."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange of state between daemons by gossip digests."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/acknowledgements.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/acknowledgements.py
@@ -11,9 +11,9 @@
 from mimosamux_wire import DigestHeard, GroupHeard, StateBatch
 
 from mimosamux_daemon.domain.names import DaemonId
-from mimosamux_daemon.gateway.neighbours import Neighbour
-from mimosamux_daemon.gateway.peer_records import PeerState
-from mimosamux_daemon.gateway.relays import Relays
+from mimosamux_daemon.gateway.exchange.neighbours import Neighbour
+from mimosamux_daemon.gateway.exchange.peer_records import PeerState
+from mimosamux_daemon.gateway.exchange.relays import Relays
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_usage_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/endpoint_usage_exchange.py
@@ -5,8 +5,8 @@
 from mimosamux_wire import EndpointUse, StateDigest
 
 from mimosamux_daemon.domain.names import DaemonId, EndpointId
-from mimosamux_daemon.gateway.health import AnswerCounts
-from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.balancing.health import AnswerCounts
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 from mimosamux_daemon.gateway.roster import Roster
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_records.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_records.py
@@ -6,7 +6,7 @@
 
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway.neighbours import RecentDigests
+from mimosamux_daemon.gateway.exchange.neighbours import RecentDigests
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -26,16 +26,22 @@
 
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway.acknowledgements import Acknowledgements
-from mimosamux_daemon.gateway.groups import LARGEST_GROUP, UNKNOWN_DATA_CENTRE
-from mimosamux_daemon.gateway.neighbours import EncodedDigest, RecentDigests
-from mimosamux_daemon.gateway.peer_records import (
+from mimosamux_daemon.gateway.exchange.acknowledgements import Acknowledgements
+from mimosamux_daemon.gateway.exchange.groups import (
+    LARGEST_GROUP,
+    UNKNOWN_DATA_CENTRE,
+)
+from mimosamux_daemon.gateway.exchange.neighbours import (
+    EncodedDigest,
+    RecentDigests,
+)
+from mimosamux_daemon.gateway.exchange.peer_records import (
     DaemonPlace,
     PeerState,
     place_of,
     state_of,
 )
-from mimosamux_daemon.gateway.relays import (
+from mimosamux_daemon.gateway.exchange.relays import (
     ANSWER_TIMEOUT_S,
     Relays,
     shared_silence_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/relays.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/relays.py
@@ -10,12 +10,12 @@
 from dataclasses import dataclass, field, replace
 
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway.groups import (
+from mimosamux_daemon.gateway.exchange.groups import (
     UNKNOWN_DATA_CENTRE,
     Groups,
     form_groups,
 )
-from mimosamux_daemon.gateway.neighbours import Neighbour
+from mimosamux_daemon.gateway.exchange.neighbours import Neighbour
 
 ANSWER_TIMEOUT_S = 1.0
 """Time without an answer after which the next daemon of the group is used
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/finalized_windows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/finalized_windows.py
@@ -10,7 +10,7 @@
 from mimosamux_wire import WindowsFinalized, WindowUse
 
 from mimosamux_daemon.domain.names import AccountId, DaemonId
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import PeerLinks
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -21,7 +21,8 @@
 )
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import RouteKind
-from mimosamux_daemon.gateway.admission import Admission
+from mimosamux_daemon.gateway.admission.admission import Admission
+from mimosamux_daemon.gateway.admission.load_shedding import LoadShedding
 from mimosamux_daemon.gateway.answer_relay import (
     CompleteAnswer,
     FailoverWait,
@@ -31,16 +32,15 @@
     send_complete,
 )
 from mimosamux_daemon.gateway.attempts import Attempt, AttemptRecorder
-from mimosamux_daemon.gateway.choice import Choice, Chooser
+from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.list_age import ListFreshness
-from mimosamux_daemon.gateway.load_shedding import LoadShedding
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
-from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.running_stream import RunningStream
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/leaving_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/leaving_exchange.py
@@ -5,8 +5,8 @@
 from mimosamux_wire import EndpointsLeave
 
 from mimosamux_daemon.domain.names import DaemonId, EndpointId
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.ports import PeerLinks
 
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on requests: usage caps, retry budget, and rates of endpoints."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_loans.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/cap_loans.py
@@ -17,8 +17,8 @@
 from mimosamux_wire import CapLoan, CapLoanReturned, CapLoanWanted
 
 from mimosamux_daemon.domain.names import AccountId, DaemonId
-from mimosamux_daemon.gateway.caps import UsageCaps
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
+from mimosamux_daemon.gateway.limits.caps import UsageCaps
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Peers
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/cap_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/cap_record.py
@@ -18,8 +18,8 @@
     Write,
 )
 from mimosamux_daemon.domain.store_eras import StoreEra, era_of
-from mimosamux_daemon.gateway.caps import UsageCaps, UsageRecord
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
+from mimosamux_daemon.gateway.limits.caps import UsageCaps, UsageRecord
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/caps.py
@@ -27,8 +27,8 @@
 
 from mimosamux_daemon.domain.names import AccountId, DaemonId
 from mimosamux_daemon.domain.routes import AccountEntry, UsageCap
-from mimosamux_daemon.gateway.loan_book import LoanBook, LoanId
-from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.limits.loan_book import LoanBook, LoanId
 
 BUCKET_S = 0.1
 """Length of the time buckets in which use is counted."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/endpoint_limits.py
@@ -19,9 +19,9 @@
 
 from mimosamux_daemon.control.members import MemberState, rank
 from mimosamux_daemon.domain.names import DaemonId, EndpointId
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
-from mimosamux_daemon.gateway.rate_shares import RateShare
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.limits.rate_shares import RateShare
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.logs import get_log
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -9,12 +9,12 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.store_eras import StoreEra
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
 from mimosamux_daemon.gateway.duties import Duties
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.trial_tallies import (
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -12,12 +12,20 @@
 from mimosamux_daemon.adapters.link_security import LinkSecurity
 from mimosamux_daemon.adapters.thrift_peers import ThriftPeers
 from mimosamux_daemon.domain.names import DaemonId
-from mimosamux_daemon.gateway.admission import Admission, ConfirmationLimits
+from mimosamux_daemon.gateway.admission.admission import (
+    Admission,
+    ConfirmationLimits,
+)
+from mimosamux_daemon.gateway.admission.load_shedding import (
+    WINDOW_S,
+    LoadShedding,
+)
 from mimosamux_daemon.gateway.attempts import AttemptRecorder
-from mimosamux_daemon.gateway.cap_loans import CapLoans
-from mimosamux_daemon.gateway.cap_record import CapRecord
-from mimosamux_daemon.gateway.caps import UsageCaps
-from mimosamux_daemon.gateway.choice import Chooser
+from mimosamux_daemon.gateway.balancing.choice import Chooser
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
+    PrefixCacheIndex,
+)
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.crash_detector import CrashDetector
 from mimosamux_daemon.gateway.crash_exchange import CrashExchange
@@ -28,27 +36,27 @@
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
-from mimosamux_daemon.gateway.endpoint_limits import EndpointLimits
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.endpoint_usage_exchange import (
+from mimosamux_daemon.gateway.evacuation import Evacuation
+from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
 )
-from mimosamux_daemon.gateway.evacuation import Evacuation
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.feed_reader import FeedReader
 from mimosamux_daemon.gateway.finalized_windows import FinalizedWindows
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
+from mimosamux_daemon.gateway.limits.cap_loans import CapLoans
+from mimosamux_daemon.gateway.limits.cap_record import CapRecord
+from mimosamux_daemon.gateway.limits.caps import UsageCaps
+from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
+from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.list_age import ListFreshness
-from mimosamux_daemon.gateway.load_shedding import WINDOW_S, LoadShedding
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.operator_items import OperatorItems
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
-from mimosamux_daemon.gateway.peer_states import PeerStates
-from mimosamux_daemon.gateway.prefix_cache_index import PrefixCacheIndex
 from mimosamux_daemon.gateway.request_counts import RequestCounts
-from mimosamux_daemon.gateway.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.rollout_clearing import RolloutClearing
 from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
 from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/request_counts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/request_counts.py
@@ -11,7 +11,7 @@
 from mimosamux_wire import StateDigest, WindowUse
 
 from mimosamux_daemon.domain.names import AccountId, DaemonId
-from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 
 REPORTED_WINDOWS = 2
 """Past windows whose counts are reported in digests, besides the current
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
@@ -20,10 +20,10 @@
     RolloutStage,
 )
 from mimosamux_daemon.domain.routes import GatewayConfiguration
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.demand import Demand
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.peer_states import PeerStates
 from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
 from mimosamux_daemon.gateway.rollout_rows import RolloutRows, WriteResult
 from mimosamux_daemon.gateway.rollouts import Rollouts
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_exchange.py
@@ -10,7 +10,7 @@
     RolloutOrder,
     RolloutStage,
 )
-from mimosamux_daemon.gateway.peer_states import PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import PeerLinks
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -20,7 +20,7 @@
     RolloutOrder,
     RolloutStage,
 )
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.logs import get_log
 
 log = get_log('rollouts')
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -15,7 +15,7 @@
     EndpointId,
     ServiceName,
 )
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.feeds import Unreadable
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/running_stream.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/running_stream.py
@@ -5,7 +5,7 @@
 import anyio
 
 from mimosamux_daemon.domain.routes import EngineCapabilities, ServiceEntry
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 
 BITS_PER_BYTE = 8
 REMOTE_COPY_FACTOR = 2.0
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -17,9 +17,9 @@
 from mimosamux_daemon.domain.rollouts import Rollout, RolloutStage
 from mimosamux_daemon.domain.routes import GatewayConfiguration, ScalingBounds
 from mimosamux_daemon.domain.vms import Market
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.demand_prior import estimate_offered_load
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -13,9 +13,9 @@
 from mimosamux_daemon.decoding import convert_settings
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.errors import InvalidSettings
-from mimosamux_daemon.gateway.caps import CapRules
-from mimosamux_daemon.gateway.peer_states import DaemonPlace
-from mimosamux_daemon.gateway.retry_budget import RetryLimits
+from mimosamux_daemon.gateway.exchange.peer_states import DaemonPlace
+from mimosamux_daemon.gateway.limits.caps import CapRules
+from mimosamux_daemon.gateway.limits.retry_budget import RetryLimits
 from mimosamux_daemon.gateway.rollouts import RolloutLimits
 
 ADDRESS = r'^[^\s:]+:\d{1,5}$'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/shared_time.py
@@ -13,7 +13,7 @@
 from mimosamux_wire import StateDigest
 
 from mimosamux_daemon.domain.names import DaemonId
-from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 
 MIN_TRANSIT_BOUND_S = 0.05
 """Upper bound on the transit time of the store's fastest answer."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from mimosamux_daemon.domain.names import EndpointId
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/table_sharing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/table_sharing.py
@@ -13,7 +13,7 @@
 
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId
-from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.ports.feeds import FeedRow
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_tallies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/trial_tallies.py
@@ -13,7 +13,7 @@
 
 from mimosamux_daemon.domain.names import DaemonId, EndpointId, ServiceName
 from mimosamux_daemon.domain.rollouts import Rollout, RolloutStage
-from mimosamux_daemon.gateway.peer_states import PeerState
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/vouching.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/vouching.py
@@ -17,7 +17,7 @@
 from mimosamux_daemon.domain.routes import ConfigurationDocument
 from mimosamux_daemon.errors import InvalidConfiguration
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
-from mimosamux_daemon.gateway.peer_states import PeerState, PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Peers, PeerUnavailable
 
--- a/tests/support/daemon_model.py
+++ b/tests/support/daemon_model.py
@@ -5,9 +5,12 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import AccountId, DaemonId, DataCentreName
 from mimosamux_daemon.domain.routes import AccountEntry, UsageCap
-from mimosamux_daemon.gateway.cap_loans import CapLoans
-from mimosamux_daemon.gateway.caps import CapRules, UsageCaps
-from mimosamux_daemon.gateway.peer_states import DaemonPlace, PeerStates
+from mimosamux_daemon.gateway.exchange.peer_states import (
+    DaemonPlace,
+    PeerStates,
+)
+from mimosamux_daemon.gateway.limits.cap_loans import CapLoans
+from mimosamux_daemon.gateway.limits.caps import CapRules, UsageCaps
 from mimosamux_daemon.ports import PeerUnavailable
 from mimosamux_wire import EnvelopeType, StateBatch, encode
 
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -9,10 +9,10 @@
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.domain.routes import TrafficLimits
-from mimosamux_daemon.gateway.caps import CapRules
 from mimosamux_daemon.gateway.daemon import GatewayDaemon
-from mimosamux_daemon.gateway.peer_states import DaemonPlace
-from mimosamux_daemon.gateway.retry_budget import RetryLimits
+from mimosamux_daemon.gateway.exchange.peer_states import DaemonPlace
+from mimosamux_daemon.gateway.limits.caps import CapRules
+from mimosamux_daemon.gateway.limits.retry_budget import RetryLimits
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_platform import open_platform
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -6,7 +6,7 @@
 
 import anyio
 from hypothesis import strategies as st
-from mimosamux_daemon.gateway.caps import CapRules
+from mimosamux_daemon.gateway.limits.caps import CapRules
 from mimosamux_standins.site import Fault, ReplicaSpeed
 from mimosamux_standins.site.store import StoreTrouble
 
--- a/tests/test_gateway_budget.py
+++ b/tests/test_gateway_budget.py
@@ -4,7 +4,10 @@
 
 import anyio
 from mimosamux_daemon.domain.names import ServiceName
-from mimosamux_daemon.gateway.retry_budget import RetryBudget, RetryLimits
+from mimosamux_daemon.gateway.limits.retry_budget import (
+    RetryBudget,
+    RetryLimits,
+)
 from mimosamux_standins.site import Fault
 
 from tests.support.clock import run_paused
--- a/tests/test_gateway_cap_loans.py
+++ b/tests/test_gateway_cap_loans.py
@@ -6,8 +6,8 @@
 
 import anyio
 from mimosamux_daemon.domain.names import AccountId
-from mimosamux_daemon.gateway.caps import CapRules
-from mimosamux_daemon.gateway.loan_book import LOAN_S, LoanBook
+from mimosamux_daemon.gateway.limits.caps import CapRules
+from mimosamux_daemon.gateway.limits.loan_book import LOAN_S, LoanBook
 
 from tests.support.clock import run_paused
 from tests.support.daemon_model import ACCOUNT, ALLOWED, Model, complete
--- a/tests/test_gateway_caps.py
+++ b/tests/test_gateway_caps.py
@@ -3,7 +3,7 @@
 import unittest
 
 import anyio
-from mimosamux_daemon.gateway.caps import CapRules
+from mimosamux_daemon.gateway.limits.caps import CapRules
 
 from tests.support.clock import run_paused
 from tests.support.platform_site import default_document, open_site
--- a/tests/test_gateway_endpoint_words.py
+++ b/tests/test_gateway_endpoint_words.py
@@ -4,7 +4,7 @@
 
 import anyio
 from mimosamux_daemon.domain.gateway import ListedEndpoint
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.roster import (
     MAX_CONNECT_BACKOFF_S,
     MAX_REJECTION_BACKOFF_S,
--- a/tests/test_gateway_loads.py
+++ b/tests/test_gateway_loads.py
@@ -4,7 +4,7 @@
 import unittest
 
 from mimosamux_daemon.domain.names import DaemonId
-from mimosamux_daemon.gateway.loads import (
+from mimosamux_daemon.gateway.balancing.loads import (
     PEER_REPORT_TTL_S,
     EndpointLoad,
     LoadCounts,
--- a/tests/test_gateway_rate_shares.py
+++ b/tests/test_gateway_rate_shares.py
@@ -5,13 +5,13 @@
 
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.gateway import ListedEndpoint
-from mimosamux_daemon.gateway.endpoint_limits import (
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.limits.endpoint_limits import (
     MIN_PER_S,
     ROTATION_S,
     EndpointLimits,
 )
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.rate_shares import RateShare
+from mimosamux_daemon.gateway.limits.rate_shares import RateShare
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.ports.endpoint_calls import UnreadableLimit
 from mimosamux_wire import EndpointLimit, StateDigest
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.gateway import peer_states
-from mimosamux_daemon.gateway.groups import LARGEST_GROUP, form_groups
-from mimosamux_daemon.gateway.neighbours import (
+from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP, form_groups
+from mimosamux_daemon.gateway.exchange.neighbours import (
     MAX_UNACKED_BATCHES,
     EncodedDigest,
     Neighbour,
--- a/tests/test_gateway_restarts.py
+++ b/tests/test_gateway_restarts.py
@@ -15,17 +15,19 @@
     EndpointId,
     ServiceName,
 )
-from mimosamux_daemon.gateway.endpoint_usage_exchange import (
+from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
+    PrefixCacheIndex,
+)
+from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
 )
-from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
-from mimosamux_daemon.gateway.neighbours import RecentDigests
-from mimosamux_daemon.gateway.peer_states import (
+from mimosamux_daemon.gateway.exchange.neighbours import RecentDigests
+from mimosamux_daemon.gateway.exchange.peer_states import (
     DaemonPlace,
     MemberState,
     PeerState,
 )
-from mimosamux_daemon.gateway.prefix_cache_index import PrefixCacheIndex
+from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.ports.feeds import Unreadable
--- a/tests/test_gateway_trials.py
+++ b/tests/test_gateway_trials.py
@@ -10,7 +10,7 @@
     RolloutOrder,
     RolloutStage,
 )
-from mimosamux_daemon.gateway.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.rollouts import (
     SAFE_FRACTION,
     SHARE_VALIDITY_S,
