--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -166,6 +166,16 @@
         forwarding_s = 0.0 if self.is_flat else MAX_HOPS * MAX_FORWARD_PAUSE_S
         return max(MIN_FRESH_S, 4 * self.interval_s + forwarding_s)
 
+    @property
+    def propagation_s(self) -> float:
+        """Time in which what a daemon has counted reaches all others.
+
+        It counts two intervals, since a digest may be lost or its daemon
+        busy, and the pauses of the relays that forward it.
+        """
+        forwarding_s = 0.0 if self.is_flat else MAX_HOPS * MAX_FORWARD_PAUSE_S
+        return 2 * self.interval_s + forwarding_s
+
     @property
     def _daemon_count(self) -> int:
         return 1 + len(self._relays.known_by_id)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
@@ -50,8 +50,11 @@
 ERA_KEY = PREFIX + 'era'
 """Row that tells in which era of the table the counts were last written."""
 FINALIZE_DELAY_S = 1.5
-"""Time after the end of a window in which its last digests may still
-arrive."""
+"""Shortest time after the end of a window before its counts are finalized.
+Digests of the window may arrive until then."""
+MAX_FINALIZE_DELAY_SHARE = 0.5
+"""Longest such time, as a share of the time until the report is due; the rest
+is for a slow table, and for another daemon that takes over."""
 TICK_S = 0.5
 
 
@@ -75,6 +78,8 @@
     finalized: FinalizedWindows
     lateness_s: float
     """Time after the end of a window until which its report is due."""
+    propagation_s: Callable[[], float]
+    """Returns the time in which the daemons' digests reach all others."""
     metrics: GatewayMetrics
     lose_lease: Callable[[Lease], None]
     """Called when the platform has seen a higher fencing number."""
@@ -117,8 +122,11 @@
 
     def _newest_due(self, now: float) -> int:
         """Return the newest window whose counts may be finalized."""
-        window_s = self.request_counts.window_s
-        return int((now - FINALIZE_DELAY_S) // window_s) - 1
+        delay_s = min(
+            max(FINALIZE_DELAY_S, self.propagation_s()),
+            MAX_FINALIZE_DELAY_SHARE * self.lateness_s,
+        )
+        return int((now - delay_s) // self.request_counts.window_s) - 1
 
     async def _finalize(self, windows: list[int]) -> None:
         counts = {
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -454,6 +454,7 @@
             request_counts=self.request_counts,
             finalized=self.finalized_windows,
             lateness_s=self.settings.usage_lateness_s,
+            propagation_s=lambda: self.states.propagation_s,
             metrics=self.metrics,
             lose_lease=lambda lease: lease.end(),
         )
