--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -202,9 +202,11 @@
             {'service': self.job.service.name}, took_s
         )
         choice.record.load.note_read(choice.unread_tokens)
+        chooser = self.recorder.chooser
+        residence = chooser.forecast.residence(self.job.service.name)
+        residence.prefill.add(took_s)
         if prompt is None:
             return
-        chooser = self.recorder.chooser
         record = choice.record
         chooser.prefix_index.note_read(record.id, prompt, record.incarnation)
         if choice.queued_tokens < 1:
@@ -299,9 +301,15 @@
             yield attempt
         finally:
             load.end(0.0 if attempt.has_first_event else unread_tokens)
+            if attempt.is_result_counted:
+                residence = self.chooser.forecast.residence(job.service.name)
+                residence.request.add(self.clock() - now)
 
     def _log_sent(self, job: Job, choice: Choice) -> None:
-        record = choice.record
+        record, forecast = choice.record, self.chooser.forecast
+        load = forecast.load(record, self.clock())
+        if forecast.is_active():
+            self.metrics.forecast_sends.inc({'service': job.service.name})
         log.info(
             'request_sent',
             request=job.request.id,
@@ -316,6 +324,8 @@
             ahead_tokens=int(choice.queued_tokens),
             fetch_from=choice.fetch_from and choice.fetch_from.id,
             under_way=record.load.total(self.clock()).requests,
+            forecast_load=round(load.requests, 2),
+            report_age_s=load.report_age_s and round(load.report_age_s, 2),
             news_age_s=round(self.digest_age_s(), 2),
             list_age_s=round(self.list_age_s(), 2),
             left_s=round(job.left_s(self.clock()), 2),
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -22,6 +22,7 @@
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.balancing.engine_speed import EngineSpeed
 from mimosamux_daemon.gateway.balancing.health import MAX_EXCESS_FAILURE_RATE
+from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
 )
@@ -41,6 +42,14 @@
 ENGINE_S_PER_OUTPUT_TOKEN = 0.0001
 """Engine time per output token; it is short because an engine decodes many
 requests in one batch."""
+MAX_OWN_CALLS = 1
+"""Calls that one daemon has in flight at an endpoint before it prefers other
+endpoints, where a service has fewer slots than there are daemons. An equal
+part of the slots would be less than one call."""
+TIE_SLOT_SHARE = 0.05
+"""Difference in load per slot up to which endpoints count as equal. Every
+daemon knows the same reports; a smaller difference is no information, and
+would send all of them to the same endpoint."""
 SPREAD_SAMPLE_SIZE = 2
 """Endpoints drawn at random for a spread request, before the usual choice."""
 MIN_FETCH_TOKENS = 256
@@ -75,13 +84,18 @@
         prefix_index: PrefixCacheIndex,
         roster: Roster,
         rollouts: Rollouts,
+        forecast: LoadForecast,
+        daemons: Callable[[], int],
         data_centre: DataCentreName,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.prefix_index = prefix_index
+        self.forecast = forecast
         self._roster = roster
         self._rollouts = rollouts
+        self._daemons = daemons
+        """Returns the number of daemons that may serve callers."""
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
@@ -125,6 +139,10 @@
                     records, min(SPREAD_SAMPLE_SIZE, len(records))
                 )
             return self._choose_engine(records, service, route, prompt, now)
+        if self.forecast.is_active():
+            return Choice(
+                record=self._choose_by_forecast(records, service.name, now)
+            )
         return Choice(record=self._choose_plain(records, now))
 
     def find_candidates(
@@ -224,7 +242,7 @@
     ) -> Choice:
         """Estimate the prefill work and the delay at one endpoint."""
         speed = self.speed_of(service.name)
-        load = record.load.total(now)
+        load = self.forecast.load(record, now)
         cached = self.prefix_index.cached_tokens(record.id, prompt)
         fetch_from = None
         if holder is not None and holder is not record:
@@ -263,6 +281,44 @@
         shuffled = self._rng.sample(list(records), len(records))
         return min(shuffled, key=cost)
 
+    def _choose_by_forecast(
+        self,
+        records: Sequence[EndpointRecord],
+        service: ServiceName,
+        now: float,
+    ) -> EndpointRecord:
+        """Return one of the endpoints with the least expected load per slot.
+
+        It is drawn in proportion to the slots. Where slots are few, the
+        distance does not count: it would send the daemons of a data centre
+        to its endpoint, and queueing there takes longer than the way.
+        """
+        remote_penalty = REMOTE_PENALTY_REQUESTS
+        if self.forecast.slots(service, now) < self._daemons():
+            remote_penalty = 0.0
+            below_bound = [
+                record
+                for record in records
+                if record.load.requests < MAX_OWN_CALLS
+            ]
+            records = below_bound or records
+
+        def cost(record: EndpointRecord) -> float:
+            load = self.forecast.load(record, now)
+            is_remote = record.listed.data_centre != self._data_centre
+            penalty = remote_penalty if is_remote else 0.0
+            return (load.requests + penalty) / record.listed.slots
+
+        costs = [cost(record) for record in records]
+        limit = min(costs) + TIE_SLOT_SHARE
+        tied = [
+            record
+            for record, each in zip(records, costs, strict=True)
+            if each <= limit
+        ]
+        weights = [record.listed.slots for record in tied]
+        return self._rng.choices(tied, weights)[0]
+
 
 def _exclude_unhealthy(
     records: list[EndpointRecord], now: float
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -18,6 +18,18 @@
     unread_tokens: float = 0.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerLoad:
+    """What peers reported, and when that arrived on average."""
+
+    requests: int
+    unread_tokens: float
+    requests_at: float | None
+    """Mean arrival of the reports, weighted by requests; None for none."""
+    tokens_at: float | None
+    """The same, weighted by unread tokens."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _PeerReport:
     requests: int
@@ -26,7 +38,8 @@
     """When the report arrived, on the steady clock."""
 
 
-NO_REPORT = _PeerReport(requests=0, unread_tokens=0.0, at=-math.inf)
+NO_REPORT = _PeerReport(requests=0, unread_tokens=0.0, at=0.0)
+"""Report of a peer that has nothing in flight; its time has no weight."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -39,6 +52,9 @@
     _peer_sum: LoadCounts = LoadCounts()
     """Sum over the peers. Computing it for each choice of an endpoint took
     longer than the rest of the choice with dozens of peers."""
+    _peer_times: '_WeightedTimes' = field(
+        default_factory=lambda: _WeightedTimes()
+    )
     _peer_sum_expires_at: float = math.inf
     """When the oldest report in the sum expires, or an earlier time."""
 
@@ -82,6 +98,8 @@
             + report.unread_tokens
             - old.unread_tokens,
         )
+        self._peer_times.add(report)
+        self._peer_times.remove(old)
 
     def total(self, now: float) -> LoadCounts:
         """Return what all daemons have in flight, by their latest reports."""
@@ -92,6 +110,22 @@
             unread_tokens=self.unread_tokens + self._peer_sum.unread_tokens,
         )
 
+    def peers(self, now: float) -> PeerLoad:
+        """Return what the peers have in flight, by their latest reports."""
+        if now >= self._peer_sum_expires_at:
+            self._expire_reports(now)
+        requests = self._peer_sum.requests
+        unread_tokens = self._peer_sum.unread_tokens
+        times = self._peer_times
+        return PeerLoad(
+            requests=requests,
+            unread_tokens=unread_tokens,
+            requests_at=times.by_requests / requests if requests else None,
+            tokens_at=times.by_tokens / unread_tokens
+            if unread_tokens >= 1
+            else None,
+        )
+
     def _expire_reports(self, now: float) -> None:
         """Drop reports that are older than `PEER_REPORT_TTL_S`."""
         self._report_by_peer = {
@@ -104,6 +138,9 @@
             requests=sum(report.requests for report in reports),
             unread_tokens=sum(report.unread_tokens for report in reports),
         )
+        self._peer_times = _WeightedTimes()
+        for report in reports:
+            self._peer_times.add(report)
         self._peer_sum_expires_at = PEER_REPORT_TTL_S + min(
             (report.at for report in reports), default=math.inf
         )
@@ -113,3 +150,19 @@
         return LoadCounts(
             requests=self.requests, unread_tokens=self.unread_tokens
         )
+
+
+@dataclass(kw_only=True, slots=True)
+class _WeightedTimes:
+    """Sums of the arrival times of reports, weighted by what they report."""
+
+    by_requests: float = 0.0
+    by_tokens: float = 0.0
+
+    def add(self, report: _PeerReport) -> None:
+        self.by_requests += report.requests * report.at
+        self.by_tokens += report.unread_tokens * report.at
+
+    def remove(self, report: _PeerReport) -> None:
+        self.by_requests -= report.requests * report.at
+        self.by_tokens -= report.unread_tokens * report.at
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -91,6 +91,16 @@
             'mimosamux_gateway_peers',
             'Other daemons, by state (fresh, silent).',
         )
+        self.forecast_sends = self._counter(
+            'mimosamux_gateway_forecast_sends_total',
+            'Sends to endpoints chosen by a forecast of their load, by '
+            'service.',
+        )
+        self.residence_s = self._gauge(
+            'mimosamux_gateway_residence_seconds',
+            'Learned time for which work stays at an endpoint, by service '
+            'and work (request, prefill).',
+        )
         self.holds_lease = self._gauge(
             'mimosamux_gateway_holds_lease',
             'Whether this daemon does the duties, 0 or 1.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -23,9 +23,13 @@
 from mimosamux_daemon.gateway.attempts import AttemptRecorder
 from mimosamux_daemon.gateway.balancing.choice import Chooser
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
 )
+from mimosamux_daemon.gateway.balancing.service_endpoints import (
+    ServiceEndpoints,
+)
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.crash_detector import CrashDetector
 from mimosamux_daemon.gateway.crash_exchange import CrashExchange
@@ -304,14 +308,23 @@
             notify_peers=leaving.announce,
         )
         self.roster.on_leaving.append(self.evacuation.note_leaving)
+        endpoints = ServiceEndpoints()
+        self.roster.on_listed.append(endpoints.add)
+        self.roster.on_leaving.append(endpoints.discard)
         self.chooser = Chooser(
             prefix_index=PrefixCacheIndex(is_current=self.roster.is_current),
             roster=self.roster,
             rollouts=self.rollouts,
+            forecast=LoadForecast(
+                is_relayed=lambda: not self.states.is_flat,
+                endpoints=endpoints.records,
+            ),
+            daemons=self.states.max_serving,
             data_centre=self.settings.place.data_centre,
             clock=self._clock,
             rng=self._rng,
         )
+        self.metrics.collectors.append(self._collect_residence_times)
         self.roster.on_forgotten.append(self.chooser.prefix_index.forget)
         self.roster.on_restarted.append(self._forget_previous_incarnation)
 
@@ -498,6 +511,17 @@
         for reader in (self.configuration_reader, self.endpoint_reader):
             reader.receive_update(update)
 
+    def _collect_residence_times(self) -> None:
+        """Set the gauges of the residence times that forecasts rely on."""
+        gauge = self.metrics.residence_s
+        by_service = self.chooser.forecast.residence_by_service
+        for service, residence in by_service.items():
+            for work, time in (
+                ('request', residence.request),
+                ('prefill', residence.prefill),
+            ):
+                gauge.set({'service': service, 'work': work}, time.mean_s)
+
     def _forget_previous_incarnation(self, old: EndpointRecord) -> None:
         """Drop cache index, limits and connections of a restarted endpoint."""
         self.limits.forget(old.id)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -60,6 +60,9 @@
         self.by_id: dict[EndpointId, EndpointRecord] = {}
         self.changed = anyio.Event()
         """Set, and replaced by a new one, with each change of the list."""
+        self.on_listed: list[Listener] = []
+        """Called with each new record of a listed endpoint, and again when
+        the service of an endpoint changes."""
         self.on_leaving: list[Listener] = []
         """Called with each leaving endpoint, from whatever source."""
         self.on_listed_leaving: list[Listener] = []
@@ -269,7 +272,10 @@
             record = self._add(item)
         elif 0 < record.incarnation < item.incarnation:
             record = self._restart(record, item)
+        is_moved = record.listed.service != item.service
         record.listed = item
+        if is_moved and not record.is_leaving:
+            self._notify_listed(record)
         record.gone_at = None
         record.is_lapsed = False
         record.is_unreadable = False
@@ -292,8 +298,13 @@
             market=item.market,
             state=item.state,
         )
+        self._notify_listed(record)
         return record
 
+    def _notify_listed(self, record: EndpointRecord) -> None:
+        for listener in self.on_listed:
+            listener(record)
+
     def _restart(
         self, old: EndpointRecord, item: ListedEndpoint
     ) -> EndpointRecord:
--- a/tests/test_gateway_once.py
+++ b/tests/test_gateway_once.py
@@ -7,7 +7,7 @@
 
 from tests.support.clock import run_paused
 from tests.support.memory_network import machine_of
-from tests.support.platform_site import open_site
+from tests.support.platform_site import default_document, open_site
 
 NOT_RUN = (408, 421, 429, 503)
 
@@ -87,6 +87,45 @@
 
         self.assertEqual(run_paused(check), (503, True, 0))
 
+    def test_slip_turned_down_is_sent_once_to_another_endpoint(self):
+        """A replica is full while others are idle; the route has two attempts.
+
+        The refused slip has not run, so it runs at another replica, once.
+        Where all are full, it is refused after the second attempt.
+        """
+
+        async def check():
+            document = default_document()
+            document.add_route('/order/', 'app', 'non_idempotent')
+            async with open_site(document=document) as site:
+                apps = [
+                    replica
+                    for replica in site.replicas_by_id.values()
+                    if replica.service == 'app'
+                ]
+                apps[0].fault = Fault.SHED
+                answers = [
+                    await site.caller().send(
+                        daemon.entry, '/order/1', body=b'order'
+                    )
+                    for daemon in site.daemons
+                ]
+                refusals = len(apps[0].arrivals)
+                runs = [count_runs(site, answer.id) for answer in answers]
+                set_fault(site, 'app', Fault.SHED)
+                before = sum(len(app.arrivals) for app in apps)
+                refused = await site.caller().send(
+                    site.daemons[0].entry, '/order/2', body=b'order'
+                )
+                sends = sum(len(app.arrivals) for app in apps) - before
+                statuses = {answer.status for answer in answers}
+                return statuses, runs, refusals, refused.status, sends
+
+        statuses, runs, refusals, refused, sends = run_paused(check)
+        self.assertEqual((statuses, runs), ({200}, [1, 1, 1]))
+        self.assertGreater(refusals, 0)
+        self.assertEqual((refused, sends), (503, 2))
+
     def test_slip_under_way_at_its_time_limit_is_not_called_unrun(self):
         """A replica works on a slip for longer than the route allows.
 
