--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from mimosamux_daemon.domain.gateway import PromptInfo
 from mimosamux_daemon.domain.names import (
     DataCentreName,
@@ -20,7 +18,12 @@
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.engine_candidates import (
+    WIDE_SAMPLE_SIZE,
+    EngineCandidates,
+)
 from mimosamux_daemon.gateway.balancing.engine_speed import EngineSpeed
+from mimosamux_daemon.gateway.balancing.hash_order import rendezvous_hash
 from mimosamux_daemon.gateway.balancing.health import MAX_EXCESS_FAILURE_RATE
 from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
@@ -85,6 +88,7 @@
         roster: Roster,
         rollouts: Rollouts,
         forecast: LoadForecast,
+        candidates: EngineCandidates,
         daemons: Callable[[], int],
         data_centre: DataCentreName,
         clock: Callable[[], float],
@@ -92,6 +96,7 @@
     ) -> None:
         self.prefix_index = prefix_index
         self.forecast = forecast
+        self._candidates = candidates
         self._roster = roster
         self._rollouts = rollouts
         self._daemons = daemons
@@ -124,6 +129,17 @@
         request that caused the crash.
         """
         now = self._clock()
+        if prompt is not None and self._has_many_engines(service):
+            choice = self._choose_of_many(
+                service,
+                route,
+                prompt,
+                excluding=excluding,
+                is_spread=is_spread,
+                now=now,
+            )
+            if choice is not None:
+                return choice
         records = self.find_candidates(
             service.name,
             request_id=request_id,
@@ -138,7 +154,10 @@
                 records = self._rng.sample(
                     records, min(SPREAD_SAMPLE_SIZE, len(records))
                 )
-            return self._choose_engine(records, service, route, prompt, now)
+            holder = self._find_holder(service, prompt)
+            return self._choose_engine(
+                records, service, route, prompt, holder, now
+            )
         if self.forecast.is_active():
             return Choice(
                 record=self._choose_by_forecast(records, service.name, now)
@@ -183,33 +202,96 @@
         prefill_s = self.speed_of(service).prefill_s(prompt.unshared_tokens)
         return prefill_s + output_tokens * ENGINE_S_PER_OUTPUT_TOKEN
 
+    def _has_many_engines(self, service: ServiceEntry) -> bool:
+        """Whether a choice compares only some engines of a service.
+
+        During a roll-out all of them are compared, because the endpoints of
+        a trial are selected among all of its version.
+        """
+        return (
+            service.engine is not None
+            and self._candidates.is_bounded(service.name)
+            and not self._rollouts.is_changing(service.name)
+        )
+
+    def _choose_of_many(
+        self,
+        service: ServiceEntry,
+        route: Route,
+        prompt: PromptInfo,
+        *,
+        excluding: Collection[EndpointId],
+        is_spread: bool,
+        now: float,
+    ) -> Choice | None:
+        """Return the best of a bounded number of engines, None without any.
+
+        More are drawn if none of the first is fast enough.
+        """
+        self._roster.remove_lapsed()
+        holder = self._find_indexed_holder(service, prompt, now)
+
+        def choose_of(records: list[EndpointRecord]) -> Choice | None:
+            proven = self._rollouts.find_proven(service.name, records)
+            healthy = _exclude_unhealthy(proven, now)
+            if not healthy:
+                return None
+            return self._choose_engine(
+                healthy, service, route, prompt, holder, now
+            )
+
+        def sample(count: int) -> list[EndpointRecord]:
+            return self._candidates.sample(
+                service.name, count, excluding=excluding, now=now
+            )
+
+        if is_spread:
+            return choose_of(sample(SPREAD_SAMPLE_SIZE))
+        records = self._candidates.draw(
+            service.name, prompt, holder, excluding=excluding, now=now
+        )
+        choice = choose_of(records)
+        limit_s = HOME_TARGET_SHARE * route.latency_target_s
+        if choice is None or choice.first_event_s <= limit_s:
+            return choice
+        compared = set(records)
+        others = choose_of(
+            [
+                record
+                for record in sample(WIDE_SAMPLE_SIZE)
+                if record not in compared
+            ]
+        )
+        if others is None or choice.first_event_s <= others.first_event_s:
+            return choice
+        return others
+
     def _choose_engine(
         self,
         records: Sequence[EndpointRecord],
         service: ServiceEntry,
         route: Route,
         prompt: PromptInfo,
+        holder: EndpointRecord | None,
         now: float,
     ) -> Choice:
         """Return the first endpoint in hash order that is fast enough.
 
-        The limit is `HOME_TARGET_SHARE` of the latency target, or the least
-        estimate if no endpoint is within that.
+        The limit is `HOME_TARGET_SHARE` of the latency target. If no endpoint
+        is within that, it is the one with the least estimate.
         """
-        holder = self._find_holder(service, prompt)
-        choices = [
-            self._estimate(record, service, prompt, holder, now)
-            for record in records
-        ]
         prefix_key = prompt.shared_prefix_id
-        choices.sort(
-            key=lambda choice: _rendezvous_hash(choice.record.id, prefix_key)
-        )
-        min_estimate_s = min(choice.first_event_s for choice in choices)
-        limit = max(HOME_TARGET_SHARE * route.latency_target_s, min_estimate_s)
-        return next(
-            choice for choice in choices if choice.first_event_s <= limit
+        in_hash_order = sorted(
+            records, key=lambda record: rendezvous_hash(record.id, prefix_key)
         )
+        limit_s = HOME_TARGET_SHARE * route.latency_target_s
+        choices: list[Choice] = []
+        for record in in_hash_order:
+            choice = self._estimate(record, service, prompt, holder, now)
+            if choice.first_event_s <= limit_s:
+                return choice
+            choices.append(choice)
+        return min(choices, key=lambda choice: choice.first_event_s)
 
     def _find_holder(
         self, service: ServiceEntry, prompt: PromptInfo
@@ -224,14 +306,28 @@
         now = self._clock()
         max_cached, holder = MIN_FETCH_TOKENS - 1, None
         for record in self._roster.of_service(service.name):
-            is_gone = record.leaves_at is not None and record.leaves_at < now
-            if is_gone or record.is_unreachable(now):
+            if _is_gone(record, now) or record.is_unreachable(now):
                 continue
             tokens = self.prefix_index.cached_tokens(record.id, prompt)
             if tokens > max_cached:
                 max_cached, holder = tokens, record
         return holder
 
+    def _find_indexed_holder(
+        self, service: ServiceEntry, prompt: PromptInfo, now: float
+    ) -> EndpointRecord | None:
+        """Return the same as `_find_holder`, of the holders in the index."""
+        for id_, tokens in self.prefix_index.holders(prompt):
+            if tokens < MIN_FETCH_TOKENS:
+                return None
+            record = self._roster.by_id.get(id_)
+            if record is None or record.listed.service != service.name:
+                continue
+            if _is_gone(record, now) or record.is_unreachable(now):
+                continue
+            return record
+        return None
+
     def _estimate(
         self,
         record: EndpointRecord,
@@ -346,6 +442,8 @@
     return healthy or available
 
 
-def _rendezvous_hash(endpoint: EndpointId, key: str) -> int:
-    """Return the rendezvous hash of an endpoint, the same at each daemon."""
-    return xxhash.xxh3_64_intdigest(f'{endpoint} {key}'.encode())
+def _is_gone(record: EndpointRecord, now: float) -> bool:
+    """Whether an endpoint was removed, or its time to leave has passed."""
+    if record.gone_at is not None:
+        return True
+    return record.leaves_at is not None and record.leaves_at < now
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/hash_order.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/hash_order.py
@@ -40,14 +40,10 @@
         in the lists, and skipped when they are read."""
 
     def add(self, endpoint: EndpointId) -> None:
-        """Insert an endpoint in the order of each kept key.
-
-        Behind the last kept one it is left out: endpoints that are not kept
-        may come between them.
-        """
+        """Insert an endpoint in the order of each kept key."""
         for key, ranked in self._ranked_by_key.items():
             entry = (rendezvous_hash(endpoint, key), endpoint)
-            if ranked and entry < ranked[-1] and entry not in ranked:
+            if entry not in ranked:
                 bisect.insort(ranked, entry)
                 del ranked[KEPT_ENDPOINTS:]
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
@@ -4,6 +4,7 @@
 A single daemon sees few of them, so daemons share their counts.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -28,6 +29,9 @@
     failed: int = 0
 
 
+NO_ANSWERS = AnswerCounts()
+
+
 @dataclass(kw_only=True, slots=True)
 class EndpointHealth:
     """Answers of one endpoint to this daemon and to its peers."""
@@ -36,6 +40,10 @@
     _by_peer: dict[DaemonId, tuple[float, AnswerCounts]] = field(
         default_factory=dict
     )
+    _peer_sum: AnswerCounts = NO_ANSWERS
+    """Sum over the peers, which every choice of an endpoint needs."""
+    _peer_sum_expires_at: float = math.inf
+    """When the oldest counts in the sum expire, or an earlier time."""
 
     def note(self, now: float, *, failed: bool) -> None:
         """Count an answer, or a failure to get one."""
@@ -45,10 +53,17 @@
         self, peer: DaemonId, answers: AnswerCounts, now: float
     ) -> None:
         """Store the counts of a peer's last window."""
+        _, old = self._by_peer.pop(peer, (now, NO_ANSWERS))
+        new = answers if answers.ended else NO_ANSWERS
         if answers.ended:
             self._by_peer[peer] = (now, answers)
-        else:
-            self._by_peer.pop(peer, None)
+            self._peer_sum_expires_at = min(
+                self._peer_sum_expires_at, now + WINDOW_S
+            )
+        self._peer_sum = AnswerCounts(
+            ended=self._peer_sum.ended + new.ended - old.ended,
+            failed=self._peer_sum.failed + new.failed - old.failed,
+        )
 
     def own(self, now: float) -> AnswerCounts:
         """Return the counts of this daemon's own requests."""
@@ -59,13 +74,26 @@
 
     def failure_rate(self, now: float) -> float | None:
         """Return the failure rate, None for too few answers."""
-        counts = [self.own(now)]
-        counts += [
-            answers
-            for at, answers in self._by_peer.values()
-            if at > now - WINDOW_S
-        ]
-        ended = sum(answers.ended for answers in counts)
+        if now >= self._peer_sum_expires_at:
+            self._expire_peers(now)
+        own = self.own(now) if self._own else NO_ANSWERS
+        ended = own.ended + self._peer_sum.ended
         if ended < MIN_ANSWERS:
             return None
-        return sum(answers.failed for answers in counts) / ended
+        return (own.failed + self._peer_sum.failed) / ended
+
+    def _expire_peers(self, now: float) -> None:
+        """Drop counts that are older than `WINDOW_S`."""
+        self._by_peer = {
+            peer: (at, answers)
+            for peer, (at, answers) in self._by_peer.items()
+            if at + WINDOW_S > now
+        }
+        counts = [answers for _, answers in self._by_peer.values()]
+        self._peer_sum = AnswerCounts(
+            ended=sum(answers.ended for answers in counts),
+            failed=sum(answers.failed for answers in counts),
+        )
+        self._peer_sum_expires_at = WINDOW_S + min(
+            (at for at, _ in self._by_peer.values()), default=math.inf
+        )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/load_forecast.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/load_forecast.py
@@ -111,7 +111,8 @@
 
     def load(self, record: EndpointRecord, now: float) -> ExpectedLoad:
         """Return the expected load of an endpoint, own requests included."""
-        own, peers = record.load.own(), record.load.peers(now)
+        own = record.load
+        peers = own.peers(now)
         requests: float = peers.requests
         unread_tokens = peers.unread_tokens
         requests_at = peers.requests_at
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -23,6 +23,9 @@
 from mimosamux_daemon.gateway.attempts import AttemptRecorder
 from mimosamux_daemon.gateway.balancing.choice import Chooser
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.engine_candidates import (
+    EngineCandidates,
+)
 from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
@@ -319,6 +322,7 @@
                 is_relayed=lambda: not self.states.is_flat,
                 endpoints=endpoints.records,
             ),
+            candidates=EngineCandidates(endpoints=endpoints, rng=self._rng),
             daemons=self.states.max_serving,
             data_centre=self.settings.place.data_centre,
             clock=self._clock,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -76,6 +76,8 @@
         self._clock = clock
         self._time_of_day = time_of_day
         self._health = health
+        self._has_lapsed = False
+        """Whether the entry of a record may have lapsed."""
 
     def replace(
         self, items: Mapping[str, ListedEndpoint | Unreadable]
@@ -152,7 +154,7 @@
 
     def serving(self, service: ServiceName) -> list[EndpointRecord]:
         """Return the endpoints of a service that may get new requests."""
-        self._remove_lapsed()
+        self.remove_lapsed()
         return [
             record
             for record in self.by_id.values()
@@ -354,6 +356,7 @@
             if not record.is_lapsed:
                 log.info('endpoint_lapsed', endpoint=record.id)
             record.is_lapsed = True
+            self._has_lapsed = True
             return
         record.is_lapsed = False
         record.gone_at = self._clock()
@@ -361,10 +364,11 @@
         if not record.is_leaving:
             self.note_leaving(record.id, left_s=None, source=PLATFORM)
 
-    def _remove_lapsed(self) -> None:
+    def remove_lapsed(self) -> None:
         """Mark endpoints as gone that stay missing after an outage."""
-        if self._health.may_have_lapsed():
+        if not self._has_lapsed or self._health.may_have_lapsed():
             return
+        self._has_lapsed = False
         for record in self.by_id.values():
             if record.is_lapsed:
                 self._handle_missing(record)
