--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -55,6 +55,8 @@
     _peer_times: '_WeightedTimes' = field(
         default_factory=lambda: _WeightedTimes()
     )
+    _peer_load: PeerLoad | None = None
+    """Both together, None if they have changed since."""
     _peer_sum_expires_at: float = math.inf
     """When the oldest report in the sum expires, or an earlier time."""
 
@@ -100,6 +102,7 @@
         )
         self._peer_times.add(report)
         self._peer_times.remove(old)
+        self._peer_load = None
 
     def total(self, now: float) -> LoadCounts:
         """Return what all daemons have in flight, by their latest reports."""
@@ -114,6 +117,11 @@
         """Return what the peers have in flight, by their latest reports."""
         if now >= self._peer_sum_expires_at:
             self._expire_reports(now)
+        if self._peer_load is None:
+            self._peer_load = self._sum_up_peers()
+        return self._peer_load
+
+    def _sum_up_peers(self) -> PeerLoad:
         requests = self._peer_sum.requests
         unread_tokens = self._peer_sum.unread_tokens
         times = self._peer_times
@@ -138,6 +146,7 @@
             requests=sum(report.requests for report in reports),
             unread_tokens=sum(report.unread_tokens for report in reports),
         )
+        self._peer_load = None
         self._peer_times = _WeightedTimes()
         for report in reports:
             self._peer_times.add(report)
--- a/tests/test_gateway_stale_reports.py
+++ b/tests/test_gateway_stale_reports.py
@@ -1,8 +1,10 @@
 """Choice of endpoints by daemons whose reports of load are out of date."""
 
+import logging
 import random
 import unittest
 
+import structlog
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.gateway.balancing.load_forecast import (
     MEAN_INTERVAL_S,
@@ -10,7 +12,10 @@
     ResidenceTime,
 )
 from mimosamux_daemon.gateway.balancing.loads import PEER_REPORT_TTL_S
+from structlog.testing import capture_logs
 
+from tests.support.clock import run_paused
+from tests.support.platform_site import open_site
 from tests.support.stale_reports import APP, ChoosingDaemon, Play, listed
 
 CALL_S = 0.022
@@ -181,3 +186,47 @@
         """Daemons of one data centre would all use its own endpoint."""
         chosen = {self.daemon.choose().record.id for _ in range(100)}
         self.assertEqual(len(chosen), 3)
+
+
+class TestSite(unittest.TestCase):
+    """Daemons on the stand-in platform, up to 12 of which need no relays."""
+
+    def setUp(self):
+        before = structlog.get_config()
+        self.addCleanup(structlog.configure, **before)
+        wrapper = structlog.make_filtering_bound_logger(logging.INFO)
+        structlog.configure(wrapper_class=wrapper)
+
+    def send(self, daemons):
+        """Return the metrics and the log lines of sends of one daemon."""
+
+        async def check():
+            async with open_site(daemons=daemons) as site:
+                daemon = site.daemons[0]
+                for _ in range(3):
+                    await site.caller().send(
+                        daemon.entry, '/slip/1', body=b'slip'
+                    )
+                return daemon.daemon.parts.metrics.render()[0].decode()
+
+        with capture_logs() as events:
+            metrics = run_paused(check)
+        return metrics, [
+            event for event in events if event['event'] == 'request_sent'
+        ]
+
+    def test_forecast_is_shown_where_reports_pass_through_relays(self):
+        metrics, lines = self.send(14)
+        self.assertIn(
+            'mimosamux_gateway_forecast_sends_total{service="app"} 3', metrics
+        )
+        self.assertIn('work="request"', metrics)
+        self.assertEqual(len(lines), 3)
+        for line in lines:
+            self.assertEqual(line['forecast_load'], 0)
+            self.assertIsNone(line['report_age_s'])
+
+    def test_small_site_chooses_without_a_forecast(self):
+        metrics, lines = self.send(3)
+        self.assertNotIn('forecast_sends_total{', metrics)
+        self.assertEqual(len(lines), 3)
