--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -10,8 +10,6 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
 from mimosamux_daemon.domain.gateway import PromptInfo
 from mimosamux_daemon.domain.names import (
     DataCentreName,
@@ -20,8 +18,14 @@
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.engine_candidates import (
+    WIDE_SAMPLE_SIZE,
+    EngineCandidates,
+)
 from mimosamux_daemon.gateway.balancing.engine_speed import EngineSpeed
+from mimosamux_daemon.gateway.balancing.hash_order import rendezvous_hash
 from mimosamux_daemon.gateway.balancing.health import MAX_EXCESS_FAILURE_RATE
+from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
 )
@@ -41,6 +45,14 @@
 ENGINE_S_PER_OUTPUT_TOKEN = 0.0001
 """Engine time per output token; it is short because an engine decodes many
 requests in one batch."""
+MAX_OWN_CALLS = 1
+"""Calls that one daemon has in flight at an endpoint before it prefers other
+endpoints, where a service has fewer slots than there are daemons. An equal
+part of the slots would be less than one call."""
+TIE_SLOT_SHARE = 0.05
+"""Difference in load per slot up to which endpoints count as equal. Every
+daemon knows the same reports; a smaller difference is no information, and
+would send all of them to the same endpoint."""
 SPREAD_SAMPLE_SIZE = 2
 """Endpoints drawn at random for a spread request, before the usual choice."""
 MIN_FETCH_TOKENS = 256
@@ -61,7 +73,9 @@
     """Part of that time which the request's own prefill takes beyond
     `OWN_PREFILL_S`, and which is therefore not due to queueing."""
     queued_tokens: float = 0.0
-    """Tokens of other prompts that are queued there for prefill."""
+    """Tokens of other prompts that are reported as queued there. A forecast
+    is hardly ever zero, and the engine speed is learned from requests that
+    found no other prompt queued."""
     fetch_from: EndpointRecord | None = None
     """Endpoint from whose KV cache the shared prefix is to be copied."""
 
@@ -75,13 +89,20 @@
         prefix_index: PrefixCacheIndex,
         roster: Roster,
         rollouts: Rollouts,
+        forecast: LoadForecast,
+        candidates: EngineCandidates,
+        daemons: Callable[[], int],
         data_centre: DataCentreName,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
         self.prefix_index = prefix_index
+        self.forecast = forecast
+        self._candidates = candidates
         self._roster = roster
         self._rollouts = rollouts
+        self._daemons = daemons
+        """Returns the number of daemons that may serve callers."""
         self._data_centre = data_centre
         self._clock = clock
         self._rng = rng
@@ -110,6 +131,17 @@
         request that caused the crash.
         """
         now = self._clock()
+        if prompt is not None and self._has_many_engines(service):
+            choice = self._choose_of_many(
+                service,
+                route,
+                prompt,
+                excluding=excluding,
+                is_spread=is_spread,
+                now=now,
+            )
+            if choice is not None:
+                return choice
         records = self.find_candidates(
             service.name,
             request_id=request_id,
@@ -124,7 +156,14 @@
                 records = self._rng.sample(
                     records, min(SPREAD_SAMPLE_SIZE, len(records))
                 )
-            return self._choose_engine(records, service, route, prompt, now)
+            holder = self._find_holder(service, prompt)
+            return self._choose_engine(
+                records, service, route, prompt, holder, now
+            )
+        if self.forecast.is_active():
+            return Choice(
+                record=self._choose_by_forecast(records, service.name, now)
+            )
         return Choice(record=self._choose_plain(records, now))
 
     def find_candidates(
@@ -165,33 +204,96 @@
         prefill_s = self.speed_of(service).prefill_s(prompt.unshared_tokens)
         return prefill_s + output_tokens * ENGINE_S_PER_OUTPUT_TOKEN
 
+    def _has_many_engines(self, service: ServiceEntry) -> bool:
+        """Whether a choice compares only some engines of a service.
+
+        During a roll-out all of them are compared, because the endpoints of
+        a trial are selected among all of its version.
+        """
+        return (
+            service.engine is not None
+            and self._candidates.is_bounded(service.name)
+            and not self._rollouts.is_changing(service.name)
+        )
+
+    def _choose_of_many(
+        self,
+        service: ServiceEntry,
+        route: Route,
+        prompt: PromptInfo,
+        *,
+        excluding: Collection[EndpointId],
+        is_spread: bool,
+        now: float,
+    ) -> Choice | None:
+        """Return the best of a bounded number of engines, None without any.
+
+        More are drawn if none of the first is fast enough.
+        """
+        self._roster.remove_lapsed()
+        holder = self._find_indexed_holder(service, prompt, now)
+
+        def choose_of(records: list[EndpointRecord]) -> Choice | None:
+            proven = self._rollouts.find_proven(service.name, records)
+            healthy = _exclude_unhealthy(proven, now)
+            if not healthy:
+                return None
+            return self._choose_engine(
+                healthy, service, route, prompt, holder, now
+            )
+
+        def sample(count: int) -> list[EndpointRecord]:
+            return self._candidates.sample(
+                service.name, count, excluding=excluding, now=now
+            )
+
+        if is_spread:
+            return choose_of(sample(SPREAD_SAMPLE_SIZE))
+        records = self._candidates.draw(
+            service.name, prompt, holder, excluding=excluding, now=now
+        )
+        choice = choose_of(records)
+        limit_s = HOME_TARGET_SHARE * route.latency_target_s
+        if choice is None or choice.first_event_s <= limit_s:
+            return choice
+        compared = set(records)
+        others = choose_of(
+            [
+                record
+                for record in sample(WIDE_SAMPLE_SIZE)
+                if record not in compared
+            ]
+        )
+        if others is None or choice.first_event_s <= others.first_event_s:
+            return choice
+        return others
+
     def _choose_engine(
         self,
         records: Sequence[EndpointRecord],
         service: ServiceEntry,
         route: Route,
         prompt: PromptInfo,
+        holder: EndpointRecord | None,
         now: float,
     ) -> Choice:
         """Return the first endpoint in hash order that is fast enough.
 
-        The limit is `HOME_TARGET_SHARE` of the latency target, or the least
-        estimate if no endpoint is within that.
+        The limit is `HOME_TARGET_SHARE` of the latency target. If no endpoint
+        is within that, it is the one with the least estimate.
         """
-        holder = self._find_holder(service, prompt)
-        choices = [
-            self._estimate(record, service, prompt, holder, now)
-            for record in records
-        ]
         prefix_key = prompt.shared_prefix_id
-        choices.sort(
-            key=lambda choice: _rendezvous_hash(choice.record.id, prefix_key)
-        )
-        min_estimate_s = min(choice.first_event_s for choice in choices)
-        limit = max(HOME_TARGET_SHARE * route.latency_target_s, min_estimate_s)
-        return next(
-            choice for choice in choices if choice.first_event_s <= limit
+        in_hash_order = sorted(
+            records, key=lambda record: rendezvous_hash(record.id, prefix_key)
         )
+        limit_s = HOME_TARGET_SHARE * route.latency_target_s
+        choices: list[Choice] = []
+        for record in in_hash_order:
+            choice = self._estimate(record, service, prompt, holder, now)
+            if choice.first_event_s <= limit_s:
+                return choice
+            choices.append(choice)
+        return min(choices, key=lambda choice: choice.first_event_s)
 
     def _find_holder(
         self, service: ServiceEntry, prompt: PromptInfo
@@ -206,14 +308,28 @@
         now = self._clock()
         max_cached, holder = MIN_FETCH_TOKENS - 1, None
         for record in self._roster.of_service(service.name):
-            is_gone = record.leaves_at is not None and record.leaves_at < now
-            if is_gone or record.is_unreachable(now):
+            if _is_gone(record, now) or record.is_unreachable(now):
                 continue
             tokens = self.prefix_index.cached_tokens(record.id, prompt)
             if tokens > max_cached:
                 max_cached, holder = tokens, record
         return holder
 
+    def _find_indexed_holder(
+        self, service: ServiceEntry, prompt: PromptInfo, now: float
+    ) -> EndpointRecord | None:
+        """Return the same as `_find_holder`, of the holders in the index."""
+        for id_, tokens in self.prefix_index.holders(prompt):
+            if tokens < MIN_FETCH_TOKENS:
+                return None
+            record = self._roster.by_id.get(id_)
+            if record is None or record.listed.service != service.name:
+                continue
+            if _is_gone(record, now) or record.is_unreachable(now):
+                continue
+            return record
+        return None
+
     def _estimate(
         self,
         record: EndpointRecord,
@@ -224,7 +340,7 @@
     ) -> Choice:
         """Estimate the prefill work and the delay at one endpoint."""
         speed = self.speed_of(service.name)
-        load = record.load.total(now)
+        load = self.forecast.load(record, now)
         cached = self.prefix_index.cached_tokens(record.id, prompt)
         fetch_from = None
         if holder is not None and holder is not record:
@@ -245,7 +361,7 @@
             own_prefill_excess_s=max(
                 0.0, speed.prefill_s(unread_tokens) - OWN_PREFILL_S
             ),
-            queued_tokens=load.unread_tokens,
+            queued_tokens=load.reported_tokens,
             fetch_from=fetch_from,
         )
 
@@ -263,6 +379,44 @@
         shuffled = self._rng.sample(list(records), len(records))
         return min(shuffled, key=cost)
 
+    def _choose_by_forecast(
+        self,
+        records: Sequence[EndpointRecord],
+        service: ServiceName,
+        now: float,
+    ) -> EndpointRecord:
+        """Return one of the endpoints with the least expected load per slot.
+
+        It is drawn in proportion to the slots. Where slots are few, the
+        distance does not count: it would send the daemons of a data centre
+        to its endpoint, and queueing there takes longer than the way.
+        """
+        remote_penalty = REMOTE_PENALTY_REQUESTS
+        if self.forecast.slots(service, now) < self._daemons():
+            remote_penalty = 0.0
+            below_bound = [
+                record
+                for record in records
+                if record.load.requests < MAX_OWN_CALLS
+            ]
+            records = below_bound or records
+
+        def cost(record: EndpointRecord) -> float:
+            load = self.forecast.load(record, now)
+            is_remote = record.listed.data_centre != self._data_centre
+            penalty = remote_penalty if is_remote else 0.0
+            return (load.requests + penalty) / record.listed.slots
+
+        costs = [cost(record) for record in records]
+        limit = min(costs) + TIE_SLOT_SHARE
+        tied = [
+            record
+            for record, each in zip(records, costs, strict=True)
+            if each <= limit
+        ]
+        weights = [record.listed.slots for record in tied]
+        return self._rng.choices(tied, weights)[0]
+
 
 def _exclude_unhealthy(
     records: list[EndpointRecord], now: float
@@ -290,6 +444,8 @@
     return healthy or available
 
 
-def _rendezvous_hash(endpoint: EndpointId, key: str) -> int:
-    """Return the rendezvous hash of an endpoint, the same at each daemon."""
-    return xxhash.xxh3_64_intdigest(f'{endpoint} {key}'.encode())
+def _is_gone(record: EndpointRecord, now: float) -> bool:
+    """Whether an endpoint was removed, or its time to leave has passed."""
+    if record.gone_at is not None:
+        return True
+    return record.leaves_at is not None and record.leaves_at < now
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -60,6 +60,9 @@
         self.by_id: dict[EndpointId, EndpointRecord] = {}
         self.changed = anyio.Event()
         """Set, and replaced by a new one, with each change of the list."""
+        self.on_listed: list[Listener] = []
+        """Called with each new record of a listed endpoint, and again when
+        the service of an endpoint changes."""
         self.on_leaving: list[Listener] = []
         """Called with each leaving endpoint, from whatever source."""
         self.on_listed_leaving: list[Listener] = []
@@ -73,6 +76,8 @@
         self._clock = clock
         self._time_of_day = time_of_day
         self._health = health
+        self._has_lapsed = False
+        """Whether the entry of a record may have lapsed."""
 
     def replace(
         self, items: Mapping[str, ListedEndpoint | Unreadable]
@@ -149,7 +154,7 @@
 
     def serving(self, service: ServiceName) -> list[EndpointRecord]:
         """Return the endpoints of a service that may get new requests."""
-        self._remove_lapsed()
+        self.remove_lapsed()
         return [
             record
             for record in self.by_id.values()
@@ -269,7 +274,10 @@
             record = self._add(item)
         elif 0 < record.incarnation < item.incarnation:
             record = self._restart(record, item)
+        is_moved = record.listed.service != item.service
         record.listed = item
+        if is_moved and not record.is_leaving:
+            self._notify_listed(record)
         record.gone_at = None
         record.is_lapsed = False
         record.is_unreadable = False
@@ -292,8 +300,13 @@
             market=item.market,
             state=item.state,
         )
+        self._notify_listed(record)
         return record
 
+    def _notify_listed(self, record: EndpointRecord) -> None:
+        for listener in self.on_listed:
+            listener(record)
+
     def _restart(
         self, old: EndpointRecord, item: ListedEndpoint
     ) -> EndpointRecord:
@@ -343,6 +356,7 @@
             if not record.is_lapsed:
                 log.info('endpoint_lapsed', endpoint=record.id)
             record.is_lapsed = True
+            self._has_lapsed = True
             return
         record.is_lapsed = False
         record.gone_at = self._clock()
@@ -350,10 +364,11 @@
         if not record.is_leaving:
             self.note_leaving(record.id, left_s=None, source=PLATFORM)
 
-    def _remove_lapsed(self) -> None:
+    def remove_lapsed(self) -> None:
         """Mark endpoints as gone that stay missing after an outage."""
-        if self._health.may_have_lapsed():
+        if not self._has_lapsed or self._health.may_have_lapsed():
             return
+        self._has_lapsed = False
         for record in self.by_id.values():
             if record.is_lapsed:
                 self._handle_missing(record)
