--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
@@ -57,15 +57,24 @@
         failed = sum(is_failed for _, is_failed in self._own)
         return AnswerCounts(ended=len(self._own), failed=failed)
 
+    def ended(self, now: float) -> int:
+        """Return the number of answers to all daemons."""
+        return sum(answers.ended for answers in self._counts(now))
+
     def failure_rate(self, now: float) -> float | None:
         """Return the failure rate, None for too few answers."""
+        counts = self._counts(now)
+        ended = sum(answers.ended for answers in counts)
+        if ended < MIN_ANSWERS:
+            return None
+        return sum(answers.failed for answers in counts) / ended
+
+    def _counts(self, now: float) -> list[AnswerCounts]:
+        """Return the counts of this daemon and of each peer."""
         counts = [self.own(now)]
         counts += [
             answers
             for at, answers in self._by_peer.values()
             if at > now - WINDOW_S
         ]
-        ended = sum(answers.ended for answers in counts)
-        if ended < MIN_ANSWERS:
-            return None
-        return sum(answers.failed for answers in counts) / ended
+        return counts
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -54,6 +54,9 @@
     """Handle of the KV cache copy to continue from, if it was moved."""
     has_broken_off: bool = False
     """Whether a call to an endpoint has broken off."""
+    is_late: bool = False
+    """Whether it was sent although it begins later than its latency target;
+    engines give precedence to all others."""
     is_resumed: bool = False
     """Whether its current run continues the output of an earlier one."""
     move_target: EndpointId | None = None
@@ -75,6 +78,8 @@
         """Return the priority for the engine, None for a plain service."""
         if self.service.engine is None:
             return None
+        if self.is_late:
+            return MAX_PRIORITY
         account = self.account
         configured = self.route.priority
         if account is not None and account.priority is not None:
@@ -91,14 +96,18 @@
         """Whether the caller has disconnected."""
         return self.caller is not None and self.caller.has_disconnected()
 
-    def left_s(self, now: float) -> float:
-        """Return the time left until the request's deadline."""
+    @property
+    def limit_s(self) -> float:
+        """Return the time from the request's arrival to its deadline."""
         caller_timeout_s = self.request.caller_timeout_s
-        limit_s = min(
+        return min(
             self.route.timeout_s,
             math.inf if caller_timeout_s is None else caller_timeout_s,
         )
-        return self.request.received_at + limit_s - now
+
+    def left_s(self, now: float) -> float:
+        """Return the time left until the request's deadline."""
+        return self.request.received_at + self.limit_s - now
 
     def resume_point(self) -> ResumePoint | None:
         """Return where its stream resumes, None from its beginning."""
