--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -11,6 +11,9 @@
 from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.gateway.admission.request_dispatcher import (
+    RequestDispatcher,
+)
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_detector import CrashDetector
 from mimosamux_daemon.gateway.jobs import Job
@@ -61,6 +64,23 @@
         """Return the endpoint's entry in the list."""
         return self.choice.record.listed
 
+    @property
+    def counted_tokens(self) -> float:
+        """Return the unread tokens that count as the endpoint's load.
+
+        Engines prefill a late request after all others, so that its tokens
+        delay none; counted, they would have others refused.
+        """
+        return 0.0 if self.job.is_late else self.choice.unread_tokens
+
+    @property
+    def answer_s(self) -> float | None:
+        """Return the time since the first event, None without one."""
+        if self.time_to_first_event_s is None:
+            return None
+        begun_at = self.sent_at + self.time_to_first_event_s
+        return self.recorder.clock() - begun_at
+
     def call(self) -> EndpointCall:
         """Return the call to the endpoint for this attempt."""
         job, source = self.job, self.choice.fetch_from
@@ -201,13 +221,14 @@
         self.recorder.metrics.first_event_s.observe(
             {'service': self.job.service.name}, took_s
         )
-        choice.record.load.note_read(choice.unread_tokens)
+        choice.record.load.note_read(self.counted_tokens)
+        self.recorder.dispatcher.note_room(self.job.service.name)
         if prompt is None:
             return
         chooser = self.recorder.chooser
         record = choice.record
         chooser.prefix_index.note_read(record.id, prompt, record.incarnation)
-        if choice.queued_tokens < 1:
+        if choice.queued_tokens < 1 and not self.job.is_late:
             speed = chooser.speed_of(self.job.service.name)
             speed.add_sample(choice.unread_tokens, took_s)
 
@@ -225,7 +246,10 @@
             self.endpoint.software,
             failed=failed,
             # Every endpoint is slow after its start, whatever its version.
-            took_s=None if self.choice.record.is_warming_up(now) else took_s,
+            # A late request waits there behind all others.
+            took_s=None
+            if job.is_late or self.choice.record.is_warming_up(now)
+            else took_s,
             expected_s=self.choice.first_event_s,
         )
 
@@ -255,6 +279,7 @@
     crash_detector: CrashDetector
     limits: EndpointLimits
     trials: TrialTallies
+    dispatcher: RequestDispatcher
     metrics: GatewayMetrics
     digest_age_s: Callable[[], float]
     """Age of the oldest peer digest that a choice of endpoint relies on."""
@@ -271,17 +296,13 @@
         request that runs would be reported as not run.
         """
         now = self.clock()
-        limit_s = max(
-            SILENCE_TARGET_SHARE * job.route.latency_target_s,
-            SILENCE_ESTIMATE_FACTOR * choice.first_event_s,
-        )
         self._log_sent(job, choice)
         attempt = Attempt(
             job=job,
             choice=choice,
             sent_at=now,
             may_have_run_before=job.may_have_run,
-            silence_deadline=now + limit_s,
+            silence_deadline=now + _silence_limit_s(job, choice),
             recorder=self,
         )
         self.trials.note_send(job.service.name, attempt.endpoint.software)
@@ -293,12 +314,13 @@
         ) is not None
         if choice.record.share is not None:
             choice.record.share.take(now)
-        load, unread_tokens = choice.record.load, choice.unread_tokens
+        load, unread_tokens = choice.record.load, attempt.counted_tokens
         load.begin(unread_tokens)
         try:
             yield attempt
         finally:
             load.end(0.0 if attempt.has_first_event else unread_tokens)
+            self.dispatcher.note_answer(job, attempt.answer_s)
 
     def _log_sent(self, job: Job, choice: Choice) -> None:
         record = choice.record
@@ -321,3 +343,17 @@
             left_s=round(job.left_s(self.clock()), 2),
             goes_on_behind=job.last_event_id,
         )
+
+
+def _silence_limit_s(job: Job, choice: Choice) -> float:
+    """Return for how long an endpoint may be silent, in seconds.
+
+    A late request has no limit: it waits until the endpoint has nothing else
+    to do, and its silence says nothing about the endpoint's health.
+    """
+    if job.is_late:
+        return math.inf
+    return max(
+        SILENCE_TARGET_SHARE * job.route.latency_target_s,
+        SILENCE_ESTIMATE_FACTOR * choice.first_event_s,
+    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -190,6 +190,7 @@
         self.parts.states.state = MemberState.LEAVING
         self.parts.duties.is_stopping = True
         self._duties_scope.cancel()
+        self.parts.dispatcher.close()
         await GracefulStop(
             server=self._server,
             notify_peers=self.parts.states.send_digest,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -1,7 +1,8 @@
 """Forwards a request to endpoints, with retries, until it is answered.
 
 Each request passes admission, the check for contents that crashed endpoints,
-the choice of an endpoint and load shedding before it is sent. A failed
+the choice of an endpoint and load shedding before it is sent; at larger sites
+it can wait for an engine instead of being refused by the latter. A failed
 attempt is repeated at another endpoint only where the route allows it, or
 where the endpoint states that it has not run the request.
 """
@@ -23,6 +24,13 @@
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway.admission.admission import Admission
 from mimosamux_daemon.gateway.admission.load_shedding import LoadShedding
+from mimosamux_daemon.gateway.admission.request_dispatcher import (
+    RequestDispatcher,
+)
+from mimosamux_daemon.gateway.admission.waiting_queue import (
+    Placement,
+    Unplaced,
+)
 from mimosamux_daemon.gateway.answer_relay import (
     CompleteAnswer,
     FailoverWait,
@@ -82,6 +90,7 @@
     recorder: AttemptRecorder
     demand: Demand
     load_shedding: LoadShedding
+    dispatcher: RequestDispatcher
     evacuation: Evacuation
     quarantine: CrashQuarantine
     outcomes: OutcomeLog
@@ -148,7 +157,10 @@
             with anyio.CancelScope() as scope:
                 if job.route.kind is not RouteKind.NON_IDEMPOTENT:
                     caller.cancel_on_disconnect(scope)
-                outcome = await self._run(job)
+                try:
+                    outcome = await self._run(job)
+                finally:
+                    self.dispatcher.note_ended(job)
         if timer.cancelled_caught:
             outcome = self._end_at_deadline(job)
         return outcome
@@ -169,10 +181,12 @@
             choice = self._choose(job)
             if choice is None or failed_connects >= MAX_FAILED_CONNECTS:
                 return self._give_up_unplaced(job)
-            refused = self.load_shedding.find_refusal(job, choice)
-            if refused is not None:
-                return refused
-            outcome = await self._attempt(job, choice)
+            placement = await self._place(job, choice)
+            if isinstance(placement, Unplaced):
+                return self._give_up_unplaced(job)
+            if not isinstance(placement, Choice):
+                return placement
+            outcome = await self._attempt(job, placement)
             if isinstance(outcome, NotSent):
                 failed_connects += 1
                 if not job.may_reconnect:
@@ -180,6 +194,12 @@
             elif not isinstance(outcome, ContinueElsewhere):
                 return outcome
 
+    async def _place(self, job: Job, choice: Choice) -> Placement:
+        """Return where to send a job now, possibly after a wait."""
+        if self.dispatcher.handles(job):
+            return await self.dispatcher.place(job, choice, self._choose)
+        return self.load_shedding.find_refusal(job, choice) or choice
+
     def _give_up_unplaced(self, job: Job) -> GatewayOutcome:
         """Return the outcome of a job that no endpoint takes."""
         name = job.service.name
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -71,6 +71,19 @@
             'mimosamux_gateway_first_event_seconds',
             'Time from a send to its first event, by service.',
         )
+        self.waiting = self._gauge(
+            'mimosamux_gateway_waiting_requests',
+            'Requests that wait for a model engine, by service.',
+        )
+        self.waits = self._counter(
+            'mimosamux_gateway_waits_total',
+            'Ended waits for a model engine, by service and result (sent, '
+            'sent_late, refused, unplaced, cancelled).',
+        )
+        self.wait_s = self._histogram(
+            'mimosamux_gateway_wait_seconds',
+            'Time for which a request waited for a model engine, by service.',
+        )
         self.open_requests = self._gauge(
             'mimosamux_gateway_open_requests', 'Requests under way.'
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -16,10 +16,15 @@
     Admission,
     ConfirmationLimits,
 )
+from mimosamux_daemon.gateway.admission.engine_times import EngineTimes
 from mimosamux_daemon.gateway.admission.load_shedding import (
     WINDOW_S,
     LoadShedding,
 )
+from mimosamux_daemon.gateway.admission.request_dispatcher import (
+    RequestDispatcher,
+)
+from mimosamux_daemon.gateway.admission.retry_times import RetryTimes
 from mimosamux_daemon.gateway.attempts import AttemptRecorder
 from mimosamux_daemon.gateway.balancing.choice import Chooser
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
@@ -129,6 +134,7 @@
         self._build_usage(shared_time)
         self._build_duties(wall_clock)
         self._build_crashes(shared_time)
+        self._build_dispatcher()
         self._build_forwarding()
         self.states.on_silence.append(platform.discard_idle_connections)
         self.states.parts = [
@@ -158,6 +164,7 @@
             self.cap_record.run,
             self.cap_loans.run,
             self.lag.run,
+            self.dispatcher.run,
             self.evacuation.run,
             self.limits.run,
             self.crash_detector.run,
@@ -391,6 +398,32 @@
             lambda era: self.crash_rows.write_again()
         )
 
+    def _build_dispatcher(self) -> None:
+        self.load_shedding = LoadShedding(
+            shares=FairShares(window_s=WINDOW_S), clock=self._clock
+        )
+        self.list_freshness = ListFreshness(
+            reader=self.endpoint_reader, drain_s=self.settings.drain_s
+        )
+        times = EngineTimes(roster=self.roster, clock=self._clock)
+        self.dispatcher = RequestDispatcher(
+            shedding=self.load_shedding,
+            retry_times=RetryTimes(
+                site_rate_per_s=times.site_rate_per_s,
+                daemons=self.states.max_serving,
+                clock=self._clock,
+                rng=self._rng,
+            ),
+            times=times,
+            chooser=self.chooser,
+            is_flat=lambda: self.states.is_flat,
+            daemons=self.states.max_serving,
+            wait_until_fresh=self.list_freshness.wait_until_fresh,
+            digest_age_s=self.states.oldest_digest_age_s,
+            metrics=self.metrics,
+            clock=self._clock,
+        )
+
     def _build_forwarding(self) -> None:
         self.admission = Admission(
             configuration=self.configuration,
@@ -409,10 +442,7 @@
             admission=self.admission,
             roster=self.roster,
             chooser=self.chooser,
-            list_freshness=ListFreshness(
-                reader=self.endpoint_reader,
-                drain_s=self.settings.drain_s,
-            ),
+            list_freshness=self.list_freshness,
             calls=self._platform.calls,
             budget=RetryBudget(
                 limits=self.settings.retries,
@@ -426,15 +456,15 @@
                 crash_detector=self.crash_detector,
                 limits=self.limits,
                 trials=self.trials,
+                dispatcher=self.dispatcher,
                 metrics=self.metrics,
                 digest_age_s=self.states.oldest_digest_age_s,
                 list_age_s=lambda: self.endpoint_reader.age_s,
                 clock=self._clock,
             ),
             demand=self.demand,
-            load_shedding=LoadShedding(
-                shares=FairShares(window_s=WINDOW_S), clock=self._clock
-            ),
+            load_shedding=self.load_shedding,
+            dispatcher=self.dispatcher,
             evacuation=self.evacuation,
             quarantine=self.quarantine,
             outcomes=OutcomeLog(
