--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
@@ -72,15 +72,26 @@
         failed = sum(is_failed for _, is_failed in self._own)
         return AnswerCounts(ended=len(self._own), failed=failed)
 
+    def ended(self, now: float) -> int:
+        """Return the number of answers to all daemons."""
+        return self._total(now).ended
+
     def failure_rate(self, now: float) -> float | None:
         """Return the failure rate, None for too few answers."""
+        total = self._total(now)
+        if total.ended < MIN_ANSWERS:
+            return None
+        return total.failed / total.ended
+
+    def _total(self, now: float) -> AnswerCounts:
+        """Return the counts of this daemon and its peers."""
         if now >= self._peer_sum_expires_at:
             self._expire_peers(now)
         own = self.own(now) if self._own else NO_ANSWERS
-        ended = own.ended + self._peer_sum.ended
-        if ended < MIN_ANSWERS:
-            return None
-        return (own.failed + self._peer_sum.failed) / ended
+        return AnswerCounts(
+            ended=own.ended + self._peer_sum.ended,
+            failed=own.failed + self._peer_sum.failed,
+        )
 
     def _expire_peers(self, now: float) -> None:
         """Drop counts that are older than `WINDOW_S`."""
