--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
@@ -131,6 +131,8 @@
             continue
         if not attempt.has_first_event:
             attempt.note_first_event()
+        else:
+            attempt.decoding_steps += events.count
         job.last_event_id = events.last_id or job.last_event_id
         if job.sink.is_started:
             is_sent = await job.sink.write(events.data)
@@ -142,5 +144,6 @@
             return CallerGone()
     if splitter.has_partial or not job.sink.is_started:
         return CallBroken(reason='ended within an event')
+    attempt.note_stream_end()
     await job.sink.finish()
     return Delivered(status=answer.status)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -55,6 +55,8 @@
     """Whether the result was counted for the endpoint's health."""
     time_to_first_event_s: float | None = None
     """Time until the first event of a stream."""
+    decoding_steps: int = 0
+    """Events of a stream after those that arrived with the first."""
 
     @property
     def endpoint(self) -> ListedEndpoint:
@@ -208,8 +210,22 @@
         record = choice.record
         chooser.prefix_index.note_read(record.id, prompt, record.incarnation)
         if choice.queued_tokens < 1:
-            speed = chooser.speed_of(self.job.service.name)
-            speed.add_sample(choice.unread_tokens, took_s)
+            chooser.note_first_event(choice, took_s)
+
+    def note_stream_end(self) -> None:
+        """Record the end of a complete stream: a sample of decoding."""
+        if (
+            self.time_to_first_event_s is None
+            or self.job.request.prompt is None
+        ):
+            return
+        passed_s = self.recorder.clock() - self.sent_at
+        self.recorder.chooser.engine_factors.note_decoding(
+            self.choice.record,
+            self.job.route.name,
+            steps=self.decoding_steps,
+            took_s=passed_s - self.time_to_first_event_s,
+        )
 
     def _count_trial_result(self, *, failed: bool) -> None:
         """Count the result for a software version that is on trial."""
@@ -226,7 +242,8 @@
             failed=failed,
             # Every endpoint is slow after its start, whatever its version.
             took_s=None if self.choice.record.is_warming_up(now) else took_s,
-            expected_s=self.choice.first_event_s,
+            # Compared with other versions, a slow one must not be excused.
+            expected_s=self.choice.first_event_s / self.choice.time_factor,
         )
 
     def _count(self, result: str) -> None:
@@ -312,6 +329,7 @@
             software=record.listed.software,
             data_centre=record.listed.data_centre,
             estimate_s=round(choice.first_event_s, 3),
+            time_factor=round(choice.time_factor, 3),
             unread_tokens=int(choice.unread_tokens),
             ahead_tokens=int(choice.queued_tokens),
             fetch_from=choice.fetch_from and choice.fetch_from.id,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -20,6 +20,7 @@
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.engine_factors import EngineFactors
 from mimosamux_daemon.gateway.balancing.engine_speed import EngineSpeed
 from mimosamux_daemon.gateway.balancing.health import MAX_EXCESS_FAILURE_RATE
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
@@ -60,6 +61,8 @@
     own_prefill_excess_s: float = 0.0
     """Part of that time which the request's own prefill takes beyond
     `OWN_PREFILL_S`, and which is therefore not due to queueing."""
+    time_factor: float = 1.0
+    """Time factor of the engine, which the estimates include."""
     queued_tokens: float = 0.0
     """Tokens of other prompts that are queued there for prefill."""
     fetch_from: EndpointRecord | None = None
@@ -86,11 +89,24 @@
         self._clock = clock
         self._rng = rng
         self._speed_by_service: dict[ServiceName, EngineSpeed] = {}
+        self.engine_factors = EngineFactors(roster=roster, clock=clock)
 
     def speed_of(self, service: ServiceName) -> EngineSpeed:
         """Return the speed estimate for the engines of a service."""
         return self._speed_by_service.setdefault(service, EngineSpeed())
 
+    def note_first_event(self, choice: Choice, took_s: float) -> None:
+        """Learn from the time to a first event without queued prompts.
+
+        The service's line is that of an engine with factor 1.
+        """
+        record, unread_tokens = choice.record, choice.unread_tokens
+        speed = self.speed_of(record.listed.service)
+        expected_s = speed.constant_s + speed.prefill_s(unread_tokens)
+        if choice.fetch_from is None and unread_tokens >= 1:
+            self.engine_factors.note_first_event(record, took_s, expected_s)
+        speed.add_sample(unread_tokens, took_s / record.time_factor)
+
     def choose(
         self,
         service: ServiceEntry,
@@ -224,6 +240,7 @@
     ) -> Choice:
         """Estimate the prefill work and the delay at one endpoint."""
         speed = self.speed_of(service.name)
+        factor = self.engine_factors.factor(record)
         load = record.load.total(now)
         cached = self.prefix_index.cached_tokens(record.id, prompt)
         fetch_from = None
@@ -241,10 +258,11 @@
         return Choice(
             record=record,
             unread_tokens=unread_tokens,
-            first_event_s=first_event_s,
+            first_event_s=first_event_s * factor,
             own_prefill_excess_s=max(
-                0.0, speed.prefill_s(unread_tokens) - OWN_PREFILL_S
+                0.0, speed.prefill_s(unread_tokens) * factor - OWN_PREFILL_S
             ),
+            time_factor=factor,
             queued_tokens=load.unread_tokens,
             fetch_from=fetch_from,
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
@@ -9,6 +9,7 @@
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.domain.names import EndpointId
+from mimosamux_daemon.gateway.balancing.engine_samples import EngineSamples
 from mimosamux_daemon.gateway.balancing.health import EndpointHealth
 from mimosamux_daemon.gateway.balancing.loads import EndpointLoad
 from mimosamux_daemon.gateway.limits.rate_shares import RateShare
@@ -64,6 +65,10 @@
     """Until when other endpoints are preferred, after rejections."""
     load: EndpointLoad = field(default_factory=EndpointLoad)
     health: EndpointHealth = field(default_factory=EndpointHealth)
+    speed_samples: EngineSamples = field(default_factory=EngineSamples)
+    time_factor: float = 1.0
+    """Time that the engine takes, relative to the mean of its service."""
+    logged_time_factor: float = 1.0
     open_calls: set[OpenCall] = field(default_factory=set)
     """Requests of this daemon that are in flight there."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -71,6 +71,11 @@
             'mimosamux_gateway_first_event_seconds',
             'Time from a send to its first event, by service.',
         )
+        self.engine_factor = self._gauge(
+            'mimosamux_gateway_engine_factor',
+            'Time that the engines of a service take, relative to their mean, '
+            'by service and bound (fastest, slowest).',
+        )
         self.open_requests = self._gauge(
             'mimosamux_gateway_open_requests', 'Requests under way.'
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -135,6 +135,8 @@
             self.vouching,
             self.endpoint_reader.sharing,
             self.endpoint_usage,
+            # It adds to the entries that `endpoint_usage` writes.
+            self.chooser.engine_factors,
             self.limits,
             self.caps,
             shared_time,
@@ -312,9 +314,18 @@
             clock=self._clock,
             rng=self._rng,
         )
+        self.metrics.collectors.append(self._collect_engine_factors)
         self.roster.on_forgotten.append(self.chooser.prefix_index.forget)
         self.roster.on_restarted.append(self._forget_previous_incarnation)
 
+    def _collect_engine_factors(self) -> None:
+        """Set the gauges of the engines' factors."""
+        gauge = self.metrics.engine_factor
+        factors = self.chooser.engine_factors
+        for service, fastest, slowest in factors.range_by_service():
+            gauge.set({'service': service, 'bound': 'fastest'}, fastest)
+            gauge.set({'service': service, 'bound': 'slowest'}, slowest)
+
     def _build_usage(self, shared_time: SharedTime) -> None:
         self.caps = UsageCaps(
             states=self.states,
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -32,6 +32,13 @@
     failed: int = 0
     incarnation: int = 0
     """Incarnation of the endpoint, 0 if unknown."""
+    sample_weight: float | None = None
+    """Weight of the sender's samples of the endpoint's speed, counted since
+    its process started. Not sent if there are none since its last digest."""
+    ratio_sum: float | None = None
+    """Weighted sum of the samples: time taken over time expected."""
+    ratio_square_sum: float | None = None
+    """Weighted sum of their squares."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'endpoint', 'UTF8', ''),
@@ -40,6 +47,9 @@
         (4, TType.I32, 'ended', None, 0),
         (5, TType.I32, 'failed', None, 0),
         (6, TType.I64, 'incarnation', None, 0),
+        (7, TType.DOUBLE, 'sample_weight', None, None),
+        (8, TType.DOUBLE, 'ratio_sum', None, None),
+        (9, TType.DOUBLE, 'ratio_square_sum', None, None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -244,6 +244,9 @@
   4: i32 ended
   5: i32 failed
   6: i64 incarnation
+  7: double sample_weight
+  8: double ratio_sum
+  9: double ratio_square_sum
 }
 
 struct EndpointLimit {
