--- a/benchmarks/bench_gateway.py
+++ b/benchmarks/bench_gateway.py
@@ -26,16 +26,22 @@
     EnvelopeType,
     Message,
     ServiceDemand,
+    StateBatch,
     StateDigest,
     WindowUse,
     decode,
     encode,
 )
 
+from benchmarks.gateway_parts import BusyParts
 from benchmarks.report import Table
 
-SITES = ((9, 3), (24, 5), (89, 4), (195, 5), (340, 32))
+SITES = ((9, 3), (24, 5), (73, 3), (89, 4), (195, 5), (340, 32))
 """Daemons, data centres."""
+SITES_WITH_PARTS = ((9, 3), (73, 3))
+REQUESTS = 2
+"""Requests that a daemon with all parts receives in each `REQUESTS_S`."""
+REQUESTS_S = 0.25
 ACCOUNTS = 5
 """Client accounts that a daemon has something to tell of."""
 ENDPOINTS_IN_USE = 5
@@ -87,6 +93,10 @@
     messages: int = 0
     sent_bytes: int = 0
     far_bytes: int = 0
+    received_digests: int = 0
+    requests_s: float = 0.0
+    """Processor time of the requests, which is no cost of the exchange."""
+    has_all_parts: bool = False
     _order: 'itertools.count[int]' = field(default_factory=itertools.count)
     _due: list[tuple[float, int, Callable[[], None]]] = field(
         default_factory=list
@@ -101,6 +111,8 @@
         for daemon in self.daemons:
             daemon.states.add_daemons(centre_by_id, centre_by_id)
             self.at(self.now + self.rng.uniform(0, 0.25), daemon.tick)
+            if self.has_all_parts:
+                daemon.add_parts()
 
     def at(self, when: float, work: Callable[[], None]) -> None:
         """Have something done at a time."""
@@ -146,6 +158,23 @@
         pause_s = self.states.pause_s() * self.fleet.rng.uniform(0.9, 1.1)
         self.fleet.at(self.fleet.now + pause_s, self.tick)
 
+    def add_parts(self) -> None:
+        """Have all parts of a daemon take part, and give them requests."""
+        parts = BusyParts(
+            states=self.states,
+            clock=lambda: self.fleet.now,
+            rng=self.fleet.rng,
+        )
+        self.states.parts = parts.all
+
+        def send_requests() -> None:
+            begun = time.process_time()
+            parts.send_requests(REQUESTS)
+            self.fleet.requests_s += time.process_time() - begun
+            self.fleet.at(self.fleet.now + REQUESTS_S, send_requests)
+
+        send_requests()
+
     def handle(self, kind: type, handler: Any) -> None:
         """Take messages of a kind."""
         self.handlers[kind] = handler
@@ -171,6 +200,8 @@
         """Take a message that has arrived."""
         envelope = decode(data)
         assert isinstance(envelope, Envelope)
+        if isinstance(envelope.message, StateBatch):
+            self.fleet.received_digests += len(envelope.message.digests)
         _complete(
             self.handlers[type(envelope.message)](sender, envelope.message)
         )
@@ -201,7 +232,18 @@
                 'behind in confirming s',
             ),
             rows=tuple(measure(*site) for site in SITES),
-        )
+        ),
+        Table(
+            title='cost of digests with all parts that read them',
+            columns=(
+                'daemons',
+                'data centres',
+                'digests/s received',
+                'processor ms/s a daemon',
+                'processor us a digest',
+            ),
+            rows=tuple(measure_parts(*site) for site in SITES_WITH_PARTS),
+        ),
     ]
 
 
@@ -233,3 +275,22 @@
         round(max(each.oldest_digest_age_s() for each in states), 2),
         round(behind * states[0].interval_s, 2),
     )
+
+
+def measure_parts(count: int, centres: int) -> tuple[float, ...]:
+    """Return the row of one size with all parts of a daemon."""
+    fleet = Fleet(count=count, centres=centres, has_all_parts=True)
+    fleet.start()
+    fleet.run_until(fleet.now + WARM_S)
+    digests, requests_s = fleet.received_digests, fleet.requests_s
+    begun = time.process_time()
+    fleet.run_until(fleet.now + MEASURED_S)
+    took_s = time.process_time() - begun - (fleet.requests_s - requests_s)
+    digests = fleet.received_digests - digests
+    return (
+        count,
+        centres,
+        round(digests / count / MEASURED_S, 1),
+        round(took_s * 1000 / count / MEASURED_S, 2),
+        round(took_s * 1e6 / digests, 1),
+    )
