--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
-from mimosamux_daemon.gateway import peer_states
+from mimosamux_daemon.gateway.exchange import peer_states
 from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP, form_groups
 from mimosamux_daemon.gateway.exchange.neighbours import (
     MAX_UNACKED_BATCHES,
