--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/neighbours.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/neighbours.py
@@ -125,7 +125,10 @@
             ]
             if is_resend:
                 entries = entries[-1:]
-            batch.digests.extend(each.data for each in entries)
+            for each in entries:
+                batch.digests.append(each.data)
+                batch.digest_lifetimes.append(digests.incarnation)
+                batch.digest_sequences.append(each.sequence)
             added[digests.incarnation] = digests.newest_sequence
         owes_ack = (
             batch.is_member and self.received_batch > self._reported_batch
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -113,6 +113,7 @@
         self.state = MemberState.JOINING
         self.by_id: dict[DaemonId, PeerState] = {}
         """Peers of which at least one digest arrived."""
+        self._by_incarnation: dict[int, PeerState] = {}
         self.parts: list[DigestPart] = []
         self.on_silence: list[Callable[[], None]] = []
         """Called when all connected peers have fallen silent together."""
@@ -416,7 +417,7 @@
         neighbour.heard_at = self._clock()
         if batch.is_member:
             self._relays.note_member(neighbour)
-        for data in batch.digests:
+        for data in self._new_digests(batch):
             self._take_encoded(data, sender)
         self._acknowledgements.take(sender, neighbour, batch)
         if is_new:
@@ -440,6 +441,32 @@
         if is_new:
             await self._send_known_daemons(sender)
 
+    def _new_digests(self, batch: StateBatch) -> list[bytes]:
+        """Return the digests of a batch, without those known not to be new.
+
+        Relays send many digests twice, and decoding is the larger part of
+        the cost of a digest.
+        """
+        count = len(batch.digests)
+        lifetimes, sequences = batch.digest_lifetimes, batch.digest_sequences
+        if not len(lifetimes) == len(sequences) == count:
+            # The sender is of an earlier version, which sends no lists.
+            return batch.digests
+        return [
+            data
+            for data, lifetime, sequence in zip(
+                batch.digests, lifetimes, sequences, strict=True
+            )
+            if self._may_be_new(lifetime, sequence)
+        ]
+
+    def _may_be_new(self, incarnation: int, sequence: int) -> bool:
+        """Whether `_take` would not reject such a digest."""
+        if incarnation == self.incarnation or incarnation in self._ended:
+            return False
+        peer = self._by_incarnation.get(incarnation)
+        return peer is None or sequence > peer.sequence
+
     def _take_encoded(self, data: bytes, via: DaemonId) -> None:
         found = decode(data)
         digest = found.message if isinstance(found, WireEnvelope) else None
@@ -483,6 +510,7 @@
         if previous is not None:
             # Digests of the earlier process may still be in transit. If they
             # were accepted, its counters would be counted twice.
+            self._by_incarnation.pop(previous.incarnation, None)
             self._ended[previous.incarnation] = None
             if len(self._ended) > MAX_ENDED_INCARNATIONS:
                 del self._ended[next(iter(self._ended))]
@@ -498,6 +526,7 @@
             via=via,
             digests=RecentDigests(incarnation=digest.lifetime),
         )
+        self._by_incarnation[peer.incarnation] = peer
         return peer
 
     async def _send_known_daemons(self, id_: DaemonId) -> None:
@@ -572,6 +601,8 @@
             self._acknowledgements.forget(id_)
             self._unbatched_ids.pop(id_, None)
             self.by_id.pop(id_, None)
+            if peer is not None:
+                self._by_incarnation.pop(peer.incarnation, None)
             self._peers.forget(id_)
             for listener in self.on_forgotten:
                 listener(id_)
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -250,6 +250,14 @@
     """Encoded `StateDigest`s, forwarded unchanged."""
     confirmed: list[GroupHeard] = field(default_factory=list)
     """Acknowledgements of digests on behalf of groups of daemons."""
+    digest_lifetimes: list[int] = field(default_factory=list)
+    """Incarnation of the daemon that wrote each digest.
+
+    Receivers skip known digests by it and by the sequence without decoding
+    them. Daemons of earlier versions send neither list.
+    """
+    digest_sequences: list[int] = field(default_factory=list)
+    """Sequence number of each digest."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.I64, 'lifetime', None, 0),
@@ -260,6 +268,8 @@
         (6, TType.BOOL, 'is_member', None, False),
         (7, TType.LIST, 'digests', (TType.STRING, 'BINARY', False), None),
         (8, TType.LIST, 'confirmed', _list_of(GroupHeard), None),
+        (9, TType.LIST, 'digest_lifetimes', (TType.I64, None, False), None),
+        (10, TType.LIST, 'digest_sequences', (TType.I64, None, False), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -320,6 +320,8 @@
   6: bool is_member
   7: list<binary> digests
   8: list<GroupHeard> confirmed
+  9: list<i64> digest_lifetimes
+  10: list<i64> digest_sequences
 }
 
 struct DaemonsKnown {
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -16,6 +16,7 @@
     Neighbour,
     RecentDigests,
 )
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_wire import (
     DaemonsKnown,
     EnvelopeType,
@@ -395,6 +396,141 @@
         self.assertEqual(self.sender.acked_sequence(22), 1)
 
 
+class TestKnownDigests(unittest.TestCase):
+    """Digests that need not be decoded, and those that must be."""
+
+    def setUp(self):
+        self.decoded = []
+        decode_digest = PeerStates._take_encoded
+
+        def record(states, data, via):
+            self.decoded.append((states.incarnation, data))
+            decode_digest(states, data, via)
+
+        patch = mock.patch.object(PeerStates, '_take_encoded', record)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def expect_current(self, fleet):
+        """Expect that all daemons know of all processes, and acknowledge."""
+        for daemon in fleet.alive():
+            states = daemon.states
+            self.assertEqual(len(states.fresh()), len(fleet.alive()) - 1)
+            for peer in states.fresh():
+                origin = fleet.daemons[int(peer.place.id)].states
+                self.assertEqual(peer.incarnation, origin.incarnation)
+            behind = states.next_sequence - states.acked_by_all()
+            self.assertLess(behind * states.interval_s, 3.0)
+
+    def test_digest_that_comes_twice_is_decoded_once(self):
+        """Two relays of a group send the same digests to each other."""
+        fleet = start_fleet(40)
+        fleet.pass_s(10)
+        self.assertEqual(len(self.decoded), len(set(self.decoded)))
+        self.expect_current(fleet)
+
+    def test_duplicate_leaves_the_way_to_the_origin_as_it_is(self):
+        """A digest is sent to its receiver's relay, or not, by `via`.
+
+        A late copy that changed it would keep the digest from daemons that
+        lack it.
+        """
+        fleet = start_fleet(24)
+        fleet.pass_s(5)
+        states = fleet.daemons[0].states
+        peer = states.by_id[DaemonId('5')]
+        via, newest = peer.via, peer.digests.entries[-1]
+        other = next(
+            each
+            for each in states.by_id.values()
+            if each.place.id not in (via, peer.place.id)
+        )
+        self.decoded.clear()
+        batch = StateBatch(
+            lifetime=other.incarnation,
+            digests=[newest.data],
+            digest_lifetimes=[peer.incarnation],
+            digest_sequences=[newest.sequence],
+        )
+        handler = fleet.daemons[0].handlers[StateBatch]
+        complete(handler(other.place.id, batch))
+        self.assertEqual(self.decoded, [])
+        self.assertEqual(peer.via, via)
+
+    def test_batches_of_the_previous_version_are_taken(self):
+        """A rolling upgrade: some daemons send no numbers with digests."""
+        fleet = start_fleet(24)
+        old = {each.number for each in fleet.daemons[::2]}
+        for daemon in fleet.daemons:
+            daemon.handlers[StateBatch] = without_numbers(
+                daemon.handlers[StateBatch], old
+            )
+        fleet.pass_s(12)
+        self.expect_current(fleet)
+
+    def test_lists_of_the_wrong_length_are_ignored(self):
+        """A faulty peer sends fewer numbers than digests."""
+        fleet = start_fleet(13)
+        fleet.pass_s(5)
+        self.decoded.clear()
+        batch = StateBatch(digests=[b'\xff', b'\xfe'], digest_lifetimes=[1])
+        with mock.patch.object(peer_states, 'log'):
+            complete(
+                fleet.daemons[0].handlers[StateBatch](DaemonId('1'), batch)
+            )
+        self.assertEqual([data for _, data in self.decoded], batch.digests)
+
+    def test_restarted_daemon_counts_from_one_again(self):
+        """Its first digests have lower numbers than those of its past."""
+        fleet = start_fleet(24)
+        fleet.pass_s(8)
+        ended = fleet.daemons[7].states
+        fleet.restart(7)
+        fleet.pass_s(4)
+        sequence = fleet.daemons[0].states.by_id[DaemonId('7')].sequence
+        self.assertLess(sequence, ended.next_sequence - 1)
+        fleet.pass_s(4)
+        self.expect_current(fleet)
+
+    def test_daemon_that_was_forgotten_is_taken_again(self):
+        """A partition ends, and the peer's number has not grown since."""
+        fleet = start_fleet(13)
+        fleet.pass_s(5)
+        states = fleet.daemons[0].states
+        peer = states.by_id[DaemonId('3')]
+        newest = peer.digests.entries[-1]
+        peer.heard_at -= peer_states.FORGET_AFTER_S
+        states._forget_silent()
+        self.assertNotIn(DaemonId('3'), states.by_id)
+        batch = StateBatch(
+            lifetime=fleet.daemons[1].states.incarnation,
+            digests=[newest.data],
+            digest_lifetimes=[peer.incarnation],
+            digest_sequences=[newest.sequence],
+        )
+        complete(fleet.daemons[0].handlers[StateBatch](DaemonId('1'), batch))
+        self.assertIn(DaemonId('3'), states.by_id)
+
+    def test_lost_batches_are_made_up_for(self):
+        """A fifth of all batches is lost; what they held comes again."""
+        fleet = start_fleet(24, lost=0.2)
+        fleet.pass_s(12)
+        fleet.lost = 0.0
+        fleet.pass_s(4)
+        self.expect_current(fleet)
+
+
+def without_numbers(handler, senders):
+    """Return a handler to which the given daemons send no numbers."""
+
+    async def take(sender, batch):
+        if int(sender) in senders:
+            batch.digest_lifetimes, batch.digest_sequences = [], []
+        await handler(sender, batch)
+
+    return take
+
+
 class TestMixedVersions(unittest.TestCase):
     def test_daemon_that_tells_single_digests_is_told_the_same_way(self):
         """A rolling upgrade: one daemon is still of the version before.
