--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/request_counts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/request_counts.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from mimosamux_wire import StateDigest, WindowUse
 
@@ -19,6 +20,7 @@
 RETAINED_WINDOWS = 12
 
 CountsByAccount = Counter[AccountId]
+ReportedCounts = Mapping[AccountId, int]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,7 +39,7 @@
     now: Callable[[], float]
     """Return the time of day that the daemons agree on."""
     _own: dict[int, CountsByAccount] = field(default_factory=dict)
-    _by_incarnation: dict[_DaemonIncarnation, dict[int, CountsByAccount]] = (
+    _by_incarnation: dict[_DaemonIncarnation, dict[int, ReportedCounts]] = (
         field(default_factory=dict)
     )
 
@@ -58,12 +60,14 @@
     def total(self, window: int) -> Mapping[AccountId, int]:
         """Return the counts of all daemons in a window."""
         total: CountsByAccount = Counter()
-        for windows in (self._own, *self._by_incarnation.values()):
+        total.update(self._own.get(window, {}))
+        for windows in self._by_incarnation.values():
             total.update(windows.get(window, {}))
         return total
 
     def write(self, digest: StateDigest) -> None:
         """Add this daemon's counts of the last windows to its digest."""
+        self._drop_all_expired()
         first = self.window - REPORTED_WINDOWS
         for window, counts in self._own.items():
             if window < first:
@@ -78,14 +82,18 @@
         process = _DaemonIncarnation(
             daemon=peer.place.id, incarnation=peer.incarnation
         )
-        windows = self._by_incarnation.setdefault(process, {})
-        for window in {use.window for use in digest.windows}:
-            windows[window] = Counter()
+        reported: dict[int, dict[AccountId, int]] = {}
         for use in digest.windows:
-            windows[use.window][AccountId(use.account)] = use.requests
-        self._drop_all_expired()
+            counts = reported.setdefault(use.window, {})
+            counts[AccountId(use.account)] = use.requests
+        self._by_incarnation.setdefault(process, {}).update(reported)
 
     def _drop_all_expired(self) -> None:
+        """Drop expired windows of all peers, and peers without windows.
+
+        This runs once per own digest. At each digest of 72 peers, it took a
+        tenth of a daemon's processor time.
+        """
         oldest = self.window - RETAINED_WINDOWS
         for process, windows in tuple(self._by_incarnation.items()):
             _drop_expired(windows, oldest)
@@ -93,6 +101,6 @@
                 del self._by_incarnation[process]
 
 
-def _drop_expired(windows: dict[int, CountsByAccount], oldest: int) -> None:
+def _drop_expired(windows: dict[int, Any], oldest: int) -> None:
     for window in [each for each in windows if each < oldest]:
         del windows[window]
