--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/demand.py
@@ -119,7 +119,10 @@
             history.first_seen_at = self._clock()
 
     def _history(self, service: ServiceName) -> _History:
-        return self._by_service.setdefault(service, _History())
+        history = self._by_service.get(service)
+        if history is None:
+            history = self._by_service[service] = _History()
+        return history
 
     def _advance(self) -> None:
         """Append an empty bucket for each bucket span that has ended."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/caps.py
@@ -350,7 +350,7 @@
         self._has_loaded_record = True
         now = self._clock()
         for id_, uses in record.items():
-            state = self._by_id.setdefault(id_, _AccountUsage())
+            state = self._account(id_)
             for ago_s, used in uses:
                 state.uses.insert(now - ago_s - age_s, used)
                 state.recorded_before_start += used
@@ -374,9 +374,7 @@
         )
         self._incarnation_by_peer[id_] = peer.incarnation
         for use in digest.caps:
-            state = self._by_id.setdefault(
-                AccountId(use.account), _AccountUsage()
-            )
+            state = self._account(AccountId(use.account))
             last_counter = state.counter_by_peer.get(id_)
             state.window_total_by_peer[id_] = use.recent
             state.counter_by_peer[id_] = (peer.incarnation, use.used)
@@ -388,7 +386,8 @@
                     now, use.used + self._estimate_unreported(state)
                 )
             elif last_counter is not None:
-                state.uses.add(now, use.used - last_counter[1])
+                if use.used != last_counter[1]:
+                    state.uses.add(now, use.used - last_counter[1])
             elif is_same_incarnation:
                 # The earlier digests of this incarnation did not list the
                 # account, so all of its use is new. If this digest served only
@@ -420,10 +419,16 @@
         )
 
     def _refresh(self, id_: AccountId) -> _AccountUsage:
-        state = self._by_id.setdefault(id_, _AccountUsage())
+        state = self._account(id_)
         self._expire(state, self._states.acked_by_all())
         return state
 
+    def _account(self, id_: AccountId) -> _AccountUsage:
+        state = self._by_id.get(id_)
+        if state is None:
+            state = self._by_id[id_] = _AccountUsage()
+        return state
+
     def _refresh_all(self) -> dict[AccountId, _AccountUsage]:
         acked = self._states.acked_by_all()
         for state in self._by_id.values():
