--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -65,6 +65,8 @@
         now: float,
     ) -> None:
         """Replace what a peer has in flight by its latest report."""
+        if not requests and peer not in self._report_by_peer:
+            return
         old = self._report_by_peer.pop(peer, NO_REPORT)
         if requests:
             report = _PeerReport(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/endpoint_usage_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/endpoint_usage_exchange.py
@@ -1,14 +1,18 @@
 """Exchange of load and health figures of endpoints between daemons."""
 
 from collections.abc import Callable
+from functools import lru_cache
 
 from mimosamux_wire import EndpointUse, StateDigest
 
 from mimosamux_daemon.domain.names import DaemonId, EndpointId
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.balancing.health import AnswerCounts
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 from mimosamux_daemon.gateway.roster import Roster
 
+NO_USE = EndpointUse()
+
 
 class EndpointUsageExchange:
     """The part of the gossip digests that covers endpoints.
@@ -20,7 +24,7 @@
     def __init__(self, *, roster: Roster, clock: Callable[[], float]) -> None:
         self._roster = roster
         self._clock = clock
-        self._reported_by_peer: dict[DaemonId, frozenset[EndpointId]] = {}
+        self._reported_by_peer: dict[DaemonId, set[EndpointId]] = {}
         """Endpoints that each peer's last digest contained."""
 
     def write(self, digest: StateDigest) -> None:
@@ -47,37 +51,45 @@
         updated: with 65 daemons and 92 endpoints, iterating over all of them
         took 0.21 of the 0.34 ms for each digest.
         """
-        now = self._clock()
-        reported = {
-            EndpointId(use.endpoint): use
-            for use in digest.endpoints
-            if self._roster.is_current(
-                EndpointId(use.endpoint), use.incarnation
-            )
-        }
-        before = self._reported_by_peer.get(peer.place.id, frozenset())
-        self._reported_by_peer[peer.place.id] = frozenset(reported)
-        for id_ in before - reported.keys():
-            self._apply_use(peer, id_, EndpointUse(), now)
-        for id_, use in reported.items():
-            self._apply_use(peer, id_, use, now)
+        now, peer_id = self._clock(), peer.place.id
+        reported: set[EndpointId] = set()
+        for use in digest.endpoints:
+            record = self._roster.by_id.get(EndpointId(use.endpoint))
+            if record is not None and self._is_current(record, use):
+                reported.add(record.id)
+                _apply_use(peer_id, record, use, now)
+        before = self._reported_by_peer.get(peer_id, set())
+        self._reported_by_peer[peer_id] = reported
+        for id_ in before - reported:
+            record = self._roster.by_id.get(id_)
+            if record is not None:
+                _apply_use(peer_id, record, NO_USE, now)
 
     def forget_peer(self, id_: DaemonId) -> None:
         """Remove the state of a peer that is considered dead."""
         self._reported_by_peer.pop(id_, None)
 
-    def _apply_use(
-        self, peer: PeerState, id_: EndpointId, use: EndpointUse, now: float
-    ) -> None:
-        """Pass a peer's figures to the load and health of one endpoint."""
-        record = self._roster.by_id.get(id_)
-        if record is None:
-            return
-        record.load.note_peer(
-            peer.place.id,
-            requests=use.open_requests,
-            unread_tokens=use.unread_tokens,
-            now=now,
+    def _is_current(self, record: EndpointRecord, use: EndpointUse) -> bool:
+        return use.incarnation == record.incarnation or (
+            self._roster.is_current(record.id, use.incarnation)
         )
-        answers = AnswerCounts(ended=use.ended, failed=use.failed)
-        record.health.note_peer(peer.place.id, answers, now)
+
+
+def _apply_use(
+    peer: DaemonId, record: EndpointRecord, use: EndpointUse, now: float
+) -> None:
+    """Pass a peer's figures to the load and health of one endpoint."""
+    record.load.note_peer(
+        peer,
+        requests=use.open_requests,
+        unread_tokens=use.unread_tokens,
+        now=now,
+    )
+    answers = _answer_counts(use.ended, use.failed)
+    record.health.note_peer(peer, answers, now)
+
+
+@lru_cache(maxsize=1024)
+def _answer_counts(ended: int, failed: int) -> AnswerCounts:
+    """Return one object for equal counts; most endpoints have few answers."""
+    return AnswerCounts(ended=ended, failed=failed)
