--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
@@ -6,6 +6,7 @@
 sees one stream with a short pause.
 """
 
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -28,8 +29,8 @@
 """Time before the removal of an endpoint that is reserved for stopping runs:
 it allows for two attempts, and for a notice that arrived late."""
 CHECK_INTERVAL_S = 0.1
-"""Interval of the checks for new streams at a leaving endpoint: a request
-that was sent there earlier may begin its answer later."""
+"""Interval of the checks for a due copy or stop while streams run at a leaving
+endpoint: its time of removal and the estimated time of the copies change."""
 MIN_WAIT_S = 0.001
 """Shortest wait; a stop may be late by as much."""
 MAX_CONCURRENT_COPIES = 8
@@ -79,12 +80,18 @@
     """Leaving endpoints whose evacuation has not begun yet."""
     _added: anyio.Event = field(default_factory=anyio.Event)
     """Set when an endpoint is added to them."""
+    _changed_by_endpoint: dict[EndpointRecord, anyio.Event] = field(
+        default_factory=dict
+    )
+    """For each leaving endpoint whose evacuation waits for it, the event that
+    is set when a stream begins or ends there."""
 
     @contextmanager
     def tracking(self, stream: RunningStream) -> Iterator[None]:
         """Count a stream as running at its endpoint."""
         streams = self._by_endpoint.setdefault(stream.record, set())
         streams.add(stream)
+        self._note_change(stream.record)
         try:
             yield
         finally:
@@ -92,6 +99,7 @@
             streams.discard(stream)
             if not streams:
                 self._by_endpoint.pop(stream.record, None)
+            self._note_change(stream.record)
 
     async def claim_copy(self, stream: RunningStream) -> StreamCopy | None:
         """Return the copy from which a broken stream may continue.
@@ -128,7 +136,7 @@
         while not self._movable(record):
             if self.clock() >= departure.removed_at:
                 return
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await self._wait_for_change(record, until=departure.removed_at)
         async with anyio.create_task_group() as tasks:
             if record.leaves_at is None:
                 tasks.start_soon(self._query_removal_time, departure)
@@ -184,7 +192,12 @@
             left_s = latest_start_at - self.clock()
             if left_s <= 0:
                 return
-            await anyio.sleep(_check_delay_s(left_s))
+            if self._movable(departure.record):
+                await anyio.sleep(_check_delay_s(left_s))
+            else:
+                await self._wait_for_change(
+                    departure.record, until=latest_start_at
+                )
 
     async def _move_all(self, departure: Departure) -> None:
         """Move the streams of an endpoint, including those that begin late.
@@ -198,14 +211,18 @@
         limiter = anyio.CapacityLimiter(MAX_CONCURRENT_COPIES)
         started: set[RunningStream] = set()
         async with anyio.create_task_group() as tasks:
-            while self.clock() < departure.removed_at or self._movable(record):
-                for stream in self._movable(record):
+            while True:
+                movable = self._movable(record)
+                if not movable and self.clock() >= departure.removed_at:
+                    return
+                for stream in movable:
                     if stream not in started:
                         started.add(stream)
                         tasks.start_soon(
                             self._move, stream, departure, limiter
                         )
-                await anyio.sleep(CHECK_INTERVAL_S)
+                until = math.inf if movable else departure.removed_at
+                await self._wait_for_change(record, until=until)
 
     async def _move(
         self,
@@ -293,6 +310,27 @@
             left_s=round(departure.removed_at - self.clock(), 3),
         )
 
+    def _note_change(self, record: EndpointRecord) -> None:
+        """Wake up the evacuation of an endpoint if it waits for a change."""
+        changed = self._changed_by_endpoint.get(record)
+        if changed is not None:
+            changed.set()
+
+    async def _wait_for_change(
+        self, record: EndpointRecord, *, until: float
+    ) -> None:
+        """Wait until a stream begins or ends at an endpoint, or for a time.
+
+        Only the one evacuation of the endpoint waits here. Nothing else runs
+        between its look at the streams and this wait, so no change is missed.
+        """
+        changed = self._changed_by_endpoint[record] = anyio.Event()
+        try:
+            with anyio.move_on_after(max(until - self.clock(), MIN_WAIT_S)):
+                await changed.wait()
+        finally:
+            del self._changed_by_endpoint[record]
+
     def _movable(self, record: EndpointRecord) -> list[RunningStream]:
         """Return the movable streams of an endpoint, largest first."""
         streams = self._by_endpoint.get(record, ())
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -4,6 +4,7 @@
 """
 
 import importlib
+import pathlib
 import signal
 import time
 from collections.abc import Callable
@@ -109,12 +110,11 @@
 
 
 async def _watch_settings(daemon: GatewayDaemon, path: str) -> None:
-    file = anyio.Path(path)
-    last_text = await file.read_text()
+    last_text = _read_text(path)
     while True:
         await anyio.sleep(SETTINGS_POLL_S)
         try:
-            text = await file.read_text()
+            text = _read_text(path)
         except OSError as error:
             log.warning('settings_unreadable', path=path, problem=str(error))
             continue
@@ -123,6 +123,14 @@
             _reload(daemon, path)
 
 
+def _read_text(path: str) -> str:
+    """Read a small file in the event loop's thread.
+
+    A worker thread for each read costs more processor time than the read.
+    """
+    return pathlib.Path(path).read_text()
+
+
 def _reload(daemon: GatewayDaemon, path: str) -> None:
     try:
         daemon.reload(read_gateway_settings(path))
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -4,6 +4,11 @@
 import unittest
 
 import anyio
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.routes import EngineCapabilities, ServiceEntry
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.evacuation import Evacuation
+from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
 from mimosamux_standins.site import MoveFault, ReplicaSpeed
 from mimosamux_standins.site.replica import render_event
 
@@ -228,6 +233,148 @@
         self.assert_whole(answers, 'six')
 
 
+class FakeMoves:
+    """Copies and stops streams at once, and notes which."""
+
+    def __init__(self):
+        self.copied = []
+        self.released = []
+
+    async def copy(self, stream, attempts):
+        holder = make_record('holder')
+        stream.copy = StreamCopy(kv_source='copy', holder=holder)
+        self.copied.append(stream.request_id)
+
+    async def stop(self, stream):
+        stream.is_stopped = True
+
+    async def release(self, stream):
+        self.released.append(stream.request_id)
+
+
+class CountedClock:
+    """Counts how often the time is read."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def __call__(self):
+        self.reads += 1
+        return anyio.current_time()
+
+
+def make_record(name):
+    return EndpointRecord(
+        listed=ListedEndpoint(
+            id=name,
+            service='llm',
+            address='10.0.0.1:80',
+            data_centre='north',
+            slots=1,
+            software='1',
+        ),
+        listed_at=0.0,
+    )
+
+
+def make_stream(number, record):
+    engine = EngineCapabilities(
+        slots=1,
+        cache_tokens=1000,
+        bytes_per_token=1.0,
+        link_mbps=1000.0,
+        can_move=True,
+    )
+    return RunningStream(
+        request_id=f'request-{number}',
+        service=ServiceEntry(name='llm', engine=engine),
+        record=record,
+        tokens=100,
+    )
+
+
+class TestWaits(unittest.TestCase):
+    """Evacuations wait for events, and miss none of them."""
+
+    def play(self, script, *, left_s=10.0):
+        """Run a script against the evacuation of one endpoint."""
+
+        async def check():
+            clock, moves = CountedClock(), FakeMoves()
+            evacuation = Evacuation(
+                moves=None,
+                stream_moves=moves,
+                drain_s=left_s,
+                clock=clock,
+                notify_peers=lambda record: None,
+            )
+            record = make_record('leaving')
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(evacuation.run)
+                record.leaves_at = anyio.current_time() + left_s
+                evacuation.note_leaving(record)
+                await script(evacuation, record, clock)
+                tasks.cancel_scope.cancel()
+            return moves, clock.reads
+
+        return run_paused(check)
+
+    async def stream(self, evacuation, record, number, lasts_s):
+        with evacuation.tracking(make_stream(number, record)):
+            await anyio.sleep(lasts_s)
+
+    def test_endpoint_without_streams_costs_nothing_while_it_leaves(self):
+        """Each leaving endpoint was looked at ten times a second."""
+
+        async def script(evacuation, record, clock):
+            await anyio.sleep(60)
+
+        _, reads = self.play(script, left_s=50.0)
+        self.assertLess(reads, 10)
+
+    def test_stream_behind_one_that_has_ended_is_moved(self):
+        """A stream ends during the notice, and another begins seconds later.
+
+        An evacuation that waits only for its first stream, or that ends with
+        it, would lose the second.
+        """
+
+        async def script(evacuation, record, clock):
+            await self.stream(evacuation, record, 1, lasts_s=1)
+            await anyio.sleep(3)
+            await self.stream(evacuation, record, 2, lasts_s=7)
+
+        moves, _ = self.play(script)
+        self.assertEqual(moves.copied, ['request-2'])
+
+    def test_stream_that_begins_while_others_are_moved_is_moved(self):
+        """A response begins after the copies of the others have begun."""
+
+        async def script(evacuation, record, clock):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.stream, evacuation, record, 1, 12)
+                await anyio.sleep(9.3)
+                tasks.start_soon(self.stream, evacuation, record, 2, 2)
+
+        moves, _ = self.play(script)
+        self.assertEqual(moves.copied, ['request-1', 'request-2'])
+
+    def test_stream_begins_after_the_end_was_brought_forward(self):
+        """A reclaim cuts a drain short before any stream has begun.
+
+        The evacuation waits for the end that it knew first, and the stream
+        wakes it up.
+        """
+
+        async def script(evacuation, record, clock):
+            await anyio.sleep(1)
+            record.leaves_at = anyio.current_time() + 1
+            await self.stream(evacuation, record, 1, lasts_s=0.9)
+
+        moves, _ = self.play(script)
+        self.assertEqual(moves.copied, ['request-1'])
+
+
 class TestUnknownEnds(unittest.TestCase):
     def test_question_that_gets_no_answer_loses_no_draft(self):
         """An engine is asked when it goes, and the answer is lost.
