--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/cap_loans.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/cap_loans.py
@@ -53,6 +53,8 @@
         default_factory=dict
     )
     """Account and lender of each borrowed share, by loan number."""
+    _borrowed: anyio.Event = field(default_factory=anyio.Event)
+    """Set, and replaced by a new one, when a share is borrowed."""
 
     def __post_init__(self) -> None:
         self.peers.handle(CapLoanWanted, self._handle_request)
@@ -90,6 +92,8 @@
     async def run(self) -> None:
         """Return unneeded shares until cancelled."""
         while True:
+            if not self._lender_by_loan:
+                await self._borrowed.wait()
             await anyio.sleep(RETURN_POLL_S)
             await self.return_unneeded()
 
@@ -139,6 +143,8 @@
         if not isinstance(answer, CapLoan) or answer.share <= 0:
             return 0.0
         self._lender_by_loan[number] = (account, lender)
+        self._borrowed.set()
+        self._borrowed = anyio.Event()
         loans = self.caps.loans
         loans.add_borrowed(number, account, answer.share, requested_at)
         return answer.share
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_duty.py
@@ -92,8 +92,9 @@
     async def run(self, lease: Lease) -> None:
         """Advance roll-outs until cancelled."""
         self._needs_read = True
+        await self.rollouts.ordered.wait()
         while True:
-            if lease.is_valid() and self.rollouts.orders_by_service:
+            if lease.is_valid():
                 await self._advance_all()
             await anyio.sleep(TICK_S)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
+import anyio
 import xxhash
 
 from mimosamux_daemon.domain.names import ServiceName
@@ -81,6 +82,8 @@
         default_factory=dict
     )
     """The newest order of the operator for each service."""
+    ordered: anyio.Event = field(default_factory=anyio.Event)
+    """Set for good with the first order."""
     on_changed: list[Listener] = field(default_factory=list)
     """Called with each roll-out step that is new to this daemon."""
 
@@ -93,6 +96,7 @@
         if newest is not None and order.number <= newest.number:
             return
         self.orders_by_service[order.service] = order
+        self.ordered.set()
         if newest is not None and order.is_rewrite_of(newest):
             return
         log.info(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/vouching.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/vouching.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 from mimosamux_wire import Message, StateDigest, Vouch, Vouched
@@ -52,6 +52,9 @@
     clock: Callable[[], float]
     rng: random.Random
     _outdated_since: float | None = None
+    _newer_seen: anyio.Event = field(default_factory=anyio.Event)
+    """Set when a peer has a newer version; `run` replaces it before it looks
+    at the peers, so that none goes unnoticed while it asks."""
 
     def __post_init__(self) -> None:
         self.peers.handle(Vouch, self._answer)
@@ -61,12 +64,18 @@
         digest.configuration_version = self.configuration.current.version
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
-        """Do nothing: `PeerStates` stores the version in the peer's state."""
+        """Wake up `run` if the peer has a newer version.
+
+        `PeerStates` stores the version in the peer's state.
+        """
+        version = self.configuration.current.version
+        if digest.configuration_version > version:
+            self._newer_seen.set()
 
     async def run(self) -> None:
         """Ask peers whenever needed, until cancelled."""
         while True:
-            await anyio.sleep(CHECK_INTERVAL_S)
+            await self._wait_until_needed()
             peers = self._choose_peers()
             if not peers:
                 continue
@@ -75,6 +84,19 @@
                     tasks.start_soon(self._ask, peer)
             await anyio.sleep(ASK_INTERVAL_S - CHECK_INTERVAL_S)
 
+    async def _wait_until_needed(self) -> None:
+        """Wait until a peer may have to be asked, and for a check interval.
+
+        While a peer is known to have a newer version, or the confirmation is
+        old, each check interval is one: the state of the peers changes.
+        """
+        if self._outdated_since is None:
+            left_s = ASK_AFTER_S - CHECK_INTERVAL_S - self.configuration.age_s
+            with anyio.move_on_after(max(left_s, 0.0)):
+                await self._newer_seen.wait()
+        await anyio.sleep(CHECK_INTERVAL_S)
+        self._newer_seen = anyio.Event()
+
     def _choose_peers(self) -> list[DaemonId]:
         """Return the peers to ask now, none if none is needed."""
         fresh = self.states.fresh()
