--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
@@ -63,6 +63,8 @@
         self._parser = parser
         self.connection = connection
         self._closes = closes
+        self._is_chunked = False
+        """Whether each part of the body is sent as one chunk."""
 
     async def answer(
         self, status: int, headers: RawHeaders, body: bytes = b''
@@ -82,12 +84,25 @@
         """Send the head and the first part of an answer of any length."""
         data = self._render_head(status, headers)
         if first:
-            data += self._parser.send(h11.Data(data=first)) or b''
+            body = self._parser.send(h11.Data(data=first)) or b''
+            self._is_chunked = body == _frame_chunk(first)
+            data += body
         return await self._send(data)
 
     async def write(self, data: bytes) -> bool:
-        """Send a part of the body; False if the caller is gone."""
-        return await self._send(self._parser.send(h11.Data(data=data)) or b'')
+        """Send a part of the body; False if the caller is gone.
+
+        An empty part sends nothing: as a chunk it would end the body.
+        """
+        if not data:
+            return True
+        if self._is_chunked:
+            # The parser would add the same bytes; it keeps no state of a
+            # chunk, and goes on with the end of the message.
+            framed = _frame_chunk(data)
+        else:
+            framed = self._parser.send(h11.Data(data=data)) or b''
+        return await self._send(framed)
 
     async def finish(self) -> bool:
         """End the answer: only now does it look complete."""
@@ -110,4 +125,8 @@
         return True
 
 
+def _frame_chunk(data: bytes) -> bytes:
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
 Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -1,5 +1,6 @@
 """The `Network` port over TCP."""
 
+import os
 import select
 import socket
 from collections.abc import Callable, Iterator, Mapping
@@ -31,6 +32,9 @@
     def __init__(self, *, stream: anyio.abc.SocketStream) -> None:
         self._stream = stream
         self._socket = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        self._is_closed = False
+        self._may_hold_back = False
+        """Whether bytes of an earlier `send` may wait in the stream."""
         self._socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SENT_DATA_TIMEOUT_MS
         )
@@ -45,8 +49,29 @@
         return await self._stream.receive(max_bytes)
 
     async def send(self, item: bytes) -> None:
-        """Send bytes; it waits while the other side does not read."""
-        await self._stream.send(item)
+        """Send bytes; it waits while the other side does not read.
+
+        Usually the kernel takes all of them at once, and a task switch for
+        each send would cost more than the send. Then it does not yield.
+        """
+        sent = 0 if self._may_hold_back else self._send_now(item)
+        if sent < len(item):
+            # Cancelled here, the stream keeps bytes that are still to be
+            # sent: from then on, all others have to go behind them.
+            self._may_hold_back = True
+            await self._stream.send(item[sent:])
+            self._may_hold_back = False
+
+    def _send_now(self, item: bytes) -> int:
+        """Return the number of bytes that the kernel took."""
+        if self._is_closed:
+            raise anyio.ClosedResourceError
+        try:
+            return os.write(self._socket.fileno(), item)
+        except BlockingIOError:
+            return 0
+        except OSError as error:
+            raise anyio.BrokenResourceError from error
 
     async def send_eof(self) -> None:
         """Say that nothing more will be sent."""
@@ -54,6 +79,7 @@
 
     async def aclose(self) -> None:
         """Close both directions at once."""
+        self._is_closed = True
         await anyio.aclose_forcefully(self._stream)
 
     def has_input(self) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/events.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/events.py
@@ -4,6 +4,7 @@
 
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
+ID_LINE = b'\n' + ID_FIELD
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,7 +50,8 @@
 
 
 def _find_last_id(complete: bytes) -> str | None:
-    for line in reversed(complete.split(b'\n')):
-        if line.startswith(ID_FIELD):
-            return line[len(ID_FIELD) :].strip().decode('latin-1')
-    return None
+    start = complete.rfind(ID_LINE) + 1
+    if not start and not complete.startswith(ID_FIELD):
+        return None
+    end = complete.find(b'\n', start)
+    return complete[start + len(ID_FIELD) : end].strip().decode('latin-1')
