--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -144,11 +144,9 @@
         limits = self._server._limits()
         if not await self._wait_for_bytes(limits.idle_timeout_s):
             return None
-        event: h11.Event | Unreadable | None = Unreadable(
-            status=HTTPStatus.REQUEST_TIMEOUT, problem='request took too long'
+        event = await self._next_event_within(
+            limits.header_timeout_s, 'request took too long'
         )
-        with anyio.move_on_after(limits.header_timeout_s):
-            event = await self._next_event()
         if not isinstance(event, h11.Request):
             return event if isinstance(event, Unreadable) else None
         problem = find_problem(event, limits)
@@ -176,14 +174,9 @@
     ) -> IncomingRequest | Unreadable | None:
         body = bytearray()
         while True:
-            part = None
-            with anyio.move_on_after(limits.idle_timeout_s) as scope:
-                part = await self._next_event()
-            if scope.cancelled_caught:
-                return Unreadable(
-                    status=HTTPStatus.REQUEST_TIMEOUT,
-                    problem='request body took too long',
-                )
+            part = await self._next_event_within(
+                limits.idle_timeout_s, 'request body took too long'
+            )
             if isinstance(part, h11.EndOfMessage):
                 break
             if not isinstance(part, h11.Data):
@@ -203,27 +196,45 @@
             head=head, body=bytes(body), connection=self.connection
         )
 
-    async def _next_event(self) -> h11.Event | Unreadable | None:
-        """Return the next event, None if the caller is gone."""
+    async def _next_event_within(
+        self, timeout_s: float, problem: str
+    ) -> h11.Event | Unreadable:
+        """Return the next event; not in time, the request cannot be taken.
+
+        Most requests arrive in one piece: a timer is set only for what has
+        not arrived yet.
+        """
+        event = self._parse()
+        if event is not None:
+            return event
+        with anyio.move_on_after(timeout_s):
+            return await self._receive_event()
+        return Unreadable(status=HTTPStatus.REQUEST_TIMEOUT, problem=problem)
+
+    def _parse(self) -> h11.Event | Unreadable | None:
+        """Return the next event, None if it has not arrived."""
+        try:
+            event = self._parser.next_event()
+        except h11.RemoteProtocolError as error:
+            return Unreadable(
+                status=error.error_status_hint, problem=str(error)
+            )
+        return event if isinstance(event, h11.Event) else None
+
+    async def _receive_event(self) -> h11.Event | Unreadable:
+        """Wait for the next event; it is the end if the caller is gone."""
         while True:
-            try:
-                event = self._parser.next_event()
-            except h11.RemoteProtocolError as error:
-                return Unreadable(
-                    status=error.error_status_hint, problem=str(error)
-                )
-            if isinstance(event, h11.ConnectionClosed):
-                return None
-            if isinstance(event, h11.Event):
-                return event
             if self._parser.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 await self.connection.send(self._parser.send(go_on) or b'')
             try:
                 data = await self.connection.receive(READ_BYTES)
             except BROKEN:
-                return None
+                return h11.ConnectionClosed()
             self._parser.receive_data(data)
+            event = self._parse()
+            if event is not None:
+                return event
 
     async def _turn_down(self, problem: Unreadable) -> None:
         log.info(
--- a/tests/test_http1_relay.py
+++ b/tests/test_http1_relay.py
@@ -245,6 +245,9 @@
         long, later = b'a' * 20_000_000, b'b' * 10
 
         async def script(connection, other):
+            # It reads on its own until it was asked for bytes once.
+            await connection.send(b'-')
+            await other.receive()
             with anyio.move_on_after(0.05) as scope:
                 await connection.send(long)
             received = b''
