--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -5,7 +5,6 @@
 an answer, and an answer that comes before its request is fully sent.
 """
 
-import re
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -32,8 +31,6 @@
 """Share of a stated idle limit that is made use of; the rest is for the
 way of a request and for clocks that run differently."""
 KEEP_ALIVE = b'keep-alive'
-CHUNK_END = b'\r\n'
-CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,8})\r\n')
 
 BROKEN = (
     OSError,
@@ -72,8 +69,6 @@
         self._request: h11.Request | None = None
         self._body = b''
         self._unsent = b''
-        self._is_at_chunk = False
-        """Whether the parser has nothing left, and a chunk comes next."""
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = anyio.current_time()
 
@@ -141,42 +136,16 @@
 
     async def receive_body(self) -> bytes | None | ChannelBroken:
         """Return the next part of the body, None behind its end."""
-        if self._is_at_chunk:
-            chunks = await self._receive_chunks()
-            if chunks:
-                return chunks
         event = await self._next_event()
         if isinstance(event, ChannelBroken):
             return event
         if isinstance(event, h11.Data):
-            # Only in a chunked body does a part end a chunk.
-            self._is_at_chunk = (
-                event.chunk_end and self._parser.trailing_data[0] == CHUNK_END
-            )
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._idle_since = anyio.current_time()
             return None
         return ChannelBroken(reason='closed within an answer')
 
-    async def _receive_chunks(self) -> bytes | ChannelBroken:
-        """Return the content of whole chunks that arrive next.
-
-        The parser takes several times as long for a chunk. It gets whatever
-        is not a whole chunk with content: the beginning of one, the end of
-        the body, an extension, or nonsense. The result is empty then.
-        """
-        try:
-            data = await self._receive()
-        except BROKEN as error:
-            return self._break(error)
-        content, rest = split_chunks(data)
-        self._is_at_chunk = bool(data) and not rest
-        if not self._is_at_chunk:
-            # The parser still holds the end of the chunk before these bytes.
-            self._parser.receive_data(rest)
-        return content
-
     def expect_another(self) -> bool:
         """Go on to the next answer to the request that was sent.
 
@@ -278,20 +247,6 @@
                 self._idle_limit_s = int(number) * IDLE_SHARE
 
 
-def split_chunks(data: bytes) -> tuple[bytes, bytes]:
-    """Return the content of the whole chunks in front, and the rest."""
-    parts = []
-    position = 0
-    while head := CHUNK_SIZE.match(data, position):
-        size = int(head[1], 16)
-        end = head.end() + size
-        if not size or data[end : end + len(CHUNK_END)] != CHUNK_END:
-            break
-        parts.append(data[head.end() : end])
-        position = end + len(CHUNK_END)
-    return b''.join(parts), data[position:]
-
-
 def describe(error: Exception) -> str:
     """Return the type of an error and what it says."""
     return f'{type(error).__name__} {error}'.strip()
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
@@ -63,8 +63,6 @@
         self._parser = parser
         self.connection = connection
         self._closes = closes
-        self._is_chunked = False
-        """Whether each part of the body is sent as one chunk."""
 
     async def answer(
         self, status: int, headers: RawHeaders, body: bytes = b''
@@ -84,9 +82,7 @@
         """Send the head and the first part of an answer of any length."""
         data = self._render_head(status, headers)
         if first:
-            body = self._parser.send(h11.Data(data=first)) or b''
-            self._is_chunked = body == _frame_chunk(first)
-            data += body
+            data += self._parser.send(h11.Data(data=first)) or b''
         return await self._send(data)
 
     async def write(self, data: bytes) -> bool:
@@ -96,13 +92,7 @@
         """
         if not data:
             return True
-        if self._is_chunked:
-            # The parser would add the same bytes; it keeps no state of a
-            # chunk, and goes on with the end of the message.
-            framed = _frame_chunk(data)
-        else:
-            framed = self._parser.send(h11.Data(data=data)) or b''
-        return await self._send(framed)
+        return await self._send(self._parser.send(h11.Data(data=data)) or b'')
 
     async def finish(self) -> bool:
         """End the answer: only now does it look complete."""
@@ -125,8 +115,4 @@
         return True
 
 
-def _frame_chunk(data: bytes) -> bytes:
-    return b'%x\r\n%b\r\n' % (len(data), data)
-
-
 Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
