--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -307,7 +307,11 @@
 
     def _log_sent(self, job: Job, choice: Choice) -> None:
         record, forecast = choice.record, self.chooser.forecast
-        load = forecast.load(record, self.clock())
+        load = forecast.load(
+            record,
+            self.clock(),
+            is_engine=job.service.engine is not None,
+        )
         if forecast.is_active():
             self.metrics.forecast_sends.inc({'service': job.service.name})
         log.info(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -340,7 +340,7 @@
     ) -> Choice:
         """Estimate the prefill work and the delay at one endpoint."""
         speed = self.speed_of(service.name)
-        load = self.forecast.load(record, now)
+        load = self.forecast.load(record, now, is_engine=True)
         cached = self.prefix_index.cached_tokens(record.id, prompt)
         fetch_from = None
         if holder is not None and holder is not record:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/load_forecast.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/load_forecast.py
@@ -2,9 +2,11 @@
 
 In a site with relays a peer's report is a second old, and the requests in it
 may have ended. Daemons that take such reports as they are all choose the
-endpoint that seemed idle then. The forecast moves the reported load towards
-the mean of the service's endpoints, as fast as requests end. The daemon's own
-requests are counted exactly.
+endpoint that seemed idle then. The forecast moves the reported load towards a
+usual load, as fast as requests end. For a plain service this is the mean of
+its endpoints. An engine that is the home of a frequent prefix has more load
+than the mean for as long as the prefix is frequent; its usual load is its own
+average over the last second. The daemon's own requests are counted exactly.
 """
 
 import math
@@ -112,7 +114,9 @@
             found = self.residence_by_service[service] = ServiceResidence()
         return found
 
-    def load(self, record: EndpointRecord, now: float) -> ExpectedLoad:
+    def load(
+        self, record: EndpointRecord, now: float, *, is_engine: bool = False
+    ) -> ExpectedLoad:
         """Return the expected load of an endpoint, own requests included."""
         own = record.load
         peers = own.peers(now)
@@ -123,10 +127,16 @@
             service, slots = record.listed.service, record.listed.slots
             residence = self.residence(service)
             mean = self._mean(service, now)
+            usual_requests = slots * mean.requests
+            usual_tokens = slots * mean.unread_tokens
+            if is_engine:
+                own.average.update(peers, now)
+                usual_requests = own.average.requests
+                usual_tokens = own.average.unread_tokens
             if requests_at is None:
                 requests_at = mean.requests_at
             requests = _decay_to(
-                slots * mean.requests,
+                usual_requests,
                 requests,
                 residence.request.remaining_share(_age_s(requests_at, now)),
             )
@@ -134,7 +144,7 @@
             if tokens_at is None:
                 tokens_at = mean.tokens_at
             unread_tokens = _decay_to(
-                slots * mean.unread_tokens,
+                usual_tokens,
                 unread_tokens,
                 residence.prefill.remaining_share(_age_s(tokens_at, now)),
             )
@@ -195,6 +205,6 @@
     return 0.0 if reported_at is None else now - reported_at + RELAY_DELAY_S
 
 
-def _decay_to(mean: float, reported: float, remaining_share: float) -> float:
-    """Return what a reported load has become on its way to the mean."""
-    return mean + (reported - mean) * remaining_share
+def _decay_to(usual: float, reported: float, remaining_share: float) -> float:
+    """Return what a reported load has become on its way to the usual one."""
+    return usual + (reported - usual) * remaining_share
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -8,6 +8,8 @@
 PEER_REPORT_TTL_S = 5.0
 """How long a peer's last report counts. A peer that died has no requests in
 flight, as endpoints drop requests whose connection ends."""
+AVERAGE_S = 1.0
+"""Time constant of the average of reports, about their age."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,6 +32,26 @@
     """The same, weighted by unread tokens."""
 
 
+@dataclass(kw_only=True, slots=True)
+class AverageLoad:
+    """Moving average of what peers report, over about `AVERAGE_S`."""
+
+    requests: float = 0.0
+    unread_tokens: float = 0.0
+    _updated_at: float | None = None
+
+    def update(self, load: PeerLoad, now: float) -> None:
+        """Move the average towards the load since the last update."""
+        weight = 1.0
+        if self._updated_at is not None:
+            weight -= math.exp((self._updated_at - now) / AVERAGE_S)
+        self.requests += weight * (load.requests - self.requests)
+        self.unread_tokens += weight * (
+            load.unread_tokens - self.unread_tokens
+        )
+        self._updated_at = now
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _PeerReport:
     requests: int
@@ -48,6 +70,8 @@
 
     requests: int = 0
     unread_tokens: float = 0.0
+    average: AverageLoad = field(default_factory=AverageLoad)
+    """Average of what peers report."""
     _report_by_peer: dict[DaemonId, _PeerReport] = field(default_factory=dict)
     _peer_sum: LoadCounts = LoadCounts()
     """Sum over the peers. Computing it for each choice of an endpoint took
--- a/tests/test_gateway_stale_reports.py
+++ b/tests/test_gateway_stale_reports.py
@@ -84,6 +84,33 @@
         self.assertAlmostEqual(load.unread_tokens, 2000.0, delta=1.0)
         self.assertAlmostEqual(load.report_age_s, 1.0)
 
+    def test_home_of_a_frequent_prefix_keeps_the_load_that_it_has(self):
+        """One prefix has a fifth of the traffic, its home a long queue.
+
+        With the mean of the service as its usual load, all daemons would
+        take the home to be as idle as the others, and send more there.
+        """
+        self.residence.prefill.add(0.08)
+        loads = []
+        for _ in range(50):
+            self.daemon.report(0, 'peer', 8, self.now, unread_tokens=9000.0)
+            self.now += 0.7
+            record = self.daemon.record(0)
+            loads.append(self.forecast.load(record, self.now, is_engine=True))
+        self.assertAlmostEqual(loads[-1].unread_tokens, 9000.0, delta=1.0)
+        self.assertAlmostEqual(loads[-1].requests, 8.0, delta=0.01)
+
+    def test_queue_that_a_report_shows_once_is_not_the_usual_load(self):
+        self.residence.prefill.add(0.08)
+        record = self.daemon.record(0)
+        for _ in range(20):
+            self.now += 0.1
+            self.forecast.load(record, self.now, is_engine=True)
+        self.daemon.report(0, 'peer', 8, self.now, unread_tokens=9000.0)
+        self.now += 0.3
+        load = self.forecast.load(record, self.now, is_engine=True)
+        self.assertLess(load.unread_tokens, 0.3 * 9000.0)
+
     def test_report_is_not_new_when_it_arrives(self):
         """Its calls of 22 ms have ended while it passed through relays."""
         self.residence.request.add(0.022)
