--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -362,7 +362,7 @@
     def _has_room(self, choice: Choice, now: float) -> bool:
         """Whether the chosen endpoint has a free slot by the reports."""
         record = choice.record
-        load = self.chooser.forecast.load(record, now)
+        load = self.chooser.forecast.load(record, now, is_engine=True)
         return load.requests < record.listed.slots
 
     def _late_limit(self, service: ServiceName) -> int:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -357,7 +357,7 @@
         """Estimate the prefill work and the delay at one endpoint."""
         speed = self.speed_of(service.name)
         factor = self.engine_factors.factor(record)
-        load = self.forecast.load(record, now)
+        load = self.forecast.load(record, now, is_engine=True)
         cached = self.prefix_index.cached_tokens(record.id, prompt)
         fetch_from = None
         if holder is not None and holder is not record:
