--- a/packages/mimosamux-wire/mimosamux_wire/envelopes.py
+++ b/packages/mimosamux-wire/mimosamux_wire/envelopes.py
@@ -5,6 +5,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from functools import lru_cache
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.Thrift import TMessageType
@@ -17,6 +18,10 @@
 """Largest number of items in a received list."""
 MAX_SEQUENCE = 2**31 - 1
 """Largest sequence number; thrift sends it as a signed 32-bit integer."""
+NAME_START = 4
+"""Position of the name in a header with one-byte numbers."""
+MAX_ONE_BYTE = 0x7F
+"""Largest number that thrift's compact protocol writes in one byte."""
 
 
 class EnvelopeType(IntEnum):
@@ -69,8 +74,13 @@
 
 
 def _decode(data: bytes) -> Envelope:
-    protocol = _protocol(TMemoryBuffer(data))
-    name, kind, sequence = protocol.readMessageBegin()
+    header_size = _header_size(data)
+    if header_size is None:
+        protocol = _protocol(TMemoryBuffer(data))
+        name, kind, sequence = protocol.readMessageBegin()
+    else:
+        protocol = _protocol(TMemoryBuffer(data, header_size))
+        name, kind, sequence = _read_header(data[:header_size])
     message_class = MESSAGES_BY_NAME.get(name)
     message = None
     if message_class is not None:
@@ -84,6 +94,25 @@
     )
 
 
+def _header_size(data: bytes) -> int | None:
+    """Return the size of a header with one-byte numbers, None for others.
+
+    A header is two bytes, the sequence, and the name behind its length. The
+    gossip sends thousands of messages with the same few headers of this kind.
+    """
+    if len(data) < NAME_START or max(data[2:NAME_START]) > MAX_ONE_BYTE:
+        return None
+    return NAME_START + data[NAME_START - 1]
+
+
+@lru_cache(maxsize=256)
+def _read_header(data: bytes) -> tuple[str, EnvelopeType, int]:
+    """Read a header; thrift does that in Python, byte by byte."""
+    protocol = _protocol(TMemoryBuffer(data))
+    name, kind, sequence = protocol.readMessageBegin()
+    return name, EnvelopeType(kind), sequence
+
+
 def _protocol(buffer: TMemoryBuffer) -> TCompactProtocolAccelerated:
     return TCompactProtocolAccelerated(
         buffer,
