--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -191,6 +191,7 @@
         self.parts.duties.is_stopping = True
         self._duties_scope.cancel()
         self.parts.dispatcher.close()
+        self.parts.endpoint_wait.close()
         await GracefulStop(
             server=self._server,
             notify_peers=self.parts.states.send_digest,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -23,6 +23,7 @@
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway.admission.admission import Admission
+from mimosamux_daemon.gateway.admission.endpoint_wait import EndpointWait
 from mimosamux_daemon.gateway.admission.load_shedding import LoadShedding
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
     RequestDispatcher,
@@ -91,6 +92,7 @@
     demand: Demand
     load_shedding: LoadShedding
     dispatcher: RequestDispatcher
+    endpoint_wait: EndpointWait
     evacuation: Evacuation
     quarantine: CrashQuarantine
     outcomes: OutcomeLog
@@ -179,10 +181,12 @@
         while True:
             await self.list_freshness.wait_until_fresh()
             choice = self._choose(job)
-            if choice is None or failed_connects >= MAX_FAILED_CONNECTS:
+            if failed_connects >= MAX_FAILED_CONNECTS:
                 return self._give_up_unplaced(job)
             placement = await self._place(job, choice)
             if isinstance(placement, Unplaced):
+                if await self.endpoint_wait.wait(job):
+                    continue
                 return self._give_up_unplaced(job)
             if not isinstance(placement, Choice):
                 return placement
@@ -194,8 +198,10 @@
             elif not isinstance(outcome, ContinueElsewhere):
                 return outcome
 
-    async def _place(self, job: Job, choice: Choice) -> Placement:
+    async def _place(self, job: Job, choice: Choice | None) -> Placement:
         """Return where to send a job now, possibly after a wait."""
+        if choice is None:
+            return Unplaced()
         if self.dispatcher.handles(job):
             return await self.dispatcher.place(job, choice, self._choose)
         return self.load_shedding.find_refusal(job, choice) or choice
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -78,7 +78,7 @@
         self.waits = self._counter(
             'mimosamux_gateway_waits_total',
             'Ended waits for a model engine, by service and result (sent, '
-            'sent_late, refused, unplaced, cancelled).',
+            'sent_late, endpoint_found, refused, unplaced, cancelled).',
         )
         self.wait_s = self._histogram(
             'mimosamux_gateway_wait_seconds',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -16,6 +16,7 @@
     Admission,
     ConfirmationLimits,
 )
+from mimosamux_daemon.gateway.admission.endpoint_wait import EndpointWait
 from mimosamux_daemon.gateway.admission.engine_times import EngineTimes
 from mimosamux_daemon.gateway.admission.load_shedding import (
     WINDOW_S,
@@ -452,6 +453,16 @@
             clock=self._clock,
         )
 
+        self.endpoint_wait = EndpointWait(
+            is_enabled=lambda: not self.states.is_flat,
+            has_endpoints=lambda service: bool(self.roster.serving(service)),
+            metrics=self.metrics,
+            clock=self._clock,
+        )
+        self.roster.on_listed.append(
+            lambda record: self.endpoint_wait.note_change()
+        )
+
     def _build_forwarding(self) -> None:
         self.admission = Admission(
             configuration=self.configuration,
@@ -493,6 +504,7 @@
             demand=self.demand,
             load_shedding=self.load_shedding,
             dispatcher=self.dispatcher,
+            endpoint_wait=self.endpoint_wait,
             evacuation=self.evacuation,
             quarantine=self.quarantine,
             outcomes=OutcomeLog(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
@@ -204,19 +204,24 @@
                 await self._place_order(service, pool, count, lease)
 
     def _find_lost_capacity(self, service: ServiceName) -> float:
-        """Return the capacity lost to rate limits of endpoints.
+        """Return the capacity lost to rate limits and to slow engines.
 
         The unit is endpoints: one whose limit admits half of the planned
-        load counts as half an endpoint lost.
+        load, or which takes twice the mean time, counts as half an endpoint
+        lost. Slow engines count where fast ones do not make up for them, and
+        as whole endpoints: factors vary by some percent, which must not
+        change the orders.
         """
         mean_busy_s = self.demand.mean_busy_s(service)
-        loads = [
-            record.share.limit_per_s * mean_busy_s
-            for record in self.roster.serving(service)
-            if record.share is not None
-        ]
         planned = self.policy.target_utilisation
-        return sum(max(0.0, 1 - each / planned) for each in loads)
+        to_limits = to_slowness = 0.0
+        for record in self.roster.serving(service):
+            if record.share is None:
+                to_slowness += 1 - 1 / record.time_factor
+            else:
+                load = record.share.limit_per_s * mean_busy_s
+                to_limits += max(0.0, 1 - load / planned)
+        return to_limits + max(math.floor(to_slowness), 0)
 
     def _expects_requests(self, service: ServiceName) -> bool:
         """Whether to keep capacity for requests of a service.
--- a/tests/support/queueing.py
+++ b/tests/support/queueing.py
@@ -35,17 +35,14 @@
     RequestDispatcher,
 )
 from mimosamux_daemon.gateway.admission.retry_times import RetryTimes
-from mimosamux_daemon.gateway.balancing.choice import Chooser
-from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
-    PrefixCacheIndex,
-)
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.rollouts import RolloutLimits, Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.serving.fair_shares import FairShares
 
+from tests.support.choosers import make_chooser
+
 LLM = ServiceName('llm')
 NORTH = DataCentreName('north')
 ENGINE = EngineCapabilities(
@@ -116,21 +113,11 @@
         self.roster = Roster(
             clock=now, time_of_day=now, health=StoreHealth(clock=now)
         )
+        self.chooser = make_chooser(
+            self.roster, clock=now, rng=rng, daemons=lambda: daemons
+        )
         for number in range(engines):
             self.list_engine(number, slots)
-        self.chooser = Chooser(
-            prefix_index=PrefixCacheIndex(is_current=self.roster.is_current),
-            roster=self.roster,
-            rollouts=Rollouts(
-                limits=RolloutLimits(),
-                serving=self.roster.serving,
-                is_isolated=lambda: False,
-                clock=now,
-            ),
-            data_centre=NORTH,
-            clock=now,
-            rng=rng,
-        )
         self.shedding = LoadShedding(
             shares=FairShares(window_s=WINDOW_S), clock=now
         )
--- a/tests/support/stale_reports.py
+++ b/tests/support/stale_reports.py
@@ -13,21 +13,14 @@
     ServiceName,
 )
 from mimosamux_daemon.domain.routes import Route, RouteKind, ServiceEntry
-from mimosamux_daemon.gateway.balancing.choice import Chooser
-from mimosamux_daemon.gateway.balancing.engine_candidates import (
-    EngineCandidates,
-)
-from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
-from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
-    PrefixCacheIndex,
-)
 from mimosamux_daemon.gateway.balancing.service_endpoints import (
     ServiceEndpoints,
 )
-from mimosamux_daemon.gateway.rollouts import RolloutLimits, Rollouts
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.store_health import StoreHealth
 
+from tests.support.choosers import make_chooser
+
 APP = ServiceName('app')
 SERVICE = ServiceEntry(name=APP)
 ROUTE = Route(
@@ -74,28 +67,14 @@
             health=self.health,
         )
         self.endpoints = ServiceEndpoints()
-        self.roster.on_listed.append(self.endpoints.add)
-        self.roster.on_leaving.append(self.endpoints.discard)
-        self.chooser = Chooser(
-            prefix_index=PrefixCacheIndex(is_current=self.roster.is_current),
-            roster=self.roster,
-            rollouts=Rollouts(
-                limits=RolloutLimits(),
-                serving=self.roster.serving,
-                is_isolated=lambda: False,
-                clock=self.clock,
-            ),
-            forecast=LoadForecast(
-                is_relayed=lambda: self.is_relayed,
-                endpoints=self.endpoints.records,
-            ),
-            candidates=EngineCandidates(
-                endpoints=self.endpoints, rng=self.rng
-            ),
-            daemons=lambda: self.daemons,
-            data_centre=DataCentreName(self.zone),
+        self.chooser = make_chooser(
+            self.roster,
             clock=self.clock,
             rng=self.rng,
+            zone=self.zone,
+            daemons=lambda: self.daemons,
+            is_relayed=lambda: self.is_relayed,
+            endpoints=self.endpoints,
         )
 
     def list(self, *items):
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -28,19 +28,19 @@
 )
 from mimosamux_daemon.gateway.attempts import Attempt
 from mimosamux_daemon.gateway.balancing import engine_factors
-from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
+from mimosamux_daemon.gateway.balancing.choice import Choice
 from mimosamux_daemon.gateway.balancing.engine_samples import EngineSamples
-from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
-    PrefixCacheIndex,
-)
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
 )
 from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.scaling import Scaling
+from mimosamux_daemon.gateway.scaling_plan import ScalingPolicy
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_standins.site import ReplicaSpeed
 from mimosamux_wire import EndpointUse, EnvelopeType, StateDigest, encode
 
+from tests.support.choosers import make_chooser
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site
 from tests.test_gateway_streams import engines_of, send_draft
@@ -111,17 +111,10 @@
             time_of_day=time,
             health=StoreHealth(clock=time),
         )
-        self.list(*map(listed, range(engines)))
-        self.chooser = Chooser(
-            prefix_index=PrefixCacheIndex(is_current=self.roster.is_current),
-            roster=self.roster,
-            rollouts=SimpleNamespace(
-                filter_endpoints=lambda service, records, **_: records
-            ),
-            data_centre=CENTRE,
-            clock=time,
-            rng=random.Random(1),
+        self.chooser = make_chooser(
+            self.roster, clock=time, rng=random.Random(1), zone=CENTRE
         )
+        self.list(*map(listed, range(engines)))
         self.factors = self.chooser.engine_factors
         self.usage = EndpointUsageExchange(roster=self.roster, clock=time)
 
@@ -417,6 +410,30 @@
         self.assertEqual(new[0].record(2).load.total(0).requests, 3)
         self.assertEqual(new[0].record(2).speed_samples.peers, 2)
 
+    def test_slow_engine_counts_as_less_capacity(self):
+        """Guards against a plan for fast engines that are reclaimed."""
+        daemon = self.daemons(1)[0]
+        scaling = Scaling(
+            calls=None,
+            roster=daemon.roster,
+            demand=mock.Mock(),
+            configuration=mock.Mock(),
+            clock=self.time,
+            metrics=mock.Mock(),
+            lose_lease=mock.Mock(),
+            rollouts=mock.Mock(),
+            policy=ScalingPolicy(),
+        )
+        for factors, lost in (
+            ((1.0, 1.0, 1.0), 0),
+            ((0.7, 0.7, 1.7), 0),
+            ((1.1, 1.1, 1.1), 0),
+            ((1.7, 1.7, 1.7), 1),
+        ):
+            for number, factor in enumerate(factors):
+                daemon.record(number).time_factor = factor
+            self.assertEqual(scaling._find_lost_capacity(LLM), lost)
+
 
 class TestStreams(unittest.TestCase):
     def test_streams_of_a_site_show_its_slow_engine(self):
