--- a/tests/support/queueing.py
+++ b/tests/support/queueing.py
@@ -36,9 +36,16 @@
 )
 from mimosamux_daemon.gateway.admission.retry_times import RetryTimes
 from mimosamux_daemon.gateway.balancing.choice import Chooser
+from mimosamux_daemon.gateway.balancing.engine_candidates import (
+    EngineCandidates,
+)
+from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
 )
+from mimosamux_daemon.gateway.balancing.service_endpoints import (
+    ServiceEndpoints,
+)
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.rollouts import RolloutLimits, Rollouts
@@ -116,6 +123,9 @@
         self.roster = Roster(
             clock=now, time_of_day=now, health=StoreHealth(clock=now)
         )
+        endpoints = ServiceEndpoints()
+        self.roster.on_listed.append(endpoints.add)
+        self.roster.on_leaving.append(endpoints.discard)
         for number in range(engines):
             self.list_engine(number, slots)
         self.chooser = Chooser(
@@ -127,6 +137,11 @@
                 is_isolated=lambda: False,
                 clock=now,
             ),
+            forecast=LoadForecast(
+                is_relayed=lambda: True, endpoints=endpoints.records
+            ),
+            candidates=EngineCandidates(endpoints=endpoints, rng=rng),
+            daemons=lambda: daemons,
             data_centre=NORTH,
             clock=now,
             rng=rng,
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -29,10 +29,17 @@
 from mimosamux_daemon.gateway.attempts import Attempt
 from mimosamux_daemon.gateway.balancing import engine_factors
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
+from mimosamux_daemon.gateway.balancing.engine_candidates import (
+    EngineCandidates,
+)
 from mimosamux_daemon.gateway.balancing.engine_samples import EngineSamples
+from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
 )
+from mimosamux_daemon.gateway.balancing.service_endpoints import (
+    ServiceEndpoints,
+)
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
 )
@@ -111,16 +118,25 @@
             time_of_day=time,
             health=StoreHealth(clock=time),
         )
+        endpoints = ServiceEndpoints()
+        self.roster.on_listed.append(endpoints.add)
+        self.roster.on_leaving.append(endpoints.discard)
         self.list(*map(listed, range(engines)))
+        rng = random.Random(1)
         self.chooser = Chooser(
             prefix_index=PrefixCacheIndex(is_current=self.roster.is_current),
             roster=self.roster,
             rollouts=SimpleNamespace(
                 filter_endpoints=lambda service, records, **_: records
             ),
+            forecast=LoadForecast(
+                is_relayed=lambda: True, endpoints=endpoints.records
+            ),
+            candidates=EngineCandidates(endpoints=endpoints, rng=rng),
+            daemons=lambda: 1,
             data_centre=CENTRE,
             clock=time,
-            rng=random.Random(1),
+            rng=rng,
         )
         self.factors = self.chooser.engine_factors
         self.usage = EndpointUsageExchange(roster=self.roster, clock=time)
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -685,11 +685,14 @@
         """Run a request at its engine; count it from its first attempt."""
         tokens = 0.0 if job.is_late else choice.unread_tokens
         load = choice.record.load
-        first_event_at = []
+        residence = entry.chooser.forecast.residence(LLM)
+        sent_at, first_event_at = anyio.current_time(), []
 
         def note_first_event():
             load.note_read(tokens)
             first_event_at.append(anyio.current_time())
+            if not job.is_late:
+                residence.prefill.add(first_event_at[0] - sent_at)
             entry.dispatcher.note_room(LLM)
 
         load.begin(tokens)
@@ -698,6 +701,7 @@
         load.end(0.0)
         now = anyio.current_time()
         choice.record.health.note(now, failed=False)
+        residence.request.add(now - sent_at)
         entry.dispatcher.note_answer(job, now - first_event_at[0])
         entry.dispatcher.note_ended(job)
         if now - began_at > LIMIT_S:
