--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -354,10 +354,15 @@
         return self._own_s(waiting) - waiting.estimate.own_prefill_excess_s
 
     def _own_s(self, waiting: WaitingRequest) -> float:
-        """Return the time to a request's first event at an idle engine."""
+        """Return the time to a request's first event at an idle engine.
+
+        The engine is as fast as that of the estimate, whose parts this is
+        compared with.
+        """
+        estimate = waiting.estimate
         speed = self.chooser.speed_of(waiting.job.service.name)
-        tokens = waiting.estimate.unread_tokens
-        return speed.constant_s + speed.prefill_s(tokens)
+        own_s = speed.constant_s + speed.prefill_s(estimate.unread_tokens)
+        return own_s * estimate.time_factor
 
     def _has_room(self, choice: Choice, now: float) -> bool:
         """Whether the chosen endpoint has a free slot by the reports."""
--- a/tests/support/queueing.py
+++ b/tests/support/queueing.py
@@ -68,12 +68,18 @@
 
 
 def make_job(
-    name='r', account='school', *, target_s=TARGET_S, limit_s=LIMIT_S, **fields
+    name='r',
+    account='school',
+    *,
+    target_s=TARGET_S,
+    limit_s=LIMIT_S,
+    prompt_tokens=PROMPT_TOKENS,
+    **fields,
 ):
     """Return a job whose request arrives now."""
     prompt = PromptInfo(
-        prompt_tokens=PROMPT_TOKENS,
-        parts=(PromptPart(id=name, tokens=PROMPT_TOKENS),),
+        prompt_tokens=prompt_tokens,
+        parts=(PromptPart(id=name, tokens=prompt_tokens),),
     )
     return Job(
         request=GatewayRequest(
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -362,6 +362,31 @@
         self.assertIs(refused.reason, Reason.NO_CAPACITY)
         self.assertLess(at, 0.5 * LIMIT_S + 0.2)
 
+    def test_lateness_counts_the_time_factor_of_the_engine(self):
+        """A long prompt waits for an engine of another speed than the mean.
+
+        With the mean speed, a request counts as late that a fast engine can
+        still begin in time, or as timely after its target has passed; the
+        latter keeps newcomers in the queue.
+        """
+
+        async def check(entry, tasks):
+            entry.record().time_factor = factor
+            entry.occupy(requests=6, tokens=BUSY_TOKENS)
+            placing = Placing(entry, tasks)
+            job = make_job('r', prompt_tokens=90_000)
+            placing.start(job)
+            await anyio.sleep(wait_s)
+            has_timely = entry.dispatcher._queue_of(LLM).has_timely()
+            entry.free()
+            await anyio.sleep(0.05)
+            return has_timely, job.is_late
+
+        factor, wait_s = 0.5, 0.4
+        self.assertEqual(run_entry(check), (True, False))
+        factor, wait_s = 2.0, 1.2
+        self.assertEqual(run_entry(check), (False, True))
+
     def test_only_routes_with_long_limits_at_large_sites_wait(self):
         """Elsewhere a late request is refused at once, as before."""
 
