--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_factors.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_factors.py
@@ -77,6 +77,9 @@
 MAX_REPORTS = 50_000
 """Most reports kept, one for each peer and endpoint: 15 MB. Beyond it,
 further pairs are ignored, and the daemon relies on the others."""
+MAX_FORGOTTEN = 4096
+"""Most forgotten peers whose incarnation is kept; the oldest is removed
+first."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -129,6 +132,9 @@
         """Engines with samples that are not in a digest yet."""
         self._warned_by_peer: dict[DaemonId, int] = {}
         """Incarnation of each peer whose invalid samples were logged."""
+        self._incarnation_by_forgotten: dict[DaemonId, int] = {}
+        """Peers whose reports were dropped. One that stood still returns with
+        the same counts, which must not be added again."""
         self._reports = 0
         self._refreshed_at = clock()
 
@@ -213,6 +219,22 @@
                 self._take_use(peer, use)
         self._refresh_if_due()
 
+    def forget_peer(self, id_: DaemonId) -> None:
+        """Drop the reports of a peer that is considered dead.
+
+        Daemons come and go for as long as an engine is listed; their reports
+        would exhaust `MAX_REPORTS`.
+        """
+        self._warned_by_peer.pop(id_, None)
+        for engines in self._by_service.values():
+            for record in engines.records:
+                incarnation = record.speed_samples.forget_peer(id_)
+                if incarnation is not None:
+                    self._incarnation_by_forgotten[id_] = incarnation
+        if len(self._incarnation_by_forgotten) > MAX_FORGOTTEN:
+            oldest = next(iter(self._incarnation_by_forgotten))
+            del self._incarnation_by_forgotten[oldest]
+
     def refresh(self) -> None:
         """Compute the factors of all engines that have samples."""
         now = self._clock()
@@ -268,8 +290,13 @@
             ratios=use.ratio_sum or 0.0,
             squares=use.ratio_square_sum or 0.0,
         )
+        forgotten = self._incarnation_by_forgotten.get(sender)
         is_valid = samples.note_peer(
-            sender, peer.incarnation, sums, self._clock()
+            sender,
+            peer.incarnation,
+            sums,
+            self._clock(),
+            was_forgotten=forgotten == peer.incarnation,
         )
         if is_valid:
             self._engines(record.listed.service).records.add(record)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_samples.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_samples.py
@@ -92,8 +92,7 @@
     """Samples of all daemons, decayed until `_recent_at`."""
     _recent_at: float = 0.0
     _report_by_peer: dict[DaemonId, _PeerReport] = field(default_factory=dict)
-    """Last report of each peer. It is kept for as long as the endpoint is
-    listed: a report that was forgotten would be counted again in full."""
+    """Last report of each peer, until the peer is forgotten."""
 
     @property
     def peers(self) -> int:
@@ -113,19 +112,33 @@
         """Whether a peer has reported samples."""
         return peer in self._report_by_peer
 
+    def forget_peer(self, peer: DaemonId) -> int | None:
+        """Drop the report of a peer; return which incarnation sent it."""
+        report = self._report_by_peer.pop(peer, None)
+        return None if report is None else report.incarnation
+
     def note_peer(
-        self, peer: DaemonId, incarnation: int, sums: SampleSums, now: float
+        self,
+        peer: DaemonId,
+        incarnation: int,
+        sums: SampleSums,
+        now: float,
+        *,
+        was_forgotten: bool = False,
     ) -> bool:
         """Add what a peer counted since its last report; False: invalid.
 
         A peer that restarted counts from zero. It also does so if its record
         of the endpoint was removed for a while; then its report is only
-        stored, as its samples may have been counted before.
+        stored, as its samples may have been counted before. The same holds
+        for the first report of an incarnation that `was_forgotten`.
         """
         last = self._report_by_peer.get(peer)
         before = NO_SAMPLES
         if last is not None and last.incarnation == incarnation:
             before = last.sums
+        elif last is None and was_forgotten:
+            before = sums
         if not sums.is_possible():
             return False
         self._report_by_peer[peer] = _PeerReport(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -339,6 +339,8 @@
         )
         self.metrics.collectors.append(self._collect_residence_times)
         self.metrics.collectors.append(self._collect_engine_factors)
+        factors = self.chooser.engine_factors
+        self.states.on_forgotten.append(factors.forget_peer)
         self.roster.on_forgotten.append(self.chooser.prefix_index.forget)
         self.roster.on_restarted.append(self._forget_previous_incarnation)
 
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -293,6 +293,36 @@
         after = two.record(2).speed_samples.recent(self.time.now).weight
         self.assertAlmostEqual(after - before, 14 - 8, delta=0.01)
 
+    def test_samples_count_after_many_daemons_have_come_and_gone(self):
+        """Reports of daemons that are gone fill the bound of all reports."""
+        one, *others = self.daemons(6)
+        added = []
+        with mock.patch.object(engine_factors, 'MAX_REPORTS', 2):
+            for other in others:
+                before = one.record(2).speed_samples.recent(self.time.now)
+                for _ in range(12):
+                    other.decode(2, 1.0)
+                one.hear(other, other.digest())
+                after = one.record(2).speed_samples.recent(self.time.now)
+                added.append(after.weight - before.weight)
+                one.factors.forget_peer(other.peer.place.id)
+                one.factors.refresh()
+        for each in added:
+            self.assertAlmostEqual(each, 12 - 8)
+
+    def test_samples_of_a_daemon_that_returns_count_once(self):
+        """A daemon stands still, is forgotten, and goes on as it was."""
+        one, two = self.daemons(2)
+        for _ in range(12):
+            two.decode(2, 1.0)
+        one.hear(two, two.digest())
+        one.factors.forget_peer(two.peer.place.id)
+        for _ in range(2):
+            two.decode(2, 1.0)
+            one.hear(two, two.digest())
+        recent = one.record(2).speed_samples.recent(self.time.now)
+        self.assertAlmostEqual(recent.weight, 12 - 8 + 1)
+
     def test_lost_and_repeated_digests_count_once(self):
         """Guards against sums that miss samples or hold them twice."""
         one, two = self.daemons(2)
