--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/engine_times.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/engine_times.py
@@ -50,9 +50,3 @@
             rate_per_s = ended / WINDOW_S
             self._rate_by_service[service] = (now, rate_per_s)
         return rate_per_s
-
-    def slots(self, service: ServiceName) -> int:
-        """Return the slots of all endpoints that serve new requests."""
-        return sum(
-            record.listed.slots for record in self.roster.serving(service)
-        )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -372,8 +372,9 @@
 
     def _late_limit(self, service: ServiceName) -> int:
         """Return how many late requests this daemon may have in flight."""
-        slots = LATE_SLOT_SHARE * self.times.slots(service)
-        return max(int(slots / max(self.daemons(), 1)), 1)
+        slots = self.chooser.forecast.slots(service, self.clock())
+        share = LATE_SLOT_SHARE * slots / max(self.daemons(), 1)
+        return max(int(share), 1)
 
     def _queue_of(self, service: ServiceName) -> WaitingQueue:
         queue = self._queue_by_service.get(service)
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -612,6 +612,23 @@
 
         self.assertEqual(run_entry(check), ([], ['timely']))
 
+    def test_pass_over_late_requests_does_not_visit_all_endpoints(self):
+        """With 12,000 endpoints each visit takes 1.4 ms, in every pass."""
+
+        async def check(entry, tasks):
+            for number in range(40):
+                entry.occupy(requests=6, tokens=BUSY_TOKENS, number=number)
+            placing = Placing(entry, tasks)
+            placing.start(make_job('r'))
+            await anyio.sleep(1.2)
+            with patch.object(
+                entry.roster, 'serving', side_effect=entry.roster.serving
+            ) as serving:
+                await anyio.sleep(1.0)
+            return len(placing.by_name), serving.call_count
+
+        self.assertEqual(run_entry(check, engines=40), (0, 0))
+
 
 class TestRetryTimes(unittest.TestCase):
     def draw(self, count, *, rate_per_s):
