--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -6,6 +6,7 @@
 Each daemon decides for its own requests.
 """
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from functools import singledispatch
@@ -79,7 +80,8 @@
     clock: Callable[[], float]
     is_closed: bool = False
     """Whether the daemon stops and lets no request wait."""
-    late_in_flight: int = 0
+    late_by_service: Counter[ServiceName] = field(default_factory=Counter)
+    """Late requests in flight."""
     _queue_by_service: dict[ServiceName, WaitingQueue] = field(
         default_factory=dict
     )
@@ -143,7 +145,7 @@
     def note_ended(self, job: Job) -> None:
         """Note the end of a request that was placed."""
         if job.is_late:
-            self.late_in_flight -= 1
+            self.late_by_service[job.service.name] -= 1
 
     def close(self) -> None:
         """Refuse all waiting requests, and let no further one wait."""
@@ -266,7 +268,7 @@
         misses = 0
         for waiting in requests:
             service = waiting.job.service.name
-            if self.late_in_flight >= self._late_limit(service):
+            if self.late_by_service[service] >= self._late_limit(service):
                 return
             choice = self._choose(waiting)
             if choice is None:
@@ -296,7 +298,7 @@
         if isinstance(placement, Choice):
             if waiting.is_late:
                 waiting.job.is_late = True
-                self.late_in_flight += 1
+                self.late_by_service[waiting.job.service.name] += 1
             placement.record.load.begin(_counted_tokens(waiting, placement))
             self.shedding.note_admitted(waiting.job)
             queue.serve(waiting)
--- a/tests/support/queueing.py
+++ b/tests/support/queueing.py
@@ -74,6 +74,7 @@
     target_s=TARGET_S,
     limit_s=LIMIT_S,
     prompt_tokens=PROMPT_TOKENS,
+    service=LLM,
     **fields,
 ):
     """Return a job whose request arrives now."""
@@ -99,7 +100,7 @@
             timeout_s=limit_s,
             latency_target_s=target_s,
         ),
-        service=ServiceEntry(name=LLM, engine=ENGINE),
+        service=ServiceEntry(name=service, engine=ENGINE),
         account=AccountEntry(id=AccountId(account)),
         sink=None,
         **fields,
@@ -174,11 +175,11 @@
             clock=now,
         )
 
-    def list_engine(self, number, slots=6):
+    def list_engine(self, number, slots=6, service=LLM):
         id_ = EndpointId(f'e-{number}')
         item = ListedEndpoint(
             id=id_,
-            service=LLM,
+            service=service,
             address=f'10.0.0.{number}:1',
             data_centre=NORTH,
             slots=slots,
@@ -192,7 +193,7 @@
         self.roster.apply([(f'e-{number}', None)])
 
     def choose(self, job):
-        return self.chooser.choose(LLM_ENTRY, job.route, job.request.prompt)
+        return self.chooser.choose(job.service, job.route, job.request.prompt)
 
     async def place(self, job):
         """Return where a job goes, None if no endpoint takes it."""
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -10,7 +10,7 @@
 
 import anyio
 from mimosamux_daemon.domain.gateway import CallerGone
-from mimosamux_daemon.domain.names import DaemonId
+from mimosamux_daemon.domain.names import DaemonId, ServiceName
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway import attempts
@@ -45,6 +45,8 @@
 BUSY_TOKENS = 150_000.0
 """Prompt tokens ahead that take 1.7 s, more than the target."""
 
+OTHER = ServiceName('other')
+
 PROMPT = (
     (b'X-Model', b'm'),
     (b'X-Token-Usage', b'1460,80'),
@@ -534,9 +536,10 @@
                 caller = site.caller(patience_s=15.0)
                 site.tasks.start_soon(send_draft, site, caller)
                 await anyio.sleep(2.0)
-                during = record.load.own(), parts.dispatcher.late_in_flight
+                late = parts.dispatcher.late_by_service
+                during = record.load.own(), sum(late.values())
                 await anyio.sleep(4.0)
-                after = record.load.own(), parts.dispatcher.late_in_flight
+                after = record.load.own(), sum(late.values())
                 return site.runs()[0].rank, during, after
 
         rank, during, after = run_paused(check)
@@ -591,6 +594,24 @@
 
         self.assertEqual(run_entry(check), (1, 2))
 
+    def test_late_request_does_not_hold_up_those_of_other_services(self):
+        """Engines of another service have spare slots of their own."""
+
+        async def check(entry, tasks):
+            entry.list_engine(1, service=OTHER)
+            placing = Placing(entry, tasks)
+            jobs = [make_job('r'), make_job('other', service=OTHER)]
+            for number, job in enumerate(jobs):
+                entry.occupy(requests=1, tokens=BUSY_TOKENS, number=number)
+                placing.start(job)
+            await anyio.sleep(2.0)
+            late = [job.is_late for job in jobs]
+            for job in jobs:
+                entry.dispatcher.note_ended(job)
+            return late, set(entry.dispatcher.late_by_service.values())
+
+        self.assertEqual(run_entry(check), ([True, True], {0}))
+
     def test_late_request_stays_behind_while_others_can_be_in_time(self):
         """Room that comes free belongs to requests that can be in time."""
 
