--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -91,8 +91,12 @@
         return self._poll(select.POLLRDHUP | select.POLLHUP)
 
     def _poll(self, events: int) -> bool:
+        descriptor = self._socket.fileno()
+        if descriptor < 0:
+            # The event loop has closed it after a reset.
+            return True
         poller = select.poll()
-        poller.register(self._socket.fileno(), events)
+        poller.register(descriptor, events)
         return bool(poller.poll(0))
 
 
--- a/tests/test_http1_relay.py
+++ b/tests/test_http1_relay.py
@@ -1,5 +1,7 @@
 """Parts of streams on their way: framing, order, and ends in the middle."""
 
+import socket
+import struct
 import unittest
 
 import anyio
@@ -303,3 +305,20 @@
             self.connect(script),
             [anyio.ClosedResourceError, anyio.BrokenResourceError],
         )
+
+    def test_reset_connection_has_ended(self):
+        """It is asked between the reset and the pass that tells its reader.
+
+        Its descriptor is closed by then. An exception stops the daemon.
+        """
+
+        async def script(connection, other):
+            other.extra(anyio.abc.SocketAttribute.raw_socket).setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            await other.aclose()
+            with self.assertRaises(anyio.BrokenResourceError):
+                await connection.receive()
+            return connection.has_ended(), connection.has_input()
+
+        self.assertEqual(self.connect(script), (True, True))
