--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -136,7 +136,7 @@
     def note_answer(self, job: Job, answer_s: float | None) -> None:
         """Note the end of an attempt, `answer_s` after its first event.
 
-        None: it had no first event.
+        None: its answer was not whole.
         """
         if answer_s is not None and not job.is_late:
             self.times.note_answer(job.route.name, answer_s)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -60,6 +60,9 @@
     """Time until the first event of a stream."""
     decoding_steps: int = 0
     """Events of a stream after those that arrived with the first."""
+    answer_s: float | None = None
+    """Time from the first event to the end of a stream that was received as
+    a whole from this endpoint."""
 
     @property
     def endpoint(self) -> ListedEndpoint:
@@ -75,14 +78,6 @@
         """
         return 0.0 if self.job.is_late else self.choice.unread_tokens
 
-    @property
-    def answer_s(self) -> float | None:
-        """Return the time since the first event, None without one."""
-        if self.time_to_first_event_s is None:
-            return None
-        begun_at = self.sent_at + self.time_to_first_event_s
-        return self.recorder.clock() - begun_at
-
     def call(self) -> EndpointCall:
         """Return the call to the endpoint for this attempt."""
         job, source = self.job, self.choice.fetch_from
@@ -246,11 +241,14 @@
         ):
             return
         passed_s = self.recorder.clock() - self.sent_at
+        took_s = passed_s - self.time_to_first_event_s
+        if not self.job.is_resumed:
+            self.answer_s = took_s
         self.recorder.chooser.engine_factors.note_decoding(
             self.choice.record,
             self.job.route.name,
             steps=self.decoding_steps,
-            took_s=passed_s - self.time_to_first_event_s,
+            took_s=took_s,
         )
 
     def _count_trial_result(self, *, failed: bool) -> None:
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -523,6 +523,28 @@
         with patch.object(request_dispatcher, 'POLL_INTERVAL_S', 100.0):
             self.assertLess(run_paused(check), 1.0)
 
+    def test_answer_that_was_not_whole_is_no_sample_of_its_length(self):
+        """Callers that leave make answers seem short.
+
+        Late requests are then sent that cannot end before their deadlines.
+        """
+
+        async def check():
+            async with open_busy_site() as site:
+                (engine,) = site.replicas_by_id.values()
+                engine.speed = ReplicaSpeed(event_s=0.5)
+                with anyio.move_on_after(0.9):
+                    await send_draft(site, site.caller(patience_s=15.0))
+                await anyio.sleep(0.5)
+                times = site.daemons[0].daemon.parts.dispatcher.times
+                after_one_left = times.answer_s('r0')
+                await send_draft(site, site.caller(patience_s=15.0))
+                return after_one_left, times.answer_s('r0')
+
+        after_one_left, whole_s = run_paused(check)
+        self.assertEqual(after_one_left, 0.0)
+        self.assertGreater(whole_s, 1.0)
+
     def test_late_request_takes_nothing_from_others(self):
         """Counted as load, or as a failure, it would keep others away."""
 
