--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/engine_times.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/engine_times.py
@@ -9,6 +9,9 @@
 
 SAMPLE_WEIGHT = 0.1
 """Weight of the latest sample in the mean length of a route's answers."""
+MAX_ROUTES = 1024
+"""Most routes whose answers' length is kept; the least recently used is
+removed first."""
 RATE_TTL_S = 0.5
 """Time for which a computed rate is used again; it sums over all endpoints
 and peers."""
@@ -28,8 +31,11 @@
 
     def note_answer(self, route: str, took_s: float) -> None:
         """Count the time from the first event of an answer to its end."""
-        mean_s = self._answer_s_by_route.setdefault(route, took_s)
-        self._answer_s_by_route[route] += SAMPLE_WEIGHT * (took_s - mean_s)
+        mean_s = self._answer_s_by_route.pop(route, took_s)
+        mean_s += SAMPLE_WEIGHT * (took_s - mean_s)
+        self._answer_s_by_route[route] = mean_s
+        if len(self._answer_s_by_route) > MAX_ROUTES:
+            del self._answer_s_by_route[next(iter(self._answer_s_by_route))]
 
     def answer_s(self, route: str) -> float:
         """Return the mean time from first event to end, 0 if not known."""
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -15,6 +15,7 @@
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway import attempts
 from mimosamux_daemon.gateway.admission import request_dispatcher
+from mimosamux_daemon.gateway.admission.engine_times import MAX_ROUTES
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
     MAX_WAITING,
     MAX_WAITING_PER_ACCOUNT,
@@ -673,6 +674,27 @@
         self.assertEqual(run_entry(check, engines=40), (0, 0))
 
 
+class TestEngineTimes(unittest.TestCase):
+    def test_routes_that_come_and_go_do_not_fill_the_memory(self):
+        """Configurations change all day, and routes get new names."""
+
+        async def check():
+            times = Entry().times
+            for number in range(MAX_ROUTES + 50):
+                times.note_answer('lasting', 2.0)
+                times.note_answer(f'r-{number}', 1.0)
+            known = [
+                number
+                for number in range(MAX_ROUTES + 50)
+                if times.answer_s(f'r-{number}')
+            ]
+            return len(known), times.answer_s('lasting')
+
+        count, lasting_s = run_paused(check)
+        self.assertEqual(count, MAX_ROUTES - 1)
+        self.assertEqual(lasting_s, 2.0)
+
+
 class TestRetryTimes(unittest.TestCase):
     def draw(self, count, *, rate_per_s):
         async def check():
