--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metering.py
@@ -53,8 +53,9 @@
 """Shortest time after the end of a window before its counts are finalized.
 Digests of the window may arrive until then."""
 MAX_FINALIZE_DELAY_SHARE = 0.5
-"""Longest such time, as a share of the time until the report is due; the rest
-is for a slow table, and for another daemon that takes over."""
+"""Longest such time, as a share of the time until the report is due, unless
+the shortest is longer; the rest is for a slow table, and for another daemon
+that takes over."""
 TICK_S = 0.5
 
 
@@ -122,9 +123,12 @@
 
     def _newest_due(self, now: float) -> int:
         """Return the newest window whose counts may be finalized."""
-        delay_s = min(
-            max(FINALIZE_DELAY_S, self.propagation_s()),
-            MAX_FINALIZE_DELAY_SHARE * self.lateness_s,
+        delay_s = max(
+            FINALIZE_DELAY_S,
+            min(
+                self.propagation_s(),
+                MAX_FINALIZE_DELAY_SHARE * self.lateness_s,
+            ),
         )
         return int((now - delay_s) // self.request_counts.window_s) - 1
 
--- a/tests/test_gateway_metering.py
+++ b/tests/test_gateway_metering.py
@@ -34,7 +34,9 @@
         return DutyOutcome.DONE
 
 
-async def report_late_digest(*, arrives_s, propagation_s):
+async def report_late_digest(
+    *, arrives_s, propagation_s, lateness_s=LATENESS_S
+):
     """Return the reports of window 0, whose last digest comes late."""
     began_at = anyio.current_time()
     counts = RequestCounts(
@@ -50,7 +52,7 @@
             states=SimpleNamespace(on_joined=[], queue=lambda message: None),
             peers=SimpleNamespace(handle=lambda kind, handler: None),
         ),
-        lateness_s=LATENESS_S,
+        lateness_s=lateness_s,
         propagation_s=lambda: propagation_s,
         metrics=GatewayMetrics(),
         lose_lease=lambda lease: None,
@@ -89,3 +91,16 @@
             lambda: report_late_digest(arrives_s=2.5, propagation_s=60.0)
         )
         self.assertLess(delay_s, LATENESS_S - WINDOW_S + 1.0)
+
+    def test_short_lateness_leaves_the_shortest_delay(self):
+        """Guards against counts that are final before the last digests.
+
+        Where reports are due after 2 s, half of that is less than what a
+        small site has always waited.
+        """
+        [(_, counts)] = run_paused(
+            lambda: report_late_digest(
+                arrives_s=1.4, propagation_s=0.5, lateness_s=2.0
+            )
+        )
+        self.assertEqual(counts, {'school': 9})
