--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_factors.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_factors.py
@@ -21,7 +21,10 @@
 
 from mimosamux_daemon.domain.names import DaemonId, EndpointId, ServiceName
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.balancing.engine_samples import SampleSums
+from mimosamux_daemon.gateway.balancing.engine_samples import (
+    EngineSamples,
+    SampleSums,
+)
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.logs import get_log
@@ -239,7 +242,7 @@
         """Compute the factors of all engines that have samples."""
         now = self._clock()
         self._refreshed_at = now
-        for service, engines in self._by_service.items():
+        for service, engines in tuple(self._by_service.items()):
             self._refresh_service(service, engines, now)
         self._reports = sum(
             record.speed_samples.peers
@@ -311,6 +314,17 @@
                 squares=sums.squares,
             )
 
+    def _drop_samples(self, record: EndpointRecord) -> None:
+        """Drop the samples of an engine from its previous service.
+
+        They are relative to the mean of that service. If the engine has
+        samples from its new service already, they are too few to matter.
+        """
+        self._engines(record.listed.service).records.discard(record)
+        self._unsent.discard(record)
+        record.speed_samples = EngineSamples()
+        record.time_factor = 1.0
+
     def _refresh_service(
         self, service: ServiceName, engines: ServiceEngines, now: float
     ) -> None:
@@ -319,6 +333,9 @@
             if record.gone_at is not None:
                 engines.records.discard(record)
                 record.time_factor = 1.0
+            elif record.listed.service != service:
+                engines.records.discard(record)
+                self._drop_samples(record)
         sums_by_record = {
             each: each.speed_samples.recent(now) for each in engines.records
         }
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -5,6 +5,7 @@
 import math
 import random
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -323,6 +324,29 @@
         recent = one.record(2).speed_samples.recent(self.time.now)
         self.assertAlmostEqual(recent.weight, 12 - 8 + 1)
 
+    def test_engine_that_changes_its_service_leaves_the_old_one(self):
+        """Guards against two services that set the factor in turns."""
+        (daemon,) = self.daemons(1)
+        self.decode_all([daemon], rounds=30)
+        self.assertGreater(daemon.known()[2], 1.2)
+        other = replace(listed(2), service=ServiceName('other'))
+        daemon.list(other)
+        self.time.now += 1.0
+        daemon.factors.refresh()
+        self.assertEqual(daemon.record(2).time_factor, 1.0)
+        for _ in range(9):
+            daemon.decode(2, 1.0)
+        self.time.now += 1.0
+        daemon.factors.refresh()
+        by_service = {
+            service: [each.id for each in engines.records]
+            for service, engines in daemon.factors._by_service.items()
+        }
+        self.assertNotIn('i-2', by_service[LLM])
+        self.assertIn('i-2', by_service[other.service])
+        weight = daemon.record(2).speed_samples.recent(self.time.now).weight
+        self.assertLess(weight, 1.1)
+
     def test_lost_and_repeated_digests_count_once(self):
         """Guards against sums that miss samples or hold them twice."""
         one, two = self.daemons(2)
