--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
@@ -37,40 +37,51 @@
     """Answers of one endpoint to this daemon and to its peers."""
 
     _own: deque[tuple[float, bool]] = field(default_factory=deque)
+    _own_failed: int = 0
+    """Number of failures among them."""
     _by_peer: dict[DaemonId, tuple[float, AnswerCounts]] = field(
         default_factory=dict
     )
-    _peer_sum: AnswerCounts = NO_ANSWERS
-    """Sum over the peers, which every choice of an endpoint needs."""
+    _peer_ended: int = 0
+    _peer_failed: int = 0
+    """Sums over the peers, which every choice of an endpoint needs."""
     _peer_sum_expires_at: float = math.inf
     """When the oldest counts in the sum expire, or an earlier time."""
 
     def note(self, now: float, *, failed: bool) -> None:
         """Count an answer, or a failure to get one."""
         self._own.append((now, failed))
+        self._own_failed += failed
 
     def note_peer(
         self, peer: DaemonId, answers: AnswerCounts, now: float
     ) -> None:
         """Store the counts of a peer's last window."""
-        _, old = self._by_peer.pop(peer, (now, NO_ANSWERS))
-        new = answers if answers.ended else NO_ANSWERS
+        previous = self._by_peer.get(peer)
         if answers.ended:
+            new = answers
             self._by_peer[peer] = (now, answers)
-            self._peer_sum_expires_at = min(
-                self._peer_sum_expires_at, now + WINDOW_S
-            )
-        self._peer_sum = AnswerCounts(
-            ended=self._peer_sum.ended + new.ended - old.ended,
-            failed=self._peer_sum.failed + new.failed - old.failed,
-        )
+            if now + WINDOW_S < self._peer_sum_expires_at:
+                self._peer_sum_expires_at = now + WINDOW_S
+        elif previous is None:
+            return
+        else:
+            new = NO_ANSWERS
+            del self._by_peer[peer]
+        old = NO_ANSWERS if previous is None else previous[1]
+        # The same object stands for equal counts in most digests.
+        if new is not old:
+            self._peer_ended += new.ended - old.ended
+            self._peer_failed += new.failed - old.failed
 
     def own(self, now: float) -> AnswerCounts:
         """Return the counts of this daemon's own requests."""
         while self._own and self._own[0][0] < now - WINDOW_S:
-            self._own.popleft()
-        failed = sum(is_failed for _, is_failed in self._own)
-        return AnswerCounts(ended=len(self._own), failed=failed)
+            _, was_failed = self._own.popleft()
+            self._own_failed -= was_failed
+        if not self._own:
+            return NO_ANSWERS
+        return AnswerCounts(ended=len(self._own), failed=self._own_failed)
 
     def ended(self, now: float) -> int:
         """Return the number of answers to all daemons."""
@@ -87,10 +98,10 @@
         """Return the counts of this daemon and its peers."""
         if now >= self._peer_sum_expires_at:
             self._expire_peers(now)
-        own = self.own(now) if self._own else NO_ANSWERS
+        own = self.own(now)
         return AnswerCounts(
-            ended=own.ended + self._peer_sum.ended,
-            failed=own.failed + self._peer_sum.failed,
+            ended=own.ended + self._peer_ended,
+            failed=own.failed + self._peer_failed,
         )
 
     def _expire_peers(self, now: float) -> None:
@@ -101,10 +112,8 @@
             if at + WINDOW_S > now
         }
         counts = [answers for _, answers in self._by_peer.values()]
-        self._peer_sum = AnswerCounts(
-            ended=sum(answers.ended for answers in counts),
-            failed=sum(answers.failed for answers in counts),
-        )
+        self._peer_ended = sum(answers.ended for answers in counts)
+        self._peer_failed = sum(answers.failed for answers in counts)
         self._peer_sum_expires_at = WINDOW_S + min(
             (at for at, _ in self._by_peer.values()), default=math.inf
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -73,8 +73,9 @@
     average: AverageLoad = field(default_factory=AverageLoad)
     """Average of what peers report."""
     _report_by_peer: dict[DaemonId, _PeerReport] = field(default_factory=dict)
-    _peer_sum: LoadCounts = LoadCounts()
-    """Sum over the peers. Computing it for each choice of an endpoint took
+    _peer_requests: int = 0
+    _peer_tokens: float = 0.0
+    """Sums over the peers. Computing them for each choice of an endpoint took
     longer than the rest of the choice with dozens of peers."""
     _peer_times: '_WeightedTimes' = field(
         default_factory=lambda: _WeightedTimes()
@@ -120,12 +121,8 @@
             )
         else:
             report = NO_REPORT
-        self._peer_sum = LoadCounts(
-            requests=self._peer_sum.requests + report.requests - old.requests,
-            unread_tokens=self._peer_sum.unread_tokens
-            + report.unread_tokens
-            - old.unread_tokens,
-        )
+        self._peer_requests += report.requests - old.requests
+        self._peer_tokens += report.unread_tokens - old.unread_tokens
         self._peer_times.add(report)
         self._peer_times.remove(old)
         self._peer_load = None
@@ -135,8 +132,8 @@
         if now >= self._peer_sum_expires_at:
             self._expire_reports(now)
         return LoadCounts(
-            requests=self.requests + self._peer_sum.requests,
-            unread_tokens=self.unread_tokens + self._peer_sum.unread_tokens,
+            requests=self.requests + self._peer_requests,
+            unread_tokens=self.unread_tokens + self._peer_tokens,
         )
 
     def peers(self, now: float) -> PeerLoad:
@@ -148,8 +145,8 @@
         return self._peer_load
 
     def _sum_up_peers(self) -> PeerLoad:
-        requests = self._peer_sum.requests
-        unread_tokens = self._peer_sum.unread_tokens
+        requests = self._peer_requests
+        unread_tokens = self._peer_tokens
         times = self._peer_times
         return PeerLoad(
             requests=requests,
@@ -168,10 +165,8 @@
             if now - report.at < PEER_REPORT_TTL_S
         }
         reports = self._report_by_peer.values()
-        self._peer_sum = LoadCounts(
-            requests=sum(report.requests for report in reports),
-            unread_tokens=sum(report.unread_tokens for report in reports),
-        )
+        self._peer_requests = sum(report.requests for report in reports)
+        self._peer_tokens = sum(report.unread_tokens for report in reports)
         self._peer_load = None
         self._peer_times = _WeightedTimes()
         for report in reports:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/endpoint_usage_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/endpoint_usage_exchange.py
@@ -53,15 +53,17 @@
         """
         now, peer_id = self._clock(), peer.place.id
         reported: set[EndpointId] = set()
+        by_id = self._roster.by_id
         for use in digest.endpoints:
-            record = self._roster.by_id.get(EndpointId(use.endpoint))
+            id_ = EndpointId(use.endpoint)
+            record = by_id.get(id_)
             if record is not None and self._is_current(record, use):
-                reported.add(record.id)
+                reported.add(id_)
                 _apply_use(peer_id, record, use, now)
         before = self._reported_by_peer.get(peer_id, set())
         self._reported_by_peer[peer_id] = reported
         for id_ in before - reported:
-            record = self._roster.by_id.get(id_)
+            record = by_id.get(id_)
             if record is not None:
                 _apply_use(peer_id, record, NO_USE, now)
 
--- a/tests/test_gateway_many_engines.py
+++ b/tests/test_gateway_many_engines.py
@@ -274,3 +274,17 @@
             failed = sum(each.failed for each in current)
             expected = failed / ended if ended >= MIN_ANSWERS else None
             self.assertEqual(health.failure_rate(now), expected)
+
+    def test_own_answers_count_until_they_leave_the_window(self):
+        """Failures counted for longer would bar an endpoint that is well."""
+        rng, health, now, noted = random.Random(8), EndpointHealth(), 0.0, []
+        for _ in range(2000):
+            now += rng.expovariate(4.0)
+            if rng.random() < 0.7:
+                noted.append((now, rng.random() < 0.3))
+                health.note(now, failed=noted[-1][1])
+            current = [failed for at, failed in noted if at >= now - WINDOW_S]
+            self.assertEqual(
+                health.own(now),
+                AnswerCounts(ended=len(current), failed=sum(current)),
+            )
