--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -1,6 +1,6 @@
 """The whole stand-in platform in one process, on loopback ports."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -41,11 +41,13 @@
 MS_PER_S = 1000
 
 
-def demo_document() -> SiteDocument:
+def demo_document(engine_slots: int = 8) -> SiteDocument:
     """Return a configuration with each kind of route, and two accounts."""
     document = SiteDocument()
     document.add_service(
-        'llm', **engine_fields(), **scaling_fields(dict.fromkeys(ZONES, 1.0))
+        'llm',
+        **engine_fields(engine_slots),
+        **scaling_fields(dict.fromkeys(ZONES, 1.0)),
     )
     document.add_service('app')
     stream = {'stickySessions': True, 'gapTargetMs': 250}
@@ -74,6 +76,9 @@
 
     tasks: anyio.abc.TaskGroup
     speed: ReplicaSpeed
+    engine_slots: int = 8
+    engine_factors: Sequence[float] = (1.0,)
+    """Factors on the times of engines, which take them in turn."""
     store: StandInStore = field(default_factory=StandInStore)
     cloud: StandInCloud = field(default_factory=StandInCloud)
     document: SiteDocument = field(default_factory=demo_document)
@@ -82,6 +87,7 @@
     _scope_by_id: dict[str, anyio.CancelScope] = field(default_factory=dict)
     _leaves_at_by_id: dict[str, float] = field(default_factory=dict)
     _started: int = 0
+    _engines: int = 0
 
     async def start(self, *, engines: int, apps: int) -> tuple[str, str, str]:
         """Start everything; return where store, cloud and control are."""
@@ -91,11 +97,24 @@
         control = await self._serve(self._control)
         self.store.put('op', 'config', self.document.render())
         for number in range(engines):
-            await self.add_replica('llm', ZONES[number % 3], slots=8)
+            await self._add_engine(ZONES[number % 3])
         for number in range(apps):
             await self.add_replica('app', ZONES[number % 3])
         return store, cloud, control
 
+    async def _add_engine(
+        self, zone: str, *, service: str = 'llm', is_reclaimable: bool = False
+    ) -> None:
+        factor = self.engine_factors[self._engines % len(self.engine_factors)]
+        self._engines += 1
+        await self.add_replica(
+            service,
+            zone,
+            slots=self.engine_slots,
+            is_reclaimable=is_reclaimable,
+            speed=self.speed.slowed(factor),
+        )
+
     async def add_replica(
         self,
         service: str,
@@ -103,6 +122,7 @@
         *,
         slots: int = 6,
         is_reclaimable: bool = False,
+        speed: ReplicaSpeed | None = None,
     ) -> StandInReplica:
         """Start a replica and list it."""
         self._started += 1
@@ -112,7 +132,7 @@
             zone=zone,
             address='',
             slots=slots,
-            speed=self.speed,
+            speed=speed or self.speed,
             is_reclaimable=is_reclaimable,
             by_address=self.by_address,
         )
@@ -158,8 +178,8 @@
         self, service: str, zone: str, is_reclaimable: bool
     ) -> None:
         await anyio.sleep(BOOT_S)
-        await self.add_replica(
-            service, zone, slots=8, is_reclaimable=is_reclaimable
+        await self._add_engine(
+            zone, service=service, is_reclaimable=is_reclaimable
         )
 
     async def _control(self, incoming: IncomingRequest, reply: Reply) -> None:
@@ -245,6 +265,16 @@
                 }
                 for replica in self.replicas_by_id.values()
             ],
+            'arrivals': [
+                {
+                    'id': id_,
+                    'replica': replica.id,
+                    'at': at,
+                    'is_accepted': id_ in replica.accepted_ids,
+                }
+                for replica in self.replicas_by_id.values()
+                for at, id_ in replica.arrivals
+            ],
             'duty_calls': [
                 {
                     'path': call.path,
@@ -266,17 +296,31 @@
     event_s: float = 0.05,
     work_s: float = 0.03,
     token_s: float = 1e-5,
+    engine_slots: int = 8,
+    engine_factors: Sequence[float] = (1.0,),
 ) -> None:
     """Run the stand-in platform until SIGTERM or Ctrl-C."""
     speed = ReplicaSpeed(
         events=events, event_s=event_s, work_s=work_s, token_s=token_s
     )
-    anyio.run(_serve, engines, apps, speed)
+    anyio.run(_serve, engines, apps, speed, engine_slots, engine_factors)
 
 
-async def _serve(engines: int, apps: int, speed: ReplicaSpeed) -> None:
+async def _serve(
+    engines: int,
+    apps: int,
+    speed: ReplicaSpeed,
+    engine_slots: int,
+    engine_factors: Sequence[float],
+) -> None:
     async with anyio.create_task_group() as tasks:
-        host = SiteHost(tasks=tasks, speed=speed)
+        host = SiteHost(
+            tasks=tasks,
+            speed=speed,
+            engine_slots=engine_slots,
+            engine_factors=engine_factors,
+            document=demo_document(engine_slots),
+        )
         store, cloud, control = await host.start(engines=engines, apps=apps)
         announce(f'listening {store} {cloud}', control)
         await wait_for_signal(tasks.cancel_scope.cancel)
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
 import anyio
@@ -60,6 +60,15 @@
     events: int = 6
     move_s: float = 0.01
 
+    def slowed(self, factor: float) -> 'ReplicaSpeed':
+        """Return the speed of a replica that takes `factor` times as long."""
+        return replace(
+            self,
+            work_s=self.work_s * factor,
+            token_s=self.token_s * factor,
+            event_s=self.event_s * factor,
+        )
+
 
 @dataclass(kw_only=True, slots=True)
 class Run:
@@ -110,6 +119,8 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     """Time and id of each request that reached it, run or not."""
+    accepted_ids: set[str] = field(default_factory=set)
+    """Requests that it took into its queue or a slot."""
     misdirected: list[tuple[float, str]] = field(default_factory=list)
     """The same for requests that were for another replica."""
     _slots: anyio.Semaphore | None = None
@@ -209,6 +220,7 @@
         if not id_ or is_full or self.fault is Fault.SHED:
             await reply.answer(400 if not id_ else 503, self._shed_headers())
             return
+        self.accepted_ids.add(id_)
         with anyio.CancelScope() as scope:
             incoming.cancel_on_disconnect(scope)
             async with self._slot():
