--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,22 +1,36 @@
-"""Runs the fault soak by hand: `python -m tests.soak --seeds 50`."""
+"""Runs the fault soak by hand: `python -m tests.soak --seeds 50`.
 
+A fifth of the seeds is played with a large site; `--daemons` fixes the size.
+"""
+
+import pathlib
 import sys
 
 import fire
 
-from tests.support.soak import play
+from tests.support.soak import choose_daemons, play
 from tests.support.soak_checks import find_problems
 
 
-def soak(first=1, seeds=10, seconds=15.0, daemons=3):
-    """Play seeds one after the other; print what each broke."""
+def soak(first=1, seeds=10, seconds=15.0, daemons=None, logs=None):
+    """Play seeds one after the other; print what each broke.
+
+    The logs of the daemons are written below the folder `logs`, if given.
+    """
     failed = 0
     for seed in range(first, first + seeds):
-        record = play(seed, daemons=daemons, seconds=seconds)
+        count = daemons or choose_daemons(seed)
+        folder = None
+        if logs is not None:
+            folder = pathlib.Path(logs, str(seed))
+            folder.mkdir(parents=True, exist_ok=True)
+        record = play(seed, daemons=count, seconds=seconds, logs=folder)
         problems = find_problems(record)
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
-            f'seed {seed}: {served} of {len(record.sent)} served', flush=True
+            f'seed {seed}: {count} daemons, {served} of {len(record.sent)}'
+            f' served, {record.waits:g} waited',
+            flush=True,
         )
         if problems:
             failed += 1
--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -58,6 +58,12 @@
 
     def start_daemon(self, *, store=None, settings=None):
         """Start a daemon; with settings, another one with the same."""
+        daemon = self.launch_daemon(store=store, settings=settings)
+        daemon.process.wait_for_text('event=ready')
+        return daemon
+
+    def launch_daemon(self, *, store=None, settings=None):
+        """Start a daemon as `start_daemon` does, without waiting for it."""
         if settings is None:
             number = len(self.daemons)
             ports = [f'{HOST}:{self.started.reserve_port()}' for _ in range(5)]
@@ -69,7 +75,6 @@
                 ports=ports,
             )
         process = self.started.start_daemon(**settings)
-        process.wait_for_text('event=ready')
         daemon = Daemon(process=process, settings=settings)
         self.daemons.append(daemon)
         return daemon
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -3,17 +3,25 @@
 Daemons are frozen, killed, stopped and started again, the ways to the store
 are delayed, cut, silenced one way or both, the store and replicas misbehave.
 Faults come in series and overlap. Callers keep their connections.
+
+A large site has more daemons than exchange digests without relays, engines of
+few slots and unequal speed, bursts above their capacity, and callers that
+disconnect while they wait.
 """
 
 import heapq
+import math
+import pathlib
 import random
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
 import anyio
 import httpx
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP
 from mimosamux_standins.site import StandInCaller
 from mimosamux_standins.site.replica import Fault
 from mimosamux_standins.site.store import StoreTrouble
@@ -24,9 +32,33 @@
 TARGETS = ('/slip/', '/list/', '/draft/', '/question/')
 KEYS = {'key-school': 'school', 'key-office': 'office'}
 REVOKED_KEY = 'key-office'
+LEFT = 'patience is over'
+"""Problem of an answer that the caller no longer waited for."""
 FAULT_EVERY_S = 0.6
+START_TIMEOUT_S = 30.0
+WAITING = 'mimosamux_gateway_waiting_requests'
+WAITS = 'mimosamux_gateway_waits_total'
 RECOVERY_S = 12.0
 """Time within which everything serves again after the last fault."""
+SMALL_SITE = 3
+LARGE_SITES = (13, 14)
+"""Numbers of daemons with which digests pass through relays."""
+LARGE_SITE_EVERY = 5
+"""Of so many seeds, one is played with a large site."""
+LARGE_SITE_WAYS = 5
+"""Ways to the store that the daemons of a large site share: with one each, a
+soak would start 29 processes."""
+ENGINE_FACTORS = ((1.0, 1.0, 1.3), (0.7, 0.7, 1.7))
+BURST_CALLERS = 40
+"""With 2 or 3 slots at each of 3 engines, at least four times their slots."""
+BURST_S = 1.5
+BURST_RECOVERY_S = 5.0
+"""Time after a burst within which each daemon has a stream served again."""
+STREAM_TARGETS = ('/draft/', '/question/')
+QUEUES_EMPTY_S = 2.0
+"""Time after which no request of a caller that has gone waits any more."""
+STAYS_S = 1.0
+"""Time for which callers stay beyond their deadline, to see a late answer."""
 HEALED = {'delay_s': 0.0}
 PROXY_FAULTS = (
     {'blackhole': True},
@@ -44,6 +76,11 @@
     target: str
     key: str
     answer: object
+    entry: str = ''
+    patience_s: float | None = None
+    """Deadline that the caller waited for; None if it did not."""
+    has_left: bool = False
+    """Whether the caller disconnected before its deadline."""
 
 
 @dataclass(kw_only=True)
@@ -52,6 +89,14 @@
 
     entries: list
     rng: random.Random
+    count: int = CALLERS
+    targets: tuple = TARGETS
+    patience_s: float = 4.0
+    longest_pause_s: float = 0.2
+    stays_s: float | None = None
+    """Time for which a caller stays beyond its deadline."""
+    leaving_share: float = 0.0
+    """Share of the requests whose callers disconnect before the deadline."""
     sent: list = field(default_factory=list)
     _stopping: threading.Event = field(default_factory=threading.Event)
     _thread: threading.Thread | None = None
@@ -60,34 +105,55 @@
         self._thread = threading.Thread(target=lambda: anyio.run(self._run))
         self._thread.start()
 
-    def stop(self):
+    def tell_to_stop(self):
         self._stopping.set()
+
+    def stop(self):
+        self.tell_to_stop()
         self._thread.join()
 
     async def _run(self):
         async with anyio.create_task_group() as tasks:
-            for _ in range(CALLERS):
+            for _ in range(self.count):
                 rng = random.Random(self.rng.getrandbits(64))
                 tasks.start_soon(self._call, rng)
 
     async def _call(self, rng):
-        caller = StandInCaller(network=TcpNetwork(), patience_s=4.0, rng=rng)
+        caller = StandInCaller(
+            network=TcpNetwork(), patience_s=self.patience_s, rng=rng
+        )
         while not self._stopping.is_set():
             caller.key = rng.choice(list(KEYS))
-            target = f'{rng.choice(TARGETS)}{rng.randrange(9)}'
+            target = f'{rng.choice(self.targets)}{rng.randrange(9)}'
+            leaves = self.leaving_share > 0 and (
+                rng.random() < self.leaving_share
+            )
+            if leaves:
+                caller.leaves_after_s = rng.uniform(0.05, 2.0)
+            elif self.stays_s is not None:
+                caller.leaves_after_s = self.patience_s + self.stays_s
             is_read = target.startswith('/list/')
             is_stream = target.startswith(('/draft/', '/question/'))
+            entry = rng.choice(self.entries)
             answer = await caller.send(
-                rng.choice(self.entries),
+                entry,
                 target,
                 method='GET' if is_read else 'POST',
                 body=b'' if is_read else b'brief',
                 headers=PROMPT if is_stream else (),
             )
+            stays = self.stays_s is not None and not leaves
             self.sent.append(
-                Sent(target=target, key=caller.key, answer=answer)
+                Sent(
+                    target=target,
+                    key=caller.key,
+                    answer=answer,
+                    entry=entry,
+                    patience_s=self.patience_s if stays else None,
+                    has_left=leaves and answer.problem == LEFT,
+                )
             )
-            await anyio.sleep(rng.uniform(0.01, 0.2))
+            await anyio.sleep(rng.uniform(0.01, self.longest_pause_s))
         await caller.channels.close()
 
 
@@ -101,20 +167,65 @@
     """Control address of each daemon's way to the store."""
     log: list = field(default_factory=list)
     revoked_at: float | None = None
+    bursts: list = field(default_factory=list)
+    """Callers of each burst."""
+    absences: list = field(default_factory=list)
+    logs: pathlib.Path | None = None
+    """Folder for the logs of the daemons."""
+    _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
     """Names of the daemons that were asked to stop."""
     _due: list = field(default_factory=list)
     _drawn: int = 0
 
+    @property
+    def is_large(self):
+        return len(self.platform.daemons) > LARGEST_GROUP
+
     def start_daemons(self, count):
-        for number in range(count):
+        ways = count if count <= LARGEST_GROUP else LARGE_SITE_WAYS
+        addresses = []
+        for number in range(ways):
             proxy = self.platform.started.start_standin(
                 'proxy', self.platform.store
             )
-            address = proxy.address
+            addresses.append(proxy.address)
             control = proxy.wait_for_line('control').split()[-1]
             self.proxies[number] = control
-            self.platform.start_daemon(store=address)
+        for number in range(count):
+            self.platform.launch_daemon(store=addresses[number % ways])
+        ready = [self._read_log(each) for each in self.platform.daemons]
+        for each in ready:
+            if not each.wait(START_TIMEOUT_S):
+                raise AssertionError('a daemon did not start')
+
+    def _read_log(self, daemon):
+        """Read a daemon's log in a thread; return an event for its start."""
+        ready = threading.Event()
+        output = daemon.process.popen.stdout
+
+        def read():
+            lines = []
+            for line in output:
+                lines.append(line)
+                if 'event=ready' in line:
+                    ready.set()
+                    self._end_absences(daemon)
+            if self.logs is not None:
+                with (self.logs / f'{daemon.name}.log').open('a') as file:
+                    file.writelines(lines)
+
+        reader = threading.Thread(target=read)
+        reader.start()
+        self._readers.append(reader)
+        return ready
+
+    def end_daemons(self):
+        """Kill the daemons, and read the rest of their logs."""
+        for daemon in self.platform.daemons:
+            daemon.process.kill()
+        for reader in self._readers:
+            reader.join()
 
     def run(self, seconds):
         end = time.monotonic() + seconds
@@ -142,9 +253,36 @@
         at = time.monotonic() + self.rng.uniform(0.2, most_s)
         heapq.heappush(self._due, (at, self._drawn, undo))
 
+    def burst(self):
+        """Start callers of streams, more than the engines have slots."""
+        callers = self.make_callers(
+            count=BURST_CALLERS, targets=STREAM_TARGETS, longest_pause_s=0.1
+        )
+        self._note('burst', len(self.bursts))
+        self.bursts.append(callers)
+        callers.start()
+        return callers
+
+    def make_callers(self, **fields):
+        if self.is_large:
+            # Only a request with five targets or more to its deadline may
+            # wait for an engine: 5 s on the route of drafts.
+            fields |= {
+                'rng': random.Random(self.rng.getrandbits(64)),
+                'patience_s': 6.0,
+                'stays_s': STAYS_S,
+                'leaving_share': 0.2,
+            }
+        entries = [daemon.entry for daemon in self.platform.daemons]
+        return Callers(entries=entries, **{'rng': self.rng} | fields)
+
+    def _burst(self):
+        self._later(self.burst().tell_to_stop, BURST_S)
+
     def _draw(self):
         act = self.rng.choice(
             (
+                *((self._burst, self._burst) if self.is_large else ()),
                 self._freeze,
                 self._kill,
                 self._stop,
@@ -168,18 +306,34 @@
         daemon = self.platform.daemons[number]
         return daemon if daemon.process.popen.poll() is None else None
 
+    def _begin_absence(self, daemon):
+        absence = Absence(entry=daemon.entry, start=time.monotonic())
+        self.absences.append(absence)
+        return absence
+
+    def _end_absences(self, daemon):
+        for absence in self.absences:
+            if absence.entry == daemon.entry:
+                absence.end = min(absence.end, time.monotonic())
+
     def _freeze(self):
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note('freeze', daemon.name)
+            absence = self._begin_absence(daemon)
             process = daemon.process
             process.freeze()
-            self._later(process.thaw, 4.0)
+            self._later(lambda: self._thaw(process, absence), 4.0)
+
+    def _thaw(self, process, absence):
+        process.thaw()
+        absence.end = min(absence.end, time.monotonic())
 
     def _kill(self):
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note('kill', daemon.name)
+            self._begin_absence(daemon)
             daemon.process.kill()
             self._later(lambda: self._start_again(daemon), 1.5)
 
@@ -187,6 +341,7 @@
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note('stop', daemon.name)
+            self._begin_absence(daemon)
             daemon.process.terminate()
             self._stopping.add(daemon.name)
             self._later(lambda: self._start_again(daemon), 3.0)
@@ -200,6 +355,7 @@
         self._stopping.discard(daemon.name)
         self._note('start', daemon.name)
         daemon.process = self.platform.started.start_daemon(**daemon.settings)
+        self._read_log(daemon)
 
     def _spoil(self, number, faults):
         httpx.post(
@@ -283,6 +439,15 @@
             self.revoked_at = time.monotonic()
 
 
+@dataclass(kw_only=True)
+class Absence:
+    """Time in which a daemon is frozen, stops, or does not run."""
+
+    entry: str
+    start: float
+    end: float = math.inf
+
+
 @dataclass(kw_only=True)
 class Record:
     """What a soak left behind to be checked."""
@@ -292,56 +457,144 @@
     revoked_at: float | None
     log: list
     serves_again: bool
+    serves_after_burst: bool = True
+    absences: list = field(default_factory=list)
+    still_waiting: float = 0.0
+    """Requests in the queues after all callers had gone."""
+    waits: float = 0.0
+    """Requests that waited for an engine, as far as daemons still know."""
+
+
+def choose_daemons(seed):
+    """Return the number of daemons that a seed is played with.
+
+    It does not use the seed's generator, so that a seed draws the same faults
+    whether or not there are large sites.
+    """
+    turn, rest = divmod(seed, LARGE_SITE_EVERY)
+    return LARGE_SITES[turn % 2] if rest == 0 else SMALL_SITE
 
 
-def play(seed, *, daemons=3, seconds=8.0):
+def play(seed, *, daemons=SMALL_SITE, seconds=8.0, logs=None):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
-    with platform_processes(daemons=0) as platform:
-        soak = Soak(platform=platform, rng=rng)
-        soak.start_daemons(daemons)
-        entries = [daemon.entry for daemon in platform.daemons]
-        callers = Callers(entries=entries, rng=rng)
-        callers.start()
+    options = _draw_large_site(rng) if daemons > LARGEST_GROUP else {}
+    with platform_processes(daemons=0, **options) as platform:
+        soak = Soak(platform=platform, rng=rng, logs=logs)
         try:
-            soak.run(seconds)
-            soak.heal()
-            serves_again = _wait_until_all_serve(platform, entries)
+            soak.start_daemons(daemons)
+            return _play(soak, seconds)
         finally:
-            callers.stop()
-        return Record(
-            sent=callers.sent,
-            seen=platform.seen(),
-            revoked_at=soak.revoked_at,
-            log=soak.log,
-            serves_again=serves_again,
-        )
+            soak.end_daemons()
 
 
-def _wait_until_all_serve(platform, entries):
-    missing = set(entries)
-    end = time.monotonic() + RECOVERY_S
-    while missing and time.monotonic() < end:
-        for entry in tuple(missing):
-            if _is_served(entry):
-                missing.discard(entry)
-        time.sleep(0.1)
-    return not missing
+def _draw_large_site(rng):
+    return {
+        'engine_slots': rng.choice((2, 3)),
+        'engine_factors': rng.choice(ENGINE_FACTORS),
+        'event_s': 0.02,
+        'token_s': 1e-4,
+    }
+
+
+def _play(soak, seconds):
+    platform = soak.platform
+    entries = [daemon.entry for daemon in platform.daemons]
+    pause = {'longest_pause_s': 0.8} if soak.is_large else {}
+    callers = soak.make_callers(**pause)
+    callers.start()
+    try:
+        soak.run(seconds)
+        soak.heal()
+        serves_again = _wait_until_all_serve(entries, _is_served, RECOVERY_S)
+        serves_after_burst = not soak.is_large or _serves_after_burst(soak)
+    finally:
+        for each in (callers, *soak.bursts):
+            each.stop()
+    return Record(
+        sent=[sent for each in (callers, *soak.bursts) for sent in each.sent],
+        seen=platform.seen(),
+        revoked_at=soak.revoked_at,
+        log=soak.log,
+        serves_again=serves_again,
+        serves_after_burst=serves_after_burst,
+        absences=soak.absences,
+        still_waiting=_count_left_waiting(platform) if serves_again else 0.0,
+        waits=_read_metric(platform, WAITS) if serves_again else 0.0,
+    )
+
+
+def _serves_after_burst(soak):
+    """Whether streams are served soon after a burst without faults."""
+    burst = soak.burst()
+    time.sleep(BURST_S)
+    burst.tell_to_stop()
+    return _wait_until_all_serve(burst.entries, _has_stream, BURST_RECOVERY_S)
+
+
+def _wait_until_all_serve(entries, serves, limit_s):
+    """Return whether each daemon serves a probe within a time."""
+    end = time.monotonic() + limit_s
+
+    def wait(entry):
+        while not serves(entry):
+            if time.monotonic() > end:
+                return False
+            time.sleep(0.1)
+        return time.monotonic() <= end
+
+    with ThreadPoolExecutor(len(entries)) as pool:
+        return all(pool.map(wait, entries))
 
 
 def _is_served(entry):
+    return _probe(entry, 'GET', '/list/1', deadline_ms=1000)
+
+
+def _has_stream(entry):
+    headers = {name.decode(): value.decode() for name, value in PROMPT}
+    return _probe(entry, 'POST', '/draft/1', deadline_ms=5000, **headers)
+
+
+def _probe(entry, method, target, *, deadline_ms, **headers):
     try:
-        answer = httpx.get(
-            f'http://{entry}/list/1',
+        answer = httpx.request(
+            method,
+            f'http://{entry}{target}',
             headers={
                 'Host': 'site.example',
                 'X-Key': 'key-school',
                 'X-Attempt-Id': f'probe-{time.monotonic_ns()}',
-                'X-Deadline-Ms': '1000',
+                'X-Deadline-Ms': str(deadline_ms),
+                **headers,
             },
-            timeout=1.5,
+            timeout=deadline_ms / 1000 + 0.5,
             trust_env=False,
         )
     except httpx.HTTPError:
         return False
     return answer.status_code == 200
+
+
+def _count_left_waiting(platform):
+    """Return the requests that wait some time after all callers have gone."""
+    end = time.monotonic() + QUEUES_EMPTY_S
+    while waiting := _read_metric(platform, WAITING):
+        if time.monotonic() > end:
+            break
+        time.sleep(0.1)
+    return waiting
+
+
+def _read_metric(platform, name):
+    """Return the sum of a metric over the daemons."""
+    total = 0.0
+    for daemon in platform.daemons:
+        address = daemon.settings['listen']['metrics']
+        text = httpx.get(f'http://{address}/metrics', trust_env=False).text
+        total += sum(
+            float(line.split()[-1])
+            for line in text.splitlines()
+            if line.startswith(name + '{')
+        )
+    return total
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -12,6 +12,13 @@
 EVENTS = 12
 REVOCATION_S = 5.0
 PROBE = 'probe-'
+LIMIT_S = 3.0
+"""Time limit of each route but that of drafts."""
+DRAFT_LIMIT_S = 15.0
+LAG_S = 0.5
+"""Delay of a process of the test on a busy machine."""
+IN_FLIGHT_S = 0.5
+"""Time between a send and its arrival at an engine on a busy machine."""
 
 
 def find_problems(record):
@@ -20,12 +27,20 @@
     runs_by_id = defaultdict(list)
     for run in record.seen['runs']:
         runs_by_id[run['id']].append(run)
+    arrivals_by_id = defaultdict(list)
+    for arrival in record.seen.get('arrivals', ()):
+        arrivals_by_id[arrival['id']].append(arrival)
     problems = [] if record.serves_again else ['a daemon serves no more']
+    if not record.serves_after_burst:
+        problems.append('a daemon serves no stream after a burst')
+    if record.still_waiting:
+        problems.append(f'{record.still_waiting:g} requests wait for nobody')
     for id_, runs in runs_by_id.items():
         if not id_.startswith(PROBE):
             problems += _check_runs(record, id_, runs, sent_by_id.get(id_))
     for sent in record.sent:
         problems += _check_answer(record, sent, runs_by_id[sent.answer.id])
+        problems += _check_wait(record, sent, arrivals_by_id[sent.answer.id])
     return [*problems, *_check_duties(record.seen['duty_calls'])]
 
 
@@ -60,6 +75,45 @@
         yield from _check_proof(record, answer)
 
 
+def _check_wait(record, sent, arrivals):
+    answer = sent.answer
+    is_refused = answer.status in PROMISES
+    if is_refused and any(each['is_accepted'] for each in arrivals):
+        yield f'{answer.id} ({sent.target}) was refused, and an engine had it'
+    first_at = min((each['at'] for each in arrivals), default=0.0)
+    late_s = first_at - answer.ended_at
+    if sent.has_left and late_s > IN_FLIGHT_S:
+        yield (
+            f'{answer.id} ({sent.target}) was sent {late_s:.2f} s after its'
+            ' caller had left'
+        )
+    if sent.patience_s is None or _was_absent(record, sent):
+        return
+    route_s = DRAFT_LIMIT_S if '/draft/' in sent.target else LIMIT_S
+    limit_s = min(sent.patience_s, route_s)
+    took_s = answer.ended_at - answer.sent_at
+    if answer.status is None:
+        yield (
+            f'{answer.id} ({sent.target}) to {sent.entry} got no answer in'
+            f' {took_s:.2f} s: {answer.problem}'
+        )
+    elif took_s > limit_s + LAG_S:
+        yield (
+            f'{answer.id} ({sent.target}) was answered with {answer.status}'
+            f' after {took_s:.2f} of {limit_s:g} s'
+        )
+
+
+def _was_absent(record, sent):
+    """Whether the daemon could not answer for a part of the time."""
+    return any(
+        absence.entry == sent.entry
+        and absence.start <= sent.answer.ended_at
+        and absence.end >= sent.answer.sent_at
+        for absence in record.absences
+    )
+
+
 def _check_events(answer):
     count = answer.body.count(b'\n\n')
     expected = b''.join(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,11 +5,19 @@
 
 from mimosamux_standins.site.replica import render_event
 
-from tests.support.soak import REVOKED_KEY, Record, Sent, play
+from tests.support.soak import (
+    LARGE_SITES,
+    REVOKED_KEY,
+    Absence,
+    Record,
+    Sent,
+    play,
+)
 from tests.support.soak_checks import EVENTS, find_problems
 
 SEED = 7
 SECONDS = 5.0
+LARGE_SITE_SECONDS = 1.0
 
 
 class TestSoak(unittest.TestCase):
@@ -24,9 +32,20 @@
         answered = [each for each in record.sent if each.answer.status == 200]
         self.assertGreater(len(answered), 20)
 
+    def test_no_promise_is_broken_at_a_site_with_relays(self):
+        """Requests wait for engines while daemons and the store fail.
+
+        A caller would see no answer in time, a refusal of what has run, or
+        its request sent after it had left.
+        """
+        record = play(SEED, daemons=LARGE_SITES[0], seconds=LARGE_SITE_SECONDS)
+        self.assertEqual(find_problems(record), [], record.log)
+        self.assertGreater(record.waits, 0)
+
 
 def answer_to(id_='a1', **fields):
     fields = {'status': 200, 'is_whole': True, 'body': b'', **fields}
+    fields = {'ended_at': 103.0, 'problem': '', **fields}
     return SimpleNamespace(id=id_, sent_at=100.0, headers=(), **fields)
 
 
@@ -36,9 +55,16 @@
 
 
 def record_of(target, answer, runs, **fields):
-    key = fields.pop('key', 'key-school')
+    sent = Sent(
+        target=target,
+        key=fields.pop('key', 'key-school'),
+        answer=answer,
+        entry='d',
+        patience_s=fields.pop('patience_s', None),
+        has_left=fields.pop('has_left', False),
+    )
     return Record(
-        sent=[Sent(target=target, key=key, answer=answer)],
+        sent=[sent],
         seen={
             'runs': runs,
             'replicas': [{'id': 'i-0001'}],
@@ -130,6 +156,49 @@
         calls[1]['fencing'] = 1
         self.assert_seen('one and two used 1', record)
 
+    def test_engine_that_had_a_request_that_was_refused(self):
+        """The engine queued it; whether it would run was not known."""
+        record = record_of('/question/1', answer_to(status=503), [])
+        self.note_arrival(record, 99.0, is_accepted=False)
+        self.assertEqual(find_problems(record), [])
+        self.note_arrival(record, 99.0)
+        self.assert_seen('an engine had it', record)
+
+    def test_request_that_was_sent_after_its_caller_had_left(self):
+        record = record_of(
+            '/draft/1', answer_to(status=None), [], has_left=True
+        )
+        self.note_arrival(record, 103.2)
+        self.assertEqual(find_problems(record), [])
+        record.seen['arrivals'].clear()
+        self.note_arrival(record, 105.0)
+        self.assert_seen('after its caller had left', record)
+
+    def test_caller_that_got_no_answer(self):
+        answer = answer_to(status=None, is_whole=False, problem='over')
+        record = record_of('/draft/1', answer, [], patience_s=2.0)
+        self.assert_seen('got no answer', record)
+        record.absences.append(Absence(entry='d', start=90.0, end=100.5))
+        self.assertEqual(find_problems(record), [])
+
+    def test_answer_after_the_deadline(self):
+        answer = answer_to(status=503)
+        record = record_of('/draft/1', answer, [], patience_s=2.0)
+        self.assert_seen('after 3.00 of 2 s', record)
+        record = record_of('/draft/1', answer, [], patience_s=2.6)
+        self.assertEqual(find_problems(record), [])
+
+    def test_requests_that_are_stuck_in_a_queue(self):
+        record = record_of('/slip/1', answer_to(status=502), [])
+        record.still_waiting = 2.0
+        self.assert_seen('2 requests wait for nobody', record)
+        record.serves_after_burst = False
+        self.assert_seen('serves no stream after a burst', record)
+
+    def note_arrival(self, record, at, *, is_accepted=True):
+        arrival = {'id': 'a1', 'at': at, 'is_accepted': is_accepted}
+        record.seen.setdefault('arrivals', []).append(arrival)
+
     def test_daemon_that_serves_no_more(self):
         record = record_of(
             '/slip/1', answer_to(status=502), [], serves_again=False
