--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -53,7 +53,10 @@
 """With 2 or 3 slots at each of 3 engines, at least four times their slots."""
 BURST_S = 1.5
 BURST_RECOVERY_S = 5.0
-"""Time after a burst within which each daemon has a stream served again."""
+"""Time after a burst within which each daemon has a stream served again.
+
+In 25 runs of large sites, the last daemon had one after 1.2 to 4.4 s: the
+requests of the burst that are in flight are served meanwhile."""
 STREAM_TARGETS = ('/draft/', '/question/')
 QUEUES_EMPTY_S = 2.0
 """Time after which no request of a caller that has gone waits any more."""
