--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -100,6 +100,8 @@
         self._read_now = anyio.Event()
         """Set when an update reveals a change whose rows are missing here."""
         self._had_outage = False
+        self._longest_gap_s = 0.0
+        """Longest time during an outage without a confirmation by peers."""
         self._backoff_s = MIN_BACKOFF_S
         self._refresh_lock = anyio.Lock()
         self._refresh_failed = False
@@ -247,12 +249,19 @@
 
     def _note_progress(self, version: int, changed: int, as_of: float) -> None:
         """Advance the cursor, and confirm all changes up to `as_of`."""
+        self._note_gap(as_of)
         self._cursor = max(self._cursor or 0, version)
         self._last_change = max(self._last_change, changed)
         self._confirmed_at = max(self._confirmed_at, as_of)
         self._refresh_failed = False
         self._consumer.confirm(as_of)
 
+    def _note_gap(self, until: float) -> None:
+        """Extend the longest gap of an outage by the present one."""
+        if not self.is_connected:
+            gap_s = until - self._confirmed_at
+            self._longest_gap_s = max(self._longest_gap_s, gap_s)
+
     async def _wait_for_peer_silence(self) -> None:
         """Wait while updates from peers keep the table up to date."""
         limit_s = PEER_SILENCE_S * (
@@ -290,9 +299,13 @@
         self._backoff_s = MIN_BACKOFF_S
         if self.is_connected:
             return
+        self._note_gap(self._clock())
         self.is_connected = True
         if self._had_outage:
-            self._health.note_answered(self._name)
+            self._health.note_answered(
+                self._name,
+                answered_others=self._longest_gap_s < PEER_SILENCE_S,
+            )
         log.info('feed_regained', feed=self._name, was_lost=self._had_outage)
 
     async def _back_off(self, problem: Unavailable) -> None:
@@ -300,6 +313,7 @@
         if self.is_connected:
             self.is_connected = False
             self._had_outage = True
+            self._longest_gap_s = 0.0
             self._health.note_unanswered(self._name)
             log.warning('feed_lost', feed=self._name, reason=problem.reason)
         await anyio.sleep(self._backoff_s * self._rng.uniform(0.5, 1.0))
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/store_health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/store_health.py
@@ -36,10 +36,17 @@
         """Record that a reader gets no answers."""
         self._unanswered_readers.add(reader)
 
-    def note_answered(self, reader: str) -> None:
-        """Record that a reader gets answers again."""
+    def note_answered(
+        self, reader: str, *, answered_others: bool = False
+    ) -> None:
+        """Record that a reader gets answers again.
+
+        If the store has answered other daemons all the while, it answered
+        endpoints too, and no entry can have expired.
+        """
         self._unanswered_readers.discard(reader)
-        self._regained_at = self.clock()
+        if not answered_others:
+            self._regained_at = self.clock()
 
     def note_restored(self, era: int) -> None:
         """Record that the store came back from an older copy.
--- a/tests/test_gateway_table_sharing.py
+++ b/tests/test_gateway_table_sharing.py
@@ -9,7 +9,8 @@
 from mimosamux_wire import Vouch
 
 from tests.support.clock import run_paused
-from tests.support.platform_site import open_site
+from tests.support.memory_network import machine_of
+from tests.support.platform_site import STORE, open_site
 
 DAEMONS = 15
 """More than tell each other directly, so that one reads for the others."""
@@ -69,6 +70,31 @@
 
         self.assertEqual(run_paused(check), DAEMONS)
 
+    def test_reader_that_comes_back_hides_no_removed_endpoint(self):
+        """Guards against requests to an endpoint that is about to stop.
+
+        The daemon that reads for the others is cut off from the store, which
+        serves all others. When it reads again, an endpoint's entry is removed.
+        No daemon may take that for an entry that expired in an outage.
+        """
+
+        async def check():
+            async with open_site(daemons=DAEMONS) as site:
+                await anyio.sleep(SETTLED_S)
+                reader = readers_of(site)[0]
+                site.network.cut(reader.machine, machine_of(STORE))
+                await anyio.sleep(6.5)
+                replica = app_of(site)
+                site.unlist_replica(replica)
+                await anyio.sleep(0.5)
+                site.network.heal()
+                await anyio.sleep(DRAIN_S - 0.5)
+                for handle in site.daemons:
+                    handle.daemon.parts.roster.remove_lapsed()
+                return known_leaving(site, replica)
+
+        self.assertGreaterEqual(run_paused(check), DAEMONS - 1)
+
     def test_death_of_the_reader_hides_no_leaving_endpoint(self):
         """The daemon that reads for the others dies; an endpoint leaves then.
 
