--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/endpoint_wait.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/endpoint_wait.py
@@ -84,8 +84,7 @@
         """Log and count the end of a wait."""
         service = job.service.name
         result = 'endpoint_found' if is_served else 'unplaced'
-        self.metrics.waits.inc({'service': service, 'result': result})
-        self.metrics.wait_s.observe({'service': service}, waited_s)
+        self.metrics.note_wait(service, result, waited_s)
         log.info(
             'endpoint_awaited',
             request=job.request.id,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -9,7 +9,6 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from functools import singledispatch
 
 import anyio
 
@@ -28,6 +27,7 @@
     Unplaced,
     WaitingQueue,
     WaitingRequest,
+    describe_placement,
 )
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.jobs import Job
@@ -208,8 +208,7 @@
         outcome = describe_placement(placement, waiting)
         service = job.service.name
         self._show_length(service)
-        self.metrics.waits.inc({'service': service, 'result': outcome})
-        self.metrics.wait_s.observe({'service': service}, waited_s)
+        self.metrics.note_wait(service, outcome, waited_s)
         log.info(
             'request_waited',
             request=job.request.id,
@@ -395,30 +394,3 @@
 def _counted_tokens(waiting: WaitingRequest, choice: Choice) -> float:
     """Return the unread tokens to reserve; late ones delay no others."""
     return 0.0 if waiting.is_late else choice.unread_tokens
-
-
-@singledispatch
-def describe_placement(placement: object, waiting: WaitingRequest) -> str:
-    """Return the result of a wait, for the log and the metrics."""
-    raise NotImplementedError(type(placement))
-
-
-@describe_placement.register
-def _(placement: Choice, waiting: WaitingRequest) -> str:
-    return 'sent_late' if waiting.is_late else 'sent'
-
-
-@describe_placement.register
-def _(placement: Refused, waiting: WaitingRequest) -> str:
-    return 'refused'
-
-
-@describe_placement.register
-def _(placement: Unplaced, waiting: WaitingRequest) -> str:
-    return 'unplaced'
-
-
-@describe_placement.register
-def _(placement: None, waiting: WaitingRequest) -> str:
-    """Name the result of a wait that was cancelled."""
-    return 'cancelled'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/waiting_queue.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/waiting_queue.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import singledispatch
 
 import anyio
 
@@ -55,6 +56,33 @@
         return self.job.request.received_at + self.job.route.latency_target_s
 
 
+@singledispatch
+def describe_placement(placement: object, waiting: WaitingRequest) -> str:
+    """Return the result of a wait, for the log and the metrics."""
+    raise NotImplementedError(type(placement))
+
+
+@describe_placement.register
+def _(placement: Choice, waiting: WaitingRequest) -> str:
+    return 'sent_late' if waiting.is_late else 'sent'
+
+
+@describe_placement.register
+def _(placement: Refused, waiting: WaitingRequest) -> str:
+    return 'refused'
+
+
+@describe_placement.register
+def _(placement: Unplaced, waiting: WaitingRequest) -> str:
+    return 'unplaced'
+
+
+@describe_placement.register
+def _(placement: None, waiting: WaitingRequest) -> str:
+    """Name the result of a wait that was cancelled."""
+    return 'cancelled'
+
+
 class WaitingQueue:
     """The waiting requests of one service."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -124,6 +124,11 @@
             'Whether this daemon does the duties, 0 or 1.',
         )
 
+    def note_wait(self, service: str, result: str, waited_s: float) -> None:
+        """Count the end of a wait for a model engine, and its length."""
+        self.waits.inc({'service': service, 'result': result})
+        self.wait_s.observe({'service': service}, waited_s)
+
     def route_label(self, route: Route) -> str:
         """Return the value of the label `route`.
 
