--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -119,7 +119,7 @@
     def note_first_event(self, choice: Choice, took_s: float) -> None:
         """Learn from the time to a first event without queued prompts.
 
-        The service's line is that of an engine with factor 1.
+        The service's `EngineSpeed` is that of an engine with factor 1.
         """
         record, unread_tokens = choice.record, choice.unread_tokens
         speed = self.speed_of(record.listed.service)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_factors.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_factors.py
@@ -13,7 +13,6 @@
 All factors are 1 until the samples show that the engines of a service differ.
 """
 
-import math
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
@@ -21,6 +20,10 @@
 
 from mimosamux_daemon.domain.names import DaemonId, EndpointId, ServiceName
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.engine_comparison import (
+    have_spread,
+    relative_deviation,
+)
 from mimosamux_daemon.gateway.balancing.engine_samples import (
     EngineSamples,
     SampleSums,
@@ -51,29 +54,18 @@
 """Interval at which factors are computed."""
 ANCHOR_S = 120.0
 """Time constant with which the mean that corresponds to factor 1 follows the
-engines that are there. It is longer than the service's line takes to follow:
-if the slow engines of a service are reclaimed, the estimates for those that
-remain stay right."""
+engines that are there. It is longer than the service's `EngineSpeed` takes to
+follow: if the slow engines of a service are reclaimed, the estimates for those
+that remain stay right."""
 MIN_ENGINE_WEIGHT = 3.0
 """Least weight of an engine's samples to be compared with other engines."""
-MIN_TOTAL_WEIGHT = 20.0
-"""The same for all engines of a service together."""
-MIN_VARIANCE = 0.05**2
-"""Least assumed variance of samples of one engine."""
-MIN_DEVIATION = 0.1
-"""Standard deviation of the engines' means, without the noise of the samples,
-from which factors apply."""
 KEPT_DEVIATION = 0.05
-"""Deviation of the means from the anchor below which they no longer do. If
-only engines of one speed remain, their factors apply until the service's line
-has followed."""
-MIN_VARIANCE_RATIO, FEW_ENGINES_MARGIN = 1.0, 12.0
-"""The variance between engines over that of their samples has to exceed the
-first plus the second over the root of the degrees of freedom: by chance it
-does so in fewer than one of a thousand comparisons."""
+"""Relative standard deviation of the engines' means from the anchor, below
+which factors cease to apply. If only engines of one speed remain, their
+factors apply until the service's `EngineSpeed` has followed."""
 LOGGED_CHANGE = 0.25
 """Fraction by which a factor has to change to be logged again."""
-FORGOTTEN_WEIGHT = 0.05
+NEGLIGIBLE_WEIGHT = 0.05
 """Weight below which the samples of an engine are disregarded."""
 MAX_ROUTES = 1024
 """Most routes whose decoding time is kept; the oldest is removed first."""
@@ -116,7 +108,7 @@
     """Mean sample that corresponds to factor 1, None if it is not known."""
     refreshed_at: float = 0.0
     first_events: int = 0
-    """Times to the first event that entered the service's line."""
+    """Times to the first event that the service's `EngineSpeed` has seen."""
     steps_seen_at: float | None = None
     """When the last sample from decoding was taken."""
 
@@ -149,10 +141,10 @@
     def note_first_event(
         self, record: EndpointRecord, took_s: float, expected_s: float
     ) -> None:
-        """Compare a time to the first event with the service's line.
+        """Compare a time to the first event with that by `EngineSpeed`.
 
-        It is no sample as long as the line rests on few requests, or if there
-        are samples from decoding.
+        It is no sample as long as the speed rests on few requests, or if
+        there are samples from decoding.
         """
         engines = self._engines(record.listed.service)
         now = self._clock()
@@ -344,7 +336,7 @@
             for sums in sums_by_record.values()
             if sums.weight >= MIN_ENGINE_WEIGHT
         ]
-        is_uneven = _apply_factors(engines, compared)
+        is_uneven = _should_apply(engines, compared)
         if engines.is_uneven != is_uneven:
             engines.is_uneven = is_uneven
             log.info(
@@ -355,47 +347,18 @@
         _move_anchor(engines, compared, now)
         for record, sums in sums_by_record.items():
             factor = 1.0
-            if engines.is_uneven and sums.weight >= FORGOTTEN_WEIGHT:
+            if engines.is_uneven and sums.weight >= NEGLIGIBLE_WEIGHT:
                 factor = _shrink(sums, engines.anchor or 1.0)
             _set_factor(record, factor, sums, now)
 
 
-def _apply_factors(
-    engines: ServiceEngines, sums: Sequence[SampleSums]
-) -> bool:
+def _should_apply(engines: ServiceEngines, sums: Sequence[SampleSums]) -> bool:
     """Whether factors are to apply, by the samples and the present state."""
     if engines.anchor is None:
         return have_spread(sums)
-    return bool(sums) and _deviation(sums, engines.anchor) >= KEPT_DEVIATION
-
-
-def have_spread(sums: Sequence[SampleSums]) -> bool:
-    """Whether samples show that engines differ, by analysis of variance."""
-    weight = sum(each.weight for each in sums)
-    freedom = len(sums) - 1
-    if freedom < 1 or weight < MIN_TOTAL_WEIGHT:
+    if not sums:
         return False
-    mean = sum(each.ratios for each in sums) / weight
-    between = sum(each.weight * (each.mean - mean) ** 2 for each in sums)
-    variance_ratio = between / freedom / _variance_within(sums)
-    limit = MIN_VARIANCE_RATIO + FEW_ENGINES_MARGIN / math.sqrt(freedom)
-    return variance_ratio >= limit and _deviation(sums, mean) >= MIN_DEVIATION
-
-
-def _deviation(sums: Sequence[SampleSums], center: float) -> float:
-    """Return the relative deviation of engines, without that of samples."""
-    within = _variance_within(sums)
-    variance = sum(
-        (each.mean - center) ** 2 - within / each.weight for each in sums
-    ) / len(sums)
-    return math.sqrt(max(variance, 0.0)) / center
-
-
-def _variance_within(sums: Sequence[SampleSums]) -> float:
-    """Return the variance of samples of the same engine."""
-    freedom = max(sum(each.weight for each in sums) - len(sums), 1.0)
-    deviations = sum(each.deviations for each in sums)
-    return max(deviations / freedom, MIN_VARIANCE)
+    return relative_deviation(sums, engines.anchor) >= KEPT_DEVIATION
 
 
 def _move_anchor(
@@ -407,8 +370,8 @@
     if not engines.is_uneven:
         engines.anchor = None
     elif engines.anchor is None:
-        # Until now the service's line is the mean over requests, of which
-        # fast engines get more, and samples are compared with that.
+        # Until now the service's `EngineSpeed` is the mean over requests, of
+        # which fast engines get more; samples are compared with that.
         engines.anchor = 1.0
     else:
         mean = sum(each.mean for each in sums) / len(sums)
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -28,7 +28,10 @@
     ServiceEntry,
 )
 from mimosamux_daemon.gateway.attempts import Attempt
-from mimosamux_daemon.gateway.balancing import engine_factors
+from mimosamux_daemon.gateway.balancing import (
+    engine_comparison,
+    engine_factors,
+)
 from mimosamux_daemon.gateway.balancing.choice import Choice
 from mimosamux_daemon.gateway.balancing.engine_samples import EngineSamples
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
@@ -188,7 +191,7 @@
                 self.assertAlmostEqual(known, factor / mean, delta=0.12)
 
     def test_mean_factor_is_one(self):
-        """Guards against drift of the factors against the service's line."""
+        """Guards against drift of the factors against `EngineSpeed`."""
         daemons = self.daemons(4)
         self.decode_all(daemons, rounds=2000, noise=0.2)
         for daemon in daemons:
@@ -209,10 +212,12 @@
             engines = [EngineSamples() for _ in range(4)]
             for engine in engines * 6:
                 engine.add(self.rng.lognormvariate(0, 0.4), 1.0, 0.0)
-            found += engine_factors.have_spread([each.own for each in engines])
+            found += engine_comparison.have_spread(
+                [each.own for each in engines]
+            )
         self.assertLessEqual(found, 6)
 
-    def test_estimates_for_even_engines_are_those_of_the_line(self):
+    def test_estimates_for_even_engines_are_those_of_engine_speed(self):
         """Guards against a change of estimates where engines are alike."""
         daemon = self.daemons(1)[0]
         speed = daemon.chooser.speed_of(LLM)
@@ -631,7 +636,7 @@
 class TestLoad(unittest.TestCase):
     def play(self, factors, *, is_active):
         limit = 0.1 if is_active else math.inf
-        with mock.patch.object(engine_factors, 'MIN_DEVIATION', limit):
+        with mock.patch.object(engine_comparison, 'MIN_DEVIATION', limit):
             shares = [Load(seed, factors).run(80.0) for seed in range(3)]
         return sum(shares) / len(shares)
 
