--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/engine_times.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/answer_statistics.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class EngineTimes:
+class AnswerStatistics:
     """Completions of services per second, and lengths of answers."""
 
     roster: Roster
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -15,7 +15,9 @@
 from mimosamux_daemon.domain.gateway import CallerGone
 from mimosamux_daemon.domain.names import ServiceName
 from mimosamux_daemon.domain.outcomes import Reason, Refused
-from mimosamux_daemon.gateway.admission.engine_times import EngineTimes
+from mimosamux_daemon.gateway.admission.answer_statistics import (
+    AnswerStatistics,
+)
 from mimosamux_daemon.gateway.admission.load_shedding import (
     LoadShedding,
     counted_s,
@@ -68,7 +70,7 @@
 
     shedding: LoadShedding
     retry_times: RetryTimes
-    times: EngineTimes
+    answers: AnswerStatistics
     chooser: Chooser
     is_flat: Callable[[], bool]
     """Whether digests arrive without relays; then no request waits."""
@@ -116,7 +118,7 @@
         if not is_late and not queue.has_timely():
             self.shedding.note_admitted(job)
             return choice
-        end_s = choice.first_event_s + self.times.answer_s(job.route.name)
+        end_s = choice.first_event_s + self.answers.answer_s(job.route.name)
         if is_late and end_s > job.left_s(now):
             return self._refuse(waiting, describe_estimate(choice))
         evicted = queue.add(waiting)
@@ -139,7 +141,7 @@
         None: its answer was not whole.
         """
         if answer_s is not None and not job.is_late:
-            self.times.note_answer(job.route.name, answer_s)
+            self.answers.note_answer(job.route.name, answer_s)
         self.note_room(job.service.name)
 
     def note_ended(self, job: Job) -> None:
@@ -340,7 +342,7 @@
     ) -> bool:
         """Whether a late request can end well before its deadline."""
         job = waiting.job
-        end_s = first_event_s + self.times.answer_s(job.route.name)
+        end_s = first_event_s + self.answers.answer_s(job.route.name)
         return LATE_MARGIN * end_s <= job.left_s(now)
 
     def _would_be_late(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/load_forecast.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/load_forecast.py
@@ -4,9 +4,10 @@
 may have ended. Daemons that take such reports as they are all choose the
 endpoint that seemed idle then. The forecast moves the reported load towards a
 usual load, as fast as requests end. For a plain service this is the mean of
-its endpoints. An engine that is the home of a frequent prefix has more load
-than the mean for as long as the prefix is frequent; its usual load is its own
-average over the last second. The daemon's own requests are counted exactly.
+its endpoints. An engine that is first in the hash order of a frequent prefix
+has more load than the mean for as long as the prefix is frequent; its usual
+load is its own average over the last second. The daemon's own requests are
+counted exactly.
 """
 
 import math
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -75,13 +75,14 @@
     _report_by_peer: dict[DaemonId, _PeerReport] = field(default_factory=dict)
     _peer_requests: int = 0
     _peer_tokens: float = 0.0
-    """Sums over the peers. Computing them for each choice of an endpoint took
-    longer than the rest of the choice with dozens of peers."""
+    """Sums of the requests and unread tokens that peers reported. Computing
+    them for each choice of an endpoint took longer than the rest of the choice
+    with dozens of peers."""
     _peer_times: '_WeightedTimes' = field(
         default_factory=lambda: _WeightedTimes()
     )
     _peer_load: PeerLoad | None = None
-    """Both together, None if they have changed since."""
+    """What `peers` returned last, None if a report has changed it since."""
     _peer_sum_expires_at: float = math.inf
     """When the oldest report in the sum expires, or an earlier time."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -16,8 +16,10 @@
     Admission,
     ConfirmationLimits,
 )
+from mimosamux_daemon.gateway.admission.answer_statistics import (
+    AnswerStatistics,
+)
 from mimosamux_daemon.gateway.admission.endpoint_wait import EndpointWait
-from mimosamux_daemon.gateway.admission.engine_times import EngineTimes
 from mimosamux_daemon.gateway.admission.load_shedding import (
     WINDOW_S,
     LoadShedding,
@@ -436,16 +438,16 @@
         self.list_freshness = ListFreshness(
             reader=self.endpoint_reader, drain_s=self.settings.drain_s
         )
-        times = EngineTimes(roster=self.roster, clock=self._clock)
+        answers = AnswerStatistics(roster=self.roster, clock=self._clock)
         self.dispatcher = RequestDispatcher(
             shedding=self.load_shedding,
             retry_times=RetryTimes(
-                site_rate_per_s=times.site_rate_per_s,
+                site_rate_per_s=answers.site_rate_per_s,
                 daemons=self.states.max_serving,
                 clock=self._clock,
                 rng=self._rng,
             ),
-            times=times,
+            answers=answers,
             chooser=self.chooser,
             is_flat=lambda: self.states.is_flat,
             daemons=self.states.max_serving,
--- a/tests/support/queueing.py
+++ b/tests/support/queueing.py
@@ -26,7 +26,9 @@
     RouteKind,
     ServiceEntry,
 )
-from mimosamux_daemon.gateway.admission.engine_times import EngineTimes
+from mimosamux_daemon.gateway.admission.answer_statistics import (
+    AnswerStatistics,
+)
 from mimosamux_daemon.gateway.admission.load_shedding import (
     WINDOW_S,
     LoadShedding,
@@ -132,16 +134,16 @@
         self.shedding = LoadShedding(
             shares=FairShares(window_s=WINDOW_S), clock=now
         )
-        self.times = EngineTimes(roster=self.roster, clock=now)
+        self.answers = AnswerStatistics(roster=self.roster, clock=now)
         self.dispatcher = RequestDispatcher(
             shedding=self.shedding,
             retry_times=RetryTimes(
-                site_rate_per_s=self.times.site_rate_per_s,
+                site_rate_per_s=self.answers.site_rate_per_s,
                 daemons=lambda: daemons,
                 clock=now,
                 rng=rng,
             ),
-            times=self.times,
+            answers=self.answers,
             chooser=self.chooser,
             is_flat=lambda: False,
             daemons=lambda: daemons,
--- a/tests/test_gateway_queueing.py
+++ b/tests/test_gateway_queueing.py
@@ -15,7 +15,7 @@
 from mimosamux_daemon.domain.routes import RouteKind
 from mimosamux_daemon.gateway import attempts
 from mimosamux_daemon.gateway.admission import request_dispatcher
-from mimosamux_daemon.gateway.admission.engine_times import MAX_ROUTES
+from mimosamux_daemon.gateway.admission.answer_statistics import MAX_ROUTES
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
     MAX_WAITING,
     MAX_WAITING_PER_ACCOUNT,
@@ -340,7 +340,7 @@
         """Answers take 4.5 s of 10 s, which leaves a late one no margin."""
 
         async def check(entry, tasks):
-            entry.times.note_answer('draft', 4.5)
+            entry.answers.note_answer('draft', 4.5)
             entry.occupy(requests=6)
             placing = Placing(entry, tasks)
             placing.start(make_job('r'))
@@ -495,8 +495,8 @@
                 await anyio.sleep(0.05)
                 second = await send()
                 first_run, second_run = site.runs()
-                times = site.daemons[0].daemon.parts.dispatcher.times
-                answer_s = times.answer_s('r0')
+                answers = site.daemons[0].daemon.parts.dispatcher.answers
+                answer_s = answers.answer_s('r0')
                 pause_s = second_run.began_at - first_run.ended_at
                 return second.status, pause_s, answer_s
 
@@ -537,10 +537,10 @@
                 with anyio.move_on_after(0.9):
                     await send_draft(site, site.caller(patience_s=15.0))
                 await anyio.sleep(0.5)
-                times = site.daemons[0].daemon.parts.dispatcher.times
-                after_one_left = times.answer_s('r0')
+                answers = site.daemons[0].daemon.parts.dispatcher.answers
+                after_one_left = answers.answer_s('r0')
                 await send_draft(site, site.caller(patience_s=15.0))
-                return after_one_left, times.answer_s('r0')
+                return after_one_left, answers.answer_s('r0')
 
         after_one_left, whole_s = run_paused(check)
         self.assertEqual(after_one_left, 0.0)
@@ -674,21 +674,21 @@
         self.assertEqual(run_entry(check, engines=40), (0, 0))
 
 
-class TestEngineTimes(unittest.TestCase):
+class TestAnswerStatistics(unittest.TestCase):
     def test_routes_that_come_and_go_do_not_fill_the_memory(self):
         """Configurations change all day, and routes get new names."""
 
         async def check():
-            times = Entry().times
+            answers = Entry().answers
             for number in range(MAX_ROUTES + 50):
-                times.note_answer('lasting', 2.0)
-                times.note_answer(f'r-{number}', 1.0)
+                answers.note_answer('lasting', 2.0)
+                answers.note_answer(f'r-{number}', 1.0)
             known = [
                 number
                 for number in range(MAX_ROUTES + 50)
-                if times.answer_s(f'r-{number}')
+                if answers.answer_s(f'r-{number}')
             ]
-            return len(known), times.answer_s('lasting')
+            return len(known), answers.answer_s('lasting')
 
         count, lasting_s = run_paused(check)
         self.assertEqual(count, MAX_ROUTES - 1)
