--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -18,6 +18,8 @@
 from mimosamux_daemon.ports.network import Network
 
 HOST = 'site.example'
+STOPPED_WAITING = 'the caller stopped waiting'
+"""Problem of an attempt whose answer did not arrive in the caller's time."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -126,7 +128,7 @@
             else:
                 with anyio.CancelScope(shield=True):
                     await channel.close()
-        return answer or _no_answer(id_, sent_at, 'patience is over')
+        return answer or _no_answer(id_, sent_at, STOPPED_WAITING)
 
 
 async def _read(
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -23,6 +23,7 @@
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP
 from mimosamux_standins.site import StandInCaller
+from mimosamux_standins.site.caller import STOPPED_WAITING
 from mimosamux_standins.site.replica import Fault
 from mimosamux_standins.site.store import StoreTrouble
 
@@ -32,8 +33,6 @@
 TARGETS = ('/slip/', '/list/', '/draft/', '/question/')
 KEYS = {'key-school': 'school', 'key-office': 'office'}
 REVOKED_KEY = 'key-office'
-LEFT = 'patience is over'
-"""Problem of an answer that the caller no longer waited for."""
 FAULT_EVERY_S = 0.6
 START_TIMEOUT_S = 30.0
 WAITING = 'mimosamux_gateway_waiting_requests'
@@ -108,11 +107,11 @@
         self._thread = threading.Thread(target=lambda: anyio.run(self._run))
         self._thread.start()
 
-    def tell_to_stop(self):
+    def request_stop(self):
         self._stopping.set()
 
     def stop(self):
-        self.tell_to_stop()
+        self.request_stop()
         self._thread.join()
 
     async def _run(self):
@@ -153,7 +152,7 @@
                     answer=answer,
                     entry=entry,
                     patience_s=self.patience_s if stays else None,
-                    has_left=leaves and answer.problem == LEFT,
+                    has_left=leaves and answer.problem == STOPPED_WAITING,
                 )
             )
             await anyio.sleep(rng.uniform(0.01, self.longest_pause_s))
@@ -223,7 +222,7 @@
         self._readers.append(reader)
         return ready
 
-    def end_daemons(self):
+    def kill_daemons(self):
         """Kill the daemons, and read the rest of their logs."""
         for daemon in self.platform.daemons:
             daemon.process.kill()
@@ -280,7 +279,7 @@
         return Callers(entries=entries, **{'rng': self.rng} | fields)
 
     def _burst(self):
-        self._later(self.burst().tell_to_stop, BURST_S)
+        self._later(self.burst().request_stop, BURST_S)
 
     def _draw(self):
         act = self.rng.choice(
@@ -488,7 +487,7 @@
             soak.start_daemons(daemons)
             return _play(soak, seconds)
         finally:
-            soak.end_daemons()
+            soak.kill_daemons()
 
 
 def _draw_large_site(rng):
@@ -531,7 +530,7 @@
     """Whether streams are served soon after a burst without faults."""
     burst = soak.burst()
     time.sleep(BURST_S)
-    burst.tell_to_stop()
+    burst.request_stop()
     return _wait_until_all_serve(burst.entries, _has_stream, BURST_RECOVERY_S)
 
 
--- a/tests/support/stale_reports.py
+++ b/tests/support/stale_reports.py
@@ -96,7 +96,7 @@
 
 
 @dataclass(kw_only=True)
-class Queue:
+class PlainEndpoint:
     """A plain endpoint: slots, a queue, and refusals when it is full."""
 
     slots: int = 6
@@ -117,8 +117,8 @@
 
 
 @dataclass(kw_only=True)
-class Played:
-    """What became of the calls."""
+class CallCounts:
+    """Numbers of calls, and of those refused or late."""
 
     calls: int = 0
     refused: int = 0
@@ -136,8 +136,8 @@
         self.now = 0.0
         self.per_s, self.service_s = per_s, service_s
         self.rng = random.Random(seed)
-        self.result = Played()
-        self.queues = [Queue() for _ in ZONES]
+        self.result = CallCounts()
+        self.endpoints = [PlainEndpoint() for _ in ZONES]
         self.daemons = [
             ChoosingDaemon(
                 clock=lambda: self.now,
@@ -186,19 +186,19 @@
         self._at(self.now + self.rng.expovariate(self.per_s), self._call)
         daemon = self.rng.choice(self.daemons)
         record = daemon.choose().record
-        queue = self.queues[int(record.id[2:])]
+        endpoint = self.endpoints[int(record.id[2:])]
         self.result.calls += 1
-        ends_at = queue.begin(self.now, self.service_s)
+        ends_at = endpoint.begin(self.now, self.service_s)
         if ends_at is None:
             self.result.refused += 1
             daemon.roster.note_rejection(record, self.now)
             return
         self.result.late += ends_at - self.now > ROUTE.latency_target_s
         record.load.begin(0.0)
-        self._at(ends_at, self._end, daemon, record, queue, self.now)
+        self._at(ends_at, self._end, daemon, record, endpoint, self.now)
 
-    def _end(self, daemon, record, queue, sent_at):
-        queue.in_flight -= 1
+    def _end(self, daemon, record, endpoint, sent_at):
+        endpoint.in_flight -= 1
         record.load.end(0.0)
         daemon.roster.note_acceptance(record, sent_at)
         residence = daemon.chooser.forecast.residence(APP)
--- a/tests/test_gateway_endpoint_wait.py
+++ b/tests/test_gateway_endpoint_wait.py
@@ -63,7 +63,7 @@
 
 class TestEndpointWait(unittest.TestCase):
     def test_request_goes_on_once_an_endpoint_is_listed(self):
-        """Guards against patient callers refused while endpoints boot."""
+        """Guards against a refusal of callers that can wait for a boot."""
 
         async def check(service):
             service.send()
