--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -3,7 +3,7 @@
 For a model engine the choice weighs prefix cache affinity against the queue:
 a prompt goes to its home, the endpoint that rendezvous hashing assigns to its
 shared prefix, unless the estimated time to the first event there is too long.
-For a plain service it is the least loaded endpoint.
+For a plain service the load per slot decides, see `plain_choice.py`.
 """
 
 import random
@@ -27,6 +27,7 @@
 from mimosamux_daemon.gateway.balancing.hash_order import rendezvous_hash
 from mimosamux_daemon.gateway.balancing.health import MAX_EXCESS_FAILURE_RATE
 from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
+from mimosamux_daemon.gateway.balancing.plain_choice import PlainChooser
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
 )
@@ -36,8 +37,6 @@
 HOME_TARGET_SHARE = 0.4
 """Share of the latency target up to which a request may wait at the home of
 its shared prefix, even if other endpoints are idle."""
-REMOTE_PENALTY_REQUESTS = 0.5
-"""In-flight requests that the distance to another data centre counts as."""
 OWN_PREFILL_S = 0.1
 """Prefill time of a request's own prompt that counts as part of its wait."""
 OUTPUT_ESTIMATE_SHARE = 0.5
@@ -46,14 +45,6 @@
 ENGINE_S_PER_OUTPUT_TOKEN = 0.0001
 """Engine time per output token; it is short because an engine decodes many
 requests in one batch."""
-MAX_OWN_CALLS = 1
-"""Calls that one daemon has in flight at an endpoint before it prefers other
-endpoints, where a service has fewer slots than there are daemons. An equal
-part of the slots would be less than one call."""
-TIE_SLOT_SHARE = 0.05
-"""Difference in load per slot up to which endpoints count as equal. Every
-daemon knows the same reports; a smaller difference is no information, and
-would send all of them to the same endpoint."""
 SPREAD_SAMPLE_SIZE = 2
 """Endpoints drawn at random for a spread request, before the usual choice."""
 MIN_FETCH_TOKENS = 256
@@ -104,9 +95,12 @@
         self._candidates = candidates
         self._roster = roster
         self._rollouts = rollouts
-        self._daemons = daemons
-        """Returns the number of daemons that may serve callers."""
-        self._data_centre = data_centre
+        self._plain = PlainChooser(
+            forecast=forecast,
+            daemons=daemons,
+            data_centre=data_centre,
+            rng=rng,
+        )
         self._clock = clock
         self._rng = rng
         self._speed_by_service: dict[ServiceName, EngineSpeed] = {}
@@ -176,11 +170,7 @@
             return self._choose_engine(
                 records, service, route, prompt, holder, now
             )
-        if self.forecast.is_active():
-            return Choice(
-                record=self._choose_by_forecast(records, service.name, now)
-            )
-        return Choice(record=self._choose_plain(records, now))
+        return Choice(record=self._plain.choose(records, service.name, now))
 
     def find_candidates(
         self,
@@ -383,58 +373,6 @@
             fetch_from=fetch_from,
         )
 
-    def _choose_plain(
-        self, records: Sequence[EndpointRecord], now: float
-    ) -> EndpointRecord:
-        """Return the endpoint with the least load per slot."""
-
-        def cost(record: EndpointRecord) -> float:
-            load = record.load.total(now)
-            is_remote = record.listed.data_centre != self._data_centre
-            penalty = REMOTE_PENALTY_REQUESTS if is_remote else 0.0
-            return (load.requests + penalty) / record.listed.slots
-
-        shuffled = self._rng.sample(list(records), len(records))
-        return min(shuffled, key=cost)
-
-    def _choose_by_forecast(
-        self,
-        records: Sequence[EndpointRecord],
-        service: ServiceName,
-        now: float,
-    ) -> EndpointRecord:
-        """Return one of the endpoints with the least expected load per slot.
-
-        It is drawn in proportion to the slots. Where slots are few, the
-        distance does not count: it would send the daemons of a data centre
-        to its endpoint, and queueing there takes longer than the way.
-        """
-        remote_penalty = REMOTE_PENALTY_REQUESTS
-        if self.forecast.slots(service, now) < self._daemons():
-            remote_penalty = 0.0
-            below_bound = [
-                record
-                for record in records
-                if record.load.requests < MAX_OWN_CALLS
-            ]
-            records = below_bound or records
-
-        def cost(record: EndpointRecord) -> float:
-            load = self.forecast.load(record, now)
-            is_remote = record.listed.data_centre != self._data_centre
-            penalty = remote_penalty if is_remote else 0.0
-            return (load.requests + penalty) / record.listed.slots
-
-        costs = [cost(record) for record in records]
-        limit = min(costs) + TIE_SLOT_SHARE
-        tied = [
-            record
-            for record, each in zip(records, costs, strict=True)
-            if each <= limit
-        ]
-        weights = [record.listed.slots for record in tied]
-        return self._rng.choices(tied, weights)[0]
-
 
 def _exclude_unhealthy(
     records: list[EndpointRecord], now: float
