--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -18,21 +18,14 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
-import anyio
 import httpx
-from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP
-from mimosamux_standins.site import StandInCaller
-from mimosamux_standins.site.caller import STOPPED_WAITING
 from mimosamux_standins.site.replica import Fault
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.platform_processes import PROMPT, platform_processes
+from tests.support.soak_callers import REVOKED_KEY, STREAM_TARGETS, Callers
 
-CALLERS = 12
-TARGETS = ('/slip/', '/list/', '/draft/', '/question/')
-KEYS = {'key-school': 'school', 'key-office': 'office'}
-REVOKED_KEY = 'key-office'
 FAULT_EVERY_S = 0.6
 START_TIMEOUT_S = 30.0
 WAITING = 'mimosamux_gateway_waiting_requests'
@@ -56,7 +49,6 @@
 
 In 25 runs of large sites, the last daemon had one after 1.2 to 4.4 s: the
 requests of the burst that are in flight are served meanwhile."""
-STREAM_TARGETS = ('/draft/', '/question/')
 QUEUES_EMPTY_S = 2.0
 """Time after which no request of a caller that has gone waits any more."""
 STAYS_S = 1.0
@@ -71,94 +63,6 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Sent:
-    """One request as a caller sent it, and its answer."""
-
-    target: str
-    key: str
-    answer: object
-    entry: str = ''
-    patience_s: float | None = None
-    """Deadline that the caller waited for; None if it did not."""
-    has_left: bool = False
-    """Whether the caller disconnected before its deadline."""
-
-
-@dataclass(kw_only=True)
-class Callers:
-    """Callers in a thread of their own, until they are told to stop."""
-
-    entries: list
-    rng: random.Random
-    count: int = CALLERS
-    targets: tuple = TARGETS
-    patience_s: float = 4.0
-    longest_pause_s: float = 0.2
-    stays_s: float | None = None
-    """Time for which a caller stays beyond its deadline."""
-    leaving_share: float = 0.0
-    """Share of the requests whose callers disconnect before the deadline."""
-    sent: list = field(default_factory=list)
-    _stopping: threading.Event = field(default_factory=threading.Event)
-    _thread: threading.Thread | None = None
-
-    def start(self):
-        self._thread = threading.Thread(target=lambda: anyio.run(self._run))
-        self._thread.start()
-
-    def request_stop(self):
-        self._stopping.set()
-
-    def stop(self):
-        self.request_stop()
-        self._thread.join()
-
-    async def _run(self):
-        async with anyio.create_task_group() as tasks:
-            for _ in range(self.count):
-                rng = random.Random(self.rng.getrandbits(64))
-                tasks.start_soon(self._call, rng)
-
-    async def _call(self, rng):
-        caller = StandInCaller(
-            network=TcpNetwork(), patience_s=self.patience_s, rng=rng
-        )
-        while not self._stopping.is_set():
-            caller.key = rng.choice(list(KEYS))
-            target = f'{rng.choice(self.targets)}{rng.randrange(9)}'
-            leaves = self.leaving_share > 0 and (
-                rng.random() < self.leaving_share
-            )
-            if leaves:
-                caller.leaves_after_s = rng.uniform(0.05, 2.0)
-            elif self.stays_s is not None:
-                caller.leaves_after_s = self.patience_s + self.stays_s
-            is_read = target.startswith('/list/')
-            is_stream = target.startswith(('/draft/', '/question/'))
-            entry = rng.choice(self.entries)
-            answer = await caller.send(
-                entry,
-                target,
-                method='GET' if is_read else 'POST',
-                body=b'' if is_read else b'brief',
-                headers=PROMPT if is_stream else (),
-            )
-            stays = self.stays_s is not None and not leaves
-            self.sent.append(
-                Sent(
-                    target=target,
-                    key=caller.key,
-                    answer=answer,
-                    entry=entry,
-                    patience_s=self.patience_s if stays else None,
-                    has_left=leaves and answer.problem == STOPPED_WAITING,
-                )
-            )
-            await anyio.sleep(rng.uniform(0.01, self.longest_pause_s))
-        await caller.channels.close()
-
-
 @dataclass(kw_only=True)
 class Soak:
     """Draws faults, undoes each after a while, and heals all at the end."""
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -4,11 +4,10 @@
 
 from mimosamux_standins.site.replica import render_event, sign
 
-from tests.support.soak import KEYS, REVOKED_KEY
+from tests.support.soak_callers import KEYS, REVOKED_KEY, STREAM_TARGETS
 
 PROMISES = (408, 421, 429, 503)
 MAY_REPEAT = ('/list/', '/question/')
-STREAMS = ('/draft/', '/question/')
 EVENTS = 12
 REVOCATION_S = 5.0
 PROBE = 'probe-'
@@ -69,7 +68,7 @@
         yield f'{answer.id} ({sent.target}) was called not run, and ran'
     if answer.status != 200:
         return
-    if sent.target.startswith(STREAMS):
+    if sent.target.startswith(STREAM_TARGETS):
         yield from _check_events(answer)
     elif answer.is_whole:
         yield from _check_proof(record, answer)
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -252,8 +252,8 @@
             self.time.now += 0.2
         factors = daemon.known()
         self.assertGreater(factors[2] / factors[0], 1.8)
-        # The line is that of an engine with factor 1, whatever engine is
-        # used most.
+        # `EngineSpeed` is that of an engine with factor 1, whatever engine
+        # is used most.
         for _ in range(100):
             choice = daemon.chooser._estimate(
                 daemon.record(2), SERVICE, prompt_of(1800), None, self.time.now
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,11 @@
 
 from tests.support.soak import (
     LARGE_SITES,
-    REVOKED_KEY,
     Absence,
     Record,
-    Sent,
     play,
 )
+from tests.support.soak_callers import REVOKED_KEY, Sent
 from tests.support.soak_checks import EVENTS, find_problems
 
 SEED = 7
