--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/answer_statistics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/answer_statistics.py
@@ -44,7 +44,8 @@
     def site_rate_per_s(self, service: ServiceName) -> float:
         """Return how many requests the service completes for all daemons.
 
-        It relies on the counts of answers in the peers' latest digests.
+        It relies on the counts of answers in the peers' latest digests, which
+        include failed ones.
         """
         now = self.clock()
         computed_at, rate_per_s = self._rate_by_service.get(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_samples.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_samples.py
@@ -28,7 +28,9 @@
 
     weight: float = 0.0
     ratios: float = 0.0
+    """Sum of the samples times their weights."""
     squares: float = 0.0
+    """Sum of the squares of the samples times their weights."""
 
     @property
     def mean(self) -> float:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/hash_order.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/hash_order.py
@@ -17,8 +17,8 @@
 KEPT_ENDPOINTS = 16
 """Endpoints kept of the order of a key."""
 MIN_KEPT_ENDPOINTS = 8
-"""Endpoints that must still be listed; below it the order is computed again,
-as every further departure would otherwise leave a key without a home."""
+"""Endpoints of a kept order that must still be listed. Below it the order is
+computed again: further departures could leave a key without endpoints."""
 MAX_KEYS = 512
 """Keys kept; each costs one hash when an endpoint is added."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/health.py
@@ -26,6 +26,7 @@
     """Numbers of an endpoint's answers in the last window."""
 
     ended: int = 0
+    """Answers, failed ones included."""
     failed: int = 0
 
 
@@ -84,7 +85,7 @@
         return AnswerCounts(ended=len(self._own), failed=self._own_failed)
 
     def ended(self, now: float) -> int:
-        """Return the number of answers to all daemons."""
+        """Return the number of answers to all daemons, also failed ones."""
         return self._total(now).ended
 
     def failure_rate(self, now: float) -> float | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/loads.py
@@ -69,7 +69,9 @@
     """Requests in flight of this daemon and, as reported, of its peers."""
 
     requests: int = 0
+    """This daemon's requests in flight."""
     unread_tokens: float = 0.0
+    """Prompt tokens still to be prefilled for them."""
     average: AverageLoad = field(default_factory=AverageLoad)
     """Average of what peers report."""
     _report_by_peer: dict[DaemonId, _PeerReport] = field(default_factory=dict)
