--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/engine_times.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/answer_statistics.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class EngineTimes:
+class AnswerStatistics:
     """Completions of services per second, and lengths of answers."""
 
     roster: Roster
@@ -44,7 +44,8 @@
     def site_rate_per_s(self, service: ServiceName) -> float:
         """Return how many requests the service completes for all daemons.
 
-        It relies on the counts of answers in the peers' latest digests.
+        It relies on the counts of answers in the peers' latest digests, which
+        include failed ones.
         """
         now = self.clock()
         computed_at, rate_per_s = self._rate_by_service.get(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -9,14 +9,15 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from functools import singledispatch
 
 import anyio
 
 from mimosamux_daemon.domain.gateway import CallerGone
 from mimosamux_daemon.domain.names import ServiceName
 from mimosamux_daemon.domain.outcomes import Reason, Refused
-from mimosamux_daemon.gateway.admission.engine_times import EngineTimes
+from mimosamux_daemon.gateway.admission.answer_statistics import (
+    AnswerStatistics,
+)
 from mimosamux_daemon.gateway.admission.load_shedding import (
     LoadShedding,
     counted_s,
@@ -28,6 +29,7 @@
     Unplaced,
     WaitingQueue,
     WaitingRequest,
+    describe_placement,
 )
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.jobs import Job
@@ -68,7 +70,7 @@
 
     shedding: LoadShedding
     retry_times: RetryTimes
-    times: EngineTimes
+    answers: AnswerStatistics
     chooser: Chooser
     is_flat: Callable[[], bool]
     """Whether digests arrive without relays; then no request waits."""
@@ -116,7 +118,7 @@
         if not is_late and not queue.has_timely():
             self.shedding.note_admitted(job)
             return choice
-        end_s = choice.first_event_s + self.times.answer_s(job.route.name)
+        end_s = choice.first_event_s + self.answers.answer_s(job.route.name)
         if is_late and end_s > job.left_s(now):
             return self._refuse(waiting, describe_estimate(choice))
         evicted = queue.add(waiting)
@@ -139,7 +141,7 @@
         None: its answer was not whole.
         """
         if answer_s is not None and not job.is_late:
-            self.times.note_answer(job.route.name, answer_s)
+            self.answers.note_answer(job.route.name, answer_s)
         self.note_room(job.service.name)
 
     def note_ended(self, job: Job) -> None:
@@ -208,8 +210,7 @@
         outcome = describe_placement(placement, waiting)
         service = job.service.name
         self._show_length(service)
-        self.metrics.waits.inc({'service': service, 'result': outcome})
-        self.metrics.wait_s.observe({'service': service}, waited_s)
+        self.metrics.note_wait(service, outcome, waited_s)
         log.info(
             'request_waited',
             request=job.request.id,
@@ -341,7 +342,7 @@
     ) -> bool:
         """Whether a late request can end well before its deadline."""
         job = waiting.job
-        end_s = first_event_s + self.times.answer_s(job.route.name)
+        end_s = first_event_s + self.answers.answer_s(job.route.name)
         return LATE_MARGIN * end_s <= job.left_s(now)
 
     def _would_be_late(
@@ -395,30 +396,3 @@
 def _counted_tokens(waiting: WaitingRequest, choice: Choice) -> float:
     """Return the unread tokens to reserve; late ones delay no others."""
     return 0.0 if waiting.is_late else choice.unread_tokens
-
-
-@singledispatch
-def describe_placement(placement: object, waiting: WaitingRequest) -> str:
-    """Return the result of a wait, for the log and the metrics."""
-    raise NotImplementedError(type(placement))
-
-
-@describe_placement.register
-def _(placement: Choice, waiting: WaitingRequest) -> str:
-    return 'sent_late' if waiting.is_late else 'sent'
-
-
-@describe_placement.register
-def _(placement: Refused, waiting: WaitingRequest) -> str:
-    return 'refused'
-
-
-@describe_placement.register
-def _(placement: Unplaced, waiting: WaitingRequest) -> str:
-    return 'unplaced'
-
-
-@describe_placement.register
-def _(placement: None, waiting: WaitingRequest) -> str:
-    """Name the result of a wait that was cancelled."""
-    return 'cancelled'
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -18,22 +18,14 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
-import anyio
 import httpx
-from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP
-from mimosamux_standins.site import StandInCaller
 from mimosamux_standins.site.replica import Fault
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.platform_processes import PROMPT, platform_processes
+from tests.support.soak_callers import REVOKED_KEY, STREAM_TARGETS, Callers
 
-CALLERS = 12
-TARGETS = ('/slip/', '/list/', '/draft/', '/question/')
-KEYS = {'key-school': 'school', 'key-office': 'office'}
-REVOKED_KEY = 'key-office'
-LEFT = 'patience is over'
-"""Problem of an answer that the caller no longer waited for."""
 FAULT_EVERY_S = 0.6
 START_TIMEOUT_S = 30.0
 WAITING = 'mimosamux_gateway_waiting_requests'
@@ -57,7 +49,6 @@
 
 In 25 runs of large sites, the last daemon had one after 1.2 to 4.4 s: the
 requests of the burst that are in flight are served meanwhile."""
-STREAM_TARGETS = ('/draft/', '/question/')
 QUEUES_EMPTY_S = 2.0
 """Time after which no request of a caller that has gone waits any more."""
 STAYS_S = 1.0
@@ -72,94 +63,6 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Sent:
-    """One request as a caller sent it, and its answer."""
-
-    target: str
-    key: str
-    answer: object
-    entry: str = ''
-    patience_s: float | None = None
-    """Deadline that the caller waited for; None if it did not."""
-    has_left: bool = False
-    """Whether the caller disconnected before its deadline."""
-
-
-@dataclass(kw_only=True)
-class Callers:
-    """Callers in a thread of their own, until they are told to stop."""
-
-    entries: list
-    rng: random.Random
-    count: int = CALLERS
-    targets: tuple = TARGETS
-    patience_s: float = 4.0
-    longest_pause_s: float = 0.2
-    stays_s: float | None = None
-    """Time for which a caller stays beyond its deadline."""
-    leaving_share: float = 0.0
-    """Share of the requests whose callers disconnect before the deadline."""
-    sent: list = field(default_factory=list)
-    _stopping: threading.Event = field(default_factory=threading.Event)
-    _thread: threading.Thread | None = None
-
-    def start(self):
-        self._thread = threading.Thread(target=lambda: anyio.run(self._run))
-        self._thread.start()
-
-    def tell_to_stop(self):
-        self._stopping.set()
-
-    def stop(self):
-        self.tell_to_stop()
-        self._thread.join()
-
-    async def _run(self):
-        async with anyio.create_task_group() as tasks:
-            for _ in range(self.count):
-                rng = random.Random(self.rng.getrandbits(64))
-                tasks.start_soon(self._call, rng)
-
-    async def _call(self, rng):
-        caller = StandInCaller(
-            network=TcpNetwork(), patience_s=self.patience_s, rng=rng
-        )
-        while not self._stopping.is_set():
-            caller.key = rng.choice(list(KEYS))
-            target = f'{rng.choice(self.targets)}{rng.randrange(9)}'
-            leaves = self.leaving_share > 0 and (
-                rng.random() < self.leaving_share
-            )
-            if leaves:
-                caller.leaves_after_s = rng.uniform(0.05, 2.0)
-            elif self.stays_s is not None:
-                caller.leaves_after_s = self.patience_s + self.stays_s
-            is_read = target.startswith('/list/')
-            is_stream = target.startswith(('/draft/', '/question/'))
-            entry = rng.choice(self.entries)
-            answer = await caller.send(
-                entry,
-                target,
-                method='GET' if is_read else 'POST',
-                body=b'' if is_read else b'brief',
-                headers=PROMPT if is_stream else (),
-            )
-            stays = self.stays_s is not None and not leaves
-            self.sent.append(
-                Sent(
-                    target=target,
-                    key=caller.key,
-                    answer=answer,
-                    entry=entry,
-                    patience_s=self.patience_s if stays else None,
-                    has_left=leaves and answer.problem == LEFT,
-                )
-            )
-            await anyio.sleep(rng.uniform(0.01, self.longest_pause_s))
-        await caller.channels.close()
-
-
 @dataclass(kw_only=True)
 class Soak:
     """Draws faults, undoes each after a while, and heals all at the end."""
@@ -223,7 +126,7 @@
         self._readers.append(reader)
         return ready
 
-    def end_daemons(self):
+    def kill_daemons(self):
         """Kill the daemons, and read the rest of their logs."""
         for daemon in self.platform.daemons:
             daemon.process.kill()
@@ -280,7 +183,7 @@
         return Callers(entries=entries, **{'rng': self.rng} | fields)
 
     def _burst(self):
-        self._later(self.burst().tell_to_stop, BURST_S)
+        self._later(self.burst().request_stop, BURST_S)
 
     def _draw(self):
         act = self.rng.choice(
@@ -488,7 +391,7 @@
             soak.start_daemons(daemons)
             return _play(soak, seconds)
         finally:
-            soak.end_daemons()
+            soak.kill_daemons()
 
 
 def _draw_large_site(rng):
@@ -531,7 +434,7 @@
     """Whether streams are served soon after a burst without faults."""
     burst = soak.burst()
     time.sleep(BURST_S)
-    burst.tell_to_stop()
+    burst.request_stop()
     return _wait_until_all_serve(burst.entries, _has_stream, BURST_RECOVERY_S)
 
 
