--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -45,6 +45,9 @@
 ENGINE_S_PER_OUTPUT_TOKEN = 0.0001
 """Engine time per output token; it is short because an engine decodes many
 requests in one batch."""
+FULL_ENGINE_WAIT_S = 1.0
+"""Expected wait for a slot of a full engine for each request per slot there,
+and once more for the one that has to end."""
 SPREAD_SAMPLE_SIZE = 2
 """Endpoints drawn at random for a spread request, before the usual choice."""
 MIN_FETCH_TOKENS = 256
@@ -360,7 +363,9 @@
         )
         if load.requests >= record.listed.slots:
             # Without a free slot the request waits until an answer ends.
-            first_event_s += 1.0 + load.requests / record.listed.slots
+            first_event_s += FULL_ENGINE_WAIT_S * (
+                1 + load.requests / record.listed.slots
+            )
         return Choice(
             record=record,
             unread_tokens=unread_tokens,
