--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/request_dispatcher.py
@@ -364,7 +364,7 @@
         """
         estimate = waiting.estimate
         speed = self.chooser.speed_of(waiting.job.service.name)
-        own_s = speed.constant_s + speed.prefill_s(estimate.unread_tokens)
+        own_s = speed.first_event_s(estimate.unread_tokens)
         return own_s * estimate.time_factor
 
     def _has_room(self, choice: Choice, now: float) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -120,7 +120,7 @@
         """
         record, unread_tokens = choice.record, choice.unread_tokens
         speed = self.speed_of(record.listed.service)
-        expected_s = speed.constant_s + speed.prefill_s(unread_tokens)
+        expected_s = speed.first_event_s(unread_tokens)
         if choice.fetch_from is None and unread_tokens >= 1:
             self.engine_factors.note_first_event(record, took_s, expected_s)
         speed.add_sample(unread_tokens, took_s / record.time_factor)
@@ -358,9 +358,7 @@
             if held_tokens - cached >= MIN_FETCH_TOKENS:
                 fetch_from, cached = holder, held_tokens
         unread_tokens = max(prompt.prompt_tokens - cached, 1.0)
-        first_event_s = speed.constant_s + speed.prefill_s(
-            load.unread_tokens + unread_tokens
-        )
+        first_event_s = speed.first_event_s(load.unread_tokens + unread_tokens)
         if load.requests >= record.listed.slots:
             # Without a free slot the request waits until an answer ends.
             first_event_s += FULL_ENGINE_WAIT_S * (
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_speed.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/engine_speed.py
@@ -46,6 +46,10 @@
         self._sums.add(unread_tokens, first_event_s, weight)
         self._fit()
 
+    def first_event_s(self, tokens: float) -> float:
+        """Return the time to the first event behind a number of tokens."""
+        return self.constant_s + self.prefill_s(tokens)
+
     def prefill_s(self, tokens: float) -> float:
         """Return the time to prefill a number of prompt tokens."""
         return tokens / self.tokens_per_s
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -164,8 +164,7 @@
     @property
     def fresh_s(self) -> float:
         """Age up to which a digest counts as current."""
-        forwarding_s = 0.0 if self.is_flat else MAX_HOPS * MAX_FORWARD_PAUSE_S
-        return max(MIN_FRESH_S, 4 * self.interval_s + forwarding_s)
+        return max(MIN_FRESH_S, 4 * self.interval_s + self._forwarding_s)
 
     @property
     def propagation_s(self) -> float:
@@ -174,8 +173,12 @@
         It counts two intervals, since a digest may be lost or its daemon
         busy, and the pauses of the relays that forward it.
         """
-        forwarding_s = 0.0 if self.is_flat else MAX_HOPS * MAX_FORWARD_PAUSE_S
-        return 2 * self.interval_s + forwarding_s
+        return 2 * self.interval_s + self._forwarding_s
+
+    @property
+    def _forwarding_s(self) -> float:
+        """Longest time for which relays hold a digest, 0 without relays."""
+        return 0.0 if self.is_flat else MAX_HOPS * MAX_FORWARD_PAUSE_S
 
     @property
     def _daemon_count(self) -> int:
