Gateway: what a daemon sends to peers, and whom it relays for, can be seen

A slow relay, a slow reader of the list and a daemon without processor time look the same. Change: peer_bytes_total by message, relayed_daemons, the event uplinks_changed with the bandwidth of the chosen relays.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -1,10 +1,11 @@
 """The `Peers` port over thrift messages in frames on TCP links."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 import anyio.abc
+from aioprometheus import Counter
 from mimosamux_wire import (
     Envelope,
     EnvelopeType,
@@ -30,7 +31,6 @@
 )
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.ports.network import Connection, Network
 from mimosamux_daemon.ports.peer import Handler, MessageT, PeerUnavailable
 
@@ -42,6 +42,13 @@
 MAX_CONNECTIONS = 1024
 
 
+class PeerMetrics(Protocol):
+    """The metrics that a daemon keeps of its links."""
+
+    peer_bytes: Counter
+    """Bytes sent to other daemons, by message."""
+
+
 class ThriftPeers:
     """One outgoing link to each peer, and the links that peers open."""
 
@@ -52,7 +59,7 @@
         host: str,
         port: int,
         security: LinkSecurity,
-        metrics: Metrics | None = None,
+        metrics: PeerMetrics | None = None,
         network: Network | None = None,
     ) -> None:
         self._network = TcpNetwork() if network is None else network
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -207,6 +207,11 @@
         """
         return not self.is_flat and self.acts_as_relay
 
+    @property
+    def relayed_daemons(self) -> int:
+        """Return the number of daemons that use this one as their relay."""
+        return sum(1 for _ in self._relays.members())
+
     def add_daemons(
         self,
         ids: Iterable[DaemonId],
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/relays.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/relays.py
@@ -16,6 +16,9 @@
     form_groups,
 )
 from mimosamux_daemon.gateway.exchange.neighbours import Neighbour
+from mimosamux_daemon.logs import get_log
+
+log = get_log('relays')
 
 ANSWER_TIMEOUT_S = 1.0
 """Time without an answer after which the next daemon of the group is used
@@ -130,7 +133,10 @@
     def choose_targets(self) -> list[DaemonId]:
         """Choose the uplinks anew and return all daemons to send to."""
         self._round += 1
-        self.uplinks = self._choose_uplinks()
+        uplinks = self._choose_uplinks()
+        if uplinks != self.uplinks:
+            self._log_uplinks(uplinks)
+        self.uplinks = uplinks
         targets = dict.fromkeys([*self.uplinks, *self.members()])
         if self.acts_as_relay:
             targets.update(dict.fromkeys(self._other_relays()))
@@ -138,6 +144,15 @@
                 targets.update(dict.fromkeys(self._choose_in_group(group)))
         return list(targets)
 
+    def _log_uplinks(self, uplinks: tuple[DaemonId, ...]) -> None:
+        links_mbps = (self.known_by_id[id_].link_mbps for id_ in uplinks)
+        log.info(
+            'uplinks_changed',
+            uplinks=','.join(uplinks),
+            links_mbps=','.join(f'{each:g}' for each in links_mbps),
+            relayed=sum(1 for _ in self.members()),
+        )
+
     def _other_relays(self) -> Iterable[DaemonId]:
         """Yield the other relays of this daemon's group.
 
@@ -208,20 +223,22 @@
         return heard_at is not None and heard_at > oldest
 
     def _choose_in_group(
-        self, group: tuple[DaemonId, ...]
+        self, candidates: tuple[DaemonId, ...]
     ) -> tuple[DaemonId, ...]:
-        """Return the daemons of another group to send to."""
-        if len(group) == 1:
-            return group
+        """Return the daemons of another group's relays to send to."""
+        if len(candidates) < 2:
+            return candidates
         relays = [
-            id_ for id_ in group if self.is_relay(id_) and self.is_fresh(id_)
+            id_
+            for id_ in candidates
+            if self.is_relay(id_) and self.is_fresh(id_)
         ]
         if relays:
             return tuple(relays)
         # No relay of the group is known: the group is cut off or gone, or no
         # digest of it has arrived. Its daemons are tried in rotation; the
         # first one that is reached sends the group's digests.
-        return (group[self._round % len(group)],)
+        return (candidates[self._round % len(candidates)],)
 
 
 def shared_silence_s(neighbours: Iterable[Neighbour], now: float) -> float:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -109,6 +109,14 @@
             'mimosamux_gateway_peers',
             'Other daemons, by state (fresh, silent).',
         )
+        self.peer_bytes = self._counter(
+            'mimosamux_gateway_peer_bytes_total',
+            'Bytes sent to other daemons, by message.',
+        )
+        self.relayed_daemons = self._gauge(
+            'mimosamux_gateway_relayed_daemons',
+            'Daemons that use this one as their relay.',
+        )
         self.forecast_sends = self._counter(
             'mimosamux_gateway_forecast_sends_total',
             'Sends to endpoints chosen by a forecast of their load, by '
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -114,6 +114,7 @@
         silent = len(self.states.by_id) - fresh
         metrics.peers.set({'state': 'fresh'}, fresh)
         metrics.peers.set({'state': 'silent'}, silent)
+        metrics.relayed_daemons.set({}, self.states.relayed_daemons)
         metrics.store_era.set({}, self.store_era.current)
         metrics.holds_lease.set({}, int(self.duties.held is not None))
         suspects = self.quarantine.suspects
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -201,6 +201,7 @@
             # The platform's network is isolated, and its settings have no
             # shared secret for the daemons.
             security=LinkSecurity(secret=b''),
+            metrics=self.metrics,
             network=network,
         )
         self.states = PeerStates(
