--- a/tests/support/daemon_model.py
+++ b/tests/support/daemon_model.py
@@ -37,11 +37,23 @@
     """Daemons with real caps and states, and a network that spoils."""
 
     def __init__(
-        self, rng, *, lost=0.0, late=0.0, daemons=4, centres=('north',)
+        self,
+        rng,
+        *,
+        lost=0.0,
+        late=0.0,
+        daemons=4,
+        centres=('north',),
+        links_mbps=None,
+        parts=(),
     ):
         self.rng, self.lost, self.late = rng, lost, late
         self.now = 1000.0
         self.underway = []
+        self.links_mbps = links_mbps or {}
+        """Bandwidth of links by daemon, endless for those not listed."""
+        self.link_free_at = {}
+        self.parts = parts
         self.cuts = set()
         self.uses = []
         self.messages = self.sent_bytes = 0
@@ -55,12 +67,27 @@
         daemon.states.add_daemons(
             [DaemonId(str(each)) for each in others],
             {DaemonId(str(each)): self.centre_of(each) for each in others},
+            {DaemonId(str(each)): self.link_of(each) for each in others},
         )
         return daemon
 
     def centre_of(self, number):
         return DataCentreName(self.centres[number % len(self.centres)])
 
+    def link_of(self, number):
+        return self.links_mbps.get(number, 0.0)
+
+    def arrives_at(self, source, target, size):
+        """Return when a message of `size` bytes has passed both links."""
+        at = self.now
+        for way in ((source, 'out'), (target, 'in')):
+            mbps = self.link_of(way[0])
+            if mbps:
+                at = max(at, self.link_free_at.get(way, 0.0))
+                at += size * 8 / (mbps * 1e6)
+                self.link_free_at[way] = at
+        return at
+
     def restart(self, number):
         self.daemons[number] = self.start(number)
         self.dead.discard(number)
@@ -111,6 +138,7 @@
                 data_centre=model.centre_of(number),
                 region='r',
                 entry_address=str(number),
+                link_mbps=model.link_of(number),
             ),
             incarnation=model.rng.getrandbits(60),
             peers=self,
@@ -132,7 +160,7 @@
             clock=lambda: model.now,
             rng=model.rng,
         )
-        self.states.parts = [self.caps]
+        self.states.parts = [self.caps, *model.parts]
 
     def handle(self, kind, handler):
         self.handlers[kind] = handler
@@ -162,11 +190,11 @@
     async def notify(self, id_, message):
         model = self.model
         is_batch = isinstance(message, StateBatch)
+        size = len(encode(message, EnvelopeType.ONEWAY, 0))
         model.messages += 1
-        model.sent_bytes += len(encode(message, EnvelopeType.ONEWAY, 0))
+        model.sent_bytes += size
         if is_batch and model.rng.random() < model.lost:
             return
         delay_s = model.rng.uniform(0.0, model.late)
-        model.underway.append(
-            (model.now + delay_s, self.number, int(id_), message)
-        )
+        at = model.arrives_at(self.number, int(id_), size)
+        model.underway.append((at + delay_s, self.number, int(id_), message))
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -19,6 +19,7 @@
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_wire import (
     DaemonsKnown,
+    EndpointUse,
     EnvelopeType,
     StateBatch,
     StateDigest,
@@ -138,6 +139,61 @@
         self.assertLessEqual(moved, {DaemonId('3'), DaemonId('8')})
 
 
+class EndpointRows:
+    """Makes digests as large as those of a daemon with many endpoints."""
+
+    def write(self, digest):
+        digest.endpoints.extend(
+            EndpointUse(endpoint=f'i-{number:010d}', open_requests=1)
+            for number in range(40)
+        )
+
+    def take(self, peer, digest):
+        pass
+
+
+class TestNarrowLinks(unittest.TestCase):
+    # Guards against news that come seconds late, since they wait for a relay
+    # whose own link is too narrow.
+
+    def start(self, daemons):
+        """Start daemons in two data centres, two with wide links in each."""
+        return start_fleet(
+            daemons,
+            centres=('north', 'south'),
+            links_mbps={
+                each: 100.0 if each < 4 else 5.0 for each in range(daemons)
+            },
+            parts=(EndpointRows(),),
+        )
+
+    def oldest_s(self, fleet):
+        """Return the age of the oldest news that any daemon goes by."""
+        by_id = {each.states.place.id: each.states for each in fleet.alive()}
+        return max(
+            (by_id[id_].next_sequence - peer.sequence) * states.interval_s
+            for states in by_id.values()
+            for id_, peer in states.by_id.items()
+            if id_ in by_id
+        )
+
+    def test_news_are_in_time_however_many_daemons_are_added(self):
+        for daemons in (46, 54):
+            with self.subTest(daemons=daemons):
+                fleet = self.start(daemons)
+                fleet.pass_s(10)
+                bound_s = fleet.daemons[0].states.propagation_s
+                self.assertLess(self.oldest_s(fleet), bound_s)
+
+    def test_so_they_are_after_the_loss_of_a_wide_link(self):
+        fleet = self.start(54)
+        fleet.pass_s(8)
+        fleet.dead.add(0)
+        fleet.pass_s(8)
+        bound_s = fleet.daemons[1].states.propagation_s
+        self.assertLess(self.oldest_s(fleet), bound_s)
+
+
 class TestNews(unittest.TestCase):
     def test_every_daemon_has_news_of_every_other(self):
         for daemons in (2, 9, 12, 13, 24, 60):
