Gateway: no group of daemons is left to a relay on a narrow link

Cause: a data centre has a power of two of groups, one for a dozen daemons. With 27 daemons there are four, and two VMs with wide links: two groups were relayed by a VM with 5 Mbit/s, which sends every digest once per member. Digests, changes of the list and callers' answers queued behind each other on that link. The same at any size after the loss of one wide link. Class: a role is assigned by a count, without regard to whether its holder can carry it. Change: a group has an order of preference of relays, in which the widest links of the data centre come first, its own before those of other groups; groups without one are spread over them. A narrow one of its own is preferred where it has more bandwidth for each daemon. Equal links: as before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/groups.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/groups.py
@@ -32,18 +32,28 @@
 
     by_key: Mapping[GroupKey, tuple[DaemonId, ...]]
     key_by_id: Mapping[DaemonId, GroupKey]
+    relays_by_key: Mapping[GroupKey, tuple[DaemonId, ...]]
+    """Daemons that may relay for a group, in the order of preference: also
+    the widest links of other groups of the data centre."""
 
     def of(self, id_: DaemonId) -> tuple[DaemonId, ...]:
         """Return the group of a daemon; only itself if it is unknown."""
         key = self.key_by_id.get(id_)
         return (id_,) if key is None else self.by_key[key]
 
-    def others(self, id_: DaemonId) -> Iterator[tuple[DaemonId, ...]]:
-        """Yield every group except that of a daemon."""
+    def relays_of(self, id_: DaemonId) -> tuple[DaemonId, ...]:
+        """Return the relays of a daemon's group, the preferred one first."""
+        key = self.key_by_id.get(id_)
+        return (id_,) if key is None else self.relays_by_key[key]
+
+    def relays_of_others(
+        self, id_: DaemonId
+    ) -> Iterator[tuple[DaemonId, ...]]:
+        """Yield the relays of every group except that of a daemon."""
         own = self.key_by_id.get(id_)
-        for key, group in self.by_key.items():
+        for key, relays in self.relays_by_key.items():
             if key != own:
-                yield group
+                yield tuple(each for each in relays if each != id_)
 
 
 def form_groups(
@@ -54,7 +64,8 @@
 
     Daemons with the widest links are the preferred relays, one in each group
     while there are enough of them: a relay sends each digest once per member
-    over its own link. A link of unknown bandwidth ranks last.
+    over its own link. Where there are not, they relay for several groups. A
+    link of unknown bandwidth ranks last.
 
     Daemons do not coordinate: the same known daemons give the same groups.
     Where two views differ, a daemon gets a digest twice or late.
@@ -79,7 +90,56 @@
         key: tuple(sorted(group, key=rank)) for key, group in members.items()
     }
     key_by_id = {id_: key for key, group in by_key.items() for id_ in group}
-    return Groups(by_key=by_key, key_by_id=key_by_id)
+    relays_by_key = dict(by_key)
+    for centre in ids_by_centre:
+        groups = {
+            key: group for key, group in by_key.items() if key[0] == centre
+        }
+        relays_by_key.update(_order_relays(groups, links))
+    return Groups(
+        by_key=by_key, key_by_id=key_by_id, relays_by_key=relays_by_key
+    )
+
+
+def _order_relays(
+    groups: Mapping[GroupKey, tuple[DaemonId, ...]],
+    links: Mapping[DaemonId, float],
+) -> dict[GroupKey, tuple[DaemonId, ...]]:
+    """Return the preferred relays of each group of a data centre.
+
+    Where links differ, the widest ones stand in for each other before a
+    narrow one relays. A group without any of them uses that of another group,
+    unless its own best link has more bandwidth for each daemon it relays for.
+    """
+    link_by_id = {
+        id_: links.get(id_, 0.0) for group in groups.values() for id_ in group
+    }
+    widest = max(link_by_id.values())
+    if widest == min(link_by_id.values()):
+        return dict(groups)
+    relayed = {
+        group[0]: len(group)
+        for group in groups.values()
+        if link_by_id[group[0]] == widest
+    }
+    """Daemons that each of the widest links relays for."""
+    orders: dict[GroupKey, tuple[DaemonId, ...]] = {}
+    for key, group in groups.items():
+        wide = [id_ for id_ in group if link_by_id[id_] == widest]
+        narrow = [id_ for id_ in group if link_by_id[id_] < widest]
+        others = sorted(
+            (id_ for id_ in relayed if id_ not in wide),
+            key=lambda id_: relayed[id_],
+        )
+        orders[key] = (*wide, *others, *narrow)
+        if wide:
+            continue
+        total = relayed[others[0]] + len(group)
+        if widest / total > link_by_id[narrow[0]] / len(group):
+            relayed[others[0]] = total
+        else:
+            orders[key] = group
+    return orders
 
 
 def _assign(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/relays.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/relays.py
@@ -140,8 +140,8 @@
         targets = dict.fromkeys([*self.uplinks, *self.members()])
         if self.acts_as_relay:
             targets.update(dict.fromkeys(self._other_relays()))
-            for group in self._current_groups().others(self.own_id):
-                targets.update(dict.fromkeys(self._choose_in_group(group)))
+            for relays in self._current_groups().relays_of_others(self.own_id):
+                targets.update(dict.fromkeys(self._choose_in_group(relays)))
         return list(targets)
 
     def _log_uplinks(self, uplinks: tuple[DaemonId, ...]) -> None:
@@ -185,7 +185,7 @@
     def _choose_uplinks(self) -> tuple[DaemonId, ...]:
         """Return the relay that answers, and one before it still in doubt."""
         chosen: list[DaemonId] = []
-        for id_ in self._current_groups().of(self.own_id):
+        for id_ in self._current_groups().relays_of(self.own_id):
             if id_ == self.own_id:
                 break
             if not self._is_usable(id_):
@@ -225,8 +225,8 @@
     def _choose_in_group(
         self, candidates: tuple[DaemonId, ...]
     ) -> tuple[DaemonId, ...]:
-        """Return the daemons of another group's relays to send to."""
-        if len(candidates) < 2:
+        """Return which of another group's possible relays to send to."""
+        if len(candidates) == 1:
             return candidates
         relays = [
             id_
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -132,6 +132,30 @@
             first = {group[0] for group in groups.by_key.values()}
             self.assertEqual(first, wide, count)
 
+    def test_no_group_is_left_to_a_narrow_link(self):
+        wide = {DaemonId('3'), DaemonId('8')}
+        for count in range(13, 80):
+            groups = self.groups(count, wide)
+            for key in groups.by_key:
+                self.assertIn(groups.relays_by_key[key][0], wide, count)
+                self.assertIn(groups.relays_by_key[key][1], wide, count)
+
+    def test_wide_links_share_the_groups_that_have_none(self):
+        wide = {DaemonId('3'), DaemonId('8')}
+        groups = self.groups(96, wide)
+        first = [order[0] for order in groups.relays_by_key.values()]
+        self.assertEqual(first.count(DaemonId('3')), 4)
+        self.assertEqual(first.count(DaemonId('8')), 4)
+
+    def test_link_that_is_little_wider_does_not_relay_for_many_groups(self):
+        ids = [DaemonId(str(each)) for each in range(90)]
+        groups = form_groups(
+            dict.fromkeys(ids, DataCentreName('north')),
+            {id_: 12.0 if id_ == '3' else 10.0 for id_ in ids},
+        )
+        first = [order[0] for order in groups.relays_by_key.values()]
+        self.assertEqual(first.count(DaemonId('3')), 1)
+
     def test_loss_of_a_wide_link_moves_that_daemon_alone(self):
         before = self.groups(24, {DaemonId('3'), DaemonId('8')}).key_by_id
         after = self.groups(24, {DaemonId('3')}).key_by_id
