Tests: a table that answers slowly hides endpoints that leave, failing

Cause: a read at the moment of a send that takes over 0.3 s counts as an outage of the table, and so does one whose answer lies unread at a daemon that is short of processor time. Change: two tests, with daemons that hear nothing of each other: the table answers 0.2, 0.4 and 0.8 s late; the event loop stalls for 0.2, 0.35 and 0.6 s at a time.

--- a/tests/test_gateway_list_age.py
+++ b/tests/test_gateway_list_age.py
@@ -3,6 +3,7 @@
 import unittest
 
 import anyio
+import trio
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.asking import ask, of_service
@@ -41,6 +42,56 @@
         return sum(at > until for at, _ in leaving.arrivals)
 
 
+async def count_late_by_slow_reads(latency_s, quiet_s):
+    """Have daemons hear nothing of each other, and the table answer slowly.
+
+    Return how many requests an endpoint gets past the time that it has, and
+    the answers to all requests.
+    """
+    async with open_site(drain_s=DRAIN_S) as site:
+        await anyio.sleep(quiet_s)
+        await keep_idle_connections(site)
+        for number in range(len(site.daemons)):
+            site.cut_from_peers(number)
+        site.store.latency_s = latency_s
+        site.network.silence(
+            lambda each: machine_of(STORE) in (each.here, each.there)
+        )
+        await anyio.sleep(0.1)
+        leaving = of_service(site, '/list/')[0]
+        site.drain_replica(leaving)
+        until = anyio.current_time() + DRAIN_S
+        answers = await ask(site, '/list/', for_s=6.0)
+        return sum(at > until for at, _ in leaving.arrivals), answers
+
+
+async def count_late_by_late_loop(stall_s):
+    """The same with daemons that get processor time in turns only."""
+    clock = trio.lowlevel.current_clock()
+    async with open_site(drain_s=DRAIN_S) as site:
+        await anyio.sleep(3.7)
+        await keep_idle_connections(site)
+        for number in range(len(site.daemons)):
+            site.cut_from_peers(number)
+        site.network.silence(
+            lambda each: machine_of(STORE) in (each.here, each.there)
+        )
+        leaving = of_service(site, '/list/')[0]
+        site.drain_replica(leaving)
+        until = anyio.current_time() + DRAIN_S
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(lambda: ask(site, '/list/', for_s=4.0))
+            while anyio.current_time() < until + 3.0:
+                # Behind the first bytes of whatever is under way.
+                await anyio.sleep(0.003)
+                clock.jump(stall_s)
+                await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+        # One of them may have been under way for a stall.
+        until += stall_s
+        return sum(at > until for at, _ in leaving.arrivals)
+
+
 class TestListAge(unittest.TestCase):
     # Guards against requests that are sent by a list so old that it does not
     # show who leaves.
@@ -66,6 +117,23 @@
                 )
                 self.assertEqual(late, 0)
 
+    def test_slow_reads_hide_no_leaving_endpoint(self):
+        for latency_s in (0.2, 0.4, 0.8):
+            for quiet_s in (1.0, 3.7):
+                with self.subTest(latency_s=latency_s, quiet_s=quiet_s):
+                    late, answers = run_paused(
+                        count_late_by_slow_reads, latency_s, quiet_s
+                    )
+                    self.assertEqual(late, 0)
+                    served = sum(each.status == 200 for each in answers)
+                    self.assertGreater(served, 0.9 * len(answers))
+
+    def test_late_loop_hides_no_leaving_endpoint(self):
+        for stall_s in (0.2, 0.35, 0.6):
+            with self.subTest(stall_s=stall_s):
+                late = run_paused(count_late_by_late_loop, stall_s)
+                self.assertEqual(late, 0)
+
     def test_requests_cost_no_calls_while_the_list_is_new(self):
         async def check(per_s):
             async with open_site() as site:
