Gateway: a slow read of the endpoint list is no outage of the table

Callers saw: requests that reach endpoints later than the drain time after they said that they leave, at daemons whose links or processors are behind. Cause: the read at the moment of a send was given up after 0.3 s and counted as proof that the table is away; from then on every request went out by the old list until something else told more. A daemon with a late event loop cancelled its own read though the answer lay in the socket. Class: slow is taken for away. Change: the read goes on behind the 0.3 s for which requests wait. Until it ends, requests go only to endpoints that were asked within 0.8 of the drain time and answered without announcing that they leave; without any they are refused (list_is_old, Retry-After 0.3 s, not run). Away is a table whose calls fail twice in a row, or whose reads on new connections had no answer for the drain time; an outage is served as before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -48,6 +48,8 @@
     reason: str
     is_refused: bool = False
     """Whether the other VM is there, and no process listens."""
+    is_timeout: bool = False
+    """Whether nothing answered the attempt to connect in time."""
 
 
 class Channel:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -50,6 +50,7 @@
             return ChannelBroken(
                 reason=describe(error),
                 is_refused=isinstance(error, ConnectionRefusedError),
+                is_timeout=isinstance(error, TimeoutError),
             )
         self.opened += 1
         return Channel(
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
@@ -19,6 +19,7 @@
     DEADLINE = 'deadline'
     ENDPOINT_FAILED = 'endpoint_failed'
     IN_DOUBT = 'in_doubt'
+    LIST_IS_OLD = 'list_is_old'
     NO_CAPACITY = 'no_capacity'
     NO_CONFIGURATION = 'no_configuration'
     NO_ENDPOINT = 'no_endpoint'
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/store.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/store.py
@@ -56,6 +56,9 @@
 
     reason: str
     may_have_taken_effect: bool
+    is_timeout: bool = False
+    """Whether nothing answered in time: the platform may only be slow, or
+    this daemon."""
 
 
 CommitOutcome = Committed | Conflict | Unavailable
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -154,6 +154,8 @@
             is_served=not isinstance(answer, RequestRejected)
             and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR,
         )
+        if answer.confirms_staying:
+            record.confirmed_at = max(record.confirmed_at, self.sent_at)
         if answer.is_leaving:
             roster.note_leaving(
                 record.id,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
@@ -14,6 +14,9 @@
 from mimosamux_daemon.gateway.balancing.loads import EndpointLoad
 from mimosamux_daemon.gateway.limits.rate_shares import RateShare
 
+WITHHELD_RETRY_S = 0.3
+"""Time in which the read of a stale list is expected to end."""
+
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class OpenCall:
@@ -54,6 +57,12 @@
     """End of the backoff after failed connection attempts."""
     paused_until: float = -math.inf
     """End of the pause that the endpoint has asked this daemon for."""
+    confirmed_at: float = -math.inf
+    """When the latest request was sent to which it has answered without
+    announcing that it leaves."""
+    is_withheld: bool = False
+    """Whether it gets no requests because the list is too old to show that
+    it does not leave."""
     share: RateShare | None = None
     """This daemon's part of the endpoint's rate limit, None: unlimited."""
     rejections: int = 0
@@ -102,14 +111,19 @@
         return self.is_unreachable(now) or now < self.deprioritised_until
 
     def is_open(self, now: float) -> bool:
-        """Whether its pause and rate limit allow this daemon a request now."""
-        if now < self.paused_until:
+        """Whether this daemon may send it a request now.
+
+        Its pause, its rate limit and the age of the list have to allow it.
+        """
+        if self.is_withheld or now < self.paused_until:
             return False
         return self.share is None or self.share.has_token(now)
 
     def opens_in_s(self, now: float) -> float:
-        """Return the time until its pause and rate limit allow a request."""
+        """Return the time in s until this daemon may send it a request."""
         wait_s = 0.0 if self.share is None else self.share.available_in_s(now)
+        if self.is_withheld:
+            wait_s = max(wait_s, WITHHELD_RETRY_S)
         return max(self.paused_until - now, wait_s, 0.0)
 
     @contextmanager
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -41,6 +41,12 @@
 SHARED_READ_WAIT_S = 1.3
 """Longest long poll of the daemon that reads for the others. They receive a
 change at once, and a confirmation without changes at this interval."""
+REFRESH_TIMEOUT_S = 1.5
+"""Time-out of a read that requests wait for. They wait for less; what it tells
+later still counts."""
+MIN_FAILURES = 2
+"""Failed calls in a row after which the platform counts as away. A single one
+may be due to a connection that was reset."""
 PEER_SILENCE_S = 2.2
 """Time without an update after which a daemon reads a table itself. A site
 with relays has 3 s or more to put a change in force everywhere."""
@@ -76,6 +82,7 @@
         health: StoreHealth,
         sharing: TableSharing,
         wait_s: float,
+        away_after_s: float,
         clock: Callable[[], float],
         rng: random.Random,
     ) -> None:
@@ -103,9 +110,16 @@
         self._longest_gap_s = 0.0
         """Longest time during an outage without a confirmation by peers."""
         self._backoff_s = MIN_BACKOFF_S
-        self._refresh_lock = anyio.Lock()
-        self._refresh_failed = False
-        """Whether the last refresh failed, and nothing was learned since."""
+        self._away_after_s = away_after_s
+        self._refresh_wanted = anyio.Event()
+        self._refresh_ended = anyio.Event()
+        self._refresh_began_at: float | None = None
+        """When the present refresh began, None: there is none."""
+        self._unanswered_since: float | None = None
+        """When the first refresh was sent that had no answer in time, None if
+        something was learned since."""
+        self._failures = 0
+        """Calls in a row that failed otherwise than by a time-out."""
 
     @property
     def age_s(self) -> float:
@@ -113,37 +127,85 @@
         return self._clock() - self._confirmed_at
 
     @property
-    def can_refresh(self) -> bool:
-        """Whether a refresh is likely to succeed."""
-        return self.is_connected and not self._refresh_failed
+    def is_away(self) -> bool:
+        """Whether the platform is away, as far as this daemon can tell.
+
+        One that is slow is not, nor one whose answers lie unread here since
+        the event loop is late.
+        """
+        if self._failures >= MIN_FAILURES:
+            return True
+        since = self._unanswered_since
+        return (
+            since is not None and self._clock() - since >= self._away_after_s
+        )
 
     async def refresh(self, *, older_than_s: float, timeout_s: float) -> None:
-        """Read changes at once if the state here is older than a limit.
+        """Have the changes read if the state here is older than a limit.
 
-        The call is independent of those of `run`. Concurrent callers wait
-        for the first one, and use its result.
+        Return once the state is new enough, the read has failed, or it goes
+        on for longer than the time-out: it is not cancelled then.
         """
-        async with self._refresh_lock:
-            cursor, age_s = self._cursor, self.age_s
-            if cursor is None or not self.can_refresh or age_s <= older_than_s:
-                return
-            sent_at = self._clock()
-            answer: FeedSnapshot[ItemT] | FeedNews[ItemT] | Unavailable
-            polled = await self._feed.poll(cursor, timeout_s=timeout_s)
-            if isinstance(polled, HistoryLost):
-                answer = await self._feed.read()
-            else:
-                answer = polled
-            if not isinstance(answer, Unavailable):
-                self._apply_answer(answer, max(sent_at, answer.as_of))
-            self._refresh_failed = self.age_s > older_than_s
-            log.info(
-                'list_was_old',
-                feed=self._name,
-                age_s=round(age_s, 3),
-                took_s=round(self._clock() - sent_at, 3),
-                outcome=type(answer).__name__,
+        now = self._clock()
+        if self.is_away or self.age_s <= older_than_s:
+            return
+        if self._refresh_began_at is None:
+            self._refresh_began_at = now
+            self._refresh_wanted.set()
+        ended = self._refresh_ended
+        with anyio.move_on_after(self._refresh_began_at + timeout_s - now):
+            await ended.wait()
+
+    async def run_refreshes(self) -> None:
+        """Make the reads that `refresh` asks for, until cancelled."""
+        while True:
+            await self._refresh_wanted.wait()
+            self._refresh_wanted = anyio.Event()
+            await self._refresh_once()
+            self._refresh_began_at = None
+            self._refresh_ended.set()
+            self._refresh_ended = anyio.Event()
+
+    async def _refresh_once(self) -> None:
+        """Read the changes on a connection of its own."""
+        age_s, sent_at = self.age_s, self._clock()
+        answer = await self._poll_or_read()
+        if isinstance(answer, Unavailable):
+            self._note_failure(answer)
+            if answer.is_timeout and self._unanswered_since is None:
+                self._unanswered_since = sent_at
+        else:
+            self._note_reached()
+            self._apply_answer(answer, max(sent_at, answer.as_of))
+        log.info(
+            'list_was_old',
+            feed=self._name,
+            age_s=round(age_s, 3),
+            took_s=round(self._clock() - sent_at, 3),
+            outcome=type(answer).__name__,
+        )
+
+    async def _poll_or_read(
+        self,
+    ) -> FeedSnapshot[ItemT] | FeedNews[ItemT] | Unavailable:
+        """Return the changes at once, or the whole table if need be."""
+        if self._cursor is not None:
+            answer = await self._feed.poll(
+                self._cursor, timeout_s=REFRESH_TIMEOUT_S
             )
+            if not isinstance(answer, HistoryLost):
+                return answer
+        return await self._feed.read()
+
+    def _note_failure(self, problem: Unavailable) -> None:
+        """Count a call that failed otherwise than by a time-out."""
+        if not problem.is_timeout:
+            self._failures += 1
+
+    def _note_reached(self) -> None:
+        """Note that the platform answers, to this daemon or to a peer."""
+        self._failures = 0
+        self._unanswered_since = None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -177,8 +239,11 @@
         sent_at = self._clock()
         answer = await self._fetch()
         if isinstance(answer, Unavailable):
+            # A time-out counts for nothing here: the connection may be dead.
+            self._note_failure(answer)
             await self._back_off(answer)
             return
+        self._note_reached()
         self._note_answer()
         if isinstance(answer, HistoryLost):
             log.info('history_lost', feed=self._name)
@@ -253,7 +318,7 @@
         self._cursor = max(self._cursor or 0, version)
         self._last_change = max(self._last_change, changed)
         self._confirmed_at = max(self._confirmed_at, as_of)
-        self._refresh_failed = False
+        self._note_reached()
         self._consumer.confirm(as_of)
 
     def _note_gap(self, until: float) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -210,6 +210,12 @@
         """Return the outcome of a job that no endpoint takes."""
         name = job.service.name
         wait_s = self.roster.opens_in_s(name)
+        if self.roster.is_withheld(name):
+            return job.give_up(
+                Reason.LIST_IS_OLD,
+                f'each endpoint of {name} may have left since it was listed',
+                retry_after_s=wait_s,
+            )
         if wait_s > 0:
             return job.give_up(
                 Reason.ENDPOINT_REJECTED,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/list_age.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/list_age.py
@@ -5,20 +5,18 @@
 time. So the age of the list is checked each time a request is sent.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
-import anyio
-
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.gateway.feed_reader import FeedReader
+from mimosamux_daemon.gateway.roster import Roster
 
 MAX_AGE_SHARE = 0.8
 """Maximum age of the list, as a share of the drain time. An older list is
 read again before a request is sent by it."""
-READ_TIMEOUT_S = 0.3
-"""Time-out of that read. If the table does not answer in time, it counts as
-unavailable, and the last known list is used. A request waits at most twice as
-long, since it may first wait for a read that another one began."""
+MAX_HELD_S = 0.3
+"""Time for which a request waits for that read."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -26,15 +24,21 @@
     """Holds requests while the endpoint list is stale and can be read."""
 
     reader: FeedReader[ListedEndpoint]
+    roster: Roster
     drain_s: float
     """Time that an endpoint keeps serving after it is listed as leaving."""
+    clock: Callable[[], float]
 
     async def wait_until_fresh(self) -> None:
-        """Wait until the list is fresh enough, or cannot be read."""
+        """Wait until the list is fresh, its read takes too long, or it fails.
+
+        While the list stays stale and the table is not away, only endpoints
+        whose own answers show that they do not leave accept requests.
+        """
         reader, max_age_s = self.reader, MAX_AGE_SHARE * self.drain_s
-        if reader.age_s <= max_age_s or not reader.can_refresh:
-            return
-        with anyio.move_on_after(2 * READ_TIMEOUT_S):
-            await reader.refresh(
-                older_than_s=max_age_s, timeout_s=READ_TIMEOUT_S
-            )
+        if reader.age_s > max_age_s:
+            await reader.refresh(older_than_s=max_age_s, timeout_s=MAX_HELD_S)
+        if reader.age_s > max_age_s and not reader.is_away:
+            self.roster.withhold_unconfirmed(self.clock() - max_age_s)
+        else:
+            self.roster.release_withheld()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -172,6 +172,7 @@
             self.rows.run,
             self.configuration_reader.run,
             self.endpoint_reader.run,
+            self.endpoint_reader.run_refreshes,
             self.vouching.run,
             self.cap_record.run,
             self.cap_loans.run,
@@ -250,6 +251,7 @@
             ),
             health=self.health,
             wait_s=CONFIGURATION_POLL_S,
+            away_after_s=self.settings.drain_s,
             clock=self._clock,
             rng=self._rng,
         )
@@ -305,6 +307,7 @@
             wait_s=min(
                 ENDPOINTS_POLL_S, ENDPOINTS_POLL_SHARE * self.settings.drain_s
             ),
+            away_after_s=self.settings.drain_s,
             clock=self._clock,
             rng=self._rng,
         )
@@ -437,7 +440,10 @@
             shares=FairShares(window_s=WINDOW_S), clock=self._clock
         )
         self.list_freshness = ListFreshness(
-            reader=self.endpoint_reader, drain_s=self.settings.drain_s
+            reader=self.endpoint_reader,
+            roster=self.roster,
+            drain_s=self.settings.drain_s,
+            clock=self._clock,
         )
         answers = AnswerStatistics(roster=self.roster, clock=self._clock)
         self.dispatcher = RequestDispatcher(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -78,6 +78,8 @@
         self._health = health
         self._has_lapsed = False
         """Whether the entry of a record may have lapsed."""
+        self._is_withholding = False
+        """Whether the list is stale, so that some endpoints are withheld."""
 
     def replace(
         self, items: Mapping[str, ListedEndpoint | Unreadable]
@@ -235,6 +237,28 @@
             incarnation=record.incarnation,
         )
 
+    def withhold_unconfirmed(self, since: float) -> None:
+        """Withhold the endpoints that may leave, as far as is known.
+
+        Those that were asked since a time, and answered without announcing
+        that they leave, accept requests.
+        """
+        self._is_withholding = True
+        for record in self.by_id.values():
+            record.is_withheld = record.confirmed_at < since
+
+    def release_withheld(self) -> None:
+        """Withhold no endpoint any more."""
+        if self._is_withholding:
+            self._is_withholding = False
+            for record in self.by_id.values():
+                record.is_withheld = False
+
+    def is_withheld(self, service: ServiceName) -> bool:
+        """Whether every endpoint of a service is withheld."""
+        serving = self.serving(service)
+        return bool(serving) and all(each.is_withheld for each in serving)
+
     def is_current(self, id_: EndpointId, incarnation: int) -> bool:
         """Whether an incarnation of an endpoint is the known one, 0: it is.
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -77,6 +77,8 @@
     """Time for which this daemon is asked to send no requests."""
     is_leaving: bool = False
     """Whether the endpoint announces that it is leaving."""
+    confirms_staying: bool = False
+    """Whether an endpoint that leaves would have answered otherwise."""
     limit_per_s: float | UnreadableLimit | None = None
     """Reported rate limit for all daemons together, in requests a second.
 
@@ -111,6 +113,8 @@
     weights_version: str | None
     is_leaving: bool
     """Whether the endpoint announces that it is leaving."""
+    confirms_staying: bool
+    """Whether an endpoint that leaves would have answered otherwise."""
     retry_after_s: float | None
     """Time for which this daemon is asked to send no requests."""
     limit_per_s: float | UnreadableLimit | None
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -410,6 +410,8 @@
         words: list[tuple[bytes, bytes]] = []
         if self.says_leaving:
             words.append((b'Server-Leaving', b'1'))
+        if self.state == 'draining':
+            words.append((b'Connection', b'close'))
         if self.limit_per_s is not None:
             words.append((b'Server-Limit', b'%g' % self.limit_per_s))
         return tuple(words)
--- a/tests/test_gateway_list_age.py
+++ b/tests/test_gateway_list_age.py
@@ -42,7 +42,7 @@
         return sum(at > until for at, _ in leaving.arrivals)
 
 
-async def count_late_by_slow_reads(latency_s, quiet_s):
+async def count_late_by_slow_reads(latency_s, quiet_s, *, idle_s=0.0):
     """Have daemons hear nothing of each other, and the table answer slowly.
 
     Return how many requests an endpoint gets past the time that it has, and
@@ -61,12 +61,13 @@
         leaving = of_service(site, '/list/')[0]
         site.drain_replica(leaving)
         until = anyio.current_time() + DRAIN_S
+        await anyio.sleep(idle_s)
         answers = await ask(site, '/list/', for_s=6.0)
         return sum(at > until for at, _ in leaving.arrivals), answers
 
 
 async def count_late_by_late_loop(stall_s):
-    """The same with daemons that get processor time in turns only."""
+    """Count the same for daemons that get processor time in turns only."""
     clock = trio.lowlevel.current_clock()
     async with open_site(drain_s=DRAIN_S) as site:
         await anyio.sleep(3.7)
@@ -128,6 +129,20 @@
                     served = sum(each.status == 200 for each in answers)
                     self.assertGreater(served, 0.9 * len(answers))
 
+    def test_endpoints_that_were_not_heard_get_nothing_by_an_old_list(self):
+        late, answers = run_paused(
+            lambda: count_late_by_slow_reads(0.8, 1.0, idle_s=DRAIN_S + 0.2)
+        )
+        self.assertEqual(late, 0)
+        read_until = min(each.sent_at for each in answers) + 0.8
+        for answer in answers:
+            if answer.status == 200:
+                continue
+            self.assertEqual(answer.status, 503)
+            self.assertLess(answer.sent_at, read_until)
+            self.assertGreater(answer.retry_after_s, 0)
+            self.assertLess(answer.ended_at - answer.sent_at, MOST_HELD_S)
+
     def test_late_loop_hides_no_leaving_endpoint(self):
         for stall_s in (0.2, 0.35, 0.6):
             with self.subTest(stall_s=stall_s):
