Gateway: a daemon that is cut off from the table serves on while peers tell it

Callers saw: 503 (list_is_old) at a daemon of a small site that cannot reach the store, for up to the drain time; found by the whole suite on (976 passed, 2 failed: test_daemon_cut_off_from_the_store_learns_from_its_peers, test_key_is_out_at_a_daemon_that_only_peers_can_tell). Cause: withholds endpoints while a read has no answer. In a small site each daemon announces who leaves to all others as it reads it, so that one that cannot read is not blind. Change: endpoints are not withheld there while a ready peer says that the table answers it. At sites with relays the peers' updates confirm the list itself. Result: both pass again, 43 tests of list age, configuration, table sharing and store eras pass.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/list_age.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/list_age.py
@@ -27,18 +27,22 @@
     roster: Roster
     drain_s: float
     """Time that an endpoint keeps serving after it is listed as leaving."""
+    is_told_by_peers: Callable[[], bool]
+    """Whether peers that read the list announce to this daemon who leaves."""
     clock: Callable[[], float]
 
     async def wait_until_fresh(self) -> None:
         """Wait until the list is fresh, its read takes too long, or it fails.
 
-        While the list stays stale and the table is not away, only endpoints
-        whose own answers show that they do not leave accept requests.
+        While the list stays stale, the table is not away and no peer tells
+        who leaves, only endpoints whose own answers show that they do not
+        leave accept requests.
         """
         reader, max_age_s = self.reader, MAX_AGE_SHARE * self.drain_s
         if reader.age_s > max_age_s:
             await reader.refresh(older_than_s=max_age_s, timeout_s=MAX_HELD_S)
-        if reader.age_s > max_age_s and not reader.is_away:
+        is_blind = not reader.is_away and not self.is_told_by_peers()
+        if reader.age_s > max_age_s and is_blind:
             self.roster.withhold_unconfirmed(self.clock() - max_age_s)
         else:
             self.roster.release_withheld()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -443,6 +443,10 @@
             reader=self.endpoint_reader,
             roster=self.roster,
             drain_s=self.settings.drain_s,
+            is_told_by_peers=lambda: (
+                self.states.is_flat
+                and any(peer.reads_tables for peer in self.states.ready())
+            ),
             clock=self._clock,
         )
         answers = AnswerStatistics(roster=self.roster, clock=self._clock)
