--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -136,6 +136,8 @@
     connections: list = field(default_factory=list)
     cuts: set = field(default_factory=set)
     """Pairs of machines: nothing gets from the first to the second."""
+    refused: set = field(default_factory=set)
+    """Pairs of machines: the second resets new connections of the first."""
     dark: set = field(default_factory=set)
     """Machines without power: they answer nothing."""
     accept_delay_s: dict = field(default_factory=dict)
@@ -158,6 +160,7 @@
 
     def heal(self):
         self.cuts.clear()
+        self.refused.clear()
         for connection in self.connections:
             connection.flush()
 
@@ -195,7 +198,8 @@
         ):
             await anyio.sleep_forever()
         listener = network.listeners.get(address)
-        if listener is None or listener.handler is None:
+        is_refused = (self.machine, target) in network.refused
+        if is_refused or listener is None or listener.handler is None:
             raise ConnectionRefusedError(address)
         mine = MemoryConnection(
             network=network, here=self.machine, there=target
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -3,6 +3,7 @@
 import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 import anyio
 import anyio.lowlevel
@@ -34,6 +35,17 @@
 WALL_START = 1_790_000_000.0
 
 
+class Partition(Enum):
+    """What becomes of the connections of a daemon that is cut off."""
+
+    HANGS = auto()
+    """They deliver nothing, and new ones are not answered."""
+    RESETS = auto()
+    """They are reset, and new ones are refused."""
+    LIVES_ON = auto()
+    """They live on, and new ones are refused."""
+
+
 def steady():
     return anyio.current_time()
 
@@ -326,6 +338,20 @@
         self.network.kill(handle.machine)
         handle.scope.cancel()
 
+    def partition_from_endpoints(self, number, partition):
+        """Cut a daemon from all endpoints, and from nothing else."""
+        alone = self.daemons[number].machine
+        there = {machine_of(each) for each in self.replicas_by_address}
+        if partition is Partition.HANGS:
+            for machine in there:
+                self.network.cut(alone, machine)
+            return
+        self.network.refused |= {(alone, machine) for machine in there}
+        if partition is Partition.RESETS:
+            self.network.reset(
+                lambda each: each.here == alone and each.there in there
+            )
+
     def cut_from_peers(self, number):
         """Cut a daemon from all others, and from nothing else."""
         alone = self.daemons[number].machine
