Gateway: a daemon that reaches no endpoint goes through its peers

Cause: the only way from a daemon to an endpoint was its own connection, each failure was held against the endpoint, and discovery offered the daemon on. Class: a fault of the observer is taken for one of what it observes. Change: EndpointReach finds out per service that connections fail at several endpoints in a row while no byte comes (or at four where open ones live on), and probes directly where several endpoints owe answers in silence. From then on connections go through HTTP CONNECT tunnels of peers that reach the service; admission, caps, retries and counts stay where the request was taken, a tunnel connects to listed endpoints only and never through another one, a reset stays a reset. Peers and discovery learn it from the digests (tunnel_address, unreached_services). A probe of 0.5 s ends it. Without a peer a request is refused after one attempt. A daemon that stops waits for tunnels in use.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -61,9 +61,11 @@
         address: str,
         connection: Connection,
         note_reset: Callable[[str], None] = lambda _: None,
+        note_received: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.address = address
         self._note_reset = note_reset
+        self._note_received = note_received
         self.exchanges = 0
         """Requests that were sent on it so far."""
         self._connection = connection
@@ -235,9 +237,11 @@
         # The end of the connection is the end of an answer without a
         # length; a reset is an error and never taken for an end.
         try:
-            return await self._connection.receive(READ_BYTES)
+            data = await self._connection.receive(READ_BYTES)
         except anyio.EndOfStream:
             return b''
+        self._note_received(self.address)
+        return data
 
     def _note_idle_limit(self, answer: h11.Response) -> None:
         value = find_value(tuple(answer.headers), KEEP_ALIVE)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -1,5 +1,6 @@
 """Connections to many addresses that are kept and used again."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -25,6 +26,8 @@
     network: Network
     connect_timeout_s: float
     resets: ResetWatch = field(default_factory=ResetWatch)
+    note_received: Callable[[str], None] = lambda _: None
+    """Called with the address from which bytes arrived."""
     opened: int = 0
     """Connections opened so far."""
     _idle_by_address: dict[str, list[Channel]] = field(default_factory=dict)
@@ -57,6 +60,7 @@
             address=address,
             connection=connection,
             note_reset=self.resets.note,
+            note_received=self.note_received,
         )
 
     def _is_good(self, channel: Channel) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -4,6 +4,7 @@
 import os
 import select
 import socket
+import struct
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -20,6 +21,8 @@
 """Sent data that is not acknowledged for so long ends a connection: a
 machine without power answers nothing, not even with a reset, and the
 kernel would go on sending for a quarter of an hour."""
+ABORTIVE_CLOSE = struct.pack('ii', 1, 0)
+"""Value of SO_LINGER with which closing a socket sends a reset."""
 ACCEPTS_AT_ONCE = 32
 """Connections accepted in one pass of the event loop; requests that are
 under way come to their turn before the next."""
@@ -83,6 +86,13 @@
         self._is_closed = True
         await anyio.aclose_forcefully(self._stream)
 
+    def abort(self) -> None:
+        """Have the kernel reset it when it is closed."""
+        if self._socket.fileno() >= 0:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, ABORTIVE_CLOSE
+            )
+
     def has_input(self) -> bool:
         """Whether bytes, or the end, have arrived and were not read."""
         return self._poll(select.POLLIN | select.POLLHUP)
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
@@ -0,0 +1,123 @@
+"""Connections to endpoints, through a peer where the direct way is cut.
+
+A peer's tunnel takes an HTTP/1.1 CONNECT request and then passes on bytes.
+"""
+
+from http import HTTPStatus
+
+import anyio
+import h11
+
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports.endpoint_routes import EndpointRoutes
+from mimosamux_daemon.ports.network import Connection, Listener, Network
+
+log = get_log('tunnels')
+
+TUNNEL_TIMEOUT_S = 0.3
+"""Time-out of a connection through a peer, its own connect included."""
+READ_BYTES = 4096
+
+
+class TunnelNetwork:
+    """The `Network` port for endpoints: direct connections or tunnels."""
+
+    def __init__(self, *, network: Network, connect_timeout_s: float) -> None:
+        self.routes: EndpointRoutes | None = None
+        """None: every connection is direct."""
+        self._network = network
+        self._connect_timeout_s = connect_timeout_s
+
+    async def connect(self, address: str) -> Connection:
+        """Return a new connection to an endpoint, or raise `OSError`."""
+        routes = self.routes
+        if routes is None or not routes.is_cut_off(address):
+            try:
+                return await self._connect_directly(address)
+            except OSError:
+                if routes is None or not routes.is_cut_off(address):
+                    raise
+        for tunnel in routes.tunnels_to(address):
+            connection = await self._open_tunnel(routes, tunnel, address)
+            if connection is not None:
+                return connection
+        return await self._connect_directly(address)
+
+    async def listen(self, address: str) -> Listener:
+        """Listen at an address; port 0 selects a free port."""
+        return await self._network.listen(address)
+
+    async def probe(self, address: str) -> None:
+        """Try a direct connection, whose outcome the routes are told."""
+        try:
+            connection = await self._connect_directly(address)
+        except OSError:
+            return
+        await connection.aclose()
+
+    async def _connect_directly(self, address: str) -> Connection:
+        try:
+            with anyio.fail_after(self._connect_timeout_s):
+                connection = await self._network.connect(address)
+        except OSError:
+            self._note(address, failed=True)
+            raise
+        self._note(address, failed=False)
+        return connection
+
+    def _note(self, address: str, *, failed: bool) -> None:
+        if self.routes is not None:
+            self.routes.note_connect(address, failed=failed)
+
+    async def _open_tunnel(
+        self, routes: EndpointRoutes, tunnel: str, address: str
+    ) -> Connection | None:
+        """Return a connection through a peer, None if that peer gives none.
+
+        Raise `ConnectionRefusedError` if no process listens at the endpoint.
+        """
+        status: int | None = None
+        with anyio.move_on_after(TUNNEL_TIMEOUT_S):
+            try:
+                connection = await self._network.connect(tunnel)
+            except OSError:
+                routes.note_tunnel(tunnel, failed=True)
+                return None
+            try:
+                status = await _request_tunnel(connection, address)
+            finally:
+                if status != HTTPStatus.OK:
+                    with anyio.CancelScope(shield=True):
+                        await connection.aclose()
+        routes.note_tunnel(tunnel, failed=status is None)
+        log.info('tunnel_asked', tunnel=tunnel, address=address, status=status)
+        if status == HTTPStatus.BAD_GATEWAY:
+            raise ConnectionRefusedError(address)
+        return connection if status == HTTPStatus.OK else None
+
+
+async def _request_tunnel(connection: Connection, address: str) -> int | None:
+    """Ask for a tunnel; return the status, None without an answer."""
+    parser = h11.Connection(h11.CLIENT)
+    request = h11.Request(
+        method=b'CONNECT',
+        target=address.encode(),
+        headers=[(b'Host', address.encode())],
+    )
+    try:
+        await connection.send(parser.send(request) or b'')
+        while True:
+            event = parser.next_event()
+            if isinstance(event, h11.Response):
+                return event.status_code
+            if event is not h11.NEED_DATA:
+                return None
+            parser.receive_data(await connection.receive(READ_BYTES))
+    except (
+        OSError,
+        anyio.BrokenResourceError,
+        anyio.ClosedResourceError,
+        anyio.EndOfStream,
+        h11.ProtocolError,
+    ):
+        return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -10,6 +10,7 @@
 from mimosamux_daemon.adapters.http1_exchange import Handler
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.adapters.tunnel_server import TunnelServer
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.discovery import Discovery
@@ -64,6 +65,11 @@
         self._server = self._build_server(
             platform.create_request_handler(self.parts.forwarder)
         )
+        self._tunnels = TunnelServer(
+            network=self._network,
+            is_endpoint=self.parts.reach.is_endpoint,
+            note_end=self._note_tunnel,
+        )
 
     def stop(self) -> None:
         """Begin a graceful stop."""
@@ -106,7 +112,11 @@
     async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
         discovery_server = self._build_server(
             self._platform.create_discovery_handler(
-                Discovery(states=self.parts.states, clock=self._clock),
+                Discovery(
+                    states=self.parts.states,
+                    is_cut_off=lambda: self.parts.reach.is_any_cut_off,
+                    clock=self._clock,
+                ),
                 self.is_ready,
             )
         )
@@ -119,6 +129,13 @@
             await self._serve(
                 tasks, self.settings.metrics, monitor, anyio.CancelScope()
             )
+        if self.settings.place.tunnel:
+            await self._serve(
+                tasks,
+                self.settings.place.tunnel,
+                self._tunnels,
+                anyio.CancelScope(),
+            )
         await self._serve(
             tasks, self.settings.entry, self._server, self._entry_scope
         )
@@ -129,6 +146,10 @@
             peers=self.settings.place.id,
         )
 
+    def _note_tunnel(self, result: str) -> None:
+        labels = {'side': 'served', 'result': result}
+        self.parts.metrics.tunnels.inc(labels)
+
     def _build_monitor(self) -> Monitor:
         return Monitor(
             daemon=self.settings.daemon,
@@ -149,7 +170,7 @@
         self,
         tasks: anyio.abc.TaskGroup,
         address: str,
-        server: Http1Server,
+        server: Http1Server | TunnelServer,
         scope: anyio.CancelScope,
     ) -> None:
         listener = await self._network.listen(address)
@@ -194,6 +215,7 @@
         self.parts.endpoint_wait.close()
         await GracefulStop(
             server=self._server,
+            tunnels=self._tunnels,
             notify_peers=self.parts.states.send_digest,
             stop_accepting=self._entry_scope.cancel,
             grace_s=self.settings.stop_grace_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/discovery.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/discovery.py
@@ -26,6 +26,8 @@
     """Selects the addresses that a caller gets."""
 
     states: PeerStates
+    is_cut_off: Callable[[], bool]
+    """Whether this daemon does not reach some service itself."""
     clock: Callable[[], float]
 
     def addresses(self, region: str, data_centre: str) -> list[str]:
@@ -40,13 +42,19 @@
 
     def _ready(self) -> list[DaemonPlace]:
         oldest = self.clock() - max(MAX_DIGEST_AGE_S, self.states.fresh_s)
-        places = [
-            peer.place
+        peers = [
+            peer
             for peer in self.states.by_id.values()
             if peer.state is MemberState.READY and peer.heard_at > oldest
         ]
+        places = [peer.place for peer in peers if not peer.unreached_services]
+        cut_off = [peer.place for peer in peers if peer.unreached_services]
         if self.states.state is MemberState.READY:
-            places.append(self.states.place)
+            (cut_off if self.is_cut_off() else places).append(
+                self.states.place
+            )
+        if len(places) < MIN_ADDRESSES:
+            places += cut_off
         # If no daemon is ready, this one is offered although it may be about
         # to stop: it still serves, and without an address no caller is served.
         return places or [self.states.place]
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_records.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_records.py
@@ -5,7 +5,11 @@
 from mimosamux_wire import StateDigest
 
 from mimosamux_daemon.control.members import MemberState
-from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.domain.names import (
+    DaemonId,
+    DataCentreName,
+    ServiceName,
+)
 from mimosamux_daemon.gateway.exchange.neighbours import RecentDigests
 
 
@@ -21,6 +25,8 @@
     """Address at which callers reach it."""
     link_mbps: float = 0.0
     """Bandwidth of its VM's link in Mbit/s, 0: unknown."""
+    tunnel: str = ''
+    """Address at which it opens tunnels to endpoints, empty: it opens none."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -49,6 +55,8 @@
     is_relay: bool = False
     reads_tables: bool = False
     """Whether the platform's store answers its reads."""
+    unreached_services: frozenset[ServiceName] = frozenset()
+    """Services to whose endpoints it cannot connect itself."""
 
 
 def place_of(digest: StateDigest) -> DaemonPlace:
@@ -59,6 +67,7 @@
         region=digest.region,
         entry_address=digest.entry_address,
         link_mbps=max(digest.link_mbps, 0.0),
+        tunnel=digest.tunnel_address,
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -25,7 +25,11 @@
 from mimosamux_wire import Envelope as WireEnvelope
 
 from mimosamux_daemon.control.members import MemberState
-from mimosamux_daemon.domain.names import DaemonId, DataCentreName
+from mimosamux_daemon.domain.names import (
+    DaemonId,
+    DataCentreName,
+    ServiceName,
+)
 from mimosamux_daemon.gateway.exchange.acknowledgements import Acknowledgements
 from mimosamux_daemon.gateway.exchange.groups import (
     LARGEST_GROUP,
@@ -369,6 +373,7 @@
             region=self.place.region,
             entry_address=self.place.entry_address,
             link_mbps=self.place.link_mbps,
+            tunnel_address=self.place.tunnel,
             lifetime=self.incarnation,
             sequence=self._sequence,
             state=self.state,
@@ -514,6 +519,9 @@
         peer.configuration_version = digest.configuration_version
         peer.is_relay = digest.is_relay
         peer.reads_tables = digest.reads_tables
+        peer.unreached_services = frozenset(
+            map(ServiceName, digest.unreached_services)
+        )
         for part in self.parts:
             part.take(peer, digest)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -44,6 +44,7 @@
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
 from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
@@ -94,6 +95,7 @@
     dispatcher: RequestDispatcher
     endpoint_wait: EndpointWait
     evacuation: Evacuation
+    reach: EndpointReach
     quarantine: CrashQuarantine
     outcomes: OutcomeLog
     lag: LoopLag
@@ -193,11 +195,27 @@
             outcome = await self._attempt(job, placement)
             if isinstance(outcome, NotSent):
                 failed_connects += 1
-                if not job.may_reconnect:
-                    return _failure_after_send(job, outcome.reason)
+                ended = self._end_unconnected(job, placement, outcome)
+                if ended is not None:
+                    return ended
             elif not isinstance(outcome, ContinueElsewhere):
                 return outcome
 
+    def _end_unconnected(
+        self, job: Job, choice: Choice, failure: NotSent
+    ) -> GatewayOutcome | None:
+        """Return the outcome of a job that needs no further connection."""
+        if not job.may_reconnect:
+            return _failure_after_send(job, failure.reason)
+        service = job.service.name
+        if not self.reach.is_cut_off_from(service):
+            return None
+        if not self.reach.has_way_around(service):
+            return self._give_up_unplaced(job)
+        # The fault is not the endpoint's, and a peer may reach it.
+        job.tried.discard(choice.record.id)
+        return None
+
     async def _place(self, job: Job, choice: Choice | None) -> Placement:
         """Return where to send a job now, possibly after a wait."""
         if choice is None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/graceful_stop.py
@@ -6,6 +6,7 @@
 import anyio
 
 from mimosamux_daemon.adapters.http1_server import Http1Server
+from mimosamux_daemon.adapters.tunnel_server import TunnelServer
 from mimosamux_daemon.logs import get_log
 
 log = get_log('stopping')
@@ -26,6 +27,7 @@
     """Shuts down in order: notify the peers, keep serving, finish requests."""
 
     server: Http1Server
+    tunnels: TunnelServer
     notify_peers: Callable[[], Awaitable[None]]
     stop_accepting: Callable[[], None]
     grace_s: float
@@ -35,13 +37,19 @@
         started_at = anyio.current_time()
         log.info('leaving', open=self.server.open_requests)
         self.server.drain()
+        self.tunnels.drain()
         await self.notify_peers()
         self.server.close_idle()
         await anyio.sleep(min(ACCEPT_S, self.grace_s / 3))
         self.stop_accepting()
         self.server.close_idle()
         deadline = started_at + self.grace_s - EXIT_RESERVE_S
-        while self.server.connections and anyio.current_time() < deadline:
+        while self._is_busy() and anyio.current_time() < deadline:
             self.server.close_idle()
+            self.tunnels.close_idle()
             await anyio.sleep(POLL_INTERVAL_S)
         log.info('left', cut=self.server.open_requests)
+
+    def _is_busy(self) -> bool:
+        """Whether connections of callers or tunnels of peers are left."""
+        return bool(self.server.connections or self.tunnels.open_tunnels)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -117,6 +117,15 @@
             'mimosamux_gateway_relayed_daemons',
             'Daemons that use this one as their relay.',
         )
+        self.unreached = self._gauge(
+            'mimosamux_gateway_service_unreached',
+            'Whether this daemon reaches no endpoint of a service itself, 0 '
+            'or 1, by service.',
+        )
+        self.tunnels = self._counter(
+            'mimosamux_gateway_tunnels_total',
+            'Tunnels to endpoints, by side (asked, served) and result.',
+        )
         self.forecast_sends = self._counter(
             'mimosamux_gateway_forecast_sends_total',
             'Sends to endpoints chosen by a forecast of their load, by '
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -51,6 +51,7 @@
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
@@ -144,6 +145,7 @@
         self._build_usage(shared_time)
         self._build_duties(wall_clock)
         self._build_crashes(shared_time)
+        self._build_reach()
         self._build_dispatcher()
         self._build_forwarding()
         self.states.on_silence.append(platform.discard_idle_connections)
@@ -161,6 +163,7 @@
             self.chooser.prefix_index,
             self.duties,
             self.trials,
+            self.reach,
         ]
 
     def background_tasks(
@@ -183,6 +186,7 @@
             self.crash_detector.run,
             self.crash_rows.run,
             self.rollout_rows.run,
+            self.reach.run,
         )
 
     async def wait_for_first_read(self) -> None:
@@ -435,6 +439,18 @@
             lambda era: self.crash_rows.write_again()
         )
 
+    def _build_reach(self) -> None:
+        self.reach = EndpointReach(
+            roster=self.roster,
+            states=self.states,
+            probe=self._platform.probe_endpoint,
+            discard_connections_to=self._platform.discard_connections_to,
+            metrics=self.metrics,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self._platform.use_routes(self.reach)
+
     def _build_dispatcher(self) -> None:
         self.load_shedding = LoadShedding(
             shares=FairShares(window_s=WINDOW_S), clock=self._clock
@@ -521,6 +537,7 @@
             dispatcher=self.dispatcher,
             endpoint_wait=self.endpoint_wait,
             evacuation=self.evacuation,
+            reach=self.reach,
             quarantine=self.quarantine,
             outcomes=OutcomeLog(
                 metrics=self.metrics,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -47,6 +47,8 @@
     """Readiness probes."""
     metrics: OptionalAddress = ''
     """Metrics and operator requests; empty: not served."""
+    tunnels: OptionalAddress = ''
+    """Connections of other daemons to endpoints; empty: not served."""
 
 
 class PlatformModel(_Model, frozen=True, kw_only=True):
@@ -183,6 +185,7 @@
             region=model.region,
             entry_address=model.listen.entry,
             link_mbps=model.link_mbps,
+            tunnel=model.listen.tunnels,
         ),
         entry=model.listen.entry,
         discovery=model.listen.discovery,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -12,6 +12,7 @@
 from mimosamux_daemon.domain.store_eras import StoreEra
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
+from mimosamux_daemon.ports.endpoint_routes import EndpointRoutes
 from mimosamux_daemon.ports.feeds import Feed
 from mimosamux_daemon.ports.gateway import DaemonDirectory, RequestForwarder
 from mimosamux_daemon.ports.run_moves import RunMoves
@@ -46,5 +47,9 @@
     """Discards all idle connections from connection pools."""
     discard_connections_to: Callable[[str], None]
     """Discards the idle connections to an endpoint's address."""
+    use_routes: Callable[[EndpointRoutes], None]
+    """Has connections to endpoints go through peers where need be."""
+    probe_endpoint: Callable[[str], Coroutine[Any, Any, None]]
+    """Attempts a direct connection to an endpoint's address."""
     run: Callable[[], Coroutine[Any, Any, None]]
     """Maintains the connection pools until cancelled."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -14,6 +14,10 @@
     `BrokenResourceError` after a reset.
     """
 
+    @abstractmethod
+    def abort(self) -> None:
+        """Reset it: the other side cannot take this for a proper end."""
+
     @abstractmethod
     def has_input(self) -> bool:
         """Return whether unread bytes or the end of stream have arrived."""
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -192,6 +192,10 @@
     The daemon no longer performs duties under that lease.
     """
     limits: list[EndpointLimit] = field(default_factory=list)
+    tunnel_address: str = ''
+    """Address at which the daemon opens tunnels to endpoints for peers."""
+    unreached_services: list[str] = field(default_factory=list)
+    """Services to whose endpoints the daemon cannot connect itself."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'address', 'UTF8', ''),
@@ -216,6 +220,14 @@
         (20, TType.I64, 'lease_ended_version', None, 0),
         (21, TType.DOUBLE, 'link_mbps', None, 0.0),
         (22, TType.LIST, 'limits', _list_of(EndpointLimit), None),
+        (23, TType.STRING, 'tunnel_address', 'UTF8', ''),
+        (
+            24,
+            TType.LIST,
+            'unreached_services',
+            (TType.STRING, 'UTF8', False),
+            None,
+        ),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -307,6 +307,8 @@
   20: i64 lease_ended_version
   21: double link_mbps
   22: list<EndpointLimit> limits
+  23: string tunnel_address
+  24: list<string> unreached_services
 }
 
 struct GroupHeard {
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -71,6 +71,10 @@
             self._wake()
         await anyio.lowlevel.checkpoint()
 
+    def abort(self):
+        self.reset()
+        self.other.reset()
+
     def has_input(self):
         return bool(self._arrived) or self.has_ended()
 
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -267,6 +267,7 @@
                 data_centre=DataCentreName(zone),
                 region='land',
                 entry_address=f'{host}:8360',
+                tunnel=f'{host}:7500',
             ),
             entry=f'{host}:8360',
             discovery=f'{host}:8364',
