--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -146,6 +146,13 @@
     """Whether its answers say that it leaves, whatever the list shows."""
     limit_per_s: float | None = None
     """Requests a second that it takes from all, as its answers say."""
+    brittle_per_s: float | None = None
+    """Requests that it can turn down in a second without falling over, as its
+    answers say."""
+    turned_down_at: list[float] = field(default_factory=list)
+    """When it turned requests down for want of room."""
+    on_fall: Callable[['StandInReplica'], None] = lambda _: None
+    """Ends the process after it has turned down too many."""
     shed_retry_after_s: float | None = None
     """For how long it wants nothing, as it says when it is full."""
     is_end_listed: bool = False
@@ -218,6 +225,8 @@
                 return
         is_full = self._waiting >= self.queue + self.slots
         if not id_ or is_full or self.fault is Fault.SHED:
+            if is_full:
+                self._note_turned_down()
             await reply.answer(400 if not id_ else 503, self._shed_headers())
             return
         self.accepted_ids.add(id_)
@@ -226,6 +235,13 @@
             async with self._slot():
                 await self._run(incoming, reply, id_)
 
+    def _note_turned_down(self) -> None:
+        now = anyio.current_time()
+        self.turned_down_at.append(now)
+        recent = sum(at > now - 1.0 for at in self.turned_down_at)
+        if self.brittle_per_s is not None and recent > self.brittle_per_s:
+            self.on_fall(self)
+
     @asynccontextmanager
     async def _slot(self) -> AsyncIterator[None]:
         if self._slots is None:
@@ -412,6 +428,8 @@
             words.append((b'Server-Leaving', b'1'))
         if self.state == 'draining':
             words.append((b'Connection', b'close'))
+        if self.brittle_per_s is not None:
+            words.append((b'Server-Brittle', b'%g' % self.brittle_per_s))
         if self.limit_per_s is not None:
             words.append((b'Server-Limit', b'%g' % self.limit_per_s))
         return tuple(words)
