Gateway: daemons share the slots of brittle endpoints

Cause: nobody keeps the number of requests that an endpoint turns down; each daemon sends by reports that are up to a second old, and so do all others. Change: what answers say (Server-Brittle) is kept by service and told in digests (brittle_services). Until it is lifted, the daemons share the slots of each endpoint and half of what it can turn down in a second, by a rendezvous hash; seats that are fewer than the daemons pass on each second. A daemon sends 0.1 s apart to one endpoint, pauses after a refusal, and lets requests wait for a seat for half of their time limit. Log, metric, explain, docs, stand-in.

--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -26,6 +26,7 @@
     'endpoints_unreached',
     'endpoints_reached',
     'peers_silent',
+    'service_brittle',
     'rollout_ordered',
     'rollout_step',
     'trial_stopped',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -17,6 +17,7 @@
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_detector import CrashDetector
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.request_counts import RequestCounts
@@ -154,6 +155,12 @@
             is_served=not isinstance(answer, RequestRejected)
             and answer.status < HTTPStatus.INTERNAL_SERVER_ERROR,
         )
+        self.recorder.brittle.note_answer(
+            record,
+            answer.brittle_per_s,
+            sent_at=self.sent_at,
+            is_rejected=isinstance(answer, RequestRejected) and answer.is_full,
+        )
         if answer.confirms_staying:
             record.confirmed_at = max(record.confirmed_at, self.sent_at)
         if answer.is_leaving:
@@ -300,6 +307,7 @@
     request_counts: RequestCounts
     crash_detector: CrashDetector
     limits: EndpointLimits
+    brittle: BrittleServices
     trials: TrialTallies
     dispatcher: RequestDispatcher
     metrics: GatewayMetrics
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
@@ -13,6 +13,7 @@
 from mimosamux_daemon.gateway.balancing.health import EndpointHealth
 from mimosamux_daemon.gateway.balancing.loads import EndpointLoad
 from mimosamux_daemon.gateway.limits.rate_shares import RateShare
+from mimosamux_daemon.gateway.limits.slot_shares import SlotShare
 
 WITHHELD_RETRY_S = 0.3
 """Time in which the read of a stale list is expected to end."""
@@ -65,6 +66,9 @@
     it does not leave."""
     share: RateShare | None = None
     """This daemon's part of the endpoint's rate limit, None: unlimited."""
+    slot_share: SlotShare | None = None
+    """This daemon's part of the slots of a brittle endpoint, None: it is not
+    brittle."""
     rejections: int = 0
     """Rejections in a row; those of requests that were already in flight at
     the last one are not counted."""
@@ -117,6 +121,8 @@
         """
         if self.is_withheld or now < self.paused_until:
             return False
+        if self.slot_share is not None and not self.slot_share.has_room(now):
+            return False
         return self.share is None or self.share.has_token(now)
 
     def opens_in_s(self, now: float) -> float:
@@ -124,6 +130,9 @@
         wait_s = 0.0 if self.share is None else self.share.available_in_s(now)
         if self.is_withheld:
             wait_s = max(wait_s, WITHHELD_RETRY_S)
+        share = self.slot_share
+        if share is not None and not share.has_room(now):
+            wait_s = max(wait_s, share.available_in_s(now))
         return max(self.paused_until - now, wait_s, 0.0)
 
     @contextmanager
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -47,6 +47,7 @@
 from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.list_age import ListFreshness
 from mimosamux_daemon.gateway.loop_lag import LoopLag
@@ -96,6 +97,7 @@
     endpoint_wait: EndpointWait
     evacuation: Evacuation
     reach: EndpointReach
+    brittle: BrittleServices
     quarantine: CrashQuarantine
     outcomes: OutcomeLog
     lag: LoopLag
@@ -187,7 +189,7 @@
                 return self._give_up_unplaced(job)
             placement = await self._place(job, choice)
             if isinstance(placement, Unplaced):
-                if await self.endpoint_wait.wait(job):
+                if await self._wait_for_endpoint(job):
                     continue
                 return self._give_up_unplaced(job)
             if not isinstance(placement, Choice):
@@ -201,6 +203,12 @@
             elif not isinstance(outcome, ContinueElsewhere):
                 return outcome
 
+    async def _wait_for_endpoint(self, job: Job) -> bool:
+        """Wait until an endpoint may take a job; False if none does."""
+        if await self.endpoint_wait.wait(job):
+            return True
+        return await self.brittle.wait_for_slot(job)
+
     def _end_unconnected(
         self, job: Job, choice: Choice, failure: NotSent
     ) -> GatewayOutcome | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -122,6 +122,11 @@
             'Whether this daemon reaches no endpoint of a service itself, 0 '
             'or 1, by service.',
         )
+        self.brittle = self._gauge(
+            'mimosamux_gateway_service_brittle',
+            'Requests that a brittle endpoint can reject in a second, 0: any '
+            'number, by service.',
+        )
         self.tunnels = self._counter(
             'mimosamux_gateway_tunnels_total',
             'Tunnels to endpoints, by side (asked, served) and result.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -61,6 +61,7 @@
 from mimosamux_daemon.gateway.finalized_windows import FinalizedWindows
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
+from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.cap_loans import CapLoans
 from mimosamux_daemon.gateway.limits.cap_record import CapRecord
 from mimosamux_daemon.gateway.limits.caps import UsageCaps
@@ -156,6 +157,7 @@
             # It adds to the entries that `endpoint_usage` writes.
             self.chooser.engine_factors,
             self.limits,
+            self.brittle,
             self.caps,
             shared_time,
             self.request_counts,
@@ -183,6 +185,7 @@
             self.dispatcher.run,
             self.evacuation.run,
             self.limits.run,
+            self.brittle.run,
             self.crash_detector.run,
             self.crash_rows.run,
             self.rollout_rows.run,
@@ -300,6 +303,13 @@
             clock=self._clock,
         )
         self.roster.on_forgotten.append(self.limits.forget)
+        self.brittle = BrittleServices(
+            roster=self.roster,
+            states=self.states,
+            shared_time=shared_time,
+            metrics=self.metrics,
+            clock=self._clock,
+        )
         self.endpoint_reader = FeedReader(
             name='endpoints',
             sharing=self._build_sharing(
@@ -525,6 +535,7 @@
                 request_counts=self.request_counts,
                 crash_detector=self.crash_detector,
                 limits=self.limits,
+                brittle=self.brittle,
                 trials=self.trials,
                 dispatcher=self.dispatcher,
                 metrics=self.metrics,
@@ -538,6 +549,7 @@
             endpoint_wait=self.endpoint_wait,
             evacuation=self.evacuation,
             reach=self.reach,
+            brittle=self.brittle,
             quarantine=self.quarantine,
             outcomes=OutcomeLog(
                 metrics=self.metrics,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -84,6 +84,9 @@
 
     None: not reported.
     """
+    brittle_per_s: float | None = None
+    """Requests that the endpoint can reject in a second without falling over,
+    None: any number."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -122,6 +125,9 @@
 
     None: not reported.
     """
+    brittle_per_s: float | None
+    """Requests that the endpoint can reject in a second without falling over,
+    None: any number."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, or None at its end.
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -36,6 +36,7 @@
     LinkClosed,
 )
 from mimosamux_wire.gateway_messages import (
+    BrittleService,
     CapLoan,
     CapLoanReturned,
     CapLoanWanted,
@@ -115,6 +116,7 @@
     'ConfigurationState',
     'DaemonsKnown',
     'DataCentreSummary',
+    'BrittleService',
     'EndpointLimit',
     'EndpointUse',
     'EndpointsLeave',
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -73,6 +73,23 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class BrittleService(Message):
+    """Service whose endpoints fall over if they reject too many requests."""
+
+    service: str = ''
+    per_s: float = 0.0
+    """Requests that each can reject in a second, 0: any number."""
+    said_ms: int = 0
+    """When an endpoint said so, in store time."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'service', 'UTF8', ''),
+        (2, TType.DOUBLE, 'per_s', None, 0.0),
+        (3, TType.I64, 'said_ms', None, 0),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class CapUse(Message):
     """Use of an account's cap, in the unit of the cap: requests or tokens."""
@@ -196,6 +213,7 @@
     """Address at which the daemon opens tunnels to endpoints for peers."""
     unreached_services: list[str] = field(default_factory=list)
     """Services to whose endpoints the daemon cannot connect itself."""
+    brittle_services: list[BrittleService] = field(default_factory=list)
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'address', 'UTF8', ''),
@@ -228,6 +246,7 @@
             (TType.STRING, 'UTF8', False),
             None,
         ),
+        (25, TType.LIST, 'brittle_services', _list_of(BrittleService), None),
     )
 
 
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -249,6 +249,12 @@
   9: double ratio_square_sum
 }
 
+struct BrittleService {
+  1: string service
+  2: double per_s
+  3: i64 said_ms
+}
+
 struct EndpointLimit {
   1: string endpoint
   2: double per_s
@@ -309,6 +315,7 @@
   22: list<EndpointLimit> limits
   23: string tunnel_address
   24: list<string> unreached_services
+  25: list<BrittleService> brittle_services
 }
 
 struct GroupHeard {
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -70,7 +70,7 @@
 
 
 async def play(path, load, *, daemons, endpoints=3):
-    """Ask at a share of what the endpoints can do; return falls and answers."""
+    """Ask at a share of what the endpoints can do, while they are brittle."""
     async with open_site(daemons=daemons, engines=1, apps=endpoints) as site:
         service = BrittleService(site=site)
         for replica in service.replicas():
