--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -44,8 +44,10 @@
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
 from mimosamux_daemon.gateway.demand import Demand
+from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.list_age import ListFreshness
 from mimosamux_daemon.gateway.loop_lag import LoopLag
@@ -94,6 +96,8 @@
     dispatcher: RequestDispatcher
     endpoint_wait: EndpointWait
     evacuation: Evacuation
+    reach: EndpointReach
+    brittle: BrittleServices
     quarantine: CrashQuarantine
     outcomes: OutcomeLog
     lag: LoopLag
@@ -185,7 +189,7 @@
                 return self._give_up_unplaced(job)
             placement = await self._place(job, choice)
             if isinstance(placement, Unplaced):
-                if await self.endpoint_wait.wait(job):
+                if await self._wait_for_endpoint(job):
                     continue
                 return self._give_up_unplaced(job)
             if not isinstance(placement, Choice):
@@ -193,11 +197,33 @@
             outcome = await self._attempt(job, placement)
             if isinstance(outcome, NotSent):
                 failed_connects += 1
-                if not job.may_reconnect:
-                    return _failure_after_send(job, outcome.reason)
+                ended = self._end_unconnected(job, placement, outcome)
+                if ended is not None:
+                    return ended
             elif not isinstance(outcome, ContinueElsewhere):
                 return outcome
 
+    async def _wait_for_endpoint(self, job: Job) -> bool:
+        """Wait until an endpoint may take a job; False if none does."""
+        if await self.endpoint_wait.wait(job):
+            return True
+        return await self.brittle.wait_for_slot(job)
+
+    def _end_unconnected(
+        self, job: Job, choice: Choice, failure: NotSent
+    ) -> GatewayOutcome | None:
+        """Return the outcome of a job that needs no further connection."""
+        if not job.may_reconnect:
+            return _failure_after_send(job, failure.reason)
+        service = job.service.name
+        if not self.reach.is_cut_off_from(service):
+            return None
+        if not self.reach.has_way_around(service):
+            return self._give_up_unplaced(job)
+        # The fault is not the endpoint's, and a peer may reach it.
+        job.tried.discard(choice.record.id)
+        return None
+
     async def _place(self, job: Job, choice: Choice | None) -> Placement:
         """Return where to send a job now, possibly after a wait."""
         if choice is None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -51,6 +51,7 @@
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
@@ -60,6 +61,7 @@
 from mimosamux_daemon.gateway.finalized_windows import FinalizedWindows
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.leaving_exchange import LeavingExchange
+from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.cap_loans import CapLoans
 from mimosamux_daemon.gateway.limits.cap_record import CapRecord
 from mimosamux_daemon.gateway.limits.caps import UsageCaps
@@ -144,6 +146,7 @@
         self._build_usage(shared_time)
         self._build_duties(wall_clock)
         self._build_crashes(shared_time)
+        self._build_reach()
         self._build_dispatcher()
         self._build_forwarding()
         self.states.on_silence.append(platform.discard_idle_connections)
@@ -154,6 +157,7 @@
             # It adds to the entries that `endpoint_usage` writes.
             self.chooser.engine_factors,
             self.limits,
+            self.brittle,
             self.caps,
             shared_time,
             self.request_counts,
@@ -161,6 +165,7 @@
             self.chooser.prefix_index,
             self.duties,
             self.trials,
+            self.reach,
         ]
 
     def background_tasks(
@@ -180,9 +185,11 @@
             self.dispatcher.run,
             self.evacuation.run,
             self.limits.run,
+            self.brittle.run,
             self.crash_detector.run,
             self.crash_rows.run,
             self.rollout_rows.run,
+            self.reach.run,
         )
 
     async def wait_for_first_read(self) -> None:
@@ -296,6 +303,13 @@
             clock=self._clock,
         )
         self.roster.on_forgotten.append(self.limits.forget)
+        self.brittle = BrittleServices(
+            roster=self.roster,
+            states=self.states,
+            shared_time=shared_time,
+            metrics=self.metrics,
+            clock=self._clock,
+        )
         self.endpoint_reader = FeedReader(
             name='endpoints',
             sharing=self._build_sharing(
@@ -435,6 +449,18 @@
             lambda era: self.crash_rows.write_again()
         )
 
+    def _build_reach(self) -> None:
+        self.reach = EndpointReach(
+            roster=self.roster,
+            states=self.states,
+            probe=self._platform.probe_endpoint,
+            discard_connections_to=self._platform.discard_connections_to,
+            metrics=self.metrics,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self._platform.use_routes(self.reach)
+
     def _build_dispatcher(self) -> None:
         self.load_shedding = LoadShedding(
             shares=FairShares(window_s=WINDOW_S), clock=self._clock
@@ -443,6 +469,10 @@
             reader=self.endpoint_reader,
             roster=self.roster,
             drain_s=self.settings.drain_s,
+            is_told_by_peers=lambda: (
+                self.states.is_flat
+                and any(peer.reads_tables for peer in self.states.ready())
+            ),
             clock=self._clock,
         )
         answers = AnswerStatistics(roster=self.roster, clock=self._clock)
@@ -505,6 +535,7 @@
                 request_counts=self.request_counts,
                 crash_detector=self.crash_detector,
                 limits=self.limits,
+                brittle=self.brittle,
                 trials=self.trials,
                 dispatcher=self.dispatcher,
                 metrics=self.metrics,
@@ -517,6 +548,8 @@
             dispatcher=self.dispatcher,
             endpoint_wait=self.endpoint_wait,
             evacuation=self.evacuation,
+            reach=self.reach,
+            brittle=self.brittle,
             quarantine=self.quarantine,
             outcomes=OutcomeLog(
                 metrics=self.metrics,
--- a/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/gateway_messages.py
@@ -73,6 +73,23 @@
     )
 
 
+@dataclass(kw_only=True, slots=True)
+class BrittleService(Message):
+    """Service whose endpoints fall over if they reject too many requests."""
+
+    service: str = ''
+    per_s: float = 0.0
+    """Requests that each can reject in a second, 0: any number."""
+    said_ms: int = 0
+    """When an endpoint said so, in store time."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'service', 'UTF8', ''),
+        (2, TType.DOUBLE, 'per_s', None, 0.0),
+        (3, TType.I64, 'said_ms', None, 0),
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class CapUse(Message):
     """Use of an account's cap, in the unit of the cap: requests or tokens."""
@@ -192,6 +209,11 @@
     The daemon no longer performs duties under that lease.
     """
     limits: list[EndpointLimit] = field(default_factory=list)
+    tunnel_address: str = ''
+    """Address at which the daemon opens tunnels to endpoints for peers."""
+    unreached_services: list[str] = field(default_factory=list)
+    """Services to whose endpoints the daemon cannot connect itself."""
+    brittle_services: list[BrittleService] = field(default_factory=list)
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.STRING, 'address', 'UTF8', ''),
@@ -216,6 +238,15 @@
         (20, TType.I64, 'lease_ended_version', None, 0),
         (21, TType.DOUBLE, 'link_mbps', None, 0.0),
         (22, TType.LIST, 'limits', _list_of(EndpointLimit), None),
+        (23, TType.STRING, 'tunnel_address', 'UTF8', ''),
+        (
+            24,
+            TType.LIST,
+            'unreached_services',
+            (TType.STRING, 'UTF8', False),
+            None,
+        ),
+        (25, TType.LIST, 'brittle_services', _list_of(BrittleService), None),
     )
 
 
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -71,6 +71,10 @@
             self._wake()
         await anyio.lowlevel.checkpoint()
 
+    def abort(self):
+        self.reset()
+        self.other.reset()
+
     def has_input(self):
         return bool(self._arrived) or self.has_ended()
 
@@ -136,6 +140,8 @@
     connections: list = field(default_factory=list)
     cuts: set = field(default_factory=set)
     """Pairs of machines: nothing gets from the first to the second."""
+    refused: set = field(default_factory=set)
+    """Pairs of machines: the second resets new connections of the first."""
     dark: set = field(default_factory=set)
     """Machines without power: they answer nothing."""
     accept_delay_s: dict = field(default_factory=dict)
@@ -158,6 +164,7 @@
 
     def heal(self):
         self.cuts.clear()
+        self.refused.clear()
         for connection in self.connections:
             connection.flush()
 
@@ -195,7 +202,8 @@
         ):
             await anyio.sleep_forever()
         listener = network.listeners.get(address)
-        if listener is None or listener.handler is None:
+        is_refused = (self.machine, target) in network.refused
+        if is_refused or listener is None or listener.handler is None:
             raise ConnectionRefusedError(address)
         mine = MemoryConnection(
             network=network, here=self.machine, there=target
