Stand-ins, schedules and soak: endpoints that stand still or are brittle, daemons cut off from all endpoints

Change: the stand-in of a replica stands still on command; random schedules partition daemons in three ways, make services brittle and have replicas stand still; the soak does the latter two by hand and in one short seed, kept seeds draw what they drew. Daemons set TCP_USER_TIMEOUT and no keep-alive, which a test now holds. A partition of real processes from endpoints is not in the soak: on one machine a replica can't tell daemons apart.

--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -216,6 +216,12 @@
         replica = self.replicas_by_id[str(body['id'])]
         if 'fault' in body:
             replica.fault = Fault[str(body['fault'])]
+        if 'silent_s' in body:
+            silent_s = float(str(body['silent_s']))
+            replica.silent_until = anyio.current_time() + silent_s
+        if 'brittle_per_s' in body:
+            per_s = float(str(body['brittle_per_s']))
+            replica.brittle_per_s = per_s or None
         if 'leaves_ms' in body:
             replica.leaves_ms = float(str(body['leaves_ms']))
             left_s = replica.leaves_ms / MS_PER_S
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -153,6 +153,8 @@
     """When it turned requests down for want of room."""
     on_fall: Callable[['StandInReplica'], None] = lambda _: None
     """Ends the process after it has turned down too many."""
+    silent_until: float = 0.0
+    """Until when its process stands still; connections to it stay open."""
     shed_retry_after_s: float | None = None
     """For how long it wants nothing, as it says when it is full."""
     is_end_listed: bool = False
@@ -185,6 +187,7 @@
 
     async def handle(self, incoming: IncomingRequest, reply: Reply) -> None:
         """Answer one request."""
+        await self._stand_still()
         target = incoming.head.target.decode('latin-1')
         if target == '/healthz':
             is_well = self.state == 'ready'
@@ -297,8 +300,13 @@
             self.on_crash(self, run)
             await anyio.sleep_forever()
 
+    async def _stand_still(self) -> None:
+        """Wait until the process goes on."""
+        await anyio.sleep(max(self.silent_until - anyio.current_time(), 0.0))
+
     async def _work(self, reply: Reply, run: Run) -> None:
         await anyio.sleep(self.speed.work_s)
+        await self._stand_still()
         if self.fault is Fault.HANG:
             await anyio.sleep_forever()
         if self.fault is Fault.LOST:
@@ -341,6 +349,7 @@
         await reply.start(200, headers)
         for number in range(run.resumed_behind + 1, self.speed.events + 1):
             await anyio.sleep(self.speed.event_s)
+            await self._stand_still()
             run.events = number
             event = render_event(run.id, number)
             if self.fault is Fault.CUT and number > self.speed.events // 2:
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,13 @@
         if logs is not None:
             folder = pathlib.Path(logs, str(seed))
             folder.mkdir(parents=True, exist_ok=True)
-        record = play(seed, daemons=count, seconds=seconds, logs=folder)
+        record = play(
+            seed,
+            daemons=count,
+            seconds=seconds,
+            logs=folder,
+            has_needy_endpoints=True,
+        )
         problems = find_problems(record)
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -14,6 +14,7 @@
 from tests.support.platform_site import (
     CLOUD,
     STORE,
+    Partition,
     default_document,
     open_site,
 )
@@ -220,6 +221,28 @@
     run.site.network.cut(machine, machine_of(run.pick_replica(rng).address))
 
 
+async def partition_from_endpoints(run, rng):
+    """Cut a daemon from all endpoints there are, and from nothing else."""
+    run.begin_trouble()
+    partition = rng.choice(list(Partition))
+    run.site.partition_from_endpoints(run.pick_daemon(rng), partition)
+
+
+async def make_brittle(run, rng):
+    """Have a service say that its endpoints are brittle, or no more."""
+    service, per_s = rng.choice(['app', 'llm']), rng.choice([None, 2.0, 5.0])
+    for replica in run.site.replicas_by_id.values():
+        if replica.service == service:
+            replica.brittle_per_s = per_s
+
+
+async def silence_replica(run, rng):
+    """Have a replica stand still for a second or so."""
+    silent_s = rng.choice([0.6, 1.0, 1.5])
+    replica = run.pick_replica(rng)
+    replica.silent_until = anyio.current_time() + silent_s
+
+
 async def isolate(run, rng):
     run.begin_trouble()
     number = run.pick_daemon(rng)
@@ -415,6 +438,9 @@
         cut_store,
         cut_daemons,
         cut_replica,
+        partition_from_endpoints,
+        make_brittle,
+        silence_replica,
         isolate,
         heal,
         reset_connections,
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -78,6 +78,9 @@
     absences: list = field(default_factory=list)
     logs: pathlib.Path | None = None
     """Folder for the logs of the daemons."""
+    has_needy_endpoints: bool = False
+    """Whether endpoints stand still and say that they are brittle. Seeds that
+    are kept draw the same faults as before without it."""
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
     """Names of the daemons that were asked to stop."""
@@ -200,6 +203,11 @@
                 self._spoil_replica,
                 self._drain_replica,
                 self._revoke,
+                *(
+                    (self._silence_replica, self._make_brittle)
+                    if self.has_needy_endpoints
+                    else ()
+                ),
             )
         )
         act()
@@ -322,6 +330,26 @@
             3.0,
         )
 
+    def _silence_replica(self):
+        replica = self.rng.choice(self._ready_replicas())['id']
+        silent_s = self.rng.uniform(0.5, 1.5)
+        self._note('replica stands still', replica, round(silent_s, 2))
+        self.platform.command('/replica', id=replica, silent_s=silent_s)
+
+    def _make_brittle(self):
+        service = self.rng.choice(('app', 'llm'))
+        per_s = self.rng.choice((2.0, 5.0))
+        self._note('brittle', service, per_s)
+        self._set_brittle(service, per_s)
+        self._later(lambda: self._set_brittle(service, 0.0), 5.0)
+
+    def _set_brittle(self, service, per_s):
+        for each in self._ready_replicas():
+            if each['service'] == service:
+                self.platform.command(
+                    '/replica', id=each['id'], brittle_per_s=per_s
+                )
+
     def _drain_replica(self):
         engines = [
             each for each in self._ready_replicas() if each['service'] == 'llm'
@@ -381,12 +409,24 @@
     return LARGE_SITES[turn % 2] if rest == 0 else SMALL_SITE
 
 
-def play(seed, *, daemons=SMALL_SITE, seconds=8.0, logs=None):
+def play(
+    seed,
+    *,
+    daemons=SMALL_SITE,
+    seconds=8.0,
+    logs=None,
+    has_needy_endpoints=False,
+):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
     options = _draw_large_site(rng) if daemons > LARGEST_GROUP else {}
     with platform_processes(daemons=0, **options) as platform:
-        soak = Soak(platform=platform, rng=rng, logs=logs)
+        soak = Soak(
+            platform=platform,
+            rng=rng,
+            logs=logs,
+            has_needy_endpoints=has_needy_endpoints,
+        )
         try:
             soak.start_daemons(daemons)
             return _play(soak, seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,13 @@
         answered = [each for each in record.sent if each.answer.status == 200]
         self.assertGreater(len(answered), 20)
 
+    # Guards against endpoints in need whose requests are lost or run twice.
+    def test_no_promise_is_broken_beside_endpoints_in_need(self):
+        record = play(SEED, seconds=SECONDS, has_needy_endpoints=True)
+        self.assertEqual(find_problems(record), [], record.log)
+        answered = [each for each in record.sent if each.answer.status == 200]
+        self.assertGreater(len(answered), 20)
+
     def test_no_promise_is_broken_at_a_site_with_relays(self):
         """Requests wait for engines while daemons and the store fail.
 
--- a/tests/test_tcp_network.py
+++ b/tests/test_tcp_network.py
@@ -42,6 +42,29 @@
 
         anyio.run(check)
 
+    def test_silent_side_ends_no_connection_on_which_nothing_is_sent(self):
+        """A user timeout also ends keep-alive probes, whatever their number.
+
+        With both, a process that stands still for a few seconds behind a slow
+        link would lose its idle connections.
+        """
+
+        async def check():
+            kept = []
+            with listening() as listener:
+                connection = await TcpNetwork().connect(address_of(listener))
+                attribute = anyio.abc.SocketAttribute.raw_socket
+                raw = connection.extra_attributes[attribute]()
+                kept.append(
+                    raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+                )
+                await connection.aclose()
+            return kept
+
+        for use_uvloop in (False, True):
+            options = {'use_uvloop': use_uvloop}
+            self.assertEqual(anyio.run(check, backend_options=options), [0])
+
     def test_addresses_and_names_are_connected_to(self):
         """Only an IP address may skip the look-up of a name."""
         self.assert_carries_bytes_both_ways('127.0.0.1')
