--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -8,6 +8,7 @@
 import anyio
 
 from tests.support import crashes
+from tests.support.asking import of_service
 from tests.support.clock import run_paused
 from tests.support.memory_network import machine_of
 from tests.support.platform_site import STORE, Partition, open_site
@@ -107,6 +108,63 @@
             with self.subTest(partition=partition.name):
                 self.check(partition, daemons=15, cut={5})
 
+    def test_a_daemon_may_be_cut_off_from_one_service_only(self):
+        async def check():
+            async with open_site(daemons=3, engines=3, apps=3) as site:
+                alone = site.daemons[1].machine
+                for replica in of_service(site, '/list/'):
+                    site.network.cut(alone, machine_of(replica.address))
+                await ask_all(site, Attempts(), {1}, CONTACT_S)
+                attempts = Attempts()
+                await ask_all(site, attempts, {1}, 3.0)
+                reach = site.daemons[1].daemon.parts.reach
+                return attempts, reach.is_cut_off_from('llm')
+
+        attempts, is_other_cut_off = run_paused(check)
+        self.assertEqual(attempts.share(True), 1.0)
+        self.assertFalse(is_other_cut_off)
+
+    def test_cut_that_comes_and_goes_leaves_most_callers_served(self):
+        async def flap(site):
+            while True:
+                site.partition_from_endpoints(1, Partition.HANGS)
+                await anyio.sleep(1.5)
+                site.network.heal()
+                await anyio.sleep(1.5)
+
+        async def check():
+            async with open_site(daemons=3, engines=3, apps=3) as site:
+                attempts = Attempts()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(flap, site)
+                    await ask_all(site, attempts, {1}, CUT_S)
+                    tasks.cancel_scope.cancel()
+                return attempts
+
+        attempts = run_paused(check)
+        self.assertGreaterEqual(attempts.share(True), LEAST_SERVED)
+        self.assertGreater(attempts.share(False), 0.95)
+
+    def test_cut_daemon_that_stops_ends_no_request_unanswered(self):
+        async def check():
+            async with open_site(daemons=3, engines=3, apps=3) as site:
+                site.partition_from_endpoints(1, Partition.HANGS)
+                await ask_all(site, Attempts(), {1}, CONTACT_S)
+                attempts = Attempts()
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(
+                        ask_on_cut_daemons, site, attempts, {1}, 0.5
+                    )
+                    await anyio.sleep(0.55)
+                    site.daemons[1].daemon.stop()
+                return attempts.by_cut[True]
+
+        answers = run_paused(check)
+        self.assertTrue(answers)
+        for answer in answers:
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.is_whole)
+
     def test_all_that_reach_no_endpoint_refuse_at_once(self):
         async def check():
             async with open_site(daemons=3, engines=3, apps=3) as site:
