Gateway: whether the platform is away has a module of its own

Cause: the reader of a feed kept the evidence for it beside its cursor and its refreshes. Change: PlatformPresence; FeedReader asks it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/feed_reader.py
@@ -15,6 +15,7 @@
 
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.domain.store_eras import era_of
+from mimosamux_daemon.gateway.platform_presence import PlatformPresence
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.table_sharing import TableSharing, TableView
 from mimosamux_daemon.logs import get_log
@@ -44,9 +45,6 @@
 REFRESH_TIMEOUT_S = 1.5
 """Time-out of a read that requests wait for. They wait for less; what it tells
 later still counts."""
-MIN_FAILURES = 2
-"""Failed calls in a row after which the platform counts as away. A single one
-may be due to a connection that was reset."""
 PEER_SILENCE_S = 2.2
 """Time without an update after which a daemon reads a table itself. A site
 with relays has 3 s or more to put a change in force everywhere."""
@@ -110,16 +108,13 @@
         self._longest_gap_s = 0.0
         """Longest time during an outage without a confirmation by peers."""
         self._backoff_s = MIN_BACKOFF_S
-        self._away_after_s = away_after_s
+        self._presence = PlatformPresence(
+            away_after_s=away_after_s, clock=clock
+        )
         self._refresh_wanted = anyio.Event()
         self._refresh_ended = anyio.Event()
         self._refresh_began_at: float | None = None
         """When the present refresh began, None: there is none."""
-        self._unanswered_since: float | None = None
-        """When the first refresh was sent that had no answer in time, None if
-        something was learned since."""
-        self._failures = 0
-        """Calls in a row that failed otherwise than by a time-out."""
 
     @property
     def age_s(self) -> float:
@@ -128,17 +123,8 @@
 
     @property
     def is_away(self) -> bool:
-        """Whether the platform is away, as far as this daemon can tell.
-
-        One that is slow is not, nor one whose answers lie unread here since
-        the event loop is late.
-        """
-        if self._failures >= MIN_FAILURES:
-            return True
-        since = self._unanswered_since
-        return (
-            since is not None and self._clock() - since >= self._away_after_s
-        )
+        """Whether the platform is away, as far as this daemon can tell."""
+        return self._presence.is_away
 
     async def refresh(self, *, older_than_s: float, timeout_s: float) -> None:
         """Have the changes read if the state here is older than a limit.
@@ -171,11 +157,11 @@
         age_s, sent_at = self.age_s, self._clock()
         answer = await self._poll_or_read()
         if isinstance(answer, Unavailable):
-            self._note_failure(answer)
-            if answer.is_timeout and self._unanswered_since is None:
-                self._unanswered_since = sent_at
+            self._presence.note_failure(answer)
+            if answer.is_timeout:
+                self._presence.note_unanswered(sent_at)
         else:
-            self._note_reached()
+            self._presence.note_reached()
             self._apply_answer(answer, max(sent_at, answer.as_of))
         log.info(
             'list_was_old',
@@ -197,16 +183,6 @@
                 return answer
         return await self._feed.read()
 
-    def _note_failure(self, problem: Unavailable) -> None:
-        """Count a call that failed otherwise than by a time-out."""
-        if not problem.is_timeout:
-            self._failures += 1
-
-    def _note_reached(self) -> None:
-        """Note that the platform answers, to this daemon or to a peer."""
-        self._failures = 0
-        self._unanswered_since = None
-
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -240,10 +216,10 @@
         answer = await self._fetch()
         if isinstance(answer, Unavailable):
             # A time-out counts for nothing here: the connection may be dead.
-            self._note_failure(answer)
+            self._presence.note_failure(answer)
             await self._back_off(answer)
             return
-        self._note_reached()
+        self._presence.note_reached()
         self._note_answer()
         if isinstance(answer, HistoryLost):
             log.info('history_lost', feed=self._name)
@@ -318,7 +294,7 @@
         self._cursor = max(self._cursor or 0, version)
         self._last_change = max(self._last_change, changed)
         self._confirmed_at = max(self._confirmed_at, as_of)
-        self._note_reached()
+        self._presence.note_reached()
         self._consumer.confirm(as_of)
 
     def _note_gap(self, until: float) -> None:
