Gateway: idle connections during a cut are tested, a guard that nothing needs is gone

Change: a test with 60 idle connections at the moment of the cut, and few requests behind it; back-offs are left as they are, a connection through a tunnel ends them anyway.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -221,26 +221,22 @@
     def _note_cut_off(self, service: ServiceName) -> None:
         """Begin to use peers.
 
-        Idle connections may hang as well, and failures to connect say nothing
-        about endpoints. Peers are told at once, as they might take this
-        daemon for a way around.
+        Idle connections may hang as well. Peers are told at once, as they
+        might take this daemon for a way around.
         """
         now = self._clock()
         self._cut_off_since[service] = now
         is_silent = self._is_silent(service, now)
-        peers = self._find_peers(service)
         log.warning(
             'endpoints_unreached',
             service=service,
             failed=len(self._failed_at[service]),
             is_silent=is_silent,
-            peers=len(peers),
+            peers=len(self._find_peers(service)),
         )
-        for record in self._roster.of_service(service):
-            if is_silent:
+        if is_silent:
+            for record in self._roster.of_service(service):
                 self._discard_connections_to(record.listed.address)
-            if peers:
-                self._roster.note_connect(record, failed=False)
         self._states.expedite()
 
     def _note_reached(self, service: ServiceName) -> None:
--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -108,6 +108,36 @@
             with self.subTest(partition=partition.name):
                 self.check(partition, daemons=15, cut={5})
 
+    def test_idle_connections_are_not_used_during_a_cut(self):
+        async def check():
+            async with open_site(daemons=3, engines=3, apps=3) as site:
+                caller = site.caller()
+                async with anyio.create_task_group() as tasks:
+                    for number in range(60):
+                        tasks.start_soon(
+                            crashes.send, site, caller, 1, f'/slip/{number}'
+                        )
+                site.partition_from_endpoints(1, Partition.HANGS)
+                answers = []
+
+                async def send(number):
+                    target = f'/slip/during-{number}'
+                    answers.append(await crashes.send(site, caller, 1, target))
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(20):
+                        tasks.start_soon(send, number)
+                        await anyio.sleep(0.4)
+                cut_at = min(each.sent_at for each in answers)
+                return [
+                    each
+                    for each in answers
+                    if each.sent_at > cut_at + CONTACT_S
+                ]
+
+        for answer in run_paused(check):
+            self.assertEqual(answer.status, 200)
+
     def test_a_daemon_may_be_cut_off_from_one_service_only(self):
         async def check():
             async with open_site(daemons=3, engines=3, apps=3) as site:
