Gateway: a service without endpoints cuts nobody off

Callers saw: nothing yet; found while reading the diff. Daemons that had asked for a service whose endpoints all ended would have been offered to no caller until new ones came. Cause: such a service counted as one that this daemon does not reach. Change: it is dropped once no endpoint of it is listed; addresses of forgotten endpoints are forgotten as well.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -78,6 +78,7 @@
         """Until when a peer's tunnel is passed over."""
         self._probed_at = 0.0
         roster.on_listed.append(self._add)
+        roster.on_forgotten.append(self._forget)
         metrics.collectors.append(self._collect)
 
     def is_cut_off(self, address: str) -> bool:
@@ -167,6 +168,7 @@
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             now = self._clock()
+            self._drop_ended_services()
             if self._cut_off_since:
                 if now - self._probed_at >= PROBE_INTERVAL_S:
                     await self._probe_services(tuple(self._cut_off_since))
@@ -175,6 +177,15 @@
                 if len(waiting) >= MIN_WAITING:
                     await self._probe_all(waiting[:MIN_UNREACHED])
 
+    def _drop_ended_services(self) -> None:
+        """Take services without endpoints for ended, and not for unreached.
+
+        Discovery would offer this daemon to nobody for as long.
+        """
+        for service in tuple(self._cut_off_since):
+            if not self._roster.serving(service):
+                self._note_reached(service)
+
     def _find_waiting(self, now: float) -> list[EndpointRecord]:
         """Return endpoints of silent services that owe answers."""
         oldest = now - QUIET_S
@@ -241,6 +252,7 @@
 
     def _note_reached(self, service: ServiceName) -> None:
         since = self._cut_off_since.pop(service)
+        self._failed_at.pop(service, None)
         log.warning(
             'endpoints_reached',
             service=service,
@@ -262,6 +274,13 @@
     def _add(self, record: EndpointRecord) -> None:
         self._record_by_address[record.listed.address] = record
 
+    def _forget(self, id_: EndpointId) -> None:
+        self._record_by_address = {
+            address: record
+            for address, record in self._record_by_address.items()
+            if record.id != id_
+        }
+
     def _collect(self) -> None:
         """Set the gauge of the services that are not reached."""
         for service in {
--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -248,6 +248,26 @@
 
         self.assertNotIn(True, run_paused(check))
 
+    def test_service_whose_endpoints_all_ended_keeps_no_callers_away(self):
+        async def check():
+            async with open_site(daemons=3, engines=3, apps=3) as site:
+                ended = of_service(site, '/list/')
+                for replica in ended:
+                    site.network.dark.add(machine_of(replica.address))
+                await ask_on_cut_daemons(site, Attempts(), {1}, 0.2)
+                caller = site.caller()
+                for number in range(6):
+                    await crashes.send(site, caller, 1, f'/list/{number}')
+                for replica in ended:
+                    site.unlist_replica(replica)
+                await anyio.sleep(2.0)
+                directory = site.daemons[0].daemon.settings.discovery
+                told = await site.caller().resolve(directory)
+                return told, site.daemons[1].entry
+
+        told, entry = run_paused(check)
+        self.assertIn(entry, told)
+
     def test_callers_are_sent_to_daemons_that_reach_endpoints(self):
         async def check():
             async with open_site(daemons=9, engines=3, apps=3) as site:
