--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -108,6 +108,14 @@
             with self.subTest(partition=partition.name):
                 self.check(partition, daemons=15, cut={5})
 
+    def test_request_that_finds_the_cut_out_is_served_all_the_same(self):
+        async def check():
+            async with open_site(daemons=3, engines=2, apps=2) as site:
+                site.partition_from_endpoints(1, Partition.HANGS)
+                return await crashes.send(site, site.caller(), 1, '/slip/1')
+
+        self.assertEqual(run_paused(check).status, 200)
+
     def test_idle_connections_are_not_used_during_a_cut(self):
         async def check():
             async with open_site(daemons=3, engines=3, apps=3) as site:
@@ -248,6 +256,26 @@
 
         self.assertNotIn(True, run_paused(check))
 
+    def test_service_whose_endpoints_all_ended_keeps_no_callers_away(self):
+        async def check():
+            async with open_site(daemons=3, engines=3, apps=3) as site:
+                ended = of_service(site, '/list/')
+                for replica in ended:
+                    site.network.dark.add(machine_of(replica.address))
+                await ask_on_cut_daemons(site, Attempts(), {1}, 0.2)
+                caller = site.caller()
+                for number in range(6):
+                    await crashes.send(site, caller, 1, f'/list/{number}')
+                for replica in ended:
+                    site.unlist_replica(replica)
+                await anyio.sleep(2.0)
+                directory = site.daemons[0].daemon.settings.discovery
+                told = await site.caller().resolve(directory)
+                return told, site.daemons[1].entry
+
+        told, entry = run_paused(check)
+        self.assertIn(entry, told)
+
     def test_callers_are_sent_to_daemons_that_reach_endpoints(self):
         async def check():
             async with open_site(daemons=9, engines=3, apps=3) as site:
