Tests: a peer that stops waits for answers that come through its tunnels

Cause: taken out, the wait was seen by no test: the drafts were short. Change: a test with drafts of 5 s through the only peer, which is stopped.

--- a/tests/test_gateway_partition.py
+++ b/tests/test_gateway_partition.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+from mimosamux_standins.site import ReplicaSpeed
 
 from tests.support import crashes
 from tests.support.asking import of_service
@@ -341,6 +342,30 @@
             if answer.status == 200:
                 self.assertTrue(answer.is_whole)
 
+    def test_nor_one_whose_answer_takes_seconds(self):
+        async def check():
+            async with open_site(daemons=2, engines=3, apps=3) as site:
+                for replica in site.replicas_by_id.values():
+                    replica.speed = ReplicaSpeed(events=50, event_s=0.1)
+                site.partition_from_endpoints(0, Partition.HANGS)
+                await ask_all(site, Attempts(), {0}, CONTACT_S)
+                caller, answers = site.caller(patience_s=10.0), []
+
+                async def send(number):
+                    target = f'/draft/long-{number}'
+                    answers.append(await crashes.send(site, caller, 0, target))
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(3):
+                        tasks.start_soon(send, number)
+                    await anyio.sleep(0.5)
+                    site.daemons[1].daemon.stop()
+                return answers
+
+        answers = run_paused(check)
+        self.assertEqual([each.status for each in answers], [200] * 3)
+        self.assertTrue(all(each.is_whole for each in answers))
+
 
 class TestTunnels(unittest.TestCase):
     # Guards against a daemon that lets anyone connect to anything.
