Gateway: names of the newest parts, a test of brittle engines

Cause: reading the diff as a newcomer: has_way_around, seats and is_blind say little; brittle services were tested with plain endpoints only. Change: can_tunnel_to, capacity, is_uninformed; drafts and questions at engines of two slots with 9 and 15 daemons at their full load.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -125,8 +125,8 @@
         if record is not None:
             self._received_at[record.listed.service] = self._clock()
 
-    def has_way_around(self, service: ServiceName) -> bool:
-        """Whether some peer reaches a service that this daemon does not."""
+    def can_tunnel_to(self, service: ServiceName) -> bool:
+        """Whether some peer may open tunnels to the endpoints of a service."""
         return bool(self._find_peers(service))
 
     def tunnels_to(self, address: str) -> list[str]:
@@ -233,7 +233,7 @@
         """Begin to use peers.
 
         Idle connections may hang as well. Peers are told at once, as they
-        might take this daemon for a way around.
+        might ask this daemon for tunnels.
         """
         now = self._clock()
         self._cut_off_since[service] = now
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -216,9 +216,7 @@
         if not job.may_reconnect:
             return _failure_after_send(job, failure.reason)
         service, reach = job.service.name, self.reach
-        if reach.is_cut_off_from(service) and not reach.has_way_around(
-            service
-        ):
+        if reach.is_cut_off_from(service) and not reach.can_tunnel_to(service):
             return self._give_up_unplaced(job)
         return None
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/brittle_services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/brittle_services.py
@@ -210,21 +210,23 @@
         for record in self._roster.serving(service):
             if record.slot_share is None:
                 record.slot_share = SlotShare(open_sends=record.open_calls)
-            seats = record.listed.slots + int(per_s * SPARE_SHARE)
-            record.slot_share.slots = self._own_seats(record, seats, daemons)
+            capacity = record.listed.slots + int(per_s * SPARE_SHARE)
+            record.slot_share.slots = self._own_capacity(
+                record, capacity, daemons
+            )
 
-    def _own_seats(
+    def _own_capacity(
         self,
         record: EndpointRecord,
-        seats: int,
+        capacity: int,
         daemons: tuple[DaemonId, ...],
     ) -> int:
         """Return this daemon's share of the requests in flight somewhere."""
-        rotation, is_ending = self._rotation(seats < len(daemons))
+        rotation, is_ending = self._rotation(capacity < len(daemons))
         if is_ending:
             return 0
         key = f'{record.id} {rotation}'
-        return share_slots(seats, daemons, self._states.place.id, key)
+        return share_slots(capacity, daemons, self._states.place.id, key)
 
     def _rotation(self, is_scarce: bool) -> tuple[int, bool]:
         """Return the number of the rotation, and whether it is ending."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/list_age.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/list_age.py
@@ -41,8 +41,8 @@
         reader, max_age_s = self.reader, MAX_AGE_SHARE * self.drain_s
         if reader.age_s > max_age_s:
             await reader.refresh(older_than_s=max_age_s, timeout_s=MAX_HELD_S)
-        is_blind = not reader.is_away and not self.is_told_by_peers()
-        if reader.age_s > max_age_s and is_blind:
+        is_uninformed = not reader.is_away and not self.is_told_by_peers()
+        if reader.age_s > max_age_s and is_uninformed:
             self.roster.withhold_unconfirmed(self.clock() - max_age_s)
         else:
             self.roster.release_withheld()
--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -13,6 +13,7 @@
 PER_S = 4.0
 """Requests that an endpoint can turn down in a second."""
 SLOTS, WORK_S, WAITING = 2, 0.1, 3
+SPEED = ReplicaSpeed(work_s=WORK_S, token_s=0.0, events=5, event_s=WORK_S / 5)
 CONTACT_S = 3.0
 BRITTLE_S = 14.0
 DOWN_S = 3.0
@@ -21,14 +22,15 @@
 
 @dataclass(kw_only=True)
 class BrittleService:
-    """The plain service of a site; its endpoints fall over and come back."""
+    """A service of a site; its endpoints fall over and come back."""
 
     site: object
+    path: str
     falls: list = field(default_factory=list)
     is_brittle: bool = False
 
     def replicas(self):
-        listed = of_service(self.site, '/list/')
+        listed = of_service(self.site, self.path)
         return [each for each in listed if each.state != 'gone']
 
     def begin(self):
@@ -71,11 +73,13 @@
 
 async def play(path, load, *, daemons, endpoints=3):
     """Ask at a share of what the endpoints can do, while they are brittle."""
-    async with open_site(daemons=daemons, engines=1, apps=endpoints) as site:
-        service = BrittleService(site=site)
+    async with open_site(
+        daemons=daemons, engines=endpoints, apps=endpoints
+    ) as site:
+        service = BrittleService(site=site, path=path)
         for replica in service.replicas():
             replica.slots = SLOTS
-            replica.speed = ReplicaSpeed(work_s=WORK_S)
+            replica.speed = SPEED
             site.list_replica(replica)
         per_s = load * endpoints * SLOTS / WORK_S
         await ask(site, path, for_s=1.0, per_s=per_s)
@@ -124,6 +128,12 @@
                         path, 1.6, 0.4, daemons=daemons, endpoints=endpoints
                     )
 
+    def test_engines_do_not_fall_either(self):
+        for path in ('/draft/', '/question/'):
+            for daemons in (9, 15):
+                with self.subTest(path=path, daemons=daemons):
+                    self.check(path, 1.0, 0.5, daemons=daemons)
+
     def test_more_daemons_than_slots_share_them(self):
         self.check('/list/', 0.5, 0.8, daemons=15)
 
