--- a/tests/test_gateway_brittle.py
+++ b/tests/test_gateway_brittle.py
@@ -2,8 +2,10 @@
 
 import unittest
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 import anyio
+from mimosamux_daemon.gateway.limits.slot_shares import SlotShare
 from mimosamux_standins.site import ReplicaSpeed
 
 from tests.support.asking import ask, of_service
@@ -134,6 +136,29 @@
                 with self.subTest(path=path, daemons=daemons):
                     self.check(path, 1.0, 0.5, daemons=daemons)
 
+    def test_daemons_that_asked_nothing_are_told_by_the_others(self):
+        async def check():
+            async with open_site(daemons=3, engines=1, apps=3) as site:
+                service = BrittleService(site=site, path='/list/')
+                service.begin()
+                await ask(site, '/list/', for_s=1.0, daemons=[0])
+                await anyio.sleep(1.0)
+                return [
+                    record.slot_share is not None
+                    for handle in site.daemons
+                    for record in handle.daemon.parts.roster.of_service('app')
+                ]
+
+        self.assertEqual(run_paused(check), [True] * 9)
+
+    def test_requests_to_one_endpoint_keep_a_distance(self):
+        sends = [SimpleNamespace(sent_at=10.0)]
+        share = SlotShare(open_sends=sends, slots=5)
+        self.assertFalse(share.has_room(10.05))
+        self.assertTrue(share.has_room(10.2))
+        sends += [SimpleNamespace(sent_at=0.0) for _ in range(4)]
+        self.assertFalse(share.has_room(10.2))
+
     def test_more_daemons_than_slots_share_them(self):
         self.check('/list/', 0.5, 0.8, daemons=15)
 
