Gateway: endpoints are looked through only where a service is silent

Cause: read in the diff: four times a second each daemon looked through all endpoints for requests without an answer; at 12,000 endpoints that is most of a hundredth of a core for nothing. Change: only the endpoints of services that sent no byte for 0.6 s are. Result: 19 tests of the file pass; the processor time was not measured.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -191,9 +191,10 @@
         oldest = now - QUIET_S
         return [
             record
-            for record in self._roster.by_id.values()
-            if self._received_at.get(record.listed.service, 0.0) < oldest
-            and any(call.sent_at < oldest for call in record.open_calls)
+            for service, at in self._received_at.items()
+            if at < oldest
+            for record in self._roster.of_service(service)
+            if any(call.sent_at < oldest for call in record.open_calls)
         ]
 
     async def _probe_services(self, services: tuple[ServiceName, ...]) -> None:
