--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
@@ -70,6 +70,8 @@
     prompt: PromptInfo | None = None
     last_event_id: str | None = None
     """Id of the event after which the caller resumes a stream."""
+    resumes: str | None = None
+    """Id of the request that brought the first event of that stream."""
 
 
 class EndpointState(StrEnum):
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -57,6 +57,12 @@
     return None
 
 
+def find_text(headers: RawHeaders, name: bytes) -> str | None:
+    """Return the first value of a header as text, None without it."""
+    value = find_value(headers, name)
+    return None if value is None else value.decode('latin-1')
+
+
 def end_to_end(
     headers: RawHeaders, *, without: frozenset[bytes] = frozenset()
 ) -> RawHeaders:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -384,7 +384,8 @@
             news_age_s=round(self.digest_age_s(), 2),
             list_age_s=round(self.list_age_s(), 2),
             left_s=round(job.left_s(self.clock()), 2),
-            goes_on_behind=job.last_event_id,
+            goes_on_behind=job.last_event_id or job.request.last_event_id,
+            resumes=job.request.resumes,
         )
 
 
