Tests: streams that go on at another software version (failing)

Twelve streams begin at one daemon before engines of two versions; an engine crashes or leaves, or daemons are killed with it, and callers take their streams up at another daemon.

--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -3,6 +3,7 @@
 import random
 import uuid
 from dataclasses import dataclass, field
+from typing import Any
 from urllib.parse import urlencode
 
 import anyio
@@ -111,6 +112,28 @@
         self.answers.append(answer)
         return answer
 
+    async def resume(
+        self,
+        broken: CallerAnswer,
+        address: str,
+        target: str,
+        *,
+        began: str = '',
+        headers: RawHeaders = (),
+        **fields: Any,
+    ) -> CallerAnswer:
+        """Take up a stream behind the last whole event of a broken answer.
+
+        `began` is the attempt that brought its first event, if not this one.
+        """
+        taken_up = (
+            (b'Last-Event-Id', last_event_id(broken.body)),
+            (b'Resumes', (began or broken.id).encode()),
+        )
+        return await self.send(
+            address, target, headers=(*headers, *taken_up), **fields
+        )
+
     async def _exchange(
         self, address: str, head: RequestHead, body: bytes, id_: str
     ) -> CallerAnswer:
@@ -158,6 +181,12 @@
     )
 
 
+def last_event_id(body: bytes) -> bytes:
+    """Return the id of the last whole event, empty without one."""
+    whole, end, _ = body.rpartition(b'\n\n')
+    return whole.rpartition(b'id: ')[2].partition(b'\n')[0] if end else b''
+
+
 def _no_answer(id_: str, sent_at: float, problem: str) -> CallerAnswer:
     return CallerAnswer(
         id=id_,
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -87,6 +87,10 @@
     """Events that an earlier run of the request had made."""
     kv_source: str = ''
     """Copy of an earlier run that it goes on from."""
+    version: str = ''
+    """Software version of its replica."""
+    resumes: str = ''
+    """Request whose stream its caller takes up."""
     fetched_from: str = ''
     """Address of the replica whose cache it was told to copy."""
     rank: int | None = None
@@ -274,6 +278,8 @@
             rank=None if rank is None else int(rank),
             resumed_behind=int(last or b'0'),
             kv_source=(find_value(headers, b'kv-from') or b'').decode(),
+            version=self.version,
+            resumes=(find_value(headers, b'resumes') or b'').decode(),
         )
         self.runs.append(run)
         self._run_by_id[id_] = run
--- a/tests/support/site_checks.py
+++ b/tests/support/site_checks.py
@@ -18,6 +18,7 @@
     """Return every broken promise, in words."""
     return [
         *_check_runs(site, log),
+        *find_joined_versions(site.runs()),
         *_check_answers(site, log),
         *_check_keys(site, log),
         *_check_leaving(site, log),
@@ -54,6 +55,22 @@
                 yield f'{id_} went on elsewhere while it still ran'
 
 
+def find_joined_versions(runs):
+    """Return the streams that went on at another version, in words.
+
+    A stream is a request and those that take it up.
+    """
+    version_by_stream, joined = {}, []
+    for run in runs:
+        stream = run.resumes or run.id
+        began = version_by_stream.setdefault(stream, run.version)
+        if not run.resumed_behind:
+            version_by_stream[stream] = run.version
+        elif run.version != began:
+            joined.append(f'{stream} of {began} goes on at {run.version}')
+    return joined
+
+
 def _compare(site, log, run, sent):
     """Yield how a run differs from what its caller sent."""
     if (run.method, run.target, run.body) != (
