Gateway: streams go on only at the software version that began them

Cause: a stream was bound to nothing. A second send, a move off a leaving engine and a request that takes a stream up chose among all endpoints of the service; versions were looked at only while a roll-out was ordered, and Resumes was not read.

StreamOrigin (service and software) is the one rule: it is set with the first event, and every choice, move and wait asks it. For callers that come back at another daemon, a daemon tells the others where a stream is about to begin, at its send and thus before its first event, on routes whose endpoints run several versions; eight bytes a stream. When a second version appears, what runs is told. Streams of an old version stay at it during a roll-out's clearing, and end there.

Weighed: a version chosen by the request's id forgets what changed since; asking peers at the take-up finds nobody once the daemon that knew is killed; rows of the table cost a priced write a stream.

One roll-out test looks for joined streams as well (one before).

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/outcomes.py
@@ -25,6 +25,7 @@
     NO_ENDPOINT = 'no_endpoint'
     NO_ROUTE = 'no_route'
     NOT_AUTHORISED = 'not_authorised'
+    ORIGIN_UNKNOWN = 'stream_origin_unknown'
     OVERLOADED = 'overloaded'
     OVER_CAP = 'over_usage_cap'
     RETRY_BUDGET = 'retry_budget'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/admission.py
@@ -21,6 +21,7 @@
     ServiceEntry,
     UsageCap,
 )
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.limits.cap_loans import CapLoans
@@ -73,6 +74,8 @@
     caps: UsageCaps
     loans: CapLoans
     limits: ConfirmationLimits
+    find_origin: Callable[[str], StreamOrigin | None]
+    """Returns where the stream of an earlier request began."""
     clock: Callable[[], float]
     rng: random.Random = field(default_factory=random.Random)
 
@@ -125,7 +128,7 @@
         account = self._find_account(configuration, route, request)
         if isinstance(account, Refused):
             return account
-        service = self._pick_service(configuration, route)
+        service = self._pick_service(configuration, route, request)
         if service is None:
             return self._refuse_unknown(Reason.NO_ROUTE, 'no service')
         job = Job(
@@ -177,13 +180,23 @@
         )
 
     def _pick_service(
-        self, configuration: GatewayConfiguration, route: Route
+        self,
+        configuration: GatewayConfiguration,
+        route: Route,
+        request: GatewayRequest,
     ) -> ServiceEntry | None:
-        """Return a service of a route, drawn by the weights of its split."""
+        """Return a service of a route, drawn by the weights of its split.
+
+        A stream that is resumed stays with the service that began it.
+        """
         if not route.splits:
             return None
         name: ServiceName = route.splits[0].service
-        if len(route.splits) > 1:
+        origin = self.find_origin(request.resumes or '')
+        services = [split.service for split in route.splits]
+        if origin is not None and origin.service in services:
+            name = origin.service
+        elif len(route.splits) > 1:
             weights = [split.weight for split in route.splits]
             if sum(weights) > 0:
                 name = self.rng.choices(route.splits, weights)[0].service
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -7,10 +7,11 @@
 import math
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
     RequestDispatcher,
 )
@@ -22,6 +23,7 @@
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
+from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
 from mimosamux_daemon.gateway.trial_tallies import TrialTallies
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import (
@@ -53,6 +55,8 @@
     silence_deadline: float
     """When the endpoint counts as silent if no answer has begun."""
     recorder: 'AttemptRecorder'
+    origin: StreamOrigin = field(init=False)
+    """Software that it was sent to, whatever the list shows later."""
     has_first_event: bool = False
     """Whether the prompt is prefilled, as the first event shows."""
     is_result_counted: bool = False
@@ -65,6 +69,9 @@
     """Time from the first event to the end of a stream that was received as
     a whole from this endpoint."""
 
+    def __post_init__(self) -> None:
+        self.origin = StreamOrigin.of(self.endpoint)
+
     @property
     def endpoint(self) -> ListedEndpoint:
         """Return the endpoint's entry in the list."""
@@ -220,6 +227,7 @@
         self.silence_deadline = math.inf
         self.note_begun()
         self.has_first_event = True
+        self.job.origin = self.job.origin or self.origin
         choice, prompt = self.choice, self.job.request.prompt
         took_s = self.time_to_first_event_s = (
             self.recorder.clock() - self.sent_at
@@ -306,6 +314,7 @@
     chooser: Chooser
     request_counts: RequestCounts
     crash_detector: CrashDetector
+    origins: OriginExchange
     limits: EndpointLimits
     brittle: BrittleServices
     trials: TrialTallies
@@ -335,6 +344,7 @@
             silence_deadline=now + _silence_limit_s(job, choice),
             recorder=self,
         )
+        self.origins.note_send(job, choice.record.listed)
         self.trials.note_send(job.service.name, attempt.endpoint.software)
         job.tried.add(choice.record.id)
         job.sends += 1
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/choice.py
@@ -17,6 +17,7 @@
     ServiceName,
 )
 from mimosamux_daemon.domain.routes import Route, ServiceEntry
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.balancing.engine_candidates import (
     WIDE_SAMPLE_SIZE,
@@ -135,16 +136,23 @@
         trial_weight: float = 1.0,
         excluding: Collection[EndpointId] = (),
         is_spread: bool = False,
+        origin: StreamOrigin | None = None,
     ) -> Choice | None:
         """Return the endpoint for one attempt, None if none takes requests.
 
+        A stream that has begun goes on only where its `origin` allows.
+
         With `is_spread` the choice is limited to a random sample. This is
         for requests that were at an endpoint which crashed: prefix affinity
         would send all of them to the same next endpoint, together with the
         request that caused the crash.
         """
         now = self._clock()
-        if prompt is not None and self._has_many_engines(service):
+        if (
+            prompt is not None
+            and origin is None
+            and self._has_many_engines(service)
+        ):
             choice = self._choose_of_many(
                 service,
                 route,
@@ -160,6 +168,7 @@
             request_id=request_id,
             trial_weight=trial_weight,
             excluding=excluding,
+            origin=origin,
         )
         records = _exclude_unhealthy(records, now)
         if not records:
@@ -182,6 +191,7 @@
         request_id: str,
         excluding: Collection[EndpointId],
         trial_weight: float = 1.0,
+        origin: StreamOrigin | None = None,
     ) -> list[EndpointRecord]:
         """Return the endpoints that a request may be sent to.
 
@@ -193,6 +203,8 @@
             for record in self._roster.accepting(service)
             if record.id not in excluding
         ]
+        if origin is not None:
+            return self._rollouts.filter_for_stream(origin, records)
         return self._rollouts.filter_endpoints(
             service,
             records,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -54,6 +54,7 @@
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.running_stream import RunningStream
+from mimosamux_daemon.gateway.streams.resumption import StreamResumption
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import (
     CallBroken,
@@ -99,6 +100,7 @@
     reach: EndpointReach
     brittle: BrittleServices
     quarantine: CrashQuarantine
+    resumption: StreamResumption
     outcomes: OutcomeLog
     lag: LoopLag
     clock: Callable[[], float]
@@ -140,6 +142,7 @@
     ) -> GatewayOutcome:
         """Run a job unless its content is quarantined after crashes."""
         refusal = self.quarantine.find_refusal(job.content)
+        refusal = refusal or await self.resumption.bind(job)
         if refusal is not None:
             return refusal
         self._count_demand(job)
@@ -270,6 +273,7 @@
             excluding=job.tried,
             is_spread=job.has_broken_off
             or self.quarantine.is_suspected(job.content),
+            origin=job.origin,
         )
 
     async def _attempt(
@@ -360,6 +364,7 @@
             request_id=job.request.id,
             service=job.service,
             record=attempt.choice.record,
+            origin=attempt.origin,
             tokens=0 if prompt is None else prompt.tokens,
         )
         with self.evacuation.tracking(stream):
@@ -434,6 +439,7 @@
                 job.service.name,
                 request_id=job.request.id,
                 excluding=job.tried,
+                origin=job.origin,
             )
         )
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-from mimosamux_daemon.domain.gateway import GatewayRequest
+from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
 from mimosamux_daemon.domain.names import (
     ContentKey,
     EndpointId,
@@ -16,6 +16,7 @@
     RouteKind,
     ServiceEntry,
 )
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.content_keys import find_content_key
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import ResumePoint
@@ -59,6 +60,9 @@
     engines give precedence to all others."""
     is_resumed: bool = False
     """Whether its current run continues the output of an earlier one."""
+    origin: StreamOrigin | None = None
+    """What wrote the events of its stream so far, and has to write the rest;
+    None before the first event."""
     move_target: EndpointId | None = None
     """Endpoint that holds the copy."""
     content: ContentKey = field(init=False)
@@ -92,6 +96,10 @@
         is_moved = self.kv_source is not None
         return is_moved or not self.may_have_run or self.route.may_repeat
 
+    def may_go_to(self, endpoint: ListedEndpoint) -> bool:
+        """Whether an endpoint may run it, or go on with its stream."""
+        return self.origin is None or self.origin.allows(endpoint)
+
     def has_caller_left(self) -> bool:
         """Whether the caller has disconnected."""
         return self.caller is not None and self.caller.has_disconnected()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -38,6 +38,16 @@
             'mimosamux_gateway_moves_total',
             'Streams moved to another endpoint, by result.',
         )
+        self.resumptions = self._counter(
+            'mimosamux_gateway_stream_resumptions_total',
+            'Streams that callers resumed, by service and result (bound, '
+            'one_version, unknown, no_endpoint).',
+        )
+        self.software_versions = self._gauge(
+            'mimosamux_gateway_software_versions',
+            'Software versions of endpoints that serve or served until '
+            'recently, by service.',
+        )
         self.endpoint_crashes = self._counter(
             'mimosamux_gateway_endpoint_crashes_total',
             'Endpoints that ended unannounced under requests, by service.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -85,6 +85,10 @@
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.stream_moves import StreamMoves
+from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
+from mimosamux_daemon.gateway.streams.origins import StreamOrigins
+from mimosamux_daemon.gateway.streams.resumption import StreamResumption
+from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.gateway.table_sharing import TableSharing
 from mimosamux_daemon.gateway.trial_judge import SequentialJudge
 from mimosamux_daemon.gateway.trial_tallies import TrialTallies
@@ -188,6 +192,7 @@
             self.brittle.run,
             self.crash_detector.run,
             self.crash_rows.run,
+            self.origins.run,
             self.rollout_rows.run,
             self.reach.run,
         )
@@ -341,6 +346,14 @@
             notify_peers=leaving.announce,
         )
         self.roster.on_leaving.append(self.evacuation.note_leaving)
+        self.versions = SoftwareVersions(roster=self.roster, clock=self._clock)
+        self.origins = OriginExchange(
+            origins=StreamOrigins(clock=self._clock),
+            versions=self.versions,
+            states=self.states,
+            peers=self.peers,
+            clock=self._clock,
+        )
         endpoints = ServiceEndpoints()
         self.roster.on_listed.append(endpoints.add)
         self.roster.on_leaving.append(endpoints.discard)
@@ -360,11 +373,18 @@
         )
         self.metrics.collectors.append(self._collect_residence_times)
         self.metrics.collectors.append(self._collect_engine_factors)
+        self.metrics.collectors.append(self._collect_software_versions)
         factors = self.chooser.engine_factors
         self.states.on_forgotten.append(factors.forget_peer)
         self.roster.on_forgotten.append(self.chooser.prefix_index.forget)
         self.roster.on_restarted.append(self._forget_previous_incarnation)
 
+    def _collect_software_versions(self) -> None:
+        """Set the gauges of the versions that services run."""
+        for service in self.configuration.current.services_by_name:
+            count = len(self.versions.of(service))
+            self.metrics.software_versions.set({'service': service}, count)
+
     def _collect_engine_factors(self) -> None:
         """Set the gauges of the engines' factors."""
         gauge = self.metrics.engine_factor
@@ -513,6 +533,7 @@
                 key_max_age_s=self.settings.revocation_s - REVOCATION_SLACK_S,
                 absence_max_age_s=ABSENCE_MAX_AGE_S,
             ),
+            find_origin=self.origins.origins.find,
             clock=self._clock,
             rng=self._rng,
         )
@@ -534,6 +555,7 @@
                 chooser=self.chooser,
                 request_counts=self.request_counts,
                 crash_detector=self.crash_detector,
+                origins=self.origins,
                 limits=self.limits,
                 brittle=self.brittle,
                 trials=self.trials,
@@ -551,6 +573,13 @@
             reach=self.reach,
             brittle=self.brittle,
             quarantine=self.quarantine,
+            resumption=StreamResumption(
+                origins=self.origins.origins,
+                versions=self.versions,
+                roster=self.roster,
+                metrics=self.metrics,
+                clock=self._clock,
+            ),
             outcomes=OutcomeLog(
                 metrics=self.metrics,
                 configuration=self.configuration,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_clearing.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_clearing.py
@@ -6,8 +6,8 @@
 from mimosamux_daemon.gateway.roster import Roster
 
 DRAIN_S = 2.0
-"""Time for which streams continue at a replaced version. Most end within it;
-the others are moved."""
+"""Time after which a replaced endpoint is expected to be idle. Streams that
+run longer stay until they end: they cannot go on at the new version."""
 SOURCE = 'a roll-out'
 """Source of the leave notice in logs."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollouts.py
@@ -21,6 +21,7 @@
     RolloutOrder,
     RolloutStage,
 )
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.logs import get_log
 
@@ -63,6 +64,14 @@
     is_stopped: bool = False
     """Whether this daemon stopped the trial on its own."""
 
+    def may_continue(self, version: str) -> bool:
+        """Whether streams that a version began may go on there."""
+        if version not in self.rollout.unproven_versions():
+            return True
+        is_on_trial = self.rollout.stage is RolloutStage.TRIAL
+        is_ordered = version == self.rollout.order.version
+        return is_on_trial and is_ordered and not self.is_stopped
+
 
 Listener = Callable[[Rollout], None]
 
@@ -224,6 +233,18 @@
             return choose_trial_endpoints(new, self.limits.share) or proven
         return proven
 
+    def filter_for_stream(
+        self, origin: StreamOrigin, records: Sequence[EndpointRecord]
+    ) -> list[EndpointRecord]:
+        """Return those of the endpoints at which a stream may go on.
+
+        None if its version was on trial and was found bad.
+        """
+        view = self.by_service.get(origin.service)
+        if view is not None and not view.may_continue(origin.software):
+            return []
+        return [record for record in records if origin.allows(record.listed)]
+
     def find_proven(
         self, service: ServiceName, records: Sequence[EndpointRecord]
     ) -> list[EndpointRecord]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/running_stream.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/running_stream.py
@@ -5,6 +5,7 @@
 import anyio
 
 from mimosamux_daemon.domain.routes import EngineCapabilities, ServiceEntry
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 
 BITS_PER_BYTE = 8
@@ -28,6 +29,7 @@
     request_id: str
     service: ServiceEntry
     record: EndpointRecord
+    origin: StreamOrigin
     tokens: int
     """Estimated tokens in its KV cache."""
     copy: StreamCopy | None = None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
@@ -128,12 +128,7 @@
             for record in self.roster.accepting(stream.service.name)
             if record.id != stream.record.id and not record.is_unreachable(now)
         ]
-        records = self.rollouts.filter_endpoints(
-            stream.service.name,
-            records,
-            request_id=stream.request_id,
-            allow_trial=False,
-        )
+        records = self.rollouts.filter_for_stream(stream.origin, records)
         if not records:
             return None
         source_data_centre = stream.record.listed.data_centre
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Where streams that break off may go on."""
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -88,6 +88,7 @@
     HandOverReply,
     HandOverWithdrawn,
 )
+from mimosamux_wire.stream_messages import StreamsBegan
 
 __all__ = [
     'CrashWithdrawn',
@@ -142,6 +143,7 @@
     'ServiceDemand',
     'StateBatch',
     'StateDigest',
+    'StreamsBegan',
     'SummaryExchange',
     'Superseded',
     'TableNews',
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -366,6 +366,14 @@
   1: string endpoint
 }
 
+struct StreamsBegan {
+  1: string service
+  2: string software
+  3: i32 attempt
+  4: i64 keep_ms
+  5: binary requests
+}
+
 struct RolloutTold {
   1: string service
   2: string version
--- /dev/null
+++ b/packages/mimosamux-wire/mimosamux_wire/stream_messages.py
@@ -0,0 +1,31 @@
+"""Messages about streams that callers may resume at another daemon."""
+
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+from thrift.Thrift import TType
+
+from mimosamux_wire.messages import Message
+
+
+@dataclass(kw_only=True, slots=True)
+class StreamsBegan(Message):
+    """Streams that begin at endpoints of one software version."""
+
+    service: str = ''
+    software: str = ''
+    """Software version of the endpoints."""
+    attempt: int = 0
+    """Number of the attempt for each request; a later one replaces it."""
+    keep_ms: int = 0
+    """Time for which to remember them."""
+    requests: bytes = b''
+    """64-bit hashes of the request ids, eight bytes each."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'service', 'UTF8', ''),
+        (2, TType.STRING, 'software', 'UTF8', ''),
+        (3, TType.I32, 'attempt', None, 0),
+        (4, TType.I64, 'keep_ms', None, 0),
+        (5, TType.STRING, 'requests', 'BINARY', b''),
+    )
--- a/tests/support/site_checks.py
+++ b/tests/support/site_checks.py
@@ -116,16 +116,15 @@
 
 def _check_events(sent, answer, *, is_whole):
     count = answer.body.count(b'\n\n')
-    expected = b''.join(
-        render_event(answer.id, number) for number in range(1, count + 1)
-    )
+    numbers = range(sent.behind + 1, sent.behind + count + 1)
+    expected = b''.join(render_event(answer.id, each) for each in numbers)
     if not is_whole:
         # The last event may have been cut on its way to the caller.
         whole = answer.body[: answer.body.rfind(b'\n\n') + 2]
         if count and whole != expected:
             yield f'{answer.id} got events out of order'
         return
-    if answer.body != expected or count != sent.events:
+    if answer.body != expected or sent.behind + count != sent.events:
         yield f'{answer.id} got {count} of {sent.events} events as whole'
 
 
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -8,12 +8,14 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.gateway.limits.caps import CapRules
 from mimosamux_standins.site import Fault, ReplicaSpeed
+from mimosamux_standins.site.caller import last_event_id
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.memory_network import machine_of
 from tests.support.platform_site import (
     CLOUD,
     STORE,
+    ZONES,
     Partition,
     default_document,
     open_site,
@@ -38,6 +40,8 @@
     body: bytes
     key: str
     events: int = EVENTS
+    behind: int = 0
+    """Events that an earlier attempt brought."""
 
     @property
     def is_stream(self):
@@ -130,6 +134,8 @@
         self.log.callers.append(caller)
         for _ in range(2):
             answer = await self.send_once(caller, target, key)
+            if answer.status == 200 and target.startswith('/question/'):
+                await self.take_up(caller, target, key, answer)
             if answer.status is None or answer.status < 500:
                 return
             if answer.status == 503 and answer.retry_after_s is not None:
@@ -137,7 +143,17 @@
             elif not target.startswith('/list/'):
                 return
 
-    async def send_once(self, caller, target, key):
+    async def take_up(self, caller, target, key, broken):
+        """Take a stream up at another daemon if it broke off."""
+        behind = int(last_event_id(broken.body) or 0)
+        if not broken.is_whole and behind:
+            taken_up = (
+                (b'Last-Event-Id', b'%d' % behind),
+                (b'Resumes', broken.id.encode()),
+            )
+            await self.send_once(caller, target, key, taken_up, behind=behind)
+
+    async def send_once(self, caller, target, key, added=(), **fields):
         daemon = self.rng.choice(self.site.daemons)
         id_ = f'{self.rng.getrandbits(60):015x}'
         method = 'GET' if target.startswith('/list/') else 'POST'
@@ -148,10 +164,12 @@
             target=target,
             body=body,
             key=key,
+            **fields,
         )
         self.log.sent_by_id[id_] = sent
         parts = f'aa{self.rng.randrange(3)}:200,bb{id_}:200'
-        headers = (*STREAM_HEADERS, (b'X-Prompt-Prefix', parts.encode()))
+        prompt = (b'X-Prompt-Prefix', parts.encode())
+        headers = (*STREAM_HEADERS, prompt, *added)
         return await caller.send(
             daemon.entry,
             target,
@@ -370,6 +388,14 @@
     await run.site.add_replica(replica.service, replica.zone)
 
 
+async def bring_in_version(run, rng):
+    """Start engines of another software version beside the others."""
+    for _ in range(rng.choice([1, 2])):
+        version = rng.choice(['v1', 'v2', 'v3'])
+        zone = rng.choice(ZONES)
+        await run.site.add_replica('llm', zone, slots=8, version=version)
+
+
 async def drain_replica(run, rng):
     replica = run.pick_replica(rng)
     replica.leaves_ms = rng.choice([None, 2000.0, 500.0])
@@ -459,6 +485,7 @@
         spoil_service,
         slow_replica,
         crash_replica,
+        bring_in_version,
         drain_replica,
         reuse_address,
         add_route,
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -6,6 +6,7 @@
 import anyio
 from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.domain.routes import EngineCapabilities, ServiceEntry
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
@@ -289,6 +290,7 @@
         request_id=f'request-{number}',
         service=ServiceEntry(name='llm', engine=engine),
         record=record,
+        origin=StreamOrigin.of(record.listed),
         tokens=100,
     )
 
--- a/tests/test_gateway_rollout_faults.py
+++ b/tests/test_gateway_rollout_faults.py
@@ -8,6 +8,7 @@
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.rollouts import bring_in, play
+from tests.support.site_checks import find_joined_versions
 
 PATHS = ('/question/', '/draft/')
 LONG = ReplicaSpeed(events=60, event_s=0.05)
@@ -141,9 +142,10 @@
                     lambda: rollout.ask(('/draft/',), for_s=18.0, every_s=0.2)
                 )
                 await rollout.wait_until_over('llm', 20.0)
-            return rollout.state('llm'), rollout.not_served()
+            joined = find_joined_versions(rollout.site.runs())
+            return rollout.state('llm'), rollout.not_served(), joined
 
-        self.assertEqual(play(check), ('completed', []))
+        self.assertEqual(play(check), ('completed', [], []))
 
 
 class TestEndpoints(unittest.TestCase):
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -170,7 +170,7 @@
     def test_second_version_that_starts_under_streams_joins_none(self):
         async def check():
             async with open_site(engines=0, apps=0) as site:
-                engine = (await add_engines(site, 'v1', 'v1'))[0]
+                engine = (await add_engines(site, *('v1',) * 3))[0]
                 streams = Streams(site)
 
                 async def bring_in():
