--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -83,14 +83,16 @@
 ) -> Sequence[LogLine]:
     """Return the lines that concern a request, ordered by time.
 
+    A stream that was resumed is one story with the requests that resume it.
     These are the request's own lines and the following lines that name no
     request: lines of any daemon about the same content up to its last line,
     and lines of the daemons that handled it about its endpoints or their own
     state (STATE_EVENTS), from LEAD_TIME before its first line to its last.
     """
     ordered = sorted(lines, key=lambda line: line.at)
+    requests = _find_stream(request, ordered)
     own_lines = [
-        line for line in ordered if line.fields.get('request') == request
+        line for line in ordered if line.fields.get('request') in requests
     ]
     if not own_lines:
         return ()
@@ -101,7 +103,7 @@
     return [
         line
         for line in ordered
-        if line.fields.get('request') == request
+        if line.fields.get('request') in requests
         or line.at <= end
         and 'request' not in line.fields
         and line.fields.get('content') in contents
@@ -113,3 +115,17 @@
             or line.event in STATE_EVENTS
         )
     ]
+
+
+def _find_stream(request: str, lines: Iterable[LogLine]) -> set[str]:
+    """Return a request, the one whose stream it resumes, and its siblings."""
+    began_by_request = {
+        line.fields['request']: line.fields['resumes']
+        for line in lines
+        if line.fields.get('resumes') and 'request' in line.fields
+    }
+    began = began_by_request.get(request, request)
+    resuming = {
+        each for each, other in began_by_request.items() if other == began
+    }
+    return {request, began} | resuming
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
-from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
+from mimosamux_daemon.domain.gateway import GatewayRequest
 from mimosamux_daemon.domain.names import (
     ContentKey,
     EndpointId,
@@ -96,10 +96,6 @@
         is_moved = self.kv_source is not None
         return is_moved or not self.may_have_run or self.route.may_repeat
 
-    def may_go_to(self, endpoint: ListedEndpoint) -> bool:
-        """Whether an endpoint may run it, or go on with its stream."""
-        return self.origin is None or self.origin.allows(endpoint)
-
     def has_caller_left(self) -> bool:
         """Whether the caller has disconnected."""
         return self.caller is not None and self.caller.has_disconnected()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/brittle_services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/brittle_services.py
@@ -165,9 +165,7 @@
         """Whether an endpoint that was not tried has room for a request."""
         now = self._clock()
         return any(
-            record.id not in job.tried
-            and job.may_go_to(record.listed)
-            and record.is_open(now)
+            record.id not in job.tried and record.is_open(now)
             for record in self._roster.serving(job.service.name)
         )
 
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -121,6 +121,33 @@
         took_s = float(end.split('took_s=')[1].split()[0])
         self.assertGreater(took_s, 2.0)
 
+    # Guards against a resumed stream whose beginning nobody finds.
+    def test_resumed_stream_is_traced_to_the_request_that_began_it(self):
+        async def check():
+            async with open_site(daemons=2, engines=1) as site:
+                (engine,) = (
+                    each
+                    for each in site.replicas_by_id.values()
+                    if each.service == 'llm'
+                )
+                engine.fault = Fault.CUT
+                target, caller = '/question/1', site.caller()
+                broken = await caller.send(
+                    site.daemons[0].entry, target, headers=PROMPT
+                )
+                engine.fault = Fault.NONE
+                answer = await caller.resume(
+                    broken, site.daemons[1].entry, target, headers=PROMPT
+                )
+                return answer.id
+
+        lines = self.explain_day(check)
+        events = [line.split('event=')[1].split()[0] for line in lines]
+        own = [each for each in events if each.startswith('request_')]
+        self.assertEqual(own, ['request_sent', 'request_ended'] * 2)
+        resumed = next(line for line in lines if 'stream_resumed' in line)
+        self.assertIn('result=one_version', resumed)
+
     def test_held_request_is_traced_to_the_crashes_under_it(self):
         async def check():
             async with open_site(daemons=2, apps=6) as site:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -1,12 +1,36 @@
 """Streams go on only at the software version that began them."""
 
+import random
 import unittest
 from functools import partial
+from types import SimpleNamespace
 
 import anyio
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.names import (
+    DataCentreName,
+    EndpointId,
+    ServiceName,
+)
+from mimosamux_daemon.domain.rollouts import (
+    Rollout,
+    RolloutOrder,
+    RolloutStage,
+)
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.rollouts import RolloutView
+from mimosamux_daemon.gateway.streams.origins import (
+    KnownOrigin,
+    StreamOrigins,
+    hash_request,
+)
+from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_standins.site import Fault, ReplicaSpeed
+from mimosamux_standins.site.caller import last_event_id
 
 from tests.support.clock import run_paused
+from tests.support.memory_network import machine_of
 from tests.support.platform_site import ZONES, open_site
 from tests.support.site_checks import find_joined_versions
 
@@ -167,6 +191,25 @@
     def test_stream_of_two_killed_daemons_goes_on_at_the_third(self):
         self.play(killed=(0, 1), to=2)
 
+    def test_daemon_that_starts_under_streams_is_told_of_them(self):
+        async def check():
+            async with open_site(engines=0, apps=0) as site:
+                await add_engines(site, 'v1', 'v2')
+                streams = Streams(site)
+
+                async def restart():
+                    site.kill_daemon(2)
+                    await site.start_daemon(2).wait()
+                    await site.daemons[2].daemon.started.wait()
+                    site.kill_daemon(0)
+
+                await streams.break_off(lambda: site.tasks.start_soon(restart))
+                return await streams.take_up(2)
+
+        resumed = run_paused(check)
+        self.assertEqual(len(resumed), STREAMS)
+        self.assertEqual(count_served(resumed), STREAMS)
+
     def test_second_version_that_starts_under_streams_joins_none(self):
         async def check():
             async with open_site(engines=0, apps=0) as site:
@@ -234,5 +277,166 @@
             self.assertLess(answer.ended_at - answer.sent_at, 0.1)
 
 
+def origin_of(software):
+    return StreamOrigin(service=ServiceName('llm'), software=software)
+
+
+class TestOrigins(unittest.TestCase):
+    # Guards against messages that arrive late, twice or in another order.
+
+    def setUp(self):
+        self.now = 0.0
+        self.origins = StreamOrigins(clock=lambda: self.now)
+
+    def add(self, software, attempt, request='a1'):
+        known = KnownOrigin(
+            origin=origin_of(software),
+            attempt=attempt,
+            expires_at=self.now + 5.0,
+            at=self.now,
+            source='peer',
+        )
+        return self.origins.add(hash_request(request), known)
+
+    def test_later_attempt_replaces_an_earlier_one_and_not_the_reverse(self):
+        added = [self.add('v1', 1), self.add('v2', 2), self.add('v1', 1)]
+        self.assertEqual(added, [True, True, False])
+        self.assertEqual(self.origins.find('a1'), origin_of('v2'))
+
+    def test_origin_is_forgotten_behind_the_deadline(self):
+        self.add('v1', 1)
+        self.now = 5.0
+        self.assertIsNone(self.origins.find('a1'))
+        self.add('v1', 1, 'b2')
+        self.assertEqual(len(self.origins.by_request), 1)
+
+    def test_origin_that_arrives_behind_its_caller_is_waited_for(self):
+        async def check():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.add_later)
+                return await self.origins.wait_for('a1', 0.3)
+
+        self.assertEqual(run_paused(check), origin_of('v1'))
+
+    async def add_later(self):
+        await anyio.sleep(0.2)
+        self.add('v1', 1)
+
+
+class TestVersions(unittest.TestCase):
+    # Guards against a version that is forgotten with its last endpoint.
+
+    def list_endpoint(self, roster, software):
+        entry = ListedEndpoint(
+            id=EndpointId('e1'),
+            service=ServiceName('llm'),
+            address='10.0.0.1:80',
+            data_centre=DataCentreName('north'),
+            slots=8,
+            software=software,
+        )
+        for listener in roster.on_listed:
+            listener(EndpointRecord(listed=entry, listed_at=0.0))
+
+    def test_version_before_a_restart_under_the_same_id_counts_on(self):
+        roster = SimpleNamespace(on_listed=[], on_forgotten=[])
+        now = [0.0]
+        versions = SoftwareVersions(roster=roster, clock=lambda: now[0])
+        self.list_endpoint(roster, 'v1')
+        self.list_endpoint(roster, 'v2')
+        service = ServiceName('llm')
+        self.assertEqual(len(versions.of(service)), 2)
+        now[0] = 31.0
+        self.assertEqual(versions.of(service), {origin_of('v2')})
+
+    def test_streams_of_a_reverted_trial_go_on_nowhere(self):
+        order = RolloutOrder(
+            service=ServiceName('llm'), version='v2', within_s=9.0, number=1
+        )
+        trial = Rollout(
+            order=order, stage=RolloutStage.TRIAL, step=1, began_at=0.0
+        )
+        for rollout, is_stopped, may_continue in (
+            (trial, False, True),
+            (trial, True, False),
+            (trial.advance(RolloutStage.REVERTED, 'bad'), False, False),
+            (trial.advance(RolloutStage.COMPLETED, 'good'), False, True),
+        ):
+            view = RolloutView(rollout=rollout, is_stopped=is_stopped)
+            self.assertEqual(view.may_continue('v2'), may_continue)
+            self.assertTrue(view.may_continue('v1'))
+
+
+class Troubles:
+    """Streams that begin one after the other beside troubles of one kind."""
+
+    def __init__(self, site, engines, seed):
+        self.site = site
+        self.engines = engines
+        self.rng = random.Random(seed)
+        self.answers = []
+
+    async def ask(self, number):
+        """Ask for a stream; take it up at any daemon if it breaks off."""
+        caller, target = self.site.caller(), f'/question/{number}'
+        fields = {'headers': prompt_of(number % 20), 'body': b'x'}
+        answer = await caller.send(self._pick_entry(), target, **fields)
+        if not answer.is_whole and last_event_id(answer.body):
+            entry = self._pick_entry()
+            answer = await caller.resume(answer, entry, target, **fields)
+        if answer.status is not None:
+            self.answers.append(answer)
+
+    def _pick_entry(self):
+        return self.rng.choice(self.site.daemons).entry
+
+    async def crash(self):
+        engine = self.engines.pop(self.rng.randrange(len(self.engines)))
+        self.site.crash_replica(engine)
+        self.engines += await add_engines(self.site, engine.version)
+        self.site.unlist_replica(engine)
+
+    async def reset(self):
+        address = self.rng.choice(self.engines).address
+        self.site.network.reset(lambda each: each.there == machine_of(address))
+
+    async def kill(self):
+        number = self.rng.randrange(len(self.site.daemons))
+        self.site.kill_daemon(number)
+        await self.site.start_daemon(number).wait()
+
+
+class TestTroubles(unittest.TestCase):
+    # Guards against joined streams, and against order bought by refusals.
+
+    def play(self, kind, *, daemons=3, seed=1):
+        async def check():
+            async with open_site(daemons=daemons, engines=0, apps=0) as site:
+                versions = ('v1', 'v2', 'v3') * 3
+                engines = await add_engines(site, *versions)
+                troubles = Troubles(site, engines, seed)
+                async with anyio.create_task_group() as tasks:
+                    for number in range(100):
+                        tasks.start_soon(troubles.ask, number)
+                        if number % 8 == 7:
+                            tasks.start_soon(getattr(troubles, kind))
+                        await anyio.sleep(0.1)
+                return site.runs(), troubles.answers
+
+        runs, answers = run_paused(check)
+        self.assertEqual(find_joined_versions(runs), [])
+        self.assertGreaterEqual(sum(run.resumed_behind > 0 for run in runs), 5)
+        self.assertGreaterEqual(count_served(answers), 0.9 * len(answers))
+
+    def test_streams_go_on_beside_engines_that_crash(self):
+        self.play('crash')
+
+    def test_streams_go_on_beside_reset_connections(self):
+        self.play('reset')
+
+    def test_streams_go_on_beside_daemons_that_are_killed(self):
+        self.play('kill')
+
+
 if __name__ == '__main__':
     unittest.main()
