--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -226,8 +226,11 @@
             replica.leaves_ms = float(str(body['leaves_ms']))
             left_s = replica.leaves_ms / MS_PER_S
             self._leaves_at_by_id[replica.id] = anyio.current_time() + left_s
+        if 'version' in body:
+            replica.version = str(body['version'])
         if 'state' in body:
             replica.state = str(body['state'])
+        if 'state' in body or 'version' in body:
             self.store.put('servers', replica.id, replica.entry())
         if body.get('crash'):
             replica.state = 'dead'
@@ -253,6 +256,9 @@
                     'tenant': run.tenant,
                     'replica': run.replica,
                     'is_moved': bool(run.kv_source),
+                    'version': run.version,
+                    'resumes': run.resumes,
+                    'resumed_behind': run.resumed_behind,
                     'began_at': run.began_at,
                     'ended_at': run.ended_at,
                     'events': run.events,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -30,6 +30,7 @@
             seconds=seconds,
             logs=folder,
             has_needy_endpoints=True,
+            has_versions=True,
         )
         problems = find_problems(record)
         served = sum(each.answer.status == 200 for each in record.sent)
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -81,6 +81,9 @@
     has_needy_endpoints: bool = False
     """Whether endpoints stand still and say that they are brittle. Seeds that
     are kept draw the same faults as before without it."""
+    has_versions: bool = False
+    """Whether engines run two software versions, and callers take broken
+    streams up."""
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
     """Names of the daemons that were asked to stop."""
@@ -172,7 +175,18 @@
         callers.start()
         return callers
 
+    def mix_versions(self):
+        """Have every other engine run another software version."""
+        engines = [
+            each['id']
+            for each in self._ready_replicas()
+            if each['service'] == 'llm'
+        ]
+        for id_ in engines[::2]:
+            self.platform.command('/replica', id=id_, version='v2')
+
     def make_callers(self, **fields):
+        fields |= {'takes_up': self.has_versions}
         if self.is_large:
             # Only a request with five targets or more to its deadline may
             # wait for an engine: 5 s on the route of drafts.
@@ -416,6 +430,7 @@
     seconds=8.0,
     logs=None,
     has_needy_endpoints=False,
+    has_versions=False,
 ):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
@@ -426,8 +441,11 @@
             rng=rng,
             logs=logs,
             has_needy_endpoints=has_needy_endpoints,
+            has_versions=has_versions,
         )
         try:
+            if has_versions:
+                soak.mix_versions()
             soak.start_daemons(daemons)
             return _play(soak, seconds)
         finally:
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -7,7 +7,7 @@
 import anyio
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_standins.site import StandInCaller
-from mimosamux_standins.site.caller import STOPPED_WAITING
+from mimosamux_standins.site.caller import STOPPED_WAITING, last_event_id
 
 from tests.support.platform_processes import PROMPT
 
@@ -30,6 +30,8 @@
     """Deadline that the caller waited for; None if it did not."""
     has_left: bool = False
     """Whether the caller disconnected before its deadline."""
+    behind: int = 0
+    """Events that an earlier attempt brought."""
 
 
 @dataclass(kw_only=True)
@@ -46,6 +48,8 @@
     """Time for which a caller stays beyond its deadline."""
     leaving_share: float = 0.0
     """Share of the requests whose callers disconnect before the deadline."""
+    takes_up: bool = False
+    """Whether questions that break off are taken up at any daemon."""
     sent: list = field(default_factory=list)
     _stopping: threading.Event = field(default_factory=threading.Event)
     _thread: threading.Thread | None = None
@@ -67,6 +71,25 @@
                 rng = random.Random(self.rng.getrandbits(64))
                 tasks.start_soon(self._call, rng)
 
+    async def _take_up(self, caller, rng, target, broken):
+        """Take a stream up that broke off behind an event."""
+        behind = int(last_event_id(broken.body) or 0)
+        if broken.is_whole or broken.status != 200 or not behind:
+            return
+        entry = rng.choice(self.entries)
+        answer = await caller.resume(
+            broken, entry, target, headers=PROMPT, body=b'brief'
+        )
+        self.sent.append(
+            Sent(
+                target=target,
+                key=caller.key,
+                answer=answer,
+                entry=entry,
+                behind=behind,
+            )
+        )
+
     async def _call(self, rng):
         caller = StandInCaller(
             network=TcpNetwork(), patience_s=self.patience_s, rng=rng
@@ -102,5 +125,7 @@
                     has_left=leaves and answer.problem == STOPPED_WAITING,
                 )
             )
+            if self.takes_up and target.startswith('/question/'):
+                await self._take_up(caller, rng, target, answer)
             await anyio.sleep(rng.uniform(0.01, self.longest_pause_s))
         await caller.channels.close()
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -1,9 +1,11 @@
 """Promises checked from what callers and the platform saw in a soak."""
 
 from collections import defaultdict
+from types import SimpleNamespace
 
 from mimosamux_standins.site.replica import render_event, sign
 
+from tests.support.site_checks import find_joined_versions
 from tests.support.soak_callers import KEYS, REVOKED_KEY, STREAM_TARGETS
 
 PROMISES = (408, 421, 429, 503)
@@ -40,6 +42,10 @@
     for sent in record.sent:
         problems += _check_answer(record, sent, runs_by_id[sent.answer.id])
         problems += _check_wait(record, sent, arrivals_by_id[sent.answer.id])
+    runs = [SimpleNamespace(**run) for run in record.seen['runs']]
+    if all('version' in run for run in record.seen['runs']):
+        runs.sort(key=lambda run: run.began_at)
+        problems += find_joined_versions(runs)
     return [*problems, *_check_duties(record.seen['duty_calls'])]
 
 
@@ -69,7 +75,7 @@
     if answer.status != 200:
         return
     if sent.target.startswith(STREAM_TARGETS):
-        yield from _check_events(answer)
+        yield from _check_events(answer, sent.behind)
     elif answer.is_whole:
         yield from _check_proof(record, answer)
 
@@ -113,10 +119,11 @@
     )
 
 
-def _check_events(answer):
+def _check_events(answer, behind):
     count = answer.body.count(b'\n\n')
     expected = b''.join(
-        render_event(answer.id, number) for number in range(1, EVENTS + 1)
+        render_event(answer.id, number)
+        for number in range(behind + 1, EVENTS + 1)
     )
     if answer.is_whole and answer.body != expected:
         yield f'{answer.id} got {count} of {EVENTS} events as whole'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -38,6 +38,13 @@
         answered = [each for each in record.sent if each.answer.status == 200]
         self.assertGreater(len(answered), 20)
 
+    # Guards against a stream that goes on at another software version.
+    def test_no_promise_is_broken_where_two_versions_serve(self):
+        record = play(SEED, seconds=SECONDS, has_versions=True)
+        self.assertEqual(find_problems(record), [], record.log)
+        versions = {run['version'] for run in record.seen['runs']}
+        self.assertEqual(versions, {'v1', 'v2'})
+
     def test_no_promise_is_broken_at_a_site_with_relays(self):
         """Requests wait for engines while daemons and the store fail.
 
@@ -140,6 +147,17 @@
         record = record_of('/draft/1', answer, [run_of('/draft/1')])
         self.assert_seen('as whole', record)
 
+    def test_stream_that_goes_on_at_another_version(self):
+        began = run_of(
+            '/question/1', version='v1', resumes='', resumed_behind=0
+        )
+        resumed = run_of(
+            '/question/1', 'b2', version='v2', resumes='a1', resumed_behind=3
+        )
+        runs = [began | {'began_at': 1.0}, resumed | {'began_at': 2.0}]
+        record = record_of('/question/1', answer_to(status=502), runs)
+        self.assert_seen('a1 of v1 goes on at v2', record)
+
     def test_success_that_no_replica_made(self):
         record = record_of('/slip/1', answer_to(), [run_of('/slip/1')])
         self.assert_seen('no replica made', record)
