--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -144,6 +144,8 @@
     """Paths of requests that end its process once it runs them."""
     crash_after_s: float = 0.0
     """How long such a request runs before that."""
+    crash_parts: set[str] = field(default_factory=set)
+    """Prompt parts that end its process once it begins to write an answer."""
     on_crash: Callable[['StandInReplica', Run], None] = lambda *_: None
     """Ends the process."""
     says_leaving: bool = False
@@ -353,6 +355,9 @@
             (b'X-Weight-Versions', b'1'),
         )
         await reply.start(200, headers)
+        if self.crash_parts.intersection(_shared_parts(incoming)):
+            self.on_crash(self, run)
+            await anyio.sleep_forever()
         for number in range(run.resumed_behind + 1, self.speed.events + 1):
             await anyio.sleep(self.speed.event_s)
             await self._stand_still()
@@ -470,6 +475,13 @@
         return report
 
 
+def _shared_parts(incoming: IncomingRequest) -> list[str]:
+    """Return the parts of a prompt, without the one of its own."""
+    value = find_value(incoming.head.headers, b'x-prompt-prefix') or b''
+    parts = value.decode().split(',')
+    return [entry.partition(':')[0].strip() for entry in parts[:-1]]
+
+
 def sign(replica: str, request: str, body: bytes) -> bytes:
     """Return the proof that a replica gave an answer to a request."""
     digest = hashlib.sha256(f'{replica} {request} '.encode() + body)
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -27,6 +27,8 @@
 
     site: PlatformSite
     targets: set = field(default_factory=set)
+    parts: set = field(default_factory=set)
+    """Prompt parts that crash what begins to write an answer on them."""
     crash_after_s: float = 0.02
     """Less than any answer takes: one that was whole clears a suspect."""
     crashes: list = field(default_factory=list)
@@ -36,6 +38,7 @@
         """Have these endpoints crash under the requests in question."""
         for replica in replicas or tuple(self.site.replicas_by_id.values()):
             replica.crash_targets = self.targets
+            replica.crash_parts = self.parts
             replica.crash_after_s = self.crash_after_s
             replica.on_crash = self.take_crash
 
