Gateway: parts of prompts are suspects as contents are

The part of the prompt that they share was not looked at.

The one set of suspects now holds parts as well, by model and id: all but the last one of a prompt, eight at most. Exchange, rows, probes, withdrawal and release are the same. A crash accuses the parts of requests whose answer has not begun or began within the last second. A whole run clears them; an error answer does not, which could clear a content before. Crashes that a held content explains do not count against the parts that were there with it. A part is held for half an hour at most, since many requests wait for its probe.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/names.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/names.py
@@ -5,7 +5,7 @@
 AccountId = NewType('AccountId', str)
 ClassName = NewType('ClassName', str)
 ContentKey = NewType('ContentKey', str)
-"""Digest of a request's content."""
+"""Digest of a request's content, or of a part of its prompt."""
 DaemonId = NewType('DaemonId', str)
 DataCentreName = NewType('DataCentreName', str)
 EndpointId = NewType('EndpointId', str)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -11,6 +11,7 @@
 from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
     RequestDispatcher,
@@ -42,6 +43,10 @@
 """The same limit as a multiple of the estimated time to the first event; the
 later of the two limits applies."""
 
+PART_CRASH_S = 1.0
+"""Time from the first event within which a part of the prompt crashes an
+endpoint, if it does."""
+
 
 @dataclass(kw_only=True, slots=True)
 class Attempt:
@@ -59,6 +64,7 @@
     """Software that it was sent to, whatever the list shows later."""
     has_first_event: bool = False
     """Whether the prompt is prefilled, as the first event shows."""
+    first_event_at: float | None = None
     is_result_counted: bool = False
     """Whether the result was counted for the endpoint's health."""
     time_to_first_event_s: float | None = None
@@ -194,9 +200,22 @@
         self.note_result(failed=True)
         self._log('call_broken', reason=reason)
         self.recorder.crash_detector.note_broken_answer(
-            self.job.content, self.choice.record
+            self.find_suspects(), self.choice.record
         )
 
+    def find_suspects(self) -> tuple[ContentKey, ...]:
+        """Return the keys of what may have crashed the endpoint, if it has.
+
+        A part of a prompt crashes it when the answer begins. Accused later,
+        parts of long answers would collect the crashes that others cause.
+        """
+        began_at = self.first_event_at
+        if began_at is None:
+            return self.job.suspect_keys
+        if self.recorder.clock() - began_at < PART_CRASH_S:
+            return self.job.suspect_keys
+        return (self.job.content,)
+
     def note_silent(self) -> None:
         """Record that the endpoint is abandoned because it did not answer."""
         self.note_result(failed=True)
@@ -229,8 +248,9 @@
         self.has_first_event = True
         self.job.origin = self.job.origin or self.origin
         choice, prompt = self.choice, self.job.request.prompt
+        self.first_event_at = self.recorder.clock()
         took_s = self.time_to_first_event_s = (
-            self.recorder.clock() - self.sent_at
+            self.first_event_at - self.sent_at
         )
         self.recorder.metrics.first_event_s.observe(
             {'service': self.job.service.name}, took_s
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/content_keys.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/content_keys.py
@@ -1,17 +1,22 @@
-"""Content keys: hashes that identify requests with the same content.
+"""Keys of what may crash an endpoint: contents, and parts of prompts.
 
 A caller that repeats a request does so under a new request id. The content
-that an endpoint works on, and the account, stay the same.
+that an endpoint works on, and the account, stay the same. Other requests share
+parts of its prompt, and nothing else.
 """
 
 import hashlib
 
-from mimosamux_daemon.domain.gateway import GatewayRequest
+from mimosamux_daemon.domain.gateway import GatewayRequest, PromptInfo
 from mimosamux_daemon.domain.names import AccountId, ContentKey
 
 KEY_BYTES = 16
 """Digest size, large enough to make collisions infeasible to find."""
 LENGTH_PREFIX_BYTES = 8
+PART_PREFIX = 'part-'
+MAX_PARTS = 8
+"""Shared parts of a prompt that are told apart, the last ones: a crash may
+break as many requests as an endpoint has slots."""
 
 
 def find_content_key(
@@ -22,14 +27,34 @@
     Each part is prefixed by its length, so that a caller cannot make other
     parts hash alike by moving the boundary between two of them.
     """
-    digest = hashlib.blake2b(digest_size=KEY_BYTES)
-    for part in (
+    return _hash(
         request.head.method,
         request.host.encode(),
         request.head.target,
         b'' if account is None else account.encode(),
         request.body,
-    ):
+    )
+
+
+def find_part_keys(prompt: PromptInfo | None) -> dict[ContentKey, str]:
+    """Return the ids of a prompt's shared parts by their keys.
+
+    Without the last part, which no other request has. The model counts: what
+    crashes one may be harmless to another.
+    """
+    if prompt is None:
+        return {}
+    model = prompt.model.encode()
+    return {
+        ContentKey(PART_PREFIX + _hash(model, part.id.encode())): part.id
+        for part in prompt.parts[:-1][-MAX_PARTS:]
+    }
+
+
+def _hash(*parts: bytes) -> ContentKey:
+    """Return the hash of byte strings, each prefixed by its length."""
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    for part in parts:
         digest.update(len(part).to_bytes(LENGTH_PREFIX_BYTES, 'big'))
         digest.update(part)
     return ContentKey(digest.hexdigest())
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_detector.py
@@ -5,7 +5,7 @@
 at the endpoint and the endpoint was not announced as leaving.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import anyio
@@ -54,19 +54,22 @@
     _has_work: anyio.Event = field(default_factory=anyio.Event)
 
     def note_broken_answer(
-        self, content: ContentKey, record: EndpointRecord
+        self, contents: Collection[ContentKey], record: EndpointRecord
     ) -> None:
-        """Record that an answer of an endpoint broke off."""
+        """Record that an answer of an endpoint broke off.
+
+        `contents` are the keys of all that may have caused it.
+        """
         if record.is_leaving:
             return
         if record.has_crashed:
-            self.exchange.report_crash(_incarnation_of(record), (content,))
+            self.exchange.report_crash(_incarnation_of(record), contents)
             return
-        contents = self._contents_by_record.setdefault(record, set())
-        contents.add(content)
-        if len(contents) == 1:
+        if record not in self._contents_by_record:
+            self._contents_by_record[record] = set()
             self._unchecked.append(record)
             self._has_work.set()
+        self._contents_by_record[record].update(contents)
 
     def note_answer(self, record: EndpointRecord) -> None:
         """Record an answer, which disproves an earlier crash.
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_quarantine.py
@@ -7,6 +7,7 @@
 from mimosamux_daemon.gateway.crash_exchange import CrashExchange
 from mimosamux_daemon.gateway.crash_probes import CrashProbes
 from mimosamux_daemon.gateway.crash_suspects import CrashSuspects, join_ids
+from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.logs import get_log
 
 log = get_log('crash_quarantine')
@@ -18,58 +19,71 @@
 
 @dataclass(kw_only=True, slots=True)
 class CrashQuarantine:
-    """Decides whether a content may be sent, and sent again."""
+    """Decides whether a request may be sent, and sent again.
+
+    A request is quarantined if its content is, or a part of its prompt.
+    """
 
     suspects: CrashSuspects
     probes: CrashProbes
     exchange: CrashExchange
 
-    def find_refusal(self, content: ContentKey) -> Refused | None:
+    def find_refusal(self, job: Job) -> Refused | None:
         """Return the refusal of a new request, None if it may be sent."""
-        left_s = self.suspects.quarantine_left_s(content)
-        if left_s <= 0 and not self.suspects.is_probe_due(content):
-            return None
-        if left_s <= 0:
-            if self.probes.begin(content):
-                log.info('content_tried', content=content)
-                return None
-            left_s = PROBE_RETRY_S
-        crashed = sorted(self.suspects.by_content[content].crashed)
+        for key in job.suspect_keys:
+            left_s = self.suspects.quarantine_left_s(key)
+            if left_s > 0:
+                return self._refuse(job, key, left_s)
+        for key in job.suspect_keys:
+            if not self.suspects.is_probe_due(key):
+                continue
+            if not self.probes.begin(key):
+                return self._refuse(job, key, PROBE_RETRY_S)
+            log.info('content_tried', content=key, request=job.request.id)
+        return None
+
+    def _refuse(self, job: Job, key: ContentKey, left_s: float) -> Refused:
+        crashed = sorted(self.suspects.by_content[key].crashed)
+        part_id = job.part_id_by_key.get(key)
+        what = 'content' if part_id is None else f'prompt part {part_id},'
         return Refused(
             reason=Reason.CRASHES_ENDPOINTS,
             message=(
-                f'{len(crashed)} endpoints crashed under content {content}, '
+                f'{len(crashed)} endpoints crashed under {what} {key}, '
                 f'which has not run whole since: {join_ids(crashed)}'
             ),
             retry_after_s=left_s,
         )
 
-    def is_suspected(self, content: ContentKey) -> bool:
-        """Whether any endpoint crashed while running a content."""
-        return self.suspects.crashes(content) > 0
+    def is_suspected(self, job: Job) -> bool:
+        """Whether any endpoint crashed while running what a request holds."""
+        return any(map(self.suspects.crashes, job.suspect_keys))
 
-    def is_quarantined(self, content: ContentKey) -> bool:
-        """Whether a content is quarantined at the moment."""
-        return self.suspects.quarantine_left_s(content) > 0
+    def is_quarantined(self, job: Job) -> bool:
+        """Whether a request is quarantined at the moment."""
+        return any(map(self.suspects.quarantine_left_s, job.suspect_keys))
 
-    def may_retry(self, content: ContentKey, *, was_not_run: bool) -> bool:
+    def may_retry(self, job: Job, *, was_not_run: bool) -> bool:
         """Whether a failed request may be sent to another endpoint.
 
         One that has run and failed just now may have crashed its endpoint,
         which is detected only a moment later.
         """
-        if self.is_quarantined(content):
+        if self.is_quarantined(job):
             return False
-        return was_not_run or self.suspects.may_retry(content)
+        return was_not_run or all(
+            map(self.suspects.may_retry, job.suspect_keys)
+        )
 
-    def note_completion(self, content: ContentKey) -> None:
-        """Record that a content ran from start to end at one endpoint.
+    def note_completion(self, job: Job) -> None:
+        """Record that a request ran from start to end at one endpoint.
 
         A stream that was resumed after an endpoint crashed does not count:
         it may crash each endpoint a few events further on and still complete.
         """
-        if self.suspects.note_completion(content):
-            self.exchange.announce_cleared(content, source='a whole run')
+        for key in job.suspect_keys:
+            if self.suspects.note_completion(key):
+                self.exchange.announce_cleared(key, source='a whole run')
 
     def release(self, content: ContentKey) -> bool:
         """Clear a content for an operator; False if it is not suspected."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
@@ -1,18 +1,24 @@
 """Tracks which requests are suspected of crashing endpoints.
 
-Requests are identified by their content key. When an endpoint crashes, every
+Requests are identified by their content key and by the keys of the parts that
+their prompts share with others. When an endpoint crashes, every
 content that was running there becomes a suspect, the cause and bystanders
 alike. A bystander later runs to completion elsewhere, which clears it; the
 cause never does. A content that was present at several crashes without a
 complete run since is quarantined: its requests are refused. The quarantine
 grows exponentially with each further crash. When it ends, one probe request
 is sent.
+
+A part of a prompt is held for crashes that no content explains: where one
+request crashes endpoints each time it is repeated, its parts were there each
+time as well, and other requests that share them are sound.
 """
 
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from mimosamux_daemon.domain.names import ContentKey, EndpointId
+from mimosamux_daemon.gateway.content_keys import PART_PREFIX
 
 QUARANTINE_CRASHES = 3
 """Crashes from which on a content is quarantined. Two would not do: where
@@ -22,6 +28,8 @@
 QUARANTINE_FACTOR = 8.0
 """Factor by which each further crash extends the quarantine."""
 MAX_QUARANTINE_S = 86_400.0
+MAX_PART_QUARANTINE_S = 1800.0
+"""A part is shared by many requests, which wait for its probe."""
 MAX_EXPONENT = 8
 """Largest exponent of `QUARANTINE_FACTOR`."""
 COMPLETION_VALID_S = 5.0
@@ -76,6 +84,11 @@
     last_crash_at: float
     """Time of the last crash in seconds, on the monotonic clock."""
 
+    @property
+    def is_part(self) -> bool:
+        """Whether it is a part of prompts, and not a whole content."""
+        return self.content.startswith(PART_PREFIX)
+
     @property
     def quarantine_s(self) -> float:
         """Return the length of the quarantine after the last crash."""
@@ -84,9 +97,8 @@
             return 0.0
         # An unbounded exponent would overflow the power.
         exponent = min(further_crashes, MAX_EXPONENT)
-        return min(
-            FIRST_QUARANTINE_S * QUARANTINE_FACTOR**exponent, MAX_QUARANTINE_S
-        )
+        longest_s = MAX_PART_QUARANTINE_S if self.is_part else MAX_QUARANTINE_S
+        return min(FIRST_QUARANTINE_S * QUARANTINE_FACTOR**exponent, longest_s)
 
     def merge(self, other: 'Suspect') -> 'Suspect':
         """Return the union of both records of the same content."""
@@ -119,7 +131,9 @@
         if not crashed:
             return False
         suspect = replace(suspect, crashed=crashed)
-        stored = self._find(suspect.content)
+        stored = self.by_content.get(suspect.content)
+        if stored is not None and self.is_expired(stored):
+            stored = None
         merged = suspect if stored is None else stored.merge(suspect)
         if stored is not None and merged.crashed == stored.crashed:
             return False
@@ -212,13 +226,26 @@
     def quarantined(self) -> Iterator[Suspect]:
         """Yield the suspects that are in quarantine."""
         now = self._clock()
-        for suspect in self.by_content.values():
+        for suspect in map(self._without_explained, self.by_content.values()):
             if suspect.last_crash_at + suspect.quarantine_s > now:
                 yield suspect
 
     def _find(self, content: ContentKey) -> Suspect | None:
+        """Return a suspect with the crashes that count against it."""
         suspect = self.by_content.get(content)
-        return None if suspect is None or self.is_expired(suspect) else suspect
+        if suspect is None or self.is_expired(suspect):
+            return None
+        return self._without_explained(suspect)
+
+    def _without_explained(self, suspect: Suspect) -> Suspect:
+        """Return a part without the crashes that a content explains."""
+        if not suspect.is_part or len(suspect.crashed) < QUARANTINE_CRASHES:
+            return suspect
+        explained: set[EndpointIncarnation] = set()
+        for other in self.by_content.values():
+            if not other.is_part and other.quarantine_s > 0:
+                explained |= other.crashed
+        return replace(suspect, crashed=suspect.crashed - explained)
 
     def is_expired(self, suspect: Suspect) -> bool:
         """Whether the last crash is too old for suspicion."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -130,8 +130,8 @@
             return job
         job.caller = caller
         outcome = await self._run_unless_quarantined(job, caller, lag_s)
-        if isinstance(outcome, Delivered) and not job.is_resumed:
-            self.quarantine.note_completion(job.content)
+        if is_whole_run(job, outcome):
+            self.quarantine.note_completion(job)
         if isinstance(outcome, Refused) or not job.may_have_run:
             self.admission.refund_cap(job)
         self.outcomes.log_outcome(job, outcome)
@@ -141,7 +141,7 @@
         self, job: Job, caller: Caller, lag_s: float
     ) -> GatewayOutcome:
         """Run a job unless its content is quarantined after crashes."""
-        refusal = self.quarantine.find_refusal(job.content)
+        refusal = self.quarantine.find_refusal(job)
         refusal = refusal or await self.resumption.bind(job)
         if refusal is not None:
             return refusal
@@ -271,8 +271,7 @@
                 job.service.name, job.route.name
             ),
             excluding=job.tried,
-            is_spread=job.has_broken_off
-            or self.quarantine.is_suspected(job.content),
+            is_spread=job.has_broken_off or self.quarantine.is_suspected(job),
             origin=job.origin,
         )
 
@@ -374,7 +373,7 @@
         if not isinstance(ended, CallBroken):
             attempt.note_result(failed=False)
             return ended
-        is_quarantined = self.quarantine.is_quarantined(job.content)
+        is_quarantined = self.quarantine.is_quarantined(job)
         if job.last_event_id is not None and not is_quarantined:
             copy = await self.evacuation.claim_copy(stream)
             if copy is not None:
@@ -424,9 +423,7 @@
             return False
         if job.sends >= job.route.max_attempts:
             return False
-        if not self.quarantine.may_retry(
-            job.content, was_not_run=is_proven_not_run
-        ):
+        if not self.quarantine.may_retry(job, was_not_run=is_proven_not_run):
             return False
         if not self._has_alternative(job):
             return False
@@ -454,6 +451,19 @@
         )
 
 
+def is_whole_run(job: Job, outcome: GatewayOutcome) -> bool:
+    """Whether a request ran from start to end at one endpoint.
+
+    An error answer is no such run: the endpoint may have made it before it
+    began to work.
+    """
+    return (
+        isinstance(outcome, Delivered)
+        and outcome.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        and not job.is_resumed
+    )
+
+
 def _failure_after_send(job: Job, reason: str) -> GatewayOutcome:
     """Return the outcome of a request that failed and may have run."""
     if job.sink.is_started:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -17,7 +17,10 @@
     ServiceEntry,
 )
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
-from mimosamux_daemon.gateway.content_keys import find_content_key
+from mimosamux_daemon.gateway.content_keys import (
+    find_content_key,
+    find_part_keys,
+)
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import ResumePoint
 
@@ -67,10 +70,18 @@
     """Endpoint that holds the copy."""
     content: ContentKey = field(init=False)
     """Key of its content; repeated requests of an account share it."""
+    part_id_by_key: dict[ContentKey, str] = field(init=False)
+    """Parts of its prompt that other requests share."""
 
     def __post_init__(self) -> None:
         account = None if self.account is None else self.account.id
         self.content = find_content_key(self.request, account)
+        self.part_id_by_key = find_part_keys(self.request.prompt)
+
+    @property
+    def suspect_keys(self) -> tuple[ContentKey, ...]:
+        """Return the keys of all that may crash its endpoint."""
+        return (self.content, *self.part_id_by_key)
 
     @property
     def is_stream(self) -> bool:
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -1,8 +1,18 @@
 """Prompt parts that crash the engines that write an answer on them."""
 
 import unittest
+from types import SimpleNamespace
 
 import anyio
+from mimosamux_daemon.domain.gateway import Delivered, PromptInfo, PromptPart
+from mimosamux_daemon.gateway.attempts import Attempt
+from mimosamux_daemon.gateway.content_keys import find_part_keys
+from mimosamux_daemon.gateway.crash_suspects import (
+    CrashSuspects,
+    EndpointIncarnation,
+    Suspect,
+)
+from mimosamux_daemon.gateway.forwarding import is_whole_run
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.clock import run_paused
@@ -146,9 +156,86 @@
     def test_daemons_hold_a_part_back_while_the_table_is_away(self):
         async def silence(site):
             site.store.trouble = StoreTrouble.SILENT
+            await anyio.sleep(4.0)
+            site.store.trouble = StoreTrouble.NONE
 
         self.check_play(beside=silence)
 
 
+class TestAccused(unittest.TestCase):
+    # Guards against crashes that are put down to sound parts.
+
+    def setUp(self):
+        self.now = 0.0
+        self.suspects = CrashSuspects(clock=lambda: self.now)
+
+    def crash(self, number, *contents):
+        for content in contents:
+            self.suspects.add(
+                Suspect(
+                    content=content,
+                    crashed=frozenset({EndpointIncarnation(id=f'i-{number}')}),
+                    last_crash_at=self.now,
+                )
+            )
+
+    def held(self):
+        return [each.content for each in self.suspects.quarantined()]
+
+    def test_part_is_held_for_crashes_of_several_contents(self):
+        for number in range(3):
+            self.crash(number, f'content-{number}', 'part-a')
+        self.assertEqual(self.held(), ['part-a'])
+
+    def test_part_of_one_crashing_content_is_not_held(self):
+        for number in range(5):
+            self.crash(number, 'content', 'part-a')
+        self.assertEqual(self.held(), ['content'])
+        self.suspects.clear('content')
+        self.assertEqual(self.held(), ['part-a'])
+
+    def test_error_answer_and_resumed_stream_clear_nothing(self):
+        for status, is_resumed, is_whole in (
+            (200, False, True),
+            (200, True, False),
+            (500, False, False),
+        ):
+            job = SimpleNamespace(is_resumed=is_resumed)
+            outcome = Delivered(status=status)
+            self.assertEqual(is_whole_run(job, outcome), is_whole)
+
+    def test_part_that_keeps_crashing_is_probed_within_half_an_hour(self):
+        for number in range(9):
+            self.crash(number, f'content-{number}', 'part-a')
+        self.assertEqual(self.suspects.quarantine_left_s('part-a'), 1800.0)
+
+    def test_own_part_and_distant_parts_of_a_prompt_have_no_key(self):
+        parts = tuple(PromptPart(id=f'p{n}', tokens=1) for n in range(20))
+        ids = find_part_keys(PromptInfo(model='m', parts=parts)).values()
+        self.assertEqual(list(ids), [f'p{n}' for n in range(11, 19)])
+        other = find_part_keys(PromptInfo(model='n', parts=parts))
+        self.assertFalse(
+            other.keys() & find_part_keys(PromptInfo(parts=parts))
+        )
+
+    def test_parts_of_an_answer_well_under_way_are_not_accused(self):
+        listed = SimpleNamespace(service='llm', software='v1')
+        job = SimpleNamespace(content='c', suspect_keys=('c', 'part-a'))
+        attempt = Attempt(
+            job=job,
+            choice=SimpleNamespace(record=SimpleNamespace(listed=listed)),
+            sent_at=0.0,
+            may_have_run_before=False,
+            silence_deadline=1.0,
+            recorder=SimpleNamespace(clock=lambda: self.now),
+        )
+        accused = []
+        for began_at in (None, 9.5, 8.9):
+            self.now, attempt.first_event_at = 10.0, began_at
+            accused.append(attempt.find_suspects())
+        both = ('c', 'part-a')
+        self.assertEqual(accused, [both, both, ('c',)])
+
+
 if __name__ == '__main__':
     unittest.main()
