Gateway: answers without an end are bounded

A faulty server may send bytes that are no answer until the caller closes. Heads were bounded (16 KB); a body of undeclared length was read for the whole time limit and passed on behind its first MB, and an event that does not end was buffered without bound, each part copying all before it.

What was passed on never looks complete.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -31,6 +31,12 @@
 """Share of a stated idle limit that is made use of; the rest is for the
 way of a request and for clocks that run differently."""
 KEEP_ALIVE = b'keep-alive'
+CONTENT_LENGTH = b'content-length'
+MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
+"""Largest body of an answer that does not declare its length: a faulty server
+may send bytes without end."""
+MAX_INFORMATIONAL = 16
+"""Informational responses that may come before an answer."""
 
 BROKEN = (
     OSError,
@@ -75,6 +81,10 @@
         self._unsent = b''
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = anyio.current_time()
+        self._is_declared = False
+        """Whether the head of the answer states the length of its body."""
+        self._undeclared_left = 0
+        """Bytes that the body may still have if it does not."""
 
     async def send(
         self, head: RequestHead, body: bytes
@@ -124,12 +134,14 @@
 
     async def receive_head(self) -> AnswerHead | ChannelBroken:
         """Return the start of the next answer."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL):
             event = await self._next_event()
             if isinstance(event, ChannelBroken):
                 return event
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
+                self._undeclared_left = MAX_UNDECLARED_BYTES
+                self._is_declared = _declares_length(event)
                 return AnswerHead(
                     status=event.status_code,
                     headers=tuple(event.headers.raw_items()),
@@ -137,6 +149,7 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             return ChannelBroken(reason='closed before an answer')
+        return ChannelBroken(reason='informational responses without end')
 
     async def receive_body(self) -> bytes | None | ChannelBroken:
         """Return the next part of the body, None behind its end."""
@@ -144,12 +157,26 @@
         if isinstance(event, ChannelBroken):
             return event
         if isinstance(event, h11.Data):
+            self._undeclared_left -= len(event.data)
+            if self._undeclared_left < 0 and not self._is_declared:
+                return ChannelBroken(reason='a body without end')
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             self._idle_since = anyio.current_time()
             return None
         return ChannelBroken(reason='closed within an answer')
 
+    async def receive_whole_body(self, limit: int) -> bytes | ChannelBroken:
+        """Return a whole body of at most `limit` bytes."""
+        body = bytearray()
+        while (part := await self.receive_body()) is not None:
+            if isinstance(part, ChannelBroken):
+                return part
+            body += part
+            if len(body) > limit:
+                return ChannelBroken(reason=f'over {limit} bytes')
+        return bytes(body)
+
     def expect_another(self) -> bool:
         """Go on to the next answer to the request that was sent.
 
@@ -253,6 +280,11 @@
                 self._idle_limit_s = int(number) * IDLE_SHARE
 
 
+def _declares_length(answer: h11.Response) -> bool:
+    """Whether an answer states the length of its body."""
+    return find_value(tuple(answer.headers), CONTENT_LENGTH) is not None
+
+
 def describe(error: Exception) -> str:
     """Return the type of an error and what it says."""
     return f'{type(error).__name__} {error}'.strip()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
@@ -127,6 +127,8 @@
         if part is None:
             break
         events = splitter.feed(part)
+        if splitter.is_too_long:
+            return CallBroken(reason='an event without end')
         if events is None:
             continue
         if not attempt.has_first_event:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/events.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/events.py
@@ -5,6 +5,8 @@
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
 ID_LINE = b'\n' + ID_FIELD
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event; a faulty endpoint may send one that does not end."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,6 +35,11 @@
         """Whether the beginning of an event is buffered."""
         return bool(self._partial)
 
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the event that is buffered exceeds `MAX_EVENT_BYTES`."""
+        return len(self._partial) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> CompleteEvents | None:
         """Add data; return the events that it completes, None if none."""
         data = self._partial + data
--- a/packages/mimosamux-standins/mimosamux_standins/site/__init__.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/__init__.py
@@ -9,6 +9,7 @@
 from mimosamux_standins.site.documents import SiteDocument
 from mimosamux_standins.site.replica import (
     Fault,
+    Framing,
     MoveFault,
     ReplicaSpeed,
     StandInReplica,
@@ -18,6 +19,7 @@
 __all__ = [
     'CallerAnswer',
     'Fault',
+    'Framing',
     'MoveFault',
     'ReplicaSpeed',
     'SiteDocument',
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -2,17 +2,20 @@
 
 import hashlib
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
 import anyio
 import orjson
+from mimosamux_daemon.adapters.http1_channel import BROKEN
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.domain.http_messages import RawHeaders, find_value
 
 EVENT_BYTES = 24
 KV_HANDLE = '/api/kv-handle/'
+ENDLESS_BYTES = 16 * 1024
+ENDLESS_PAUSE_S = 0.001
 
 
 class Fault(Enum):
@@ -33,6 +36,18 @@
     """Turns requests down, as if it were full."""
 
 
+class Framing(Enum):
+    """How a replica marks the end of its answers."""
+
+    USUAL = auto()
+    UNFRAMED = auto()
+    """With neither a length nor chunks, by the end of the connection."""
+    ENDLESS_HEAD = auto()
+    ENDLESS_BODY = auto()
+    ENDLESS_EVENT = auto()
+    """An event that does not end follows the first ones."""
+
+
 class MoveFault(Enum):
     """What becomes of one call that copies or moves a run."""
 
@@ -112,6 +127,7 @@
     queue: int = 24
     speed: ReplicaSpeed = field(default_factory=ReplicaSpeed)
     fault: Fault = Fault.NONE
+    framing: Framing = Framing.USUAL
     is_reclaimable: bool = False
     version: str = 'v1'
     cold_ms: int = 0
@@ -195,7 +211,11 @@
         """Answer one request."""
         await self._stand_still()
         target = incoming.head.target.decode('latin-1')
-        if target == '/healthz':
+        if self.framing is Framing.ENDLESS_HEAD:
+            await _send_endless(reply, b'HTTP/1.1 200 OK\r\nX-Rest: ')
+        elif self.framing is Framing.ENDLESS_BODY:
+            await _send_endless(reply, b'HTTP/1.1 200 OK\r\n\r\n')
+        elif target == '/healthz':
             is_well = self.state == 'ready'
             headers = ((b'X-Replica-Id', self.id.encode()),)
             await reply.answer(200 if is_well else 503, headers)
@@ -331,6 +351,11 @@
             )
             return
         status = 500 if self.fault is Fault.ERROR else 200
+        if self.framing is Framing.UNFRAMED:
+            head = _render_unframed(self._headers(run, body))
+            await reply.connection.send(head + body)
+            await reply.connection.aclose()
+            return
         await reply.answer(status, self._headers(run, body), body)
         if self.fault is Fault.EXTRA:
             await reply.connection.send(
@@ -354,13 +379,32 @@
             (b'Content-Type', b'text/event-stream'),
             (b'X-Weight-Versions', b'1'),
         )
+        if self.framing is Framing.UNFRAMED:
+            await self._send_unframed_stream(reply, run, headers)
+            return
         await reply.start(200, headers)
         if self.crash_parts.intersection(_shared_parts(incoming)):
             self.on_crash(self, run)
             await anyio.sleep_forever()
+        await self._send_events(reply, run)
+
+    async def _send_unframed_stream(
+        self, reply: Reply, run: Run, headers: RawHeaders
+    ) -> None:
+        await reply.connection.send(_render_unframed(headers))
+        for number in range(run.resumed_behind + 1, self.speed.events + 1):
+            await anyio.sleep(self.speed.event_s)
+            run.events = number
+            await reply.connection.send(render_event(run.id, number))
+        await reply.connection.aclose()
+
+    async def _send_events(self, reply: Reply, run: Run) -> None:
         for number in range(run.resumed_behind + 1, self.speed.events + 1):
             await anyio.sleep(self.speed.event_s)
             await self._stand_still()
+            if self.framing is Framing.ENDLESS_EVENT and number > 2:
+                await _write_endless(reply)
+                return
             run.events = number
             event = render_event(run.id, number)
             if self.fault is Fault.CUT and number > self.speed.events // 2:
@@ -475,6 +519,29 @@
         return report
 
 
+def _render_unframed(headers: RawHeaders) -> bytes:
+    """Return the head of an answer that ends with its connection."""
+    lines = [b'%s: %s' % header for header in headers]
+    return b'\r\n'.join((b'HTTP/1.1 200 OK', *lines, b'', b''))
+
+
+async def _write_endless(reply: Reply) -> None:
+    """Write parts of a body until the other side closes the connection."""
+    while True:
+        if not await reply.write(b'x' * ENDLESS_BYTES):
+            return
+        await anyio.sleep(ENDLESS_PAUSE_S)
+
+
+async def _send_endless(reply: Reply, head: bytes) -> None:
+    """Send bytes until the other side closes the connection."""
+    with suppress(*BROKEN):
+        await reply.connection.send(head)
+        while True:
+            await reply.connection.send(b'x' * ENDLESS_BYTES)
+            await anyio.sleep(ENDLESS_PAUSE_S)
+
+
 def _shared_parts(incoming: IncomingRequest) -> list[str]:
     """Return the parts of a prompt, without the one of its own."""
     value = find_value(incoming.head.headers, b'x-prompt-prefix') or b''
