Gateway: an endpoint that a peer saw crash is avoided by all

Each daemon found a dead endpoint by failed connects of its own, and a request is given up after four of them: beside crashing requests, sound ones were refused with no_endpoint while other endpoints were up. The word of a crash, which daemons tell each other anyway, now pauses the endpoint for 2 s at each of them.

The test fails on the code before (three daemons of three did not avoid it). A pause of 4 s kept a crash that was none from being withdrawn (test_cuts_that_refuse_connections_are_no_crashes); with 2 s that test passes as it is.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
@@ -4,7 +4,7 @@
 cleared and the crashes that are withdrawn.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from mimosamux_wire import (
@@ -14,7 +14,7 @@
     SuspectTold,
 )
 
-from mimosamux_daemon.domain.names import ContentKey, DaemonId
+from mimosamux_daemon.domain.names import ContentKey, DaemonId, EndpointId
 from mimosamux_daemon.gateway.crash_suspects import (
     CrashSuspects,
     EndpointIncarnation,
@@ -31,6 +31,8 @@
 MS_PER_S = 1000
 SUSPECTS_PER_MESSAGE = 256
 """Largest number of suspects in one message."""
+RECENT_MS = 2000
+"""Age of a crash up to which its endpoint may still be listed as ready."""
 LOCAL = 'own'
 """Log value for what this daemon detected itself."""
 
@@ -45,6 +47,10 @@
     states: PeerStates
     peers: PeerLinks
     clock: Callable[[], float]
+    on_crashed: list[Callable[[EndpointId, int], None]] = field(
+        default_factory=list
+    )
+    """Called with the id and incarnation of each endpoint that crashed."""
     on_suspected: list[Listener] = field(default_factory=list)
     """Called with each content whose crashes changed because this daemon
     detected a crash, or because a crash was withdrawn."""
@@ -61,6 +67,7 @@
         self, incarnation: EndpointIncarnation, contents: Iterable[ContentKey]
     ) -> None:
         """Suspect the contents that were running at a crashed endpoint."""
+        self._notify_crashed({incarnation})
         changed_contents = []
         for content in sorted(contents):
             suspect = Suspect(
@@ -75,6 +82,14 @@
             for listener in self.on_suspected:
                 listener(content)
 
+    def _notify_crashed(
+        self, crashed: Collection[EndpointIncarnation]
+    ) -> None:
+        for incarnation in crashed:
+            if not self.suspects.is_withdrawn(incarnation):
+                for listener in self.on_crashed:
+                    listener(incarnation.id, incarnation.incarnation)
+
     def withdraw(
         self, incarnation: EndpointIncarnation, *, source: str = LOCAL
     ) -> bool:
@@ -181,6 +196,8 @@
                 changed_contents.append(suspect.content)
             elif self.suspects.has_completed(suspect.content):
                 self.states.queue(SuspectsCleared(contents=[suspect.content]))
+            if record.age_ms < RECENT_MS:
+                self._notify_crashed(suspect.crashed)
             known = self.suspects.by_content.get(suspect.content)
             if known is not None and known.crashed > suspect.crashed:
                 missing_at_sender.append(suspect.content)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
@@ -196,6 +196,10 @@
                 del self.by_content[content]
         return tuple(changed)
 
+    def is_withdrawn(self, incarnation: EndpointIncarnation) -> bool:
+        """Whether the crash of an endpoint was withdrawn."""
+        return incarnation in self._withdrawn
+
     def crashes(self, content: ContentKey) -> int:
         """Return how many endpoints crashed while running a content."""
         suspect = self._find(content)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -447,6 +447,7 @@
             peers=self.peers,
             clock=self._clock,
         )
+        exchange.on_crashed.append(self.roster.note_crash)
         self.crash_detector = CrashDetector(
             exchange=exchange,
             calls=self._platform.calls,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -31,6 +31,9 @@
 MAX_CONNECT_BACKOFF_S = 4.0
 """Exponential backoff after failed connects to an endpoint: initial and
 maximum pause."""
+CRASH_BACKOFF_S = 2.0
+"""Pause after an endpoint crashed. It is no longer, since only a request shows
+that an endpoint which refused connections lives on."""
 MAX_DOUBLINGS = 16
 MAX_REJECTION_BACKOFF_S = 8.0
 """Maximum backoff after rejected requests. It starts and doubles the same way.
@@ -196,6 +199,17 @@
         record.failed_connects += 1
         record.unreachable_until = self._clock() + pause
 
+    def note_crash(self, id_: EndpointId, incarnation: int) -> None:
+        """Avoid an endpoint whose process ended, as this or a peer found.
+
+        It stays listed for seconds. Otherwise each daemon would find it by
+        failed connects of its own, and give requests up after a few of them.
+        """
+        record = self.by_id.get(id_)
+        if record is not None and record.incarnation == incarnation:
+            until = self._clock() + CRASH_BACKOFF_S
+            record.unreachable_until = max(record.unreachable_until, until)
+
     def note_rejection(self, record: EndpointRecord, sent_at: float) -> None:
         """Deprioritise an endpoint that rejected a request, with backoff.
 
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -162,6 +162,32 @@
         self.check_play(beside=silence)
 
 
+class TestSeenByPeers(unittest.TestCase):
+    # Guards against daemons that each find dead endpoints by themselves.
+
+    def test_endpoint_that_a_peer_saw_crash_is_avoided(self):
+        async def check():
+            async with open_site(engines=9, apps=0) as site:
+                crashing = CrashingSite(site=site, parts={BAD})
+                crashing.arm()
+                each = Play(site, crashing, path='/draft/', is_first=False)
+                await each.ask(0, each.bad, each.bad_answers)
+                await anyio.sleep(0.1)
+                (dead,) = (
+                    replica.id
+                    for replica in site.replicas_by_id.values()
+                    if replica.state == 'gone'
+                )
+                return [
+                    handle.daemon.parts.roster.by_id[dead].is_unreachable(
+                        anyio.current_time()
+                    )
+                    for handle in site.daemons
+                ]
+
+        self.assertEqual(run_paused(check), [True] * 3)
+
+
 class TestAccused(unittest.TestCase):
     # Guards against crashes that are put down to sound parts.
 
