--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -7,6 +7,8 @@
 from datetime import datetime, timedelta
 
 FIELD_PATTERN = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"]*)')
+PART_KEY_PATTERN = re.compile(r'part-[0-9a-f]{32}')
+"""Key of a prompt part, as a refusal names it."""
 ESCAPE_PATTERN = re.compile(r'\\(.)')
 
 LEAD_TIME = timedelta(seconds=10)
@@ -85,9 +87,10 @@
 
     A stream that was resumed is one story with the requests that resume it.
     These are the request's own lines and the following lines that name no
-    request: lines of any daemon about the same content up to its last line,
-    and lines of the daemons that handled it about its endpoints or their own
-    state (STATE_EVENTS), from LEAD_TIME before its first line to its last.
+    request: lines of any daemon about the same content, or about a part of its
+    prompt that it was refused for, up to its last line, and lines of the
+    daemons that handled it about its endpoints or their own state
+    (STATE_EVENTS), from LEAD_TIME before its first line to its last.
     """
     ordered = sorted(lines, key=lambda line: line.at)
     requests = _find_stream(request, ordered)
@@ -100,6 +103,8 @@
     sources = {line.source for line in own_lines}
     endpoints = {line.fields.get('endpoint') for line in own_lines} - {None}
     contents = {line.fields.get('content') for line in own_lines} - {None}
+    for line in own_lines:
+        contents.update(PART_KEY_PATTERN.findall(line.text))
     return [
         line
         for line in ordered
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -7,7 +7,7 @@
 import anyio
 from hypothesis import strategies as st
 from mimosamux_daemon.gateway.limits.caps import CapRules
-from mimosamux_standins.site import Fault, ReplicaSpeed
+from mimosamux_standins.site import Fault, Framing, ReplicaSpeed
 from mimosamux_standins.site.caller import last_event_id
 from mimosamux_standins.site.store import StoreTrouble
 
@@ -388,6 +388,34 @@
     await run.site.add_replica(replica.service, replica.zone)
 
 
+async def crash_by_part(run, rng):
+    """Have a prompt part, which a third of the streams share, crash engines.
+
+    What crashes is replaced.
+    """
+    part = f'aa{rng.randrange(3)}'
+
+    def crash(replica, _):
+        run.site.crash_replica(replica)
+        run.site.tasks.start_soon(replace, replica)
+
+    async def replace(replica):
+        await anyio.sleep(2.0)
+        arm(await run.site.add_replica(replica.service, replica.zone))
+        await unlist_later(run, replica)
+
+    def arm(replica):
+        replica.crash_parts, replica.on_crash = {part}, crash
+
+    for replica in tuple(run.site.replicas_by_id.values()):
+        arm(replica)
+
+
+async def change_framing(run, rng):
+    """Have a replica end its answers in another way, or not at all."""
+    run.pick_replica(rng).framing = rng.choice(list(Framing))
+
+
 async def bring_in_version(run, rng):
     """Start engines of another software version beside the others."""
     for _ in range(rng.choice([1, 2])):
@@ -485,6 +513,8 @@
         spoil_service,
         slow_replica,
         crash_replica,
+        crash_by_part,
+        change_framing,
         bring_in_version,
         drain_replica,
         reuse_address,
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -148,6 +148,27 @@
         resumed = next(line for line in lines if 'stream_resumed' in line)
         self.assertIn('result=one_version', resumed)
 
+    # Guards against a refusal for a prompt part that nobody can look up.
+    def test_request_that_is_held_for_a_part_is_traced_to_its_crashes(self):
+        async def check():
+            async with open_site(daemons=2, engines=6, apps=0) as site:
+                crashing = CrashingSite(site=site, parts={'5c1e07a2'})
+                crashing.arm()
+                for number in range(6):
+                    answer = await site.caller().send(
+                        site.daemons[number % 2].entry,
+                        f'/question/{number}',
+                        headers=PROMPT,
+                    )
+                    await anyio.sleep(0.2)
+                return answer.id
+
+        lines = self.explain_day(check)
+        held = [line for line in lines if 'event=content_held' in line]
+        self.assertGreater(len(held), 0)
+        self.assertIn('content=part-', held[0])
+        self.assertIn('prompt part 5c1e07a2', lines[-1])
+
     def test_held_request_is_traced_to_the_crashes_under_it(self):
         async def check():
             async with open_site(daemons=2, apps=6) as site:
