Gateway: modules of crashes and of streams are sub-packages

crash_*.py and content_keys.py move to gateway/crashes/, running_stream, stream_moves and evacuation to gateway/streams/, beside what binds a stream to its version. Names and behaviour are as they were.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -17,7 +17,7 @@
     RequestDispatcher,
 )
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
-from mimosamux_daemon.gateway.crash_detector import CrashDetector
+from mimosamux_daemon.gateway.crashes.detector import CrashDetector
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
@@ -15,7 +15,7 @@
 )
 
 from mimosamux_daemon.domain.names import ContentKey, DaemonId, EndpointId
-from mimosamux_daemon.gateway.crash_suspects import (
+from mimosamux_daemon.gateway.crashes.suspects import (
     CrashSuspects,
     EndpointIncarnation,
     Suspect,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
@@ -4,9 +4,9 @@
 
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.outcomes import Reason, Refused
-from mimosamux_daemon.gateway.crash_exchange import CrashExchange
-from mimosamux_daemon.gateway.crash_probes import CrashProbes
-from mimosamux_daemon.gateway.crash_suspects import CrashSuspects, join_ids
+from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
+from mimosamux_daemon.gateway.crashes.probes import CrashProbes
+from mimosamux_daemon.gateway.crashes.suspects import CrashSuspects, join_ids
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.logs import get_log
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/rows.py
@@ -19,8 +19,11 @@
     Unavailable,
     Write,
 )
-from mimosamux_daemon.gateway.crash_exchange import CrashExchange
-from mimosamux_daemon.gateway.crash_suspects import Suspect, parse_incarnation
+from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
+from mimosamux_daemon.gateway.crashes.suspects import (
+    Suspect,
+    parse_incarnation,
+)
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crash_suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, replace
 
 from mimosamux_daemon.domain.names import ContentKey, EndpointId
-from mimosamux_daemon.gateway.content_keys import PART_PREFIX
+from mimosamux_daemon.gateway.crashes.content_keys import PART_PREFIX
 
 QUARANTINE_CRASHES = 3
 """Crashes from which on a content is quarantined. Two would not do: where
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -42,10 +42,9 @@
 )
 from mimosamux_daemon.gateway.attempts import Attempt, AttemptRecorder
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
-from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
+from mimosamux_daemon.gateway.crashes.quarantine import CrashQuarantine
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
-from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
@@ -53,8 +52,9 @@
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.running_stream import RunningStream
+from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
+from mimosamux_daemon.gateway.streams.running_stream import RunningStream
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import (
     CallBroken,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -17,7 +17,7 @@
     ServiceEntry,
 )
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
-from mimosamux_daemon.gateway.content_keys import (
+from mimosamux_daemon.gateway.crashes.content_keys import (
     find_content_key,
     find_part_keys,
 )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -42,17 +42,16 @@
     ServiceEndpoints,
 )
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
-from mimosamux_daemon.gateway.crash_detector import CrashDetector
-from mimosamux_daemon.gateway.crash_exchange import CrashExchange
-from mimosamux_daemon.gateway.crash_probes import CrashProbes
-from mimosamux_daemon.gateway.crash_quarantine import CrashQuarantine
-from mimosamux_daemon.gateway.crash_rows import CrashRows
-from mimosamux_daemon.gateway.crash_suspects import CrashSuspects
+from mimosamux_daemon.gateway.crashes.detector import CrashDetector
+from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
+from mimosamux_daemon.gateway.crashes.probes import CrashProbes
+from mimosamux_daemon.gateway.crashes.quarantine import CrashQuarantine
+from mimosamux_daemon.gateway.crashes.rows import CrashRows
+from mimosamux_daemon.gateway.crashes.suspects import CrashSuspects
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.duties import Duties, lease_policy
 from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
-from mimosamux_daemon.gateway.evacuation import Evacuation
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
 )
@@ -84,10 +83,11 @@
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.gateway.store_health import StoreHealth
-from mimosamux_daemon.gateway.stream_moves import StreamMoves
+from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
 from mimosamux_daemon.gateway.streams.origins import StreamOrigins
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
+from mimosamux_daemon.gateway.streams.stream_moves import StreamMoves
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.gateway.table_sharing import TableSharing
 from mimosamux_daemon.gateway.trial_judge import SequentialJudge
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/__init__.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/__init__.py
@@ -1,1 +1,1 @@
-"""Where streams that break off may go on."""
+"""Streams: where they run, move, break off and go on."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/evacuation.py
@@ -18,8 +18,14 @@
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
-from mimosamux_daemon.gateway.stream_moves import COPY_TIMEOUT_S, StreamMoves
+from mimosamux_daemon.gateway.streams.running_stream import (
+    RunningStream,
+    StreamCopy,
+)
+from mimosamux_daemon.gateway.streams.stream_moves import (
+    COPY_TIMEOUT_S,
+    StreamMoves,
+)
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.run_moves import DepartureReport, RunMoves
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/stream_moves.py
@@ -16,7 +16,10 @@
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
+from mimosamux_daemon.gateway.streams.running_stream import (
+    RunningStream,
+    StreamCopy,
+)
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.run_moves import (
     CopyOutcome,
--- a/tests/test_gateway_content_keys.py
+++ b/tests/test_gateway_content_keys.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from mimosamux_daemon.domain.gateway import GatewayRequest
 from mimosamux_daemon.domain.http_messages import RequestHead
-from mimosamux_daemon.gateway.content_keys import find_content_key
+from mimosamux_daemon.gateway.crashes.content_keys import find_content_key
 
 FIELDS = st.tuples(st.binary(max_size=6), st.binary(max_size=6), st.text())
 
--- a/tests/test_gateway_crash_exchange.py
+++ b/tests/test_gateway_crash_exchange.py
@@ -4,11 +4,11 @@
 import unittest
 
 import anyio
-from mimosamux_daemon.gateway.crash_exchange import (
+from mimosamux_daemon.gateway.crashes.exchange import (
     SUSPECTS_PER_MESSAGE,
     CrashExchange,
 )
-from mimosamux_daemon.gateway.crash_suspects import (
+from mimosamux_daemon.gateway.crashes.suspects import (
     MAX_SUSPECTS,
     CrashSuspects,
     EndpointIncarnation,
--- a/tests/test_gateway_crash_suspects.py
+++ b/tests/test_gateway_crash_suspects.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from mimosamux_daemon.gateway.crash_suspects import (
+from mimosamux_daemon.gateway.crashes.suspects import (
     COMPLETION_VALID_S,
     FIRST_QUARANTINE_S,
     MAX_QUARANTINE_S,
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -6,8 +6,8 @@
 import anyio
 from mimosamux_daemon.domain.gateway import Delivered, PromptInfo, PromptPart
 from mimosamux_daemon.gateway.attempts import Attempt
-from mimosamux_daemon.gateway.content_keys import find_part_keys
-from mimosamux_daemon.gateway.crash_suspects import (
+from mimosamux_daemon.gateway.crashes.content_keys import find_part_keys
+from mimosamux_daemon.gateway.crashes.suspects import (
     CrashSuspects,
     EndpointIncarnation,
     Suspect,
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -8,8 +8,11 @@
 from mimosamux_daemon.domain.routes import EngineCapabilities, ServiceEntry
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.evacuation import Evacuation
-from mimosamux_daemon.gateway.running_stream import RunningStream, StreamCopy
+from mimosamux_daemon.gateway.streams.evacuation import Evacuation
+from mimosamux_daemon.gateway.streams.running_stream import (
+    RunningStream,
+    StreamCopy,
+)
 from mimosamux_standins.site import MoveFault, ReplicaSpeed
 from mimosamux_standins.site.replica import render_event
 
