--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origins.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origins.py
@@ -3,6 +3,7 @@
 A caller whose stream broke off takes it up with a new request, at any daemon.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -47,7 +48,9 @@
     """Origins by the hash of the request, bounded in number and time."""
 
     clock: Callable[[], float]
-    by_request: dict[int, KnownOrigin] = field(default_factory=dict)
+    by_request: OrderedDict[int, KnownOrigin] = field(
+        default_factory=OrderedDict
+    )
     """The oldest first."""
     _changed: anyio.Event = field(default_factory=anyio.Event)
     """Set, and replaced by a new one, with each addition."""
@@ -105,8 +108,8 @@
         """
         now = self.clock()
         while self.by_request:
-            oldest = next(iter(self.by_request))
-            is_expired = self.by_request[oldest].expires_at <= now
+            oldest = next(iter(self.by_request.values()))
+            is_expired = oldest.expires_at <= now
             if not is_expired and len(self.by_request) <= MAX_ORIGINS:
                 return
-            del self.by_request[oldest]
+            self.by_request.popitem(last=False)
