--- /dev/null
+++ b/tests/support/prompts.py
@@ -0,0 +1,13 @@
+"""Headers of prompts that requests declare."""
+
+PART_TOKENS = 400
+
+
+def prompt_of(*parts):
+    """Return the headers of a prompt of these parts, the last its own."""
+    entries = ','.join(f'{part}:{PART_TOKENS}' for part in parts)
+    return (
+        (b'X-Model', b'm'),
+        (b'X-Token-Usage', b'%d,40' % (PART_TOKENS * len(parts))),
+        (b'X-Prompt-Prefix', entries.encode()),
+    )
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -18,6 +18,7 @@
 from tests.support.clock import run_paused
 from tests.support.crashes import CrashingSite
 from tests.support.platform_site import open_site
+from tests.support.prompts import prompt_of
 
 BAD, FIRST, SECOND = 'bad0', '5c1e07a2', '91bd3f06'
 FOR_S = 24.0
@@ -27,15 +28,6 @@
 KILL_S = 14.0
 
 
-def prompt_of(*shared, own):
-    parts = ','.join(f'{part}:400' for part in (*shared, f'{own:08x}'))
-    return (
-        (b'X-Model', b'm'),
-        (b'X-Token-Usage', b'1200,40'),
-        (b'X-Prompt-Prefix', parts.encode()),
-    )
-
-
 class Play:
     """Requests with a bad part beside sound ones, no two alike."""
 
@@ -55,7 +47,7 @@
                 daemons[number % len(daemons)].entry,
                 f'{self.path}{len(answers)}-{number}',
                 body=b'%d' % number,
-                headers=prompt_of(*shared, own=number),
+                headers=prompt_of(*shared, f'{number:08x}'),
             )
         )
 
--- a/tests/test_gateway_endless_answers.py
+++ b/tests/test_gateway_endless_answers.py
@@ -6,7 +6,7 @@
 
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site
-from tests.test_gateway_stream_versions import prompt_of
+from tests.support.prompts import prompt_of
 
 MOST_BYTES = 20 * 1024 * 1024
 """What one request may make a daemon read: the bound of a body and what is on
@@ -17,7 +17,7 @@
     # Guards against endpoints that fill the memory or hold callers up.
 
     def play(self, framing, target, *, is_only=False):
-        """Send requests beside an odd endpoint; return answers and bytes."""
+        """Send requests beside odd endpoints; return the answers."""
 
         async def check():
             async with open_site(daemons=1) as site:
@@ -31,12 +31,14 @@
                 answers = []
                 for number in range(4):
                     path = f'{target}{number}'
-                    is_stream = target == '/question/'
+                    headers = ()
+                    if target == '/question/':
+                        headers = prompt_of('ab', f'{number}')
                     answers.append(
                         await site.caller(patience_s=15.0).send(
                             site.daemons[0].entry,
                             path,
-                            headers=prompt_of(number) if is_stream else (),
+                            headers=headers,
                         )
                     )
                 return answers
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -32,20 +32,16 @@
 from tests.support.clock import run_paused
 from tests.support.memory_network import machine_of
 from tests.support.platform_site import ZONES, open_site
+from tests.support.prompts import prompt_of
 from tests.support.site_checks import find_joined_versions
 
 STREAMS = 12
 LONG = ReplicaSpeed(events=40, event_s=0.03)
 
 
-def prompt_of(number):
-    """Return the headers of a prompt that no other stream shares."""
-    parts = f'5c1e07a2:800,{number:08x}:410,e4402b7d:250'
-    return (
-        (b'X-Model', b'm'),
-        (b'X-Token-Usage', b'1460,80'),
-        (b'X-Prompt-Prefix', parts.encode()),
-    )
+def own_prompt(number):
+    """Return the headers of a prompt that shares its first part alone."""
+    return prompt_of('5c1e07a2', f'{number:08x}', 'e4402b7d')
 
 
 async def add_engines(site, *versions, listed_s=1.0):
@@ -77,7 +73,7 @@
             self.entry,
             f'{self.path}{number}',
             body=b'x',
-            headers=prompt_of(number),
+            headers=own_prompt(number),
         )
 
     async def break_off(self, trouble):
@@ -101,7 +97,7 @@
                 broken,
                 entry,
                 f'{self.path}{number}',
-                headers=prompt_of(number),
+                headers=own_prompt(number),
                 body=b'x',
                 **fields,
             )
@@ -379,7 +375,7 @@
     async def ask(self, number):
         """Ask for a stream; take it up at any daemon if it breaks off."""
         caller, target = self.site.caller(), f'/question/{number}'
-        fields = {'headers': prompt_of(number % 20), 'body': b'x'}
+        fields = {'headers': own_prompt(number % 20), 'body': b'x'}
         answer = await caller.send(self._pick_entry(), target, **fields)
         if not answer.is_whole and last_event_id(answer.body):
             entry = self._pick_entry()
