--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -5,6 +5,7 @@
 an answer, and an answer that comes before its request is fully sent.
 """
 
+import math
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -81,10 +82,8 @@
         self._unsent = b''
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = anyio.current_time()
-        self._is_declared = False
-        """Whether the head of the answer states the length of its body."""
-        self._undeclared_left = 0
-        """Bytes that the body may still have if it does not."""
+        self._body_left = math.inf
+        """Bytes that the body of the answer may still have."""
 
     async def send(
         self, head: RequestHead, body: bytes
@@ -140,8 +139,7 @@
                 return event
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
-                self._undeclared_left = MAX_UNDECLARED_BYTES
-                self._is_declared = _declares_length(event)
+                self._body_left = _find_body_limit(event)
                 return AnswerHead(
                     status=event.status_code,
                     headers=tuple(event.headers.raw_items()),
@@ -157,8 +155,8 @@
         if isinstance(event, ChannelBroken):
             return event
         if isinstance(event, h11.Data):
-            self._undeclared_left -= len(event.data)
-            if self._undeclared_left < 0 and not self._is_declared:
+            self._body_left -= len(event.data)
+            if self._body_left < 0:
                 return ChannelBroken(reason='a body without end')
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -280,9 +278,10 @@
                 self._idle_limit_s = int(number) * IDLE_SHARE
 
 
-def _declares_length(answer: h11.Response) -> bool:
-    """Whether an answer states the length of its body."""
-    return find_value(tuple(answer.headers), CONTENT_LENGTH) is not None
+def _find_body_limit(answer: h11.Response) -> float:
+    """Return the largest body of an answer, whose stated length h11 checks."""
+    length = find_value(tuple(answer.headers), CONTENT_LENGTH)
+    return MAX_UNDECLARED_BYTES if length is None else math.inf
 
 
 def describe(error: Exception) -> str:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -64,7 +64,6 @@
     """Software that it was sent to, whatever the list shows later."""
     has_first_event: bool = False
     """Whether the prompt is prefilled, as the first event shows."""
-    first_event_at: float | None = None
     is_result_counted: bool = False
     """Whether the result was counted for the endpoint's health."""
     time_to_first_event_s: float | None = None
@@ -209,12 +208,12 @@
         A part of a prompt crashes it when the answer begins. Accused later,
         parts of long answers would collect the crashes that others cause.
         """
-        began_at = self.first_event_at
-        if began_at is None:
-            return self.job.suspect_keys
-        if self.recorder.clock() - began_at < PART_CRASH_S:
-            return self.job.suspect_keys
-        return (self.job.content,)
+        took_s = self.time_to_first_event_s
+        is_under_way = (
+            took_s is not None
+            and self.recorder.clock() - self.sent_at - took_s >= PART_CRASH_S
+        )
+        return (self.job.content,) if is_under_way else self.job.suspect_keys
 
     def note_silent(self) -> None:
         """Record that the endpoint is abandoned because it did not answer."""
@@ -248,9 +247,8 @@
         self.has_first_event = True
         self.job.origin = self.job.origin or self.origin
         choice, prompt = self.choice, self.job.request.prompt
-        self.first_event_at = self.recorder.clock()
         took_s = self.time_to_first_event_s = (
-            self.first_event_at - self.sent_at
+            self.recorder.clock() - self.sent_at
         )
         self.recorder.metrics.first_event_s.observe(
             {'service': self.job.service.name}, took_s
@@ -364,7 +362,7 @@
             silence_deadline=now + _silence_limit_s(job, choice),
             recorder=self,
         )
-        self.origins.note_send(job, choice.record.listed)
+        self.origins.note_send(job, attempt.origin)
         self.trials.note_send(job.service.name, attempt.endpoint.software)
         job.tried.add(choice.record.id)
         job.sends += 1
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_exchange.py
@@ -11,7 +11,6 @@
 import anyio
 from mimosamux_wire import StreamsBegan
 
-from mimosamux_daemon.domain.gateway import ListedEndpoint
 from mimosamux_daemon.domain.names import DaemonId, ServiceName
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
@@ -58,7 +57,7 @@
         self.states.on_joined.append(self._send_all)
         self.versions.on_several.append(self._tell_again)
 
-    def note_send(self, job: Job, endpoint: ListedEndpoint) -> None:
+    def note_send(self, job: Job, origin: StreamOrigin) -> None:
         """Note where a stream is about to begin, or goes on.
 
         The peers are told before its first event: if this daemon is killed
@@ -68,7 +67,6 @@
             return
         request = hash_request(job.request.id)
         kept = self.origins.by_request.get(request)
-        origin = StreamOrigin.of(endpoint)
         if kept is not None and kept.origin == origin:
             return
         now = self.clock()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origins.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origins.py
@@ -81,16 +81,16 @@
 
     async def wait_for(
         self, request_id: str, timeout_s: float
-    ) -> StreamOrigin | None:
+    ) -> KnownOrigin | None:
         """Return where a stream began; wait if this is not known yet.
 
         The caller of a stream that broke off may be back before the message
         of the daemon that served it.
         """
         with anyio.move_on_after(timeout_s):
-            while (origin := self.find(request_id)) is None:
+            while (known := self.find_known(request_id)) is None:
                 await self._changed.wait()
-            return origin
+            return known
         return None
 
     def current(self) -> Iterator[tuple[int, KnownOrigin]]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass
 
 from mimosamux_daemon.domain.outcomes import Reason, Refused
-from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.streams.origins import StreamOrigins
+from mimosamux_daemon.gateway.streams.origins import (
+    KnownOrigin,
+    StreamOrigins,
+)
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.logs import get_log
 
@@ -43,12 +45,12 @@
         if not (job.is_stream and job.request.last_event_id):
             return None
         began_at = self.clock()
-        job.origin = await self._find_origin(job)
+        known = await self._find_known(job)
+        job.origin = None if known is None else known.origin
         refusal, result = self._judge(job)
         self.metrics.resumptions.inc(
             {'service': job.service.name, 'result': result}
         )
-        known = self.origins.find_known(job.request.resumes or '')
         log.info(
             'stream_resumed',
             request=job.request.id,
@@ -62,10 +64,11 @@
         )
         return refusal
 
-    async def _find_origin(self, job: Job) -> StreamOrigin | None:
+    async def _find_known(self, job: Job) -> KnownOrigin | None:
+        """Return where a stream began; wait where that decides anything."""
         request = job.request.resumes or ''
         if not self.versions.are_several(job.route):
-            return self.origins.find(request)
+            return self.origins.find_known(request)
         timeout_s = min(LOOKUP_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
         return await self.origins.wait_for(request, timeout_s)
 
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -249,7 +249,7 @@
         )
         accused = []
         for began_at in (None, 9.5, 8.9):
-            self.now, attempt.first_event_at = 10.0, began_at
+            self.now, attempt.time_to_first_event_s = 10.0, began_at
             accused.append(attempt.find_suspects())
         both = ('c', 'part-a')
         self.assertEqual(accused, [both, both, ('c',)])
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -312,7 +312,7 @@
                 tasks.start_soon(self.add_later)
                 return await self.origins.wait_for('a1', 0.3)
 
-        self.assertEqual(run_paused(check), origin_of('v1'))
+        self.assertEqual(run_paused(check).origin, origin_of('v1'))
 
     async def add_later(self):
         await anyio.sleep(0.2)
