Logs: each request that ends without an outcome has a line

Cause: a request whose handling was cancelled or failed left request_sent in the log and nothing else. Of the requests that a stop cut, the log of the daemon had their number (left cut=3) and not which they were.

Change: request_abandoned, a warning with the request's id, age and error, and the outcome abandoned in mimosamux_gateway_requests_total. leaving, accepting_ended and left tell open requests, connections and tunnels, and the time behind the signal. The module of the stop moves to a sub-package.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -14,11 +14,11 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.discovery import Discovery
-from mimosamux_daemon.gateway.graceful_stop import GracefulStop
 from mimosamux_daemon.gateway.monitor import Monitor
 from mimosamux_daemon.gateway.parts import GatewayParts
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
+from mimosamux_daemon.gateway.stopping.graceful_stop import GracefulStop
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
 from mimosamux_daemon.ports.network import Network
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -108,7 +108,19 @@
     async def forward(
         self, request: GatewayRequest, caller: Caller, sink: AnswerSink
     ) -> GatewayOutcome:
-        """Forward a request and return its outcome.
+        """Forward a request and return its outcome."""
+        try:
+            return await self._forward(request, caller, sink)
+        except BaseException as error:
+            # Cancelled or failed, the request ends without an answer: without
+            # a line of its own nobody could tell which one it was.
+            self.outcomes.log_abandoned(request, error)
+            raise
+
+    async def _forward(
+        self, request: GatewayRequest, caller: Caller, sink: AnswerSink
+    ) -> GatewayOutcome:
+        """Forward a request until its end.
 
         The time that the event loop lagged before it read the request counts
         against the request's deadline.
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
@@ -56,6 +56,22 @@
             **self._configuration_fields(),
         )
 
+    def log_abandoned(
+        self, request: GatewayRequest, error: BaseException
+    ) -> None:
+        """Record a request whose handling ended without an outcome."""
+        self.metrics.requests.inc(
+            {'route': '', 'outcome': 'abandoned', 'reason': ''}
+        )
+        log.warning(
+            'request_abandoned',
+            request=request.id,
+            host=request.host,
+            age_s=round(self.clock() - request.received_at, 3),
+            error=type(error).__name__,
+            **self._configuration_fields(),
+        )
+
     def log_outcome(self, job: Job, outcome: GatewayOutcome) -> None:
         """Record the outcome of an admitted request."""
         took_s = self.clock() - job.request.received_at
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/__init__.py
@@ -0,0 +1,1 @@
+"""Graceful shutdown of a gateway daemon."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -35,20 +35,38 @@
     async def run(self) -> None:
         """Return when no connection is left, or the grace period is over."""
         started_at = anyio.current_time()
-        log.info('leaving', open=self.server.open_requests)
+        log.info(
+            'leaving',
+            open=self.server.open_requests,
+            connections=self.server.connections,
+            tunnels=self.tunnels.open_tunnels,
+        )
         self.server.drain()
         self.tunnels.drain()
         await self.notify_peers()
         self.server.close_idle()
         await anyio.sleep(min(ACCEPT_S, self.grace_s / 3))
         self.stop_accepting()
+        log.info(
+            'accepting_ended',
+            open=self.server.open_requests,
+            connections=self.server.connections,
+            tunnels=self.tunnels.open_tunnels,
+            behind_s=round(anyio.current_time() - started_at, 3),
+        )
         self.server.close_idle()
         deadline = started_at + self.grace_s - EXIT_RESERVE_S
         while self._is_busy() and anyio.current_time() < deadline:
             self.server.close_idle()
             self.tunnels.close_idle()
             await anyio.sleep(POLL_INTERVAL_S)
-        log.info('left', cut=self.server.open_requests)
+        log.info(
+            'left',
+            cut=self.server.open_requests,
+            connections=self.server.connections,
+            tunnels=self.tunnels.open_tunnels,
+            behind_s=round(anyio.current_time() - started_at, 3),
+        )
 
     def _is_busy(self) -> bool:
         """Whether connections of callers or tunnels of peers are left."""
