Soak: a stop is no absence before its process has ended

Cause: the soak's checks excused every request that had no answer at a daemon that was asked to stop, and looked for missing answers only at callers of large sites. What a stop cut was never looked at.

Change: an absence has a kind and the time of its signal; that of a stopping daemon begins with the end of its process, or of the grace period. Before that, every request at it is held to the users' rule (find_fate of tests/support/stops.py), and the excuse of the last sixth needs an endpoint that was at work then. Unplanned disruptions of the daemon, or of an endpoint that had the request, excuse from the contact time before it to its end. A stop that lasts longer than the grace period is a problem of its own, less the time for which the process was frozen. Answers tell when the last byte of their request was sent.

--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -36,6 +36,8 @@
     body: bytes = b''
     is_whole: bool = False
     problem: str = ''
+    whole_at: float | None = None
+    """When the last byte of the request was sent, None if it was not."""
 
     @property
     def retry_after_s(self) -> float | None:
@@ -157,11 +159,13 @@
 async def _read(
     channel: Channel, head: RequestHead, body: bytes, id_: str, sent_at: float
 ) -> CallerAnswer:
-    await channel.send(head, body)
+    broken = await channel.send(head, body)
     await channel.send_rest()
+    is_sent = broken is None and not channel.has_rest
+    whole_at = anyio.current_time() if is_sent else None
     answer = await channel.receive_head()
     if not isinstance(answer, AnswerHead):
-        return _no_answer(id_, sent_at, answer.reason)
+        return _no_answer(id_, sent_at, answer.reason, whole_at)
     parts = bytearray()
     problem = ''
     while (part := await channel.receive_body()) is not None:
@@ -178,6 +182,7 @@
         body=bytes(parts),
         is_whole=not problem,
         problem=problem,
+        whole_at=whole_at,
     )
 
 
@@ -187,11 +192,14 @@
     return whole.rpartition(b'id: ')[2].partition(b'\n')[0] if end else b''
 
 
-def _no_answer(id_: str, sent_at: float, problem: str) -> CallerAnswer:
+def _no_answer(
+    id_: str, sent_at: float, problem: str, whole_at: float | None = None
+) -> CallerAnswer:
     return CallerAnswer(
         id=id_,
         sent_at=sent_at,
         ended_at=anyio.current_time(),
         status=None,
         problem=problem,
+        whole_at=whole_at,
     )
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -10,7 +10,6 @@
 """
 
 import heapq
-import math
 import pathlib
 import random
 import threading
@@ -25,6 +24,12 @@
 
 from tests.support.platform_processes import PROMPT, platform_processes
 from tests.support.soak_callers import REVOKED_KEY, STREAM_TARGETS, Callers
+from tests.support.soak_record import (
+    Absence,
+    AbsenceKind,
+    Disruption,
+    Record,
+)
 
 FAULT_EVERY_S = 0.6
 START_TIMEOUT_S = 30.0
@@ -76,6 +81,7 @@
     bursts: list = field(default_factory=list)
     """Callers of each burst."""
     absences: list = field(default_factory=list)
+    disruptions: list = field(default_factory=list)
     logs: pathlib.Path | None = None
     """Folder for the logs of the daemons."""
     has_needy_endpoints: bool = False
@@ -114,7 +120,8 @@
     def _read_log(self, daemon):
         """Read a daemon's log in a thread; return an event for its start."""
         ready = threading.Event()
-        output = daemon.process.popen.stdout
+        process = daemon.process
+        output = process.popen.stdout
 
         def read():
             lines = []
@@ -122,7 +129,8 @@
                 lines.append(line)
                 if 'event=ready' in line:
                     ready.set()
-                    self._end_absences(daemon)
+                    self._end_absences(daemon, process)
+            self._note_gone(process)
             if self.logs is not None:
                 with (self.logs / f'{daemon.name}.log').open('a') as file:
                     file.writelines(lines)
@@ -234,21 +242,43 @@
         daemon = self.platform.daemons[number]
         return daemon if daemon.process.popen.poll() is None else None
 
-    def _begin_absence(self, daemon):
-        absence = Absence(entry=daemon.entry, start=time.monotonic())
+    def _begin_absence(self, daemon, kind):
+        absence = Absence(
+            entry=daemon.entry,
+            kind=kind,
+            start=time.monotonic(),
+            process=daemon.process,
+        )
         self.absences.append(absence)
         return absence
 
-    def _end_absences(self, daemon):
+    def _end_absences(self, daemon, process):
+        """End those of earlier processes: another one serves."""
         for absence in self.absences:
-            if absence.entry == daemon.entry:
+            is_earlier = absence.process is not process
+            if absence.entry == daemon.entry and is_earlier:
                 absence.end = min(absence.end, time.monotonic())
 
+    def _note_gone(self, process):
+        for absence in self.absences:
+            if absence.process is process:
+                absence.gone_at = min(absence.gone_at, time.monotonic())
+
+    def _begin_disruption(self, place):
+        disruption = Disruption(place=place, start=time.monotonic())
+        self.disruptions.append(disruption)
+        return disruption
+
+    def _command(self, path, disruption, **body):
+        """Undo a disruption with a command to the platform."""
+        self.platform.command(path, **body)
+        disruption.end = time.monotonic()
+
     def _freeze(self):
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note('freeze', daemon.name)
-            absence = self._begin_absence(daemon)
+            absence = self._begin_absence(daemon, AbsenceKind.FROZEN)
             process = daemon.process
             process.freeze()
             self._later(lambda: self._thaw(process, absence), 4.0)
@@ -261,7 +291,7 @@
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note('kill', daemon.name)
-            self._begin_absence(daemon)
+            self._begin_absence(daemon, AbsenceKind.KILLED)
             daemon.process.kill()
             self._later(lambda: self._start_again(daemon), 1.5)
 
@@ -269,7 +299,7 @@
         daemon = self._pick_daemon()
         if daemon is not None:
             self._note('stop', daemon.name)
-            self._begin_absence(daemon)
+            self._begin_absence(daemon, AbsenceKind.STOPPING)
             daemon.process.terminate()
             self._stopping.add(daemon.name)
             self._later(lambda: self._start_again(daemon), 3.0)
@@ -305,6 +335,9 @@
         httpx.post(
             f'http://{self.proxies[number]}/control/cut', trust_env=False
         ).raise_for_status()
+        for daemon in self.platform.daemons[number :: len(self.proxies)]:
+            cut = self._begin_disruption(daemon.entry)
+            cut.end = cut.start
 
     def _set_store(self, trouble):
         self.platform.command('/store', trouble=trouble.name)
@@ -336,10 +369,11 @@
         replica = self.rng.choice(self._ready_replicas())['id']
         fault = self.rng.choice(list(Fault)).name
         self._note('replica', replica, fault)
+        disruption = self._begin_disruption(replica)
         self.platform.command('/replica', id=replica, fault=fault)
         self._later(
-            lambda: self.platform.command(
-                '/replica', id=replica, fault=Fault.NONE.name
+            lambda: self._command(
+                '/replica', disruption, id=replica, fault=Fault.NONE.name
             ),
             3.0,
         )
@@ -348,6 +382,8 @@
         replica = self.rng.choice(self._ready_replicas())['id']
         silent_s = self.rng.uniform(0.5, 1.5)
         self._note('replica stands still', replica, round(silent_s, 2))
+        disruption = self._begin_disruption(replica)
+        disruption.end = disruption.start + silent_s
         self.platform.command('/replica', id=replica, silent_s=silent_s)
 
     def _make_brittle(self):
@@ -375,10 +411,11 @@
         self.platform.command(
             '/replica', id=replica, state='draining', leaves_ms=2000
         )
-        self._later(
-            lambda: self.platform.command('/replica', id=replica, crash=True),
-            4.0,
-        )
+        self._later(lambda: self._crash_replica(replica), 4.0)
+
+    def _crash_replica(self, replica):
+        crash = self._begin_disruption(replica)
+        self._command('/replica', crash, id=replica, crash=True)
 
     def _revoke(self):
         if self.revoked_at is None:
@@ -387,32 +424,6 @@
             self.revoked_at = time.monotonic()
 
 
-@dataclass(kw_only=True)
-class Absence:
-    """Time in which a daemon is frozen, stops, or does not run."""
-
-    entry: str
-    start: float
-    end: float = math.inf
-
-
-@dataclass(kw_only=True)
-class Record:
-    """What a soak left behind to be checked."""
-
-    sent: list
-    seen: dict
-    revoked_at: float | None
-    log: list
-    serves_again: bool
-    serves_after_burst: bool = True
-    absences: list = field(default_factory=list)
-    still_waiting: float = 0.0
-    """Requests in the queues after all callers had gone."""
-    waits: float = 0.0
-    """Requests that waited for an engine, as far as daemons still know."""
-
-
 def choose_daemons(seed):
     """Return the number of daemons that a seed is played with.
 
@@ -483,6 +494,7 @@
         serves_again=serves_again,
         serves_after_burst=serves_after_burst,
         absences=soak.absences,
+        disruptions=soak.disruptions,
         still_waiting=_count_left_waiting(platform) if serves_again else 0.0,
         waits=_read_metric(platform, WAITS) if serves_again else 0.0,
     )
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -1,5 +1,6 @@
 """Callers of a soak, which keep sending and record what they got."""
 
+import math
 import random
 import threading
 from dataclasses import dataclass, field
@@ -28,6 +29,8 @@
     entry: str = ''
     patience_s: float | None = None
     """Deadline that the caller waited for; None if it did not."""
+    limit_s: float = math.inf
+    """Time limit that the caller stated."""
     has_left: bool = False
     """Whether the caller disconnected before its deadline."""
     behind: int = 0
@@ -87,6 +90,7 @@
                 answer=answer,
                 entry=entry,
                 behind=behind,
+                limit_s=self.patience_s,
             )
         )
 
@@ -122,6 +126,7 @@
                     answer=answer,
                     entry=entry,
                     patience_s=self.patience_s if stays else None,
+                    limit_s=self.patience_s,
                     has_left=leaves and answer.problem == STOPPED_WAITING,
                 )
             )
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -7,15 +7,19 @@
 
 from tests.support.site_checks import find_joined_versions
 from tests.support.soak_callers import KEYS, REVOKED_KEY, STREAM_TARGETS
+from tests.support.soak_record import AbsenceKind
+from tests.support.soak_stop_checks import (
+    check_cut,
+    check_stops,
+    find_limit_s,
+    find_stop,
+)
+from tests.support.stops import GRACE_S, PROMISES
 
-PROMISES = (408, 421, 429, 503)
 MAY_REPEAT = ('/list/', '/question/')
 EVENTS = 12
 REVOCATION_S = 5.0
 PROBE = 'probe-'
-LIMIT_S = 3.0
-"""Time limit of each route but that of drafts."""
-DRAFT_LIMIT_S = 15.0
 LAG_S = 0.5
 """Delay of a process of the test on a busy machine."""
 IN_FLIGHT_S = 0.5
@@ -41,11 +45,16 @@
             problems += _check_runs(record, id_, runs, sent_by_id.get(id_))
     for sent in record.sent:
         problems += _check_answer(record, sent, runs_by_id[sent.answer.id])
-        problems += _check_wait(record, sent, arrivals_by_id[sent.answer.id])
+        arrivals = arrivals_by_id[sent.answer.id]
+        problems += _check_wait(record, sent, arrivals)
+        problems += check_cut(
+            record, sent, arrivals, runs_by_id[sent.answer.id]
+        )
     runs = [SimpleNamespace(**run) for run in record.seen['runs']]
     if all('version' in run for run in record.seen['runs']):
         runs.sort(key=lambda run: run.began_at)
         problems += find_joined_versions(runs)
+    problems += check_stops(record)
     return [*problems, *_check_duties(record.seen['duty_calls'])]
 
 
@@ -94,10 +103,11 @@
         )
     if sent.patience_s is None or _was_absent(record, sent):
         return
-    route_s = DRAFT_LIMIT_S if '/draft/' in sent.target else LIMIT_S
-    limit_s = min(sent.patience_s, route_s)
+    limit_s = find_limit_s(sent)
     took_s = answer.ended_at - answer.sent_at
     if answer.status is None:
+        if find_stop(record, sent) is not None:
+            return
         yield (
             f'{answer.id} ({sent.target}) to {sent.entry} got no answer in'
             f' {took_s:.2f} s: {answer.problem}'
@@ -113,12 +123,19 @@
     """Whether the daemon could not answer for a part of the time."""
     return any(
         absence.entry == sent.entry
-        and absence.start <= sent.answer.ended_at
+        and _find_start(absence) <= sent.answer.ended_at
         and absence.end >= sent.answer.sent_at
         for absence in record.absences
     )
 
 
+def _find_start(absence):
+    """Return from when a daemon need not answer."""
+    if absence.kind is AbsenceKind.STOPPING:
+        return min(absence.gone_at, absence.start + GRACE_S)
+    return absence.start
+
+
 def _check_events(answer, behind):
     count = answer.body.count(b'\n\n')
     expected = b''.join(
--- /dev/null
+++ b/tests/support/soak_stop_checks.py
@@ -0,0 +1,117 @@
+"""What a daemon that was asked to stop owes, checked in a soak's record."""
+
+from tests.support.soak_record import AbsenceKind
+from tests.support.stops import (
+    EXCUSED_SHARE,
+    GRACE_S,
+    Attempt,
+    find_fate,
+)
+
+CONTACT_S = 3.0
+"""Time for which an unplanned disruption excuses what begins behind it."""
+STOP_EXCEEDS_S = 1.0
+"""Time behind the grace period in which a request still counts."""
+LIMIT_S = 3.0
+"""Time limit of each route but that of drafts."""
+DRAFT_LIMIT_S = 15.0
+
+
+def check_stops(record):
+    """Yield each stop that lasted longer than the grace period."""
+    for stop in record.absences:
+        if stop.kind is AbsenceKind.STOPPING:
+            took_s = stop.gone_at - stop.start - _frozen_s(record, stop)
+            if took_s > GRACE_S:
+                yield f'{stop.entry} took {took_s:.2f} s to stop'
+
+
+def check_cut(record, sent, arrivals, runs):
+    """Yield a request that was lost at a daemon that was asked to stop."""
+    stop = find_stop(record, sent)
+    answer = sent.answer
+    if stop is None or sent.has_left or answer.whole_at is None:
+        return
+    accepted = [each for each in arrivals if each['is_accepted']]
+    waited_s = answer.whole_at - answer.sent_at
+    fate = find_fate(
+        Attempt(
+            id=answer.id,
+            sent_at=answer.whole_at,
+            ended_at=answer.ended_at,
+            status=answer.status,
+            is_whole=answer.is_whole,
+            patience_s=find_limit_s(sent) - waited_s,
+            closes=False,
+        ),
+        signalled_at=stop.start,
+        was_passed_on=bool(accepted),
+    )
+    if fate == 'excused' and not _is_at_work_late(runs, stop):
+        fate = 'lost'
+    if fate == 'lost' and not _is_disrupted(record, sent, accepted):
+        yield (
+            f'{answer.id} ({sent.target}) to {sent.entry} was lost: sent'
+            f' {answer.sent_at - stop.start:.2f} s and ended'
+            f' {answer.ended_at - stop.start:.2f} s behind SIGTERM,'
+            f' {"" if accepted else "not "}passed on, {answer.status}'
+            f' {answer.problem}'
+        )
+
+
+def find_stop(record, sent):
+    """Return the stop of its daemon that a request fell into, or None."""
+    stops = [
+        stop
+        for stop in record.absences
+        if stop.kind is AbsenceKind.STOPPING
+        and stop.entry == sent.entry
+        and stop.start <= sent.answer.ended_at
+        and sent.answer.sent_at
+        <= min(stop.gone_at, stop.start + GRACE_S + STOP_EXCEEDS_S)
+    ]
+    return min(stops, key=lambda stop: stop.start, default=None)
+
+
+def find_limit_s(sent):
+    """Return the time limit of a request, the caller's or the route's."""
+    route_s = DRAFT_LIMIT_S if '/draft/' in sent.target else LIMIT_S
+    return min(sent.limit_s, route_s)
+
+
+def _frozen_s(record, stop):
+    """Return the time for which a daemon was frozen while it stopped."""
+    return sum(
+        max(min(each.end, stop.gone_at) - max(each.start, stop.start), 0.0)
+        for each in record.absences
+        if each.kind is AbsenceKind.FROZEN and each.entry == stop.entry
+    )
+
+
+def _is_at_work_late(runs, stop):
+    """Whether an endpoint still ran it in the last part of the stop."""
+    late_at = stop.start + EXCUSED_SHARE * GRACE_S
+    return any(
+        run['ended_at'] is None or run['ended_at'] >= late_at for run in runs
+    )
+
+
+def _is_disrupted(record, sent, accepted):
+    """Whether something unplanned hit its daemon or an endpoint of it."""
+    endpoints = {each['replica'] for each in accepted}
+    spans = [
+        (each.start, each.end)
+        for each in record.disruptions
+        if each.place in endpoints or each.place == sent.entry
+    ]
+    for each in record.absences:
+        if each.entry == sent.entry:
+            if each.kind is AbsenceKind.FROZEN:
+                spans.append((each.start, each.end))
+            elif each.kind is AbsenceKind.KILLED:
+                spans.append((each.start, each.start))
+    return any(
+        start <= sent.answer.ended_at
+        and end >= sent.answer.sent_at - CONTACT_S
+        for start, end in spans
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,18 +1,20 @@
 """A short soak with a fixed seed, and checks that can fail."""
 
+import math
 import unittest
 from types import SimpleNamespace
 
 from mimosamux_standins.site.replica import render_event
 
-from tests.support.soak import (
-    LARGE_SITES,
+from tests.support.soak import LARGE_SITES, play
+from tests.support.soak_callers import REVOKED_KEY, Sent
+from tests.support.soak_checks import EVENTS, find_problems
+from tests.support.soak_record import (
     Absence,
+    AbsenceKind,
+    Disruption,
     Record,
-    play,
 )
-from tests.support.soak_callers import REVOKED_KEY, Sent
-from tests.support.soak_checks import EVENTS, find_problems
 
 SEED = 7
 SECONDS = 5.0
@@ -58,13 +60,14 @@
 
 def answer_to(id_='a1', **fields):
     fields = {'status': 200, 'is_whole': True, 'body': b'', **fields}
-    fields = {'ended_at': 103.0, 'problem': '', **fields}
-    return SimpleNamespace(id=id_, sent_at=100.0, headers=(), **fields)
+    fields = {'ended_at': 103.0, 'problem': '', 'whole_at': 100.0, **fields}
+    fields = {'sent_at': 100.0, **fields}
+    return SimpleNamespace(id=id_, headers=(), **fields)
 
 
 def run_of(target, id_='a1', **fields):
     run = {'id': id_, 'target': target, 'tenant': 'school', 'is_moved': False}
-    return run | fields
+    return run | {'ended_at': 103.0} | fields
 
 
 def record_of(target, answer, runs, **fields):
@@ -73,7 +76,8 @@
         key=fields.pop('key', 'key-school'),
         answer=answer,
         entry='d',
-        patience_s=fields.pop('patience_s', None),
+        patience_s=fields.get('patience_s'),
+        limit_s=fields.pop('patience_s', None) or math.inf,
         has_left=fields.pop('has_left', False),
     )
     return Record(
@@ -202,8 +206,11 @@
         answer = answer_to(status=None, is_whole=False, problem='over')
         record = record_of('/draft/1', answer, [], patience_s=2.0)
         self.assert_seen('got no answer', record)
-        record.absences.append(Absence(entry='d', start=90.0, end=100.5))
-        self.assertEqual(find_problems(record), [])
+        for kind in (AbsenceKind.FROZEN, AbsenceKind.KILLED):
+            record.absences[:] = [
+                Absence(entry='d', kind=kind, start=90.0, end=100.5)
+            ]
+            self.assertEqual(find_problems(record), [])
 
     def test_answer_after_the_deadline(self):
         answer = answer_to(status=503)
@@ -228,3 +235,142 @@
             '/slip/1', answer_to(status=502), [], serves_again=False
         )
         self.assert_seen('serves no more', record)
+
+
+class TestStopChecks(unittest.TestCase):
+    """Requests at a daemon that gets SIGTERM at 98 s; its grace ends at 106.
+
+    A request is sent at 100 s; its draft is cut at 105 s if not said
+    otherwise.
+    """
+
+    def record(self, *, gone_at=105.5, replica='i-0001', **fields):
+        fields = {'status': 200, 'is_whole': False, 'ended_at': 105.0} | fields
+        target = fields.pop('target', '/draft/1')
+        arrivals, ran_until = fields.pop('arrivals', 1), fields['ended_at']
+        run = run_of(target, ended_at=fields.pop('ran_until', ran_until))
+        patience_s = fields.pop('patience_s', None)
+        record = record_of(
+            target,
+            answer_to(problem='ended', **fields),
+            [run] if arrivals else [],
+            patience_s=patience_s,
+        )
+        record.seen['arrivals'] = [
+            {'id': 'a1', 'at': 100.1, 'is_accepted': True, 'replica': replica}
+        ] * arrivals
+        record.absences.append(
+            Absence(
+                entry='d',
+                kind=AbsenceKind.STOPPING,
+                start=98.0,
+                gone_at=gone_at,
+            )
+        )
+        return record
+
+    def assert_lost(self, record):
+        problems = find_problems(record)
+        self.assertTrue(any('was lost' in each for each in problems), problems)
+
+    def assert_kept(self, record):
+        self.assertEqual(find_problems(record), [])
+
+    def test_stream_that_is_cut_late_in_the_grace_period(self):
+        self.assert_kept(self.record())
+        self.assert_lost(self.record(ended_at=104.6))
+        self.assert_lost(self.record(sent_at=101.1, whole_at=101.1))
+        self.assert_lost(self.record(sent_at=100.9, whole_at=101.1))
+
+    # Guards against an excuse by a run that ended long before the cut.
+    def test_stream_whose_endpoint_had_ended_is_lost(self):
+        self.assert_lost(self.record(ran_until=104.6))
+        self.assert_kept(self.record(ran_until=None))
+
+    def test_request_that_waited_at_an_endpoint_is_lost(self):
+        record = self.record()
+        record.seen['runs'].clear()
+        self.assert_lost(record)
+
+    def test_request_that_got_no_answer_and_was_passed_on_is_lost(self):
+        self.assert_lost(self.record(status=None, ended_at=100.1))
+
+    def test_request_that_crossed_the_close(self):
+        fields = {'status': None, 'arrivals': 0}
+        self.assert_kept(self.record(ended_at=100.1, **fields))
+        self.assert_lost(self.record(ended_at=100.3, **fields))
+        self.assert_kept(self.record(ended_at=101.6, whole_at=101.5, **fields))
+        self.assert_kept(self.record(ended_at=101.6, whole_at=None, **fields))
+
+    def test_limit_that_was_reached(self):
+        self.assert_kept(self.record(ended_at=102.95, target='/question/1'))
+        self.assert_lost(self.record(ended_at=102.8, target='/question/1'))
+        self.assert_kept(self.record(ended_at=104.0, patience_s=4.0))
+        self.assert_lost(self.record(ended_at=103.8, patience_s=4.0))
+
+    # Guards against a caller's deadline that hides a request that was cut.
+    def test_stop_is_no_absence_before_its_process_has_ended(self):
+        fields = {'status': None, 'ended_at': 101.0, 'patience_s': 4.0}
+        self.assert_lost(self.record(**fields))
+        gone = self.record(gone_at=99.0, arrivals=0, **fields)
+        self.assert_kept(gone)
+        gone.absences[0].end = 99.5
+        problems = find_problems(gone)
+        self.assertIn('got no answer', ''.join(problems))
+
+    def test_request_at_another_time_or_daemon(self):
+        self.assert_kept(self.record(gone_at=99.9))
+        record = self.record(ended_at=104.0)
+        record.absences[0].entry = 'e'
+        self.assert_kept(record)
+        record.absences[0].entry = 'd'
+        record.absences[0].start = 104.1
+        self.assert_kept(record)
+
+    def test_unplanned_disruption_of_the_daemon(self):
+        for kind, end, is_kept in (
+            (AbsenceKind.FROZEN, 97.1, True),
+            (AbsenceKind.FROZEN, 96.9, False),
+            (AbsenceKind.KILLED, 200.0, False),
+        ):
+            record = self.record(ended_at=104.0)
+            record.absences.append(
+                Absence(entry='d', kind=kind, start=96.0, end=end)
+            )
+            (self.assert_kept if is_kept else self.assert_lost)(record)
+        record.absences[-1].start = 97.1
+        self.assert_kept(record)
+        record.absences[-1].entry = 'e'
+        self.assert_lost(record)
+
+    def test_unplanned_disruption_of_an_endpoint_or_a_way(self):
+        for place, start, end, is_kept in (
+            ('i-0001', 104.1, 105.0, False),
+            ('i-0001', 96.0, 96.9, False),
+            ('i-0001', 96.0, 97.1, True),
+            ('i-0001', 103.9, 103.9, True),
+            ('i-0002', 103.9, 103.9, False),
+            ('d', 103.9, 103.9, True),
+            ('e', 103.9, 103.9, False),
+        ):
+            record = self.record(ended_at=104.0)
+            record.disruptions.append(
+                Disruption(place=place, start=start, end=end)
+            )
+            (self.assert_kept if is_kept else self.assert_lost)(record)
+
+    def test_stop_that_lasts_longer_than_the_grace_period(self):
+        self.assert_kept(self.record(gone_at=106.0))
+        record = self.record(gone_at=106.1)
+        self.assertIn('took 8.10 s to stop', ''.join(find_problems(record)))
+        record.absences.append(
+            Absence(entry='d', kind=AbsenceKind.FROZEN, start=97.0, end=98.2)
+        )
+        self.assert_kept(record)
+        record = self.record(gone_at=math.inf)
+        self.assertIn('inf s to stop', ''.join(find_problems(record)))
+
+    def test_refusal_of_what_an_endpoint_had(self):
+        for status in (408, 421, 429, 503):
+            record = self.record(status=status, is_whole=True)
+            self.assertIn('an engine had it', ''.join(find_problems(record)))
