Stand-ins: streams of different lengths, and callers that send ahead

The stand-in replica made the same number of events for every stream, and its caller sent one request at a time. A stop under long drafts beside short questions, and a request behind an answer under way, could not be played.

Change: events_by_prefix of ReplicaSpeed and of the site stand-in gives the number of events by the path; StandInCaller.send_pair sends a second request on the connection before the first is answered.

--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -2,13 +2,21 @@
 
 import random
 import uuid
+from collections.abc import Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import urlencode
 
 import anyio
+import h11
 import orjson
-from mimosamux_daemon.adapters.http1_channel import Channel, ChannelBroken
+from mimosamux_daemon.adapters.http1_channel import (
+    BROKEN,
+    Channel,
+    ChannelBroken,
+    describe,
+)
 from mimosamux_daemon.adapters.http1_channels import Channels
 from mimosamux_daemon.domain.http_messages import (
     AnswerHead,
@@ -16,7 +24,7 @@
     RequestHead,
     find_value,
 )
-from mimosamux_daemon.ports.network import Network
+from mimosamux_daemon.ports.network import Connection, Network
 
 HOST = 'site.example'
 STOPPED_WAITING = 'the caller stopped waiting'
@@ -95,7 +103,53 @@
         id_: str | None = None,
     ) -> CallerAnswer:
         """Send one attempt and return what came of it."""
-        id_ = id_ or uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
+        id_ = id_ or self._make_id()
+        head = self._make_head(id_, target, method, body, headers)
+        answer = await self._exchange(address, head, body, id_)
+        self.answers.append(answer)
+        return answer
+
+    async def send_pair(
+        self,
+        address: str,
+        targets: Sequence[str],
+        *,
+        between_s: float,
+        body: bytes = b'',
+        headers: RawHeaders = (),
+    ) -> list[CallerAnswer]:
+        """Send two attempts, the second before the first is answered.
+
+        Both go on one new connection. Returns what came of those that were
+        sent.
+        """
+        pair = _Pair(waits_s=self._waits_s)
+        for target in targets:
+            id_ = self._make_id()
+            head = self._make_head(id_, target, 'POST', body, headers)
+            pair.requests.append((id_, head, body))
+        try:
+            connection = await self.network.connect(address)
+        except OSError as error:
+            return [
+                _no_answer(id_, anyio.current_time(), describe(error))
+                for id_, _, _ in pair.requests[:1]
+            ]
+        answers = await pair.exchange(address, connection, between_s)
+        self.answers += answers
+        return answers
+
+    def _make_id(self) -> str:
+        return uuid.UUID(int=self.rng.getrandbits(128)).hex[:16]
+
+    def _make_head(
+        self,
+        id_: str,
+        target: str,
+        method: str,
+        body: bytes,
+        headers: RawHeaders,
+    ) -> RequestHead:
         own: list[tuple[bytes, bytes]] = [
             (b'Host', HOST.encode()),
             (b'X-Attempt-Id', id_.encode()),
@@ -105,14 +159,11 @@
             own.append((b'X-Key', self.key.encode()))
         if body or method != 'GET':
             own.append((b'Content-Length', b'%d' % len(body)))
-        head = RequestHead(
+        return RequestHead(
             method=method.encode(),
             target=target.encode(),
             headers=(*own, *headers),
         )
-        answer = await self._exchange(address, head, body, id_)
-        self.answers.append(answer)
-        return answer
 
     async def resume(
         self,
@@ -156,6 +207,70 @@
         return answer or _no_answer(id_, sent_at, STOPPED_WAITING)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Pair:
+    """Two requests on one connection."""
+
+    waits_s: float
+    requests: list[tuple[str, RequestHead, bytes]] = field(
+        default_factory=list
+    )
+    _first: CallerAnswer | None = None
+
+    async def exchange(
+        self, address: str, connection: Connection, between_s: float
+    ) -> list[CallerAnswer]:
+        channel = Channel(address=address, connection=connection)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._exchange_first, channel)
+                await anyio.sleep(between_s)
+                sent_at = anyio.current_time()
+                is_sent = await self._send_second(connection)
+            assert self._first is not None
+            if not is_sent:
+                return [self._first]
+            second = await self._receive_second(channel, sent_at)
+            return [self._first, second]
+        finally:
+            with anyio.CancelScope(shield=True):
+                await channel.close()
+
+    async def _exchange_first(self, channel: Channel) -> None:
+        id_, head, body = self.requests[0]
+        sent_at = anyio.current_time()
+        with anyio.move_on_after(self.waits_s):
+            self._first = await _read(channel, head, body, id_, sent_at)
+        if self._first is None or not self._first.is_whole:
+            await channel.close()
+        self._first = self._first or _no_answer(id_, sent_at, STOPPED_WAITING)
+
+    async def _send_second(self, connection: Connection) -> bool:
+        _, head, body = self.requests[1]
+        parser = h11.Connection(h11.CLIENT)
+        request = h11.Request(
+            method=head.method, target=head.target, headers=list(head.headers)
+        )
+        data = parser.send(request) + parser.send(h11.Data(data=body))
+        with suppress(*BROKEN):
+            await connection.send(data)
+            return True
+        return False
+
+    async def _receive_second(
+        self, channel: Channel, sent_at: float
+    ) -> CallerAnswer:
+        id_ = self.requests[1][0]
+        if not channel.expect_another():
+            return _no_answer(id_, sent_at, 'closed behind another', sent_at)
+        answer = None
+        with anyio.move_on_after(
+            sent_at + self.waits_s - anyio.current_time()
+        ):
+            answer = await _receive(channel, id_, sent_at, sent_at)
+        return answer or _no_answer(id_, sent_at, STOPPED_WAITING, sent_at)
+
+
 async def _read(
     channel: Channel, head: RequestHead, body: bytes, id_: str, sent_at: float
 ) -> CallerAnswer:
@@ -163,6 +278,12 @@
     await channel.send_rest()
     is_sent = broken is None and not channel.has_rest
     whole_at = anyio.current_time() if is_sent else None
+    return await _receive(channel, id_, sent_at, whole_at)
+
+
+async def _receive(
+    channel: Channel, id_: str, sent_at: float, whole_at: float | None
+) -> CallerAnswer:
     answer = await channel.receive_head()
     if not isinstance(answer, AnswerHead):
         return _no_answer(id_, sent_at, answer.reason, whole_at)
--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -1,6 +1,6 @@
 """The whole stand-in platform in one process, on loopback ports."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import anyio
@@ -305,6 +305,7 @@
     engines: int = 3,
     apps: int = 3,
     events: int = 12,
+    events_by_prefix: Mapping[str, int] | None = None,
     event_s: float = 0.05,
     work_s: float = 0.03,
     token_s: float = 1e-5,
@@ -313,7 +314,11 @@
 ) -> None:
     """Run the stand-in platform until SIGTERM or Ctrl-C."""
     speed = ReplicaSpeed(
-        events=events, event_s=event_s, work_s=work_s, token_s=token_s
+        events=events,
+        events_by_prefix=events_by_prefix or {},
+        event_s=event_s,
+        work_s=work_s,
+        token_s=token_s,
     )
     anyio.run(_serve, engines, apps, speed, engine_slots, engine_factors)
 
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -1,7 +1,7 @@
 """Stand-in of a replica: a queue, slots, answers, and faults."""
 
 import hashlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
@@ -73,8 +73,21 @@
     """Time to read one token of a prompt."""
     event_s: float = 0.02
     events: int = 6
+    events_by_prefix: Mapping[str, int] = field(default_factory=dict)
+    """Events of streams by the prefix of their path; the longest counts."""
     move_s: float = 0.01
 
+    def events_of(self, target: str) -> int:
+        """Return how many events the stream of a path has."""
+        prefixes = [
+            prefix
+            for prefix in self.events_by_prefix
+            if target.startswith(prefix)
+        ]
+        if not prefixes:
+            return self.events
+        return self.events_by_prefix[max(prefixes, key=len)]
+
     def slowed(self, factor: float) -> 'ReplicaSpeed':
         """Return the speed of a replica that takes `factor` times as long."""
         return replace(
@@ -392,14 +405,16 @@
         self, reply: Reply, run: Run, headers: RawHeaders
     ) -> None:
         await reply.connection.send(_render_unframed(headers))
-        for number in range(run.resumed_behind + 1, self.speed.events + 1):
+        events = self.speed.events_of(run.target)
+        for number in range(run.resumed_behind + 1, events + 1):
             await anyio.sleep(self.speed.event_s)
             run.events = number
             await reply.connection.send(render_event(run.id, number))
         await reply.connection.aclose()
 
     async def _send_events(self, reply: Reply, run: Run) -> None:
-        for number in range(run.resumed_behind + 1, self.speed.events + 1):
+        events = self.speed.events_of(run.target)
+        for number in range(run.resumed_behind + 1, events + 1):
             await anyio.sleep(self.speed.event_s)
             await self._stand_still()
             if self.framing is Framing.ENDLESS_EVENT and number > 2:
@@ -407,7 +422,7 @@
                 return
             run.events = number
             event = render_event(run.id, number)
-            if self.fault is Fault.CUT and number > self.speed.events // 2:
+            if self.fault is Fault.CUT and number > events // 2:
                 await reply.write(event[: len(event) // 2])
                 return
             if not await reply.write(event):
