Soak: runs with long streams under stops in series (failing)

Cause: the soak's streams lasted 0.6 s and its callers paused between their requests, so that a stop never met a stream that it could cut.

Change: a kind of run with drafts of 4 s and questions of 0.25 to 2.25 s. Kills, freezes, a store that is away and reclaimed engines overlap. Seeds of the other kinds draw as before.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,6 +1,8 @@
 """Runs the fault soak by hand: `python -m tests.soak --seeds 50`.
 
 A fifth of the seeds is played with a large site; `--daemons` fixes the size.
+A third is played with long streams and stops in series; `--long_streams` and
+`--nolong_streams` say so for all.
 """
 
 import pathlib
@@ -8,11 +10,18 @@
 
 import fire
 
-from tests.support.soak import choose_daemons, play
+from tests.support.soak import choose_daemons, choose_long_streams, play
 from tests.support.soak_checks import find_problems
 
 
-def soak(first=1, seeds=10, seconds=15.0, daemons=None, logs=None):
+def soak(
+    first=1,
+    seeds=10,
+    seconds=15.0,
+    daemons=None,
+    logs=None,
+    long_streams=None,
+):
     """Play seeds one after the other; print what each broke.
 
     The logs of the daemons are written below the folder `logs`, if given.
@@ -20,6 +29,9 @@
     failed = 0
     for seed in range(first, first + seeds):
         count = daemons or choose_daemons(seed)
+        is_long = long_streams
+        if is_long is None:
+            is_long = choose_long_streams(seed)
         folder = None
         if logs is not None:
             folder = pathlib.Path(logs, str(seed))
@@ -30,12 +42,14 @@
             seconds=seconds,
             logs=folder,
             has_needy_endpoints=True,
-            has_versions=True,
+            has_versions=not is_long,
+            has_long_streams=is_long,
         )
         problems = find_problems(record)
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
-            f'seed {seed}: {count} daemons, {served} of {len(record.sent)}'
+            f'seed {seed}: {count} daemons{" and long streams" * is_long},'
+            f' {served} of {len(record.sent)}'
             f' served, {record.waits:g} waited',
             flush=True,
         )
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -19,20 +19,22 @@
 
 import httpx
 from mimosamux_daemon.gateway.exchange.groups import LARGEST_GROUP
-from mimosamux_standins.site.replica import Fault
+from mimosamux_standins.site.replica import Fault, ReplicaSpeed
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.platform_processes import PROMPT, platform_processes
 from tests.support.soak_callers import REVOKED_KEY, STREAM_TARGETS, Callers
 from tests.support.soak_record import (
+    EVENTS,
     Absence,
     AbsenceKind,
     Disruption,
     Record,
 )
+from tests.support.soak_steady_callers import SteadyCallers
+from tests.support.soak_stops import START_TIMEOUT_S, Stops
 
 FAULT_EVERY_S = 0.6
-START_TIMEOUT_S = 30.0
 WAITING = 'mimosamux_gateway_waiting_requests'
 WAITS = 'mimosamux_gateway_waits_total'
 RECOVERY_S = 12.0
@@ -40,12 +42,23 @@
 SMALL_SITE = 3
 LARGE_SITES = (13, 14)
 """Numbers of daemons with which digests pass through relays."""
+LONG_STREAMS_EVERY = 3
+"""Of so many seeds, one is played with long streams."""
 LARGE_SITE_EVERY = 5
 """Of so many seeds, one is played with a large site."""
 LARGE_SITE_WAYS = 5
 """Ways to the store that the daemons of a large site share: with one each, a
 soak would start 29 processes."""
 ENGINE_FACTORS = ((1.0, 1.0, 1.3), (0.7, 0.7, 1.7))
+STEADY_CALLERS = 10
+"""At each daemon, where streams are long."""
+LONG_STREAMS = {
+    'events': 80,
+    'event_s': 0.05,
+    'events_by_prefix': {f'/question/{n}': 5 + 5 * n for n in range(9)},
+    'engine_slots': 24,
+}
+"""Drafts of 4 s, and questions of 0.25 to 2.25 s."""
 BURST_CALLERS = 40
 """With 2 or 3 slots at each of 3 engines, at least four times their slots."""
 BURST_S = 1.5
@@ -90,15 +103,23 @@
     has_versions: bool = False
     """Whether engines run two software versions, and callers take broken
     streams up."""
+    has_long_streams: bool = False
+    """Whether streams last for seconds, callers send one request right behind
+    the other, and daemons are stopped in series."""
+    stops: Stops = field(init=False)
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
     """Names of the daemons that were asked to stop."""
     _due: list = field(default_factory=list)
     _drawn: int = 0
 
+    def __post_init__(self):
+        self.stops = Stops(soak=self, rng=self.rng)
+
     @property
-    def is_large(self):
-        return len(self.platform.daemons) > LARGEST_GROUP
+    def has_bursts(self):
+        is_large = len(self.platform.daemons) > LARGEST_GROUP
+        return is_large and not self.has_long_streams
 
     def start_daemons(self, count):
         ways = count if count <= LARGEST_GROUP else LARGE_SITE_WAYS
@@ -142,11 +163,17 @@
 
     def kill_daemons(self):
         """Kill the daemons, and read the rest of their logs."""
-        for daemon in self.platform.daemons:
-            daemon.process.kill()
+        self._kill_each()
+        # A stop that an error interrupts starts its daemon again.
+        self.stops.join()
+        self._kill_each()
         for reader in self._readers:
             reader.join()
 
+    def _kill_each(self):
+        for daemon in self.platform.daemons:
+            daemon.process.kill()
+
     def run(self, seconds):
         end = time.monotonic() + seconds
         while (now := time.monotonic()) < end:
@@ -160,6 +187,7 @@
         for _, _, undo in due:
             undo()
         self._due.clear()
+        self.stops.join()
         for number in self.proxies:
             self._spoil(number, HEALED)
         self._set_store(StoreTrouble.NONE)
@@ -195,7 +223,7 @@
 
     def make_callers(self, **fields):
         fields |= {'takes_up': self.has_versions}
-        if self.is_large:
+        if self.has_bursts:
             # Only a request with five targets or more to its deadline may
             # wait for an engine: 5 s on the route of drafts.
             fields |= {
@@ -205,34 +233,58 @@
                 'leaving_share': 0.2,
             }
         entries = [daemon.entry for daemon in self.platform.daemons]
+        if self.has_long_streams:
+            return SteadyCallers(
+                entries=entries,
+                rng=random.Random(self.rng.getrandbits(64)),
+                count=STEADY_CALLERS * len(entries),
+            )
         return Callers(entries=entries, **{'rng': self.rng} | fields)
 
     def _burst(self):
         self._later(self.burst().request_stop, BURST_S)
 
     def _draw(self):
-        act = self.rng.choice(
-            (
-                *((self._burst, self._burst) if self.is_large else ()),
-                self._freeze,
-                self._kill,
-                self._stop,
-                self._spoil_way,
-                self._spoil_way,
-                self._cut_way,
-                self._spoil_store,
-                self._restore_store,
-                self._spoil_replica,
-                self._drain_replica,
-                self._revoke,
-                *(
-                    (self._silence_replica, self._make_brittle)
-                    if self.has_needy_endpoints
-                    else ()
-                ),
-            )
+        self.rng.choice(
+            self._long_stream_faults()
+            if self.has_long_streams
+            else self._faults()
+        )()
+
+    def _long_stream_faults(self):
+        return (
+            self.stops.stop_one,
+            self.stops.stop_two,
+            self.stops.stop_all_in_turn,
+            self.stops.stop_a_starting_one,
+            self.stops.kill_one,
+            self._freeze,
+            self._spoil_way,
+            self._spoil_store,
+            self._restore_store,
+            self._drain_replica,
+        )
+
+    def _faults(self):
+        return (
+            *((self._burst, self._burst) if self.has_bursts else ()),
+            self._freeze,
+            self._kill,
+            self._stop,
+            self._spoil_way,
+            self._spoil_way,
+            self._cut_way,
+            self._spoil_store,
+            self._restore_store,
+            self._spoil_replica,
+            self._drain_replica,
+            self._revoke,
+            *(
+                (self._silence_replica, self._make_brittle)
+                if self.has_needy_endpoints
+                else ()
+            ),
         )
-        act()
 
     def _note(self, *words):
         self.log.append((round(time.monotonic(), 3), *words))
@@ -242,7 +294,9 @@
         daemon = self.platform.daemons[number]
         return daemon if daemon.process.popen.poll() is None else None
 
-    def _begin_absence(self, daemon, kind):
+    def begin_absence(self, daemon, kind, *words):
+        """Note that a daemon gets a signal."""
+        self._note(kind.name.lower(), daemon.name, *words)
         absence = Absence(
             entry=daemon.entry,
             kind=kind,
@@ -277,8 +331,7 @@
     def _freeze(self):
         daemon = self._pick_daemon()
         if daemon is not None:
-            self._note('freeze', daemon.name)
-            absence = self._begin_absence(daemon, AbsenceKind.FROZEN)
+            absence = self.begin_absence(daemon, AbsenceKind.FROZEN)
             process = daemon.process
             process.freeze()
             self._later(lambda: self._thaw(process, absence), 4.0)
@@ -290,16 +343,14 @@
     def _kill(self):
         daemon = self._pick_daemon()
         if daemon is not None:
-            self._note('kill', daemon.name)
-            self._begin_absence(daemon, AbsenceKind.KILLED)
+            self.begin_absence(daemon, AbsenceKind.KILLED)
             daemon.process.kill()
             self._later(lambda: self._start_again(daemon), 1.5)
 
     def _stop(self):
         daemon = self._pick_daemon()
         if daemon is not None:
-            self._note('stop', daemon.name)
-            self._begin_absence(daemon, AbsenceKind.STOPPING)
+            self.begin_absence(daemon, AbsenceKind.STOPPING)
             daemon.process.terminate()
             self._stopping.add(daemon.name)
             self._later(lambda: self._start_again(daemon), 3.0)
@@ -311,9 +362,13 @@
                 self._later(lambda: self._start_again(daemon), 2.0)
             return
         self._stopping.discard(daemon.name)
+        self.start(daemon)
+
+    def start(self, daemon):
+        """Start a daemon again; return an event for its start."""
         self._note('start', daemon.name)
         daemon.process = self.platform.started.start_daemon(**daemon.settings)
-        self._read_log(daemon)
+        return self._read_log(daemon)
 
     def _spoil(self, number, faults):
         httpx.post(
@@ -434,6 +489,11 @@
     return LARGE_SITES[turn % 2] if rest == 0 else SMALL_SITE
 
 
+def choose_long_streams(seed):
+    """Return whether a seed is played with long streams."""
+    return seed % LONG_STREAMS_EVERY == 0
+
+
 def play(
     seed,
     *,
@@ -442,10 +502,15 @@
     logs=None,
     has_needy_endpoints=False,
     has_versions=False,
+    has_long_streams=False,
 ):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
-    options = _draw_large_site(rng) if daemons > LARGEST_GROUP else {}
+    options = {}
+    if has_long_streams:
+        options = LONG_STREAMS
+    elif daemons > LARGEST_GROUP:
+        options = _draw_large_site(rng)
     with platform_processes(daemons=0, **options) as platform:
         soak = Soak(
             platform=platform,
@@ -453,6 +518,7 @@
             logs=logs,
             has_needy_endpoints=has_needy_endpoints,
             has_versions=has_versions,
+            has_long_streams=has_long_streams,
         )
         try:
             if has_versions:
@@ -463,6 +529,16 @@
             soak.kill_daemons()
 
 
+def _find_speed(soak):
+    """Return how many events the streams of the site have."""
+    if not soak.has_long_streams:
+        return ReplicaSpeed(events=EVENTS)
+    return ReplicaSpeed(
+        events=LONG_STREAMS['events'],
+        events_by_prefix=LONG_STREAMS['events_by_prefix'],
+    )
+
+
 def _draw_large_site(rng):
     return {
         'engine_slots': rng.choice((2, 3)),
@@ -475,14 +551,14 @@
 def _play(soak, seconds):
     platform = soak.platform
     entries = [daemon.entry for daemon in platform.daemons]
-    pause = {'longest_pause_s': 0.8} if soak.is_large else {}
+    pause = {'longest_pause_s': 0.8} if soak.has_bursts else {}
     callers = soak.make_callers(**pause)
     callers.start()
     try:
         soak.run(seconds)
         soak.heal()
         serves_again = _wait_until_all_serve(entries, _is_served, RECOVERY_S)
-        serves_after_burst = not soak.is_large or _serves_after_burst(soak)
+        serves_after_burst = not soak.has_bursts or _serves_after_burst(soak)
     finally:
         for each in (callers, *soak.bursts):
             each.stop()
@@ -495,6 +571,7 @@
         serves_after_burst=serves_after_burst,
         absences=soak.absences,
         disruptions=soak.disruptions,
+        speed=_find_speed(soak),
         still_waiting=_count_left_waiting(platform) if serves_again else 0.0,
         waits=_read_metric(platform, WAITS) if serves_again else 0.0,
     )
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -17,7 +17,6 @@
 from tests.support.stops import GRACE_S, PROMISES
 
 MAY_REPEAT = ('/list/', '/question/')
-EVENTS = 12
 REVOCATION_S = 5.0
 PROBE = 'probe-'
 LAG_S = 0.5
@@ -84,7 +83,8 @@
     if answer.status != 200:
         return
     if sent.target.startswith(STREAM_TARGETS):
-        yield from _check_events(answer, sent.behind)
+        events = record.speed.events_of(sent.target)
+        yield from _check_events(answer, sent.behind, events)
     elif answer.is_whole:
         yield from _check_proof(record, answer)
 
@@ -136,14 +136,14 @@
     return absence.start
 
 
-def _check_events(answer, behind):
+def _check_events(answer, behind, events):
     count = answer.body.count(b'\n\n')
     expected = b''.join(
         render_event(answer.id, number)
-        for number in range(behind + 1, EVENTS + 1)
+        for number in range(behind + 1, events + 1)
     )
     if answer.is_whole and answer.body != expected:
-        yield f'{answer.id} got {count} of {EVENTS} events as whole'
+        yield f'{answer.id} got {count} of {events} events as whole'
     if not expected.startswith(answer.body):
         yield f'{answer.id} got events out of order'
 
--- a/tests/support/soak_record.py
+++ b/tests/support/soak_record.py
@@ -4,6 +4,11 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from mimosamux_standins.site.replica import ReplicaSpeed
+
+EVENTS = 12
+"""Of each stream of the stand-in platform, if not said otherwise."""
+
 
 class AbsenceKind(Enum):
     """Why a daemon does not answer."""
@@ -53,3 +58,7 @@
     """Requests in the queues after all callers had gone."""
     waits: float = 0.0
     """Requests that waited for an engine, as far as daemons still know."""
+    speed: ReplicaSpeed = field(
+        default_factory=lambda: ReplicaSpeed(events=EVENTS)
+    )
+    """Tells how many events each stream has."""
--- a/tests/support/soak_stop_checks.py
+++ b/tests/support/soak_stop_checks.py
@@ -50,10 +50,13 @@
     if fate == 'excused' and not _is_at_work_late(runs, stop):
         fate = 'lost'
     if fate == 'lost' and not _is_disrupted(record, sent, accepted):
+        sent_s, whole_s, ended_s = (
+            round(at - stop.start, 2)
+            for at in (answer.sent_at, answer.whole_at, answer.ended_at)
+        )
         yield (
-            f'{answer.id} ({sent.target}) to {sent.entry} was lost: sent'
-            f' {answer.sent_at - stop.start:.2f} s and ended'
-            f' {answer.ended_at - stop.start:.2f} s behind SIGTERM,'
+            f'{answer.id} ({sent.target}) to {sent.entry} was lost: sent from'
+            f' {sent_s} to {whole_s} s and ended {ended_s} s behind SIGTERM,'
             f' {"" if accepted else "not "}passed on, {answer.status}'
             f' {answer.problem}'
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,8 +8,9 @@
 
 from tests.support.soak import LARGE_SITES, play
 from tests.support.soak_callers import REVOKED_KEY, Sent
-from tests.support.soak_checks import EVENTS, find_problems
+from tests.support.soak_checks import find_problems
 from tests.support.soak_record import (
+    EVENTS,
     Absence,
     AbsenceKind,
     Disruption,
@@ -19,6 +20,8 @@
 SEED = 7
 SECONDS = 5.0
 LARGE_SITE_SECONDS = 1.0
+LONG_STREAMS_SEED = 1
+LONG_STREAMS_SECONDS = 6.0
 
 
 class TestSoak(unittest.TestCase):
@@ -57,6 +60,23 @@
         self.assertEqual(find_problems(record), [], record.log)
         self.assertGreater(record.waits, 0)
 
+    # Guards against requests that a stopping daemon takes and cuts.
+    def test_no_request_is_cut_by_stops_in_series(self):
+        record = play(
+            LONG_STREAMS_SEED,
+            seconds=LONG_STREAMS_SECONDS,
+            has_long_streams=True,
+        )
+        self.assertEqual(find_problems(record), [], record.log)
+        answered = [each for each in record.sent if each.answer.status == 200]
+        self.assertGreater(len(answered), 60)
+        stops = [
+            each
+            for each in record.absences
+            if each.kind is AbsenceKind.STOPPING
+        ]
+        self.assertGreater(len(stops), 1)
+
 
 def answer_to(id_='a1', **fields):
     fields = {'status': 200, 'is_whole': True, 'body': b'', **fields}
