Gateway: a stopping daemon takes only what it can finish

What callers saw: streams that were passed on and ended without their last events, 7.4 s behind the SIGTERM of their daemon.

Cause: an answer that had begun before the signal went out without Connection: close. Its connection took the caller's next request seconds later, passed it on, and was cut 0.6 s before the grace period ended. Nothing in the daemon compared the time that a request may take with the time that the daemon still had; nothing told which requests were cut, and a request without an answer got none.

Change: one rule, StopWindow.can_finish, asked before each send, wherever the request comes from: it is sent if its deadline ends before the stop does, or, while callers are still directed here, if requests of its route usually end in time (mean and two mean deviations). Any other is refused at once as not run, with Connection: close and Retry-After 0. At the end of the stop each open request is ended by name: 503 or 502 where no answer had begun, and request_ended reason=stopping as a warning. The stop counts from its signal, the daemon's row is withdrawn meanwhile and not behind the stop, and idle connections are closed only where nothing came for 0.5 s, no longer all at once at the signal: their callers are told in the next answer.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -49,6 +49,14 @@
     problem: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
+class _IdleWait:
+    """A connection's wait for its next request."""
+
+    scope: anyio.CancelScope
+    began_at: float
+
+
 class Http1Server:
     """Serves connections of callers until it is told to stop."""
 
@@ -60,16 +68,18 @@
         self.is_draining = False
         self._handler = handler
         self._limits = limits
-        self._idle_scopes: set[anyio.CancelScope] = set()
+        self._idle_waits: set[_IdleWait] = set()
 
     def drain(self) -> None:
         """End each connection behind the answer that is due on it."""
         self.is_draining = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is under way."""
-        for scope in tuple(self._idle_scopes):
-            scope.cancel()
+    def close_idle(self, *, longer_than_s: float) -> None:
+        """Close the connections on which nothing came for some time."""
+        before = anyio.current_time() - longer_than_s
+        for wait in tuple(self._idle_waits):
+            if wait.began_at <= before:
+                wait.scope.cancel()
 
     async def serve(self, connection: Connection) -> None:
         """Serve one connection until it ends."""
@@ -156,19 +166,25 @@
         """Return whether a request begins before the idle time is over."""
         if self._parser.trailing_data[0]:
             return True
-        received = b''
-        with anyio.move_on_after(idle_timeout_s) as scope:
-            self._server._idle_scopes.add(scope)
-            try:
-                received = await self.connection.receive(READ_BYTES)
-            except BROKEN:
-                return False
-            finally:
-                self._server._idle_scopes.discard(scope)
+        try:
+            received = await self._receive_within(idle_timeout_s)
+        except BROKEN:
+            return False
         if received:
             self._parser.receive_data(received)
         return bool(received)
 
+    async def _receive_within(self, idle_timeout_s: float) -> bytes:
+        """Return the next bytes, none if the connection stays idle."""
+        with anyio.move_on_after(idle_timeout_s) as scope:
+            wait = _IdleWait(scope=scope, began_at=anyio.current_time())
+            self._server._idle_waits.add(wait)
+            try:
+                return await self.connection.receive(READ_BYTES)
+            finally:
+                self._server._idle_waits.discard(wait)
+        return b''
+
     async def _read_body(
         self, event: h11.Request, limits: TrafficLimits
     ) -> IncomingRequest | Unreadable | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
@@ -9,7 +9,7 @@
     EndpointId,
     ServiceName,
 )
-from mimosamux_daemon.domain.outcomes import Failed, Refused
+from mimosamux_daemon.domain.outcomes import Failed, Reason, Refused
 from mimosamux_daemon.domain.vms import Market
 
 
@@ -123,6 +123,7 @@
     """The caller got a truncated answer, recognisable as incomplete."""
 
     reason: str
+    cause: Reason = Reason.ENDPOINT_FAILED
 
 
 GatewayOutcome = Delivered | Refused | Failed | CallerGone | AnswerTruncated
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -18,7 +18,10 @@
 from mimosamux_daemon.gateway.parts import GatewayParts
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
-from mimosamux_daemon.gateway.stopping.graceful_stop import GracefulStop
+from mimosamux_daemon.gateway.stopping.graceful_stop import (
+    GracefulStop,
+    begin_stop,
+)
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
 from mimosamux_daemon.ports.network import Network
@@ -51,6 +54,8 @@
         self._network = TcpNetwork() if network is None else network
         self._clock = clock
         self._stopping = anyio.Event()
+        self._signalled_at = 0.0
+        """Time of the signal that began the stop."""
         self._duties_scope = anyio.CancelScope()
         self._entry_scope = anyio.CancelScope()
         self.parts = GatewayParts(
@@ -71,9 +76,11 @@
             note_end=self._note_tunnel,
         )
 
-    def stop(self) -> None:
-        """Begin a graceful stop."""
-        self._stopping.set()
+    def stop(self, *, signalled_s_ago: float = 0.0) -> None:
+        """Begin a graceful stop, whose signal came some seconds ago."""
+        if not self._stopping.is_set():
+            self._signalled_at = self._clock() - signalled_s_ago
+            self._stopping.set()
 
     def reload(self, settings: GatewaySettings) -> None:
         """Apply the settings that may change at run time: the seeds."""
@@ -95,7 +102,7 @@
             tasks.start_soon(self._become_ready)
             tasks.start_soon(self._run_duties)
             await self._stopping.wait()
-            await self._stop()
+            await self._stop(tasks)
             tasks.cancel_scope.cancel()
         log.info('stopped', daemon=self.settings.daemon)
 
@@ -207,17 +214,26 @@
                 rollouts=self.parts.build_rollout_duty(),
             )
 
-    async def _stop(self) -> None:
+    async def _stop(self, tasks: anyio.abc.TaskGroup) -> None:
+        now = self._clock()
+        begin_stop(
+            self.parts.stop_window,
+            now=now,
+            signalled_s_ago=now - self._signalled_at,
+            grace_s=self.settings.stop_grace_s,
+        )
         self.parts.states.state = MemberState.LEAVING
         self.parts.duties.is_stopping = True
         self._duties_scope.cancel()
         self.parts.dispatcher.close()
         self.parts.endpoint_wait.close()
+        tasks.start_soon(self.parts.rows.withdraw)
         await GracefulStop(
+            window=self.parts.stop_window,
             server=self._server,
             tunnels=self._tunnels,
+            open_requests=self.parts.open_requests,
             notify_peers=self.parts.states.send_digest,
             stop_accepting=self._entry_scope.cancel,
-            grace_s=self.settings.stop_grace_s,
+            clock=self._clock,
         ).run()
-        await self.parts.rows.withdraw()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon_rows.py
@@ -47,6 +47,8 @@
     table_era: StoreEra
     states: PeerStates
     rng: random.Random
+    is_withdrawn: bool = False
+    """Whether the daemon stops and writes its row no more."""
     _written_in_era: int = UNKNOWN_ERA
 
     @property
@@ -62,6 +64,7 @@
 
     async def withdraw(self) -> None:
         """Try to delete the row; a row left behind is harmless."""
+        self.is_withdrawn = True
         with anyio.move_on_after(WITHDRAW_TIMEOUT_S):
             await self.table.commit([], [Write(key=self._key, value=None)])
 
@@ -83,6 +86,8 @@
                 await self._retry_until_done(self._write_row)
 
     async def _write_row(self) -> bool:
+        if self.is_withdrawn:
+            return True
         place = self.states.place
         value = orjson.dumps(
             {
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -52,6 +52,8 @@
 from mimosamux_daemon.gateway.loop_lag import LoopLag
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
+from mimosamux_daemon.gateway.stopping.stop_admission import StopAdmission
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
 from mimosamux_daemon.gateway.streams.running_stream import RunningStream
@@ -102,6 +104,8 @@
     quarantine: CrashQuarantine
     resumption: StreamResumption
     outcomes: OutcomeLog
+    open_requests: OpenRequests
+    stop_admission: StopAdmission
     lag: LoopLag
     clock: Callable[[], float]
 
@@ -141,7 +145,13 @@
             self.outcomes.log_refusal(request, job)
             return job
         job.caller = caller
-        outcome = await self._run_unless_quarantined(job, caller, lag_s)
+        with self.open_requests.track() as ended_by_stop:
+            outcome = await self._run_unless_quarantined(job, caller, lag_s)
+        if ended_by_stop.cancelled_caught:
+            outcome = self.stop_admission.end(job)
+        if isinstance(outcome, Delivered):
+            took_s = self.clock() - job.request.received_at
+            self.stop_admission.answer_times.note(job.route.name, took_s)
         if is_whole_run(job, outcome):
             self.quarantine.note_completion(job)
         if isinstance(outcome, Refused) or not job.may_have_run:
@@ -291,6 +301,9 @@
         self, job: Job, choice: Choice
     ) -> GatewayOutcome | NotSent | ContinueElsewhere:
         """Make one attempt; it breaks off if the endpoint restarts."""
+        refusal = self.stop_admission.find_refusal(job)
+        if refusal is not None:
+            return refusal
         with self.recorder.open(job, choice) as attempt:
             with choice.record.track_call(attempt.sent_at):
                 return await self._exchange(job, attempt)
@@ -455,7 +468,9 @@
     def _end_at_deadline(self, job: Job) -> GatewayOutcome:
         """Return the outcome of a job whose deadline has passed."""
         if job.sink.is_started:
-            return AnswerTruncated(reason='no whole answer in time')
+            return AnswerTruncated(
+                reason='no whole answer in time', cause=Reason.DEADLINE
+            )
         return job.give_up(
             Reason.DEADLINE,
             'no answer in time',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
@@ -85,7 +85,12 @@
             }
         )
         self.metrics.request_s.observe({'route': route}, took_s)
-        log.info(
+        is_cut = fields.get('reason') is Reason.STOPPING and not isinstance(
+            outcome, Refused
+        )
+        # Warnings pass the rate limit of the log.
+        write = log.warning if is_cut else log.info
+        write(
             'request_ended',
             request=job.request.id,
             content=job.content,
@@ -139,7 +144,7 @@
 def _(outcome: AnswerTruncated) -> dict[str, object]:
     return {
         'outcome': 'broken_off',
-        'reason': Reason.ENDPOINT_FAILED,
+        'reason': outcome.cause,
         'message': outcome.reason,
     }
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -82,6 +82,9 @@
 from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
+from mimosamux_daemon.gateway.stopping.answer_times import AnswerTimes
+from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
+from mimosamux_daemon.gateway.stopping.stop_admission import StopAdmission
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
@@ -97,6 +100,7 @@
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
 from mimosamux_daemon.ports.network import Network
 from mimosamux_daemon.serving.fair_shares import FairShares
+from mimosamux_daemon.stop_window import StopWindow
 
 CONFIGURATION_POLL_S = 1.3
 """Longest long poll of the configuration. In normal operation, the
@@ -539,6 +543,8 @@
             rng=self._rng,
         )
         self.lag = LoopLag(clock=self._clock)
+        self.stop_window = StopWindow()
+        self.open_requests = OpenRequests()
         self.forwarder = Forwarder(
             lag=self.lag,
             admission=self.admission,
@@ -586,6 +592,12 @@
                 configuration=self.configuration,
                 clock=self._clock,
             ),
+            open_requests=self.open_requests,
+            stop_admission=StopAdmission(
+                window=self.stop_window,
+                answer_times=AnswerTimes(),
+                clock=self._clock,
+            ),
             clock=self._clock,
         )
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -7,7 +7,9 @@
 
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
+from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
 from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.stop_window import StopWindow
 
 log = get_log('stopping')
 
@@ -18,56 +20,82 @@
 EXIT_RESERVE_S = 0.6
 """Part of the grace period that is reserved for sending the last bytes and
 for the exit of the process."""
+FLUSH_S = 0.3
+"""Longest wait for the last answers, within that reserve."""
+IDLE_S = 0.5
+"""Idle time after which a connection is closed. Its caller was not told that
+it ends, and may be about to send the next request."""
 POLL_INTERVAL_S = 0.05
 """Interval of the checks whether connections are left."""
 
 
+def begin_stop(
+    window: StopWindow, *, now: float, signalled_s_ago: float, grace_s: float
+) -> None:
+    """Set the times of a stop, which count from its signal."""
+    signalled_at = now - signalled_s_ago
+    accepts_until = min(now + ACCEPT_S, signalled_at + grace_s / 3)
+    window.begin(
+        at=signalled_at,
+        directed_until=max(accepts_until, now),
+        ends_at=signalled_at + grace_s - EXIT_RESERVE_S,
+    )
+
+
 @dataclass(kw_only=True, slots=True)
 class GracefulStop:
     """Shuts down in order: notify the peers, keep serving, finish requests."""
 
+    window: StopWindow
     server: Http1Server
     tunnels: TunnelServer
+    open_requests: OpenRequests
     notify_peers: Callable[[], Awaitable[None]]
     stop_accepting: Callable[[], None]
-    grace_s: float
+    clock: Callable[[], float]
 
     async def run(self) -> None:
-        """Return when no connection is left, or the grace period is over."""
-        started_at = anyio.current_time()
-        log.info(
-            'leaving',
-            open=self.server.open_requests,
-            connections=self.server.connections,
-            tunnels=self.tunnels.open_tunnels,
-        )
+        """Return when no connection is left, or the stop has to end."""
+        self._log('leaving')
         self.server.drain()
         self.tunnels.drain()
         await self.notify_peers()
-        self.server.close_idle()
-        await anyio.sleep(min(ACCEPT_S, self.grace_s / 3))
+        await self._sleep_until(self.window.directed_until)
         self.stop_accepting()
-        log.info(
-            'accepting_ended',
-            open=self.server.open_requests,
-            connections=self.server.connections,
-            tunnels=self.tunnels.open_tunnels,
-            behind_s=round(anyio.current_time() - started_at, 3),
-        )
-        self.server.close_idle()
-        deadline = started_at + self.grace_s - EXIT_RESERVE_S
-        while self._is_busy() and anyio.current_time() < deadline:
-            self.server.close_idle()
+        self._log('accepting_ended')
+        await self._finish()
+        if self._is_busy():
+            self._log('stop_is_over')
+            await self._end_open_requests()
+        self._log('left')
+
+    async def _finish(self) -> None:
+        """Let open requests end, and close connections that are idle."""
+        while self._is_busy() and self.clock() < self.window.ends_at:
+            self.server.close_idle(longer_than_s=IDLE_S)
             self.tunnels.close_idle()
             await anyio.sleep(POLL_INTERVAL_S)
-        log.info(
-            'left',
-            cut=self.server.open_requests,
-            connections=self.server.connections,
-            tunnels=self.tunnels.open_tunnels,
-            behind_s=round(anyio.current_time() - started_at, 3),
-        )
+
+    async def _end_open_requests(self) -> None:
+        """End what is open, and let the answers to it be sent."""
+        self.open_requests.end_all()
+        with anyio.move_on_after(FLUSH_S):
+            while self.server.connections:
+                self.server.close_idle(longer_than_s=0.0)
+                await anyio.sleep(POLL_INTERVAL_S)
+
+    async def _sleep_until(self, at: float) -> None:
+        await anyio.sleep(max(at - self.clock(), 0.0))
 
     def _is_busy(self) -> bool:
         """Whether connections of callers or tunnels of peers are left."""
         return bool(self.server.connections or self.tunnels.open_tunnels)
+
+    def _log(self, event: str) -> None:
+        log.info(
+            event,
+            open=self.server.open_requests,
+            connections=self.server.connections,
+            tunnels=self.tunnels.open_tunnels,
+            behind_s=round(self.window.behind_s(self.clock()), 3),
+        )
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/open_requests.py
@@ -0,0 +1,32 @@
+"""Requests that are handled at the moment, for a stop to end together."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import anyio
+
+
+@dataclass(kw_only=True, slots=True)
+class OpenRequests:
+    """The cancel scopes of the requests under way."""
+
+    _scopes: set[anyio.CancelScope] = field(default_factory=set)
+
+    @contextmanager
+    def track(self) -> Iterator[anyio.CancelScope]:
+        """Run the block in a scope that `end_all` cancels.
+
+        The block's owner still answers the caller afterwards.
+        """
+        with anyio.CancelScope() as scope:
+            self._scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
+
+    def end_all(self) -> None:
+        """Cancel what is under way."""
+        for scope in tuple(self._scopes):
+            scope.cancel()
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -186,6 +186,17 @@
         answer = run_paused(check)
         self.assertIn(b'connection: close', answer.lower())
 
+    def test_connection_that_is_idle_for_a_moment_only_stays_open(self):
+        async def check():
+            async with serving() as (served, network):
+                connection = await network.connect(ADDRESS)
+                await anyio.sleep(0.2)
+                served.server.close_idle(longer_than_s=0.5)
+                await anyio.sleep(0.1)
+                return connection.has_ended()
+
+        self.assertFalse(run_paused(check))
+
     @settings(derandomize=True, deadline=None, max_examples=150)
     @given(st.binary(max_size=300), st.booleans(), st.integers(0, 60))
     def test_any_bytes_leave_the_server_alive(self, noise, is_spoilt, at):
