HTTP/1.1 server: no request is read and dropped where a connection ends

Two ways in which the end of a connection lost a request that the process had read. The wait for the next request was cancelled while its bytes were already in the event loop's buffer, or came in before the task ran again: the connection was closed over them. And the answer under way said Connection: close although the next request had been read behind it.

What callers could see: a closed connection in place of an answer, for a request that was sent whole.

Change: behind a wait that was ended, the connection is asked for input, which now counts what the event loop has read; a request that is there is answered. The answer that closes is the last one that is due.

Seen: the three tests fail without their guard, one by one.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -119,7 +119,7 @@
             reply = Reply(
                 parser=self._parser,
                 connection=self.connection,
-                closes=lambda: self._server.is_draining,
+                closes=self._is_last_answer,
             )
             await self._handle(request, reply)
             if not reply.is_finished or request.is_caller_gone:
@@ -129,6 +129,14 @@
                 return
             self._parser.start_next_cycle()
 
+    def _is_last_answer(self) -> bool:
+        """Whether an answer that begins now ends the connection.
+
+        A request that has been read behind this one is answered first: told
+        that the connection ends, its caller would have lost it.
+        """
+        return self._server.is_draining and not self._parser.trailing_data[0]
+
     async def _handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Have the request answered, and watch for its caller to go."""
         self._server.open_requests += 1
@@ -168,6 +176,10 @@
             return True
         try:
             received = await self._receive_within(idle_timeout_s)
+            if not received and self.connection.has_input():
+                # Bytes that came in while the wait ended are a request that
+                # this process has read.
+                received = await self.connection.receive(READ_BYTES)
         except BROKEN:
             return False
         if received:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -95,7 +95,17 @@
 
     def has_input(self) -> bool:
         """Whether bytes, or the end, have arrived and were not read."""
-        return self._poll(select.POLLIN | select.POLLHUP)
+        return self._holds_bytes() or self._poll(
+            select.POLLIN | select.POLLHUP
+        )
+
+    def _holds_bytes(self) -> bool:
+        """Whether the event loop has read bytes that nobody received.
+
+        anyio has no public way to look at them without waiting.
+        """
+        protocol = getattr(self._stream, '_protocol', None)
+        return bool(getattr(protocol, 'read_queue', ()))
 
     def has_ended(self) -> bool:
         """Whether the other side has ended it, read or not."""
--- a/tests/test_gateway_stop_requests.py
+++ b/tests/test_gateway_stop_requests.py
@@ -114,6 +114,22 @@
 
         self.assertEqual(self.play(check), [200])
 
+    # Guards against a request that is read behind an answer and dropped.
+    def test_request_that_is_pipelined_behind_an_answer_is_answered(self):
+        async def check(stopping):
+            stopping.set_speed(work_s=1.0)
+            connection = await stopping.connect()
+            await connection.send(render_head('first') + BODY)
+            await anyio.sleep(0.5)
+            stopping.handle.daemon.stop()
+            await connection.send(render_head('second') + BODY)
+            return await read_answers(connection), stopping.ran()
+
+        answers, ran = self.play(check)
+        self.assertEqual(statuses_of(answers), [200, 200])
+        self.assertEqual(ran, ['first', 'second'])
+        self.assertEqual(answers.lower().count(b'connection: close'), 1)
+
     # Guards against an estimate that lets a stream begin which will be cut.
     def test_stream_that_usually_takes_too_long_is_refused_at_once(self):
         async def check(stopping):
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -186,6 +186,20 @@
         answer = run_paused(check)
         self.assertIn(b'connection: close', answer.lower())
 
+    # Guards against a request that is read while its connection is closed.
+    def test_request_that_comes_while_an_idle_wait_ends_is_answered(self):
+        async def check():
+            async with serving() as (served, network):
+                connection = await network.connect(ADDRESS)
+                await anyio.sleep(1.0)
+                served.server.drain()
+                served.server.close_idle(longer_than_s=0.5)
+                connection.other.underway(GET)
+                return await read_all(connection, 5)
+
+        answer = run_paused(check)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+
     def test_connection_that_is_idle_for_a_moment_only_stays_open(self):
         async def check():
             async with serving() as (served, network):
--- a/tests/test_tcp_network.py
+++ b/tests/test_tcp_network.py
@@ -42,6 +42,26 @@
 
         anyio.run(check)
 
+    # Guards against bytes in the event loop's buffer that count as unsent.
+    def test_bytes_that_the_event_loop_has_read_are_input(self):
+        async def check():
+            with listening() as listener:
+                connection = await TcpNetwork().connect(address_of(listener))
+                accepted, _ = listener.accept()
+                with accepted:
+                    accepted.sendall(b'onetwo')
+                    self.assertEqual(await connection.receive(3), b'one')
+                    has_input = connection.has_input()
+                    self.assertEqual(await connection.receive(), b'two')
+                    self.assertFalse(connection.has_input())
+                await connection.aclose()
+            return has_input
+
+        for use_uvloop in (True, False):
+            options = {'use_uvloop': use_uvloop}
+            with self.subTest(**options):
+                self.assertTrue(anyio.run(check, backend_options=options))
+
     def test_silent_side_ends_no_connection_on_which_nothing_is_sent(self):
         """A user timeout also ends keep-alive probes, whatever their number.
 
