--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -33,6 +33,8 @@
     'rollout_step',
     'trial_stopped',
     'leaving',
+    'accepting_ended',
+    'stop_is_over',
     'left',
     'stopped',
 )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -170,6 +170,7 @@
             duties=self.parts.duties,
             store_era=self._platform.store_era,
             open_requests=lambda: self._server.open_requests,
+            is_stopping=lambda: self.parts.stop_window.is_stopping,
             clock=self._clock,
         )
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -102,6 +102,10 @@
         self.open_requests = self._gauge(
             'mimosamux_gateway_open_requests', 'Requests under way.'
         )
+        self.stopping = self._gauge(
+            'mimosamux_gateway_stopping',
+            'Whether this daemon has got a stop signal, 0 or 1.',
+        )
         self.endpoints = self._gauge(
             'mimosamux_gateway_endpoints',
             'Known endpoints, by service and state (serving, avoided, '
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -44,6 +44,7 @@
     duties: Duties
     store_era: StoreEra
     open_requests: Callable[[], int]
+    is_stopping: Callable[[], bool]
     clock: Callable[[], float]
 
     def __post_init__(self) -> None:
@@ -106,6 +107,7 @@
         """Set the gauges to the current state."""
         metrics = self.metrics
         metrics.open_requests.set({}, self.open_requests())
+        metrics.stopping.set({}, int(self.is_stopping()))
         metrics.configuration_version.set(
             {}, self.configuration.current.version
         )
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -47,6 +47,31 @@
     )
 
 
+async def send_to_stopping_daemon(behind_s):
+    """Send a slow draft to a daemon that stops; return its request id.
+
+    Its connection was open before the signal: a body that comes late.
+    """
+    async with open_site(daemons=2) as site:
+        for replica in site.replicas_by_id.values():
+            replica.speed = ReplicaSpeed(event_s=1.0, events=14)
+        entry = site.daemons[0].entry
+        network = site.network.at('10.250.0.1')
+        connection = await network.connect(entry)
+        await connection.send(
+            b'POST /draft/1 HTTP/1.1\r\nHost: site.example\r\n'
+            b'X-Key: key-school\r\nX-Attempt-Id: draft-1\r\n'
+            b'X-Deadline-Ms: 15000\r\nContent-Length: 5\r\n'
+            b'X-Model: m\r\nX-Token-Usage: 1460,80\r\n\r\n'
+        )
+        await anyio.sleep(0.1)
+        site.daemons[0].daemon.stop()
+        await anyio.sleep(behind_s)
+        await connection.send(b'brief')
+        await site.daemons[0].ended.wait()
+    return 'draft-1'
+
+
 class TestExplaining(unittest.TestCase):
     def setUp(self):
         before = structlog.get_config()
@@ -187,6 +212,21 @@
         self.assertIn(f'content={content}', held)
         self.assertRegex(held, r'crashes=3 endpoints=i-\d+,i-\d+,i-\d+')
 
+    # Guards against a stop that cuts a request without saying which.
+    def test_request_that_a_stop_cuts_is_traced_to_the_signal(self):
+        lines = self.explain_day(lambda: send_to_stopping_daemon(0.0))
+        events = [line.split('event=')[1].split()[0] for line in lines]
+        self.assertLess(events.index('leaving'), events.index('stop_is_over'))
+        self.assertRegex(
+            lines[-1], r'reason=stopping message=".* 7\.\d s behind the signal'
+        )
+
+    def test_request_that_a_stopping_daemon_refuses_is_traced_to_it(self):
+        lines = self.explain_day(lambda: send_to_stopping_daemon(6.0))
+        self.assertIn('event=leaving', ''.join(lines))
+        self.assertRegex(lines[-1], r'sends=0 .*outcome=refused')
+        self.assertRegex(lines[-1], r'message="the daemon stops in \d\.\d s')
+
     def test_broken_stream_is_traced_to_the_endpoint_that_cut_it(self):
         """The engine of a draft ends its connection within an event."""
 
