Stand-in caller: nothing is sent behind an announced close

send_pair sent its second request also where the head of the first answer had said Connection: close: no caller of HTTP/1.1 may do that, and the daemon has nothing to answer it with. The soak counted each as lost.

--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -2,7 +2,7 @@
 
 import random
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
@@ -120,8 +120,8 @@
     ) -> list[CallerAnswer]:
         """Send two attempts, the second before the first is answered.
 
-        Both go on one new connection. Returns what came of those that were
-        sent.
+        Both go on one new connection, unless its end is announced before the
+        second. Returns what came of those that were sent.
         """
         pair = _Pair(waits_s=self._waits_s)
         for target in targets:
@@ -216,6 +216,8 @@
         default_factory=list
     )
     _first: CallerAnswer | None = None
+    _is_closing: bool = False
+    """Whether the first answer says that the connection closes."""
 
     async def exchange(
         self, address: str, connection: Connection, between_s: float
@@ -226,7 +228,9 @@
                 tasks.start_soon(self._exchange_first, channel)
                 await anyio.sleep(between_s)
                 sent_at = anyio.current_time()
-                is_sent = await self._send_second(connection)
+                is_sent = not self._is_closing and await self._send_second(
+                    connection
+                )
             assert self._first is not None
             if not is_sent:
                 return [self._first]
@@ -240,11 +244,16 @@
         id_, head, body = self.requests[0]
         sent_at = anyio.current_time()
         with anyio.move_on_after(self.waits_s):
-            self._first = await _read(channel, head, body, id_, sent_at)
+            self._first = await _read(
+                channel, head, body, id_, sent_at, self._note_head
+            )
         if self._first is None or not self._first.is_whole:
             await channel.close()
         self._first = self._first or _no_answer(id_, sent_at, STOPPED_WAITING)
 
+    def _note_head(self, head: AnswerHead) -> None:
+        self._is_closing = find_value(head.headers, b'connection') == b'close'
+
     async def _send_second(self, connection: Connection) -> bool:
         _, head, body = self.requests[1]
         parser = h11.Connection(h11.CLIENT)
@@ -272,21 +281,31 @@
 
 
 async def _read(
-    channel: Channel, head: RequestHead, body: bytes, id_: str, sent_at: float
+    channel: Channel,
+    head: RequestHead,
+    body: bytes,
+    id_: str,
+    sent_at: float,
+    note_head: Callable[[AnswerHead], None] = lambda _: None,
 ) -> CallerAnswer:
     broken = await channel.send(head, body)
     await channel.send_rest()
     is_sent = broken is None and not channel.has_rest
     whole_at = anyio.current_time() if is_sent else None
-    return await _receive(channel, id_, sent_at, whole_at)
+    return await _receive(channel, id_, sent_at, whole_at, note_head)
 
 
 async def _receive(
-    channel: Channel, id_: str, sent_at: float, whole_at: float | None
+    channel: Channel,
+    id_: str,
+    sent_at: float,
+    whole_at: float | None,
+    note_head: Callable[[AnswerHead], None] = lambda _: None,
 ) -> CallerAnswer:
     answer = await channel.receive_head()
     if not isinstance(answer, AnswerHead):
         return _no_answer(id_, sent_at, answer.reason, whole_at)
+    note_head(answer)
     parts = bytearray()
     problem = ''
     while (part := await channel.receive_body()) is not None:
