Stand-ins: a second signal does not end a stop

Cause: the receiver of signals was closed behind the first one, so that the next SIGTERM or Ctrl-C had the default action: it ended the process in the middle of its stop.

Change: signals are received until the program ends; each asks for the same stop.

--- a/packages/mimosamux-standins/mimosamux_standins/program.py
+++ b/packages/mimosamux-standins/mimosamux_standins/program.py
@@ -33,8 +33,10 @@
 
 
 async def wait_for_signal(stop: Callable[[], None]) -> None:
-    """Call `stop` on SIGTERM or Ctrl-C."""
+    """Call `stop` on each SIGTERM or Ctrl-C, until cancelled.
+
+    With its receiver gone, a further signal would end the process at once.
+    """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             stop()
-            return
