Tunnels: no request goes through a peer that stops

Cause: a daemon that is cut off from endpoints kept its idle connections through a peer and sent requests on them after the peer had begun to stop. The peer only refuses new tunnels; it passes bytes on blindly and cannot refuse a request on an open one.

What callers saw: a stream sent behind a peer's signal, at another daemon, broke off with the peer's stop, although a peer that stays was there.

Evidence: test_request_behind_the_signal_takes_another_way on the code before: 15 streams of 10 s, sent 0.1 s behind the signal; 3 broke off with an incomplete chunked read.

Change: a connection knows the tunnel it leads through. Once a peer's digest says LEAVING, idle connections through it are closed at once, those in use behind the answer under way, and none is used for a further request. `ready()` already kept new tunnels away from such a peer.

Measured: 15 of 15 whole (paused clock). test_gateway_partition, _stop, test_platform_input, _path, _store_eras: passed.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/endpoint_pool.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/endpoint_pool.py
@@ -32,6 +32,8 @@
         """Have connections go through peers where the routes say so."""
         self._network.routes = routes
         self.channels.note_received = routes.note_received
+        self.channels.may_send_through = routes.may_send_through
+        routes.on_tunnel_closing.append(self.channels.discard_tunnels)
 
     async def probe(self, address: str) -> None:
         """Try a direct connection, whose outcome the routes are told."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -126,6 +126,11 @@
             # on the connection would be read as part of this body.
             self._unsent = b''
 
+    @property
+    def via(self) -> str:
+        """Address of the tunnel that it leads through, empty: none."""
+        return self._connection.via
+
     @property
     def has_rest(self) -> bool:
         """Whether a part of the request still waits to be sent."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -28,10 +28,13 @@
     resets: ResetWatch = field(default_factory=ResetWatch)
     note_received: Callable[[str], None] = lambda _: None
     """Called with the address from which bytes arrived."""
+    may_send_through: Callable[[str], bool] = lambda _: True
+    """Whether requests may go through the tunnel of a peer."""
     opened: int = 0
     """Connections opened so far."""
     _idle_by_address: dict[str, list[Channel]] = field(default_factory=dict)
     _forgotten: list[Channel] = field(default_factory=list)
+    _has_forgotten: anyio.Event = field(default_factory=anyio.Event)
 
     async def take(self, address: str) -> Channel | ChannelBroken:
         """Return an idle connection, or a new one."""
@@ -68,12 +71,20 @@
             channel.is_fresh()
             and channel.was_used_since(self.resets.last_at)
             and channel.is_reusable()
+            and self._is_way_open(channel)
         )
 
+    def _is_way_open(self, channel: Channel) -> bool:
+        return not channel.via or self.may_send_through(channel.via)
+
     async def give_back(self, channel: Channel) -> None:
         """Keep a connection for later if it is still good."""
         idle = self._idle_by_address.setdefault(channel.address, [])
-        if len(idle) < MAX_IDLE and channel.is_reusable():
+        if (
+            len(idle) < MAX_IDLE
+            and channel.is_reusable()
+            and self._is_way_open(channel)
+        ):
             idle.append(channel)
         else:
             await channel.close()
@@ -86,6 +97,16 @@
         """
         self._forgotten += self._idle_by_address.pop(address, [])
 
+    def discard_tunnels(self, tunnel: str) -> None:
+        """Have the idle connections through a peer's tunnel closed at once.
+
+        A peer that stops waits for them: it cannot tell which are in use.
+        """
+        for idle in self._idle_by_address.values():
+            self._forgotten += [each for each in idle if each.via == tunnel]
+            idle[:] = [each for each in idle if each.via != tunnel]
+        self._has_forgotten.set()
+
     async def drop(self, address: str) -> None:
         """Close the idle connections to an address."""
         for channel in self._idle_by_address.pop(address, []):
@@ -98,7 +119,8 @@
         and holds a place there that others may need until then.
         """
         while True:
-            await anyio.sleep(SWEEP_S)
+            with anyio.move_on_after(SWEEP_S):
+                await self._has_forgotten.wait()
             await self._close_forgotten()
             for address, idle in tuple(self._idle_by_address.items()):
                 kept = [channel for channel in idle if channel.is_fresh()]
@@ -117,5 +139,6 @@
 
     async def _close_forgotten(self) -> None:
         forgotten, self._forgotten = self._forgotten, []
+        self._has_forgotten = anyio.Event()
         for channel in forgotten:
             await channel.close()
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
@@ -40,6 +40,7 @@
         for tunnel in routes.tunnels_to(address):
             connection = await self._open_tunnel(routes, tunnel, address)
             if connection is not None:
+                connection.via = tunnel
                 return connection
         return await self._connect_directly(address)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -12,7 +12,8 @@
 import anyio
 from mimosamux_wire import StateDigest
 
-from mimosamux_daemon.domain.names import EndpointId, ServiceName
+from mimosamux_daemon.control.members import MemberState
+from mimosamux_daemon.domain.names import DaemonId, EndpointId, ServiceName
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
@@ -76,7 +77,11 @@
         self._cut_off_since: dict[ServiceName, float] = {}
         self._skipped_until: dict[str, float] = {}
         """Until when a peer's tunnel is passed over."""
+        self.on_tunnel_closing: list[Callable[[str], None]] = []
+        self._closing_since: dict[str, float] = {}
+        """Since when the peer behind a tunnel is known to stop."""
         self._probed_at = 0.0
+        states.on_forgotten.append(self._forget_peer)
         roster.on_listed.append(self._add)
         roster.on_forgotten.append(self._forget)
         metrics.collectors.append(self._collect)
@@ -147,6 +152,10 @@
         )
         return [peer.place.tunnel for peer in peers[:MAX_TUNNEL_PEERS]]
 
+    def may_send_through(self, tunnel: str) -> bool:
+        """Whether requests may go through a tunnel: its peer stays."""
+        return tunnel not in self._closing_since
+
     def note_tunnel(self, tunnel: str, *, failed: bool) -> None:
         """Take the outcome of a connection attempt to a peer's tunnel."""
         result = 'failed' if failed else 'opened'
@@ -161,7 +170,22 @@
         digest.unreached_services = [str(each) for each in self._cut_off_since]
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
-        """Do nothing: `PeerStates` stores the services in the peer's state."""
+        """End the use of the tunnels through a peer that stops.
+
+        `PeerStates` stores the services in the peer's state.
+        """
+        tunnel = peer.place.tunnel
+        if peer.state is not MemberState.LEAVING:
+            self._closing_since.pop(tunnel, None)
+        elif tunnel and tunnel not in self._closing_since:
+            self._closing_since[tunnel] = self._clock()
+            for listener in self.on_tunnel_closing:
+                listener(tunnel)
+
+    def _forget_peer(self, _: DaemonId) -> None:
+        known = {peer.place.tunnel for peer in self._states.by_id.values()}
+        for tunnel in self._closing_since.keys() - known:
+            del self._closing_since[tunnel]
 
     async def run(self) -> None:
         """Probe direct connections while need be, until cancelled."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
@@ -1,11 +1,15 @@
 """Port to the ways by which endpoints can be reached."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 
 class EndpointRoutes(Protocol):
     """Knows which endpoints this daemon cannot reach, and which peers do."""
 
+    on_tunnel_closing: list[Callable[[str], None]]
+    """Called with a peer's tunnel address when that peer begins to stop."""
+
     def is_cut_off(self, address: str) -> bool:
         """Whether connections to an endpoint have to go through a peer."""
 
@@ -18,5 +22,8 @@
     def tunnels_to(self, address: str) -> list[str]:
         """Return the tunnel addresses of peers that reach an endpoint."""
 
+    def may_send_through(self, tunnel: str) -> bool:
+        """Whether requests may go through a tunnel: its peer stays."""
+
     def note_tunnel(self, tunnel: str, *, failed: bool) -> None:
         """Take the outcome of a connection attempt to a peer's tunnel."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -14,6 +14,9 @@
     `BrokenResourceError` after a reset.
     """
 
+    via: str = ''
+    """Address of the peer's tunnel that it leads through, empty: none."""
+
     @abstractmethod
     def abort(self) -> None:
         """Reset it: the other side cannot take this for a proper end."""
