Tunnels: a stop takes no pause in a stream for its end

Cause: a daemon that stops closed each tunnel that had passed no bytes for 0.3 s behind the endpoint's last part. It passes bytes on blindly and cannot tell an idle tunnel from one whose stream pauses, or whose engine still prefills behind an early response head.

What callers saw: at another daemon, one cut off from endpoints, a stream with pauses above 0.3 s broke off 2.5 s behind the peer's signal.

Evidence: test_stream_with_pauses_is_not_cut on the code before: three streams of 10 events, 0.5 s apart, all three broke off (incomplete chunked read).

Change: the stopping daemon closes no tunnel. It refuses new ones, passes on what is open, and ends with the connections that the askers close; the askers close idle ones as soon as they know of the stop. `close_idle` stays, without effect, until the stop calls it no more. A peer that closes none delays the stop up to the end of the grace period.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -22,8 +22,6 @@
 MAX_TUNNELS = 512
 """Each takes two descriptors."""
 PART_BYTES = 64 * 1024
-IDLE_S = 0.3
-"""Silence behind an answer's last part after which a tunnel is idle."""
 
 BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -33,9 +31,6 @@
     """One tunnel that is open."""
 
     scope: anyio.CancelScope
-    awaits_answer: bool = False
-    """Whether the peer sent the last bytes."""
-    passed_at: float = field(default_factory=anyio.current_time)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -60,11 +55,10 @@
         self.is_draining = True
 
     def close_idle(self) -> None:
-        """Close the tunnels on which no answer is due or under way."""
-        oldest = anyio.current_time() - IDLE_S
-        for tunnel in tuple(self._open):
-            if not tunnel.awaits_answer and tunnel.passed_at < oldest:
-                tunnel.scope.cancel()
+        """Close nothing: only the asking peers know what is under way.
+
+        They close their tunnels once they know that this daemon stops.
+        """
 
     async def serve(self, connection: Connection) -> None:
         """Serve one connection of a peer until it ends."""
@@ -125,8 +119,8 @@
             tunnel = _Tunnel(scope=tasks.cancel_scope)
             self._open.add(tunnel)
             try:
-                tasks.start_soon(self._copy, peer, endpoint, tunnel, True)
-                await self._copy(endpoint, peer, tunnel, False)
+                tasks.start_soon(self._copy, peer, endpoint, tunnel)
+                await self._copy(endpoint, peer, tunnel)
             finally:
                 self._open.discard(tunnel)
 
@@ -135,7 +129,6 @@
         source: Connection,
         target: Connection,
         tunnel: _Tunnel,
-        is_from_peer: bool,
     ) -> None:
         """Pass bytes on in one direction, and end the tunnel with it.
 
@@ -145,8 +138,6 @@
         try:
             while True:
                 part = await source.receive(PART_BYTES)
-                tunnel.awaits_answer = is_from_peer
-                tunnel.passed_at = anyio.current_time()
                 await target.send(part)
         except anyio.EndOfStream:
             pass
--- a/tests/test_gateway_tunnel_stop.py
+++ b/tests/test_gateway_tunnel_stop.py
@@ -49,7 +49,72 @@
         assert handle.daemon._tunnels.open_tunnels
 
 
+async def open_tunnel(site, handle):
+    """Open a tunnel to some endpoint as a daemon of its own would."""
+    address = next(iter(site.replicas_by_address)).encode()
+    network = site.network.at('10.250.0.2')
+    tunnel = await network.connect(handle.daemon.settings.place.tunnel)
+    await tunnel.send(b'CONNECT %s HTTP/1.1\r\nHost: x\r\n\r\n' % address)
+    await tunnel.receive()
+    return tunnel
+
+
+async def stop_under_streams(site, *, number=1, count=3):
+    """Stop a daemon while another has streams through it.
+
+    Return the answers, and the time that the stop took.
+    """
+    caller, answers = site.caller(patience_s=14.0), []
+
+    async def send():
+        answers.extend(await send_together(site, caller, count))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send)
+        await anyio.sleep(0.3)
+        began_at = anyio.current_time()
+        site.daemons[number].daemon.stop()
+        await site.daemons[number].ended.wait()
+        took_s = anyio.current_time() - began_at
+    return answers, took_s
+
+
 class TestStopOfAPeer(unittest.TestCase):
+    # Guards against a stop that takes a pause in a stream for its end.
+    def test_stream_with_pauses_is_not_cut(self):
+        async def check():
+            async with open_site(daemons=2) as site:
+                await cut_off(site, 0)
+                set_speed(site, event_s=0.5, events=10)
+                return await stop_under_streams(site)
+
+        answers, took_s = run_paused(check)
+        self.assertEqual([each.status for each in answers], [200] * 3)
+        self.assertEqual([each.problem for each in answers], [''] * 3)
+        self.assertLess(took_s, 8.0)
+
+    # Guards against a stop that waits for tunnels nobody uses.
+    def test_idle_tunnels_do_not_hold_up_the_stop(self):
+        async def check():
+            async with open_site(daemons=2) as site:
+                await cut_off(site, 0)
+                return await stop_under_streams(site, count=0)
+
+        _, took_s = run_paused(check)
+        self.assertLess(took_s, 3.0)
+
+    # Guards against a stop without end for a peer that keeps its tunnel.
+    def test_tunnel_that_is_never_closed_ends_with_the_stop(self):
+        async def check():
+            async with open_site(daemons=1) as site:
+                tunnel = await open_tunnel(site, site.daemons[0])
+                _, took_s = await stop_under_streams(site, number=0, count=0)
+                return took_s, tunnel.has_ended()
+
+        took_s, has_ended = run_paused(check)
+        self.assertLess(took_s, 8.0)
+        self.assertTrue(has_ended)
+
     # Guards against a request on a kept tunnel that the stop cuts.
     def test_request_behind_the_signal_takes_another_way(self):
         async def check():
