Tunnels: the end of a stop is no end of an answer

Cause: at the end of its stop a daemon closed the tunnels that were still open. To the daemon that asked for them this is the end of the connection, and the end of an answer that has neither a length nor chunks.

What callers saw: a stream of 22 events that ended with the peer's stop after some of them, with status 200 and looking complete.

Evidence: test_end_of_the_stop_is_no_end_of_an_answer on the code before: three streams of an endpoint that marks the end of its answers by closing, 11 s long, peer stopped 0.3 s behind their start; is_whole was True for all three.

Change: a tunnel that this daemon ends, and neither of its sides, is reset in both directions. It is counted (side=served, result=cut) and logged (`tunnel_cut`) with the endpoint's address, how long it was open and how long behind the signal it was cut.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -31,6 +31,10 @@
     """One tunnel that is open."""
 
     scope: anyio.CancelScope
+    address: str
+    opened_at: float = field(default_factory=anyio.current_time)
+    has_ended: bool = False
+    """Whether one of its sides has ended it."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -42,7 +46,7 @@
     """Whether an address is that of a listed endpoint; no other is served."""
     note_end: Callable[[str], None]
     """Called with the outcome of each request for a tunnel."""
-    is_draining: bool = False
+    _draining_since: float | None = None
     _open: set[_Tunnel] = field(default_factory=set)
 
     @property
@@ -52,7 +56,7 @@
 
     def drain(self) -> None:
         """Open no further tunnels."""
-        self.is_draining = True
+        self._draining_since = anyio.current_time()
 
     def close_idle(self) -> None:
         """Close nothing: only the asking peers know what is under way.
@@ -94,7 +98,7 @@
         self.note_end('opened')
         try:
             if await _answer(connection, HTTPStatus.OK):
-                await self._pass_on(connection, endpoint)
+                await self._pass_on(connection, endpoint, address)
         finally:
             with anyio.CancelScope(shield=True):
                 await endpoint.aclose()
@@ -103,7 +107,7 @@
         """Connect to an endpoint, or return the status of the refusal."""
         if not self.is_endpoint(address):
             return HTTPStatus.FORBIDDEN
-        if self.is_draining or len(self._open) >= MAX_TUNNELS:
+        if self._draining_since is not None or len(self._open) >= MAX_TUNNELS:
             return HTTPStatus.SERVICE_UNAVAILABLE
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -113,16 +117,38 @@
         except OSError:
             return HTTPStatus.GATEWAY_TIMEOUT
 
-    async def _pass_on(self, peer: Connection, endpoint: Connection) -> None:
-        """Pass bytes on in both directions until one side ends."""
-        async with anyio.create_task_group() as tasks:
-            tunnel = _Tunnel(scope=tasks.cancel_scope)
-            self._open.add(tunnel)
-            try:
-                tasks.start_soon(self._copy, peer, endpoint, tunnel)
-                await self._copy(endpoint, peer, tunnel)
-            finally:
-                self._open.discard(tunnel)
+    async def _pass_on(
+        self, peer: Connection, endpoint: Connection, address: str
+    ) -> None:
+        """Pass bytes on in both directions until one side ends.
+
+        If this daemon ends first, both get a reset: taken for an end, it
+        would make an answer without a length look complete.
+        """
+        scope = anyio.CancelScope()
+        tunnel = _Tunnel(scope=scope, address=address)
+        self._open.add(tunnel)
+        try:
+            with scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._copy, peer, endpoint, tunnel)
+                    await self._copy(endpoint, peer, tunnel)
+        finally:
+            self._open.discard(tunnel)
+            if not tunnel.has_ended:
+                peer.abort()
+                endpoint.abort()
+                self._note_cut(tunnel)
+
+    def _note_cut(self, tunnel: _Tunnel) -> None:
+        self.note_end('cut')
+        now, since = anyio.current_time(), self._draining_since
+        log.warning(
+            'tunnel_cut',
+            address=tunnel.address,
+            open_s=round(now - tunnel.opened_at, 3),
+            behind_s=None if since is None else round(now - since, 3),
+        )
 
     async def _copy(
         self,
@@ -143,6 +169,7 @@
             pass
         except BROKEN:
             target.abort()
+        tunnel.has_ended = True
         tunnel.scope.cancel()
 
 
--- a/tests/test_gateway_tunnel_stop.py
+++ b/tests/test_gateway_tunnel_stop.py
@@ -3,7 +3,7 @@
 import unittest
 
 import anyio
-from mimosamux_standins.site import ReplicaSpeed
+from mimosamux_standins.site import Framing, ReplicaSpeed
 
 from tests.support import crashes
 from tests.support.clock import run_paused
@@ -93,6 +93,19 @@
         self.assertEqual([each.problem for each in answers], [''] * 3)
         self.assertLess(took_s, 8.0)
 
+    # Guards against a cut answer without a length that looks complete.
+    def test_end_of_the_stop_is_no_end_of_an_answer(self):
+        async def check():
+            async with open_site(daemons=2) as site:
+                await cut_off(site, 0)
+                set_speed(site, event_s=0.5, events=22)
+                for replica in site.replicas_by_id.values():
+                    replica.framing = Framing.UNFRAMED
+                return await stop_under_streams(site)
+
+        answers, _ = run_paused(check)
+        self.assertEqual([each.is_whole for each in answers], [False] * 3)
+
     # Guards against a stop that waits for tunnels nobody uses.
     def test_idle_tunnels_do_not_hold_up_the_stop(self):
         async def check():
