Tunnels: a cut tunnel is no crash of the endpoint behind it

Cause: a daemon that is cut off from endpoints, and whose last peer stops, checks the endpoint of an answer that broke off by a direct connection. What cuts it off may refuse that; the refusal counted as proof that the process has ended.

What callers saw: the endpoint was declared crashed, and the contents of the requests became suspects of crashing it, at all daemons; after three such crashes a request is refused everywhere.

Evidence: test_cut_tunnels_make_no_endpoint_seem_crashed on the code before: three streams cut at the end of a peer's stop, `endpoint_crashed` and three suspects where new connections are refused (open ones reset or living on); none where connections hang.

Change: as long as a peer is known that last said that it reaches the service, a refusal of a direct attempt of a daemon that is cut off leaves the state of the process open.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
@@ -42,7 +42,13 @@
             if connection is not None:
                 connection.via = tunnel
                 return connection
-        return await self._connect_directly(address)
+        try:
+            return await self._connect_directly(address)
+        except ConnectionRefusedError as error:
+            if not routes.do_peers_reach(address):
+                raise
+            # What cuts this daemon off may refuse in the endpoint's place.
+            raise ConnectionError(f'cut off: {error}') from error
 
     async def listen(self, address: str) -> Listener:
         """Listen at an address; port 0 selects a free port."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -152,6 +152,17 @@
         )
         return [peer.place.tunnel for peer in peers[:MAX_TUNNEL_PEERS]]
 
+    def do_peers_reach(self, address: str) -> bool:
+        """Whether some peer last said that it reaches an endpoint.
+
+        It may have stopped since.
+        """
+        record = self._record_by_address.get(address)
+        return record is not None and any(
+            record.listed.service not in peer.unreached_services
+            for peer in self._states.by_id.values()
+        )
+
     def may_send_through(self, tunnel: str) -> bool:
         """Whether requests may go through a tunnel: its peer stays."""
         return tunnel not in self._closing_since
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
@@ -22,6 +22,12 @@
     def tunnels_to(self, address: str) -> list[str]:
         """Return the tunnel addresses of peers that reach an endpoint."""
 
+    def do_peers_reach(self, address: str) -> bool:
+        """Whether some peer last said that it reaches an endpoint.
+
+        It may have stopped since.
+        """
+
     def may_send_through(self, tunnel: str) -> bool:
         """Whether requests may go through a tunnel: its peer stays."""
 
--- a/tests/test_gateway_tunnel_stop.py
+++ b/tests/test_gateway_tunnel_stop.py
@@ -13,9 +13,9 @@
 """Time in which a daemon that is cut off has found its ways."""
 
 
-async def cut_off(site, number):
+async def cut_off(site, number, partition=Partition.HANGS):
     """Cut a daemon off from the endpoints, and let it find its ways."""
-    site.partition_from_endpoints(number, Partition.HANGS)
+    site.partition_from_endpoints(number, partition)
     caller, until = site.caller(), anyio.current_time() + FOUND_OUT_S
     while anyio.current_time() < until:
         for path in ('/slip/', '/draft/'):
@@ -106,6 +106,25 @@
         answers, _ = run_paused(check)
         self.assertEqual([each.is_whole for each in answers], [False] * 3)
 
+    # Guards against a cut tunnel that is taken for a crash of the endpoint.
+    def test_cut_tunnels_make_no_endpoint_seem_crashed(self):
+        async def check(partition):
+            async with open_site(daemons=2) as site:
+                await cut_off(site, 0, partition)
+                set_speed(site, event_s=0.5, events=25)
+                answers, _ = await stop_under_streams(site)
+                await anyio.sleep(12.0)
+                parts = site.daemons[0].daemon.parts
+                return answers, parts.quarantine.suspects.by_content
+
+        for partition in Partition:
+            with self.subTest(partition=partition.name):
+                answers, suspects = run_paused(check, partition)
+                self.assertEqual(
+                    [each.is_whole for each in answers], [False] * 3
+                )
+                self.assertEqual(suspects, {})
+
     # Guards against a stop that waits for tunnels nobody uses.
     def test_idle_tunnels_do_not_hold_up_the_stop(self):
         async def check():
