Tunnels: both daemons show what a stop has cut

Cause: a request whose tunnel was cut by a peer's stop was logged as broken by its endpoint; neither side said that a tunnel ended, nor why. The resets of the tunnels counted as resets of several endpoints, after which kept connections to all others are distrusted.

Change: the asking daemon logs `tunnel_cut` with the tunnel, the endpoint's address and the time since it heard of the stop, and counts it (side=asked, result=cut); the request's `call_broken` line says that it went through a peer. Only a peer that is known to stop is named: any other break may be the endpoint's. A break on a tunnel is noted for the tunnel's address.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/endpoint_pool.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/endpoint_pool.py
@@ -32,6 +32,7 @@
         """Have connections go through peers where the routes say so."""
         self._network.routes = routes
         self.channels.note_received = routes.note_received
+        self.channels.note_tunnel_broken = routes.note_tunnel_broken
         self.channels.may_send_through = routes.may_send_through
         routes.on_tunnel_closing.append(self.channels.discard_tunnels)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -69,10 +69,12 @@
         connection: Connection,
         note_reset: Callable[[str], None] = lambda _: None,
         note_received: Callable[[str], None] = lambda _: None,
+        note_tunnel_broken: Callable[[str, str], None] = lambda *_: None,
     ) -> None:
         self.address = address
         self._note_reset = note_reset
         self._note_received = note_received
+        self._note_tunnel_broken = note_tunnel_broken
         self.exchanges = 0
         """Requests that were sent on it so far."""
         self._connection = connection
@@ -260,8 +262,12 @@
 
     def _break(self, error: Exception) -> ChannelBroken:
         if isinstance(error, OSError | anyio.BrokenResourceError):
-            self._note_reset(self.address)
-        return ChannelBroken(reason=describe(error))
+            # The connections through a peer break together when it ends.
+            self._note_reset(self.via or self.address)
+        if not self.via:
+            return ChannelBroken(reason=describe(error))
+        self._note_tunnel_broken(self.via, self.address)
+        return ChannelBroken(reason=f'{describe(error)} through a peer')
 
     async def _receive(self) -> bytes:
         # The end of the connection is the end of an answer without a
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -28,6 +28,8 @@
     resets: ResetWatch = field(default_factory=ResetWatch)
     note_received: Callable[[str], None] = lambda _: None
     """Called with the address from which bytes arrived."""
+    note_tunnel_broken: Callable[[str, str], None] = lambda *_: None
+    """Called with the tunnel and the address of a connection that broke."""
     may_send_through: Callable[[str], bool] = lambda _: True
     """Whether requests may go through the tunnel of a peer."""
     opened: int = 0
@@ -64,6 +66,7 @@
             connection=connection,
             note_reset=self.resets.note,
             note_received=self.note_received,
+            note_tunnel_broken=self.note_tunnel_broken,
         )
 
     def _is_good(self, channel: Channel) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -176,6 +176,22 @@
         else:
             self._skipped_until.pop(tunnel, None)
 
+    def note_tunnel_broken(self, tunnel: str, address: str) -> None:
+        """Log and count a request's connection that a peer's stop cut.
+
+        Any other may have been broken by its endpoint.
+        """
+        since = self._closing_since.get(tunnel)
+        if since is None:
+            return
+        self._metrics.tunnels.inc({'side': 'asked', 'result': 'cut'})
+        log.warning(
+            'tunnel_cut',
+            tunnel=tunnel,
+            address=address,
+            behind_s=round(self._clock() - since, 3),
+        )
+
     def write(self, digest: StateDigest) -> None:
         """Set the services that this daemon does not reach in a digest."""
         digest.unreached_services = [str(each) for each in self._cut_off_since]
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
@@ -33,3 +33,6 @@
 
     def note_tunnel(self, tunnel: str, *, failed: bool) -> None:
         """Take the outcome of a connection attempt to a peer's tunnel."""
+
+    def note_tunnel_broken(self, tunnel: str, address: str) -> None:
+        """Note that a request's connection through a tunnel broke."""
--- a/tests/test_gateway_tunnel_stop.py
+++ b/tests/test_gateway_tunnel_stop.py
@@ -163,6 +163,23 @@
         self.assertEqual([each.status for each in answers], [200] * 15)
         self.assertEqual([each.problem for each in answers], [''] * 15)
 
+    # Guards against a cut tunnel that neither daemon's log or metrics show.
+    def test_both_daemons_count_what_the_stop_cut(self):
+        async def check():
+            async with open_site(daemons=2) as site:
+                await cut_off(site, 0)
+                set_speed(site, event_s=0.5, events=25)
+                await stop_under_streams(site)
+                return [
+                    handle.daemon.parts.metrics.render()[0].decode()
+                    for handle in site.daemons
+                ]
+
+        asking, serving = run_paused(check)
+        counted = 'tunnels_total{result="cut",side="%s"} 3'
+        self.assertIn(counted % 'asked', asking)
+        self.assertIn(counted % 'served', serving)
+
 
 if __name__ == '__main__':
     unittest.main()
