Digests: a last one that its sender waits for

Cause: what a daemon has counted since its last digest ends with its process. At a stop the first digest (LEAVING) is sent at the signal; behind the last answer nothing is sent. Digests are due each 0.25 s, in larger sites each 10 ms a daemon.

What callers saw: nothing. Requests that were answered at the end of a stop are missing from the usage that is reported for their account, and from what the peers count against its cap.

Change: `PeerStates.send_last_digest` sends a digest and waits, up to 0.4 s, until the daemons that it goes to have it. The stop does not call it yet.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -77,6 +77,8 @@
 """Longest pause of a relay, however many daemons it sends to."""
 MIN_FRESH_S = 1.0
 """A digest older than this and than four intervals is stale."""
+HAND_OVER_S = 0.4
+"""Longest wait of a daemon that stops for its last digest to arrive."""
 MAX_HOPS = 3
 """Hops of a digest: to a relay, to a relay of another group, to a member."""
 SILENT_INTERVALS = 2.5
@@ -322,6 +324,25 @@
         """Send a digest of this daemon now."""
         await self._send_digests(is_digest_due=True)
 
+    async def send_last_digest(self) -> None:
+        """Send a digest, and wait until those that it goes to have it.
+
+        What a daemon counted since its last digest ends with its process.
+        """
+        await self.send_digest()
+        sequence, targets = self._sequence, self._relays.choose_targets()
+        with anyio.move_on_after(HAND_OVER_S):
+            while not self._has_arrived(sequence, targets):
+                await self.ack_received.wait()
+
+    def _has_arrived(self, sequence: int, targets: list[DaemonId]) -> bool:
+        """Whether all fresh daemons of `targets` acknowledged a digest."""
+        return all(
+            self.by_id[id_].acked_sequence >= sequence
+            for id_ in targets
+            if self._is_fresh(id_)
+        )
+
     def pause_s(self) -> float:
         """Return the time until the next tick."""
         if self.is_flat:
--- /dev/null
+++ b/tests/test_gateway_last_digest.py
@@ -0,0 +1,61 @@
+"""The last digest of a daemon that stops."""
+
+import unittest
+
+import anyio
+from mimosamux_daemon.domain.names import AccountId
+
+from tests.support.clock import run_paused
+from tests.support.platform_site import open_site
+
+SCHOOL = AccountId('school')
+
+
+def counted(handle):
+    """Return the requests of the school that a daemon knows of."""
+    counts = handle.daemon.parts.request_counts
+    recent = range(counts.window - 1, counts.window + 1)
+    return sum(counts.total(window).get(SCHOOL, 0) for window in recent)
+
+
+async def hand_over(site, number=0):
+    """Count a request, and have the daemon send its last digest."""
+    parts = site.daemons[number].daemon.parts
+    parts.request_counts.increment(SCHOOL)
+    began_at = anyio.current_time()
+    await parts.states.send_last_digest()
+    return anyio.current_time() - began_at
+
+
+class TestLastDigest(unittest.TestCase):
+    # Guards against requests of the last moments that nobody reports.
+    def test_peers_have_it_when_it_was_sent(self):
+        async def check():
+            async with open_site(daemons=3) as site:
+                await hand_over(site)
+                return [counted(each) for each in site.daemons]
+
+        self.assertEqual(run_paused(check), [1, 1, 1])
+
+    def test_so_has_some_daemon_beside_relays(self):
+        async def check(number):
+            async with open_site(daemons=14) as site:
+                await hand_over(site, number)
+                return sum(map(counted, site.daemons))
+
+        for number in (0, 7, 13):
+            with self.subTest(number=number):
+                self.assertGreater(run_paused(check, number), 1)
+
+    # Guards against a stop that waits for peers which answer nothing.
+    def test_wait_for_silent_peers_is_short(self):
+        async def check():
+            async with open_site(daemons=3) as site:
+                site.cut_from_peers(0)
+                return await hand_over(site)
+
+        self.assertLess(run_paused(check), 0.5)
+
+
+if __name__ == '__main__':
+    unittest.main()
