Tunnels: a refused tunnel is not counted as an opened one

Cause: the asking daemon counted every answer of a peer as an opened tunnel, the 503 of one that stops as well.

What operators saw: mimosamux_gateway_tunnels_total{side="asked",result="opened"} above what the peers had opened, and no sign of refusals.

Evidence: test_refused_tunnels_are_counted_as_refused on the code before: a peer refused two tunnels, the asking daemon counted none as refused.

Change: answers other than 200 count as `refused`.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
@@ -88,7 +88,7 @@
             try:
                 connection = await self._network.connect(tunnel)
             except OSError:
-                routes.note_tunnel(tunnel, failed=True)
+                routes.note_tunnel(tunnel, status=None)
                 return None
             try:
                 status = await _request_tunnel(connection, address)
@@ -96,7 +96,7 @@
                 if status != HTTPStatus.OK:
                     with anyio.CancelScope(shield=True):
                         await connection.aclose()
-        routes.note_tunnel(tunnel, failed=status is None)
+        routes.note_tunnel(tunnel, status=status)
         log.info('tunnel_asked', tunnel=tunnel, address=address, status=status)
         if status == HTTPStatus.BAD_GATEWAY:
             raise ConnectionRefusedError(address)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -7,6 +7,7 @@
 
 import random
 from collections.abc import Callable, Coroutine
+from http import HTTPStatus
 from typing import Any
 
 import anyio
@@ -167,11 +168,13 @@
         """Whether requests may go through a tunnel: its peer stays."""
         return tunnel not in self._closing_since
 
-    def note_tunnel(self, tunnel: str, *, failed: bool) -> None:
-        """Take the outcome of a connection attempt to a peer's tunnel."""
-        result = 'failed' if failed else 'opened'
+    def note_tunnel(self, tunnel: str, *, status: int | None) -> None:
+        """Take a peer's answer to a request for a tunnel, None without one."""
+        result = 'opened' if status == HTTPStatus.OK else 'refused'
+        if status is None:
+            result = 'failed'
         self._metrics.tunnels.inc({'side': 'asked', 'result': result})
-        if failed:
+        if status is None:
             self._skipped_until[tunnel] = self._clock() + PEER_SKIP_S
         else:
             self._skipped_until.pop(tunnel, None)
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_routes.py
@@ -31,8 +31,8 @@
     def may_send_through(self, tunnel: str) -> bool:
         """Whether requests may go through a tunnel: its peer stays."""
 
-    def note_tunnel(self, tunnel: str, *, failed: bool) -> None:
-        """Take the outcome of a connection attempt to a peer's tunnel."""
+    def note_tunnel(self, tunnel: str, *, status: int | None) -> None:
+        """Take a peer's answer to a request for a tunnel, None without one."""
 
     def note_tunnel_broken(self, tunnel: str, address: str) -> None:
         """Note that a request's connection through a tunnel broke."""
--- a/tests/test_gateway_tunnel_stop.py
+++ b/tests/test_gateway_tunnel_stop.py
@@ -1,6 +1,8 @@
 """Daemons that stop while others reach endpoints through them."""
 
+import re
 import unittest
+from collections import Counter
 
 import anyio
 from mimosamux_standins.site import Framing, ReplicaSpeed
@@ -9,6 +11,8 @@
 from tests.support.clock import run_paused
 from tests.support.platform_site import Partition, open_site
 
+TUNNELS = r'tunnels_total{result="(\w+)",side="(\w+)"} (\d+)'
+GRACE_S = 8.0
 FOUND_OUT_S = 3.0
 """Time in which a daemon that is cut off has found its ways."""
 
@@ -22,6 +26,17 @@
             await crashes.send(site, caller, number, f'{path}warm')
 
 
+def count_tunnels(handle):
+    """Return a daemon's counts of tunnels by side and result."""
+    metrics = handle.daemon.parts.metrics.render()[0].decode()
+    return Counter(
+        {
+            (side, result): int(count)
+            for result, side, count in re.findall(TUNNELS, metrics)
+        }
+    )
+
+
 def set_speed(site, **fields):
     for replica in site.replicas_by_id.values():
         replica.speed = ReplicaSpeed(**fields)
@@ -91,7 +106,7 @@
         answers, took_s = run_paused(check)
         self.assertEqual([each.status for each in answers], [200] * 3)
         self.assertEqual([each.problem for each in answers], [''] * 3)
-        self.assertLess(took_s, 8.0)
+        self.assertLess(took_s, GRACE_S)
 
     # Guards against a cut answer without a length that looks complete.
     def test_end_of_the_stop_is_no_end_of_an_answer(self):
@@ -144,7 +159,7 @@
                 return took_s, tunnel.has_ended()
 
         took_s, has_ended = run_paused(check)
-        self.assertLess(took_s, 8.0)
+        self.assertLess(took_s, GRACE_S)
         self.assertTrue(has_ended)
 
     # Guards against a request on a kept tunnel that the stop cuts.
@@ -170,15 +185,25 @@
                 await cut_off(site, 0)
                 set_speed(site, event_s=0.5, events=25)
                 await stop_under_streams(site)
-                return [
-                    handle.daemon.parts.metrics.render()[0].decode()
-                    for handle in site.daemons
-                ]
-
-        asking, serving = run_paused(check)
-        counted = 'tunnels_total{result="cut",side="%s"} 3'
-        self.assertIn(counted % 'asked', asking)
-        self.assertIn(counted % 'served', serving)
+                return [count_tunnels(each) for each in site.daemons]
+
+        asked, served = run_paused(check)
+        self.assertEqual(asked['asked', 'cut'], 3)
+        self.assertEqual(served['served', 'cut'], 3)
+
+    # Guards against tunnels that a stopping peer refused, counted as opened.
+    def test_refused_tunnels_are_counted_as_refused(self):
+        async def check():
+            async with open_site() as site:
+                site.daemons[1].daemon._tunnels.drain()
+                await cut_off(site, 0)
+                return [count_tunnels(each) for each in site.daemons]
+
+        asked, draining, other = run_paused(check)
+        refused = draining['served', 'service_unavailable']
+        self.assertGreater(refused, 0)
+        self.assertEqual(asked['asked', 'refused'], refused)
+        self.assertEqual(asked['asked', 'opened'], other['served', 'opened'])
 
 
 if __name__ == '__main__':
