Tunnels: a channel is told its tunnel when it is made

A connection that is no subclass of the port's class, such as the scripted one of test_http1_relay, has none.

Change: `Channels.open` passes the tunnel on; without one a channel is direct.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -67,11 +67,14 @@
         *,
         address: str,
         connection: Connection,
+        via: str = '',
         note_reset: Callable[[str], None] = lambda _: None,
         note_received: Callable[[str], None] = lambda _: None,
         note_tunnel_broken: Callable[[str, str], None] = lambda *_: None,
     ) -> None:
         self.address = address
+        self.via = via
+        """Address of the tunnel that it leads through, empty: none."""
         self._note_reset = note_reset
         self._note_received = note_received
         self._note_tunnel_broken = note_tunnel_broken
@@ -128,11 +131,6 @@
             # on the connection would be read as part of this body.
             self._unsent = b''
 
-    @property
-    def via(self) -> str:
-        """Address of the tunnel that it leads through, empty: none."""
-        return self._connection.via
-
     @property
     def has_rest(self) -> bool:
         """Whether a part of the request still waits to be sent."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -64,6 +64,7 @@
         return Channel(
             address=address,
             connection=connection,
+            via=connection.via,
             note_reset=self.resets.note,
             note_received=self.note_received,
             note_tunnel_broken=self.note_tunnel_broken,
