--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -22,8 +22,6 @@
 MAX_TUNNELS = 512
 """Each takes two descriptors."""
 PART_BYTES = 64 * 1024
-IDLE_S = 0.3
-"""Silence behind an answer's last part after which a tunnel is idle."""
 
 BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -33,9 +31,10 @@
     """One tunnel that is open."""
 
     scope: anyio.CancelScope
-    awaits_answer: bool = False
-    """Whether the peer sent the last bytes."""
-    passed_at: float = field(default_factory=anyio.current_time)
+    address: str
+    opened_at: float = field(default_factory=anyio.current_time)
+    has_ended: bool = False
+    """Whether one of its sides has ended it."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -47,7 +46,7 @@
     """Whether an address is that of a listed endpoint; no other is served."""
     note_end: Callable[[str], None]
     """Called with the outcome of each request for a tunnel."""
-    is_draining: bool = False
+    _draining_since: float | None = None
     _open: set[_Tunnel] = field(default_factory=set)
 
     @property
@@ -57,14 +56,13 @@
 
     def drain(self) -> None:
         """Open no further tunnels."""
-        self.is_draining = True
+        self._draining_since = anyio.current_time()
 
     def close_idle(self) -> None:
-        """Close the tunnels on which no answer is due or under way."""
-        oldest = anyio.current_time() - IDLE_S
-        for tunnel in tuple(self._open):
-            if not tunnel.awaits_answer and tunnel.passed_at < oldest:
-                tunnel.scope.cancel()
+        """Close nothing: only the asking peers know what is under way.
+
+        They close their tunnels once they know that this daemon stops.
+        """
 
     async def serve(self, connection: Connection) -> None:
         """Serve one connection of a peer until it ends."""
@@ -100,7 +98,7 @@
         self.note_end('opened')
         try:
             if await _answer(connection, HTTPStatus.OK):
-                await self._pass_on(connection, endpoint)
+                await self._pass_on(connection, endpoint, address)
         finally:
             with anyio.CancelScope(shield=True):
                 await endpoint.aclose()
@@ -109,7 +107,7 @@
         """Connect to an endpoint, or return the status of the refusal."""
         if not self.is_endpoint(address):
             return HTTPStatus.FORBIDDEN
-        if self.is_draining or len(self._open) >= MAX_TUNNELS:
+        if self._draining_since is not None or len(self._open) >= MAX_TUNNELS:
             return HTTPStatus.SERVICE_UNAVAILABLE
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -119,23 +117,44 @@
         except OSError:
             return HTTPStatus.GATEWAY_TIMEOUT
 
-    async def _pass_on(self, peer: Connection, endpoint: Connection) -> None:
-        """Pass bytes on in both directions until one side ends."""
-        async with anyio.create_task_group() as tasks:
-            tunnel = _Tunnel(scope=tasks.cancel_scope)
-            self._open.add(tunnel)
-            try:
-                tasks.start_soon(self._copy, peer, endpoint, tunnel, True)
-                await self._copy(endpoint, peer, tunnel, False)
-            finally:
-                self._open.discard(tunnel)
+    async def _pass_on(
+        self, peer: Connection, endpoint: Connection, address: str
+    ) -> None:
+        """Pass bytes on in both directions until one side ends.
+
+        If this daemon ends first, both get a reset: taken for an end, it
+        would make an answer without a length look complete.
+        """
+        scope = anyio.CancelScope()
+        tunnel = _Tunnel(scope=scope, address=address)
+        self._open.add(tunnel)
+        try:
+            with scope:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._copy, peer, endpoint, tunnel)
+                    await self._copy(endpoint, peer, tunnel)
+        finally:
+            self._open.discard(tunnel)
+            if not tunnel.has_ended:
+                peer.abort()
+                endpoint.abort()
+                self._note_cut(tunnel)
+
+    def _note_cut(self, tunnel: _Tunnel) -> None:
+        self.note_end('cut')
+        now, since = anyio.current_time(), self._draining_since
+        log.warning(
+            'tunnel_cut',
+            address=tunnel.address,
+            open_s=round(now - tunnel.opened_at, 3),
+            behind_s=None if since is None else round(now - since, 3),
+        )
 
     async def _copy(
         self,
         source: Connection,
         target: Connection,
         tunnel: _Tunnel,
-        is_from_peer: bool,
     ) -> None:
         """Pass bytes on in one direction, and end the tunnel with it.
 
@@ -145,13 +164,12 @@
         try:
             while True:
                 part = await source.receive(PART_BYTES)
-                tunnel.awaits_answer = is_from_peer
-                tunnel.passed_at = anyio.current_time()
                 await target.send(part)
         except anyio.EndOfStream:
             pass
         except BROKEN:
             target.abort()
+        tunnel.has_ended = True
         tunnel.scope.cancel()
 
 
