Stops: what a daemon counted last reaches its peers before it ends

Cause: the counts of requests that began since a daemon's last digest ended with its process, so that the usage of its last moments was reported by nobody.

The tunnel server closes nothing by itself any more; the peers that use the tunnels do.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -58,12 +58,6 @@
         """Open no further tunnels."""
         self._draining_since = anyio.current_time()
 
-    def close_idle(self) -> None:
-        """Close nothing: only the asking peers know what is under way.
-
-        They close their tunnels once they know that this daemon stops.
-        """
-
     async def serve(self, connection: Connection) -> None:
         """Serve one connection of a peer until it ends."""
         try:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -236,5 +236,6 @@
             open_requests=self.parts.open_requests,
             notify_peers=self.parts.states.send_digest,
             stop_accepting=self._entry_scope.cancel,
+            send_last_digest=self.parts.states.send_last_digest,
             clock=self._clock,
         ).run()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -1,7 +1,8 @@
 """Graceful shutdown of a gateway daemon, without cutting off requests."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import anyio
 
@@ -52,6 +53,8 @@
     open_requests: OpenRequests
     notify_peers: Callable[[], Awaitable[None]]
     stop_accepting: Callable[[], None]
+    send_last_digest: Callable[[], Coroutine[Any, Any, None]]
+    """Sends the peers what was counted, and waits until they have it."""
     clock: Callable[[], float]
 
     async def run(self) -> None:
@@ -64,21 +67,25 @@
         self.stop_accepting()
         self._log('accepting_ended')
         await self._finish()
-        if self._is_busy():
-            self._log('stop_is_over')
-            await self._end_open_requests()
+        async with anyio.create_task_group() as tasks:
+            if self._is_busy():
+                self._log('stop_is_over')
+                self.open_requests.end_all()
+                tasks.start_soon(self._flush)
+            tasks.start_soon(self.send_last_digest)
         self._log('left')
 
     async def _finish(self) -> None:
-        """Let open requests end, and close connections that are idle."""
+        """Let open requests end, and close connections that are idle.
+
+        Tunnels are closed by the peers that use them.
+        """
         while self._is_busy() and self.clock() < self.window.ends_at:
             self.server.close_idle(longer_than_s=IDLE_S)
-            self.tunnels.close_idle()
             await anyio.sleep(POLL_INTERVAL_S)
 
-    async def _end_open_requests(self) -> None:
-        """End what is open, and let the answers to it be sent."""
-        self.open_requests.end_all()
+    async def _flush(self) -> None:
+        """Let the answers to requests that were ended be sent."""
         with anyio.move_on_after(FLUSH_S):
             while self.server.connections:
                 self.server.close_idle(longer_than_s=0.0)
--- a/tests/test_gateway_last_digest.py
+++ b/tests/test_gateway_last_digest.py
@@ -4,7 +4,9 @@
 
 import anyio
 from mimosamux_daemon.domain.names import AccountId
+from mimosamux_standins.site import ReplicaSpeed
 
+from tests.support import crashes
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site
 
@@ -47,6 +49,30 @@
             with self.subTest(number=number):
                 self.assertGreater(run_paused(check, number), 1)
 
+    # Guards against answered requests that the daemon's stop leaves uncounted.
+    def test_answers_at_the_end_of_a_stop_are_counted(self):
+        async def check(work_s):
+            async with open_site(daemons=3) as site:
+                for replica in site.replicas_by_id.values():
+                    replica.speed = ReplicaSpeed(work_s=work_s)
+                caller, answers = site.caller(patience_s=8.0), []
+
+                async def send():
+                    answers.append(
+                        await crashes.send(site, caller, 0, '/slip/1')
+                    )
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(send)
+                    await anyio.sleep(0.05)
+                    site.daemons[0].daemon.stop()
+                    await site.daemons[0].ended.wait()
+                return answers[0].status, counted(site.daemons[1])
+
+        for work_s in (2.6, 2.7, 2.8, 2.9):
+            with self.subTest(work_s=work_s):
+                self.assertEqual(run_paused(check, work_s), (200, 1))
+
     # Guards against a stop that waits for peers which answer nothing.
     def test_wait_for_silent_peers_is_short(self):
         async def check():
