Start: a signal that arrives while the program is loaded is acted on in order

Cause: a gateway opens its listening sockets before its modules are loaded, and SIGTERM and SIGHUP had their default action until the event loop handled signals. Either ended the process at once.

What callers saw: connections and requests in the backlogs were reset, at a stop and at a re-read of the settings alike.

Change: handlers that are installed before the sockets open record each signal with its time; a task takes them from a socket once the event loop runs. They stay for as long as the program serves, for both kinds of daemon. A model daemon has no settings to re-read and only logs SIGHUP. The gateway's stop does not take the age of the signal yet: `_stop` in gateway/program.py is the place.

--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -17,6 +17,7 @@
     SocketsByAddress,
     open_early_listeners,
 )
+from mimosamux_daemon.early_signals import PendingSignals
 from mimosamux_daemon.errors import InvalidInput
 from mimosamux_daemon.status import ExitStatus
 
@@ -35,12 +36,16 @@
         """Raise `InvalidInput` if the settings file is invalid."""
 
     def serve(
-        self, path: str, env: Environment, listening: SocketsByAddress
+        self,
+        path: str,
+        env: Environment,
+        listening: SocketsByAddress,
+        signals: PendingSignals,
     ) -> None:
         """Run a daemon until it is stopped.
 
         `listening` holds the listening sockets that are already open for
-        its addresses.
+        its addresses, `signals` those that the process has received.
         """
 
 
@@ -69,9 +74,12 @@
 
     def serve(self, settings: str) -> None:
         """Run a daemon with the settings file until SIGTERM or Ctrl-C."""
-        fields = read_fields(settings)
-        listening = open_early_listeners(find_early_addresses(fields))
-        load_program(fields).serve(settings, self._env, listening)
+        signals = PendingSignals()
+        with signals.recorded():
+            fields = read_fields(settings)
+            listening = open_early_listeners(find_early_addresses(fields))
+            program = load_program(fields)
+            program.serve(settings, self._env, listening, signals)
 
     def check(self, settings: str) -> None:
         """Check a settings file and say what is wrong with it."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -16,6 +16,7 @@
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.early_listeners import SocketsByAddress
+from mimosamux_daemon.early_signals import PendingSignals, ReceivedSignal
 from mimosamux_daemon.errors import InvalidInput, InvalidSettings
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.daemon import GatewayDaemon
@@ -27,6 +28,7 @@
 from mimosamux_daemon.logs import configure_logs, get_log
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
 from mimosamux_daemon.ports.network import Network
+from mimosamux_daemon.signal_receiver import receive_signals
 
 log = get_log('program')
 
@@ -67,15 +69,26 @@
     find_adapter(read_gateway_settings(path))
 
 
-def serve(path: str, env: Environment, listening: SocketsByAddress) -> None:
+def serve(
+    path: str,
+    env: Environment,
+    listening: SocketsByAddress,
+    signals: PendingSignals,
+) -> None:
     """Run a daemon in a new event loop until a signal stops it."""
     configure_logs(env.stdout)
     anyio.run(
-        run_gateway, path, listening, backend_options={'use_uvloop': True}
+        run_gateway,
+        path,
+        listening,
+        signals,
+        backend_options={'use_uvloop': True},
     )
 
 
-async def run_gateway(path: str, listening: SocketsByAddress) -> None:
+async def run_gateway(
+    path: str, listening: SocketsByAddress, signals: PendingSignals
+) -> None:
     """Run a daemon with a settings file until a signal stops it."""
     log.info('starting', settings=path, listening=len(listening))
     settings = read_gateway_settings(path)
@@ -92,21 +105,29 @@
             network=network,
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_handle_signals, daemon, path)
+            tasks.start_soon(_handle_signals, daemon, path, signals)
             tasks.start_soon(_watch_settings, daemon, path)
             await daemon.run()
             tasks.cancel_scope.cancel()
 
 
-async def _handle_signals(daemon: GatewayDaemon, path: str) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number is signal.SIGHUP:
-                _reload(daemon, path)
-            else:
-                daemon.stop()
+async def _handle_signals(
+    daemon: GatewayDaemon, path: str, signals: PendingSignals
+) -> None:
+    async for received in receive_signals(signals):
+        log.info(
+            'signal_received',
+            signal=received.number.name,
+            age_s=round(received.age_s(), 3),
+        )
+        if received.number is signal.SIGHUP:
+            _reload(daemon, path)
+        else:
+            _stop(daemon, received)
+
+
+def _stop(daemon: GatewayDaemon, received: ReceivedSignal) -> None:
+    daemon.stop()
 
 
 async def _watch_settings(daemon: GatewayDaemon, path: str) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/model_program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/model_program.py
@@ -12,8 +12,12 @@
 from mimosamux_daemon.control.configuration_models import parse_configuration
 from mimosamux_daemon.daemon import Daemon, build_daemon
 from mimosamux_daemon.early_listeners import SocketsByAddress
-from mimosamux_daemon.logs import configure_logs
+from mimosamux_daemon.early_signals import PendingSignals
+from mimosamux_daemon.logs import configure_logs, get_log
 from mimosamux_daemon.settings import Settings, parse_settings
+from mimosamux_daemon.signal_receiver import receive_signals
+
+log = get_log('program')
 
 DEMO_KEY = 'demo-key'
 """API key in the example commands of an embedded daemon."""
@@ -24,7 +28,12 @@
     read_settings(path)
 
 
-def serve(path: str, env: Environment, listening: SocketsByAddress) -> None:
+def serve(
+    path: str,
+    env: Environment,
+    listening: SocketsByAddress,
+    signals: PendingSignals,
+) -> None:
     """Run a daemon until SIGTERM or Ctrl-C.
 
     `listening` is empty: only gateways have early listeners.
@@ -32,7 +41,9 @@
     assert not listening
     settings = read_settings(path)
     configure_logs(env.stderr)
-    anyio.run(_serve, settings, env, backend_options={'use_uvloop': True})
+    anyio.run(
+        _serve, settings, env, signals, backend_options={'use_uvloop': True}
+    )
 
 
 def find_command(env: Environment) -> str:
@@ -58,18 +69,25 @@
     return settings
 
 
-async def _serve(settings: Settings, env: Environment) -> None:
+async def _serve(
+    settings: Settings, env: Environment, signals: PendingSignals
+) -> None:
     daemon = build_daemon(settings)
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_stop_on_signal, daemon)
+        tasks.start_soon(_handle_signals, daemon, signals)
         tasks.start_soon(_announce, daemon, env)
         await daemon.run()
         tasks.cancel_scope.cancel()
 
 
-async def _stop_on_signal(daemon: Daemon) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
+async def _handle_signals(daemon: Daemon, signals: PendingSignals) -> None:
+    async for received in receive_signals(signals):
+        log.info(
+            'signal_received',
+            signal=received.number.name,
+            age_s=round(received.age_s(), 3),
+        )
+        if received.number is not signal.SIGHUP:
             daemon.stop()
 
 
--- /dev/null
+++ b/tests/test_early_signals.py
@@ -0,0 +1,145 @@
+"""Signals that reach a daemon's process while it starts."""
+
+import pathlib
+import signal
+import socket
+import threading
+import time
+import unittest
+
+import anyio
+import yaml
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork, split_address
+from mimosamux_standins.site import StandInCaller
+
+from tests.support.platform_processes import HOST, PROMPT, platform_processes
+from tests.support.processes import ROOT, processes
+from tests.support.stops import GRACE_S, PROMISES
+
+CALLERS = 20
+POLL_S = 0.01
+TOLD_LINES = 20
+
+
+class Start:
+    """A gateway's process that starts, and the callers who wait for it."""
+
+    def __init__(self, platform, **options):
+        self.daemon = platform.launch_daemon(**options)
+        self.answers = []
+        self.log = []
+        popen = self.daemon.process.popen
+        # A pipe that nobody reads is full before the daemon has stopped.
+        reader = threading.Thread(target=lambda: self.log.extend(popen.stdout))
+        callers = threading.Thread(target=anyio.run, args=(self._call,))
+        self._threads = (reader, callers)
+        for thread in self._threads:
+            thread.start()
+
+    def wait_for_port(self):
+        """Return once callers can connect."""
+        while True:
+            try:
+                address = split_address(self.daemon.entry)
+                socket.create_connection(address).close()
+                return
+            except ConnectionRefusedError:
+                time.sleep(POLL_S)
+
+    def wait_for_log(self, text):
+        while not any(text in line for line in self.log):
+            time.sleep(POLL_S)
+
+    def stop(self):
+        """Stop it; return the exit status and the time from the signal."""
+        signalled_at = time.monotonic()
+        self.daemon.process.terminate()
+        status = self.daemon.process.wait()
+        took_s = time.monotonic() - signalled_at
+        for thread in self._threads:
+            thread.join()
+        return status, took_s
+
+    async def _call(self):
+        await anyio.to_thread.run_sync(self.wait_for_port)
+        async with anyio.create_task_group() as tasks:
+            for number in range(CALLERS):
+                tasks.start_soon(self._send, f'/draft/{number}')
+
+    async def _send(self, target):
+        caller = StandInCaller(
+            network=TcpNetwork(), key='key-school', patience_s=GRACE_S
+        )
+        self.answers.append(
+            await caller.send(
+                self.daemon.entry, target, body=b'brief', headers=PROMPT
+            )
+        )
+        await caller.channels.close()
+
+
+class TestGatewaySignals(unittest.TestCase):
+    def assert_stops_in_order(self, start, statuses):
+        """Stop a gateway; check that each caller got a whole answer."""
+        status, took_s = start.stop()
+        told = ''.join(start.log[-TOLD_LINES:])
+        failed = [
+            (each.status, each.problem)
+            for each in start.answers
+            if not each.is_whole or each.status not in statuses
+        ]
+        self.assertEqual(failed, [], told)
+        self.assertEqual(len(start.answers), CALLERS)
+        self.assertEqual(status, 0, told)
+        self.assertLess(took_s, GRACE_S, told)
+
+    # Guards against a stop during the start that resets waiting callers.
+    def test_callers_who_wait_for_the_start_are_answered(self):
+        waits = {
+            '0.05 s': lambda _: time.sleep(0.05),
+            '0.2 s': lambda _: time.sleep(0.2),
+            '0.7 s': lambda _: time.sleep(0.7),
+            'starting': lambda start: start.wait_for_log('event=starting'),
+        }
+        with platform_processes(daemons=1) as platform:
+            for name, wait in waits.items():
+                with self.subTest(name):
+                    start = Start(platform)
+                    start.wait_for_port()
+                    wait(start)
+                    self.assert_stops_in_order(start, (200, *PROMISES))
+
+    # Guards against a start without a platform that resets its callers.
+    def test_callers_of_a_start_without_a_platform_are_refused(self):
+        with platform_processes(daemons=0) as platform:
+            store = f'{HOST}:{platform.started.reserve_port()}'
+            start = Start(platform, store=store)
+            start.wait_for_port()
+            start.daemon.process.popen.send_signal(signal.SIGHUP)
+            time.sleep(0.2)
+            self.assert_stops_in_order(start, (503,))
+            start.wait_for_log('event=settings_reloaded')
+
+
+class TestModelDaemonSignals(unittest.TestCase):
+    def wait_until_caught(self, popen, number):
+        """Return once a process has a handler for a signal."""
+        status = pathlib.Path(f'/proc/{popen.pid}/status')
+        while popen.poll() is None:
+            fields = dict(
+                line.split(':\t', 1)
+                for line in status.read_text().splitlines()
+            )
+            if int(fields['SigCgt'], 16) >> (number - 1) & 1:
+                return
+            time.sleep(POLL_S)
+
+    # Guards against signals that end a model daemon while it is loaded.
+    def test_early_signals_end_no_model_daemon_out_of_order(self):
+        fields = yaml.safe_load((ROOT / 'examples/embedded.yaml').read_text())
+        with processes() as started:
+            process = started.start_daemon(**{**fields, 'port': 0})
+            self.wait_until_caught(process.popen, signal.SIGTERM)
+            process.popen.send_signal(signal.SIGHUP)
+            process.terminate()
+            self.assertEqual(process.wait(), 0)
