Network: accepted connections count before their handler begins

Cause: between the accept of a connection and the first step of its handler, the event loop wraps the socket, for a pass or more. In that time nobody counted the connection.

What callers saw: a stop that finds no connections ends the process, and the ones that were just accepted are reset. Not reproduced in a whole process; the test shows that 50 accepted connections had no count (the listener had none).

Change: `Listener.opening` is the number of accepted connections whose handler has not begun, on TCP and in the network of the tests. The stop does not look at it yet.

Measured: at each of 50 first steps of a handler, on both event loops, the connections that opened and those that had begun made 50 together.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -130,6 +130,7 @@
 
     def __init__(self, *, listening: socket.socket) -> None:
         self._listening = listening
+        self.opening = 0
         host, port = listening.getsockname()[:2]
         self.address = f'{host}:{port}'
 
@@ -159,6 +160,7 @@
         """Start tasks for the connections that wait; False if it failed."""
         try:
             for accepted in self._accept_waiting(at_most):
+                self.opening += 1
                 tasks.start_soon(self._handle, accepted, handler)
         except OSError as error:
             log.warning('accept_failed', reason=str(error))
@@ -184,7 +186,10 @@
     async def _handle(
         self, accepted: socket.socket, handler: ConnectionHandler
     ) -> None:
-        connection = await _open(accepted)
+        try:
+            connection = await _open(accepted)
+        finally:
+            self.opening -= 1
         if connection is not None:
             await handler(connection)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -35,6 +35,8 @@
 
     address: str
     """Address with the actual port, also if port 0 was requested."""
+    opening: int
+    """Number of accepted connections whose handler has not begun."""
 
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
@@ -42,7 +44,8 @@
         """Handle each connection in its own task of `tasks`, until cancelled.
 
         The tasks continue after `serve` is cancelled. Connections that wait to
-        be accepted at that time are handled as well.
+        be accepted at that time are handled as well; they count as `opening`
+        once `serve` has ended.
         """
 
 
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -117,10 +117,14 @@
     address: str
     handler: ConnectionHandler | None = None
     tasks: anyio.abc.TaskGroup | None = None
+    opening: int = 0
 
     async def accept(self, connection, delay_s):
-        if delay_s:
-            await anyio.sleep(delay_s)
+        try:
+            if delay_s:
+                await anyio.sleep(delay_s)
+        finally:
+            self.opening -= 1
         await self.handler(connection)
 
     async def serve(self, handler, tasks):
@@ -214,6 +218,7 @@
         mine.other, theirs.other = theirs, mine
         network.connections += [mine, theirs]
         delay_s = network.accept_delay_s.get(address, 0.0)
+        listener.opening += 1
         listener.tasks.start_soon(listener.accept, theirs, delay_s)
         return mine
 
--- a/tests/test_tcp_network.py
+++ b/tests/test_tcp_network.py
@@ -196,7 +196,30 @@
                 with anyio.CancelScope() as accepting:
                     accepting.cancel()
                     await listener.serve(answer, tasks)
+                self.assertEqual(listener.opening, self.CALLERS)
             for caller in callers:
                 self.assertEqual(caller.recv(100), b'to request')
+            self.assertEqual(listener.opening, 0)
+
+        self.listen_for_callers(check)
+
+    # Guards against a stop that takes an accepted connection for none.
+    def test_accepted_connections_count_until_their_handler_begins(self):
+        async def check(listener, callers):
+            begun, counts = [], []
+
+            async def handle(connection):
+                begun.append(connection)
+                counts.append(listener.opening + len(begun))
+                await anyio.sleep_forever()
+
+            async with anyio.create_task_group() as tasks:
+                with anyio.CancelScope() as accepting:
+                    accepting.cancel()
+                    await listener.serve(handle, tasks)
+                while listener.opening:
+                    await anyio.lowlevel.checkpoint()
+                tasks.cancel_scope.cancel()
+            self.assertEqual(counts, [len(callers)] * len(callers))
 
         self.listen_for_callers(check)
