Stops: the grace period counts from the signal

Cause: the stop's times counted from when the event loop came to the signal. A gateway that is being loaded, or whose loop is busy, comes to it later.

What callers saw: nothing yet; a stop that ends late is cut by the platform, with all that is open.

Evidence: SIGTERM at four moments of the start and without a platform; the stop took itself to be 0.02 to 0.52 s behind a signal that was 0.04 to 0.96 s old, each time less than its age.

Change: the stop gets the age of the signal, whose time a handler notes between two steps of the main thread, also while the event loop is busy.

Measured: the same five stops count from the signal. A signal that came while the loop was busy for 0.3 s keeps its time, on asyncio's loop and on uvloop.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -16,7 +16,7 @@
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.context import Environment
 from mimosamux_daemon.early_listeners import SocketsByAddress
-from mimosamux_daemon.early_signals import PendingSignals, ReceivedSignal
+from mimosamux_daemon.early_signals import PendingSignals
 from mimosamux_daemon.errors import InvalidInput, InvalidSettings
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.daemon import GatewayDaemon
@@ -123,11 +123,7 @@
         if received.number is signal.SIGHUP:
             _reload(daemon, path)
         else:
-            _stop(daemon, received)
-
-
-def _stop(daemon: GatewayDaemon, received: ReceivedSignal) -> None:
-    daemon.stop()
+            daemon.stop(signalled_s_ago=received.age_s())
 
 
 async def _watch_settings(daemon: GatewayDaemon, path: str) -> None:
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -1,5 +1,6 @@
-"""Signals that reach a daemon's process while it starts."""
+"""Signals that reach a daemon's process before it can act on them."""
 
+import os
 import pathlib
 import signal
 import socket
@@ -10,12 +11,15 @@
 import anyio
 import yaml
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork, split_address
+from mimosamux_daemon.early_signals import PendingSignals
+from mimosamux_daemon.signal_receiver import receive_signals
 from mimosamux_standins.site import StandInCaller
 
 from tests.support.platform_processes import HOST, PROMPT, platform_processes
 from tests.support.processes import ROOT, processes
 from tests.support.stops import GRACE_S, PROMISES
 
+BUSY_S = 0.3
 CALLERS = 20
 POLL_S = 0.01
 TOLD_LINES = 20
@@ -50,6 +54,11 @@
         while not any(text in line for line in self.log):
             time.sleep(POLL_S)
 
+    def find_time(self, text, name):
+        """Return a field of the first line of the log with a text."""
+        line = next(line for line in self.log if text in line)
+        return float(dict(each.split('=', 1) for each in line.split())[name])
+
     def stop(self):
         """Stop it; return the exit status and the time from the signal."""
         signalled_at = time.monotonic()
@@ -92,6 +101,9 @@
         self.assertEqual(len(start.answers), CALLERS)
         self.assertEqual(status, 0, told)
         self.assertLess(took_s, GRACE_S, told)
+        age_s = start.find_time('signal=SIGTERM', 'age_s')
+        behind_s = start.find_time('event=leaving', 'behind_s')
+        self.assertGreaterEqual(behind_s, age_s, told)
 
     # Guards against a stop during the start that resets waiting callers.
     def test_callers_who_wait_for_the_start_are_answered(self):
@@ -143,3 +155,24 @@
             process.popen.send_signal(signal.SIGHUP)
             process.terminate()
             self.assertEqual(process.wait(), 0)
+
+
+class TestAgeOfASignal(unittest.TestCase):
+    # Guards against a grace period that begins when the loop has time.
+    def test_signal_to_a_busy_event_loop_keeps_its_time(self):
+        signals = PendingSignals()
+        taken = []
+
+        async def take():
+            sent_at = time.monotonic()
+            os.kill(os.getpid(), signal.SIGTERM)
+            while time.monotonic() < sent_at + BUSY_S:
+                pass
+            async for received in receive_signals(signals):
+                taken.append((received.number, received.age_s() >= BUSY_S / 2))
+                break
+
+        for use_uvloop in (False, True):
+            with signals.recorded():
+                anyio.run(take, backend_options={'use_uvloop': use_uvloop})
+        self.assertEqual(taken, [(signal.SIGTERM, True)] * 2)
