Stops: a signal to a frozen process counts from when it may have been sent

Cause: a process that stands still (SIGSTOP, no processor time, a long call that holds the interpreter) handles a signal when it runs again, and the kernel does not tell when it was sent.

The stop of such a daemon lasts longer than the platform waits, and its open streams are cut by the kill.

Evidence: a gateway with streams of 20 s, SIGSTOP, SIGTERM, 4 s, SIGCONT: the process ended 11.7 s behind SIGTERM, with 8 s of grace.

Change: a thread notes each 0.1 s that the process runs, from before the modules are loaded. A signal that arrives at the end of a gap of 0.5 s or more counts as old as the gap: its true time is somewhere within. The process may so end earlier than it had to, by the length of the gap at most.

--- a/packages/mimosamux-daemon/mimosamux_daemon/core.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/core.py
@@ -17,7 +17,7 @@
     SocketsByAddress,
     open_early_listeners,
 )
-from mimosamux_daemon.early_signals import PendingSignals
+from mimosamux_daemon.early_signals import PendingSignals, record_signals
 from mimosamux_daemon.errors import InvalidInput
 from mimosamux_daemon.status import ExitStatus
 
@@ -74,8 +74,7 @@
 
     def serve(self, settings: str) -> None:
         """Run a daemon with the settings file until SIGTERM or Ctrl-C."""
-        signals = PendingSignals()
-        with signals.recorded():
+        with record_signals() as signals:
             fields = read_fields(settings)
             listening = open_early_listeners(find_early_addresses(fields))
             program = load_program(fields)
