Tests: a stop that begins behind its time to accept (failing)

Cause: where a start lasts longer than a third of the grace period from the signal on, the stop ends accepting as soon as it begins, and looks for connections before the listener has accepted those that wait. It finds none and ends the process.

The mend is in the stop (gateway/daemon.py, gateway/stopping): it has to wait until `Listener.serve` has ended, and to count `Listener.opening`.

--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -142,6 +142,16 @@
         self.assertEqual(status, 0)
         self.assertLess(took_s, GRACE_S)
 
+    # Guards against a stop that accepts nobody after a long start.
+    def test_callers_of_a_process_frozen_in_its_start_are_answered(self):
+        with platform_processes(daemons=1) as platform:
+            start = Start(platform)
+            start.wait_for_port()
+            time.sleep(0.2)
+            self.assert_stops_in_order(
+                start, (200, *PROMISES), frozen_s=FROZEN_S
+            )
+
     # Guards against a start without a platform that resets its callers.
     def test_callers_of_a_start_without_a_platform_are_refused(self):
         with platform_processes(daemons=0) as platform:
