Stops: the backlog is accepted before a stop looks whether it has ended

Cause: a stop whose signal is old (a process that was frozen in its start) cancels accepting and looks for open connections in the same step. The listener has not taken its backlog by then, so the stop finds nothing and ends; its callers are reset.

Change: the stop waits until accepting has ended, and counts connections that were accepted and not yet handled (Acceptor, Listener.opening). The notes of a standstill are taken by the timer that measures the event loop's lag, once there is one; the thread ends with the start.

--- a/packages/mimosamux-daemon/mimosamux_daemon/early_signals.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/early_signals.py
@@ -41,7 +41,7 @@
     """Signals that the process has received and not yet acted on."""
 
     def __init__(self, *, watch: StandstillWatch) -> None:
-        self._watch = watch
+        self.watch = watch
         self._pending: deque[ReceivedSignal] = deque()
         self.wakeup, self._notify = socket.socketpair()
         """`wakeup` is readable while signals are pending."""
@@ -63,7 +63,7 @@
         """Record a signal; called in the main thread, also in a busy loop."""
         self._pending.append(
             ReceivedSignal(
-                number=signal.Signals(number), sent_at=self._watch.find_start()
+                number=signal.Signals(number), sent_at=self.watch.find_start()
             )
         )
         # A full buffer wakes the reader as well.
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -18,6 +18,7 @@
 from mimosamux_daemon.gateway.parts import GatewayParts
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
+from mimosamux_daemon.gateway.stopping.acceptor import Acceptor
 from mimosamux_daemon.gateway.stopping.graceful_stop import (
     GracefulStop,
     begin_stop,
@@ -57,7 +58,6 @@
         self._signalled_at = 0.0
         """Time of the signal that began the stop."""
         self._duties_scope = anyio.CancelScope()
-        self._entry_scope = anyio.CancelScope()
         self.parts = GatewayParts(
             settings=settings,
             platform=platform,
@@ -128,23 +128,18 @@
             )
         )
         for address in {self.settings.discovery, self.settings.readiness}:
-            await self._serve(
-                tasks, address, discovery_server, anyio.CancelScope()
-            )
+            await self._serve(tasks, address, discovery_server)
         if self.settings.metrics:
             monitor = self._build_server(self._build_monitor().handle)
-            await self._serve(
-                tasks, self.settings.metrics, monitor, anyio.CancelScope()
-            )
+            await self._serve(tasks, self.settings.metrics, monitor)
         if self.settings.place.tunnel:
             await self._serve(
                 tasks,
                 self.settings.place.tunnel,
                 self._tunnels,
-                anyio.CancelScope(),
             )
-        await self._serve(
-            tasks, self.settings.entry, self._server, self._entry_scope
+        self._entry = await self._serve(
+            tasks, self.settings.entry, self._server
         )
         log.info(
             'listening',
@@ -179,17 +174,14 @@
         tasks: anyio.abc.TaskGroup,
         address: str,
         server: Http1Server | TunnelServer,
-        scope: anyio.CancelScope,
-    ) -> None:
-        listener = await self._network.listen(address)
-
-        async def accept() -> None:
-            # Connections run in the daemon's task group, not in `scope`: they
-            # continue after the daemon stops accepting new ones.
-            with scope:
-                await listener.serve(server.serve, tasks)
-
-        tasks.start_soon(accept)
+    ) -> Acceptor:
+        acceptor = Acceptor(
+            listener=await self._network.listen(address),
+            handler=server.serve,
+            tasks=tasks,
+        )
+        tasks.start_soon(acceptor.run)
+        return acceptor
 
     async def _become_ready(self) -> None:
         """Report the daemon as ready once it has a configuration."""
@@ -235,7 +227,7 @@
             tunnels=self._tunnels,
             open_requests=self.parts.open_requests,
             notify_peers=self.parts.states.send_digest,
-            stop_accepting=self._entry_scope.cancel,
+            acceptor=self._entry,
             send_last_digest=self.parts.states.send_last_digest,
             clock=self._clock,
         ).run()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/loop_lag.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/loop_lag.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -21,6 +21,8 @@
     """Measures how late a periodic timer of the event loop fires."""
 
     clock: Callable[[], float]
+    on_tick: list[Callable[[], None]] = field(default_factory=list)
+    """Called each time the timer fires."""
     _due_at: float | None = None
     _last_lag_s: float = 0.0
 
@@ -30,6 +32,8 @@
             self._due_at = self.clock() + PERIOD_S
             await anyio.sleep(PERIOD_S)
             self._last_lag_s = max(self.clock() - self._due_at, 0.0)
+            for listener in self.on_tick:
+                listener()
 
     def estimated_wait_s(self) -> float:
         """Return the likely wait of a request that is read now."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/program.py
@@ -104,6 +104,9 @@
             shared_time=shared_time,
             network=network,
         )
+        # One timer serves both: a thread would wake up as often again.
+        daemon.parts.lag.on_tick.append(signals.watch.note_running)
+        signals.watch.end_run()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_handle_signals, daemon, path, signals)
             tasks.start_soon(_watch_settings, daemon, path)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -8,6 +8,7 @@
 
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
+from mimosamux_daemon.gateway.stopping.acceptor import Acceptor
 from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.stop_window import StopWindow
@@ -52,7 +53,7 @@
     tunnels: TunnelServer
     open_requests: OpenRequests
     notify_peers: Callable[[], Awaitable[None]]
-    stop_accepting: Callable[[], None]
+    acceptor: Acceptor
     send_last_digest: Callable[[], Coroutine[Any, Any, None]]
     """Sends the peers what was counted, and waits until they have it."""
     clock: Callable[[], float]
@@ -64,7 +65,7 @@
         self.tunnels.drain()
         await self.notify_peers()
         await self._sleep_until(self.window.directed_until)
-        self.stop_accepting()
+        await self.acceptor.stop()
         self._log('accepting_ended')
         await self._finish()
         async with anyio.create_task_group() as tasks:
@@ -96,7 +97,11 @@
 
     def _is_busy(self) -> bool:
         """Whether connections of callers or tunnels of peers are left."""
-        return bool(self.server.connections or self.tunnels.open_tunnels)
+        return bool(
+            self.acceptor.opening
+            or self.server.connections
+            or self.tunnels.open_tunnels
+        )
 
     def _log(self, event: str) -> None:
         log.info(
--- a/packages/mimosamux-daemon/mimosamux_daemon/standstill.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/standstill.py
@@ -1,5 +1,8 @@
 """Notices that the process has not run for a while.
 
+While the program is loaded, a thread takes notes; from then on, a timer of the
+event loop does.
+
 A process that is frozen, or gets no processor time, receives its signals when
 it runs again, without the times at which they were sent. This module imports
 only the standard library, as it is used before the program is loaded.
@@ -25,9 +28,10 @@
         self._noted_at = clock()
         self._began_at = self._ended_at = -math.inf
         """Beginning and end of the last standstill."""
+        self._is_noted_elsewhere = threading.Event()
 
     def note_running(self) -> None:
-        """Note that the process runs now; called each `PERIOD_S`."""
+        """Note that the process runs now; called about each `PERIOD_S`."""
         now = self._clock()
         if now - self._noted_at >= STANDSTILL_S:
             self._began_at, self._ended_at = self._noted_at, now
@@ -44,21 +48,26 @@
             return self._noted_at
         return self._began_at if now - self._ended_at < PERIOD_S else now
 
+    def run(self) -> None:
+        """Take notes until `end_run`."""
+        while not self._is_noted_elsewhere.wait(PERIOD_S):
+            self.note_running()
+
+    def end_run(self) -> None:
+        """End `run`: from now on, its caller takes the notes."""
+        self._is_noted_elsewhere.set()
+
 
 @contextmanager
 def watch_standstills() -> Iterator[StandstillWatch]:
-    """Watch in a thread, which goes on while the event loop is busy."""
+    """Watch in a thread until the context exits or `end_run` is called."""
     watch = StandstillWatch()
-    ending = threading.Event()
-
-    def run() -> None:
-        while not ending.wait(PERIOD_S):
-            watch.note_running()
-
-    thread = threading.Thread(target=run, name='standstills', daemon=True)
+    thread = threading.Thread(
+        target=watch.run, name='standstills', daemon=True
+    )
     thread.start()
     try:
         yield watch
     finally:
-        ending.set()
+        watch.end_run()
         thread.join()
