--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
@@ -40,8 +40,15 @@
         for tunnel in routes.tunnels_to(address):
             connection = await self._open_tunnel(routes, tunnel, address)
             if connection is not None:
+                connection.via = tunnel
                 return connection
-        return await self._connect_directly(address)
+        try:
+            return await self._connect_directly(address)
+        except ConnectionRefusedError as error:
+            if not routes.do_peers_reach(address):
+                raise
+            # What cuts this daemon off may refuse in the endpoint's place.
+            raise ConnectionError(f'cut off: {error}') from error
 
     async def listen(self, address: str) -> Listener:
         """Listen at an address; port 0 selects a free port."""
@@ -81,7 +88,7 @@
             try:
                 connection = await self._network.connect(tunnel)
             except OSError:
-                routes.note_tunnel(tunnel, failed=True)
+                routes.note_tunnel(tunnel, status=None)
                 return None
             try:
                 status = await _request_tunnel(connection, address)
@@ -89,7 +96,7 @@
                 if status != HTTPStatus.OK:
                     with anyio.CancelScope(shield=True):
                         await connection.aclose()
-        routes.note_tunnel(tunnel, failed=status is None)
+        routes.note_tunnel(tunnel, status=status)
         log.info('tunnel_asked', tunnel=tunnel, address=address, status=status)
         if status == HTTPStatus.BAD_GATEWAY:
             raise ConnectionRefusedError(address)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/endpoint_reach.py
@@ -7,12 +7,14 @@
 
 import random
 from collections.abc import Callable, Coroutine
+from http import HTTPStatus
 from typing import Any
 
 import anyio
 from mimosamux_wire import StateDigest
 
-from mimosamux_daemon.domain.names import EndpointId, ServiceName
+from mimosamux_daemon.control.members import MemberState
+from mimosamux_daemon.domain.names import DaemonId, EndpointId, ServiceName
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
@@ -76,7 +78,11 @@
         self._cut_off_since: dict[ServiceName, float] = {}
         self._skipped_until: dict[str, float] = {}
         """Until when a peer's tunnel is passed over."""
+        self.on_tunnel_closing: list[Callable[[str], None]] = []
+        self._closing_since: dict[str, float] = {}
+        """Since when the peer behind a tunnel is known to stop."""
         self._probed_at = 0.0
+        states.on_forgotten.append(self._forget_peer)
         roster.on_listed.append(self._add)
         roster.on_forgotten.append(self._forget)
         metrics.collectors.append(self._collect)
@@ -147,21 +153,69 @@
         )
         return [peer.place.tunnel for peer in peers[:MAX_TUNNEL_PEERS]]
 
-    def note_tunnel(self, tunnel: str, *, failed: bool) -> None:
-        """Take the outcome of a connection attempt to a peer's tunnel."""
-        result = 'failed' if failed else 'opened'
+    def do_peers_reach(self, address: str) -> bool:
+        """Whether some peer last said that it reaches an endpoint.
+
+        It may have stopped since.
+        """
+        record = self._record_by_address.get(address)
+        return record is not None and any(
+            record.listed.service not in peer.unreached_services
+            for peer in self._states.by_id.values()
+        )
+
+    def may_send_through(self, tunnel: str) -> bool:
+        """Whether requests may go through a tunnel: its peer stays."""
+        return tunnel not in self._closing_since
+
+    def note_tunnel(self, tunnel: str, *, status: int | None) -> None:
+        """Take a peer's answer to a request for a tunnel, None without one."""
+        result = 'opened' if status == HTTPStatus.OK else 'refused'
+        if status is None:
+            result = 'failed'
         self._metrics.tunnels.inc({'side': 'asked', 'result': result})
-        if failed:
+        if status is None:
             self._skipped_until[tunnel] = self._clock() + PEER_SKIP_S
         else:
             self._skipped_until.pop(tunnel, None)
 
+    def note_tunnel_broken(self, tunnel: str, address: str) -> None:
+        """Log and count a request's connection that a peer's stop cut.
+
+        Any other may have been broken by its endpoint.
+        """
+        since = self._closing_since.get(tunnel)
+        if since is None:
+            return
+        self._metrics.tunnels.inc({'side': 'asked', 'result': 'cut'})
+        log.warning(
+            'tunnel_cut',
+            tunnel=tunnel,
+            address=address,
+            behind_s=round(self._clock() - since, 3),
+        )
+
     def write(self, digest: StateDigest) -> None:
         """Set the services that this daemon does not reach in a digest."""
         digest.unreached_services = [str(each) for each in self._cut_off_since]
 
     def take(self, peer: PeerState, digest: StateDigest) -> None:
-        """Do nothing: `PeerStates` stores the services in the peer's state."""
+        """End the use of the tunnels through a peer that stops.
+
+        `PeerStates` stores the services in the peer's state.
+        """
+        tunnel = peer.place.tunnel
+        if peer.state is not MemberState.LEAVING:
+            self._closing_since.pop(tunnel, None)
+        elif tunnel and tunnel not in self._closing_since:
+            self._closing_since[tunnel] = self._clock()
+            for listener in self.on_tunnel_closing:
+                listener(tunnel)
+
+    def _forget_peer(self, _: DaemonId) -> None:
+        known = {peer.place.tunnel for peer in self._states.by_id.values()}
+        for tunnel in self._closing_since.keys() - known:
+            del self._closing_since[tunnel]
 
     async def run(self) -> None:
         """Probe direct connections while need be, until cancelled."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -1,12 +1,14 @@
 """Graceful shutdown of a gateway daemon, without cutting off requests."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 import anyio
 
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
+from mimosamux_daemon.gateway.stopping.acceptor import Acceptor
 from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.stop_window import StopWindow
@@ -51,7 +53,9 @@
     tunnels: TunnelServer
     open_requests: OpenRequests
     notify_peers: Callable[[], Awaitable[None]]
-    stop_accepting: Callable[[], None]
+    acceptor: Acceptor
+    send_last_digest: Callable[[], Coroutine[Any, Any, None]]
+    """Sends the peers what was counted, and waits until they have it."""
     clock: Callable[[], float]
 
     async def run(self) -> None:
@@ -61,24 +65,28 @@
         self.tunnels.drain()
         await self.notify_peers()
         await self._sleep_until(self.window.directed_until)
-        self.stop_accepting()
+        await self.acceptor.stop()
         self._log('accepting_ended')
         await self._finish()
-        if self._is_busy():
-            self._log('stop_is_over')
-            await self._end_open_requests()
+        async with anyio.create_task_group() as tasks:
+            if self._is_busy():
+                self._log('stop_is_over')
+                self.open_requests.end_all()
+                tasks.start_soon(self._flush)
+            tasks.start_soon(self.send_last_digest)
         self._log('left')
 
     async def _finish(self) -> None:
-        """Let open requests end, and close connections that are idle."""
+        """Let open requests end, and close connections that are idle.
+
+        Tunnels are closed by the peers that use them.
+        """
         while self._is_busy() and self.clock() < self.window.ends_at:
             self.server.close_idle(longer_than_s=IDLE_S)
-            self.tunnels.close_idle()
             await anyio.sleep(POLL_INTERVAL_S)
 
-    async def _end_open_requests(self) -> None:
-        """End what is open, and let the answers to it be sent."""
-        self.open_requests.end_all()
+    async def _flush(self) -> None:
+        """Let the answers to requests that were ended be sent."""
         with anyio.move_on_after(FLUSH_S):
             while self.server.connections:
                 self.server.close_idle(longer_than_s=0.0)
@@ -89,7 +97,11 @@
 
     def _is_busy(self) -> bool:
         """Whether connections of callers or tunnels of peers are left."""
-        return bool(self.server.connections or self.tunnels.open_tunnels)
+        return bool(
+            self.acceptor.opening
+            or self.server.connections
+            or self.tunnels.open_tunnels
+        )
 
     def _log(self, event: str) -> None:
         log.info(
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -14,6 +14,9 @@
     `BrokenResourceError` after a reset.
     """
 
+    via: str = ''
+    """Address of the peer's tunnel that it leads through, empty: none."""
+
     @abstractmethod
     def abort(self) -> None:
         """Reset it: the other side cannot take this for a proper end."""
@@ -35,13 +38,17 @@
 
     address: str
     """Address with the actual port, also if port 0 was requested."""
+    opening: int
+    """Number of accepted connections whose handler has not begun."""
 
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
     ) -> None:
         """Handle each connection in its own task of `tasks`, until cancelled.
 
-        The tasks continue after `serve` is cancelled.
+        The tasks continue after `serve` is cancelled. Connections that wait to
+        be accepted at that time are handled as well; they count as `opening`
+        once `serve` has ended.
         """
 
 
