Soak: a request behind an answer that its endpoint broke off is no loss

Behind an answer that breaks off nothing can follow on its connection. A caller that had sent its next request ahead was counted as lost by its daemon, although an engine had crashed under the answer before it.

Change: the endpoints of the request before it count for the excuse, those alone; three crafted records hold the bounds.

--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -31,6 +31,8 @@
     """Deadline that the caller waited for; None if it did not."""
     limit_s: float = math.inf
     """Time limit that the caller stated."""
+    ahead_id: str = ''
+    """Request on its connection that was to be answered before it."""
     has_left: bool = False
     """Whether the caller disconnected before its deadline."""
     behind: int = 0
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -47,7 +47,11 @@
         arrivals = arrivals_by_id[sent.answer.id]
         problems += _check_wait(record, sent, arrivals)
         problems += check_cut(
-            record, sent, arrivals, runs_by_id[sent.answer.id]
+            record,
+            sent,
+            arrivals,
+            runs_by_id[sent.answer.id],
+            ahead=arrivals_by_id[sent.ahead_id] if sent.ahead_id else (),
         )
     runs = [SimpleNamespace(**run) for run in record.seen['runs']]
     if all('version' in run for run in record.seen['runs']):
--- a/tests/support/soak_steady_callers.py
+++ b/tests/support/soak_steady_callers.py
@@ -97,6 +97,7 @@
                 answer=answer,
                 entry=entry,
                 limit_s=caller.patience_s,
+                ahead_id='' if answer is answers[0] else answers[0].id,
             )
             for target, answer in zip(targets, answers, strict=False)
         ]
--- a/tests/support/soak_stop_checks.py
+++ b/tests/support/soak_stop_checks.py
@@ -26,8 +26,12 @@
                 yield f'{stop.entry} took {took_s:.2f} s to stop'
 
 
-def check_cut(record, sent, arrivals, runs):
-    """Yield a request that was lost at a daemon that was asked to stop."""
+def check_cut(record, sent, arrivals, runs, *, ahead=()):
+    """Yield a request that was lost at a daemon that was asked to stop.
+
+    `ahead` tells where the request arrived that was to be answered before it:
+    behind an answer that breaks off, nothing can follow on the connection.
+    """
     stop = find_stop(record, sent)
     answer = sent.answer
     if stop is None or sent.has_left or answer.whole_at is None:
@@ -49,7 +53,10 @@
     )
     if fate == 'excused' and not _is_at_work_late(runs, stop):
         fate = 'lost'
-    if fate == 'lost' and not _is_disrupted(record, sent, accepted):
+    endpoints = {
+        each['replica'] for each in (*accepted, *ahead) if each['is_accepted']
+    }
+    if fate == 'lost' and not _is_disrupted(record, sent, endpoints):
         sent_s, whole_s, ended_s = (
             round(at - stop.start, 2)
             for at in (answer.sent_at, answer.whole_at, answer.ended_at)
@@ -99,9 +106,8 @@
     )
 
 
-def _is_disrupted(record, sent, accepted):
-    """Whether something unplanned hit its daemon or an endpoint of it."""
-    endpoints = {each['replica'] for each in accepted}
+def _is_disrupted(record, sent, endpoints):
+    """Whether something unplanned hit its daemon or one of the endpoints."""
     spans = [
         (each.start, each.end)
         for each in record.disruptions
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import math
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 
 from mimosamux_standins.site.replica import render_event
@@ -379,6 +380,28 @@
             )
             (self.assert_kept if is_kept else self.assert_lost)(record)
 
+    # Guards against a loss where the answer before it broke off.
+    def test_request_behind_an_answer_that_its_endpoint_broke_off(self):
+        for place, ahead_id, is_kept in (
+            ('i-0002', 'a0', True),
+            ('i-0003', 'a0', False),
+            ('i-0002', '', False),
+        ):
+            record = self.record(status=None, ended_at=101.0, arrivals=0)
+            record.sent[0] = replace(record.sent[0], ahead_id=ahead_id)
+            record.seen['arrivals'].append(
+                {
+                    'id': 'a0',
+                    'at': 99.0,
+                    'is_accepted': True,
+                    'replica': 'i-0002',
+                }
+            )
+            record.disruptions.append(
+                Disruption(place=place, start=100.5, end=100.5)
+            )
+            (self.assert_kept if is_kept else self.assert_lost)(record)
+
     def test_stop_that_lasts_longer_than_the_grace_period(self):
         self.assert_kept(self.record(gone_at=106.0))
         record = self.record(gone_at=106.1)
