Stops: a planned stop waits for service calls

A stop counted model requests only as open. A service call that may be repeated was neither among them nor among the side effects, so the daemon closed under it: 5 s behind its last look the server cancelled the call.

Callers saw an empty 500 on a call that the service had received and was still running, with no word on whether it ran.

Evidence: the test sends a call of 13.5 s to a daemon with an address_ttl_s of 1 s and a stop_grace_s of 0.5 s, and SIGTERM as soon as the service has it.

Change: ServiceCalls keeps the calls whose callers wait, and the stop counts them as open.

--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -247,7 +247,7 @@
         leave=parts.control.membership.leave,
         has_peers=serving.targets.has_targets,
         drained_at=lambda: parts.control.discovery.drained_at,
-        open_requests=lambda: sum(1 for _ in serving.registry.open_requests()),
+        open_requests=serving.count_open,
         hand_over=serving.handover.hand_over,
         drain_side_effects=serving.side_effects.drain,
     )
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
@@ -3,10 +3,11 @@
 Repeatable calls are retried; non-repeatable calls run at most once.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.engine import ConnectFailed
+from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.outcomes import Outcome, Refused
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
@@ -54,6 +55,8 @@
     repeatable: RepeatableCalls
     admission: Admission
     metrics: Metrics
+    open_by_id: dict[RequestId, ServiceCall] = field(default_factory=dict)
+    """Admitted calls whose callers wait for the outcome."""
 
     async def call(
         self, call: ServiceCall, configuration: Configuration
@@ -63,9 +66,11 @@
         refused = self.admission.acquire(account, call)
         if refused is not None:
             return self._refuse(call, refused)
+        self.open_by_id[call.id] = call
         try:
             outcome = await self._run(call)
         finally:
+            del self.open_by_id[call.id]
             self.admission.release(call.id)
         self.metrics.requests_ended.inc(
             {
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -73,6 +73,11 @@
         tasks.start_soon(self.endpoint_poller.run)
         tasks.start_soon(self.ownership.run)
 
+    def count_open(self) -> int:
+        """Return the number of accepted requests that have not ended."""
+        models = sum(1 for _ in self.registry.open_requests())
+        return models + len(self.services.open_by_id)
+
 
 def build_serving(
     *,
--- /dev/null
+++ b/tests/test_stopping_requests.py
@@ -0,0 +1,101 @@
+"""Requests at a model daemon that is stopping, through real processes."""
+
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+import httpx
+
+from tests.support.processes import processes
+from tests.support.site import KEY, RealSite
+
+HEADERS = {'Authorization': f'Bearer {KEY}', 'X-Mimosamux-Attempt': '1'}
+TIMEOUT_S = 40.0
+TTL_S = 1.0
+DRAINED_S = TTL_S + 5.0
+"""From SIGTERM until no caller is directed to the daemon."""
+GRACE_S = 0.5
+CLOSE_S = 5.0
+"""Time for answers between the last look and the end of the process."""
+
+
+class TestStoppingRequests(unittest.TestCase):
+    def setUp(self):
+        started = processes()
+        self.site = RealSite(
+            processes=started.__enter__(), daemons={'a': 1, 'b': 1}
+        )
+        self.addCleanup(started.__exit__, None, None, None)
+        self.service = self.site.processes.start_standin('service')
+        self.site.list_vm(
+            'mail-a', address=self.service.address, service='mail'
+        )
+        self.site.start_engines('a', 'b')
+        self.site.start(address_ttl_s=TTL_S, stop_grace_s=GRACE_S)
+        self.daemon = self.site.daemons['a1']
+        self.reader = threading.Thread(
+            target=lambda: list(self.daemon.popen.stdout)
+        )
+        self.reader.start()
+        self.addCleanup(self.reader.join)
+        self.addCleanup(self.daemon.end)
+        self.client = httpx.Client(
+            base_url=f'http://{self.daemon.address}',
+            headers=HEADERS,
+            timeout=TIMEOUT_S,
+        )
+        self.addCleanup(self.client.close)
+        self.pool = ThreadPoolExecutor(max_workers=4)
+        self.addCleanup(self.pool.shutdown)
+        self.wait_for_endpoints()
+
+    def wait_for_endpoints(self):
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
+            answers = (
+                self.call('draft', 'ready'),
+                self.complete('draft', tokens=1),
+            )
+            if all(answer.status_code == 200 for answer in answers):
+                return
+            time.sleep(0.1)
+        raise AssertionError('the daemon has no endpoints')
+
+    def call(self, work_class, key):
+        return self.client.post(
+            '/v1/services/mail/send',
+            headers={'X-Mimosamux-Class': work_class, 'Idempotency-Key': key},
+        )
+
+    def complete(self, work_class, *, tokens):
+        return self.client.post(
+            '/v1/chat/completions',
+            headers={'X-Mimosamux-Class': work_class},
+            json={
+                'model': 'demo',
+                'max_tokens': tokens,
+                'messages': [{'role': 'user', 'content': 'plan a trip'}],
+            },
+        )
+
+    def set_service(self, **faults):
+        httpx.post(f'http://{self.service.address}/control', json=faults)
+
+    def start_call(self, work_class, key):
+        """Send a call that the service has received on return."""
+        future = self.pool.submit(self.call, work_class, key)
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
+            runs = httpx.get(f'http://{self.service.address}/control/runs')
+            if any(run['key'] == key for run in runs.json()['runs']):
+                return future
+        raise AssertionError('the call did not reach the service')
+
+    def test_planned_stop_waits_for_a_service_call(self):
+        # Guards against a stop that ends under a call that may be repeated.
+        self.set_service(delay_s=DRAINED_S + GRACE_S + CLOSE_S + 2.0)
+        answer = self.start_call('draft', 'slow')
+        self.daemon.terminate()
+        self.assertEqual(answer.result().status_code, 200)
+        self.assertEqual(self.daemon.wait(), 0)
