Stops: a model daemon takes only what it can finish or hand over

A stopping model daemon took every request on its open connections until the server had closed, with no regard to when the stop ended. With a reclaim notice it took work that may not be repeated and whose deadline lay behind the reclaim; after the grace period of a planned stop it went on taking requests and handing them over, so callers that stayed could keep it up.

Callers saw an empty 500 on a request that had run, or were sent on by 303 right after they had been taken.

Evidence, on the code before: with a notice of 9 s, a request of 900 tokens (18 s) of a class that may not be repeated got status 500; 1 s behind the grace period of a planned stop a draft got 303 in place of a refusal.

Change: Intake applies StopWindow to both kinds of work, at the moment a request would be counted as open. A repeatable model request is taken while a peer can take it over; other work only if its deadline lies before the end of the stop. At the end of the grace period the intake closes, so that no request comes in between the last look and the end. Keys and event ids of requests that are open here still find them. The answer `in_doubt` keeps a Retry-After of 0 of the refusal that it replaces.

--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -31,6 +31,7 @@
 from mimosamux_daemon.stopping import (
     StopCallbacks,
     StopSequence,
+    find_end,
     wait_for_notice,
 )
 
@@ -220,6 +221,9 @@
         )
         while not self._closed.is_set():
             with anyio.CancelScope() as self._stop_scope:
+                parts.serving.intake.begin_stop(
+                    ends_at=find_end(self._reclaim_at)
+                )
                 await sequence.run(self._reclaim_at)
                 self._closed.set()
 
@@ -248,6 +252,7 @@
         has_peers=serving.targets.has_targets,
         drained_at=lambda: parts.control.discovery.drained_at,
         open_requests=serving.count_open,
+        close_intake=serving.intake.close,
         hand_over=serving.handover.hand_over,
         drain_side_effects=serving.side_effects.drain,
     )
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/model_serving.py
@@ -23,6 +23,7 @@
 from mimosamux_daemon.serving.evacuation import Evacuation
 from mimosamux_daemon.serving.first_tokens import FirstTokenTimes
 from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.requests import (
     ActiveRequest,
     Moved,
@@ -69,6 +70,7 @@
         journal: RequestJournal | None = None,
         budget: RetryBudget | None = None,
         meter: DemandMeter | None = None,
+        intake: Intake | None = None,
     ) -> None:
         self.registry = registry
         self.first_tokens = FirstTokenTimes()
@@ -79,6 +81,7 @@
         self._journal = journal
         self._meter = DemandMeter() if meter is None else meter
         self._budget = budget or RetryBudget()
+        self._intake = Intake() if intake is None else intake
         self._drivers: dict[RequestId, RequestDriver] = {}
         evacuation = Evacuation(engines=engines, fleet=fleet, router=router)
         self._parts = DriverParts(
@@ -105,8 +108,11 @@
         known = self._find_duplicate(request)
         if known is not None:
             return known
-        self._meter.note_offered(request)
-        admitted = self._admit(request, configuration)
+        admitted: Choice | Refused | None
+        admitted = self._intake.find_refusal(request)
+        if admitted is None:
+            self._meter.note_offered(request)
+            admitted = self._admit(request, configuration)
         if isinstance(admitted, Refused):
             self._metrics.requests_refused.inc(
                 {
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
@@ -19,6 +19,7 @@
 )
 from mimosamux_daemon.serving.admission import Admission
 from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.repeatable_calls import RepeatableCalls
 from mimosamux_daemon.serving.side_effects import SideEffects, refuse_unchecked
 
@@ -55,6 +56,7 @@
     repeatable: RepeatableCalls
     admission: Admission
     metrics: Metrics
+    intake: Intake = field(default_factory=Intake)
     open_by_id: dict[RequestId, ServiceCall] = field(default_factory=dict)
     """Admitted calls whose callers wait for the outcome."""
 
@@ -63,7 +65,9 @@
     ) -> Outcome:
         """Admit and run a call; return its outcome."""
         account = configuration.accounts[call.account]
-        refused = self.admission.acquire(account, call)
+        refused = self.intake.find_refusal(call)
+        if refused is None:
+            refused = self.admission.acquire(account, call)
         if refused is not None:
             return self._refuse(call, refused)
         self.open_by_id[call.id] = call
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_outcomes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_outcomes.py
@@ -52,7 +52,11 @@
             f'{refused.message}; whether an earlier call with this key ran'
             ' cannot be told now, so come again with the same key'
         ),
-        retry_after_s=refused.retry_after_s or IN_DOUBT_RETRY_AFTER_S,
+        retry_after_s=(
+            IN_DOUBT_RETRY_AFTER_S
+            if refused.retry_after_s is None
+            else refused.retry_after_s
+        ),
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -28,6 +28,7 @@
 from mimosamux_daemon.serving.admission import Admission
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.handover import Handover
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.journal import Journal
 from mimosamux_daemon.serving.model_serving import (
     HandedOverRequest,
@@ -62,6 +63,7 @@
     claims: JournalClaims
     handover: Handover
     targets: MembershipHandoverTargets
+    intake: Intake
     endpoint_poller: EndpointPoller
     ownership: Ownership
 
@@ -108,6 +110,8 @@
     )
     admission = Admission(over_ceiling=planning_view.ceilings.over_ceiling)
     registry = RequestRegistry()
+    targets = MembershipHandoverTargets(membership=membership)
+    intake = Intake(has_peers=targets.has_targets)
     journal_table = guard_table(control.guard, platform, 'journal')
     journal = Journal(
         table=journal_table,
@@ -126,6 +130,7 @@
         metrics=metrics,
         journal=journal,
         meter=planning_view.meter,
+        intake=intake,
     )
     side_effects = _build_side_effects(
         settings=settings,
@@ -135,7 +140,6 @@
         router=router,
         wall_clock=wall_clock,
     )
-    targets = MembershipHandoverTargets(membership=membership)
     return ServingParts(
         fleet=fleet,
         prices=prices,
@@ -152,6 +156,7 @@
             ),
             admission=admission,
             metrics=metrics,
+            intake=intake,
         ),
         side_effects=side_effects,
         journal=journal,
@@ -169,6 +174,7 @@
             journal=journal,
         ),
         targets=targets,
+        intake=intake,
         endpoint_poller=EndpointPoller(
             cloud=platform.cloud,
             fleet=fleet,
--- a/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
@@ -3,6 +3,7 @@
 A daemon stops on request or when the platform reclaims its VM.
 """
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -44,17 +45,28 @@
     by `anyio.current_time`; None if the daemon is not leaving."""
     open_requests: Callable[[], int]
     """Number of accepted requests that have not ended at this daemon."""
+    close_intake: Callable[[], None]
+    """Has new requests refused from now on."""
     hand_over: HandOver
     drain_side_effects: Callable[[], Awaitable[None]]
     """Waits until the running side effects have ended."""
 
 
+def find_end(reclaim_at: float | None) -> float:
+    """Return the time at which a stop cuts open requests.
+
+    `reclaim_at` is the time at which the platform reclaims the VM; a stop
+    without one waits for open requests.
+    """
+    return math.inf if reclaim_at is None else reclaim_at - CLOSE_RESERVE_S
+
+
 class StopSequence:
     """Runs the phases of a stop in order.
 
     The daemon leaves the membership, serves until address answers that name
-    it have expired, waits for open requests, hands over the remaining ones
-    and drains side effects.
+    it have expired, waits for open requests, takes no new ones, hands over
+    the remaining ones and drains side effects.
     """
 
     def __init__(self, *, callbacks: StopCallbacks, grace_s: float) -> None:
@@ -71,6 +83,8 @@
         await self._callbacks.leave()
         await self._serve_until_drained(reclaim_at)
         await self._await_open_requests(reclaim_at)
+        # With nothing taken from here on, the last look stays true.
+        self._callbacks.close_intake()
         await self._hand_over(reclaim_at)
         await self._drain(reclaim_at)
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,16 +1,20 @@
 """The order in which a daemon stops."""
 
 import unittest
+from dataclasses import replace
 
 import anyio
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.stopping import (
     StopCallbacks,
     StopSequence,
+    find_end,
     wait_for_notice,
 )
 
 from tests.support.clock import run_paused
 from tests.support.clouds import FakeCloud
+from tests.support.serving import DRAFT, make_request
 
 ADDRESS_TTL_S = 30.0
 GRACE_S = 60.0
@@ -26,6 +30,7 @@
         self.handed_over: list[float] = []
         self.refuses = 0
         self.drained = False
+        self.closed_at: float | None = None
 
     def sequence(self) -> StopSequence:
         parts = StopCallbacks(
@@ -33,6 +38,7 @@
             has_peers=lambda: self.peers,
             drained_at=lambda: self.left_at + ADDRESS_TTL_S,
             open_requests=self.count_open,
+            close_intake=self.close_intake,
             hand_over=self.hand_over,
             drain_side_effects=self.drain,
         )
@@ -45,6 +51,9 @@
         now = anyio.current_time()
         return sum(end > now for end in self.ends)
 
+    def close_intake(self) -> None:
+        self.closed_at = anyio.current_time()
+
     async def hand_over(self, seconds: float) -> None:
         if self.refuses:
             self.refuses -= 1
@@ -106,6 +115,13 @@
         self.assertLess(stop(daemon, seconds_left=10.0), 10.0)
         self.assertEqual(len(daemon.handed_over), 1)
 
+    def test_nothing_is_taken_behind_the_grace_period(self):
+        # Guards against a stop without end under callers that stay.
+        daemon = FakeDaemon(400.0, peers=False)
+        self.assertAlmostEqual(stop(daemon), 400.0, delta=1.0)
+        taken_s = daemon.closed_at - daemon.left_at
+        self.assertAlmostEqual(taken_s, GRACE_S, delta=1.0)
+
     def test_a_peer_that_refuses_is_asked_again(self):
         daemon = FakeDaemon(400.0)
         daemon.refuses = 3
@@ -113,6 +129,59 @@
         self.assertEqual(len(daemon.handed_over), 1)
 
 
+class TestIntake(unittest.TestCase):
+    def find_reason(self, intake, *, deadline_s, **fields):
+        work_class = replace(DRAFT, deadline_s=deadline_s, **fields)
+        refused = intake.find_refusal(
+            make_request('plan a trip', work_class=work_class)
+        )
+        return refused and refused.reason
+
+    def play(self, check, *, peers=True):
+        async def run():
+            intake = Intake(has_peers=lambda: peers)
+            await check(intake)
+
+        run_paused(run)
+
+    def test_work_that_only_this_daemon_can_end_has_to_end_in_time(self):
+        # Guards against work that is taken and cut by a reclaim.
+        async def check(intake):
+            once = {'repeatable': False}
+            self.assertIsNone(self.find_reason(intake, deadline_s=99, **once))
+            intake.begin_stop(ends_at=anyio.current_time() + 10.0)
+            found = self.find_reason(intake, deadline_s=10.1, **once)
+            self.assertEqual(found, 'stopping')
+            self.assertIsNone(self.find_reason(intake, deadline_s=10, **once))
+            self.assertIsNone(self.find_reason(intake, deadline_s=99))
+            await anyio.sleep(1.0)
+            found = self.find_reason(intake, deadline_s=10, **once)
+            self.assertEqual(found, 'stopping')
+
+        self.play(check)
+
+    def test_work_that_no_peer_can_take_over_has_to_end_in_time(self):
+        # Guards against a hand-over with nobody to hand over to.
+        async def check(intake):
+            intake.begin_stop(ends_at=anyio.current_time() + 10.0)
+            found = self.find_reason(intake, deadline_s=99)
+            self.assertEqual(found, 'stopping')
+            self.assertIsNone(self.find_reason(intake, deadline_s=10))
+
+        self.play(check, peers=False)
+
+    def test_a_planned_stop_takes_everything_until_it_closes(self):
+        # Guards against callers sent away from a daemon that could serve.
+        async def check(intake):
+            intake.begin_stop(ends_at=find_end(None))
+            self.assertIsNone(self.find_reason(intake, deadline_s=900))
+            intake.close()
+            found = self.find_reason(intake, deadline_s=1)
+            self.assertEqual(found, 'stopping')
+
+        self.play(check)
+
+
 class TestNotice(unittest.TestCase):
     def test_a_notice_for_the_own_vm_is_found(self):
         async def check():
--- a/tests/test_stopping_requests.py
+++ b/tests/test_stopping_requests.py
@@ -49,6 +49,7 @@
         self.pool = ThreadPoolExecutor(max_workers=4)
         self.addCleanup(self.pool.shutdown)
         self.wait_for_endpoints()
+        self.wait_for_peer()
 
     def wait_for_endpoints(self):
         deadline = time.monotonic() + TIMEOUT_S
@@ -62,6 +63,21 @@
             time.sleep(0.1)
         raise AssertionError('the daemon has no endpoints')
 
+    def wait_for_peer(self):
+        """Return once the daemon knows that the other one is ready."""
+        version = self.site.versions()['a1']
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
+            answer = self.site.operate(
+                'a1',
+                'GET',
+                'configuration/wait',
+                params={'version': version},
+            )
+            if len(answer.json()['held']) > 1:
+                return
+        raise AssertionError('the daemons do not know each other')
+
     def call(self, work_class, key):
         return self.client.post(
             '/v1/services/mail/send',
@@ -92,6 +108,12 @@
                 return future
         raise AssertionError('the call did not reach the service')
 
+    def assert_refused(self, answer):
+        self.assertEqual(answer.status_code, 503, answer.text[:200])
+        self.assertEqual(answer.json()['error']['code'], 'stopping')
+        self.assertTrue(answer.json()['not_run'])
+        self.assertEqual(answer.headers['retry-after'], '0')
+
     def test_planned_stop_waits_for_a_service_call(self):
         # Guards against a stop that ends under a call that may be repeated.
         self.set_service(delay_s=DRAINED_S + GRACE_S + CLOSE_S + 2.0)
@@ -99,3 +121,31 @@
         self.daemon.terminate()
         self.assertEqual(answer.result().status_code, 200)
         self.assertEqual(self.daemon.wait(), 0)
+
+    def test_planned_stop_takes_requests_until_it_closes(self):
+        # Guards against callers that stay and are cut when it closes.
+        self.set_service(delay_s=DRAINED_S + GRACE_S + 2.0)
+        slow = self.start_call('slip', 'slow')
+        self.daemon.terminate()
+        began_at = time.monotonic()
+        time.sleep(1.0)
+        taken = self.complete('draft', tokens=5)
+        self.assertEqual(taken.status_code, 200, taken.text)
+        time.sleep(began_at + DRAINED_S + GRACE_S + 1.0 - time.monotonic())
+        for work_class in ('draft', 'slip'):
+            self.assert_refused(self.complete(work_class, tokens=400))
+            self.assert_refused(self.call(work_class, 'late'))
+        self.assertEqual(slow.result().status_code, 200)
+
+    def test_reclaim_refuses_what_it_would_cut(self):
+        # Guards against work that is taken and ended with the VM.
+        self.site.reclaim('a1', 9.0)
+        self.wait_until_stopping()
+        self.assert_refused(self.complete('slip', tokens=900))
+        self.assert_refused(self.call('slip', 'late'))
+        taken = self.complete('draft', tokens=5)
+        self.assertEqual(taken.status_code, 200, taken.text)
+
+    def wait_until_stopping(self):
+        while self.client.get('/readyz').text != 'stopping\n':
+            time.sleep(0.05)
