Stops: a reclaimed model daemon ends within its notice

The stop went on handing over and waiting until the reclaim itself, and then gave the server its full 5 s to close: the process outlived the notice, so with a real VM the last answers and log lines would have been lost with it.

With a real VM callers would see connections that stand still until it is gone; the stand-in platform ends no process.

Evidence: with a notice of 9 s and a call that lasts longer, the process ended 14.4 s behind the notice; a stop with 10 s left returned after 10.1 s.

Change: open requests are cut CLOSE_RESERVE_S (now 2 s) before the reclaim, and the server closes by EXIT_RESERVE_S (1 s) before it. A handover that is tried again gets no more than the time left.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
@@ -47,12 +47,20 @@
     *,
     shutdown: Callable[[], Awaitable[None]],
     grace_s: float = 60.0,
+    find_grace_s: Callable[[], float] | None = None,
     context: ssl.SSLContext | None = None,
 ) -> None:
     """Serve until `shutdown` returns, then let open requests finish.
 
-    The server takes the listener over and closes it.
+    The server takes the listener over and closes it. `find_grace_s` is
+    called at the shutdown and replaces `grace_s`.
     """
+
+    async def await_shutdown() -> None:
+        await shutdown()
+        if find_grace_s is not None:
+            config.graceful_timeout = find_grace_s()
+
     config = _ServerConfig()
     config.bind = [f'fd://{listener.detach()}']
     config.context = context
@@ -65,7 +73,7 @@
     if sniffio.current_async_library() == 'trio':
         from hypercorn.trio import serve as serve_trio
 
-        await serve_trio(app, config, shutdown_trigger=shutdown)
+        await serve_trio(app, config, shutdown_trigger=await_shutdown)
         return
     from hypercorn.asyncio import serve
 
@@ -74,5 +82,5 @@
     # graceful stop: it gets a task of its own.
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(
-            partial(serve, app, config, shutdown_trigger=shutdown)
+            partial(serve, app, config, shutdown_trigger=await_shutdown)
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -31,15 +31,13 @@
 from mimosamux_daemon.stopping import (
     StopCallbacks,
     StopSequence,
+    find_close_grace,
     find_end,
     wait_for_notice,
 )
 
 log = get_log('daemon')
 
-CLOSE_GRACE_S = 5.0
-"""Time to send the buffered bytes of completed answers."""
-
 
 class Daemon:
     """One daemon process: its components, HTTP server and stop sequence.
@@ -89,7 +87,7 @@
                 app,
                 listener,
                 shutdown=self._closed.wait,
-                grace_s=CLOSE_GRACE_S,
+                find_grace_s=self._find_close_grace,
                 context=self._start_tls(tasks),
             )
             tasks.cancel_scope.cancel()
@@ -227,6 +225,9 @@
                 await sequence.run(self._reclaim_at)
                 self._closed.set()
 
+    def _find_close_grace(self) -> float:
+        return find_close_grace(self._reclaim_at, now=anyio.current_time())
+
     def _why_not_ready(self) -> str | None:
         if self.stopping.is_set():
             return 'stopping'
--- a/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
@@ -22,8 +22,12 @@
 """Interval between requests to the cloud for reclaim notices."""
 NOTICE_TIMEOUT_S = 2.0
 """Time limit of a request for reclaim notices."""
-CLOSE_RESERVE_S = 1.5
+CLOSE_RESERVE_S = 2.0
 """Part of the notice period reserved for closing connections, in s."""
+EXIT_RESERVE_S = 1.0
+"""Part of it that is left for the end of the process, in s."""
+CLOSE_GRACE_S = 5.0
+"""Time to send the buffered bytes of completed answers."""
 HANDOVER_TIMEOUT_S = 3.0
 """Time limit of a handover; it has to end within the notice period."""
 
@@ -61,6 +65,13 @@
     return math.inf if reclaim_at is None else reclaim_at - CLOSE_RESERVE_S
 
 
+def find_close_grace(reclaim_at: float | None, *, now: float) -> float:
+    """Return the time for closing connections from now on, in seconds."""
+    if reclaim_at is None:
+        return CLOSE_GRACE_S
+    return min(CLOSE_GRACE_S, max(reclaim_at - EXIT_RESERVE_S - now, 0.0))
+
+
 class StopSequence:
     """Runs the phases of a stop in order.
 
@@ -74,49 +85,44 @@
         self._grace_s = grace_s
 
     async def run(self, reclaim_at: float | None = None) -> None:
-        """Return when no request or side effect is open, or at `reclaim_at`.
+        """Return when no request or side effect is open, or at the end.
 
         `reclaim_at` is the time at which the platform reclaims the VM, by
         `anyio.current_time`; a planned stop has no such deadline.
         """
         log.info('leaving', is_reclaimed=reclaim_at is not None)
+        ends_at = find_end(reclaim_at)
         await self._callbacks.leave()
-        await self._serve_until_drained(reclaim_at)
-        await self._await_open_requests(reclaim_at)
+        await self._serve_until_drained(ends_at)
+        await self._await_open_requests(ends_at)
         # With nothing taken from here on, the last look stays true.
         self._callbacks.close_intake()
-        await self._hand_over(reclaim_at)
-        await self._drain(reclaim_at)
+        await self._hand_over(ends_at)
+        await self._drain(ends_at)
 
-    async def _serve_until_drained(self, reclaim_at: float | None) -> None:
+    async def _serve_until_drained(self, ends_at: float) -> None:
         """Serve callers whose address answer names this daemon."""
         deadline = self._callbacks.drained_at()
         if deadline is None or not self._callbacks.has_peers():
             return
-        if reclaim_at is not None:
-            deadline = min(
-                deadline, reclaim_at - HANDOVER_TIMEOUT_S - CLOSE_RESERVE_S
-            )
-        await anyio.sleep_until(deadline)
+        await anyio.sleep_until(min(deadline, ends_at - HANDOVER_TIMEOUT_S))
 
-    async def _await_open_requests(self, reclaim_at: float | None) -> None:
+    async def _await_open_requests(self, ends_at: float) -> None:
         """Wait up to the grace period for open requests to end."""
         deadline = anyio.current_time() + self._grace_s
-        if reclaim_at is not None:
-            deadline = min(
-                deadline, reclaim_at - HANDOVER_TIMEOUT_S - CLOSE_RESERVE_S
-            )
+        deadline = min(deadline, ends_at - HANDOVER_TIMEOUT_S)
         with anyio.CancelScope(deadline=deadline):
             await self._wait_until_idle()
 
-    async def _hand_over(self, reclaim_at: float | None) -> None:
+    async def _hand_over(self, ends_at: float) -> None:
         """Hand open requests to peers; without peers, serve them to the end.
 
         Requests stay open at this daemon if a peer refuses them or dies, so
         the handover is retried until none is open.
         """
         while self._callbacks.open_requests():
-            if reclaim_at is not None and anyio.current_time() >= reclaim_at:
+            left_s = ends_at - anyio.current_time()
+            if left_s <= 0:
                 log.warning(
                     'cut_off', requests=self._callbacks.open_requests()
                 )
@@ -125,13 +131,14 @@
                 # A cancelled handover would leave requests that continue
                 # neither at this daemon nor at a peer.
                 with anyio.CancelScope(shield=True):
-                    await self._callbacks.hand_over(HANDOVER_TIMEOUT_S)
-            await anyio.sleep(OPEN_POLL_S)
+                    await self._callbacks.hand_over(
+                        min(HANDOVER_TIMEOUT_S, left_s)
+                    )
+            await anyio.sleep(min(OPEN_POLL_S, left_s))
 
-    async def _drain(self, reclaim_at: float | None) -> None:
+    async def _drain(self, ends_at: float) -> None:
         """Wait for side effects to end, as no other daemon may run them."""
-        deadline = float('inf') if reclaim_at is None else reclaim_at
-        with anyio.CancelScope(deadline=deadline):
+        with anyio.CancelScope(deadline=ends_at):
             await self._callbacks.drain_side_effects()
 
     async def _wait_until_idle(self) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -6,6 +6,7 @@
 import anyio
 from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.stopping import (
+    CLOSE_RESERVE_S,
     StopCallbacks,
     StopSequence,
     find_end,
@@ -122,6 +123,13 @@
         taken_s = daemon.closed_at - daemon.left_at
         self.assertAlmostEqual(taken_s, GRACE_S, delta=1.0)
 
+    def test_a_reclaim_leaves_time_to_close(self):
+        # Guards against a stop that goes on until the VM is gone.
+        daemon = FakeDaemon(400.0)
+        daemon.refuses = 1_000
+        took_s = stop(daemon, seconds_left=10.0)
+        self.assertLessEqual(took_s, 10.0 - CLOSE_RESERVE_S + 0.001)
+
     def test_a_peer_that_refuses_is_asked_again(self):
         daemon = FakeDaemon(400.0)
         daemon.refuses = 3
--- a/tests/test_stopping_requests.py
+++ b/tests/test_stopping_requests.py
@@ -146,6 +146,17 @@
         taken = self.complete('draft', tokens=5)
         self.assertEqual(taken.status_code, 200, taken.text)
 
+    def test_reclaim_ends_the_process_before_the_vm_is_gone(self):
+        # Guards against answers that are lost with the VM.
+        notice_s = 9.0
+        self.set_service(delay_s=20.0)
+        cut = self.start_call('slip', 'cut')
+        began_at = time.monotonic()
+        self.site.reclaim('a1', notice_s)
+        self.assertEqual(self.daemon.wait(), 0)
+        self.assertLess(time.monotonic() - began_at, notice_s)
+        self.assertNotEqual(cut.result().status_code, 200)
+
     def wait_until_stopping(self):
         while self.client.get('/readyz').text != 'stopping\n':
             time.sleep(0.05)
