Stops: answers of a stopping model daemon close their connections

Answers given during a stop left the connection open, so callers sent their next requests to the stopping daemon until the server closed under them.

Evidence, on the code before: neither an answer 1 s behind SIGTERM nor a refusal carried `Connection: close`.

Change: ExchangeCounter, around the application, adds the header to each HTTP/1 answer that begins while the daemon stops, and knows the answers in progress for the stop. HTTP/2 forbids the header.

After: answers and refusals carry it; the server closes behind them.

--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -16,6 +16,7 @@
     build_app,
     build_starting_app,
 )
+from mimosamux_daemon.api.exchanges import ExchangeCounter
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.control_parts import ControlParts, build_control
 from mimosamux_daemon.logs import get_log
@@ -84,7 +85,7 @@
             tasks.start_soon(self._run_parts, platform, tasks, app)
             tasks.start_soon(self._stop_on_reclaim, platform)
             await serve_http(
-                app,
+                ExchangeCounter(app=app, is_stopping=self.stopping.is_set),
                 listener,
                 shutdown=self._closed.wait,
                 find_grace_s=self._find_close_grace,
--- a/tests/test_stopping_requests.py
+++ b/tests/test_stopping_requests.py
@@ -20,7 +20,11 @@
 """Time for answers between the last look and the end of the process."""
 
 
-class TestStoppingRequests(unittest.TestCase):
+class StoppingSite:
+    """Two daemons, of which `a1` is stopped, and their endpoints."""
+
+    grace_s = GRACE_S
+
     def setUp(self):
         started = processes()
         self.site = RealSite(
@@ -32,7 +36,7 @@
             'mail-a', address=self.service.address, service='mail'
         )
         self.site.start_engines('a', 'b')
-        self.site.start(address_ttl_s=TTL_S, stop_grace_s=GRACE_S)
+        self.site.start(address_ttl_s=TTL_S, stop_grace_s=self.grace_s)
         self.daemon = self.site.daemons['a1']
         self.reader = threading.Thread(
             target=lambda: list(self.daemon.popen.stdout)
@@ -78,10 +82,11 @@
                 return
         raise AssertionError('the daemons do not know each other')
 
-    def call(self, work_class, key):
+    def call(self, work_class, key, **content):
         return self.client.post(
             '/v1/services/mail/send',
             headers={'X-Mimosamux-Class': work_class, 'Idempotency-Key': key},
+            **content,
         )
 
     def complete(self, work_class, *, tokens):
@@ -108,11 +113,18 @@
                 return future
         raise AssertionError('the call did not reach the service')
 
+    def wait_until_stopping(self):
+        while self.client.get('/readyz').text != 'stopping\n':
+            time.sleep(0.05)
+
+
+class TestStoppingRequests(StoppingSite, unittest.TestCase):
     def assert_refused(self, answer):
         self.assertEqual(answer.status_code, 503, answer.text[:200])
         self.assertEqual(answer.json()['error']['code'], 'stopping')
         self.assertTrue(answer.json()['not_run'])
         self.assertEqual(answer.headers['retry-after'], '0')
+        self.assertEqual(answer.headers['connection'], 'close')
 
     def test_planned_stop_waits_for_a_service_call(self):
         # Guards against a stop that ends under a call that may be repeated.
@@ -131,6 +143,7 @@
         time.sleep(1.0)
         taken = self.complete('draft', tokens=5)
         self.assertEqual(taken.status_code, 200, taken.text)
+        self.assertEqual(taken.headers.get('connection'), 'close')
         time.sleep(began_at + DRAINED_S + GRACE_S + 1.0 - time.monotonic())
         for work_class in ('draft', 'slip'):
             self.assert_refused(self.complete(work_class, tokens=400))
@@ -156,7 +169,3 @@
         self.assertEqual(self.daemon.wait(), 0)
         self.assertLess(time.monotonic() - began_at, notice_s)
         self.assertNotEqual(cut.result().status_code, 200)
-
-    def wait_until_stopping(self):
-        while self.client.get('/readyz').text != 'stopping\n':
-            time.sleep(0.05)
