Stops: a reader that stands still does not hold a model daemon

The server let each open connection send the rest of its buffer before it ended, behind its grace period and without limit. A caller that read nothing kept the daemon alive: a reclaimed VM went away under it, a planned stop never ended. The stop itself did not know of answers on their way.

In the process test the daemon had to be killed.

Change: the stop waits for answers that have begun, up to the grace period with the requests and up to one more behind the last request, and never beyond the end before a reclaim. Connections that still send at the end of the server's grace period are aborted.

Hypercorn prints tracebacks of its own tasks when connections are aborted.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
@@ -1,9 +1,9 @@
 """Runs an ASGI application under hypercorn on anyio."""
 
+import asyncio
 import socket
 import ssl
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import anyio
@@ -13,6 +13,8 @@
 BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
+ABORT_DELAY_S = 0.2
+"""Time for the server to end by itself behind the grace period."""
 
 
 class _ServerConfig(Config):
@@ -53,13 +55,18 @@
     """Serve until `shutdown` returns, then let open requests finish.
 
     The server takes the listener over and closes it. `find_grace_s` is
-    called at the shutdown and replaces `grace_s`.
+    called at the shutdown and replaces `grace_s`. Connections that are open
+    at the end of the grace period are aborted.
     """
+    ending = anyio.CancelScope()
 
     async def await_shutdown() -> None:
         await shutdown()
         if find_grace_s is not None:
             config.graceful_timeout = find_grace_s()
+        ending.deadline = (
+            anyio.current_time() + config.graceful_timeout + ABORT_DELAY_S
+        )
 
     config = _ServerConfig()
     config.bind = [f'fd://{listener.detach()}']
@@ -80,7 +87,15 @@
     # The server leaves the task that runs it marked as cancelled, so that
     # the next cancel scope of that task would end in an error after a
     # graceful stop: it gets a task of its own.
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(
-            partial(serve, app, config, shutdown_trigger=await_shutdown)
-        )
+    async def serve_until_aborted() -> None:
+        try:
+            await serve(app, config, shutdown_trigger=await_shutdown)
+        except asyncio.InvalidStateError:
+            # The server asks for the result of connections that still
+            # send when it is cancelled.
+            if not ending.cancel_called:
+                raise
+
+    with ending:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve_until_aborted)
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -78,14 +78,15 @@
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
         app = ReplaceableApp(current=build_starting_app(self._why_not_ready))
+        exchanges = ExchangeCounter(app=app, is_stopping=self.stopping.is_set)
         async with (
             open_platform(self.settings) as platform,
             anyio.create_task_group() as tasks,
         ):
-            tasks.start_soon(self._run_parts, platform, tasks, app)
+            tasks.start_soon(self._run_parts, platform, tasks, app, exchanges)
             tasks.start_soon(self._stop_on_reclaim, platform)
             await serve_http(
-                ExchangeCounter(app=app, is_stopping=self.stopping.is_set),
+                exchanges,
                 listener,
                 shutdown=self._closed.wait,
                 find_grace_s=self._find_close_grace,
@@ -99,6 +100,7 @@
         platform: Platform,
         tasks: anyio.abc.TaskGroup,
         app: ReplaceableApp,
+        exchanges: ExchangeCounter,
     ) -> None:
         control = self._build_control(platform)
         tasks.start_soon(self._stop_when_superseded, control)
@@ -113,7 +115,7 @@
             app.current = self._build_app(parts)
             await self._start_serving(tasks, parts)
         if self.started.is_set():
-            await self._stop_in_order(parts)
+            await self._stop_in_order(parts, exchanges)
         self._closed.set()
 
     async def _start_control(
@@ -212,10 +214,12 @@
         if not self.started.is_set():
             starting.cancel()
 
-    async def _stop_in_order(self, parts: DaemonParts) -> None:
+    async def _stop_in_order(
+        self, parts: DaemonParts, exchanges: ExchangeCounter
+    ) -> None:
         await self.stopping.wait()
         sequence = StopSequence(
-            callbacks=_build_stop_callbacks(parts),
+            callbacks=_build_stop_callbacks(parts, exchanges),
             grace_s=self.settings.stop_grace_s,
         )
         while not self._closed.is_set():
@@ -247,13 +251,16 @@
     return Daemon(settings=settings)
 
 
-def _build_stop_callbacks(parts: DaemonParts) -> StopCallbacks:
+def _build_stop_callbacks(
+    parts: DaemonParts, exchanges: ExchangeCounter
+) -> StopCallbacks:
     serving = parts.serving
     return StopCallbacks(
         leave=parts.control.membership.leave,
         has_peers=serving.targets.has_targets,
         drained_at=lambda: parts.control.discovery.drained_at,
         open_requests=serving.count_open,
+        open_answers=exchanges.count_answers,
         close_intake=serving.intake.close,
         hand_over=serving.handover.hand_over,
         drain_side_effects=serving.side_effects.drain,
--- a/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
@@ -49,6 +49,8 @@
     by `anyio.current_time`; None if the daemon is not leaving."""
     open_requests: Callable[[], int]
     """Number of accepted requests that have not ended at this daemon."""
+    open_answers: Callable[[], int]
+    """Number of answers of which callers have not read the end."""
     close_intake: Callable[[], None]
     """Has new requests refused from now on."""
     hand_over: HandOver
@@ -66,7 +68,10 @@
 
 
 def find_close_grace(reclaim_at: float | None, *, now: float) -> float:
-    """Return the time for closing connections from now on, in seconds."""
+    """Return the time for closing connections from now on, in seconds.
+
+    Connections that are still open then are aborted.
+    """
     if reclaim_at is None:
         return CLOSE_GRACE_S
     return min(CLOSE_GRACE_S, max(reclaim_at - EXIT_RESERVE_S - now, 0.0))
@@ -99,6 +104,7 @@
         self._callbacks.close_intake()
         await self._hand_over(ends_at)
         await self._drain(ends_at)
+        await self._await_answers(ends_at)
 
     async def _serve_until_drained(self, ends_at: float) -> None:
         """Serve callers whose address answer names this daemon."""
@@ -108,11 +114,13 @@
         await anyio.sleep_until(min(deadline, ends_at - HANDOVER_TIMEOUT_S))
 
     async def _await_open_requests(self, ends_at: float) -> None:
-        """Wait up to the grace period for open requests to end."""
+        """Wait up to the grace period for requests and answers to end."""
         deadline = anyio.current_time() + self._grace_s
         deadline = min(deadline, ends_at - HANDOVER_TIMEOUT_S)
         with anyio.CancelScope(deadline=deadline):
-            await self._wait_until_idle()
+            # Requests end in several components, which share no event.
+            while not self._is_idle():  # noqa: ASYNC110
+                await anyio.sleep(OPEN_POLL_S)
 
     async def _hand_over(self, ends_at: float) -> None:
         """Hand open requests to peers; without peers, serve them to the end.
@@ -141,10 +149,16 @@
         with anyio.CancelScope(deadline=ends_at):
             await self._callbacks.drain_side_effects()
 
-    async def _wait_until_idle(self) -> None:
-        # Requests end in several components, which share no event.
-        while self._callbacks.open_requests():  # noqa: ASYNC110
-            await anyio.sleep(OPEN_POLL_S)
+    async def _await_answers(self, ends_at: float) -> None:
+        """Wait up to a grace period for readers of the last answers."""
+        deadline = min(anyio.current_time() + self._grace_s, ends_at)
+        with anyio.CancelScope(deadline=deadline):
+            while self._callbacks.open_answers():  # noqa: ASYNC110
+                await anyio.sleep(OPEN_POLL_S)
+
+    def _is_idle(self) -> bool:
+        callbacks = self._callbacks
+        return not (callbacks.open_requests() or callbacks.open_answers())
 
 
 async def wait_for_notice(cloud: Cloud, vm: VMId) -> float:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -32,6 +32,8 @@
         self.refuses = 0
         self.drained = False
         self.closed_at: float | None = None
+        self.read_ends: list[float] = []
+        """When callers will have read an answer."""
 
     def sequence(self) -> StopSequence:
         parts = StopCallbacks(
@@ -39,6 +41,7 @@
             has_peers=lambda: self.peers,
             drained_at=lambda: self.left_at + ADDRESS_TTL_S,
             open_requests=self.count_open,
+            open_answers=self.count_answers,
             close_intake=self.close_intake,
             hand_over=self.hand_over,
             drain_side_effects=self.drain,
@@ -52,6 +55,10 @@
         now = anyio.current_time()
         return sum(end > now for end in self.ends)
 
+    def count_answers(self) -> int:
+        now = anyio.current_time()
+        return sum(end > now for end in self.read_ends)
+
     def close_intake(self) -> None:
         self.closed_at = anyio.current_time()
 
@@ -71,6 +78,7 @@
     async def check():
         start = anyio.current_time()
         daemon.ends = [start + end for end in daemon.ends]
+        daemon.read_ends = [start + end for end in daemon.read_ends]
         last = None if seconds_left is None else start + seconds_left
         await daemon.sequence().run(last)
         return anyio.current_time() - start
@@ -123,6 +131,12 @@
         taken_s = daemon.closed_at - daemon.left_at
         self.assertAlmostEqual(taken_s, GRACE_S, delta=1.0)
 
+    def test_an_answer_that_nobody_reads_does_not_hold_the_stop(self):
+        # Guards against a stop without end under a reader that stands still.
+        daemon = FakeDaemon(peers=False)
+        daemon.read_ends = [1_000.0]
+        self.assertAlmostEqual(stop(daemon), 2 * GRACE_S, delta=1.0)
+
     def test_a_reclaim_leaves_time_to_close(self):
         # Guards against a stop that goes on until the VM is gone.
         daemon = FakeDaemon(400.0)
