Handover: a daemon that stops takes no requests of its peers

A daemon refused handovers from its own first handover on only, which comes after address_ttl_s + 5 s + stop_grace_s of its stop. A peer that had not yet heard of its leaving gave it requests meanwhile.

From the code: callers would be redirected to a daemon that soon redirects them again, or that is at its end.

After: the request stays with the daemon that offered it and ends whole.

--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/handover.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/handover.py
@@ -40,6 +40,7 @@
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.models.request_journal import RequestJournal
 from mimosamux_daemon.ports.peer import Peers, PeerUnavailable
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.model_serving import (
     HandedOverRequest,
     ModelServing,
@@ -96,13 +97,14 @@
         targets: HandoverTargets,
         in_force: ConfigurationSource,
         journal: RequestJournal | None = None,
+        intake: Intake | None = None,
     ) -> None:
         self._serving = serving
         self._peers = peers
         self._targets = targets
         self._in_force = in_force
         self._journal = journal
-        self._is_stopping = False
+        self._intake = Intake() if intake is None else intake
         peers.handle(HandOver, self._accept)
         peers.handle(HandOverWithdrawn, self._drop_copy)
 
@@ -112,7 +114,6 @@
         Non-repeatable requests stay: a new prompt at another daemon would
         run them twice.
         """
-        self._is_stopping = True
         limiter = anyio.Semaphore(MAX_CONCURRENT_OFFERS)
         deadline = anyio.current_time() + seconds_left
         async with anyio.create_task_group() as tasks:
@@ -205,7 +206,7 @@
         self, sender: DaemonId, message: HandOver
     ) -> HandOverReply:
         """Accept a stopping peer's request unless this daemon stops too."""
-        if self._is_stopping:
+        if self._intake.is_stopping:
             return HandOverReply(reason='stops as well')
         configuration = self._in_force.current
         request = to_request(message, configuration)
@@ -217,6 +218,10 @@
             attempt=message.attempt,
         )
         recorded = await self._record(request)
+        if self._intake.is_closed:
+            if recorded and self._journal is not None:
+                await self._journal.forget(request.id)
+            return HandOverReply(reason='stops as well')
         accepted = await self._serving.take_over(handed_over, configuration)
         if isinstance(accepted, Refused):
             return HandOverReply(reason=accepted.message)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -172,6 +172,7 @@
             targets=targets,
             in_force=control.in_force,
             journal=journal,
+            intake=intake,
         ),
         targets=targets,
         intake=intake,
--- a/tests/support/serving.py
+++ b/tests/support/serving.py
@@ -27,6 +27,7 @@
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.serving.admission import Admission
 from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.model_serving import ModelServing
 from mimosamux_daemon.serving.requests import ActiveRequest, RequestRegistry
 from mimosamux_daemon.serving.routing import Router
@@ -61,6 +62,7 @@
     metrics: Metrics
     serving: ModelServing
     configuration: Configuration
+    intake: Intake
 
     def add_engine(
         self,
@@ -114,6 +116,7 @@
     registry = RequestRegistry()
     metrics = Metrics()
     ports = MemoryEngines()
+    intake = Intake()
     async with anyio.create_task_group() as tasks:
         site = Site(
             tasks=tasks,
@@ -129,8 +132,10 @@
                 registry=registry,
                 tasks=tasks,
                 metrics=metrics,
+                intake=intake,
                 **parts,
             ),
+            intake=intake,
             configuration=Configuration(
                 version=1,
                 accounts={
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,6 @@
 """Accepted requests move to a peer when an entry VM goes away."""
 
+import math
 import unittest
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -48,6 +49,7 @@
                 peers=network.join(name),
                 targets=Targets(*targets),
                 in_force=InForce(site),
+                intake=site.intake,
             )
             for name, site, targets in (
                 ('a', a, (first_target,) if first_target else ()),
@@ -134,6 +136,21 @@
 
         run_paused(check)
 
+    def test_stopping_peer_takes_no_requests(self):
+        # Guards against a request that moves from one stop to the next.
+        async def check():
+            async with open_pair() as (_, a, b, (giver, _)):
+                b.intake.begin_stop(ends_at=math.inf)
+                active = await a.offer('plan a trip', max_tokens=200)
+                await active.wait_for_tokens(50)
+                await giver.hand_over(3.0)
+                self.assertIsNone(active.moved)
+                self.assertEqual(b.registry.by_id, {})
+                await active.wait_ended()
+                self.assertTrue(is_whole(active))
+
+        run_paused(check)
+
     def test_call_that_may_not_be_repeated_stays(self):
         async def check():
             async with open_pair() as (_, a, _, (giver, _)):
