Stops: each request that the end of a stop cuts has a line

A stop that ran out of time logged `cut_off requests=N`: neither which requests they were, nor how old, nor whose. Service calls and answers on their way that the server cancelled had no line at all.

There was nothing to find under the id of a cut request.

Evidence: with a notice of 9 s, a running call and a request that may not be repeated, the log of the code before has one line `cut_off requests=1` (the trial had the call alone).

Change: CutRequests logs each cut request once with id, account, work class, age and reason (`request_cut`, 100 lines at the most) and counts all of them in mimosamux_requests_cut_total, by work class and reason. An answer that was not read to its end counts too, but not beside its open request.

After: the process tests find two lines for the call and the request and one for the answer that nobody read.

--- a/packages/mimosamux-daemon/mimosamux_daemon/api/exchanges.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/exchanges.py
@@ -21,6 +21,14 @@
     headers: tuple[tuple[bytes, bytes], ...] | None = None
     """Headers of the answer; None until it begins."""
 
+    def answer_header(self, name: str) -> str:
+        """Return a header of the answer, empty if it has none."""
+        wanted = name.lower().encode()
+        for found, value in self.headers or ():
+            if found.lower() == wanted:
+                return value.decode('latin-1')
+        return ''
+
 
 @dataclass(kw_only=True, slots=True)
 class ExchangeCounter:
@@ -31,6 +39,8 @@
 
     app: ASGIApp
     is_stopping: Callable[[], bool]
+    note_cut: Callable[[Exchange], None]
+    """Gets the answers that the server did not finish sending."""
     exchanges: set[Exchange] = field(default_factory=set)
 
     async def __call__(
@@ -55,6 +65,10 @@
         self.exchanges.add(exchange)
         try:
             await self.app(scope, receive, send_noted)
+        except anyio.get_cancelled_exc_class():
+            if self.is_stopping() and exchange.headers is not None:
+                self.note_cut(exchange)
+            raise
         finally:
             self.exchanges.discard(exchange)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -11,14 +11,16 @@
 
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.tls import ReloadingCertificate
+from mimosamux_daemon.api.answers import REQUEST_HEADER
 from mimosamux_daemon.api.app import (
     ReplaceableApp,
     build_app,
     build_starting_app,
 )
-from mimosamux_daemon.api.exchanges import ExchangeCounter
+from mimosamux_daemon.api.exchanges import Exchange, ExchangeCounter
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.control_parts import ControlParts, build_control
+from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.parts import DaemonParts
@@ -67,6 +69,8 @@
         self._reclaim_at: float | None = None
         """Time at which the platform reclaims this VM, if announced."""
         self._stop_scope = anyio.CancelScope()
+        self._parts: DaemonParts | None = None
+        """Components of the daemon once it serves."""
         self._wall_clock = wall_clock
 
     def stop(self) -> None:
@@ -78,7 +82,11 @@
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
         app = ReplaceableApp(current=build_starting_app(self._why_not_ready))
-        exchanges = ExchangeCounter(app=app, is_stopping=self.stopping.is_set)
+        exchanges = ExchangeCounter(
+            app=app,
+            is_stopping=self.stopping.is_set,
+            note_cut=self._note_cut_answer,
+        )
         async with (
             open_platform(self.settings) as platform,
             anyio.create_task_group() as tasks,
@@ -92,6 +100,8 @@
                 find_grace_s=self._find_close_grace,
                 context=self._start_tls(tasks),
             )
+            if self._parts is not None:
+                self._parts.serving.note_cut_requests()
             tasks.cancel_scope.cancel()
         log.info('stopped', daemon=self.settings.daemon)
 
@@ -112,6 +122,7 @@
             # here on. If it changed later, this daemon's own calls and
             # records would look like those of a dead incarnation.
             parts = self._build_parts(platform, control, tasks)
+            self._parts = parts
             app.current = self._build_app(parts)
             await self._start_serving(tasks, parts)
         if self.started.is_set():
@@ -230,6 +241,14 @@
                 await sequence.run(self._reclaim_at)
                 self._closed.set()
 
+    def _note_cut_answer(self, exchange: Exchange) -> None:
+        if self._parts is not None:
+            self._parts.serving.note_cut_answer(
+                request=RequestId(exchange.answer_header(REQUEST_HEADER)),
+                path=exchange.path,
+                began_at=exchange.began_at,
+            )
+
     def _find_close_grace(self) -> float:
         return find_close_grace(self._reclaim_at, now=anyio.current_time())
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
@@ -18,6 +18,10 @@
             'mimosamux_requests_refused_total',
             'Refusals by work_class and reason.',
         )
+        self.requests_cut = self._counter(
+            'mimosamux_requests_cut_total',
+            'Requests cut at the end of a stop, by work_class and reason.',
+        )
         self.attempts_broken = self._counter(
             'mimosamux_attempts_broken_total',
             'Attempts that gave no whole answer, by reason.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
@@ -5,6 +5,8 @@
 
 from dataclasses import dataclass, field
 
+import anyio
+
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.names import RequestId
@@ -18,6 +20,7 @@
     ServiceUnanswered,
 )
 from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.cut_requests import CutRequests
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.repeatable_calls import RepeatableCalls
@@ -57,6 +60,8 @@
     admission: Admission
     metrics: Metrics
     intake: Intake = field(default_factory=Intake)
+    cuts: CutRequests | None = None
+    """Gets the calls that the end of a stop cuts."""
     open_by_id: dict[RequestId, ServiceCall] = field(default_factory=dict)
     """Admitted calls whose callers wait for the outcome."""
 
@@ -73,6 +78,12 @@
         self.open_by_id[call.id] = call
         try:
             outcome = await self._run(call)
+        except anyio.get_cancelled_exc_class():
+            # Only the end of a stop cancels a call; it goes on without a
+            # caller who hangs up.
+            if self.cuts is not None and self.intake.is_closed:
+                self.cuts.note_work(call)
+            raise
         finally:
             del self.open_by_id[call.id]
             self.admission.release(call.id)
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -17,6 +17,7 @@
 from mimosamux_daemon.domain.names import (
     DataCentreName,
     EndpointId,
+    RequestId,
     ServiceName,
 )
 from mimosamux_daemon.domain.outcomes import Refused
@@ -26,6 +27,7 @@
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.platform import Platform
 from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.cut_requests import CutRequests
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.handover import Handover
 from mimosamux_daemon.serving.intake import Intake
@@ -64,6 +66,7 @@
     handover: Handover
     targets: MembershipHandoverTargets
     intake: Intake
+    cuts: CutRequests
     endpoint_poller: EndpointPoller
     ownership: Ownership
 
@@ -75,6 +78,21 @@
         tasks.start_soon(self.endpoint_poller.run)
         tasks.start_soon(self.ownership.run)
 
+    def note_cut_requests(self) -> None:
+        """Note the model requests that end with this daemon."""
+        for active in self.registry.open_requests():
+            self.cuts.note_work(active.request)
+
+    def note_cut_answer(
+        self, *, request: RequestId, path: str, began_at: float
+    ) -> None:
+        """Note an answer that the server did not finish sending."""
+        # The answer of a request that is still open ends with it.
+        if request not in self.registry.open_by_id:
+            self.cuts.note_answer(
+                request=request, path=path, began_at=began_at
+            )
+
     def count_open(self) -> int:
         """Return the number of accepted requests that have not ended."""
         models = sum(1 for _ in self.registry.open_requests())
@@ -111,6 +129,7 @@
     admission = Admission(over_ceiling=planning_view.ceilings.over_ceiling)
     registry = RequestRegistry()
     targets = MembershipHandoverTargets(membership=membership)
+    cuts = CutRequests(metrics=metrics)
     intake = Intake(has_peers=targets.has_targets)
     journal_table = guard_table(control.guard, platform, 'journal')
     journal = Journal(
@@ -157,6 +176,7 @@
             admission=admission,
             metrics=metrics,
             intake=intake,
+            cuts=cuts,
         ),
         side_effects=side_effects,
         journal=journal,
@@ -176,6 +196,7 @@
         ),
         targets=targets,
         intake=intake,
+        cuts=cuts,
         endpoint_poller=EndpointPoller(
             cloud=platform.cloud,
             fleet=fleet,
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -22,6 +22,8 @@
     """A process that this test started, and the address it printed."""
 
     popen: subprocess.Popen[str]
+    log: pathlib.Path
+    """What it wrote to its standard error."""
     _address: str = ''
 
     @property
@@ -130,17 +132,17 @@
             process.end()
 
     def _start(self, module: str, *args: str) -> Process:
-        log = (self.folder / f'{len(self._started)}-{module}.log').open('w')
-        with log:
+        log = self.folder / f'{len(self._started)}-{module}.log'
+        with log.open('w') as stderr:
             popen = subprocess.Popen(
                 [sys.executable, '-m', module, *args],
                 stdout=subprocess.PIPE,
-                stderr=log,
+                stderr=stderr,
                 text=True,
                 cwd=ROOT,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
             )
-        process = Process(popen=popen)
+        process = Process(popen=popen, log=log)
         self._started.append(process)
         return process
 
--- a/tests/test_stopping_answers.py
+++ b/tests/test_stopping_answers.py
@@ -57,3 +57,4 @@
             self.site.reclaim('a1', notice_s)
             self.assertEqual(self.daemon.wait(), 0)
             self.assertLess(time.monotonic() - began_at, notice_s)
+        self.assertEqual(self.cut_lines('unread'), 1)
--- a/tests/test_stopping_requests.py
+++ b/tests/test_stopping_requests.py
@@ -100,6 +100,16 @@
             },
         )
 
+    def cut_lines(self, reason, work_class=''):
+        """Return how many log lines name a request as cut."""
+        lines = self.daemon.log.read_text().splitlines()
+        return sum(
+            f'reason={reason} ' in line
+            and (not work_class or f'work_class={work_class}' in line)
+            for line in lines
+            if 'event=request_cut' in line
+        )
+
     def set_service(self, **faults):
         httpx.post(f'http://{self.service.address}/control', json=faults)
 
@@ -119,6 +129,15 @@
 
 
 class TestStoppingRequests(StoppingSite, unittest.TestCase):
+    def wait_until_engine_runs(self):
+        """Return once an engine has an attempt that has not ended."""
+        deadline = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline:
+            runs = map(self.site.runs_at, self.site.engines)
+            if any(not run['ended'] for each in runs for run in each):
+                return
+        raise AssertionError('no engine runs a request')
+
     def assert_refused(self, answer):
         self.assertEqual(answer.status_code, 503, answer.text[:200])
         self.assertEqual(answer.json()['error']['code'], 'stopping')
@@ -164,8 +183,11 @@
         notice_s = 9.0
         self.set_service(delay_s=20.0)
         cut = self.start_call('slip', 'cut')
+        self.pool.submit(self.complete, 'slip', tokens=900)
+        self.wait_until_engine_runs()
         began_at = time.monotonic()
         self.site.reclaim('a1', notice_s)
         self.assertEqual(self.daemon.wait(), 0)
         self.assertLess(time.monotonic() - began_at, notice_s)
         self.assertNotEqual(cut.result().status_code, 200)
+        self.assertEqual(self.cut_lines('not_repeatable', 'slip'), 2)
