--- a/packages/mimosamux-daemon/mimosamux_daemon/control/journal_claims.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/journal_claims.py
@@ -58,10 +58,14 @@
         self._claimed: set[DaemonId] = set()
 
     async def run(self) -> None:
-        """Claim the requests of dead daemons until cancelled."""
+        """Claim the requests of dead daemons until this one leaves."""
         next_sweep_at = anyio.current_time() + self._sweep_interval_s()
         while True:
             await anyio.sleep(CHECK_INTERVAL_S * self._rng.uniform(0.8, 1.2))
+            if self._membership.left_at is not None:
+                # Another daemon polls now; this one would soon hand over
+                # what it claims.
+                return
             if not self._membership.is_poller():
                 continue
             await self._claim_gone()
--- a/tests/test_durable_requests.py
+++ b/tests/test_durable_requests.py
@@ -5,6 +5,8 @@
 
 import anyio
 import anyio.lowlevel
+from mimosamux_daemon.adapters.memory_table import MemoryTable
+from mimosamux_daemon.control.journal_claims import JournalClaims
 from mimosamux_daemon.domain.outcomes import InDoubt, Refused
 from mimosamux_daemon.domain.store import Unavailable
 
@@ -79,3 +81,47 @@
                 return list(site.registry.open_requests())
 
         self.assertEqual(run_paused(check), [])
+
+
+class LeavingMembership:
+    """The poller of a data centre, which stops beside a gone daemon."""
+
+    left_at = 0.0
+
+    def is_poller(self):
+        return True
+
+    def recently_gone(self):
+        return ('gone',)
+
+    def data_centres(self):
+        return ('east',)
+
+
+class ClaimCounter:
+    """Counts the claims of dead daemons' requests."""
+
+    def __init__(self) -> None:
+        self.claimed: list[str] = []
+
+    async def claim(self, dead):
+        self.claimed.append(dead)
+        return ()
+
+
+class TestClaims(unittest.TestCase):
+    def test_a_daemon_that_stops_claims_no_requests(self):
+        # Guards against requests that are claimed by a daemon at its end.
+        async def check():
+            journal = ClaimCounter()
+            claims = JournalClaims(
+                journal=journal,
+                table=MemoryTable(),
+                membership=LeavingMembership(),
+                resume_request=journal.claim,
+            )
+            with anyio.move_on_after(60.0):
+                await claims.run()
+            return journal.claimed
+
+        self.assertEqual(run_paused(check), [])
