--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -282,7 +282,7 @@
         open_answers=exchanges.count_answers,
         close_intake=serving.intake.close,
         hand_over=serving.handover.hand_over,
-        drain_side_effects=serving.side_effects.drain,
+        drain_side_effects=serving.drain,
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/journal.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/journal.py
@@ -45,6 +45,8 @@
 
 FORGET_DELAY_S = 2.0
 """Time that ended requests wait to share a commit with new ones."""
+DRAIN_POLL_S = 0.1
+"""Interval between checks for ended requests at a stop."""
 RECORD_TIMEOUT_S = 3.0
 """Time for which the write of a batch is retried."""
 RETRY_PAUSE_S = 0.1
@@ -114,6 +116,14 @@
         """Remove an ended request in a later commit."""
         self._batches.mark_ended(request)
 
+    async def drain(self) -> None:
+        """Wait until the table has no request that has ended.
+
+        Another daemon would run such a request again after this one.
+        """
+        while self._batches.cleanup_writes(anyio.current_time()).writes:  # noqa: ASYNC110
+            await anyio.sleep(DRAIN_POLL_S)
+
     async def run(self) -> None:
         """Group-commit recorded and forgotten requests until cancelled."""
         while True:
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -50,6 +50,9 @@
 
 log = get_log('serving')
 
+JOURNAL_DRAIN_S = 5.0
+"""Time that a stop waits for a table that does not answer."""
+
 
 @dataclass(kw_only=True)
 class ServingParts:
@@ -93,6 +96,12 @@
                 request=request, path=path, began_at=began_at
             )
 
+    async def drain(self) -> None:
+        """Wait for side effects, then briefly for the journal."""
+        await self.side_effects.drain()
+        with anyio.move_on_after(JOURNAL_DRAIN_S):
+            await self.journal.drain()
+
     def count_open(self) -> int:
         """Return the number of accepted requests that have not ended."""
         models = sum(1 for _ in self.registry.open_requests())
--- a/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stopping.py
@@ -55,7 +55,7 @@
     """Has new requests refused from now on."""
     hand_over: HandOver
     drain_side_effects: Callable[[], Awaitable[None]]
-    """Waits until the running side effects have ended."""
+    """Waits until running side effects have ended and the table tells it."""
 
 
 def find_end(reclaim_at: float | None) -> float:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -129,6 +129,18 @@
 
         self.play(check)
 
+    def test_a_daemon_that_ends_leaves_no_ended_requests(self):
+        # Guards against answered requests that another daemon runs again.
+        async def check(daemons):
+            await daemons.record('d1', 'r')
+            await daemons.forget('d1', 'r')
+            await daemons.journals['d1'].drain()
+            daemons.kill('d1')
+            await daemons.claim('d2', 'd1')
+            self.assertEqual(daemons.claimed, [])
+
+        self.play(check)
+
     def test_another_daemon_claims_what_a_dead_one_left(self):
         """A daemon is killed while it works on an accepted draft."""
 
