Caller: asks for other addresses when a daemon refuses as it stops

A refusal with Retry-After left the cached addresses in force. A stopping daemon refuses at once with Retry-After 0, so that with one cached address all twelve attempts went to it within moments.

In the test the caller gets "come again in 0 s" though another daemon is ready; it was not seen with processes.

Evidence: the test, with a caller that knows only the stopping daemon, ended in RefusedError on the code before.

Change: a refusal with the code `stopping` expires the cached addresses.

--- a/packages/mimosamux-cli/mimosamux_cli/caller.py
+++ b/packages/mimosamux-cli/mimosamux_cli/caller.py
@@ -24,6 +24,8 @@
 CHAT_PATH = '/v1/chat/completions'
 REQUESTS_PATH = '/v1/requests/'
 END_MARKER = '[DONE]'
+STOPPING = 'stopping'
+"""Error code of a daemon that other daemons no longer name."""
 MAX_ATTEMPTS = 12
 RETRY_DELAY_S = 0.5
 MAX_RETRY_DELAY_S = 30.0
@@ -199,10 +201,11 @@
     retry_after = response.headers.get('Retry-After')
     if retry_after is None:
         raise _as_error(body)
-    message = str(body.get('error', {}).get('message', ''))
+    error = body.get('error', {})
+    message = str(error.get('message', ''))
     return FailedAttempt(
         retry_after_s=float(retry_after),
-        refresh_addresses=False,
+        refresh_addresses=error.get('code') == STOPPING,
         refusal=f'{message}; come again in {retry_after} s',
     )
 
--- a/tests/test_caller_command.py
+++ b/tests/test_caller_command.py
@@ -3,9 +3,12 @@
 import pathlib
 import tempfile
 import unittest
+from contextlib import contextmanager
+from unittest import mock
 
+import httpx
 from mimosamux_cli.addresses import EntryAddresses
-from mimosamux_cli.caller import Answer
+from mimosamux_cli.caller import Answer, Caller
 from mimosamux_cli.events import ServerSentEvent, read_events
 from mimosamux_daemon.adapters.memory_engine import expected_token
 from mimosamux_daemon.settings import parse_settings
@@ -66,6 +69,39 @@
         self.assertEqual(result.status, ExitStatus.UNAVAILABLE)
 
 
+class ChangingAddresses:
+    """Names a stopping daemon until the answer is asked for anew."""
+
+    def __init__(self) -> None:
+        self.urls = ('http://stopping',)
+
+    def current(self):
+        return self.urls
+
+    def expire(self):
+        self.urls = ('http://ready',)
+
+
+@contextmanager
+def answer(method, url, **request):
+    """Answer as a stopping daemon or as a ready one."""
+    if url.startswith('http://stopping'):
+        body = {'error': {'code': 'stopping'}, 'not_run': True}
+        yield httpx.Response(503, headers={'Retry-After': '0'}, json=body)
+    else:
+        yield httpx.Response(200, text='data: [DONE]\n\n')
+
+
+class TestStoppingDaemon(unittest.TestCase):
+    def test_caller_asks_for_another_daemon(self):
+        # Guards against all attempts going to a daemon that refuses at once.
+        caller = Caller(
+            addresses=ChangingAddresses(), headers={}, sleep=lambda s: None
+        )
+        with mock.patch('httpx.stream', answer):
+            self.assertTrue(caller.complete({}).is_complete)
+
+
 class TestCallCommand(unittest.TestCase):
     def call(self, daemon, *args):
         return mimosamux(
