Tests: a request whose body comes behind the last look of a stop

The request's head is read before the last look and its body behind it, so that the work would begin while the server closes.

--- a/tests/test_stopping_requests.py
+++ b/tests/test_stopping_requests.py
@@ -1,5 +1,6 @@
 """Requests at a model daemon that is stopping, through real processes."""
 
+import socket
 import threading
 import time
 import unittest
@@ -16,6 +17,10 @@
 DRAINED_S = TTL_S + 5.0
 """From SIGTERM until no caller is directed to the daemon."""
 GRACE_S = 0.5
+CHAT_BODY = (
+    '{"model": "demo", "max_tokens": %d,'
+    ' "messages": [{"role": "user", "content": "plan a trip"}]}'
+)
 CLOSE_S = 5.0
 """Time for answers between the last look and the end of the process."""
 
@@ -169,6 +174,25 @@
             self.assert_refused(self.call(work_class, 'late'))
         self.assertEqual(slow.result().status_code, 200)
 
+    def test_request_whose_body_comes_behind_the_last_look_is_refused(self):
+        # Guards against work that begins while the server closes.
+        body = CHAT_BODY % 900
+        head = (
+            'POST /v1/chat/completions HTTP/1.1\r\nHost: d\r\n'
+            f'Authorization: Bearer {KEY}\r\nX-Mimosamux-Class: draft\r\n'
+            f'Content-Length: {len(body)}\r\n\r\n'
+        )
+        host, port = self.daemon.address.split(':')
+        with socket.create_connection((host, int(port)), TIMEOUT_S) as raw:
+            self.daemon.terminate()
+            self.wait_until_stopping()
+            raw.sendall(head.encode())
+            time.sleep(DRAINED_S + GRACE_S + 1.0)
+            raw.sendall(body.encode())
+            answer = raw.makefile('rb').read()
+        self.assertTrue(answer.startswith(b'HTTP/1.1 503'), answer[:200])
+        self.assertIn(b'"not_run":true', answer)
+
     def test_reclaim_refuses_what_it_would_cut(self):
         # Guards against work that is taken and ended with the VM.
         self.site.reclaim('a1', 9.0)
