--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -11,13 +11,16 @@
 
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.tls import ReloadingCertificate
+from mimosamux_daemon.api.answers import REQUEST_HEADER
 from mimosamux_daemon.api.app import (
     ReplaceableApp,
     build_app,
     build_starting_app,
 )
+from mimosamux_daemon.api.exchanges import Exchange, ExchangeCounter
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.control_parts import ControlParts, build_control
+from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.parts import DaemonParts
@@ -31,14 +34,13 @@
 from mimosamux_daemon.stopping import (
     StopCallbacks,
     StopSequence,
+    find_close_grace,
+    find_end,
     wait_for_notice,
 )
 
 log = get_log('daemon')
 
-CLOSE_GRACE_S = 5.0
-"""Time to send the buffered bytes of completed answers."""
-
 
 class Daemon:
     """One daemon process: its components, HTTP server and stop sequence.
@@ -67,6 +69,8 @@
         self._reclaim_at: float | None = None
         """Time at which the platform reclaims this VM, if announced."""
         self._stop_scope = anyio.CancelScope()
+        self._parts: DaemonParts | None = None
+        """Components of the daemon once it serves."""
         self._wall_clock = wall_clock
 
     def stop(self) -> None:
@@ -78,19 +82,26 @@
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
         app = ReplaceableApp(current=build_starting_app(self._why_not_ready))
+        exchanges = ExchangeCounter(
+            app=app,
+            is_stopping=self.stopping.is_set,
+            note_cut=self._note_cut_answer,
+        )
         async with (
             open_platform(self.settings) as platform,
             anyio.create_task_group() as tasks,
         ):
-            tasks.start_soon(self._run_parts, platform, tasks, app)
+            tasks.start_soon(self._run_parts, platform, tasks, app, exchanges)
             tasks.start_soon(self._stop_on_reclaim, platform)
             await serve_http(
-                app,
+                exchanges,
                 listener,
                 shutdown=self._closed.wait,
-                grace_s=CLOSE_GRACE_S,
+                find_grace_s=self._find_close_grace,
                 context=self._start_tls(tasks),
             )
+            if self._parts is not None:
+                self._parts.serving.note_cut_requests()
             tasks.cancel_scope.cancel()
         log.info('stopped', daemon=self.settings.daemon)
 
@@ -99,6 +110,7 @@
         platform: Platform,
         tasks: anyio.abc.TaskGroup,
         app: ReplaceableApp,
+        exchanges: ExchangeCounter,
     ) -> None:
         control = self._build_control(platform)
         tasks.start_soon(self._stop_when_superseded, control)
@@ -110,10 +122,11 @@
             # here on. If it changed later, this daemon's own calls and
             # records would look like those of a dead incarnation.
             parts = self._build_parts(platform, control, tasks)
+            self._parts = parts
             app.current = self._build_app(parts)
             await self._start_serving(tasks, parts)
         if self.started.is_set():
-            await self._stop_in_order(parts)
+            await self._stop_in_order(parts, exchanges)
         self._closed.set()
 
     async def _start_control(
@@ -212,17 +225,33 @@
         if not self.started.is_set():
             starting.cancel()
 
-    async def _stop_in_order(self, parts: DaemonParts) -> None:
+    async def _stop_in_order(
+        self, parts: DaemonParts, exchanges: ExchangeCounter
+    ) -> None:
         await self.stopping.wait()
         sequence = StopSequence(
-            callbacks=_build_stop_callbacks(parts),
+            callbacks=_build_stop_callbacks(parts, exchanges),
             grace_s=self.settings.stop_grace_s,
         )
         while not self._closed.is_set():
             with anyio.CancelScope() as self._stop_scope:
+                parts.serving.intake.begin_stop(
+                    ends_at=find_end(self._reclaim_at)
+                )
                 await sequence.run(self._reclaim_at)
                 self._closed.set()
 
+    def _note_cut_answer(self, exchange: Exchange) -> None:
+        if self._parts is not None:
+            self._parts.serving.note_cut_answer(
+                request=RequestId(exchange.answer_header(REQUEST_HEADER)),
+                path=exchange.path,
+                began_at=exchange.began_at,
+            )
+
+    def _find_close_grace(self) -> float:
+        return find_close_grace(self._reclaim_at, now=anyio.current_time())
+
     def _why_not_ready(self) -> str | None:
         if self.stopping.is_set():
             return 'stopping'
@@ -241,15 +270,19 @@
     return Daemon(settings=settings)
 
 
-def _build_stop_callbacks(parts: DaemonParts) -> StopCallbacks:
+def _build_stop_callbacks(
+    parts: DaemonParts, exchanges: ExchangeCounter
+) -> StopCallbacks:
     serving = parts.serving
     return StopCallbacks(
         leave=parts.control.membership.leave,
         has_peers=serving.targets.has_targets,
         drained_at=lambda: parts.control.discovery.drained_at,
-        open_requests=lambda: sum(1 for _ in serving.registry.open_requests()),
+        open_requests=serving.count_open,
+        open_answers=exchanges.count_answers,
+        close_intake=serving.intake.close,
         hand_over=serving.handover.hand_over,
-        drain_side_effects=serving.side_effects.drain,
+        drain_side_effects=serving.drain,
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/service_calls.py
@@ -3,10 +3,13 @@
 Repeatable calls are retried; non-repeatable calls run at most once.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+import anyio
 
 from mimosamux_daemon.domain.configuration import Configuration
 from mimosamux_daemon.domain.engine import ConnectFailed
+from mimosamux_daemon.domain.names import RequestId
 from mimosamux_daemon.domain.outcomes import Outcome, Refused
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
@@ -17,7 +20,9 @@
     ServiceUnanswered,
 )
 from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.cut_requests import CutRequests
 from mimosamux_daemon.serving.fleet import Fleet
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.repeatable_calls import RepeatableCalls
 from mimosamux_daemon.serving.side_effects import SideEffects, refuse_unchecked
 
@@ -54,18 +59,33 @@
     repeatable: RepeatableCalls
     admission: Admission
     metrics: Metrics
+    intake: Intake = field(default_factory=Intake)
+    cuts: CutRequests | None = None
+    """Gets the calls that the end of a stop cuts."""
+    open_by_id: dict[RequestId, ServiceCall] = field(default_factory=dict)
+    """Admitted calls whose callers wait for the outcome."""
 
     async def call(
         self, call: ServiceCall, configuration: Configuration
     ) -> Outcome:
         """Admit and run a call; return its outcome."""
         account = configuration.accounts[call.account]
-        refused = self.admission.acquire(account, call)
+        refused = self.intake.find_refusal(call)
+        if refused is None:
+            refused = self.admission.acquire(account, call)
         if refused is not None:
             return self._refuse(call, refused)
+        self.open_by_id[call.id] = call
         try:
             outcome = await self._run(call)
+        except anyio.get_cancelled_exc_class():
+            # Only the end of a stop cancels a call; it goes on without a
+            # caller who hangs up.
+            if self.cuts is not None and self.intake.is_closed:
+                self.cuts.note_work(call)
+            raise
         finally:
+            del self.open_by_id[call.id]
             self.admission.release(call.id)
         self.metrics.requests_ended.inc(
             {
--- a/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving_parts.py
@@ -17,6 +17,7 @@
 from mimosamux_daemon.domain.names import (
     DataCentreName,
     EndpointId,
+    RequestId,
     ServiceName,
 )
 from mimosamux_daemon.domain.outcomes import Refused
@@ -26,8 +27,10 @@
 from mimosamux_daemon.metrics import Metrics
 from mimosamux_daemon.platform import Platform
 from mimosamux_daemon.serving.admission import Admission
+from mimosamux_daemon.serving.cut_requests import CutRequests
 from mimosamux_daemon.serving.fleet import Fleet
 from mimosamux_daemon.serving.handover import Handover
+from mimosamux_daemon.serving.intake import Intake
 from mimosamux_daemon.serving.journal import Journal
 from mimosamux_daemon.serving.model_serving import (
     HandedOverRequest,
@@ -47,6 +50,9 @@
 
 log = get_log('serving')
 
+JOURNAL_DRAIN_S = 5.0
+"""Time that a stop waits for a table that does not answer."""
+
 
 @dataclass(kw_only=True)
 class ServingParts:
@@ -62,6 +68,8 @@
     claims: JournalClaims
     handover: Handover
     targets: MembershipHandoverTargets
+    intake: Intake
+    cuts: CutRequests
     endpoint_poller: EndpointPoller
     ownership: Ownership
 
@@ -73,6 +81,32 @@
         tasks.start_soon(self.endpoint_poller.run)
         tasks.start_soon(self.ownership.run)
 
+    def note_cut_requests(self) -> None:
+        """Note the model requests that end with this daemon."""
+        for active in self.registry.open_requests():
+            self.cuts.note_work(active.request)
+
+    def note_cut_answer(
+        self, *, request: RequestId, path: str, began_at: float
+    ) -> None:
+        """Note an answer that the server did not finish sending."""
+        # The answer of a request that is still open ends with it.
+        if request not in self.registry.open_by_id:
+            self.cuts.note_answer(
+                request=request, path=path, began_at=began_at
+            )
+
+    async def drain(self) -> None:
+        """Wait for side effects, then briefly for the journal."""
+        await self.side_effects.drain()
+        with anyio.move_on_after(JOURNAL_DRAIN_S):
+            await self.journal.drain()
+
+    def count_open(self) -> int:
+        """Return the number of accepted requests that have not ended."""
+        models = sum(1 for _ in self.registry.open_requests())
+        return models + len(self.services.open_by_id)
+
 
 def build_serving(
     *,
@@ -103,6 +137,9 @@
     )
     admission = Admission(over_ceiling=planning_view.ceilings.over_ceiling)
     registry = RequestRegistry()
+    targets = MembershipHandoverTargets(membership=membership)
+    cuts = CutRequests(metrics=metrics)
+    intake = Intake(has_peers=targets.has_targets)
     journal_table = guard_table(control.guard, platform, 'journal')
     journal = Journal(
         table=journal_table,
@@ -121,6 +158,7 @@
         metrics=metrics,
         journal=journal,
         meter=planning_view.meter,
+        intake=intake,
     )
     side_effects = _build_side_effects(
         settings=settings,
@@ -130,7 +168,6 @@
         router=router,
         wall_clock=wall_clock,
     )
-    targets = MembershipHandoverTargets(membership=membership)
     return ServingParts(
         fleet=fleet,
         prices=prices,
@@ -147,6 +184,8 @@
             ),
             admission=admission,
             metrics=metrics,
+            intake=intake,
+            cuts=cuts,
         ),
         side_effects=side_effects,
         journal=journal,
@@ -162,8 +201,11 @@
             targets=targets,
             in_force=control.in_force,
             journal=journal,
+            intake=intake,
         ),
         targets=targets,
+        intake=intake,
+        cuts=cuts,
         endpoint_poller=EndpointPoller(
             cloud=platform.cloud,
             fleet=fleet,
