--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -14,6 +14,7 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.discovery import Discovery
+from mimosamux_daemon.gateway.duty_parts import DutyParts
 from mimosamux_daemon.gateway.monitor import Monitor
 from mimosamux_daemon.gateway.parts import GatewayParts
 from mimosamux_daemon.gateway.settings import GatewaySettings
@@ -198,14 +199,11 @@
         calls = self._platform.duties
         if calls is None:
             return
-        metering = self.parts.build_metering(calls)
-        scaling = self.parts.build_scaling(calls)
+        duties = DutyParts(
+            parts=self.parts, platform=self._platform, clock=self._clock
+        )
         with self._duties_scope:
-            await self.parts.duties.run(
-                metering=metering,
-                scaling=scaling,
-                rollouts=self.parts.build_rollout_duty(),
-            )
+            await duties.run(calls)
 
     async def _stop(self, tasks: anyio.abc.TaskGroup) -> None:
         now = self._clock()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -34,6 +34,7 @@
 from mimosamux_daemon.gateway.balancing.engine_candidates import (
     EngineCandidates,
 )
+from mimosamux_daemon.gateway.balancing.estimate_gauges import EstimateGauges
 from mimosamux_daemon.gateway.balancing.load_forecast import LoadForecast
 from mimosamux_daemon.gateway.balancing.prefix_cache_index import (
     PrefixCacheIndex,
@@ -68,18 +69,15 @@
 from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
 from mimosamux_daemon.gateway.list_age import ListFreshness
 from mimosamux_daemon.gateway.loop_lag import LoopLag
-from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.operator_items import OperatorItems
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.rollout_clearing import RolloutClearing
-from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
 from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
 from mimosamux_daemon.gateway.rollout_rows import RolloutRows
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.gateway.settings import GatewaySettings
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.gateway.stopping.answer_times import AnswerTimes
@@ -93,10 +91,8 @@
 from mimosamux_daemon.gateway.streams.stream_moves import StreamMoves
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.gateway.table_sharing import TableSharing
-from mimosamux_daemon.gateway.trial_judge import SequentialJudge
 from mimosamux_daemon.gateway.trial_tallies import TrialTallies
 from mimosamux_daemon.gateway.vouching import Vouching
-from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
 from mimosamux_daemon.ports.network import Network
 from mimosamux_daemon.serving.fair_shares import FairShares
@@ -251,7 +247,7 @@
         self.states.on_forgotten.append(self.trials.forget_peer)
         clearing = RolloutClearing(roster=self.roster)
         self.rollouts.on_changed.append(clearing.note_step)
-        self._store_time = shared_time.store_now
+        self.store_time = shared_time.store_now
 
     def _build_configuration(self, shared_time: SharedTime) -> None:
         self.configuration = ConfirmedConfiguration(clock=self._clock)
@@ -375,28 +371,18 @@
             clock=self._clock,
             rng=self._rng,
         )
-        self.metrics.collectors.append(self._collect_residence_times)
-        self.metrics.collectors.append(self._collect_engine_factors)
-        self.metrics.collectors.append(self._collect_software_versions)
+        gauges = EstimateGauges(
+            chooser=self.chooser,
+            versions=self.versions,
+            configuration=self.configuration,
+            metrics=self.metrics,
+        )
+        self.metrics.collectors.append(gauges.collect)
         factors = self.chooser.engine_factors
         self.states.on_forgotten.append(factors.forget_peer)
         self.roster.on_forgotten.append(self.chooser.prefix_index.forget)
         self.roster.on_restarted.append(self._forget_previous_incarnation)
 
-    def _collect_software_versions(self) -> None:
-        """Set the gauges of the versions that services run."""
-        for service in self.configuration.current.services_by_name:
-            count = len(self.versions.of(service))
-            self.metrics.software_versions.set({'service': service}, count)
-
-    def _collect_engine_factors(self) -> None:
-        """Set the gauges of the engines' factors."""
-        gauge = self.metrics.engine_factor
-        factors = self.chooser.engine_factors
-        for service, fastest, slowest in factors.range_by_service():
-            gauge.set({'service': service, 'bound': 'fastest'}, fastest)
-            gauge.set({'service': service, 'bound': 'slowest'}, slowest)
-
     def _build_usage(self, shared_time: SharedTime) -> None:
         self.caps = UsageCaps(
             states=self.states,
@@ -601,71 +587,12 @@
             clock=self._clock,
         )
 
-    def build_metering(self, calls: DutyCalls) -> Metering:
-        """Return the duty of reporting usage."""
-        return Metering(
-            table=self._platform.table,
-            table_era=self._platform.store_era,
-            calls=calls,
-            request_counts=self.request_counts,
-            finalized=self.finalized_windows,
-            lateness_s=self.settings.usage_lateness_s,
-            propagation_s=lambda: self.states.propagation_s,
-            metrics=self.metrics,
-            lose_lease=lambda lease: lease.end(),
-        )
-
-    def build_scaling(self, calls: DutyCalls) -> Scaling:
-        """Return the duty of ordering endpoints."""
-        scaling = Scaling(
-            calls=calls,
-            roster=self.roster,
-            demand=self.demand,
-            configuration=lambda: self.configuration.current,
-            first_start=self.settings.first_start,
-            clock=self._clock,
-            metrics=self.metrics,
-            lose_lease=lambda lease: lease.end(),
-            rollouts=self.rollouts,
-        )
-        self.roster.on_leaving.append(scaling.note_leaving)
-        self.rollouts.on_changed.append(scaling.note_rollout)
-        return scaling
-
-    def build_rollout_duty(self) -> RolloutDuty:
-        """Return the duty of carrying out roll-outs."""
-        return RolloutDuty(
-            rows=self.rollout_rows,
-            rollouts=self.rollouts,
-            tallies=self.trials,
-            exchange=self.rollout_exchange,
-            states=self.states,
-            roster=self.roster,
-            make_judge=SequentialJudge,
-            demand=self.demand,
-            configuration=lambda: self.configuration.current,
-            store_time=self._store_time,
-            clock=self._clock,
-            metrics=self.metrics,
-        )
-
     async def _receive_table_update(
         self, sender: DaemonId, update: TableNews
     ) -> None:
         for reader in (self.configuration_reader, self.endpoint_reader):
             reader.receive_update(update)
 
-    def _collect_residence_times(self) -> None:
-        """Set the gauges of the residence times that forecasts rely on."""
-        gauge = self.metrics.residence_s
-        by_service = self.chooser.forecast.residence_by_service
-        for service, residence in by_service.items():
-            for work, time in (
-                ('request', residence.request),
-                ('prefill', residence.prefill),
-            ):
-                gauge.set({'service': service, 'work': work}, time.mean_s)
-
     def _forget_previous_incarnation(self, old: EndpointRecord) -> None:
         """Drop cache index, limits and connections of a restarted endpoint."""
         self.limits.forget(old.id)
