--- a/tests/soak.py
+++ b/tests/soak.py
@@ -24,7 +24,8 @@
 ):
     """Play seeds one after the other; print what each broke.
 
-    The logs of the daemons are written below the folder `logs`, if given.
+    The faults and the logs of the daemons are written below the folder
+    `logs`, if given.
     """
     failed = 0
     for seed in range(first, first + seeds):
@@ -45,6 +46,9 @@
             has_versions=not is_long,
             has_long_streams=is_long,
         )
+        if folder is not None:
+            lines = [f'{line}\n' for line in record.log]
+            (folder / 'faults.log').write_text(''.join(lines))
         problems = find_problems(record)
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
