Stops: requests that wait to be admitted are answered, accepted ones retried

Three faults of the rule's first form:

A request that waits for a usage cap to be confirmed (up to 0.5 s, or for a loan) was not among those that the end of a stop ends by name. Admission is tracked as well, and a request that is read behind the end is ended at once.

A request that may have run can't be called not run any more, so a refusal gains nothing: the estimate decides for it until the end.

The estimate counted fast error answers, and never those that reached their time limit. Only whole runs count, and one that reached its limit with it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -132,15 +132,10 @@
         lag_s = self.lag.estimated_wait_s()
         if lag_s:
             request = replace(request, received_at=request.received_at - lag_s)
-        with anyio.CancelScope() as waiting:
-            # A caller that disconnects while its request waits for a usage
-            # cap is not admitted afterwards: a request that may not be
-            # repeated would run with nobody to receive its answer.
-            caller.cancel_on_disconnect(waiting)
-            job = await self.admission.admit(request, sink)
-        if waiting.cancelled_caught:
+        job = await self._admit(request, caller, sink)
+        if isinstance(job, CallerGone):
             self.outcomes.log_caller_gone(request)
-            return CallerGone()
+            return job
         if isinstance(job, Refused):
             self.outcomes.log_refusal(request, job)
             return job
@@ -148,9 +143,10 @@
         with self.open_requests.track() as ended_by_stop:
             outcome = await self._run_unless_quarantined(job, caller, lag_s)
         if ended_by_stop.cancelled_caught:
-            outcome = self.stop_admission.end(job)
-        if isinstance(outcome, Delivered):
-            took_s = self.clock() - job.request.received_at
+            outcome = self.stop_admission.cut(job)
+        took_s = self.clock() - job.request.received_at
+        if is_whole_run(job, outcome) or took_s >= job.limit_s:
+            # One that reached its limit would have taken longer still.
             self.stop_admission.answer_times.note(job.route.name, took_s)
         if is_whole_run(job, outcome):
             self.quarantine.note_completion(job)
@@ -159,6 +155,23 @@
         self.outcomes.log_outcome(job, outcome)
         return outcome
 
+    async def _admit(
+        self, request: GatewayRequest, caller: Caller, sink: AnswerSink
+    ) -> Job | Refused | CallerGone:
+        """Return an admitted job, unless its caller leaves or the stop ends.
+
+        A caller that disconnects while its request waits for a usage cap is
+        not admitted afterwards: a request that may not be repeated would run
+        with nobody to receive its answer.
+        """
+        with self.open_requests.track() as ended_by_stop:
+            with anyio.CancelScope() as waiting:
+                caller.cancel_on_disconnect(waiting)
+                return await self.admission.admit(request, sink)
+        if ended_by_stop.cancelled_caught:
+            return self.stop_admission.refuse_unadmitted()
+        return CallerGone()
+
     async def _run_unless_quarantined(
         self, job: Job, caller: Caller, lag_s: float
     ) -> GatewayOutcome:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/open_requests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/open_requests.py
@@ -11,6 +11,8 @@
 class OpenRequests:
     """The cancel scopes of the requests under way."""
 
+    is_over: bool = False
+    """Whether `end_all` was called; later requests are ended at once."""
     _scopes: set[anyio.CancelScope] = field(default_factory=set)
 
     @contextmanager
@@ -20,6 +22,8 @@
         The block's owner still answers the caller afterwards.
         """
         with anyio.CancelScope() as scope:
+            if self.is_over:
+                scope.cancel()
             self._scopes.add(scope)
             try:
                 yield scope
@@ -28,5 +32,6 @@
 
     def end_all(self) -> None:
         """Cancel what is under way."""
+        self.is_over = True
         for scope in tuple(self._scopes):
             scope.cancel()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/stop_admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/stop_admission.py
@@ -32,7 +32,10 @@
         limit_s = job.left_s(now)
         expected_s = self.answer_times.expected_s(job.route.name)
         if self.window.can_finish(
-            now=now, limit_s=limit_s, expected_s=expected_s
+            now=now,
+            limit_s=limit_s,
+            expected_s=expected_s,
+            may_have_run=job.may_have_run,
         ):
             return None
         return job.give_up(
@@ -42,14 +45,23 @@
             retry_after_s=ELSEWHERE_RETRY_S,
         )
 
-    def end(self, job: Job) -> Refused | Failed | AnswerTruncated:
-        """Return the outcome of a request that is open when the stop ends."""
-        message = (
-            'the daemon stopped,'
-            f' {self.window.behind_s(self.clock()):.1f} s behind the signal'
+    def refuse_unadmitted(self) -> Refused:
+        """Return the refusal of a request that waits when the stop ends."""
+        return Refused(
+            reason=Reason.STOPPING,
+            message=self._describe_end(),
+            retry_after_s=ELSEWHERE_RETRY_S,
         )
+
+    def cut(self, job: Job) -> Refused | Failed | AnswerTruncated:
+        """Return the outcome of a request that is open when the stop ends."""
+        message = self._describe_end()
         if job.sink.is_started:
             return AnswerTruncated(reason=message, cause=Reason.STOPPING)
         return job.give_up(
             Reason.STOPPING, message, retry_after_s=ELSEWHERE_RETRY_S
         )
+
+    def _describe_end(self) -> str:
+        behind_s = self.window.behind_s(self.clock())
+        return f'the daemon stopped, {behind_s:.1f} s behind the signal'
--- a/packages/mimosamux-daemon/mimosamux_daemon/stop_window.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stop_window.py
@@ -45,16 +45,23 @@
         return 0.0 if self.began_at is None else now - self.began_at
 
     def can_finish(
-        self, *, now: float, limit_s: float, expected_s: float = math.inf
+        self,
+        *,
+        now: float,
+        limit_s: float,
+        expected_s: float = math.inf,
+        may_have_run: bool = False,
     ) -> bool:
-        """Whether a request that is read now can be finished.
+        """Whether a request may be sent now: it can end before the stop does.
 
         `limit_s` is the time to the request's deadline, `expected_s` the
-        likely time to its end. An estimate decides only while a refused
-        caller might be directed here again: afterwards only the deadline is
-        certain enough.
+        likely time to its end. The deadline is certain. The estimate decides
+        where a refusal would be of no use: while a refused caller might be
+        directed here again, and for one that may have run, which can't be
+        called not run any more.
         """
         left_s = self.ends_at - now
         if limit_s <= left_s:
             return True
-        return now <= self.directed_until and expected_s <= left_s
+        is_refusal_of_use = now > self.directed_until and not may_have_run
+        return not is_refusal_of_use and expected_s <= left_s
--- a/tests/test_gateway_stop_requests.py
+++ b/tests/test_gateway_stop_requests.py
@@ -2,19 +2,28 @@
 
 import logging
 import unittest
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
+from unittest import mock
 
 import anyio
 import structlog
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from mimosamux_daemon.gateway.admission.admission import Admission
+from mimosamux_daemon.gateway.answer_relay import FailoverWait
 from mimosamux_daemon.gateway.stopping.answer_times import AnswerTimes
+from mimosamux_daemon.gateway.stopping.graceful_stop import (
+    GracefulStop,
+    begin_stop,
+)
+from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
 from mimosamux_daemon.stop_window import StopWindow
 from mimosamux_standins.site import ReplicaSpeed
 from structlog.testing import capture_logs
 
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site
+from tests.test_gateway_caps import open_capped_site
 
 GRACE_S = 8.0
 BODY = b'brief'
@@ -84,6 +93,18 @@
 
         return run_paused(run)
 
+    @contextmanager
+    def capture_events(self):
+        """Give the events that are logged in the block."""
+        before = structlog.get_config()
+        wrapper = structlog.make_filtering_bound_logger(logging.INFO)
+        structlog.configure(wrapper_class=wrapper)
+        try:
+            with capture_logs() as events:
+                yield events
+        finally:
+            structlog.configure(**before)
+
     # Guards against a body that comes late being passed on and cut.
     def test_request_whose_body_ends_too_late_is_refused_as_not_run(self):
         async def check(stopping):
@@ -149,6 +170,82 @@
         self.assertEqual((statuses_of(answers), ran), ([200, 503], ['a']))
         self.assertLess(took_s, 1.5)
 
+    # Guards against requests that wait for a cap and end without an answer.
+    def test_requests_that_wait_for_a_cap_at_the_end_are_answered(self):
+        async def check():
+            async with open_capped_site(daemons=3) as site:
+                stopping = Stopping(site)
+                await anyio.sleep(10.0)
+                connections = [await stopping.connect() for _ in range(170)]
+                for number, connection in enumerate(connections):
+                    # The first ones take up the daemon's part of the cap.
+                    limit_ms = 80 if number < 150 else 2500
+                    head = render_head(f'a{number}', limit_ms=limit_ms)
+                    await connection.send(head)
+                stopping.handle.daemon.stop()
+                await anyio.sleep(7.3)
+                for other in site.daemons[1:]:
+                    site.network.cut(stopping.handle.machine, other.machine)
+                answers = []
+
+                async def send_body(connection):
+                    await connection.send(BODY)
+                    answers.append(await read_answers(connection))
+
+                async with anyio.create_task_group() as tasks:
+                    for connection in connections:
+                        tasks.start_soon(send_body, connection)
+                return answers
+
+        answers = run_paused(check)
+        counts = [len(statuses_of(each)) for each in answers]
+        self.assertEqual(counts, [1] * 170)
+
+    # Guards against accepted work that is failed where a retry would end.
+    def test_request_whose_endpoint_crashes_late_in_the_stop_is_retried(self):
+        async def check(stopping):
+            for route in stopping.site.document.routes:
+                route['timeoutMs'] = 15000
+            stopping.site.change_configuration()
+            await anyio.sleep(1.0)
+            stopping.set_speed(work_s=10.0)
+            connection = await stopping.connect()
+            head = render_head('a', '/list/1', limit_ms=15000)
+            await connection.send(head + BODY)
+            await anyio.sleep(0.2)
+            stopping.set_speed(work_s=0.3)
+            stopping.handle.daemon.stop()
+            await anyio.sleep(3.0)
+            (replica,) = (
+                each
+                for each in stopping.site.replicas_by_id.values()
+                if each.runs
+            )
+            stopping.site.crash_replica(replica)
+            return statuses_of(await read_answers(connection))
+
+        with mock.patch.object(FailoverWait, 'wait', wait_for_ever):
+            self.assertEqual(self.play(check), [200])
+
+    # Guards against a request that ends by an error without a line.
+    def test_request_that_ends_by_an_error_is_logged(self):
+        async def check(stopping):
+            connection = await stopping.connect()
+            await connection.send(render_head('a') + BODY)
+            return await read_answers(connection)
+
+        with (
+            self.capture_events() as events,
+            mock.patch.object(Admission, 'admit', side_effect=RuntimeError),
+        ):
+            self.assertEqual(self.play(check), b'')
+        (line,) = (
+            each for each in events if each['event'] == 'request_abandoned'
+        )
+        self.assertEqual(
+            (line['request'], line['error']), ('a', 'RuntimeError')
+        )
+
     # Guards against idle connections that are closed into their next request.
     def test_idle_connection_is_told_to_close_in_its_next_answer(self):
         async def check(stopping):
@@ -166,11 +263,7 @@
 
     # Guards against requests that a stop ends without an answer or a line.
     def test_request_open_at_the_end_is_answered_and_logged(self):
-        before = structlog.get_config()
-        self.addCleanup(structlog.configure, **before)
-        wrapper = structlog.make_filtering_bound_logger(logging.INFO)
-        structlog.configure(wrapper_class=wrapper)
-        with capture_logs() as events:
+        with self.capture_events() as events:
             answers, took_s = self.play(stop_under_a_long_slip)
         self.assertEqual(statuses_of(answers), [502])
         self.assertLess(took_s, GRACE_S)
@@ -210,6 +303,44 @@
     return answers, anyio.current_time() - started_at
 
 
+async def wait_for_ever(self, receive):
+    """Wait for an endpoint without failing over before it breaks off."""
+    return await receive()
+
+
+class TestOrderOfTheStop(unittest.TestCase):
+    # Guards against a stop that resets what was accepted a moment before.
+    def test_stop_waits_for_connections_that_are_being_opened(self):
+        async def check():
+            acceptor = mock.Mock(opening=1, stop=mock.AsyncMock())
+            window = StopWindow()
+            begin_stop(
+                window,
+                now=anyio.current_time(),
+                signalled_s_ago=0.0,
+                grace_s=GRACE_S,
+            )
+            stop = GracefulStop(
+                window=window,
+                server=mock.Mock(connections=0, open_requests=0),
+                tunnels=mock.Mock(open_tunnels=0),
+                open_requests=OpenRequests(),
+                notify_peers=mock.AsyncMock(),
+                acceptor=acceptor,
+                send_last_digest=mock.AsyncMock(),
+                clock=anyio.current_time,
+            )
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(stop.run)
+                await anyio.sleep(5.0)
+                is_early = stop.send_last_digest.called
+                acceptor.opening = 0
+                await anyio.sleep(0.2)
+                return is_early, stop.send_last_digest.called
+
+        self.assertEqual(run_paused(check), (False, True))
+
+
 class TestStopWindow(unittest.TestCase):
     @settings(derandomize=True, deadline=None)
     @given(st.floats(0.0, 10.0), st.floats(0.0, 20.0), st.floats(0.0, 20.0))
