--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -105,7 +105,11 @@
             await self._stopping.wait()
             await self._stop(tasks)
             tasks.cancel_scope.cancel()
-        log.info('stopped', daemon=self.settings.daemon)
+        log.info(
+            'stopped',
+            daemon=self.settings.daemon,
+            behind_s=round(self.parts.stop_window.behind_s(self._clock()), 3),
+        )
 
     def is_ready(self) -> bool:
         """Whether discovery may direct clients to this daemon."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -19,9 +19,11 @@
 """Time for which new connections are still accepted: callers that resolved
 the address before the shutdown keep connecting for about the TTL of the
 answer."""
-EXIT_RESERVE_S = 0.6
+EXIT_RESERVE_S = 1.0
 """Part of the grace period that is reserved for sending the last bytes and
-for the exit of the process."""
+for the exit of the process, which takes longer on a busy VM."""
+MAX_EXIT_SHARE = 1 / 8
+"""Largest share of the grace period that is reserved for it."""
 FLUSH_S = 0.3
 """Longest wait for the last answers, within that reserve."""
 IDLE_S = 0.5
@@ -40,7 +42,9 @@
     window.begin(
         at=signalled_at,
         directed_until=max(accepts_until, now),
-        ends_at=signalled_at + grace_s - EXIT_RESERVE_S,
+        ends_at=signalled_at
+        + grace_s
+        - min(EXIT_RESERVE_S, MAX_EXIT_SHARE * grace_s),
     )
 
 
