--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/answer_times.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/answer_times.py
@@ -29,7 +29,11 @@
 
 @dataclass(kw_only=True, slots=True)
 class AnswerTimes:
-    """Estimates by route, from requests that were answered whole."""
+    """Estimates by route.
+
+    They rest on requests that were answered whole, and on those that reached
+    their time limit.
+    """
 
     _by_route: dict[str, _Estimate] = field(default_factory=dict)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/standstill.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/standstill.py
@@ -41,7 +41,8 @@
         """Return the earliest time of an event that is seen only now.
 
         That is the beginning of a standstill that is ending or has just
-        ended, as the process may take its notes before it sees the event.
+        ended, as the process may take its notes before it sees the event. One
+        that really comes so soon behind a standstill counts as too old.
         """
         now = self._clock()
         if now - self._noted_at >= STANDSTILL_S:
--- a/packages/mimosamux-daemon/mimosamux_daemon/stop_window.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/stop_window.py
@@ -63,5 +63,5 @@
         left_s = self.ends_at - now
         if limit_s <= left_s:
             return True
-        is_refusal_of_use = now > self.directed_until and not may_have_run
-        return not is_refusal_of_use and expected_s <= left_s
+        is_estimate_enough = now <= self.directed_until or may_have_run
+        return is_estimate_enough and expected_s <= left_s
