--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -14,7 +14,7 @@
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.discovery import Discovery
-from mimosamux_daemon.gateway.duty_parts import DutyParts
+from mimosamux_daemon.gateway.duties.parts import DutyParts
 from mimosamux_daemon.gateway.monitor import Monitor
 from mimosamux_daemon.gateway.parts import GatewayParts
 from mimosamux_daemon.gateway.settings import GatewaySettings
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one daemon at a time does for all."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties/duties.py
@@ -10,10 +10,10 @@
 from mimosamux_daemon.control.leases import Lease, LeasePolicy, LeaseTable
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.domain.store_eras import StoreEra
+from mimosamux_daemon.gateway.duties.metering import Metering
+from mimosamux_daemon.gateway.duties.rollout_duty import RolloutDuty
+from mimosamux_daemon.gateway.duties.scaling import Scaling
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
-from mimosamux_daemon.gateway.metering import Metering
-from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
-from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.ports import Table
 from mimosamux_daemon.ports.duty_calls import DUTY_CALL_TIMEOUT_S
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/duty_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties/parts.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mimosamux_daemon.gateway.metering import Metering
+from mimosamux_daemon.gateway.duties.metering import Metering
+from mimosamux_daemon.gateway.duties.rollout_duty import RolloutDuty
+from mimosamux_daemon.gateway.duties.scaling import Scaling
 from mimosamux_daemon.gateway.parts import GatewayParts
-from mimosamux_daemon.gateway.rollout_duty import RolloutDuty
-from mimosamux_daemon.gateway.scaling import Scaling
 from mimosamux_daemon.gateway.trial_judge import SequentialJudge
 from mimosamux_daemon.ports.duty_calls import DutyCalls
 from mimosamux_daemon.ports.gateway_platform import GatewayPlatform
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/scaling.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties/scaling.py
@@ -20,15 +20,15 @@
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.demand import Demand
 from mimosamux_daemon.gateway.demand_prior import estimate_offered_load
-from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.rollouts import Rollouts
-from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.scaling_plan import (
+from mimosamux_daemon.gateway.duties.scaling_plan import (
     Pool,
     ScalingPolicy,
     clamp_total,
     plan_counts,
 )
+from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.rollouts import Rollouts
+from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.duty_calls import (
     DutyCalls,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -12,7 +12,7 @@
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.crashes.quarantine import CrashQuarantine
-from mimosamux_daemon.gateway.duties import Duties
+from mimosamux_daemon.gateway.duties.duties import Duties
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.rollouts import Rollouts
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -51,7 +51,7 @@
 from mimosamux_daemon.gateway.crashes.suspects import CrashSuspects
 from mimosamux_daemon.gateway.daemon_rows import DaemonRows
 from mimosamux_daemon.gateway.demand import Demand
-from mimosamux_daemon.gateway.duties import Duties, lease_policy
+from mimosamux_daemon.gateway.duties.duties import Duties, lease_policy
 from mimosamux_daemon.gateway.endpoint_reach import EndpointReach
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
--- a/tests/test_gateway_engine_factors.py
+++ b/tests/test_gateway_engine_factors.py
@@ -34,12 +34,12 @@
 )
 from mimosamux_daemon.gateway.balancing.choice import Choice
 from mimosamux_daemon.gateway.balancing.engine_samples import EngineSamples
+from mimosamux_daemon.gateway.duties.scaling import Scaling
+from mimosamux_daemon.gateway.duties.scaling_plan import ScalingPolicy
 from mimosamux_daemon.gateway.exchange.endpoint_usage_exchange import (
     EndpointUsageExchange,
 )
 from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.scaling import Scaling
-from mimosamux_daemon.gateway.scaling_plan import ScalingPolicy
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_standins.site import ReplicaSpeed
 from mimosamux_wire import EndpointUse, EnvelopeType, StateDigest, encode
--- a/tests/test_gateway_metering.py
+++ b/tests/test_gateway_metering.py
@@ -6,8 +6,8 @@
 import anyio
 from mimosamux_daemon.adapters.memory_table import MemoryTable
 from mimosamux_daemon.domain.store_eras import StoreEra
+from mimosamux_daemon.gateway.duties.metering import Metering
 from mimosamux_daemon.gateway.finalized_windows import FinalizedWindows
-from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.ports.duty_calls import DutyOutcome
--- a/tests/test_gateway_scaling_plan.py
+++ b/tests/test_gateway_scaling_plan.py
@@ -5,7 +5,7 @@
 from mimosamux_daemon.domain.names import DataCentreName
 from mimosamux_daemon.domain.routes import ScalingBounds
 from mimosamux_daemon.domain.vms import Market
-from mimosamux_daemon.gateway.scaling_plan import (
+from mimosamux_daemon.gateway.duties.scaling_plan import (
     Pool,
     ScalingPolicy,
     plan_counts,
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -9,12 +9,12 @@
 from mimosamux_daemon.domain.outcomes import Refused
 from mimosamux_daemon.gateway import answer_relay, roster
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
+from mimosamux_daemon.gateway.duties.metering import Metering
 from mimosamux_daemon.gateway.events import CompleteEvents, EventSplitter
 from mimosamux_daemon.gateway.forwarding import Forwarder
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.limits.caps import UsageCaps
 from mimosamux_daemon.gateway.limits.retry_budget import RetryBudget
-from mimosamux_daemon.gateway.metering import Metering
 from mimosamux_platform import replicas
 from mimosamux_standins.site import Fault
 
