Stops: what is passed and looked up is no longer derived twice

The time of the signal was turned into an age and back on its way to begin_stop; whether a request ran whole was asked twice behind each request; the callers of the tests kept whether an answer closes its connection, and nothing read it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -210,11 +210,10 @@
             await duties.run(calls)
 
     async def _stop(self, tasks: anyio.abc.TaskGroup) -> None:
-        now = self._clock()
         begin_stop(
             self.parts.stop_window,
-            now=now,
-            signalled_s_ago=now - self._signalled_at,
+            now=self._clock(),
+            signalled_at=self._signalled_at,
             grace_s=self.settings.stop_grace_s,
         )
         self.parts.states.state = MemberState.LEAVING
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -144,11 +144,12 @@
             outcome = await self._run_unless_quarantined(job, caller, lag_s)
         if ended_by_stop.cancelled_caught:
             outcome = self.stop_admission.cut(job)
+        is_whole = is_whole_run(job, outcome)
         took_s = self.clock() - job.request.received_at
-        if is_whole_run(job, outcome) or took_s >= job.limit_s:
+        if is_whole or took_s >= job.limit_s:
             # One that reached its limit would have taken longer still.
             self.stop_admission.answer_times.note(job.route.name, took_s)
-        if is_whole_run(job, outcome):
+        if is_whole:
             self.quarantine.note_completion(job)
         if isinstance(outcome, Refused) or not job.may_have_run:
             self.admission.refund_cap(job)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/stopping/graceful_stop.py
@@ -34,10 +34,9 @@
 
 
 def begin_stop(
-    window: StopWindow, *, now: float, signalled_s_ago: float, grace_s: float
+    window: StopWindow, *, now: float, signalled_at: float, grace_s: float
 ) -> None:
     """Set the times of a stop, which count from its signal."""
-    signalled_at = now - signalled_s_ago
     accepts_until = min(now + ACCEPT_S, signalled_at + grace_s / 3)
     window.begin(
         at=signalled_at,
--- a/tests/support/soak_stop_checks.py
+++ b/tests/support/soak_stop_checks.py
@@ -54,7 +54,6 @@
             status=answer.status,
             is_whole=answer.is_whole and not _is_own_failure(answer),
             patience_s=find_limit_s(sent) - waited_s,
-            closes=False,
         ),
         signalled_at=stop.start,
         was_passed_on=bool(accepted),
--- a/tests/support/stops.py
+++ b/tests/support/stops.py
@@ -39,8 +39,6 @@
     status: int | None
     is_whole: bool
     patience_s: float
-    closes: bool
-    """Whether its answer said that the connection closes."""
 
 
 def find_fate(attempt, *, signalled_at, was_passed_on, grace_s=GRACE_S):
@@ -153,7 +151,6 @@
     def _note(self, answer):
         if 'Refused' in answer.problem:
             return
-        headers = {name.lower(): value for name, value in answer.headers}
         self.attempts.append(
             Attempt(
                 id=answer.id,
@@ -162,7 +159,6 @@
                 status=answer.status,
                 is_whole=answer.is_whole,
                 patience_s=self.patience_s,
-                closes=headers.get(b'connection') == b'close',
             )
         )
 
--- a/tests/test_gateway_stop_requests.py
+++ b/tests/test_gateway_stop_requests.py
@@ -317,7 +317,7 @@
             begin_stop(
                 window,
                 now=anyio.current_time(),
-                signalled_s_ago=0.0,
+                signalled_at=anyio.current_time(),
                 grace_s=GRACE_S,
             )
             stop = GracefulStop(
