Crashes: logs, metrics, status and explain tell why a part is not held

Cause: a part of prompts with many crashes and no quarantine left no line.

Change: part_explained names the crashes, those that count and the contents that explain the rest; call_broken names the parts it is put down to; explain follows both up to 10 s behind the end of a request that crashed; two gauges and a section of the status. No decision changes.

--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -15,6 +15,9 @@
 """How long before a request's first line events of its endpoints and daemons
 are included. Reports about endpoints reach every daemon within seconds, even
 during a store outage."""
+TRAIL_TIME = timedelta(seconds=10)
+"""How long behind a request's last line events of its content and its prompt
+parts are included if a call broke off: a crash is found out afterwards."""
 STATE_EVENTS = (
     'listening',
     'ready',
@@ -90,9 +93,10 @@
     A stream that was resumed is one story with the requests that resume it.
     These are the request's own lines and the following lines that name no
     request: lines of any daemon about the same content, or about a part of its
-    prompt that it was refused for, up to its last line, and lines of the
-    daemons that handled it about its endpoints or their own state
-    (STATE_EVENTS), from LEAD_TIME before its first line to its last.
+    prompt that it was refused for or broke off with, up to its last line or
+    TRAIL_TIME behind it, and lines of the daemons that handled it about its
+    endpoints or their own state (STATE_EVENTS), from LEAD_TIME before its
+    first line to its last.
     """
     ordered = sorted(lines, key=lambda line: line.at)
     requests = _find_stream(request, ordered)
@@ -102,6 +106,8 @@
     if not own_lines:
         return ()
     start, end = own_lines[0].at - LEAD_TIME, own_lines[-1].at
+    has_broken = any(line.event == 'call_broken' for line in own_lines)
+    suspected_until = end + TRAIL_TIME if has_broken else end
     sources = {line.source for line in own_lines}
     endpoints = {line.fields.get('endpoint') for line in own_lines} - {None}
     contents = {line.fields.get('content') for line in own_lines} - {None}
@@ -111,7 +117,7 @@
         line
         for line in ordered
         if line.fields.get('request') in requests
-        or line.at <= end
+        or line.at <= suspected_until
         and 'request' not in line.fields
         and line.fields.get('content') in contents
         or start <= line.at <= end
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -47,6 +47,9 @@
 """Time from the first event within which a part of the prompt crashes an
 endpoint, if it does."""
 
+MAX_LOGGED_PARTS = 8
+"""Keys of prompt parts in one line."""
+
 
 @dataclass(kw_only=True, slots=True)
 class Attempt:
@@ -197,9 +200,14 @@
         """Record that no complete answer was received."""
         self.note_begun()
         self.note_result(failed=True)
-        self._log('call_broken', reason=reason)
+        suspects = self.find_suspects()
+        self._log(
+            'call_broken',
+            reason=reason,
+            parts=','.join(suspects[1:][:MAX_LOGGED_PARTS]),
+        )
         self.recorder.crash_detector.note_broken_answer(
-            self.find_suspects(), self.choice.record
+            suspects, self.choice.record
         )
 
     def find_suspects(self) -> tuple[ContentKey, ...]:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
@@ -130,24 +130,36 @@
         """Merge and log crashes of a content; False if none is new."""
         if not self.suspects.add(suspect):
             return False
+        self._log_crashes(self.suspects.by_content[suspect.content], source)
+        return True
+
+    def _log_crashes(self, suspect: Suspect, source: str) -> None:
+        """Log what follows from the crashes of a content or part."""
         content = suspect.content
+        crashes = self.suspects.crashes(content)
         quarantine_s = self.suspects.quarantine_left_s(content)
+        explanation = self.suspects.explain(suspect)
         if quarantine_s > 0:
             log.warning(
                 'content_held',
                 content=content,
-                crashes=self.suspects.crashes(content),
-                endpoints=join_ids(self.suspects.by_content[content].crashed),
+                crashes=crashes,
+                endpoints=join_ids(suspect.crashed),
                 held_s=round(quarantine_s, 1),
+                explained=len(explanation.explained),
                 source=source,
             )
-        elif source == LOCAL and self.suspects.crashes(content) > 1:
-            log.info(
-                'content_suspected',
+        elif explanation.explained:
+            log.warning(
+                'part_explained',
                 content=content,
-                crashes=self.suspects.crashes(content),
+                crashes=len(suspect.crashed),
+                counted=crashes,
+                explained_by=','.join(explanation.contents),
+                source=source,
             )
-        return True
+        elif source == LOCAL and crashes > 1:
+            log.info('content_suspected', content=content, crashes=crashes)
 
     def _broadcast(self, contents: Iterable[ContentKey]) -> None:
         for message in self._build_messages(contents):
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
@@ -109,6 +109,15 @@
         )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Explanation:
+    """Crashes of a part that contents explain."""
+
+    explained: frozenset[EndpointIncarnation] = frozenset()
+    contents: tuple[ContentKey, ...] = ()
+    """The contents that explain them."""
+
+
 class CrashSuspects:
     """Keeps the suspected contents by key, bounded in number."""
 
@@ -243,14 +252,52 @@
 
     def _without_explained(self, suspect: Suspect) -> Suspect:
         """Return a part without the crashes that a content explains."""
-        if not suspect.is_part or len(suspect.crashed) < QUARANTINE_CRASHES:
-            return suspect
-        explained: set[EndpointIncarnation] = set()
-        for other in self.by_content.values():
-            if not other.is_part and other.quarantine_s > 0:
-                explained |= other.crashed
+        explained = self.explain(suspect).explained
         return replace(suspect, crashed=suspect.crashed - explained)
 
+    def explain(self, suspect: Suspect) -> Explanation:
+        """Return which crashes of a part do not count, and why."""
+        if not suspect.is_part or len(suspect.crashed) < QUARANTINE_CRASHES:
+            return Explanation()
+        contents = [
+            other
+            for other in self.by_content.values()
+            if not other.is_part
+            and other.quarantine_s > 0
+            and other.crashed & suspect.crashed
+        ]
+        explained = frozenset[EndpointIncarnation]().union(
+            *(other.crashed for other in contents)
+        )
+        return Explanation(
+            explained=explained & suspect.crashed,
+            contents=tuple(other.content for other in contents),
+        )
+
+    def explained(self) -> Iterator[tuple[Suspect, Explanation]]:
+        """Yield the parts that would be quarantined but for a content."""
+        held = {suspect.content for suspect in self.quarantined()}
+        for suspect in self.by_content.values():
+            explanation = self.explain(suspect)
+            is_expired = self.is_expired(suspect)
+            if (
+                explanation.explained
+                and suspect.content not in held
+                and not is_expired
+            ):
+                yield suspect, explanation
+
+    def most_crashes(self, *, of_parts: bool) -> int:
+        """Return the most crashes that any suspect has."""
+        return max(
+            (
+                len(suspect.crashed)
+                for suspect in self.by_content.values()
+                if suspect.is_part is of_parts
+            ),
+            default=0,
+        )
+
     def is_expired(self, suspect: Suspect) -> bool:
         """Whether the last crash is too old for suspicion."""
         lifetime_s = max(MIN_SUSPICION_S, 2 * suspect.quarantine_s)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -54,7 +54,13 @@
         )
         self.suspects = self._gauge(
             'mimosamux_gateway_suspects',
-            'Contents under which endpoints crashed (suspected, held).',
+            'Contents and prompt parts under which endpoints crashed, by '
+            'state (suspected, held, explained: by a content).',
+        )
+        self.most_crashes = self._gauge(
+            'mimosamux_gateway_suspect_crashes',
+            'Most endpoints that crashed under one suspect, by kind (content, '
+            'part).',
         )
         self.rollout_steps = self._counter(
             'mimosamux_gateway_rollout_steps_total',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -100,6 +100,7 @@
                 if record.gone_at is None
             ],
             'held_requests': self._quarantine_rows(),
+            'explained_parts': self._explained_rows(),
             'rollouts': self._rollout_rows(),
         }
 
@@ -122,8 +123,15 @@
         suspects = self.quarantine.suspects
         quarantined = len(list(suspects.quarantined()))
         metrics.suspects.set({'state': 'held'}, quarantined)
-        others = len(suspects.by_content) - quarantined
+        explained = len(list(suspects.explained()))
+        metrics.suspects.set({'state': 'explained'}, explained)
+        others = len(suspects.by_content) - quarantined - explained
         metrics.suspects.set({'state': 'suspected'}, others)
+        for kind in ('content', 'part'):
+            metrics.most_crashes.set(
+                {'kind': kind},
+                suspects.most_crashes(of_parts=kind == 'part'),
+            )
         for view in self.rollouts.by_service.values():
             order = view.rollout.order
             metrics.rollout_share.set(
@@ -180,6 +188,18 @@
             for suspect in suspects.quarantined()
         ]
 
+    def _explained_rows(self) -> list[dict[str, object]]:
+        """Return the parts that are not held because contents explain it."""
+        return [
+            {
+                'content': suspect.content,
+                'crashes': len(suspect.crashed),
+                'explained': len(explanation.explained),
+                'by': ','.join(explanation.contents),
+            }
+            for suspect, explanation in self.quarantine.suspects.explained()
+        ]
+
     def _rollout_rows(self) -> list[dict[str, object]]:
         """Return the last roll-out of each service, with its trial counts."""
         rows: list[dict[str, object]] = []
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -194,6 +194,29 @@
         self.assertIn('content=part-', held[0])
         self.assertIn('prompt part 5c1e07a2', lines[-1])
 
+    def test_crashed_request_is_traced_to_what_explains_its_part(self):
+        async def check():
+            async with open_site(daemons=2, engines=6, apps=0) as site:
+                crashing = CrashingSite(site=site, parts={'5c1e07a2'})
+                crashing.arm()
+                for number in range(2):
+                    await anyio.sleep(0.3)
+                    answer = await site.caller().send(
+                        site.daemons[number].entry,
+                        '/question/repeated',
+                        headers=PROMPT,
+                    )
+                await anyio.sleep(0.5)
+                return answer.id
+
+        lines = self.explain_day(check)
+        broken = next(line for line in lines if 'event=call_broken' in line)
+        part = broken.split('parts=')[1].split(',')[0].split()[0]
+        told = f'event=part_explained component=crash_exchange content={part}'
+        line = next(line for line in lines if told in line)
+        content = broken.split('content=')[1].split()[0]
+        self.assertIn(f'crashes=3 counted=0 explained_by={content}', line)
+
     def test_held_request_is_traced_to_the_crashes_under_it(self):
         async def check():
             async with open_site(daemons=2, apps=6) as site:
