Tests: parts that crash engines in requests that callers repeat, red

What callers saw: engines end one after the other though the part is known.

The traffic of test_gateway_crashing_parts moved to tests/support; its cases and bounds are as they were.

--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -175,6 +175,8 @@
     """How long such a request runs before that."""
     crash_parts: set[str] = field(default_factory=set)
     """Prompt parts that end its process once it begins to write an answer."""
+    crash_events: int = 0
+    """Whole events that it writes before a prompt part ends it."""
     on_crash: Callable[['StandInReplica', Run], None] = lambda *_: None
     """Ends the process."""
     says_leaving: bool = False
@@ -392,20 +394,36 @@
             (b'Content-Type', b'text/event-stream'),
             (b'X-Weight-Versions', b'1'),
         )
+        is_crashing = bool(
+            self.crash_parts.intersection(_shared_parts(incoming))
+        )
         if self.framing is Framing.UNFRAMED:
-            await self._send_unframed_stream(reply, run, headers)
-            return
-        await reply.start(200, headers)
-        if self.crash_parts.intersection(_shared_parts(incoming)):
+            await self._send_unframed_stream(
+                reply, run, headers, is_crashing=is_crashing
+            )
+        else:
+            await reply.start(200, headers)
+            if is_crashing:
+                for number in range(1, self.crash_events + 1):
+                    await reply.write(render_event(run.id, number))
+            else:
+                await self._send_events(reply, run)
+        if is_crashing:
             self.on_crash(self, run)
             await anyio.sleep_forever()
-        await self._send_events(reply, run)
 
     async def _send_unframed_stream(
-        self, reply: Reply, run: Run, headers: RawHeaders
+        self,
+        reply: Reply,
+        run: Run,
+        headers: RawHeaders,
+        *,
+        is_crashing: bool,
     ) -> None:
         await reply.connection.send(_render_unframed(headers))
         events = self.speed.events_of(run.target)
+        if is_crashing:
+            events = run.resumed_behind + self.crash_events
         for number in range(run.resumed_behind + 1, events + 1):
             await anyio.sleep(self.speed.event_s)
             run.events = number
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 import anyio
+from mimosamux_standins.site import Framing
 
 from tests.support.platform_site import PlatformSite, open_site
 
@@ -31,6 +32,10 @@
     """Prompt parts that crash what begins to write an answer on them."""
     crash_after_s: float = 0.02
     """Less than any answer takes: one that was whole clears a suspect."""
+    crash_events: int = 0
+    """Whole events that come before a part crashes what writes them."""
+    framing: Framing | None = None
+    """How these endpoints end their answers, None: as they did."""
     crashes: list = field(default_factory=list)
     """Time and path of each."""
 
@@ -40,6 +45,8 @@
             replica.crash_targets = self.targets
             replica.crash_parts = self.parts
             replica.crash_after_s = self.crash_after_s
+            replica.crash_events = self.crash_events
+            replica.framing = self.framing or replica.framing
             replica.on_crash = self.take_crash
 
     def take_crash(self, replica, run):
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -17,87 +17,19 @@
 
 from tests.support.clock import run_paused
 from tests.support.crashes import CrashingSite
+from tests.support.crashing_parts import (
+    BAD,
+    MOST_LATE,
+    SECOND,
+    Play,
+    Traffic,
+    play,
+)
 from tests.support.platform_site import open_site
-from tests.support.prompts import prompt_of
 
-BAD, FIRST, SECOND = 'bad0', '5c1e07a2', '91bd3f06'
-FOR_S = 24.0
-BEHIND_S = 3.0
-"""Time after the fifth crash from which on arrivals count."""
-MOST_LATE = 3
 KILL_S = 14.0
 
 
-class Play:
-    """Requests with a bad part beside sound ones, no two alike."""
-
-    def __init__(self, site, crashing, *, path, is_first):
-        self.site = site
-        self.crashing = crashing
-        self.path = path
-        self.bad = (BAD, SECOND) if is_first else (FIRST, BAD)
-        self.sound = ('aa', SECOND) if is_first else (FIRST, 'bb')
-        self.bad_answers = []
-        self.sound_answers = []
-
-    async def ask(self, number, shared, answers):
-        daemons = [each for each in self.site.daemons if each is not None]
-        answers.append(
-            await self.site.caller().send(
-                daemons[number % len(daemons)].entry,
-                f'{self.path}{len(answers)}-{number}',
-                body=b'%d' % number,
-                headers=prompt_of(*shared, f'{number:08x}'),
-            )
-        )
-
-    async def run(self, *, has_bad=True, for_s=FOR_S):
-        async with anyio.create_task_group() as tasks:
-            for number in range(int(for_s * 10)):
-                tasks.start_soon(
-                    self.ask, number, self.sound, self.sound_answers
-                )
-                if has_bad and number % 4 == 0:
-                    tasks.start_soon(
-                        self.ask, 1000 + number, self.bad, self.bad_answers
-                    )
-                await anyio.sleep(0.1)
-
-    def count_late(self):
-        """Count what reached engines well behind the fifth crash."""
-        times = [at for at, _ in self.crashing.crashes]
-        ids = {answer.id for answer in self.bad_answers}
-        return sum(
-            id_ in ids and at > times[4] + BEHIND_S
-            for replica in self.site.replicas_by_id.values()
-            for at, id_ in replica.arrivals
-            if len(times) > 4
-        )
-
-    def share_served(self, last_s=10.0):
-        """Return the share of sound requests that were served at the end."""
-        until = max(answer.sent_at for answer in self.sound_answers)
-        last = [
-            answer
-            for answer in self.sound_answers
-            if answer.sent_at > until - last_s
-        ]
-        return sum(a.status == 200 and a.is_whole for a in last) / len(last)
-
-
-async def play(
-    *, engines=9, daemons=3, path='/question/', is_first=False, beside=None
-):
-    async with open_site(engines=engines, daemons=daemons, apps=0) as site:
-        crashing = CrashingSite(site=site, parts={BAD})
-        crashing.arm()
-        each = Play(site, crashing, path=path, is_first=is_first)
-        if beside is not None:
-            site.tasks.start_soon(beside, site)
-        await each.run()
-        return each
-
-
 class TestCrashingParts(unittest.TestCase):
     # Guards against a prompt part that ends one engine after the other, in
     # requests of which no two are alike.
@@ -113,7 +45,7 @@
         self.assertLessEqual(len(each.crashing.crashes), 5)
 
     def test_first_part_of_questions_is_held_back(self):
-        self.check_play(is_first=True)
+        self.check_play(bad=(BAD, SECOND), sound=('aa', SECOND))
 
     def test_part_of_drafts_is_held_back(self):
         self.check_play(path='/draft/')
@@ -162,8 +94,9 @@
             async with open_site(engines=9, apps=0) as site:
                 crashing = CrashingSite(site=site, parts={BAD})
                 crashing.arm()
-                each = Play(site, crashing, path='/draft/', is_first=False)
-                await each.ask(0, each.bad, each.bad_answers)
+                traffic = Traffic(path='/draft/')
+                each = Play(site=site, crashing=crashing, traffic=traffic)
+                await each.ask(0, traffic.bad, each.bad_answers)
                 await anyio.sleep(0.1)
                 (dead,) = (
                     replica.id
