Crashes: an answer that only its connection ends does not clear its endpoint

What callers saw: streams that a crash had cut between two events were passed on as whole, and the part that caused it went on crashing engines.

Cause: an answer with neither length nor chunks ends where its process ends. It counted as a whole run, which cleared the part and kept it from being suspected for 5 s. Found beside it: what was noted while an endpoint was under check was judged by a look from before.

Change: where such an answer ends, the daemon looks once whether the process has ended too; if so the call is broken, and the caller is told so. The run counts as whole only if the endpoint is found alive by a check that began afterwards. An endpoint is checked again for what was noted during its check.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import anyio
 import anyio.lowlevel
@@ -33,6 +34,8 @@
 way of a request and for clocks that run differently."""
 KEEP_ALIVE = b'keep-alive'
 CONTENT_LENGTH = b'content-length'
+TRANSFER_ENCODING = b'transfer-encoding'
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that does not declare its length: a faulty server
 may send bytes without end."""
@@ -89,6 +92,8 @@
         self._idle_since = anyio.current_time()
         self._body_left = math.inf
         """Bytes that the body of the answer may still have."""
+        self.ends_answer = False
+        """Whether its end is the only end that the current answer has."""
 
     async def send(
         self, head: RequestHead, body: bytes
@@ -145,6 +150,7 @@
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
                 self._body_left = _find_body_limit(event)
+                self.ends_answer = self._is_unframed(event)
                 return AnswerHead(
                     status=event.status_code,
                     headers=tuple(event.headers.raw_items()),
@@ -154,6 +160,19 @@
             return ChannelBroken(reason='closed before an answer')
         return ChannelBroken(reason='informational responses without end')
 
+    def _is_unframed(self, answer: h11.Response) -> bool:
+        """Whether an answer has a body with neither a length nor chunks."""
+        assert self._request is not None
+        if self._request.method == b'HEAD':
+            return False
+        if answer.status_code in BODILESS_STATUSES:
+            return False
+        headers = tuple(answer.headers)
+        return (
+            find_value(headers, CONTENT_LENGTH) is None
+            and find_value(headers, TRANSFER_ENCODING) is None
+        )
+
     async def receive_body(self) -> bytes | None | ChannelBroken:
         """Return the next part of the body, None behind its end."""
         event = await self._next_event()
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -70,6 +70,10 @@
             note_tunnel_broken=self.note_tunnel_broken,
         )
 
+    def has_idle(self, address: str) -> bool:
+        """Whether an idle connection to an address is kept."""
+        return bool(self._idle_by_address.get(address))
+
     def _is_good(self, channel: Channel) -> bool:
         return (
             channel.is_fresh()
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
@@ -25,6 +25,9 @@
 """Maximum size of a buffered answer. A longer one is relayed as it arrives,
 and cannot be requested elsewhere if it breaks off."""
 
+ENDED_WITH_PROCESS = CallBroken(reason='its process ended with its connection')
+"""Result of a call whose answer, by all that came, could be whole."""
+
 ResultT = TypeVar('ResultT')
 
 
@@ -81,18 +84,24 @@
         if isinstance(part, CallBroken | NoAnswer):
             return part
         if part is None:
+            if await failover_wait.attempt.has_ended_with_endpoint():
+                return ENDED_WITH_PROCESS
             return CompleteAnswer(answer=answer, body=bytes(body))
         body += part
         if len(body) > MAX_BUFFERED_BYTES:
-            return await _relay_long(job, answer, bytes(body))
+            return await _relay_long(
+                job, answer, failover_wait.attempt, bytes(body)
+            )
 
 
 async def _relay_long(
-    job: Job, answer: EndpointAnswer, buffered: bytes
+    job: Job, answer: EndpointAnswer, attempt: Attempt, buffered: bytes
 ) -> GatewayOutcome:
     is_sent = await job.sink.start(answer.status, answer.headers, buffered)
     while is_sent:
         part = await answer.receive()
+        if part is None and await attempt.has_ended_with_endpoint():
+            part = ENDED_WITH_PROCESS
         if isinstance(part, CallBroken):
             return AnswerTruncated(reason=part.reason)
         if part is None:
@@ -144,8 +153,20 @@
             )
         if not is_sent:
             return CallerGone()
-    if splitter.has_partial or not job.sink.is_started:
-        return CallBroken(reason='ended within an event')
+    broken = await _find_break(splitter, job, attempt)
+    if broken is not None:
+        return broken
     attempt.note_stream_end()
     await job.sink.finish()
     return Delivered(status=answer.status)
+
+
+async def _find_break(
+    splitter: EventSplitter, job: Job, attempt: Attempt
+) -> CallBroken | None:
+    """Return why a stream that has ended is not whole, None if it is."""
+    if splitter.has_partial or not job.sink.is_started:
+        return CallBroken(reason='ended within an event')
+    if await attempt.has_ended_with_endpoint():
+        return ENDED_WITH_PROCESS
+    return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -67,6 +67,8 @@
     """Software that it was sent to, whatever the list shows later."""
     has_first_event: bool = False
     """Whether the prompt is prefilled, as the first event shows."""
+    ends_with_connection: bool = False
+    """Whether nothing but the end of its connection ends the answer."""
     is_result_counted: bool = False
     """Whether the result was counted for the endpoint's health."""
     time_to_first_event_s: float | None = None
@@ -151,6 +153,8 @@
         """
         record = self.choice.record
         roster = self.recorder.roster
+        if not isinstance(answer, RequestRejected):
+            self.ends_with_connection = answer.ends_with_connection
         if not (
             isinstance(answer, RequestRejected) and answer.is_other_endpoint
         ):
@@ -210,6 +214,25 @@
             suspects, self.choice.record
         )
 
+    async def has_ended_with_endpoint(self) -> bool:
+        """Whether an answer that has ended was cut by the endpoint's crash.
+
+        What ends with its connection looks whole where a process ends.
+        """
+        detector = self.recorder.crash_detector
+        return self.ends_with_connection and await detector.has_ended(
+            self.choice.record
+        )
+
+    def note_whole_run(self) -> None:
+        """Record that the request ran from start to end at this endpoint."""
+        self.recorder.crash_detector.note_whole_run(
+            self.choice.record,
+            contents=self.job.suspect_keys,
+            suspects=self.find_suspects(),
+            ends_with_connection=self.ends_with_connection,
+        )
+
     def find_suspects(self) -> tuple[ContentKey, ...]:
         """Return the keys of what may have crashed the endpoint, if it has.
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -3,9 +3,12 @@
 A broken answer is no proof of a crash: connections are reset, and answers
 break off, at endpoints that live on. A process has crashed if nothing listens
 at the endpoint and the endpoint was not announced as leaving.
+
+Nor is an answer a proof of health that nothing but the end of its connection
+ends: the process may have ended there.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 import anyio
@@ -24,12 +27,17 @@
 CHECK_INTERVAL_S = 0.1
 """Pause between two checks of an endpoint: a process that is ending may still
 accept a connection."""
+RECHECK_PAUSE_S = 0.2
+"""Pause before an endpoint is checked once more, for what was noted during the
+last check: a process that accepted connections may have ended since."""
 MIN_ALIVE_CHECKS = 2
 """Consecutive checks that must find a process before an endpoint counts as
 alive."""
 WITHDRAWAL_DELAY_S = 1.0
 """Delay before a crash is withdrawn. By then the endpoint list shows whether
 the endpoint that answers is a new process under the same id."""
+END_CHECK_TIMEOUT_S = 0.5
+"""Longest time for which the end of an answer waits to be confirmed."""
 DETECTION_TIMEOUT_S = 10.0
 """Time after which an endpoint that neither answers nor leaves the endpoint
 list counts as partitioned, not as crashed."""
@@ -37,12 +45,14 @@
 
 @dataclass(kw_only=True, slots=True)
 class CrashDetector:
-    """Checks endpoints whose answers broke off."""
+    """Checks endpoints whose answers broke off, or seem to be whole."""
 
     exchange: CrashExchange
     calls: EndpointCalls
     metrics: GatewayMetrics
     clock: Callable[[], float]
+    on_whole_run: Callable[[Iterable[ContentKey]], None]
+    """Called with the keys of a run that its endpoint outlived."""
     _contents_by_record: dict[EndpointRecord, set[ContentKey]] = field(
         default_factory=dict
     )
@@ -51,6 +61,10 @@
     """Endpoints whose check has not begun."""
     _answering: list[EndpointRecord] = field(default_factory=list)
     """Endpoints that were declared crashed and answer again."""
+    _runs_by_record: dict[EndpointRecord, list[tuple[ContentKey, ...]]] = (
+        field(default_factory=dict)
+    )
+    """Keys of runs that are whole if their endpoint, under check, lives."""
     _has_work: anyio.Event = field(default_factory=anyio.Event)
 
     def note_broken_answer(
@@ -65,12 +79,46 @@
         if record.has_crashed:
             self.exchange.report_crash(_incarnation_of(record), contents)
             return
+        self._accuse(record, contents)
+
+    def _accuse(
+        self, record: EndpointRecord, contents: Iterable[ContentKey]
+    ) -> None:
+        """Have an endpoint checked, and contents suspected if it crashed."""
         if record not in self._contents_by_record:
             self._contents_by_record[record] = set()
             self._unchecked.append(record)
             self._has_work.set()
         self._contents_by_record[record].update(contents)
 
+    async def has_ended(self, record: EndpointRecord) -> bool:
+        """Whether an endpoint was not expected to end, and has."""
+        if not record.accepts_requests:
+            return False
+        with anyio.move_on_after(END_CHECK_TIMEOUT_S):
+            process_state = await self.calls.check_process(record.listed)
+            return process_state is ProcessState.ENDED
+        return False
+
+    def note_whole_run(
+        self,
+        record: EndpointRecord,
+        *,
+        contents: tuple[ContentKey, ...],
+        suspects: tuple[ContentKey, ...],
+        ends_with_connection: bool,
+    ) -> None:
+        """Record a run from start to end, as far as its answer shows.
+
+        `contents` are the keys of all that it shares with other requests,
+        `suspects` those that caused the crash, if the endpoint has crashed.
+        """
+        if not ends_with_connection or not record.accepts_requests:
+            self.on_whole_run(contents)
+            return
+        self._accuse(record, suspects)
+        self._runs_by_record.setdefault(record, []).append(contents)
+
     def note_answer(self, record: EndpointRecord) -> None:
         """Record an answer, which disproves an earlier crash.
 
@@ -101,19 +149,36 @@
             self.exchange.withdraw(_incarnation_of(record))
 
     async def _check(self, record: EndpointRecord) -> None:
-        has_crashed = await self._detect_crash(record)
-        contents = self._contents_by_record.pop(record, set())
-        if has_crashed:
-            record.has_crashed = True
-            service = record.listed.service
-            self.metrics.endpoint_crashes.inc({'service': service})
-            log.warning(
-                'endpoint_crashed',
-                endpoint=record.id,
-                incarnation=record.incarnation,
-                contents=len(contents),
-            )
-            self.exchange.report_crash(_incarnation_of(record), contents)
+        """Check an endpoint until nothing new was noted during a check."""
+        while True:
+            contents = self._contents_by_record[record]
+            runs = self._runs_by_record.pop(record, ())
+            self._contents_by_record[record] = set()
+            if await self._detect_crash(record):
+                contents |= self._contents_by_record.pop(record)
+                self._runs_by_record.pop(record, None)
+                self._report(record, contents)
+                return
+            for run in runs:
+                self.on_whole_run(run)
+            if not self._contents_by_record[record]:
+                del self._contents_by_record[record]
+                return
+            await anyio.sleep(RECHECK_PAUSE_S)
+
+    def _report(
+        self, record: EndpointRecord, contents: Collection[ContentKey]
+    ) -> None:
+        record.has_crashed = True
+        service = record.listed.service
+        self.metrics.endpoint_crashes.inc({'service': service})
+        log.warning(
+            'endpoint_crashed',
+            endpoint=record.id,
+            incarnation=record.incarnation,
+            contents=len(contents),
+        )
+        self.exchange.report_crash(_incarnation_of(record), contents)
 
     async def _detect_crash(self, record: EndpointRecord) -> bool:
         deadline = self.clock() + DETECTION_TIMEOUT_S
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
@@ -1,5 +1,6 @@
 """Refuses requests whose content is quarantined after endpoint crashes."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from mimosamux_daemon.domain.names import ContentKey
@@ -75,13 +76,13 @@
             map(self.suspects.may_retry, job.suspect_keys)
         )
 
-    def note_completion(self, job: Job) -> None:
+    def note_completion(self, contents: Iterable[ContentKey]) -> None:
         """Record that a request ran from start to end at one endpoint.
 
         A stream that was resumed after an endpoint crashed does not count:
         it may crash each endpoint a few events further on and still complete.
         """
-        for key in job.suspect_keys:
+        for key in contents:
             if self.suspects.note_completion(key):
                 self.exchange.announce_cleared(key, source='a whole run')
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -149,8 +149,6 @@
         if is_whole or took_s >= job.limit_s:
             # One that reached its limit would have taken longer still.
             self.stop_admission.answer_times.note(job.route.name, took_s)
-        if is_whole:
-            self.quarantine.note_completion(job)
         if isinstance(outcome, Refused) or not job.may_have_run:
             self.admission.refund_cap(job)
         self.outcomes.log_outcome(job, outcome)
@@ -320,7 +318,10 @@
             return refusal
         with self.recorder.open(job, choice) as attempt:
             with choice.record.track_call(attempt.sent_at):
-                return await self._exchange(job, attempt)
+                outcome = await self._exchange(job, attempt)
+                if is_whole_run(job, outcome):
+                    attempt.note_whole_run()
+                return outcome
             return self._handle_broken_call(job, attempt, ENDPOINT_RESTARTED)
 
     async def _exchange(
@@ -492,7 +493,7 @@
         )
 
 
-def is_whole_run(job: Job, outcome: GatewayOutcome) -> bool:
+def is_whole_run(job: Job, outcome: object) -> bool:
     """Whether a request ran from start to end at one endpoint.
 
     An error answer is no such run: the endpoint may have made it before it
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -438,16 +438,17 @@
             clock=self._clock,
         )
         exchange.on_crashed.append(self.roster.note_crash)
+        self.quarantine = CrashQuarantine(
+            suspects=suspects,
+            probes=CrashProbes(states=self.states, clock=self._clock),
+            exchange=exchange,
+        )
         self.crash_detector = CrashDetector(
             exchange=exchange,
             calls=self._platform.calls,
             metrics=self.metrics,
             clock=self._clock,
-        )
-        self.quarantine = CrashQuarantine(
-            suspects=suspects,
-            probes=CrashProbes(states=self.states, clock=self._clock),
-            exchange=exchange,
+            on_whole_run=self.quarantine.note_completion,
         )
         self.crash_rows = CrashRows(
             table=self._platform.table,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -128,6 +128,9 @@
     brittle_per_s: float | None
     """Requests that the endpoint can reject in a second without falling over,
     None: any number."""
+    ends_with_connection: bool
+    """Whether nothing but the end of its connection marks its end, which a
+    process that crashes brings about as well."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, or None at its end.
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -177,6 +177,8 @@
     """Prompt parts that end its process once it begins to write an answer."""
     crash_events: int = 0
     """Whole events that it writes before a prompt part ends it."""
+    exit_s: float = 0.001
+    """Time from the end of its connections to that of its listener."""
     on_crash: Callable[['StandInReplica', Run], None] = lambda *_: None
     """Ends the process."""
     says_leaving: bool = False
@@ -398,9 +400,11 @@
             self.crash_parts.intersection(_shared_parts(incoming))
         )
         if self.framing is Framing.UNFRAMED:
-            await self._send_unframed_stream(
-                reply, run, headers, is_crashing=is_crashing
-            )
+            # Its own end of the connection does not keep it from crashing.
+            with anyio.CancelScope(shield=is_crashing):
+                await self._send_unframed_stream(
+                    reply, run, headers, is_crashing=is_crashing
+                )
         else:
             await reply.start(200, headers)
             if is_crashing:
@@ -429,6 +433,8 @@
             run.events = number
             await reply.connection.send(render_event(run.id, number))
         await reply.connection.aclose()
+        if is_crashing:
+            await anyio.sleep(self.exit_s)
 
     async def _send_events(self, reply: Reply, run: Run) -> None:
         events = self.speed.events_of(run.target)
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -34,6 +34,7 @@
     """Less than any answer takes: one that was whole clears a suspect."""
     crash_events: int = 0
     """Whole events that come before a part crashes what writes them."""
+    exit_s: float = 0.001
     framing: Framing | None = None
     """How these endpoints end their answers, None: as they did."""
     crashes: list = field(default_factory=list)
@@ -46,6 +47,7 @@
             replica.crash_parts = self.parts
             replica.crash_after_s = self.crash_after_s
             replica.crash_events = self.crash_events
+            replica.exit_s = self.exit_s
             replica.framing = self.framing or replica.framing
             replica.on_crash = self.take_crash
 
--- a/tests/support/crashing_parts.py
+++ b/tests/support/crashing_parts.py
@@ -123,6 +123,7 @@
     beside=None,
     framing=None,
     crash_events=0,
+    exit_s=0.001,
     parts=(BAD,),
     **traffic,
 ):
@@ -133,6 +134,7 @@
             parts=set(parts),
             framing=framing,
             crash_events=crash_events,
+            exit_s=exit_s,
         )
         crashing.arm()
         each = Play(site=site, crashing=crashing, traffic=Traffic(**traffic))
--- a/tests/test_gateway_repeated_parts.py
+++ b/tests/test_gateway_repeated_parts.py
@@ -71,6 +71,18 @@
     def test_part_that_ends_engines_behind_a_whole_event_is_held_back(self):
         self.check_play(framing=Framing.UNFRAMED, crash_events=1)
 
+    def test_part_that_ends_engines_which_listen_for_a_while_is_held_back(
+        self,
+    ):
+        self.check_play(framing=Framing.UNFRAMED, crash_events=1, exit_s=0.05)
+
+    def test_stream_that_ends_with_its_engine_is_not_whole(self):
+        each = run_paused(
+            lambda: play(framing=Framing.UNFRAMED, crash_events=1)
+        )
+        whole = [a for a in each.bad_answers if a.status == 200 and a.is_whole]
+        self.assertEqual(whole, [])
+
     def test_part_that_ends_engines_before_an_event_is_held_back(self):
         self.check_play(framing=Framing.UNFRAMED)
 
