Crashes: every shared part of a prompt is looked at, with and without its model

What callers saw: engines that ended one after the other under a part that was the first of ten, and sound requests refused for the parts beside it; a part that crashes each model was found out anew for each.

Cause: eight parts of a prompt had keys, and each key held the model.

Change: each shared part has two keys, one for all models and one for its own, up to 256 parts. A run under one model clears the common key and leaves that of another. A probe takes all that is due in a request at once; two keys of one part name two daemons, and neither would have probed both.

One test changes: it asked that distant parts have no key, which was the fault. It asks now that each part but the own has both, and that they are shared or not between models.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -205,10 +205,11 @@
         self.note_begun()
         self.note_result(failed=True)
         suspects = self.find_suspects()
+        parts = [key for key in suspects if key != self.job.content]
         self._log(
             'call_broken',
             reason=reason,
-            parts=','.join(suspects[1:][:MAX_LOGGED_PARTS]),
+            parts=','.join(parts[:MAX_LOGGED_PARTS]),
         )
         self.recorder.crash_detector.note_broken_answer(
             suspects, self.choice.record
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/content_keys.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/content_keys.py
@@ -14,9 +14,9 @@
 """Digest size, large enough to make collisions infeasible to find."""
 LENGTH_PREFIX_BYTES = 8
 PART_PREFIX = 'part-'
-MAX_PARTS = 8
-"""Shared parts of a prompt that are told apart, the last ones: a crash may
-break as many requests as an endpoint has slots."""
+MAX_PARTS = 256
+"""Shared parts of a prompt that are told apart, the first ones; more do not
+fit into a request head of the usual size."""
 
 
 def find_content_key(
@@ -39,16 +39,19 @@
 def find_part_keys(prompt: PromptInfo | None) -> dict[ContentKey, str]:
     """Return the ids of a prompt's shared parts by their keys.
 
-    Without the last part, which no other request has. The model counts: what
-    crashes one may be harmless to another.
+    Without the last part, which no other request has. Each part has two keys:
+    one for all models, under which crashes of different models add up, and one
+    for its model alone, as what crashes one may be harmless to another.
     """
     if prompt is None:
         return {}
     model = prompt.model.encode()
-    return {
-        ContentKey(PART_PREFIX + _hash(model, part.id.encode())): part.id
-        for part in prompt.parts[:-1][-MAX_PARTS:]
-    }
+    ids_by_key = {}
+    for part in prompt.parts[:-1][:MAX_PARTS]:
+        id_ = part.id.encode()
+        ids_by_key[ContentKey(PART_PREFIX + _hash(id_))] = part.id
+        ids_by_key[ContentKey(PART_PREFIX + _hash(model, id_))] = part.id
+    return ids_by_key
 
 
 def _hash(*parts: bytes) -> ContentKey:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/probes.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/probes.py
@@ -4,7 +4,7 @@
 per content sends it: if every daemon did, as many endpoints could crash.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from mimosamux_daemon.control.members import rank
@@ -28,8 +28,12 @@
     def __post_init__(self) -> None:
         self._started_at = self.clock()
 
-    def begin(self, content: ContentKey) -> bool:
-        """Begin a probe; False if this daemon must not send one now."""
+    def begin(self, contents: Sequence[ContentKey]) -> bool:
+        """Begin a probe of contents that a request shares with others.
+
+        The first one names the daemon that may send it. False if this daemon
+        must not send one now.
+        """
         now = self.clock()
         if now - self._started_at < PROBE_INTERVAL_S:
             # Until it knows its peers, it ranks first for every content.
@@ -37,9 +41,10 @@
         for probed, began_at in tuple(self._began_at.items()):
             if now - began_at >= PROBE_INTERVAL_S:
                 del self._began_at[probed]
-        if content in self._began_at or not self._is_responsible(content):
+        is_probed = any(content in self._began_at for content in contents)
+        if is_probed or not self._is_responsible(contents[0]):
             return False
-        self._began_at[content] = now
+        self._began_at.update(dict.fromkeys(contents, now))
         return True
 
     def _is_responsible(self, content: ContentKey) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
@@ -35,11 +35,12 @@
             left_s = self.suspects.quarantine_left_s(key)
             if left_s > 0:
                 return self._refuse(job, key, left_s)
-        for key in job.suspect_keys:
-            if not self.suspects.is_probe_due(key):
-                continue
-            if not self.probes.begin(key):
-                return self._refuse(job, key, PROBE_RETRY_S)
+        due = [*filter(self.suspects.is_probe_due, job.suspect_keys)]
+        if not due:
+            return None
+        if not self.probes.begin(due):
+            return self._refuse(job, due[0], PROBE_RETRY_S)
+        for key in due:
             log.info('content_tried', content=key, request=job.request.id)
         return None
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -80,8 +80,11 @@
 
     @property
     def suspect_keys(self) -> tuple[ContentKey, ...]:
-        """Return the keys of all that may crash its endpoint."""
-        return (self.content, *self.part_id_by_key)
+        """Return the keys of all that may crash its endpoint.
+
+        Parts come first: a probe of one tells more than a probe of a content.
+        """
+        return (*self.part_id_by_key, self.content)
 
     @property
     def is_stream(self) -> bool:
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -6,9 +6,14 @@
 import anyio
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from mimosamux_daemon.control.members import rank
 from mimosamux_daemon.domain.gateway import Delivered, PromptInfo, PromptPart
 from mimosamux_daemon.gateway.attempts import Attempt
 from mimosamux_daemon.gateway.crashes.content_keys import find_part_keys
+from mimosamux_daemon.gateway.crashes.probes import (
+    PROBE_INTERVAL_S,
+    CrashProbes,
+)
 from mimosamux_daemon.gateway.crashes.suspects import (
     FIRST_QUARANTINE_S,
     QUARANTINE_FACTOR,
@@ -122,6 +127,16 @@
         self.assertEqual(run_paused(check), [True] * 3)
 
 
+def states_of(own, daemons):
+    """Return the peers' states as a daemon knows them, all of them ready."""
+    peers = [
+        SimpleNamespace(place=SimpleNamespace(id=id_))
+        for id_ in daemons
+        if id_ != own
+    ]
+    return SimpleNamespace(place=SimpleNamespace(id=own), ready=lambda: peers)
+
+
 class TestAccused(unittest.TestCase):
     # Guards against crashes that are put down to sound parts.
 
@@ -163,6 +178,12 @@
             self.crash(number, 'content-b', 'part-a')
         self.assertEqual(self.held(), ['content-a', 'part-a', 'content-b'])
 
+    def test_part_that_other_models_run_is_held_for_the_one_that_it_ends(self):
+        for number in range(3):
+            self.crash(number, f'content-{number}', 'part-all', 'part-model')
+            self.suspects.note_completion('part-all')
+        self.assertEqual(self.held(), ['part-model'])
+
     def test_explained_part_is_neither_held_nor_probed(self):
         for number in range(4):
             self.crash(number, 'content', 'part-a')
@@ -200,15 +221,37 @@
             self.crash(number, f'content-{number}', 'part-a')
         self.assertEqual(self.suspects.quarantine_left_s('part-a'), 1800.0)
 
-    def test_own_part_and_distant_parts_of_a_prompt_have_no_key(self):
+    def test_each_part_but_the_own_has_a_key_with_and_without_its_model(self):
         parts = tuple(PromptPart(id=f'p{n}', tokens=1) for n in range(20))
-        ids = find_part_keys(PromptInfo(model='m', parts=parts)).values()
-        self.assertEqual(list(ids), [f'p{n}' for n in range(11, 19)])
+        keys = find_part_keys(PromptInfo(model='m', parts=parts))
+        shared = [f'p{n}' for n in range(19)]
+        self.assertEqual(sorted(keys.values()), sorted(shared * 2))
         other = find_part_keys(PromptInfo(model='n', parts=parts))
-        self.assertFalse(
-            other.keys() & find_part_keys(PromptInfo(parts=parts))
+        common = keys.keys() & other.keys()
+        self.assertEqual(sorted(map(keys.get, common)), sorted(shared))
+        self.assertEqual(find_part_keys(None), {})
+
+    def test_keys_of_several_daemons_are_probed_by_the_first_of_them(self):
+        first, second = 'part-a', 'part-b'
+        daemons = ['a', 'b', 'c']
+        self.assertNotEqual(rank(daemons, first)[0], rank(daemons, second)[0])
+        fleet = [
+            CrashProbes(states=states_of(own, daemons), clock=self.read_clock)
+            for own in daemons
+        ]
+        self.now = PROBE_INTERVAL_S
+        began = [probes.begin([first, second]) for probes in fleet]
+        self.assertEqual(
+            began, [own == rank(daemons, first)[0] for own in daemons]
+        )
+        again = [probes.begin([second, first]) for probes in fleet]
+        self.assertEqual(
+            again, [own == rank(daemons, second)[0] for own in daemons]
         )
 
+    def read_clock(self):
+        return self.now
+
     def test_parts_of_an_answer_well_under_way_are_not_accused(self):
         listed = SimpleNamespace(service='llm', software='v1')
         job = SimpleNamespace(content='c', suspect_keys=('c', 'part-a'))
