Crashes: a request that waits is refused once its part is held

What callers would see: a request read before its part was found out waits for a list, a slot, an engine or a connection, goes out seconds later and ends one more engine.

Cause: the quarantine was asked at admission and before a second send, not before a first one that comes late.

Change: it is asked before each send of an answer that has not begun, and a request that no endpoint can have got is refused as soon as what it holds is held, with the time until it is probed.

Measured: two tests, each fails without its guard (sent when the wait ended, and after a connection that was not made); refused at once with both.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
@@ -54,6 +54,8 @@
     on_suspected: list[Listener] = field(default_factory=list)
     """Called with each content whose crashes changed because this daemon
     detected a crash, or because a crash was withdrawn."""
+    on_held: list[Listener] = field(default_factory=list)
+    """Called with each content that is quarantined after a further crash."""
     on_cleared: list[Listener] = field(default_factory=list)
     """Called with each content that is cleared, here or at a peer."""
 
@@ -131,6 +133,9 @@
         if not self.suspects.add(suspect):
             return False
         self._log_crashes(self.suspects.by_content[suspect.content], source)
+        if self.suspects.quarantine_left_s(suspect.content) > 0:
+            for listener in self.on_held:
+                listener(suspect.content)
         return True
 
     def _log_crashes(self, suspect: Suspect, source: str) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
@@ -1,7 +1,10 @@
 """Refuses requests whose content is quarantined after endpoint crashes."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import anyio
 
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.outcomes import Reason, Refused
@@ -18,6 +21,19 @@
 request decides about their content."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True, eq=False)
+class WaitingJob:
+    """An admitted request, which may still wait for its first endpoint."""
+
+    job: Job
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+
+    @property
+    def is_unsent(self) -> bool:
+        """Whether no endpoint can have got any of it."""
+        return not self.job.sends and not self.job.may_have_run
+
+
 @dataclass(kw_only=True, slots=True)
 class CrashQuarantine:
     """Decides whether a request may be sent, and sent again.
@@ -28,13 +44,16 @@
     suspects: CrashSuspects
     probes: CrashProbes
     exchange: CrashExchange
+    _admitted: set[WaitingJob] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.exchange.on_held.append(self._end_waits)
 
     def find_refusal(self, job: Job) -> Refused | None:
         """Return the refusal of a new request, None if it may be sent."""
-        for key in job.suspect_keys:
-            left_s = self.suspects.quarantine_left_s(key)
-            if left_s > 0:
-                return self._refuse(job, key, left_s)
+        held = self.find_hold(job)
+        if held is not None:
+            return held
         due = [*filter(self.suspects.is_probe_due, job.suspect_keys)]
         if not due:
             return None
@@ -44,6 +63,34 @@
             log.info('content_tried', content=key, request=job.request.id)
         return None
 
+    def find_hold(self, job: Job) -> Refused | None:
+        """Return the refusal of a request that is quarantined now."""
+        for key in job.suspect_keys:
+            left_s = self.suspects.quarantine_left_s(key)
+            if left_s > 0:
+                return self._refuse(job, key, left_s)
+        return None
+
+    @contextmanager
+    def ending_wait(self, job: Job) -> Iterator[anyio.CancelScope]:
+        """Cancel the block if its request is quarantined before it is sent.
+
+        It would wait for an endpoint that it may not be sent to.
+        """
+        waiting = WaitingJob(job=job)
+        self._admitted.add(waiting)
+        try:
+            with waiting.scope:
+                yield waiting.scope
+        finally:
+            self._admitted.discard(waiting)
+
+    def _end_waits(self, content: ContentKey) -> None:
+        """End the waits of requests that hold a quarantined content."""
+        for waiting in self._admitted:
+            if waiting.is_unsent and content in waiting.job.suspect_keys:
+                waiting.scope.cancel()
+
     def _refuse(self, job: Job, key: ContentKey, left_s: float) -> Refused:
         crashed = sorted(self.suspects.by_content[key].crashed)
         part_id = job.part_id_by_key.get(key)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -180,7 +180,14 @@
         if refusal is not None:
             return refusal
         self._count_demand(job)
-        return await self._run_until_deadline(job, caller, lag_s)
+        with self.quarantine.ending_wait(job) as wait:
+            return await self._run_until_deadline(job, caller, lag_s)
+        assert wait.cancelled_caught
+        return self.quarantine.find_hold(job) or job.give_up(
+            Reason.CRASHES_ENDPOINTS,
+            'it was held back while it waited',
+            retry_after_s=TRANSIENT_RETRY_S,
+        )
 
     async def _run_until_deadline(
         self, job: Job, caller: Caller, lag_s: float
@@ -313,7 +320,7 @@
         self, job: Job, choice: Choice
     ) -> GatewayOutcome | NotSent | ContinueElsewhere:
         """Make one attempt; it breaks off if the endpoint restarts."""
-        refusal = self.stop_admission.find_refusal(job)
+        refusal = self.stop_admission.find_refusal(job) or self._find_hold(job)
         if refusal is not None:
             return refusal
         with self.recorder.open(job, choice) as attempt:
@@ -324,6 +331,18 @@
                 return outcome
             return self._handle_broken_call(job, attempt, ENDPOINT_RESTARTED)
 
+    def _find_hold(self, job: Job) -> GatewayOutcome | None:
+        """Return the outcome of a job that was quarantined since admission.
+
+        A stream that has begun has shown that it crashes nothing.
+        """
+        held = self.quarantine.find_hold(job)
+        if held is None or job.sink.is_started:
+            return None
+        if job.may_have_run:
+            return job.fail(held.reason, held.message)
+        return held
+
     async def _exchange(
         self, job: Job, attempt: Attempt
     ) -> GatewayOutcome | NotSent | ContinueElsewhere:
--- a/tests/test_gateway_repeated_parts.py
+++ b/tests/test_gateway_repeated_parts.py
@@ -1,6 +1,7 @@
 """Prompt parts that crash engines, in requests that callers repeat."""
 
 import unittest
+from contextlib import asynccontextmanager
 
 import anyio
 from mimosamux_daemon.domain.gateway import PromptInfo, PromptPart
@@ -9,7 +10,7 @@
 from mimosamux_standins.site import Framing
 
 from tests.support.clock import run_paused
-from tests.support.crashes import CrashingSite
+from tests.support.crashes import CrashingSite, count_arrivals
 from tests.support.crashing_parts import (
     BAD,
     MOST_LATE,
@@ -17,6 +18,7 @@
     Traffic,
     play,
 )
+from tests.support.memory_network import machine_of
 from tests.support.platform_site import open_site
 
 FOR_S = 40.0
@@ -105,30 +107,49 @@
 
     def test_request_that_waits_is_refused_once_its_part_is_held(self):
         async def check():
-            async with open_site(engines=3, daemons=1, apps=0) as site:
-                parts = site.daemons[0].daemon.parts
-                each = Play(
-                    site=site,
-                    crashing=CrashingSite(site=site),
-                    traffic=Traffic(),
-                )
-                freshness = parts.forwarder.list_freshness
-                parts.forwarder.list_freshness = WaitingList(freshness)
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(each.ask_bad, 0)
-                    await anyio.sleep(0.5)
-                    hold_back(parts, *each.traffic.bad)
-                    await anyio.sleep(0.5)
-                    statuses = [answer.status for answer in each.bad_answers]
-                    parts.forwarder.list_freshness.ended.set()
-                arrivals = sum(
-                    len(replica.arrivals)
-                    for replica in site.replicas_by_id.values()
-                )
-                return statuses, arrivals
+            async with open_single_daemon() as each:
+                forwarder = each.site.daemons[0].daemon.parts.forwarder
+                waiting = WaitingList(forwarder.list_freshness)
+                forwarder.list_freshness = waiting
+                statuses = await hold_while_it_waits(each)
+                waiting.ended.set()
+                return statuses, count_arrivals(each.site)
 
         self.assertEqual(run_paused(check), ([503], 0))
 
+    def test_request_that_did_not_connect_is_not_sent_once_its_part_is_held(
+        self,
+    ):
+        async def check():
+            async with open_single_daemon() as each:
+                network = each.site.network
+                for address in each.site.replicas_by_address:
+                    network.dark.add(machine_of(address))
+                await hold_while_it_waits(each, network.dark.clear)
+                statuses = [answer.status for answer in each.bad_answers]
+                return statuses, count_arrivals(each.site)
+
+        self.assertEqual(run_paused(check), ([503], 0))
+
+
+@asynccontextmanager
+async def open_single_daemon():
+    async with open_site(engines=3, daemons=1, apps=0) as site:
+        crashing = CrashingSite(site=site)
+        yield Play(site=site, crashing=crashing, traffic=Traffic())
+
+
+async def hold_while_it_waits(each, then=lambda: None):
+    """Hold the part of a request back; return how it is answered at once."""
+    each.site.tasks.start_soon(each.ask_bad, 0)
+    await anyio.sleep(0.3)
+    hold_back(each.site.daemons[0].daemon.parts, *each.traffic.bad)
+    await anyio.sleep(0.1)
+    statuses = [answer.status for answer in each.bad_answers]
+    then()
+    await anyio.sleep(2.0)
+    return statuses
+
 
 def hold_back(daemon_parts, *shared):
     """Have a daemon know three crashes under parts of prompts."""
