Crashes: a stream that goes on for a second clears the parts of its prompt

What callers would see: long drafts that share a first part with the bad one are refused as well, as none of them runs whole between the crashes, and then none runs that could clear it.

Cause: a part is accused only within a second of the first event, but cleared only at the end of an answer.

Change: both by the same time. The end of a stream clears its content as before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
@@ -143,7 +143,7 @@
         if not attempt.has_first_event:
             attempt.note_first_event()
         else:
-            attempt.decoding_steps += events.count
+            attempt.note_later_events(events.count)
         job.last_event_id = events.last_id or job.last_event_id
         if job.sink.is_started:
             is_sent = await job.sink.write(events.data)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -75,6 +75,8 @@
     """Time until the first event of a stream."""
     decoding_steps: int = 0
     """Events of a stream after those that arrived with the first."""
+    are_parts_cleared: bool = False
+    """Whether the answer went on for long enough to clear the prompt."""
     answer_s: float | None = None
     """Time from the first event to the end of a stream that was received as
     a whole from this endpoint."""
@@ -240,12 +242,17 @@
         A part of a prompt crashes it when the answer begins. Accused later,
         parts of long answers would collect the crashes that others cause.
         """
+        if self._is_under_way():
+            return (self.job.content,)
+        return self.job.suspect_keys
+
+    def _is_under_way(self) -> bool:
+        """Whether a part would have crashed the endpoint by now."""
         took_s = self.time_to_first_event_s
-        is_under_way = (
+        return (
             took_s is not None
             and self.recorder.clock() - self.sent_at - took_s >= PART_CRASH_S
         )
-        return (self.job.content,) if is_under_way else self.job.suspect_keys
 
     def note_silent(self) -> None:
         """Record that the endpoint is abandoned because it did not answer."""
@@ -298,6 +305,20 @@
         if choice.queued_tokens < 1 and not self.job.is_late:
             chooser.note_first_event(choice, took_s)
 
+    def note_later_events(self, count: int) -> None:
+        """Record events behind the first; they clear the prompt's parts.
+
+        A whole run would clear them as well, but long answers would end too
+        late, one after the other, beside a part that crashes their endpoints.
+        """
+        self.decoding_steps += count
+        if not self.are_parts_cleared and self._is_under_way():
+            self.are_parts_cleared = True
+            if not self.job.is_resumed:
+                self.recorder.crash_detector.on_whole_run(
+                    self.job.part_id_by_key
+                )
+
     def note_stream_end(self) -> None:
         """Record the end of a complete stream: a sample of decoding."""
         if (
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
@@ -127,8 +127,9 @@
     def note_completion(self, contents: Iterable[ContentKey]) -> None:
         """Record that a request ran from start to end at one endpoint.
 
-        A stream that was resumed after an endpoint crashed does not count:
-        it may crash each endpoint a few events further on and still complete.
+        Parts of its prompt may be recorded sooner. A stream that was resumed
+        after an endpoint crashed does not count: it may crash each endpoint a
+        few events further on and still complete.
         """
         for key in contents:
             if self.suspects.note_completion(key):
--- a/tests/support/crashing_parts.py
+++ b/tests/support/crashing_parts.py
@@ -105,6 +105,17 @@
             if len(times) > 4
         )
 
+    def share_begun(self):
+        """Return the share of sound requests that began at an engine."""
+        begun = {
+            id_
+            for replica in self.site.replicas_by_id.values()
+            for _, id_ in replica.arrivals
+        }
+        return sum(a.id in begun for a in self.sound_answers) / len(
+            self.sound_answers
+        )
+
     def share_served(self):
         """Return the share of sound requests that were served at the end."""
         until = max(answer.sent_at for answer in self.sound_answers)
--- a/tests/test_gateway_repeated_parts.py
+++ b/tests/test_gateway_repeated_parts.py
@@ -7,7 +7,7 @@
 from mimosamux_daemon.domain.gateway import PromptInfo, PromptPart
 from mimosamux_daemon.gateway.crashes.content_keys import find_part_keys
 from mimosamux_daemon.gateway.crashes.suspects import EndpointIncarnation
-from mimosamux_standins.site import Framing
+from mimosamux_standins.site import Framing, ReplicaSpeed
 
 from tests.support.clock import run_paused
 from tests.support.crashes import CrashingSite, count_arrivals
@@ -22,6 +22,7 @@
 from tests.support.platform_site import open_site
 
 FOR_S = 40.0
+LONG_ANSWERS = ReplicaSpeed(events=40, event_s=0.2)
 MANY_PARTS = tuple(f'{number:04x}' for number in range(10))
 MODELS = tuple(f'm{number}' for number in range(6))
 
@@ -102,6 +103,31 @@
         self.check_play(models=MODELS)
 
 
+class TestSoundParts(unittest.TestCase):
+    # Guards against sound parts that are held for the bad one beside them.
+
+    def test_long_drafts_begin_beside_a_bad_part(self):
+        async def slow_down(site):
+            for replica in site.replicas_by_id.values():
+                replica.speed = LONG_ANSWERS
+                replica.slots = 64
+
+        for engines in (3, 9):
+            with self.subTest(engines=engines):
+                each = run_paused(
+                    lambda engines=engines: play(
+                        path='/draft/',
+                        engines=engines,
+                        for_s=FOR_S,
+                        bad_every_s=3.0,
+                        repeats=1,
+                        beside=slow_down,
+                    )
+                )
+                self.assertLessEqual(each.count_late(), MOST_LATE)
+                self.assertGreaterEqual(each.share_begun(), 0.9)
+
+
 class TestWaitingRequests(unittest.TestCase):
     # Guards against requests that wait while their part is found out.
 
