Soak: prompt parts that crash engines, in requests that callers repeat

Change: the stand-in platform ends each engine that writes an answer on a given part and replaces it under another id; callers of the soak send such requests, no two alike, and repeat up to three times what was not served; the check counts arrivals later than 3 s behind the fifth crash from daemons in touch, 3 allowed.

--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -25,6 +25,7 @@
 from mimosamux_standins.site.replica import (
     Fault,
     ReplicaSpeed,
+    Run,
     StandInReplica,
 )
 from mimosamux_standins.site.store import (
@@ -38,6 +39,10 @@
 BOOT_S = 4.0
 REWRITE_S = 0.2
 """Time after a restore in which the operator and the replicas write again."""
+RESTART_S = 2.0
+"""Time after which another engine serves in place of one that crashed."""
+EXPIRY_S = 3.6
+"""Silence after which the entry of a crashed engine is removed."""
 MS_PER_S = 1000
 
 
@@ -84,6 +89,10 @@
     document: SiteDocument = field(default_factory=demo_document)
     replicas_by_id: dict[str, StandInReplica] = field(default_factory=dict)
     by_address: dict[str, StandInReplica] = field(default_factory=dict)
+    crash_parts: set[str] = field(default_factory=set)
+    """Prompt parts that end each engine that writes an answer on them."""
+    crashes: list[tuple[float, str]] = field(default_factory=list)
+    """Time and engine of each end by a prompt part."""
     _scope_by_id: dict[str, anyio.CancelScope] = field(default_factory=dict)
     _leaves_at_by_id: dict[str, float] = field(default_factory=dict)
     _started: int = 0
@@ -135,6 +144,8 @@
             speed=speed or self.speed,
             is_reclaimable=is_reclaimable,
             by_address=self.by_address,
+            crash_parts=self.crash_parts,
+            on_crash=self._crash,
         )
         scope = anyio.CancelScope()
         replica.address = await self._serve(replica.handle, scope)
@@ -191,6 +202,7 @@
             '/store/restore': self._restore_store,
             '/replica': self._set_replica,
             '/revoke': self._revoke,
+            '/crash-parts': self._set_crash_parts,
             '/seen': self._tell_seen,
         }
         command = commands.get(target)
@@ -237,6 +249,34 @@
             self._scope_by_id[replica.id].cancel()
         return {}
 
+    def _set_crash_parts(self, body: dict[str, object]) -> object:
+        """Have prompt parts end each engine that writes an answer on them."""
+        parts = body['parts']
+        assert isinstance(parts, list)
+        self.crash_parts = {str(part) for part in parts}
+        for replica in self.replicas_by_id.values():
+            replica.crash_parts = self.crash_parts
+        return {}
+
+    def _crash(self, replica: StandInReplica, _: Run) -> None:
+        """End a replica at once; another one comes in its place."""
+        replica.state = 'dead'
+        self.crashes.append((anyio.current_time(), replica.id))
+        self._scope_by_id[replica.id].cancel()
+        self.tasks.start_soon(self._replace, replica)
+
+    async def _replace(self, replica: StandInReplica) -> None:
+        await anyio.sleep(RESTART_S)
+        await self.add_replica(
+            replica.service,
+            replica.zone,
+            slots=replica.slots,
+            is_reclaimable=replica.is_reclaimable,
+            speed=replica.speed,
+        )
+        await anyio.sleep(EXPIRY_S - RESTART_S)
+        self.store.put('servers', replica.id, None)
+
     def _revoke(self, body: dict[str, object]) -> object:
         for tenant in self.document.tenants:
             keys = tenant['apiKeys']
@@ -287,6 +327,9 @@
                 for replica in self.replicas_by_id.values()
                 for at, id_ in replica.arrivals
             ],
+            'crashes': [
+                {'at': at, 'replica': id_} for at, id_ in self.crashes
+            ],
             'duty_calls': [
                 {
                     'path': call.path,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -2,7 +2,8 @@
 
 A fifth of the seeds is played with a large site; `--daemons` fixes the size.
 A third is played with long streams and stops in series; `--long_streams` and
-`--nolong_streams` say so for all.
+`--nolong_streams` say so for all. In half of them a prompt part crashes
+engines, or in all or none with `--bad_parts` and `--nobad_parts`.
 """
 
 import pathlib
@@ -10,7 +11,12 @@
 
 import fire
 
-from tests.support.soak import choose_daemons, choose_long_streams, play
+from tests.support.soak import (
+    choose_bad_parts,
+    choose_daemons,
+    choose_long_streams,
+    play,
+)
 from tests.support.soak_checks import find_problems
 
 
@@ -21,6 +27,7 @@
     daemons=None,
     logs=None,
     long_streams=None,
+    bad_parts=None,
 ):
     """Play seeds one after the other; print what each broke.
 
@@ -33,6 +40,9 @@
         is_long = long_streams
         if is_long is None:
             is_long = choose_long_streams(seed)
+        has_bad_parts = bad_parts
+        if has_bad_parts is None:
+            has_bad_parts = choose_bad_parts(seed)
         folder = None
         if logs is not None:
             folder = pathlib.Path(logs, str(seed))
@@ -45,6 +55,7 @@
             has_needy_endpoints=True,
             has_versions=not is_long,
             has_long_streams=is_long,
+            has_bad_parts=has_bad_parts,
         )
         if folder is not None:
             lines = [f'{line}\n' for line in record.log]
@@ -52,7 +63,8 @@
         problems = find_problems(record)
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
-            f'seed {seed}: {count} daemons{" and long streams" * is_long},'
+            f'seed {seed}: {count} daemons{" and long streams" * is_long}'
+            f'{" and bad parts" * has_bad_parts},'
             f' {served} of {len(record.sent)}'
             f' served, {record.waits:g} waited',
             flush=True,
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -23,6 +23,7 @@
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.platform_processes import PROMPT, platform_processes
+from tests.support.soak_bad_parts import BAD, BadPartCallers
 from tests.support.soak_callers import REVOKED_KEY, STREAM_TARGETS, Callers
 from tests.support.soak_record import (
     EVENTS,
@@ -44,6 +45,9 @@
 """Numbers of daemons with which digests pass through relays."""
 LONG_STREAMS_EVERY = 3
 """Of so many seeds, one is played with long streams."""
+ENGINES_BESIDE_BAD_PARTS = 6
+BAD_PARTS_EVERY = 2
+"""Of so many seeds, one is played with a prompt part that crashes engines."""
 LARGE_SITE_EVERY = 5
 """Of so many seeds, one is played with a large site."""
 LARGE_SITE_WAYS = 5
@@ -106,6 +110,9 @@
     has_long_streams: bool = False
     """Whether streams last for seconds, callers send one request right behind
     the other, and daemons are stopped in series."""
+    has_bad_parts: bool = False
+    """Whether a prompt part crashes engines, in requests that callers repeat.
+    """
     stops: Stops = field(init=False)
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
@@ -221,6 +228,19 @@
         for id_ in engines[::2]:
             self.platform.command('/replica', id=id_, version='v2')
 
+    def start_bad_parts(self):
+        """Have a prompt part crash engines, and callers ask for it."""
+        if not self.has_bad_parts:
+            return []
+        self._note('prompt part', BAD)
+        self.platform.command('/crash-parts', parts=[BAD])
+        callers = BadPartCallers(
+            entries=[daemon.entry for daemon in self.platform.daemons],
+            rng=random.Random(self._drawn),
+        )
+        callers.start()
+        return [callers]
+
     def make_callers(self, **fields):
         fields |= {'takes_up': self.has_versions}
         if self.has_bursts:
@@ -494,6 +514,11 @@
     return seed % LONG_STREAMS_EVERY == 0
 
 
+def choose_bad_parts(seed):
+    """Return whether a prompt part crashes engines where a seed is played."""
+    return seed % BAD_PARTS_EVERY == 0
+
+
 def play(
     seed,
     *,
@@ -503,6 +528,7 @@
     has_needy_endpoints=False,
     has_versions=False,
     has_long_streams=False,
+    has_bad_parts=False,
 ):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
@@ -511,6 +537,8 @@
         options = LONG_STREAMS
     elif daemons > LARGEST_GROUP:
         options = _draw_large_site(rng)
+    if has_bad_parts:
+        options = options | {'engines': ENGINES_BESIDE_BAD_PARTS}
     with platform_processes(daemons=0, **options) as platform:
         soak = Soak(
             platform=platform,
@@ -519,6 +547,7 @@
             has_needy_endpoints=has_needy_endpoints,
             has_versions=has_versions,
             has_long_streams=has_long_streams,
+            has_bad_parts=has_bad_parts,
         )
         try:
             if has_versions:
@@ -554,17 +583,24 @@
     pause = {'longest_pause_s': 0.8} if soak.has_bursts else {}
     callers = soak.make_callers(**pause)
     callers.start()
+    bad = soak.start_bad_parts()
     try:
         soak.run(seconds)
         soak.heal()
         serves_again = _wait_until_all_serve(entries, _is_served, RECOVERY_S)
         serves_after_burst = not soak.has_bursts or _serves_after_burst(soak)
     finally:
-        for each in (callers, *soak.bursts):
+        for each in (callers, *bad, *soak.bursts):
             each.stop()
+    seen = platform.seen()
+    soak.disruptions += [
+        Disruption(place=each['replica'], start=each['at'])
+        for each in seen['crashes']
+    ]
+    everyone = (callers, *bad, *soak.bursts)
     return Record(
-        sent=[sent for each in (callers, *soak.bursts) for sent in each.sent],
-        seen=platform.seen(),
+        sent=[sent for each in everyone for sent in each.sent],
+        seen=seen,
         revoked_at=soak.revoked_at,
         log=soak.log,
         serves_again=serves_again,
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -6,6 +6,7 @@
 from mimosamux_standins.site.replica import render_event, sign
 
 from tests.support.site_checks import find_joined_versions
+from tests.support.soak_bad_parts import check_bad_parts
 from tests.support.soak_callers import KEYS, REVOKED_KEY, STREAM_TARGETS
 from tests.support.soak_record import AbsenceKind
 from tests.support.soak_stop_checks import (
@@ -58,6 +59,7 @@
         runs.sort(key=lambda run: run.began_at)
         problems += find_joined_versions(runs)
     problems += check_stops(record)
+    problems += check_bad_parts(record)
     return [*problems, *_check_duties(record.seen['duty_calls'])]
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,12 @@
         self.assertEqual(find_problems(record), [], record.log)
         self.assertGreater(record.waits, 0)
 
+    # Guards against a prompt part that ends engines while callers repeat.
+    def test_no_promise_is_broken_by_a_part_that_crashes_engines(self):
+        record = play(SEED, seconds=SECONDS, has_bad_parts=True)
+        self.assertEqual(find_problems(record), [], record.log)
+        self.assertGreater(len(record.seen['crashes']), 1)
+
     # Guards against requests that a stopping daemon takes and cuts.
     def test_no_request_is_cut_by_stops_in_series(self):
         record = play(
@@ -160,6 +166,42 @@
         )
         self.assert_seen('after its key was taken away', record)
 
+    def record_of_bad_part(self, count, **fields):
+        """Return a record with so many late arrivals of a bad part."""
+        record = record_of('/question/bad-1', answer_to(status=502), [])
+        sent = record.sent[0]
+        record.sent = [
+            replace(sent, answer=answer_to(f'late-{number}', status=502))
+            for number in range(count)
+        ]
+        record.seen['crashes'] = [
+            {'at': 100.0 + number, 'replica': 'i-0001'} for number in range(6)
+        ]
+        record.seen['arrivals'] = [
+            {
+                'id': f'late-{number}',
+                'replica': 'i-0001',
+                'at': 108.0,
+                'is_accepted': True,
+            }
+            for number in range(count)
+        ]
+        return replace(record, **fields)
+
+    def test_part_that_goes_on_crashing_engines(self):
+        words = '4 requests with a part that crashes engines'
+        self.assert_seen(words, self.record_of_bad_part(4))
+        self.assertEqual(find_problems(self.record_of_bad_part(3)), [])
+
+    def test_part_that_a_daemon_sends_behind_its_freeze(self):
+        frozen = Absence(
+            entry='d', kind=AbsenceKind.FROZEN, start=104.0, end=106.0
+        )
+        record = self.record_of_bad_part(4, absences=[frozen])
+        self.assertEqual(find_problems(record), [])
+        frozen.end = 104.5
+        self.assert_seen('a part that crashes engines', record)
+
     def test_stream_that_misses_an_event(self):
         events = [render_event('a1', number) for number in range(EVENTS)]
         answer = answer_to(body=b''.join(events))
