--- a/tests/test_gateway_crash_suspects.py
+++ b/tests/test_gateway_crash_suspects.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import given
+from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.gateway.crashes.suspects import (
     COMPLETION_VALID_S,
@@ -139,6 +139,7 @@
         for text in ('', 'i-1', 'i-1/', '/1', 'i-1/x', 'i-1/-1'):
             self.assertIsNone(parse_incarnation(text))
 
+    @settings(suppress_health_check=[HealthCheck.too_slow])
     @given(crashes=CRASHES, data=st.data())
     def test_daemons_know_the_same_in_whatever_order_they_hear(
         self, crashes, data
