--- a/packages/mimosamux-standins/mimosamux_standins/site/caller.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/caller.py
@@ -2,9 +2,10 @@
 
 import random
 import uuid
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import urlencode
 
@@ -109,6 +110,28 @@
         self.answers.append(answer)
         return answer
 
+    async def send_until_served(
+        self,
+        addresses: Iterable[str],
+        target: str,
+        *,
+        pause_s: float,
+        **fields: Any,
+    ) -> list[CallerAnswer]:
+        """Send the same, to the letter, to each address until one serves it.
+
+        Each is an attempt of its own. Returns what came of them.
+        """
+        answers: list[CallerAnswer] = []
+        for address in addresses:
+            if answers:
+                await anyio.sleep(pause_s)
+            answer = await self.send(address, target, **fields)
+            answers.append(answer)
+            if answer.status == HTTPStatus.OK and answer.is_whole:
+                break
+        return answers
+
     async def send_pair(
         self,
         address: str,
--- a/tests/support/crashing_parts.py
+++ b/tests/support/crashing_parts.py
@@ -61,22 +61,21 @@
         return answer
 
     async def ask_bad(self, number):
-        """Ask for a bad one, to the letter again if it is not served."""
+        """Ask for a bad one, and again if it is not served."""
         traffic = self.traffic
         model = traffic.models[number % len(traffic.models)]
-        target = f'{traffic.path}bad-{number}'
-        for attempt in range(1 + traffic.repeats):
-            daemons = [each for each in self.site.daemons if each is not None]
-            answer = await self.site.caller().send(
-                daemons[(number + attempt) % len(daemons)].entry,
-                target,
-                body=b'%d' % number,
-                headers=prompt_of(*traffic.bad, f'{number:08x}', model=model),
-            )
-            self.bad_answers.append(answer)
-            if answer.status == 200 and answer.is_whole:
-                return
-            await anyio.sleep(traffic.pause_s)
+        daemons = [each for each in self.site.daemons if each is not None]
+        entries = [
+            daemons[(number + attempt) % len(daemons)].entry
+            for attempt in range(1 + traffic.repeats)
+        ]
+        self.bad_answers += await self.site.caller().send_until_served(
+            entries,
+            f'{traffic.path}bad-{number}',
+            pause_s=traffic.pause_s,
+            body=b'%d' % number,
+            headers=prompt_of(*traffic.bad, f'{number:08x}', model=model),
+        )
 
     async def run(self):
         async with anyio.create_task_group() as tasks:
--- a/tests/support/soak_bad_parts.py
+++ b/tests/support/soak_bad_parts.py
@@ -3,7 +3,8 @@
 No two are alike, and a caller repeats what was not served, as it was.
 """
 
-from dataclasses import dataclass, field
+import itertools
+from dataclasses import dataclass
 
 import anyio
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
@@ -30,13 +31,12 @@
 class BadPartCallers(Callers):
     """Sends a bad request at a time, each at any daemon."""
 
-    _sent: int = field(default=0)
-
     async def _run(self):
         async with anyio.create_task_group() as tasks:
-            while not self._stopping.is_set():
-                self._sent += 1
-                tasks.start_soon(self._ask, self._sent)
+            for number in itertools.count():
+                if self._stopping.is_set():
+                    return
+                tasks.start_soon(self._ask, number)
                 await anyio.sleep(EVERY_S)
 
     async def _ask(self, number):
@@ -47,24 +47,24 @@
             rng=self.rng,
         )
         target = f'/question/{MARK}{number}'
-        headers = prompt_of(FIRST, BAD, f'{number:08x}')
-        for _ in range(TRIES):
-            entry = self.rng.choice(self.entries)
-            answer = await caller.send(
-                entry, target, body=b'%d' % number, headers=headers
-            )
-            self.sent.append(
-                Sent(
-                    target=target,
-                    key=caller.key,
-                    answer=answer,
-                    entry=entry,
-                    limit_s=self.patience_s,
-                )
+        entries = [self.rng.choice(self.entries) for _ in range(TRIES)]
+        answers = await caller.send_until_served(
+            entries,
+            target,
+            pause_s=REPEAT_PAUSE_S,
+            body=b'%d' % number,
+            headers=prompt_of(FIRST, BAD, f'{number:08x}'),
+        )
+        self.sent += [
+            Sent(
+                target=target,
+                key=caller.key,
+                answer=answer,
+                entry=entry,
+                limit_s=self.patience_s,
             )
-            if answer.status == 200 and answer.is_whole:
-                break
-            await anyio.sleep(REPEAT_PAUSE_S)
+            for entry, answer in zip(entries, answers, strict=False)
+        ]
         await caller.channels.close()
 
 
