Crashes: what explains a part is looked for once after each change

Cause: each request with a suspected part looked through all suspects; 1.9 ms at 4,001 of them, refused ones included.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
@@ -123,6 +123,9 @@
         ignored."""
         self._withdrawn: dict[EndpointIncarnation, None] = {}
         """Incarnations whose crash was withdrawn, the oldest first."""
+        self._explanation_by_part: dict[ContentKey, ContentKey | None] = {}
+        """Results of `find_explanation` since the last change of a suspect:
+        each request with a suspected part asks."""
         self._clock = clock
         self._last_sweep_at = clock()
 
@@ -142,6 +145,7 @@
         if self.is_expired(merged) or self.has_completed(suspect.content):
             return False
         self.by_content[suspect.content] = merged
+        self._explanation_by_part.clear()
         self._evict()
         return True
 
@@ -166,6 +170,7 @@
         suspect = self.by_content.pop(content, None)
         if suspect is None:
             return False
+        self._explanation_by_part.clear()
         before = self._cleared.pop(content, frozenset())
         if len(before) > MAX_CLEARED_CRASHES:
             before = frozenset()
@@ -187,6 +192,7 @@
         if len(self._withdrawn) > MAX_WITHDRAWN:
             del self._withdrawn[next(iter(self._withdrawn))]
         changed = []
+        self._explanation_by_part.clear()
         for content, suspect in tuple(self.by_content.items()):
             if incarnation not in suspect.crashed:
                 continue
@@ -245,8 +251,14 @@
         """Return a content that was present at all crashes of a part."""
         if not suspect.is_part:
             return None
+        key = suspect.content
+        if key not in self._explanation_by_part:
+            self._explanation_by_part[key] = self._explain(suspect)
+        return self._explanation_by_part[key]
+
+    def _explain(self, suspect: Suspect) -> ContentKey | None:
         for other in self.by_content.values():
-            if not other.is_part and other.crashed >= suspect.crashed:
+            if other.crashed >= suspect.crashed and not other.is_part:
                 return other.content
         return None
 
