--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/brittle_services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/brittle_services.py
@@ -13,11 +13,13 @@
 import anyio
 from mimosamux_wire import BrittleService, StateDigest
 
-from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId, ServiceName
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.limits.ready_daemons import (
+    list_ready_daemons,
+)
 from mimosamux_daemon.gateway.limits.slot_shares import SlotShare, share_slots
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import Roster
@@ -105,7 +107,7 @@
             self._store(service, per_s, said_ms)
         if is_rejected and record.slot_share is not None:
             # All daemons together may cause `per_s` refusals in a second.
-            daemons = len(self._ready_daemons())
+            daemons = len(list_ready_daemons(self._states))
             pause_s = max(daemons / max(per_s or 1.0, 1.0), MIN_PAUSE_S)
             record.slot_share.paused_until = now + pause_s
 
@@ -205,7 +207,7 @@
             for record in self._roster.of_service(service):
                 record.slot_share = None
             return
-        daemons = self._ready_daemons()
+        daemons = list_ready_daemons(self._states)
         per_s = self.by_service[service].per_s or 0.0
         for record in self._roster.serving(service):
             if record.slot_share is None:
@@ -235,10 +237,3 @@
             return 0, False
         number, passed = divmod(store_now, ROTATION_S)
         return int(number), passed > ROTATION_S - ROTATION_PAUSE_S
-
-    def _ready_daemons(self) -> tuple[DaemonId, ...]:
-        """Return the daemons among which slots are shared."""
-        ready = [peer.place.id for peer in self._states.ready()]
-        if self._states.state is MemberState.READY or not ready:
-            ready.append(self._states.place.id)
-        return tuple(ready)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/endpoint_limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/endpoint_limits.py
@@ -17,11 +17,14 @@
 import anyio
 from mimosamux_wire import EndpointLimit, StateDigest
 
-from mimosamux_daemon.control.members import MemberState, rank
+from mimosamux_daemon.control.members import rank
 from mimosamux_daemon.domain.names import DaemonId, EndpointId
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.limits.rate_shares import RateShare
+from mimosamux_daemon.gateway.limits.ready_daemons import (
+    list_ready_daemons,
+)
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.gateway.shared_time import SharedTime
 from mimosamux_daemon.logs import get_log
@@ -202,7 +205,7 @@
                 before=before,
                 source=source,
             )
-        self._assign_share(record, limit, self._ready_daemons())
+        self._assign_share(record, limit, list_ready_daemons(self.states))
         if before is None and limit.per_s is not None:
             if limit.is_own:
                 self.states.expedite()
@@ -211,7 +214,7 @@
     def _assign_all_shares(self) -> bool:
         """Reassign all shares; False if no endpoint has a limit."""
         is_any_limited = False
-        ready = self._ready_daemons()
+        ready = list_ready_daemons(self.states)
         for id_, limit in self.by_id.items():
             record = self.roster.by_id.get(id_)
             if record is not None and limit.per_s is not None:
@@ -250,13 +253,6 @@
             self._assignments[id_] = assignment
         return per_s / count if self._assignments[id_].is_own else 0.0
 
-    def _ready_daemons(self) -> tuple[DaemonId, ...]:
-        """Return the daemons among which shares are assigned."""
-        ready = [peer.place.id for peer in self.states.ready()]
-        if self.states.state is MemberState.READY or not ready:
-            ready.append(self.states.place.id)
-        return tuple(ready)
-
 
 def _is_close(before: float | None, after: float | None) -> bool:
     if before is None or after is None:
