Forwarding: a request goes back to a silent endpoint if no other is reached

What callers saw: a question that one engine was slow to answer failed with 502, though that engine lived and answered half a second later.

Cause: after a silence the request leaves its endpoint for another. If those that are left have just crashed, their connections are refused, and the one endpoint that it may not try again is the one that lives.

A test with two endpoints: 502 for questions and lists.

Change: if every attempt so far ended in silence, the endpoints left for it may be tried again. The retry was paid for when the request left.

Measured: 200 and whole for both since.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -256,6 +256,7 @@
 
     def note_silent(self) -> None:
         """Record that the endpoint is abandoned because it did not answer."""
+        self.job.silent.add(self.endpoint.id)
         self.note_result(failed=True)
         self._log('endpoint_silent')
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -235,6 +235,8 @@
             if isinstance(placement, Unplaced):
                 if await self._wait_for_endpoint(job):
                     continue
+                if job.return_to_silent():
+                    continue
                 return self._give_up_unplaced(job)
             if not isinstance(placement, Choice):
                 return placement
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -50,6 +50,8 @@
     """Whether it was counted as begun for its account."""
     tried: set[EndpointId] = field(default_factory=set)
     """Endpoints of earlier attempts, which are excluded from retries."""
+    silent: set[EndpointId] = field(default_factory=set)
+    """Those of them that were left since they did not answer in time."""
     last_event_id: str | None = None
     """Id of the last event that was forwarded to the caller."""
     weights_version: str | None = None
@@ -110,6 +112,17 @@
         is_moved = self.kv_source is not None
         return is_moved or not self.may_have_run or self.route.may_repeat
 
+    def return_to_silent(self) -> bool:
+        """Allow the endpoint again that was left for its silence.
+
+        False if another one was reached instead, or none was left so.
+        """
+        if not self.silent or self.sends > len(self.silent):
+            return False
+        self.tried -= self.silent
+        self.silent.clear()
+        return True
+
     def has_caller_left(self) -> bool:
         """Whether the caller has disconnected."""
         return self.caller is not None and self.caller.has_disconnected()
--- a/tests/test_gateway_silent_endpoint.py
+++ b/tests/test_gateway_silent_endpoint.py
@@ -6,6 +6,7 @@
 import anyio
 
 from tests.support import crashes
+from tests.support.asking import of_service
 from tests.support.clock import run_paused
 from tests.support.platform_site import open_site
 
@@ -69,5 +70,39 @@
                     self.assertFalse(each.reach.is_any_cut_off)
 
 
+class TestSilentEndpointBesideCrashes(unittest.TestCase):
+    # Guards against a request that is lost since all endpoints but the silent
+    # one that it left have crashed.
+
+    def test_request_goes_back_to_the_endpoint_that_was_silent(self):
+        for path in ('/question/', '/list/'):
+            with self.subTest(path=path):
+                answer = run_paused(lambda path=path: ask_beside_crash(path))
+                self.assertEqual((answer.status, answer.is_whole), (200, True))
+
+
+async def ask_beside_crash(path):
+    """Ask one of two endpoints, which stands still; the other crashes."""
+    answers = []
+    async with open_site(engines=2, apps=2, daemons=1) as site:
+        caller = site.caller()
+        replicas = of_service(site, path)
+        for replica in replicas:
+            replica.silent_until = anyio.current_time() + SILENT_S
+
+        async def send():
+            answers.append(await crashes.send(site, caller, 0, f'{path}1'))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(send)
+            await anyio.sleep(0.05)
+            records = site.daemons[0].daemon.parts.roster.by_id
+            for replica in replicas:
+                if not records[replica.id].open_calls:
+                    site.crash_replica(replica)
+    (answer,) = answers
+    return answer
+
+
 if __name__ == '__main__':
     unittest.main()
