--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -4,8 +4,8 @@
 break off, at endpoints that live on. A process has crashed if nothing listens
 at the endpoint and the endpoint was not announced as leaving.
 
-Nor is an answer a proof of health that nothing but the end of its connection
-ends: the process may have ended there.
+An answer with neither a length nor chunks is no proof of health either: its
+connection, which ends it, may have ended with the process.
 """
 
 from collections.abc import Callable, Collection, Iterable
