Evacuation: a draft whose content is held goes on when its engine leaves

What callers saw: drafts in the middle of their stream are cut when their engine is taken away with notice, though a copy of them is ready elsewhere.

Cause: a content that was under way beside three crashes is held, and a held request was not continued from a copy, whatever had ended its run. Copies are made only of what leaves by announcement, which is no crash.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -434,8 +434,11 @@
         if not isinstance(ended, CallBroken):
             attempt.note_result(failed=False)
             return ended
-        is_quarantined = self.quarantine.is_quarantined(job)
-        if job.last_event_id is not None and not is_quarantined:
+        # What leaves by announcement has not crashed under the request.
+        may_go_on = (
+            stream.record.is_leaving or not self.quarantine.is_quarantined(job)
+        )
+        if job.last_event_id is not None and may_go_on:
             copy = await self.evacuation.claim_copy(stream)
             if copy is not None:
                 attempt.note_result(failed=False)
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -8,6 +8,7 @@
 from mimosamux_daemon.domain.routes import EngineCapabilities, ServiceEntry
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.crashes.suspects import EndpointIncarnation
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.running_stream import (
     RunningStream,
@@ -490,3 +491,34 @@
                 return played.answers[0].is_whole, len(site.runs()), copies
 
         self.assertEqual(run_paused(check), (True, 1, 0))
+
+
+class TestHeldContents(unittest.TestCase):
+    # Guards against drafts that are cut when their engine leaves, since their
+    # content was held for the crashes of others.
+
+    def test_draft_whose_content_is_held_leaves_its_engine(self):
+        async def check():
+            async with open_site(engines=3, apps=0, daemons=1) as site:
+                set_draft_length(site, events=EVENTS)
+                each = Reclaim(site, target='/draft/', streams=3)
+                site.tasks.start_soon(hold_all, site)
+                await each.play(faults=(), notice_s=1.7)
+                return [
+                    answer.body == whole_body(answer)
+                    for answer in each.answers
+                ]
+
+        self.assertEqual(run_paused(check), [True] * 3)
+
+
+async def hold_all(site):
+    """Have the contents of all drafts held once they are under way."""
+    await anyio.sleep(0.4)
+    quarantine = site.daemons[0].daemon.parts.quarantine
+    for waiting in tuple(quarantine._admitted):
+        for number in range(3):
+            quarantine.exchange.report_crash(
+                EndpointIncarnation(id=f'crashed-{number}'),
+                [waiting.job.content],
+            )
