--- a/tests/support/soak_stop_checks.py
+++ b/tests/support/soak_stop_checks.py
@@ -19,6 +19,7 @@
 DRAFT_LIMIT_S = 15.0
 THAW_S = 1.0
 """Time for which a daemon may run behind a freeze that outlasts its stop."""
+ENGINE_TARGETS = ('/draft/', '/question/')
 OWN_FAILURES = (500, 502)
 PROOF = b'x-replica-signature'
 """Header of each answer that an endpoint has made."""
@@ -63,6 +64,10 @@
     endpoints = {
         each['replica'] for each in (*accepted, *ahead) if each['is_accepted']
     }
+    if sent.target.startswith(ENGINE_TARGETS):
+        # A crash may come before the engine has noted what reaches it, or at
+        # the engine that a stream is moved to.
+        endpoints |= {each['replica'] for each in record.seen['crashes']}
     if fate == 'lost' and not _is_disrupted(record, sent, endpoints):
         sent_s, whole_s, ended_s = (
             round(at - stop.start, 2)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -112,6 +112,7 @@
         seen={
             'runs': runs,
             'replicas': [{'id': 'i-0001'}],
+            'crashes': [],
             'duty_calls': fields.pop('duty_calls', []),
         },
         revoked_at=fields.pop('revoked_at', None),
@@ -422,6 +423,20 @@
             )
             (self.assert_kept if is_kept else self.assert_lost)(record)
 
+    def test_engine_that_a_prompt_part_crashed_disrupts_others(self):
+        for target, at, is_kept in (
+            ('/draft/1', 101.9, True),
+            ('/draft/1', 102.1, False),
+            ('/draft/1', 96.9, False),
+            ('/slip/1', 101.9, False),
+        ):
+            record = self.record(target=target, ended_at=102.0)
+            record.seen['crashes'].append({'at': at, 'replica': 'i-0002'})
+            record.disruptions.append(
+                Disruption(place='i-0002', start=at, end=at)
+            )
+            (self.assert_kept if is_kept else self.assert_lost)(record)
+
     # Guards against a loss where the answer before it broke off.
     def test_request_behind_an_answer_that_its_endpoint_broke_off(self):
         for place, ahead_id, is_kept in (
