Platform: a probe of an endpoint's process is given back in one place

What is kept of a probe is the channels' decision. Measured: 12 tests of the adapter, of answers without an end and of both failed ones pass.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -70,10 +70,6 @@
             note_tunnel_broken=self.note_tunnel_broken,
         )
 
-    def has_idle(self, address: str) -> bool:
-        """Whether an idle connection to an address is kept."""
-        return bool(self._idle_by_address.get(address))
-
     def _is_good(self, channel: Channel) -> bool:
         return (
             channel.is_fresh()
@@ -97,6 +93,13 @@
         else:
             await channel.close()
 
+    async def give_back_probe(self, channel: Channel) -> None:
+        """Keep a connection that only probed its address if none is idle."""
+        if self._idle_by_address.get(channel.address):
+            await channel.close()
+        else:
+            await self.give_back(channel)
+
     def forget(self, address: str) -> None:
         """Use none of the idle connections to an address any more.
 
