Crashes: the end of a quarantine and what may crash are found once

No change of behaviour. Whether a suspect is held and whether its probe is due asked the same three questions in two places; each merged crash asked for the quarantine twice; the keys of a request were put together anew at each question, several times a request; that nothing was sent follows from the number of sends; a stream that has begun is no longer looked up to be let pass. WaitingJob is AdmittedJob, which it is.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/exchange.py
@@ -132,16 +132,20 @@
         """Merge and log crashes of a content; False if none is new."""
         if not self.suspects.add(suspect):
             return False
-        self._log_crashes(self.suspects.by_content[suspect.content], source)
-        if self.suspects.quarantine_left_s(suspect.content) > 0:
+        content = suspect.content
+        quarantine_s = self.suspects.quarantine_left_s(content)
+        stored = self.suspects.by_content[content]
+        self._log_crashes(stored, quarantine_s, source=source)
+        if quarantine_s > 0:
             for listener in self.on_held:
-                listener(suspect.content)
+                listener(content)
         return True
 
-    def _log_crashes(self, suspect: Suspect, source: str) -> None:
+    def _log_crashes(
+        self, suspect: Suspect, quarantine_s: float, *, source: str
+    ) -> None:
         """Log what follows from the crashes of a content or part."""
         content, crashes = suspect.content, len(suspect.crashed)
-        quarantine_s = self.suspects.quarantine_left_s(content)
         if quarantine_s > 0:
             log.warning(
                 'content_held',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/quarantine.py
@@ -22,17 +22,12 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, eq=False)
-class WaitingJob:
-    """An admitted request, which may still wait for its first endpoint."""
+class AdmittedJob:
+    """An admitted request, and the scope that it runs in."""
 
     job: Job
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
 
-    @property
-    def is_unsent(self) -> bool:
-        """Whether no endpoint can have got any of it."""
-        return not self.job.sends and not self.job.may_have_run
-
 
 @dataclass(kw_only=True, slots=True)
 class CrashQuarantine:
@@ -44,7 +39,8 @@
     suspects: CrashSuspects
     probes: CrashProbes
     exchange: CrashExchange
-    _admitted: set[WaitingJob] = field(default_factory=set)
+    _admitted: set[AdmittedJob] = field(default_factory=set)
+    """Requests under way; those that were not sent wait for an endpoint."""
 
     def __post_init__(self) -> None:
         self.exchange.on_held.append(self._end_waits)
@@ -77,19 +73,20 @@
 
         It would wait for an endpoint that it may not be sent to.
         """
-        waiting = WaitingJob(job=job)
-        self._admitted.add(waiting)
+        admitted = AdmittedJob(job=job)
+        self._admitted.add(admitted)
         try:
-            with waiting.scope:
-                yield waiting.scope
+            with admitted.scope:
+                yield admitted.scope
         finally:
-            self._admitted.discard(waiting)
+            self._admitted.discard(admitted)
 
     def _end_waits(self, content: ContentKey) -> None:
         """End the waits of requests that hold a quarantined content."""
-        for waiting in self._admitted:
-            if waiting.is_unsent and content in waiting.job.suspect_keys:
-                waiting.scope.cancel()
+        for admitted in self._admitted:
+            job = admitted.job
+            if not job.sends and content in job.suspect_keys:
+                admitted.scope.cancel()
 
     def _refuse(self, job: Job, key: ContentKey, left_s: float) -> Refused:
         crashed = sorted(self.suspects.by_content[key].crashed)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
@@ -215,23 +215,22 @@
 
     def quarantine_left_s(self, content: ContentKey) -> float:
         """Return the remaining quarantine of a content in seconds."""
-        suspect = self._find(content)
-        if suspect is None:
-            return 0.0
-        quarantine_s = suspect.quarantine_s
-        if not quarantine_s or self.find_explanation(suspect) is not None:
-            return 0.0
-        return max(0.0, suspect.last_crash_at + quarantine_s - self._clock())
+        ends_at = self._find_quarantine_end(content)
+        return 0.0 if ends_at is None else max(0.0, ends_at - self._clock())
 
     def is_probe_due(self, content: ContentKey) -> bool:
         """Whether the quarantine is over and a probe request is due."""
+        ends_at = self._find_quarantine_end(content)
+        return ends_at is not None and ends_at <= self._clock()
+
+    def _find_quarantine_end(self, content: ContentKey) -> float | None:
+        """Return when a quarantine ends or ended, None if there is none."""
         suspect = self._find(content)
-        return (
-            suspect is not None
-            and suspect.quarantine_s > 0
-            and self.find_explanation(suspect) is None
-            and self.quarantine_left_s(content) == 0
-        )
+        if suspect is None or not suspect.quarantine_s:
+            return None
+        if self.find_explanation(suspect) is not None:
+            return None
+        return suspect.last_crash_at + suspect.quarantine_s
 
     def may_retry(self, content: ContentKey) -> bool:
         """Whether a content that just failed may go to another endpoint.
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -338,10 +338,8 @@
 
         A stream that has begun has shown that it crashes nothing.
         """
-        held = self.quarantine.find_hold(job)
-        if held is None or job.sink.is_started:
-            return None
-        if job.may_have_run:
+        held = None if job.sink.is_started else self.quarantine.find_hold(job)
+        if held is not None and job.may_have_run:
             return job.fail(held.reason, held.message)
         return held
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -74,19 +74,16 @@
     """Key of its content; repeated requests of an account share it."""
     part_id_by_key: dict[ContentKey, str] = field(init=False)
     """Parts of its prompt that other requests share."""
+    suspect_keys: tuple[ContentKey, ...] = field(init=False)
+    """Keys of all that may crash its endpoint.
+
+    Parts come first: a probe of one tells more than a probe of a content."""
 
     def __post_init__(self) -> None:
         account = None if self.account is None else self.account.id
         self.content = find_content_key(self.request, account)
         self.part_id_by_key = find_part_keys(self.request.prompt)
-
-    @property
-    def suspect_keys(self) -> tuple[ContentKey, ...]:
-        """Return the keys of all that may crash its endpoint.
-
-        Parts come first: a probe of one tells more than a probe of a content.
-        """
-        return (*self.part_id_by_key, self.content)
+        self.suspect_keys = (*self.part_id_by_key, self.content)
 
     @property
     def is_stream(self) -> bool:
