Tests: one place waits until two daemons know each other

It stood in test_stopping_requests and test_processes_serving, and is RealSite's now; each keeps its own time limit. Traffic's ask loses a parameter and a result that nobody used.

--- a/tests/support/crashing_parts.py
+++ b/tests/support/crashing_parts.py
@@ -49,16 +49,15 @@
     sound_answers: list = field(default_factory=list)
     """First tries alone."""
 
-    async def ask(self, number, shared, answers, *, model='m'):
+    async def ask(self, number, shared, answers):
         daemons = [each for each in self.site.daemons if each is not None]
         answer = await self.site.caller().send(
             daemons[number % len(daemons)].entry,
             f'{self.traffic.path}{len(answers)}-{number}',
             body=b'%d' % number,
-            headers=prompt_of(*shared, f'{number:08x}', model=model),
+            headers=prompt_of(*shared, f'{number:08x}'),
         )
         answers.append(answer)
-        return answer
 
     async def ask_bad(self, number):
         """Ask for a bad one, and again if it is not served."""
--- a/tests/support/site.py
+++ b/tests/support/site.py
@@ -147,6 +147,21 @@
             for name in self.daemons
         }
 
+    def wait_for_peer(self, name: str, *, timeout_s: float) -> None:
+        """Return once a daemon knows that another one is ready."""
+        version = self.versions()[name]
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            answer = self.operate(
+                name,
+                'GET',
+                'configuration/wait',
+                params={'version': version},
+            )
+            if len(answer.json()['held']) > 1:
+                return
+        raise AssertionError('the daemons do not know each other')
+
     def control_platform(self, path: str, **faults: Any) -> None:
         """Set what goes wrong at the platform from now on."""
         answer = httpx.post(
--- a/tests/test_processes_serving.py
+++ b/tests/test_processes_serving.py
@@ -1,7 +1,6 @@
 """Model requests through real processes that die, stop and freeze."""
 
 import threading
-import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
@@ -137,7 +136,7 @@
         Its streams go on at another daemon, whose address the caller is
         told; a teacher sees one unbroken itinerary.
         """
-        self.wait_for_peer()
+        self.site.wait_for_peer('a1', timeout_s=WAIT_S)
         request = RunningRequest(self.site, 'a1')
         request.wait_begun()
         self.site.reclaim('a1', 7.0)
@@ -156,24 +155,9 @@
 
         The caller hears no sign of life and goes to another daemon.
         """
-        self.wait_for_peer()
+        self.site.wait_for_peer('a1', timeout_s=WAIT_S)
         request = RunningRequest(self.site, 'a1', work_class='lasting')
         request.wait_begun()
         self.site.daemons['a1'].freeze()
         self.assertEqual(request.answer().text, whole_answer())
         self.site.daemons['a1'].thaw()
-
-    def wait_for_peer(self):
-        """Return once the first daemon knows that the other is ready."""
-        version = self.site.versions()['a1']
-        deadline = time.monotonic() + WAIT_S
-        while time.monotonic() < deadline:
-            answer = self.site.operate(
-                'a1',
-                'GET',
-                'configuration/wait',
-                params={'version': version},
-            )
-            if len(answer.json()['held']) > 1:
-                return
-        raise AssertionError('the daemons do not know each other')
--- a/tests/test_stopping_requests.py
+++ b/tests/test_stopping_requests.py
@@ -58,7 +58,7 @@
         self.pool = ThreadPoolExecutor(max_workers=4)
         self.addCleanup(self.pool.shutdown)
         self.wait_for_endpoints()
-        self.wait_for_peer()
+        self.site.wait_for_peer('a1', timeout_s=TIMEOUT_S)
 
     def wait_for_endpoints(self):
         deadline = time.monotonic() + TIMEOUT_S
@@ -72,21 +72,6 @@
             time.sleep(0.1)
         raise AssertionError('the daemon has no endpoints')
 
-    def wait_for_peer(self):
-        """Return once the daemon knows that the other one is ready."""
-        version = self.site.versions()['a1']
-        deadline = time.monotonic() + TIMEOUT_S
-        while time.monotonic() < deadline:
-            answer = self.site.operate(
-                'a1',
-                'GET',
-                'configuration/wait',
-                params={'version': version},
-            )
-            if len(answer.json()['held']) > 1:
-                return
-        raise AssertionError('the daemons do not know each other')
-
     def call(self, work_class, key, **content):
         return self.client.post(
             '/v1/services/mail/send',
