Review: a stopped stream without a length ends as complete

Case 1 shows that a replica which is emptied (planned work, no other disruption) makes the daemons hand out half a stream as a whole one, if its answers end with their channel: a run that the daemon stopped itself by kv-move with final counts as ended.

--- /dev/null
+++ b/review/standins/replica.py
@@ -0,0 +1,200 @@
+"""Stand-in of a replica, one process for each.
+
+Started as `replica.py ID PORT LOG OPTIONS`, with OPTIONS in JSON:
+`unframed` (answers end with their channel), `events`, `gap_s` (time between
+two events), `work_s` (time of a request without a stream).
+"""
+
+import asyncio
+import hashlib
+import json
+import sys
+import time
+from contextlib import suppress
+
+from wire import exchange, read_body, read_head, render
+
+
+def event(request, number):
+    """Return one event of a stream; no other request has the same."""
+    text = hashlib.sha256(f'{request} {number}'.encode()).hexdigest()[:24]
+    return f'id: {number}\ndata: {text}\n\n'.encode()
+
+
+def plain_body(request):
+    """Return the body of an answer that is no stream."""
+    return hashlib.sha256(request.encode()).hexdigest().encode() * 12
+
+
+class Replica:
+    """Serves requests, and logs each that it begins and ends."""
+
+    def __init__(self, id_, log, options):
+        self.id = id_
+        self.log = log
+        self.options = options
+        self.active = 0
+        self.stops = {}
+        """Event that stops the run of a request, by the request's id."""
+        self.made = {}
+        """Events that the run of a request has made."""
+        self.copies = {}
+        """Requests whose memory is held, by the name of the copy."""
+
+    def note(self, what, request, **fields):
+        """Log what happens to a request."""
+        entry = {'at': time.time(), 'replica': self.id, 'what': what}
+        entry |= {'request': request} | fields
+        print(json.dumps(entry), file=self.log, flush=True)
+
+    async def serve(self, reader, writer):
+        """Serve one channel until it ends."""
+        try:
+            while (head := await read_head(reader)) is not None:
+                body = await read_body(reader, head.headers)
+                if not await self.answer(head, body, writer):
+                    return
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, head, body, writer):
+        """Answer one request; return whether the channel stays open."""
+        if head.path == '/healthz':
+            headers = {'X-Replica-Id': self.id, 'Content-Length': '0'}
+            writer.write(render('HTTP/1.1 200 OK', headers))
+            return True
+        if head.path == '/api/report':
+            report = {'phase': 'unified', 'queuedRequests': 0}
+            report['activeRequests'] = self.active
+            data = json.dumps(report).encode()
+            headers = {'Content-Type': 'application/json'}
+            headers['Content-Length'] = str(len(data))
+            writer.write(render('HTTP/1.1 200 OK', headers, data))
+            return True
+        if head.path == '/api/kv-move':
+            await self.move(json.loads(body), writer)
+            return True
+        if head.path == '/standin/copy':
+            self.copies |= json.loads(body)
+            writer.write(render('HTTP/1.1 200 OK', {'Content-Length': '0'}))
+            return True
+        if head.path.startswith('/api/'):
+            headers = {'Content-Length': '0'}
+            writer.write(render('HTTP/1.1 404 Not Found', headers))
+            return True
+        request = head.headers.get('x-attempt-id', '')
+        expected = head.headers.get('x-expected-replica', self.id)
+        if expected != self.id:
+            headers = {'X-Replica-Id': self.id, 'Content-Length': '0'}
+            writer.write(render('HTTP/1.1 421 Misdirected', headers))
+            return True
+        source = head.headers.get('kv-from')
+        if source is not None:
+            handle = source.rpartition('/')[2]
+            if self.copies.pop(handle, None) != request:
+                headers = {'X-Not-Executed': '1', 'Content-Length': '0'}
+                writer.write(render('HTTP/1.1 503 No Copy', headers))
+                return True
+        return await self.run(head, request, writer)
+
+    async def move(self, body, writer):
+        """Copy a run's memory to another replica; `final` stops it first."""
+        request, status, answer = body['id'], 404, {}
+        if request in self.stops:
+            if body.get('final'):
+                self.note('stop', request, events=self.made[request])
+                self.stops[request].set()
+            await asyncio.sleep(0.02)
+            handle = f'kv-{request}-{self.made[request]}'
+            copy = json.dumps({handle: request}).encode()
+            await exchange(body['to'], 'POST', '/standin/copy', {}, copy)
+            answer['kvHandle'] = handle
+            answer['createdRevision'] = self.made[request]
+            status = 200
+        data = json.dumps(answer).encode()
+        headers = {'Content-Length': str(len(data))}
+        writer.write(render(f'HTTP/1.1 {status} X', headers, data))
+
+    async def run(self, head, request, writer):
+        """Run a request; return whether the channel stays open."""
+        self.active += 1
+        first = int(head.headers.get('last-event-id', 0)) + 1
+        self.note('run', request, path=head.path, first=first)
+        try:
+            if 'x-model' in head.headers:
+                return await self.stream(request, first, writer)
+            return await self.work(request, writer)
+        finally:
+            self.active -= 1
+
+    def head(self, request, **fields):
+        """Return the headers of an answer."""
+        signature = hashlib.sha256(f'{self.id} {request}'.encode())
+        return {
+            'X-Attempt-Id': request,
+            'X-Replica-Signature': signature.hexdigest()[:20],
+            **fields,
+        }
+
+    async def work(self, request, writer):
+        """Answer a request that is no stream."""
+        await asyncio.sleep(self.options.get('work_s', 0.03))
+        body = plain_body(request)
+        fields = {'Content-Length': str(len(body))}
+        writer.write(
+            render('HTTP/1.1 200 OK', self.head(request, **fields), body)
+        )
+        await writer.drain()
+        self.note('end', request)
+        return True
+
+    async def stream(self, request, first, writer):
+        """Answer with a stream, unless a move stops the run."""
+        framed = not self.options.get('unframed')
+        headers = self.head(request)
+        headers['Content-Type'] = 'text/event-stream'
+        headers['X-Weight-Versions'] = '1'
+        if framed:
+            headers['Transfer-Encoding'] = 'chunked'
+        writer.write(render('HTTP/1.1 200 OK', headers))
+        stop = self.stops[request] = asyncio.Event()
+        self.made[request] = first - 1
+        for number in range(first, self.options['events'] + 1):
+            with suppress(TimeoutError):
+                await asyncio.wait_for(stop.wait(), self.options['gap_s'])
+            if stop.is_set():
+                # The stream is closed without its end.
+                del self.stops[request]
+                return False
+            data = event(request, number)
+            if framed:
+                data = b'%x\r\n%s\r\n' % (len(data), data)
+            writer.write(data)
+            await writer.drain()
+            self.made[request] = number
+        del self.stops[request]
+        if framed:
+            writer.write(b'0\r\n\r\n')
+            await writer.drain()
+        self.note('end', request)
+        return framed
+
+
+async def main(id_, port, log, options):
+    """Serve until the process is ended."""
+    with open(log, 'a') as file:  # noqa: ASYNC230
+        replica = Replica(id_, file, options)
+        server = await asyncio.start_server(replica.serve, '127.0.0.1', port)
+        async with server:
+            print('listening', flush=True)
+            await server.serve_forever()
+
+
+if __name__ == '__main__':
+    asyncio.run(
+        main(
+            sys.argv[1], int(sys.argv[2]), sys.argv[3], json.loads(sys.argv[4])
+        )
+    )
