Review: case 1 runs on stand-ins that other cases share

The case is the same: a replica that is emptied, answers that end with their channel, and streams that end as complete in the middle.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,10 @@
 #!/bin/sh
-# Plays the case; see claim.txt. Exits with 1 if the rule was broken.
-set -u
-cd "$(dirname "$0")/../.."
-exec python3 review/1/case.py
+# Plays the case, see claim.txt: 1 if the rule was broken, 0 if it held, 2 if
+# the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+timeout -k 2 115 python3 review/1/case.py
+case $? in
+10) exit 1 ;;
+0) exit 0 ;;
+*) exit 2 ;;
+esac
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -16,6 +17,10 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 STANDINS = ROOT / 'review' / 'standins'
 HOST = '127.0.0.1'
+PORTS = 20_000, 32_000
+HELD, NOT_RUN, BROKEN = 0, 2, 10
+"""Exit statuses of a case's program; run.sh makes 1 of `BROKEN`. A program
+that ends with a traceback has status 1 itself."""
 ZONES = ('vasteras-a', 'eskilstuna-b', 'orebro-c')
 PLACEHOLDER = re.compile(r'\{\{([^#/^}][^}]*)\}\}')
 SECTION = re.compile(r'\{\{#([\w.]+)\}\}\n?(.*?)\{\{/\1\}\}\n?', re.DOTALL)
@@ -26,11 +31,20 @@
 
 
 def free_ports(count):
-    """Return ports that nothing listens on at the moment."""
-    opened = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in opened]
-    for each in opened:
-        each.close()
+    """Return ports that nothing listens on at the moment.
+
+    They are below those that the kernel gives to outgoing channels.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*PORTS)
+        with socket.socket() as opened:
+            try:
+                opened.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -244,6 +258,23 @@
         text = self.replicas[id_].events_log.read_text()
         return [json.loads(line) for line in text.splitlines()]
 
+    def say_replica_logs(self):
+        """Write what the replicas ran to the record."""
+        for id_ in self.replicas:
+            for entry in self.events_of(id_):
+                more = [
+                    f'{name}={entry[name]}'
+                    for name in ('first', 'events')
+                    if name in entry
+                ]
+                at = entry['at'] - self.began_at
+                what = entry['what']
+                print(
+                    f'{at:8.3f} s  {id_} {what} {entry["request"]}',
+                    *more,
+                    file=self.record,
+                )
+
     def close(self):
         """End all processes that were started, by their ids."""
         for process in reversed(self.processes):
@@ -255,6 +286,22 @@
         self.temporary.cleanup()
 
 
+def run_case(folder, play):
+    """Play a case; return `BROKEN`, `HELD` or `NOT_RUN`.
+
+    `play` sets it up, plays it and returns one of these.
+    """
+    case = Case(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    try:
+        return play(case)
+    except Exception as error:  # whatever it is, it is no broken rule
+        case.say(f'cannot run: {type(error).__name__} {error}')
+        return NOT_RUN
+    finally:
+        case.close()
+
+
 def node_fields(*, name, zone, ports, seeds, store, cloud):
     """Return the settings of a small deployment, as DEPLOY.md lists them."""
     entry, peers, discovery, readiness, tunnels, _ = ports
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -2,7 +2,9 @@
 
 Started as `replica.py ID PORT LOG OPTIONS`, with OPTIONS in JSON:
 `unframed` (answers end with their channel), `events`, `gap_s` (time between
-two events), `work_s` (time of a request without a stream).
+two events), `work_s` (time of a request without a stream), `stray_every`
+(so many requests on used channels until bytes that belong to no request come
+behind an answer, when the next one is due).
 """
 
 import asyncio
@@ -14,6 +16,9 @@
 
 from wire import exchange, read_body, read_head, render
 
+STRAY = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+"""Bytes behind a complete answer; they belong to no request."""
+
 
 def event(request, number):
     """Return one event of a stream; no other request has the same."""
@@ -34,6 +39,8 @@
         self.log = log
         self.options = options
         self.active = 0
+        self.requests = 0
+        """Requests on channels that had carried one before."""
         self.stops = {}
         """Event that stops the run of a request, by the request's id."""
         self.made = {}
@@ -47,11 +54,23 @@
         entry |= {'request': request} | fields
         print(json.dumps(entry), file=self.log, flush=True)
 
+    def is_stray_due(self):
+        """Whether stray bytes come in front of the next answer."""
+        every = self.options.get('stray_every', 0)
+        self.requests += 1
+        return every and self.requests % every == 0
+
     async def serve(self, reader, writer):
         """Serve one channel until it ends."""
         try:
+            answered = 0
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head.headers)
+                if answered and self.is_stray_due():
+                    # Bytes behind the answer before, which come late.
+                    self.note('stray', head.headers.get('x-attempt-id', ''))
+                    writer.write(STRAY)
+                answered += 1
                 if not await self.answer(head, body, writer):
                     return
         except (OSError, asyncio.IncompleteReadError):
