--- a/review/2/case.py
+++ b/review/2/case.py
@@ -101,8 +101,9 @@
 
 async def replace(case, old, new):
     """Start a replica of the next version, and take an old one away."""
-    case.start_replica(new, 'llm', ZONES[0], events=EVENTS, gap_s=GAP_S)
-    case.list_replica(new, version='v2')
+    case.start_replica(
+        new, 'llm', ZONES[0], version='v2', events=EVENTS, gap_s=GAP_S
+    )
     await asyncio.sleep(0.3)
     case.say(f'{new} (v2) stands for {old} (v1), whose entry is removed')
     case.put('servers', old, None)
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -182,7 +182,7 @@
             'service': service,
             'address': f'{HOST}:{port}',
             'zone': zone,
-            'version': 'v1',
+            'version': options.get('version', 'v1'),
             'slots': options.get('slots', 8),
             'state': 'ready',
             'coldRemainingMs': 0,
