--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -18,6 +18,8 @@
 STANDINS = ROOT / 'review' / 'standins'
 HOST = '127.0.0.1'
 PORTS = 20_000, 32_000
+GIVEN = set()
+"""Ports that were given to a process."""
 HELD, NOT_RUN, BROKEN = 0, 2, 10
 """Exit statuses of a case's program; run.sh makes 1 of `BROKEN`. A program
 that ends with a traceback has status 1 itself."""
@@ -33,7 +35,8 @@
 def free_ports(count):
     """Return ports that nothing listens on at the moment.
 
-    They are below those that the kernel gives to outgoing channels.
+    They are below those that the kernel gives to outgoing channels, and none
+    is given twice: what it was given to may not listen yet.
     """
     ports = []
     while len(ports) < count:
@@ -43,7 +46,8 @@
                 opened.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in GIVEN:
+            GIVEN.add(port)
             ports.append(port)
     return ports
 
