--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -2,9 +2,10 @@
 
 Started as `replica.py ID PORT LOG OPTIONS`, with OPTIONS in JSON:
 `unframed` (answers end with their channel), `events`, `gap_s` (time between
-two events), `work_s` (time of a request without a stream), `stray_every`
-(so many requests on used channels until bytes that belong to no request come
-behind an answer, when the next one is due).
+two events), `short_prefix` (streams below it have five events), `work_s` (time
+of a request without a stream), `stray_every` (so many requests on used
+channels until bytes that belong to no request come behind an answer, when the
+next one is due), `version`, `slots`.
 """
 
 import asyncio
@@ -16,6 +17,8 @@
 
 from wire import exchange, read_body, read_head, render
 
+SHORT_EVENTS = 5
+"""Events of a stream below `short_prefix`, as trip-question has them."""
 STRAY = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 """Bytes behind a complete answer; they belong to no request."""
 
@@ -143,7 +146,7 @@
         self.note('run', request, path=head.path, first=first)
         try:
             if 'x-model' in head.headers:
-                return await self.stream(request, first, writer)
+                return await self.stream(request, head.path, first, writer)
             return await self.work(request, writer)
         finally:
             self.active -= 1
@@ -169,7 +172,14 @@
         self.note('end', request)
         return True
 
-    async def stream(self, request, first, writer):
+    def count_events(self, path):
+        """Return how many events the stream of a path has."""
+        short = self.options.get('short_prefix')
+        if short is not None and path.startswith(short):
+            return SHORT_EVENTS
+        return self.options['events']
+
+    async def stream(self, request, path, first, writer):
         """Answer with a stream, unless a move stops the run."""
         framed = not self.options.get('unframed')
         headers = self.head(request)
@@ -180,7 +190,7 @@
         writer.write(render('HTTP/1.1 200 OK', headers))
         stop = self.stops[request] = asyncio.Event()
         self.made[request] = first - 1
-        for number in range(first, self.options['events'] + 1):
+        for number in range(first, self.count_events(path) + 1):
             with suppress(TimeoutError):
                 await asyncio.wait_for(stop.wait(), self.options['gap_s'])
             if stop.is_set():
