--- a/review/1/case.py
+++ b/review/1/case.py
@@ -31,7 +31,7 @@
     if case.has_trouble:
         leaving = busiest(case)
         case.say(f'{leaving} reports draining')
-        case.list_replica(leaving, state='draining', sequence=2)
+        case.empty_replica(leaving)
         await asyncio.sleep(3.0)
         case.say(f'{leaving} exits')
         case.replicas[leaving].terminate()
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,9 @@
 """
 
 import asyncio
+import json
 import pathlib
+import random
 import sys
 import time
 
@@ -41,6 +43,7 @@
         self.events = {}
         """Number of events by the attempt that brought them."""
         self.is_complete = False
+        self.addresses = [each.entry for each in case.daemons]
 
     async def run(self):
         """Ask for the stream, and take it up again if it breaks off."""
@@ -50,16 +53,38 @@
         while not self.is_complete and self.events:
             if time.monotonic() > until:
                 return
-            wait_s = float(answer.headers.get('retry-after', 0.2))
+            wait_s = float(answer.headers.get('retry-after', 0.0))
             await asyncio.sleep(min(wait_s, 5.0))
-            tries += 1
-            if self.case.daemons:
+            if await self.resolve():
+                tries += 1
                 answer = await self.ask(f'{self.id}{tries:02x}', until)
+            else:
+                await asyncio.sleep(0.2)
+
+    async def resolve(self):
+        """Ask the daemons where to connect; return whether one says so.
+
+        All addresses of the answer before have failed by then.
+        """
+        for daemon in self.case.daemons:
+            answer = await exchange(
+                daemon.directory,
+                'GET',
+                '/api/resolution?name=site.example'
+                f'&region=malardalen&zone={ZONES[0]}',
+                {'Host': 'site.example'},
+                wait_s=1.0,
+            )
+            if answer.status == 200 and answer.is_complete:
+                self.addresses = json.loads(answer.body).get('addresses', [])
+                if self.addresses:
+                    return True
+        return False
 
     async def ask(self, request, until):
         """Make one attempt; it goes on behind the last whole event."""
-        case, daemons = self.case, self.case.daemons
-        daemon = daemons[(self.number + len(request)) % len(daemons)]
+        case = self.case
+        address = random.choice(self.addresses)
         left_s = until - time.monotonic()
         behind = sum(self.events.values())
         headers = {
@@ -76,7 +101,7 @@
             headers['Resumes'] = next(iter(self.events))
         path = f'/question/{self.number}'
         answer = await exchange(
-            daemon.entry, 'POST', path, headers, b'{}', wait_s=left_s
+            address, 'POST', path, headers, b'{}', wait_s=left_s
         )
         got = answer.body.count(b'\n\n') if answer.status == 200 else 0
         expected = b''.join(
@@ -102,11 +127,17 @@
 async def replace(case, old, new):
     """Start a replica of the next version, and take an old one away."""
     case.start_replica(
-        new, 'llm', ZONES[0], version='v2', events=EVENTS, gap_s=GAP_S
+        new,
+        'llm',
+        ZONES[0],
+        version='v2',
+        slots=64,
+        events=EVENTS,
+        gap_s=GAP_S,
     )
     await asyncio.sleep(0.3)
     case.say(f'{new} (v2) stands for {old} (v1), whose entry is removed')
-    case.put('servers', old, None)
+    case.empty_replica(old, reports=False)
 
 
 async def release_and_kill(case):
@@ -154,7 +185,12 @@
     case.start_platform()
     for number in (1, 2):
         case.start_replica(
-            f'i-000{number}', 'llm', ZONES[1], events=EVENTS, gap_s=GAP_S
+            f'i-000{number}',
+            'llm',
+            ZONES[1],
+            slots=64,
+            events=EVENTS,
+            gap_s=GAP_S,
         )
     case.put_config()
     case.start_daemons(3)
--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -187,7 +187,7 @@
             'address': f'{HOST}:{port}',
             'zone': zone,
             'version': options.get('version', 'v1'),
-            'slots': options.get('slots', 8),
+            'slots': options.get('slots', 6),
             'state': 'ready',
             'coldRemainingMs': 0,
             'sequence': 1,
@@ -201,6 +201,17 @@
         self.replicas[id_].entry |= fields
         self.put('servers', id_, self.replicas[id_].entry)
 
+    def empty_replica(self, id_, *, reports=True):
+        """Have a replica leave: it says so, and its entry is changed.
+
+        One that never reports `draining` loses its entry.
+        """
+        self.replicas[id_].send_signal(signal.SIGUSR1)
+        if reports:
+            self.list_replica(id_, state='draining', sequence=2)
+        else:
+            self.put('servers', id_, None)
+
     def launch_daemon(self, number, *, store=None, ports=None):
         """Start a daemon by the deploy file's command, without waiting."""
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
@@ -238,6 +249,7 @@
         )
         process.entry = f'{HOST}:{ports[0]}'
         process.peers = peers
+        process.directory = f'{HOST}:{ports[2]}'
         process.readiness = f'{HOST}:{ports[3]}'
         process.settings, process.ports = settings, ports
         process.number = number
@@ -394,7 +406,7 @@
     for route in routes:
         route |= {'host': 'site.example', 'priority': 0, 'anonymous': False}
     engine = {
-        'slots': 8,
+        'slots': 64,
         'kvCapacity': 909650,
         'kvTokenBytes': 35136,
         'linkMbps': 350000.0,
--- a/review/standins/platform_site.py
+++ b/review/standins/platform_site.py
@@ -15,6 +15,10 @@
 from wire import read_body, read_head, render
 
 HISTORY_S = 20.0
+ERA = {'Store-Era': '1'}
+"""Header of all answers of the store; this one never goes back."""
+PROTECTED = ('op', 'servers')
+"""Tables that the system may not write to."""
 
 
 class Store:
@@ -98,6 +102,9 @@
         def name_of(row):
             return row['tableName'], row.get('part', ''), row['key']
 
+        changed = [*body.get('write', []), *body.get('delete', [])]
+        if any(row['tableName'] in PROTECTED for row in changed):
+            return 403, {}
         failed = False
         for row in body.get('expectedRevision', []):
             value, version = self.rows.get(name_of(row), (None, 0))
@@ -128,13 +135,13 @@
 
     async def serve_store(self, reader, writer):
         """Serve a channel of the store."""
-        await self.serve(reader, writer, self.answer_store)
+        await self.serve(reader, writer, self.answer_store, ERA)
 
     async def serve_cloud(self, reader, writer):
         """Serve a channel of the cloud API."""
         await self.serve(reader, writer, self.answer_cloud)
 
-    async def serve(self, reader, writer, handler):
+    async def serve(self, reader, writer, handler, more=None):
         """Serve one channel until it ends."""
         try:
             while (head := await read_head(reader)) is not None:
@@ -144,6 +151,7 @@
                 headers = {
                     'Content-Type': 'application/json',
                     'Content-Length': str(len(data)),
+                    **(more or {}),
                 }
                 writer.write(render(f'HTTP/1.1 {status} X', headers, data))
                 await writer.drain()
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -5,18 +5,24 @@
 two events), `short_prefix` (streams below it have five events), `work_s` (time
 of a request without a stream), `stray_every` (so many requests on used
 channels until bytes that belong to no request come behind an answer, when the
-next one is due), `version`, `slots`.
+next one is due), `version`, `slots`. It runs as many requests at once as it
+has slots, and queues as many more.
+
+SIGUSR1 tells it that it leaves: from then on it says so in all its answers,
+is ill by its liveness check, and closes each channel behind an answer.
 """
 
 import asyncio
 import hashlib
 import json
+import signal
 import sys
 import time
 from contextlib import suppress
 
 from wire import exchange, read_body, read_head, render
 
+DEFAULT_SLOTS = 6
 SHORT_EVENTS = 5
 """Events of a stream below `short_prefix`, as trip-question has them."""
 STRAY = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
@@ -42,6 +48,9 @@
         self.log = log
         self.options = options
         self.active = 0
+        self.is_leaving = False
+        self.slots = options.get('slots', DEFAULT_SLOTS)
+        self.free_slots = asyncio.Semaphore(self.slots)
         self.requests = 0
         """Requests on channels that had carried one before."""
         self.stops = {}
@@ -84,42 +93,70 @@
     async def answer(self, head, body, writer):
         """Answer one request; return whether the channel stays open."""
         if head.path == '/healthz':
-            headers = {'X-Replica-Id': self.id, 'Content-Length': '0'}
-            writer.write(render('HTTP/1.1 200 OK', headers))
-            return True
+            headers = {'X-Replica-Id': self.id}
+            status = '503 Leaving' if self.is_leaving else '200 OK'
+            return self.reply(writer, status, headers)
         if head.path == '/api/report':
             report = {'phase': 'unified', 'queuedRequests': 0}
             report['activeRequests'] = self.active
-            data = json.dumps(report).encode()
+            report['state'] = 'draining' if self.is_leaving else 'ready'
             headers = {'Content-Type': 'application/json'}
-            headers['Content-Length'] = str(len(data))
-            writer.write(render('HTTP/1.1 200 OK', headers, data))
-            return True
-        if head.path == '/api/kv-move':
-            await self.move(json.loads(body), writer)
-            return True
-        if head.path == '/standin/copy':
-            self.copies |= json.loads(body)
-            writer.write(render('HTTP/1.1 200 OK', {'Content-Length': '0'}))
-            return True
-        if head.path.startswith('/api/'):
-            headers = {'Content-Length': '0'}
-            writer.write(render('HTTP/1.1 404 Not Found', headers))
-            return True
+            data = json.dumps(report).encode()
+            return self.reply(writer, '200 OK', headers, data)
+        if head.path.startswith(('/api/', '/standin/')):
+            return await self.answer_call(head, body, writer)
         request = head.headers.get('x-attempt-id', '')
         expected = head.headers.get('x-expected-replica', self.id)
         if expected != self.id:
-            headers = {'X-Replica-Id': self.id, 'Content-Length': '0'}
-            writer.write(render('HTTP/1.1 421 Misdirected', headers))
-            return True
+            headers = {'X-Replica-Id': self.id}
+            return self.reply(writer, '421 Misdirected Request', headers)
         source = head.headers.get('kv-from')
         if source is not None:
             handle = source.rpartition('/')[2]
             if self.copies.pop(handle, None) != request:
-                headers = {'X-Not-Executed': '1', 'Content-Length': '0'}
-                writer.write(render('HTTP/1.1 503 No Copy', headers))
-                return True
-        return await self.run(head, request, writer)
+                return self.turn_down(writer)
+        elif self.active >= 2 * self.slots:
+            return self.turn_down(writer)
+        self.active += 1
+        try:
+            async with self.free_slots:
+                return await self.run(head, request, writer)
+        finally:
+            self.active -= 1
+
+    async def answer_call(self, head, body, writer):
+        """Answer a call about moves; return as `reply`."""
+        if head.path == '/api/kv-move':
+            return await self.move(json.loads(body), writer)
+        if head.path.startswith('/api/kv-handle/'):
+            self.copies.pop(head.path.rpartition('/')[2], None)
+            return self.reply(writer, '200 OK')
+        if head.path == '/standin/copy':
+            self.copies |= json.loads(body)
+            return self.reply(writer, '200 OK')
+        return self.reply(writer, '404 Not Found')
+
+    def reply(self, writer, status, headers=None, data=b''):
+        """Send a whole answer; return whether the channel stays open."""
+        headers = {**(headers or {}), **self.words()}
+        headers['Content-Length'] = str(len(data))
+        writer.write(render(f'HTTP/1.1 {status}', headers, data))
+        return not self.is_leaving
+
+    def turn_down(self, writer):
+        """Answer that a request has not run; return as `reply`."""
+        headers = {'X-Not-Executed': '1'}
+        return self.reply(writer, '503 Service Unavailable', headers)
+
+    def words(self):
+        """Return what it says of itself in each answer."""
+        if not self.is_leaving:
+            return {}
+        return {'Server-Leaving': '1', 'Connection': 'close'}
+
+    def leave(self):
+        """Begin to leave."""
+        self.is_leaving = True
 
     async def move(self, body, writer):
         """Copy a run's memory to another replica; `final` stops it first."""
@@ -136,8 +173,8 @@
             answer['createdRevision'] = self.made[request]
             status = 200
         data = json.dumps(answer).encode()
-        headers = {'Content-Length': str(len(data))}
-        writer.write(render(f'HTTP/1.1 {status} X', headers, data))
+        status = {200: '200 OK', 404: '404 Not Found'}[status]
+        return self.reply(writer, status, data=data)
 
     async def run(self, head, request, writer):
         """Run a request; return whether the channel stays open."""
@@ -157,6 +194,7 @@
         return {
             'X-Attempt-Id': request,
             'X-Replica-Signature': signature.hexdigest()[:20],
+            **self.words(),
             **fields,
         }
 
@@ -170,7 +208,7 @@
         )
         await writer.drain()
         self.note('end', request)
-        return True
+        return not self.is_leaving
 
     def count_events(self, path):
         """Return how many events the stream of a path has."""
@@ -208,13 +246,15 @@
             writer.write(b'0\r\n\r\n')
             await writer.drain()
         self.note('end', request)
-        return framed
+        return framed and not self.is_leaving
 
 
 async def main(id_, port, log, options):
     """Serve until the process is ended."""
     with open(log, 'a') as file:  # noqa: ASYNC230
         replica = Replica(id_, file, options)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGUSR1, replica.leave)
         server = await asyncio.start_server(replica.serve, '127.0.0.1', port)
         async with server:
             print('listening', flush=True)
