A run that is stopped for a move does not end its answer

Cause: an answer with neither a length nor chunks ends with its connection.

Change: gateway/answers/ decides in one place, for all ways on, whether an answer that has ended is whole. A run that was ordered to stop may have stopped, also where the order's answer was lost, until an answer says that it ran on; the end waits for an order that is under way. The stream then goes on from its copy, where nothing follows if the run had ended by itself. The relay moves into the same package. `answer_end_unproven` and `mimosamux_gateway_unproven_ends_total` show the cases.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -16,18 +16,17 @@
     Delivered,
     GatewayOutcome,
 )
+from mimosamux_daemon.gateway.answers.answer_ends import find_cut
 from mimosamux_daemon.gateway.attempts import Attempt
 from mimosamux_daemon.gateway.events import EventSplitter
 from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.streams.running_stream import RunningStream
 from mimosamux_daemon.ports.endpoint_calls import CallBroken, EndpointAnswer
 
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Maximum size of a buffered answer. A longer one is relayed as it arrives,
 and cannot be requested elsewhere if it breaks off."""
 
-ENDED_WITH_PROCESS = CallBroken(reason='its process ended with its connection')
-"""Result of a call whose answer, by all that came, could be whole."""
-
 ResultT = TypeVar('ResultT')
 
 
@@ -84,9 +83,8 @@
         if isinstance(part, CallBroken | NoAnswer):
             return part
         if part is None:
-            if await failover_wait.attempt.has_ended_with_endpoint():
-                return ENDED_WITH_PROCESS
-            return CompleteAnswer(answer=answer, body=bytes(body))
+            cut = await find_cut(failover_wait.attempt)
+            return cut or CompleteAnswer(answer=answer, body=bytes(body))
         body += part
         if len(body) > MAX_BUFFERED_BYTES:
             return await _relay_long(
@@ -100,8 +98,8 @@
     is_sent = await job.sink.start(answer.status, answer.headers, buffered)
     while is_sent:
         part = await answer.receive()
-        if part is None and await attempt.has_ended_with_endpoint():
-            part = ENDED_WITH_PROCESS
+        if part is None:
+            part = await find_cut(attempt)
         if isinstance(part, CallBroken):
             return AnswerTruncated(reason=part.reason)
         if part is None:
@@ -123,10 +121,11 @@
 async def relay_events(
     job: Job,
     answer: EndpointAnswer,
-    attempt: Attempt,
+    stream: RunningStream,
     failover_wait: FailoverWait,
 ) -> GatewayOutcome | CallBroken | NoAnswer:
     """Relay complete events as they arrive."""
+    attempt = failover_wait.attempt
     splitter = EventSplitter()
     job.weights_version = answer.weights_version
     while True:
@@ -153,7 +152,7 @@
             )
         if not is_sent:
             return CallerGone()
-    broken = await _find_break(splitter, job, attempt)
+    broken = await _find_break(splitter, job, attempt, stream)
     if broken is not None:
         return broken
     attempt.note_stream_end()
@@ -162,11 +161,12 @@
 
 
 async def _find_break(
-    splitter: EventSplitter, job: Job, attempt: Attempt
+    splitter: EventSplitter,
+    job: Job,
+    attempt: Attempt,
+    stream: RunningStream,
 ) -> CallBroken | None:
     """Return why a stream that has ended is not whole, None if it is."""
     if splitter.has_partial or not job.sink.is_started:
         return CallBroken(reason='ended within an event')
-    if await attempt.has_ended_with_endpoint():
-        return ENDED_WITH_PROCESS
-    return None
+    return await find_cut(attempt, stream)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -217,15 +217,10 @@
             suspects, self.choice.record
         )
 
-    async def has_ended_with_endpoint(self) -> bool:
-        """Whether an answer that has ended was cut by the endpoint's crash.
-
-        What ends with its connection looks whole where a process ends.
-        """
+    async def is_process_seen(self) -> bool:
+        """Whether the endpoint's process is seen to run now."""
         detector = self.recorder.crash_detector
-        return self.ends_with_connection and await detector.has_ended(
-            self.choice.record
-        )
+        return await detector.is_seen(self.choice.record)
 
     def note_whole_run(self) -> None:
         """Record that the request ran from start to end at this endpoint."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -91,14 +91,14 @@
             self._has_work.set()
         self._contents_by_record[record].update(contents)
 
-    async def has_ended(self, record: EndpointRecord) -> bool:
-        """Whether an endpoint was not expected to end, and has."""
+    async def is_seen(self, record: EndpointRecord) -> bool:
+        """Whether an endpoint was expected to end, or has not."""
         if not record.accepts_requests:
-            return False
+            return True
         with anyio.move_on_after(END_CHECK_TIMEOUT_S):
             process_state = await self.calls.check_process(record.listed)
-            return process_state is ProcessState.ENDED
-        return False
+            return process_state is not ProcessState.ENDED
+        return True
 
     def note_whole_run(
         self,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -32,7 +32,7 @@
     Placement,
     Unplaced,
 )
-from mimosamux_daemon.gateway.answer_relay import (
+from mimosamux_daemon.gateway.answers.answer_relay import (
     CompleteAnswer,
     FailoverWait,
     NoAnswer,
@@ -426,7 +426,7 @@
             tokens=0 if prompt is None else prompt.tokens,
         )
         with self.evacuation.tracking(stream):
-            ended = await relay_events(job, answer, attempt, failover_wait)
+            ended = await relay_events(job, answer, stream, failover_wait)
         if isinstance(ended, NoAnswer):
             return ContinueElsewhere()
         if not isinstance(ended, CallBroken):
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -48,6 +48,11 @@
             'Software versions of endpoints that serve or served until '
             'recently, by service.',
         )
+        self.unproven_ends = self._counter(
+            'mimosamux_gateway_unproven_ends_total',
+            'Answers without a length whose end is not known to be that of '
+            'the answer, by service and cause (stopped, process).',
+        )
         self.endpoint_crashes = self._counter(
             'mimosamux_gateway_endpoint_crashes_total',
             'Endpoints that ended unannounced under requests, by service.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/running_stream.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/running_stream.py
@@ -36,6 +36,8 @@
     """Latest copy from which it could continue elsewhere."""
     is_stopped: bool = False
     """Whether its run has stopped at its endpoint for a move."""
+    is_stop_possible: bool = False
+    """Whether it was ordered to stop, and is not known to have run on."""
     is_claimed: bool = False
     """Whether it continues elsewhere, from its copy if there is one."""
     ended: anyio.Event = field(default_factory=anyio.Event)
@@ -58,6 +60,16 @@
         """Whether it has a copy at an endpoint that is not leaving."""
         return self.copy is not None and self.copy.holder.accepts_requests
 
+    async def may_have_stopped(self) -> bool:
+        """Whether its run may have stopped for a move.
+
+        It waits for the answer to an order that is under way.
+        """
+        if self.is_stop_possible:
+            async with self.move_lock:
+                pass
+        return self.is_stop_possible
+
     def copy_time_s(self) -> float:
         """Return an upper bound of the time to copy its KV cache."""
         engine = self.engine
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/stream_moves.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/stream_moves.py
@@ -24,6 +24,7 @@
 from mimosamux_daemon.ports.run_moves import (
     CopyOutcome,
     MoveOutcome,
+    NotMoved,
     RunCopied,
     RunKept,
     RunMoved,
@@ -81,6 +82,8 @@
             copy = stream.copy
             if copy is None or stream.is_stopped:
                 return
+            was_stop_possible = stream.is_stop_possible
+            stream.is_stop_possible = True
             outcome = await self.moves.move(
                 stream.record.listed,
                 copy.holder.listed,
@@ -101,6 +104,9 @@
                     kv_source=outcome.kv_source, holder=stream.record
                 )
             stream.is_stopped = isinstance(outcome, RunMoved | RunKept)
+            if isinstance(outcome, NotMoved):
+                # An earlier order without an answer may have stopped it.
+                stream.is_stop_possible = was_stop_possible
         self._record_outcome(stream, copy.holder, outcome)
 
     async def release(self, stream: RunningStream) -> None:
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -183,13 +183,27 @@
             if does_match(connection):
                 connection.silence()
 
-    def kill(self, machine):
-        """Take a machine's listeners and connections away at once."""
+    def kill(self, machine, *, in_order=False):
+        """Take a machine's listeners and connections away at once.
+
+        A kernel resets the connections of a process that ends, or ends them
+        in order where nothing unread lies.
+        """
         for address in list(self.listeners):
             if machine_of(address) == machine:
                 del self.listeners[address]
+        if in_order:
+            self._end_connections(machine)
         self.reset(lambda each: machine in (each.here, each.there))
 
+    def _end_connections(self, machine):
+        ended = [each for each in self.connections if each.here == machine]
+        for connection in ended:
+            connection.other.underway(None)
+            connection.reset()
+            self.connections.remove(connection)
+            self.connections.remove(connection.other)
+
 
 @dataclass(frozen=True, kw_only=True)
 class MachineNetwork:
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -210,10 +210,10 @@
         self.list_replica(heir)
         return heir
 
-    def crash_replica(self, replica):
+    def crash_replica(self, replica, *, in_order=False):
         """End a replica at once; the list shows it for a while."""
         replica.state = 'gone'
-        self.network.kill(machine_of(replica.address))
+        self.network.kill(machine_of(replica.address), in_order=in_order)
         self.scope_by_replica[replica.id].cancel()
 
     def apply_order(self, service, zone, is_reclaimable, count):
@@ -333,10 +333,10 @@
                 await daemon.run()
         handle.ended.set()
 
-    def kill_daemon(self, number):
+    def kill_daemon(self, number, *, in_order=False):
         """End a daemon as SIGKILL does: nothing is said or finished."""
         handle = self.daemons[number]
-        self.network.kill(handle.machine)
+        self.network.kill(handle.machine, in_order=in_order)
         handle.scope.cancel()
 
     def partition_from_endpoints(self, number, partition):
--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -7,7 +7,8 @@
 
 from hypothesis import HealthCheck, Phase, given, settings
 from mimosamux_daemon.domain.outcomes import Refused
-from mimosamux_daemon.gateway import answer_relay, roster
+from mimosamux_daemon.gateway import roster
+from mimosamux_daemon.gateway.answers import answer_relay
 from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.gateway.duties.metering import Metering
 from mimosamux_daemon.gateway.events import CompleteEvents, EventSplitter
--- a/tests/test_gateway_stop_requests.py
+++ b/tests/test_gateway_stop_requests.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.gateway.admission.admission import Admission
-from mimosamux_daemon.gateway.answer_relay import FailoverWait
+from mimosamux_daemon.gateway.answers.answer_relay import FailoverWait
 from mimosamux_daemon.gateway.stopping.answer_times import AnswerTimes
 from mimosamux_daemon.gateway.stopping.graceful_stop import (
     GracefulStop,
--- /dev/null
+++ b/tests/test_gateway_unframed_answers.py
@@ -0,0 +1,119 @@
+"""Answers that have neither a length nor chunks, and end early."""
+
+import unittest
+
+import anyio
+from mimosamux_standins.site import Framing, MoveFault, ReplicaSpeed
+from mimosamux_standins.site.replica import render_event
+
+from tests.support.clock import run_paused
+from tests.support.platform_site import open_site
+from tests.support.prompts import prompt_of
+from tests.test_gateway_evacuation import patient_document
+
+EVENTS = 100
+STREAMS = 24
+SPEED = ReplicaSpeed(events=EVENTS, event_s=0.02)
+PATHS = ('/draft/', '/question/')
+
+
+def open_patient_site(**fields):
+    """Give a site whose questions may take as long as drafts."""
+    return open_site(document=patient_document(), apps=0, **fields)
+
+
+class Answers:
+    """Streams under way, and what their callers get."""
+
+    def __init__(self, site, *, daemons=None):
+        self.site = site
+        self.daemons = daemons or range(len(site.daemons))
+        self.answers_by_path = {path: [] for path in PATHS}
+        for replica in site.replicas_by_id.values():
+            replica.framing = Framing.UNFRAMED
+            replica.speed = SPEED
+
+    async def send(self, number):
+        daemon = self.daemons[number % len(self.daemons)]
+        path = PATHS[number % 2]
+        prompt = prompt_of('5c1e07a2', f'{number:08x}', 'e4402b7d')
+        answer = await self.site.caller(patience_s=15.0).send(
+            self.site.daemons[daemon].entry,
+            f'{path}{number}',
+            body=b'x',
+            headers=prompt,
+        )
+        self.answers_by_path[path].append(answer)
+
+    async def play(self, trouble, *, begun_s=0.7):
+        """Have all streams begin, and bring the trouble about."""
+        async with anyio.create_task_group() as tasks:
+            for number in range(STREAMS):
+                tasks.start_soon(self.send, number)
+            await anyio.sleep(begun_s)
+            await trouble()
+
+    def short(self):
+        """Return the answers that look whole and are not."""
+        return [
+            (each.id, each.body.count(b'\n\n'))
+            for answers in self.answers_by_path.values()
+            for each in answers
+            if each.status == 200
+            and each.is_whole
+            and each.body
+            != b''.join(render_event(each.id, n + 1) for n in range(EVENTS))
+        ]
+
+    def whole(self, path):
+        """Return how many answers on a route are called whole."""
+        return sum(each.is_whole for each in self.answers_by_path[path])
+
+
+def busiest(site):
+    return max(site.replicas_by_id.values(), key=lambda each: len(each.runs))
+
+
+class TestStoppedRun(unittest.TestCase):
+    # Guards against a run stopped for a move whose answer looks ended.
+
+    def play(self, *, faults=(), leaves_ms=None, begun_s=0.7):
+        async def check():
+            async with open_patient_site(engines=4) as site:
+                answers = Answers(site)
+
+                async def leave():
+                    engine = busiest(site)
+                    engine.leaves_ms = leaves_ms
+                    engine.move_faults = list(faults)
+                    site.drain_replica(engine)
+                    await anyio.sleep(6.0)
+
+                await answers.play(leave, begun_s=begun_s)
+                return answers, site.runs()
+
+        answers, runs = run_paused(check)
+        self.assertEqual(answers.short(), [])
+        for path in PATHS:
+            self.assertEqual(answers.whole(path), STREAMS // 2, path)
+        return runs
+
+    def test_streams_of_an_engine_that_drains_go_on_at_others(self):
+        runs = self.play(leaves_ms=900)
+        self.assertGreater(sum(bool(run.kv_source) for run in runs), 0)
+
+    def test_stop_whose_answer_is_lost_is_a_stop(self):
+        for fault in (MoveFault.LOST, MoveFault.SILENT):
+            with self.subTest(fault=fault.name):
+                # The copies come first, and the stops behind them.
+                faults = [MoveFault.NONE] * 6 + [fault] * 6
+                self.play(leaves_ms=1200, faults=faults)
+
+    def test_run_that_ends_beside_its_stop_is_whole_once(self):
+        for leaves_ms in range(1600, 1960, 30):
+            with self.subTest(leaves_ms=leaves_ms):
+                self.play(leaves_ms=leaves_ms)
+
+
+if __name__ == '__main__':
+    unittest.main()
