--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -193,10 +193,11 @@
             if machine_of(address) == machine:
                 del self.listeners[address]
         if in_order:
-            self._end_connections(machine)
+            self.end_connections(machine)
         self.reset(lambda each: machine in (each.here, each.there))
 
-    def _end_connections(self, machine):
+    def end_connections(self, machine):
+        """End the connections of a machine in order, from its side."""
         ended = [each for each in self.connections if each.here == machine]
         for connection in ended:
             connection.other.underway(None)
--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -33,6 +33,8 @@
 STORE = '10.200.0.1:8361'
 CLOUD = '10.200.0.2:8361'
 WALL_START = 1_790_000_000.0
+EXIT_S = 0.01
+"""Time that a process which is killed takes to end."""
 
 
 class Partition(Enum):
@@ -213,7 +215,20 @@
     def crash_replica(self, replica, *, in_order=False):
         """End a replica at once; the list shows it for a while."""
         replica.state = 'gone'
-        self.network.kill(machine_of(replica.address), in_order=in_order)
+        if in_order:
+            self.network.end_connections(machine_of(replica.address))
+            self.tasks.start_soon(self._end_late, replica)
+            return
+        self.network.kill(machine_of(replica.address))
+        self.scope_by_replica[replica.id].cancel()
+
+    async def _end_late(self, replica):
+        """End what accepts connections, behind those that it had.
+
+        A kernel closes what a process has opened last before the rest.
+        """
+        await anyio.sleep(EXIT_S)
+        self.network.kill(machine_of(replica.address))
         self.scope_by_replica[replica.id].cancel()
 
     def apply_order(self, service, zone, is_reclaimable, count):
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -1,6 +1,7 @@
 """Answers that have neither a length nor chunks, and end early."""
 
 import unittest
+from functools import partial
 
 import anyio
 from mimosamux_standins.site import Framing, MoveFault, ReplicaSpeed
@@ -74,6 +75,57 @@
     return max(site.replicas_by_id.values(), key=lambda each: len(each.runs))
 
 
+async def leave_and_crash(site, *, behind_s, is_announced=True):
+    """Have an engine leave, and end its process a while behind that."""
+    engine = busiest(site)
+    if is_announced:
+        site.drain_replica(engine)
+    else:
+        site.unlist_replica(engine)
+    await anyio.sleep(behind_s)
+    site.crash_replica(engine, in_order=True)
+
+
+class TestEndOfAnEndpoint(unittest.TestCase):
+    # Guards against the end of a process that looks like that of an answer.
+
+    def play(self, trouble, *, engines=4):
+        async def check():
+            async with open_patient_site(engines=engines) as site:
+                answers = Answers(site)
+                await answers.play(partial(trouble, site))
+                return answers
+
+        answers = run_paused(check)
+        self.assertEqual(answers.short(), [])
+        return answers
+
+    def test_crash_of_an_endpoint_that_leaves(self):
+        for behind_s in (0.1, 0.5, 1.3):
+            with self.subTest(behind_s=behind_s):
+                answers = self.play(
+                    partial(leave_and_crash, behind_s=behind_s)
+                )
+                self.assertEqual(answers.whole('/question/'), STREAMS // 2)
+
+    def test_crash_of_an_endpoint_without_an_entry(self):
+        answers = self.play(
+            partial(leave_and_crash, behind_s=0.5, is_announced=False)
+        )
+        self.assertEqual(answers.whole('/question/'), STREAMS // 2)
+
+    def test_end_of_a_vm_that_answers_nothing_afterwards(self):
+        async def vanish(site):
+            engine = busiest(site)
+            site.drain_replica(engine)
+            await anyio.sleep(0.5)
+            site.crash_replica(engine, in_order=True)
+            site.network.dark.add(engine.address.rpartition(':')[0])
+
+        answers = self.play(vanish)
+        self.assertEqual(answers.whole('/question/'), STREAMS // 2)
+
+
 class TestStoppedRun(unittest.TestCase):
     # Guards against a run stopped for a move whose answer looks ended.
 
