A tunnel tells the end of an endpoint from that of its daemon

Change: the endpoint's bytes come in frames with their length, the end of the endpoint as an empty one. Whoever asks for a tunnel says so in the request; an older daemon gets plain bytes, and one that gives no frames gives no tunnel.

Measured: TestEndOfAPeer.test_nor_where_another_daemon_reaches_their_endpoint failed before (8 short), passes now with all 12 resumable streams whole. test_gateway_tunnel_stop, test_gateway_partition, test_tcp_network and test_peers pass.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_network.py
@@ -3,11 +3,18 @@
 A peer's tunnel takes an HTTP/1.1 CONNECT request and then passes on bytes.
 """
 
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import anyio
 import h11
 
+from mimosamux_daemon.adapters.tunnel_frames import (
+    FRAMING_HEADER,
+    LENGTH_PREFIXED,
+    FramedConnection,
+)
+from mimosamux_daemon.domain.http_messages import find_value
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_routes import EndpointRoutes
 from mimosamux_daemon.ports.network import Connection, Listener, Network
@@ -19,6 +26,19 @@
 READ_BYTES = 4096
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TunnelReply:
+    """A peer's answer to the request for a tunnel."""
+
+    status: int | None
+    """None without an answer that can be used."""
+    rest: bytes = b''
+    """Bytes that came behind the answer."""
+
+
+NO_REPLY = TunnelReply(status=None)
+
+
 class TunnelNetwork:
     """The `Network` port for endpoints: direct connections or tunnels."""
 
@@ -83,7 +103,7 @@
 
         Raise `ConnectionRefusedError` if no process listens at the endpoint.
         """
-        status: int | None = None
+        reply = NO_REPLY
         with anyio.move_on_after(TUNNEL_TIMEOUT_S):
             try:
                 connection = await self._network.connect(tunnel)
@@ -91,34 +111,40 @@
                 routes.note_tunnel(tunnel, status=None)
                 return None
             try:
-                status = await _request_tunnel(connection, address)
+                reply = await _request_tunnel(connection, address)
             finally:
-                if status != HTTPStatus.OK:
+                if reply.status != HTTPStatus.OK:
                     with anyio.CancelScope(shield=True):
                         await connection.aclose()
+        status = reply.status
         routes.note_tunnel(tunnel, status=status)
         log.info('tunnel_asked', tunnel=tunnel, address=address, status=status)
         if status == HTTPStatus.BAD_GATEWAY:
             raise ConnectionRefusedError(address)
-        return connection if status == HTTPStatus.OK else None
+        if status != HTTPStatus.OK:
+            return None
+        return FramedConnection(connection=connection, received=reply.rest)
 
 
-async def _request_tunnel(connection: Connection, address: str) -> int | None:
-    """Ask for a tunnel; return the status, None without an answer."""
+async def _request_tunnel(connection: Connection, address: str) -> TunnelReply:
+    """Ask for a tunnel that passes on frames, and return the answer."""
     parser = h11.Connection(h11.CLIENT)
     request = h11.Request(
         method=b'CONNECT',
         target=address.encode(),
-        headers=[(b'Host', address.encode())],
+        headers=[
+            (b'Host', address.encode()),
+            (FRAMING_HEADER, LENGTH_PREFIXED),
+        ],
     )
     try:
         await connection.send(parser.send(request) or b'')
         while True:
             event = parser.next_event()
             if isinstance(event, h11.Response):
-                return event.status_code
+                return _parse_reply(event, parser.trailing_data[0])
             if event is not h11.NEED_DATA:
-                return None
+                return NO_REPLY
             parser.receive_data(await connection.receive(READ_BYTES))
     except (
         OSError,
@@ -127,4 +153,17 @@
         anyio.EndOfStream,
         h11.ProtocolError,
     ):
-        return None
+        return NO_REPLY
+
+
+def _parse_reply(response: h11.Response, rest: bytes) -> TunnelReply:
+    """Return an answer; a tunnel without frames is none.
+
+    It could not tell the end of an endpoint from that of the peer.
+    """
+    status = response.status_code
+    framing = find_value(tuple(response.headers), FRAMING_HEADER)
+    if status == HTTPStatus.OK and framing != LENGTH_PREFIXED:
+        log.info('tunnel_without_frames')
+        return NO_REPLY
+    return TunnelReply(status=status, rest=rest)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -1,10 +1,12 @@
 """Passes connections of peers on to endpoints that only this daemon reaches.
 
-A peer sends an HTTP/1.1 CONNECT request; behind the answer, bytes are passed
-on unchanged. A tunnel never leads through another one.
+A peer sends an HTTP/1.1 CONNECT request; behind the answer, its bytes are
+passed on unchanged, and those of the endpoint in frames if the peer asks for
+them. A tunnel never leads through another one.
 """
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -12,6 +14,13 @@
 import anyio.abc
 import h11
 
+from mimosamux_daemon.adapters.tunnel_frames import (
+    END_FRAME,
+    FRAMING_HEADER,
+    LENGTH_PREFIXED,
+    render_frame,
+)
+from mimosamux_daemon.domain.http_messages import find_value
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.network import Connection, Network
 
@@ -26,6 +35,15 @@
 BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _TunnelRequest:
+    """What a peer asks for."""
+
+    address: str
+    is_framed: bool
+    """Whether the endpoint's bytes are to be sent in frames."""
+
+
 @dataclass(kw_only=True, slots=True, eq=False)
 class _Tunnel:
     """One tunnel that is open."""
@@ -61,15 +79,17 @@
     async def serve(self, connection: Connection) -> None:
         """Serve one connection of a peer until it ends."""
         try:
-            address = await self._receive_target(connection)
-            if address is not None:
-                await self._serve_tunnel(connection, address)
+            request = await self._receive_request(connection)
+            if request is not None:
+                await self._serve_tunnel(connection, request)
         finally:
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
 
-    async def _receive_target(self, connection: Connection) -> str | None:
-        """Return the requested address, None if there is no valid request."""
+    async def _receive_request(
+        self, connection: Connection
+    ) -> _TunnelRequest | None:
+        """Return what is asked for, None if there is no valid request."""
         parser = h11.Connection(h11.SERVER)
         try:
             with anyio.fail_after(HEAD_TIMEOUT_S):
@@ -79,20 +99,26 @@
             return None
         if not isinstance(event, h11.Request) or event.method != b'CONNECT':
             return None
-        return event.target.decode('latin-1')
+        framing = find_value(tuple(event.headers), FRAMING_HEADER)
+        return _TunnelRequest(
+            address=event.target.decode('latin-1'),
+            is_framed=framing == LENGTH_PREFIXED,
+        )
 
     async def _serve_tunnel(
-        self, connection: Connection, address: str
+        self, connection: Connection, request: _TunnelRequest
     ) -> None:
-        endpoint = await self._connect(address)
+        endpoint = await self._connect(request.address)
         if isinstance(endpoint, HTTPStatus):
             self.note_end(endpoint.name.lower())
             await _answer(connection, endpoint)
             return
         self.note_end('opened')
         try:
-            if await _answer(connection, HTTPStatus.OK):
-                await self._pass_on(connection, endpoint, address)
+            if await _answer(
+                connection, HTTPStatus.OK, is_framed=request.is_framed
+            ):
+                await self._pass_on(connection, endpoint, request)
         finally:
             with anyio.CancelScope(shield=True):
                 await endpoint.aclose()
@@ -112,7 +138,10 @@
             return HTTPStatus.GATEWAY_TIMEOUT
 
     async def _pass_on(
-        self, peer: Connection, endpoint: Connection, address: str
+        self,
+        peer: Connection,
+        endpoint: Connection,
+        request: _TunnelRequest,
     ) -> None:
         """Pass bytes on in both directions until one side ends.
 
@@ -120,13 +149,15 @@
         would make an answer without a length look complete.
         """
         scope = anyio.CancelScope()
-        tunnel = _Tunnel(scope=scope, address=address)
+        tunnel = _Tunnel(scope=scope, address=request.address)
         self._open.add(tunnel)
         try:
             with scope:
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._copy, peer, endpoint, tunnel)
-                    await self._copy(endpoint, peer, tunnel)
+                    await self._copy(
+                        endpoint, peer, tunnel, is_framed=request.is_framed
+                    )
         finally:
             self._open.discard(tunnel)
             if not tunnel.has_ended:
@@ -149,6 +180,8 @@
         source: Connection,
         target: Connection,
         tunnel: _Tunnel,
+        *,
+        is_framed: bool = False,
     ) -> None:
         """Pass bytes on in one direction, and end the tunnel with it.
 
@@ -158,21 +191,32 @@
         try:
             while True:
                 part = await source.receive(PART_BYTES)
-                await target.send(part)
+                await target.send(render_frame(part) if is_framed else part)
         except anyio.EndOfStream:
-            pass
+            if is_framed:
+                await _send_end(target)
         except BROKEN:
             target.abort()
         tunnel.has_ended = True
         tunnel.scope.cancel()
 
 
-async def _answer(connection: Connection, status: HTTPStatus) -> bool:
+async def _send_end(peer: Connection) -> None:
+    """Tell a peer that the endpoint has ended the connection."""
+    with suppress(*BROKEN):
+        await peer.send(END_FRAME)
+
+
+async def _answer(
+    connection: Connection, status: HTTPStatus, *, is_framed: bool = False
+) -> bool:
     """Answer a request for a tunnel; False if the peer is gone."""
-    line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-    length = '' if status is HTTPStatus.OK else 'Content-Length: 0\r\n'
+    line = f'HTTP/1.1 {status.value} {status.phrase}\r\n'.encode()
+    field = b'' if status is HTTPStatus.OK else b'Content-Length: 0\r\n'
+    if is_framed:
+        field = FRAMING_HEADER + b': ' + LENGTH_PREFIXED + b'\r\n'
     try:
-        await connection.send(f'{line}{length}\r\n'.encode())
+        await connection.send(line + field + b'\r\n')
     except BROKEN:
         return False
     return True
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -8,9 +8,10 @@
 from mimosamux_standins.site.replica import render_event
 
 from tests.support.clock import run_paused
-from tests.support.platform_site import open_site
+from tests.support.platform_site import Partition, open_site
 from tests.support.prompts import prompt_of
 from tests.test_gateway_evacuation import patient_document
+from tests.test_gateway_tunnel_stop import cut_off
 
 EVENTS = 100
 STREAMS = 24
@@ -167,5 +168,35 @@
                 self.play(leaves_ms=leaves_ms)
 
 
+class TestEndOfAPeer(unittest.TestCase):
+    # Guards against a killed daemon whose tunnels end answers as whole.
+
+    def play(self, partition, *, killed):
+        async def check():
+            async with open_patient_site(engines=3) as site:
+                await cut_off(site, 0, partition)
+                answers = Answers(site, daemons=[0])
+
+                async def kill():
+                    for number in killed:
+                        site.kill_daemon(number, in_order=True)
+
+                await answers.play(kill)
+                return answers
+
+        answers = run_paused(check)
+        self.assertEqual(answers.short(), [])
+        return answers
+
+    def test_streams_behind_a_killed_daemon_are_not_whole(self):
+        for partition in (Partition.HANGS, Partition.LIVES_ON):
+            with self.subTest(partition=partition.name):
+                self.play(partition, killed=(1, 2))
+
+    def test_nor_where_another_daemon_reaches_their_endpoint(self):
+        answers = self.play(Partition.HANGS, killed=(1,))
+        self.assertEqual(answers.whole('/question/'), STREAMS // 2)
+
+
 if __name__ == '__main__':
     unittest.main()
