Where streams began outlasts the daemons that know it

Cause, of both: where a stream began, and which versions ran, was in the memory of daemons.

Change: two kinds of rows. Each daemon writes each version that it sees; while a service runs or ran several, the daemon with the lowest id writes where streams began, twice a second. A daemon reads them at its start, before it takes requests; until then no version counts as the only one. Refusing for a while behind each start would need no rows, and would lose the streams of the one version that serves. A stream of the only version is bound to it at once, and its origin is kept under the id that its caller names. The loop that reads all rows of a record now stands once.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/rows.py
@@ -25,6 +25,7 @@
     parse_incarnation,
 )
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
+from mimosamux_daemon.gateway.records.scans import scan_all
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
 
@@ -32,7 +33,6 @@
 
 PREFIX = 'crashes/'
 RETRY_S = 0.5
-PAGE_ROWS = 500
 MIN_WRITTEN_CRASHES = 2
 """Crashes from which on a suspect is written. Most suspects are bystanders of
 a single crash, and a call to the table for each of them would be wasted."""
@@ -116,16 +116,12 @@
         self._has_work.set()
 
     async def _read_all(self) -> bool:
-        after = ''
-        while True:
-            rows = await self.table.scan(PREFIX, after=after, limit=PAGE_ROWS)
-            if isinstance(rows, Unavailable):
-                return False
-            for row in rows:
-                self._apply_row(row)
-            if len(rows) < PAGE_ROWS:
-                return True
-            after = rows[-1].key
+        rows = await scan_all(self.table, PREFIX)
+        if isinstance(rows, Unavailable):
+            return False
+        for row in rows:
+            self._apply_row(row)
+        return True
 
     def _apply_row(self, row: Row) -> None:
         content = ContentKey(row.key.removeprefix(PREFIX))
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -86,6 +86,7 @@
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
+from mimosamux_daemon.gateway.streams.origin_record import OriginRecord
 from mimosamux_daemon.gateway.streams.origins import StreamOrigins
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
 from mimosamux_daemon.gateway.streams.stream_moves import StreamMoves
@@ -193,6 +194,7 @@
             self.crash_detector.run,
             self.crash_rows.run,
             self.origins.run,
+            self.origin_record.run,
             self.rollout_rows.run,
             self.reach.run,
         )
@@ -202,6 +204,7 @@
         await self.configuration_reader.first_read.wait()
         await self.endpoint_reader.first_read.wait()
         await self.crash_rows.first_read.wait()
+        await self.origin_record.first_read.wait()
         await self.rollout_rows.first_read.wait()
 
     def _build_states(self, network: Network) -> None:
@@ -354,6 +357,17 @@
             peers=self.peers,
             clock=self._clock,
         )
+        self.origin_record = OriginRecord(
+            table=self._platform.table,
+            exchange=self.origins,
+            versions=self.versions,
+            states=self.states,
+            clock=self._clock,
+            store_time=shared_time.store_now,
+        )
+        self._platform.store_era.on_risen.append(
+            lambda era: self.origin_record.write_again()
+        )
         endpoints = ServiceEndpoints()
         self.roster.on_listed.append(endpoints.add)
         self.roster.on_leaving.append(endpoints.discard)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_exchange.py
@@ -1,7 +1,7 @@
 """Tells the other daemons where streams of this one began.
 
-Only on routes whose endpoints run several software versions: elsewhere a
-stream may go on at any endpoint.
+Only on routes whose endpoints run several software versions, or ran until
+recently: elsewhere a stream may go on at any endpoint.
 """
 
 from collections import defaultdict
@@ -48,6 +48,8 @@
     states: PeerStates
     peers: PeerLinks
     clock: Callable[[], float]
+    on_shared: list[Callable[[], None]] = field(default_factory=list)
+    """Called when an origin is shared with the peers, or comes from one."""
     _untold: dict[int, KnownOrigin] = field(default_factory=dict)
     """Origins of own streams that the peers were not told."""
     _has_untold: anyio.Event = field(default_factory=anyio.Event)
@@ -61,11 +63,17 @@
         """Note where a stream is about to begin, or goes on.
 
         The peers are told before its first event: if this daemon is killed
-        right after that, they know.
+        right after that, they know. A stream that goes on keeps the origin of
+        the request that began it, by which its caller goes on naming it.
         """
         if not (job.is_stream and job.route.is_resumable):
             return
-        request = hash_request(job.request.id)
+        self._note(job, job.request.id, origin)
+        if job.request.last_event_id and job.request.resumes:
+            self._note(job, job.request.resumes, origin)
+
+    def _note(self, job: Job, request_id: str, origin: StreamOrigin) -> None:
+        request = hash_request(request_id)
         kept = self.origins.by_request.get(request)
         if kept is not None and kept.origin == origin:
             return
@@ -82,6 +90,7 @@
         if known.is_shared:
             self._untold[request] = known
             self._has_untold.set()
+            self._note_shared()
 
     async def run(self) -> None:
         """Tell the peers until cancelled."""
@@ -90,9 +99,21 @@
             self._has_untold = anyio.Event()
             await anyio.sleep(BATCH_S)
             untold, self._untold = self._untold, {}
-            for message in self._build_messages(untold.items()):
+            for message in render_origins(untold.items(), self.clock()):
                 self.states.queue(message)
 
+    def shared(self) -> Origins:
+        """Return the origins that all daemons have to know."""
+        return [
+            (request, known)
+            for request, known in self.origins.current()
+            if known.is_shared
+        ]
+
+    def _note_shared(self) -> None:
+        for listener in self.on_shared:
+            listener()
+
     def _tell_again(self, service: ServiceName) -> None:
         """Tell the origins of a service that gets a second version.
 
@@ -104,63 +125,61 @@
                 self.origins.by_request[request] = shared
                 self._untold[request] = shared
         self._has_untold.set()
+        self._note_shared()
 
     async def _send_all(self, id_: DaemonId) -> None:
         """Send the shared origins to a daemon that has just started."""
-        shared = [
-            (request, known)
-            for request, known in self.origins.current()
-            if known.is_shared
-        ]
-        for message in self._build_messages(shared):
+        for message in render_origins(self.shared(), self.clock()):
             await self.peers.notify(id_, message)
 
     async def _receive(self, sender: DaemonId, message: StreamsBegan) -> None:
         new = {
             request: known
-            for request, known in self._parse(message, sender)
+            for request, known in parse_origins(message, sender, self.clock())
             if self.origins.add(request, known)
         }
+        if new:
+            self._note_shared()
         if new and self.states.forwards_messages:
-            for forwarded in self._build_messages(new.items()):
+            for forwarded in render_origins(new.items(), self.clock()):
                 self.states.queue(forwarded)
 
-    def _build_messages(self, origins: Origins) -> Iterable[StreamsBegan]:
-        now = self.clock()
-        grouped = defaultdict[
-            tuple[StreamOrigin, int], list[tuple[int, KnownOrigin]]
-        ](list)
-        for request, known in origins:
-            grouped[known.origin, known.attempt].append((request, known))
-        for (origin, attempt), group in grouped.items():
-            for start in range(0, len(group), MAX_KEYS):
-                part = group[start : start + MAX_KEYS]
-                keep_s = max(known.expires_at for _, known in part) - now
-                yield StreamsBegan(
-                    service=origin.service,
-                    software=origin.software,
-                    attempt=attempt,
-                    keep_ms=int(keep_s * MS_PER_S),
-                    requests=b''.join(
-                        request.to_bytes(KEY_BYTES, 'big')
-                        for request, _ in part
-                    ),
-                )
-
-    def _parse(self, message: StreamsBegan, sender: DaemonId) -> Origins:
-        now = self.clock()
-        keep_s = min(message.keep_ms / MS_PER_S, MAX_KEEP_S)
-        known = KnownOrigin(
-            origin=StreamOrigin(
-                service=ServiceName(message.service),
-                software=message.software,
-            ),
-            attempt=message.attempt,
-            expires_at=now + keep_s,
-            at=now,
-            source=sender,
-        )
-        keys = message.requests
-        for start in range(0, len(keys) - KEY_BYTES + 1, KEY_BYTES):
-            key = keys[start : start + KEY_BYTES]
-            yield int.from_bytes(key, 'big'), known
+
+def render_origins(origins: Origins, now: float) -> Iterable[StreamsBegan]:
+    """Return the messages that tell origins."""
+    grouped = defaultdict[
+        tuple[StreamOrigin, int], list[tuple[int, KnownOrigin]]
+    ](list)
+    for request, known in origins:
+        grouped[known.origin, known.attempt].append((request, known))
+    for (origin, attempt), group in grouped.items():
+        for start in range(0, len(group), MAX_KEYS):
+            part = group[start : start + MAX_KEYS]
+            keep_s = max(known.expires_at for _, known in part) - now
+            yield StreamsBegan(
+                service=origin.service,
+                software=origin.software,
+                attempt=attempt,
+                keep_ms=int(keep_s * MS_PER_S),
+                requests=b''.join(
+                    request.to_bytes(KEY_BYTES, 'big') for request, _ in part
+                ),
+            )
+
+
+def parse_origins(message: StreamsBegan, source: str, now: float) -> Origins:
+    """Yield the origins that a message tells."""
+    keep_s = min(message.keep_ms / MS_PER_S, MAX_KEEP_S)
+    known = KnownOrigin(
+        origin=StreamOrigin(
+            service=ServiceName(message.service), software=message.software
+        ),
+        attempt=message.attempt,
+        expires_at=now + keep_s,
+        at=now,
+        source=source,
+    )
+    keys = message.requests
+    for start in range(0, len(keys) - KEY_BYTES + 1, KEY_BYTES):
+        key = keys[start : start + KEY_BYTES]
+        yield int.from_bytes(key, 'big'), known
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -47,7 +47,10 @@
         began_at = self.clock()
         known = await self._find_known(job)
         job.origin = None if known is None else known.origin
+        is_only_version = known is None and self._bind_to_only_version(job)
         refusal, result = self._judge(job)
+        if is_only_version and refusal is None:
+            result = 'one_version'
         self.metrics.resumptions.inc(
             {'service': job.service.name, 'result': result}
         )
@@ -72,17 +75,25 @@
         timeout_s = min(LOOKUP_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
         return await self.origins.wait_for(request, timeout_s)
 
+    def _bind_to_only_version(self, job: Job) -> bool:
+        """Bind a stream to the one version at which it can have begun.
+
+        Another one that is listed before the stream is sent did not begin it.
+        """
+        if self.versions.are_several(job.route):
+            return False
+        job.origin = next(iter(self.versions.of_route(job.route)), None)
+        return job.origin is not None
+
     def _judge(self, job: Job) -> tuple[Refused | None, str]:
         """Return the refusal of a stream, if any, and the result to log."""
         service, origin = job.service.name, job.origin
         if origin is None:
-            if not self.versions.are_several(job.route):
-                return None, 'one_version'
             return Refused(
                 reason=Reason.ORIGIN_UNKNOWN,
                 message=(
-                    f'route {job.route.name} has several software versions, '
-                    'and it is not known which one began the stream'
+                    f'route {job.route.name} has or had several software '
+                    'versions, and it is not known which one began the stream'
                 ),
                 retry_after_s=UNKNOWN_RETRY_S,
             ), 'unknown'
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/versions.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/versions.py
@@ -1,7 +1,7 @@
 """Software versions of the endpoints of each service."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from mimosamux_daemon.domain.names import EndpointId, ServiceName
@@ -23,8 +23,13 @@
 
     roster: Roster
     clock: Callable[[], float]
+    is_record_read: bool = False
+    """Whether the versions that ran before the start of this daemon are known.
+    Until then a service may run several, whatever the list shows."""
     on_several: list[Listener] = field(default_factory=list)
     """Called with each service whose endpoints ran one version so far."""
+    on_listed: list[Listener] = field(default_factory=list)
+    """Called with each service that gets a further version."""
     _origin_by_endpoint: dict[EndpointId, StreamOrigin] = field(
         default_factory=dict
     )
@@ -47,20 +52,51 @@
             if each.service in services
         }
 
+    def of_route(self, route: Route) -> set[StreamOrigin]:
+        """Return what the services of a route run, or ran until recently."""
+        return self.of(*(split.service for split in route.splits))
+
     def are_several(self, route: Route) -> bool:
         """Whether streams of a route may have begun at different software."""
-        return len(self.of(*(split.service for split in route.splits))) > 1
+        return not self.is_record_read or len(self.of_route(route)) > 1
+
+    def recent(self) -> set[StreamOrigin]:
+        """Return what all services run, or ran until recently."""
+        return self.of(
+            *(each.service for each in (*self._endpoints, *self._gone_at))
+        )
+
+    def note_recorded(self, origins: Collection[StreamOrigin]) -> None:
+        """Take over what ran before the start of this daemon.
+
+        What is not listed counts as removed just now.
+        """
+        services = {each.service for each in origins}
+        alone = {each for each in services if len(self.of(each)) < 2}
+        for origin in origins:
+            if origin not in self._endpoints:
+                self._gone_at[origin] = self.clock()
+        self.is_record_read = True
+        for service in sorted(alone):
+            self._note_several(service)
+
+    def _note_several(self, service: ServiceName) -> None:
+        if len(self.of(service)) > 1:
+            for listener in self.on_several:
+                listener(service)
 
     def _add(self, record: EndpointRecord) -> None:
         origin = StreamOrigin.of(record.listed)
         if self._origin_by_endpoint.get(record.id) == origin:
             return
-        were_several = len(self.of(origin.service)) > 1
+        known = self.of(origin.service)
         self._remove(record.id)
         self._origin_by_endpoint[record.id] = origin
         self._endpoints[origin] += 1
-        if not were_several and len(self.of(origin.service)) > 1:
-            for listener in self.on_several:
+        if len(known) < 2:
+            self._note_several(origin.service)
+        if origin not in known:
+            for listener in self.on_listed:
                 listener(origin.service)
 
     def _remove(self, id_: EndpointId) -> None:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -345,6 +345,22 @@
         now[0] = 31.0
         self.assertEqual(versions.of(service), {origin_of('v2')})
 
+    def test_one_version_in_the_list_is_no_proof_before_the_record_is_read(
+        self,
+    ):
+        roster = SimpleNamespace(on_listed=[], on_forgotten=[])
+        versions = SoftwareVersions(roster=roster, clock=lambda: 0.0)
+        told = []
+        versions.on_several.append(told.append)
+        self.list_endpoint(roster, 'v2')
+        route = SimpleNamespace(splits=[SimpleNamespace(service='llm')])
+        self.assertTrue(versions.are_several(route))
+        versions.note_recorded({origin_of('v2')})
+        self.assertFalse(versions.are_several(route))
+        versions.note_recorded({origin_of('v1'), origin_of('v2')})
+        self.assertTrue(versions.are_several(route))
+        self.assertEqual(told, ['llm'])
+
     def test_streams_of_a_reverted_trial_go_on_nowhere(self):
         order = RolloutOrder(
             service=ServiceName('llm'), version='v2', within_s=9.0, number=1
