Soak and schedules kill all daemons around changes of version

Neither had found what the review did: the soak's engines changed versions once, at its start, and the memory network reset what a kernel ends in order.

The random schedules do the same, and end connections in order in half of the kills and crashes.

--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -24,6 +24,7 @@
 )
 from mimosamux_standins.site.replica import (
     Fault,
+    Framing,
     ReplicaSpeed,
     Run,
     StandInReplica,
@@ -43,6 +44,8 @@
 """Time after which another engine serves in place of one that crashed."""
 EXPIRY_S = 3.6
 """Silence after which the entry of a crashed engine is removed."""
+RELEASED_S = 3.0
+"""Time for which an engine that is replaced serves on."""
 MS_PER_S = 1000
 
 
@@ -132,6 +135,8 @@
         slots: int = 6,
         is_reclaimable: bool = False,
         speed: ReplicaSpeed | None = None,
+        version: str = 'v1',
+        framing: Framing = Framing.USUAL,
     ) -> StandInReplica:
         """Start a replica and list it."""
         self._started += 1
@@ -143,6 +148,8 @@
             slots=slots,
             speed=speed or self.speed,
             is_reclaimable=is_reclaimable,
+            version=version,
+            framing=framing,
             by_address=self.by_address,
             crash_parts=self.crash_parts,
             on_crash=self._crash,
@@ -201,6 +208,7 @@
             '/store': self._set_store,
             '/store/restore': self._restore_store,
             '/replica': self._set_replica,
+            '/release': self._begin_release,
             '/revoke': self._revoke,
             '/crash-parts': self._set_crash_parts,
             '/seen': self._tell_seen,
@@ -249,6 +257,47 @@
             self._scope_by_id[replica.id].cancel()
         return {}
 
+    def _begin_release(self, body: dict[str, object]) -> object:
+        """Start engines of a version, and take those before out of service.
+
+        They say that they leave, or lose their entry without a word.
+        """
+        is_announced = bool(body['is_announced'])
+        engines = [
+            replica
+            for replica in self.replicas_by_id.values()
+            if replica.service == 'llm' and replica.state == 'ready'
+        ]
+        for engine in engines:
+            engine.state = 'draining'
+            entry = engine.entry() if is_announced else None
+            self.tasks.start_soon(
+                self._release, engine, str(body['version']), entry
+            )
+        return {'engines': len(engines)}
+
+    async def _release(
+        self,
+        before: StandInReplica,
+        version: str,
+        entry: dict[str, object] | None,
+    ) -> None:
+        """Start an engine in the place of another, and end that one later."""
+        framings = (Framing.USUAL, Framing.UNFRAMED)
+        await self.add_replica(
+            'llm',
+            before.zone,
+            slots=before.slots,
+            speed=before.speed,
+            version=version,
+            framing=framings[self._started % len(framings)],
+        )
+        self.store.put('servers', before.id, entry)
+        await anyio.sleep(RELEASED_S)
+        self._scope_by_id[before.id].cancel()
+        before.state = 'dead'
+        self.store.put('servers', before.id, None)
+
     def _set_crash_parts(self, body: dict[str, object]) -> object:
         """Have prompt parts end each engine that writes an answer on them."""
         parts = body['parts']
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,8 @@
 A fifth of the seeds is played with a large site; `--daemons` fixes the size.
 A third is played with long streams and stops in series; `--long_streams` and
 `--nolong_streams` say so for all. In half of them a prompt part crashes
-engines, or in all or none with `--bad_parts` and `--nobad_parts`.
+engines, or in all or none with `--bad_parts` and `--nobad_parts`. With
+`--rejoins` all daemons are killed around changes of the software version.
 """
 
 import pathlib
@@ -28,6 +29,7 @@
     logs=None,
     long_streams=None,
     bad_parts=None,
+    rejoins=False,
 ):
     """Play seeds one after the other; print what each broke.
 
@@ -56,6 +58,7 @@
             has_versions=not is_long,
             has_long_streams=is_long,
             has_bad_parts=has_bad_parts,
+            has_rejoins=rejoins,
         )
         if folder is not None:
             lines = [f'{line}\n' for line in record.log]
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -287,13 +287,14 @@
 
 async def kill(run, rng):
     run.begin_trouble()
-    run.site.kill_daemon(run.pick_daemon(rng))
+    number = run.pick_daemon(rng)
+    run.site.kill_daemon(number, in_order=rng.random() < 0.5)
 
 
 async def kill_all(run, rng):
     run.begin_trouble()
     for number in range(len(run.site.daemons)):
-        run.site.kill_daemon(number)
+        run.site.kill_daemon(number, in_order=rng.random() < 0.5)
 
 
 async def kill_holder(run, rng):
@@ -383,7 +384,7 @@
 async def crash_replica(run, rng):
     replica = run.pick_replica(rng)
     replica.state = 'dead'
-    run.site.crash_replica(replica)
+    run.site.crash_replica(replica, in_order=rng.random() < 0.5)
     run.site.tasks.start_soon(unlist_later, run, replica)
     await run.site.add_replica(replica.service, replica.zone)
 
@@ -424,6 +425,33 @@
         await run.site.add_replica('llm', zone, slots=8, version=version)
 
 
+async def release_and_kill_all(run, rng):
+    """Replace the engines by those of another version; kill all daemons."""
+    old = [
+        replica
+        for replica in run.site.replicas_by_id.values()
+        if replica.service == 'llm' and replica.state == 'ready'
+    ]
+    version = f'v{rng.randrange(4, 9)}'
+    is_announced = rng.random() < 0.5
+    for replica in old:
+        await run.site.add_replica(
+            'llm', replica.zone, slots=8, version=version
+        )
+        if is_announced:
+            run.site.drain_replica(replica)
+        else:
+            replica.state = 'draining'
+            run.site.unlist_replica(replica)
+        run.log.drained_at_by_id[replica.id] = anyio.current_time()
+    await anyio.sleep(rng.choice([0.0, 0.3, 1.5]))
+    run.begin_trouble()
+    for number in range(rng.randrange(2), len(run.site.daemons)):
+        run.site.kill_daemon(number, in_order=rng.random() < 0.5)
+    await anyio.sleep(0.4)
+    await restart(run, rng)
+
+
 async def drain_replica(run, rng):
     replica = run.pick_replica(rng)
     replica.leaves_ms = rng.choice([None, 2000.0, 500.0])
@@ -516,6 +544,7 @@
         crash_by_part,
         change_framing,
         bring_in_version,
+        release_and_kill_all,
         drain_replica,
         reuse_address,
         add_route,
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -113,12 +113,16 @@
     has_bad_parts: bool = False
     """Whether a prompt part crashes engines, in requests that callers repeat.
     """
+    has_rejoins: bool = False
+    """Whether all daemons are killed around changes of the software version,
+    and callers take up what broke off."""
     stops: Stops = field(init=False)
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
     """Names of the daemons that were asked to stop."""
     _due: list = field(default_factory=list)
     _drawn: int = 0
+    _releases: int = 0
 
     def __post_init__(self):
         self.stops = Stops(soak=self, rng=self.rng)
@@ -304,6 +308,7 @@
                 if self.has_needy_endpoints
                 else ()
             ),
+            *((self._release_and_kill,) * 3 if self.has_rejoins else ()),
         )
 
     def _note(self, *words):
@@ -363,9 +368,26 @@
     def _kill(self):
         daemon = self._pick_daemon()
         if daemon is not None:
-            self.begin_absence(daemon, AbsenceKind.KILLED)
-            daemon.process.kill()
-            self._later(lambda: self._start_again(daemon), 1.5)
+            self._kill_daemon(daemon)
+
+    def _kill_daemon(self, daemon):
+        self.begin_absence(daemon, AbsenceKind.KILLED)
+        daemon.process.kill()
+        self._later(lambda: self._start_again(daemon), 1.5)
+
+    def _release_and_kill(self):
+        """Replace all engines, and kill all daemons but one at most."""
+        self._releases += 1
+        self.platform.command(
+            '/release',
+            version=f'v{self._releases + 1}',
+            is_announced=self.rng.random() < 0.5,
+        )
+        self._note('release', self._releases)
+        time.sleep(self.rng.choice((0.0, 0.4, 1.2)))
+        for daemon in self.platform.daemons[self.rng.randrange(2) :]:
+            if daemon.process.popen.poll() is None:
+                self._kill_daemon(daemon)
 
     def _stop(self):
         daemon = self._pick_daemon()
@@ -529,6 +551,7 @@
     has_versions=False,
     has_long_streams=False,
     has_bad_parts=False,
+    has_rejoins=False,
 ):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
@@ -548,9 +571,10 @@
             has_versions=has_versions,
             has_long_streams=has_long_streams,
             has_bad_parts=has_bad_parts,
+            has_rejoins=has_rejoins,
         )
         try:
-            if has_versions:
+            if has_versions and not has_rejoins:
                 soak.mix_versions()
             soak.start_daemons(daemons)
             return _play(soak, seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,16 @@
         versions = {run['version'] for run in record.seen['runs']}
         self.assertEqual(versions, {'v1', 'v2'})
 
+    # Guards against streams that join versions, or that half of them ends,
+    # where all daemons are killed around a release.
+    def test_no_promise_is_broken_by_kills_around_releases(self):
+        record = play(
+            SEED, seconds=SECONDS, has_versions=True, has_rejoins=True
+        )
+        self.assertEqual(find_problems(record), [], record.log)
+        versions = {run['version'] for run in record.seen['runs']}
+        self.assertGreater(len(versions), 1)
+
     def test_no_promise_is_broken_at_a_site_with_relays(self):
         """Requests wait for engines while daemons and the store fail.
 
