--- a/packages/mimosamux-cli/mimosamux_cli/stories.py
+++ b/packages/mimosamux-cli/mimosamux_cli/stories.py
@@ -23,6 +23,7 @@
     'ready',
     'feed_lost',
     'store_era_began',
+    'stream_record_read',
     'feed_regained',
     'history_lost',
     'configuration_in_force',
