A row of the endpoints' table ends no daemon, whatever time left it tells

Cause: the time left goes to the peers in 64 bits with a sign, and no bound was set; an engine's own report of its end goes the same way.

Change: one hour is the longest time left that counts, from a row, a peer or a report (find_end).

Measured: test_endpoint_that_leaves_in_ages_ends_no_daemon, OverflowError at all three daemons before, passes now with a row and with a report of 2^64 - 1 ms.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/balancing/endpoint_record.py
@@ -17,6 +17,14 @@
 
 WITHHELD_RETRY_S = 0.3
 """Time in which the read of a stale list is expected to end."""
+MAX_LEFT_S = 3600.0
+"""Longest time left that counts: a corrupted number would not fit into the
+messages to peers."""
+
+
+def find_end(now: float, left_s: float) -> float:
+    """Return when an endpoint is gone that has some time left."""
+    return now + min(left_s, MAX_LEFT_S)
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/roster.py
@@ -15,7 +15,10 @@
     EndpointId,
     ServiceName,
 )
-from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import (
+    EndpointRecord,
+    find_end,
+)
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.feeds import Unreadable
@@ -135,7 +138,7 @@
         )
         known = record.leaves_at
         if left_s is not None:
-            leaves_at = self._clock() + left_s
+            leaves_at = find_end(self._clock(), left_s)
             record.leaves_at = min(known or leaves_at, leaves_at)
         if record.is_leaving:
             return known is None and left_s is not None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/evacuation.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/evacuation.py
@@ -17,7 +17,10 @@
 
 from mimosamux_daemon.domain.names import EndpointId
 from mimosamux_daemon.domain.store import Unavailable
-from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.balancing.endpoint_record import (
+    EndpointRecord,
+    find_end,
+)
 from mimosamux_daemon.gateway.streams.running_stream import (
     RunningStream,
     StreamCopy,
@@ -178,7 +181,7 @@
             return
         if 0 < record.incarnation != report.incarnation > 0:
             return
-        record.leaves_at = self.clock() + report.leaves_in_s
+        record.leaves_at = find_end(self.clock(), report.leaves_in_s)
         self.notify_peers(record)
 
     async def _wait_for_copy_time(self, departure: Departure) -> None:
--- a/tests/test_gateway_endpoints.py
+++ b/tests/test_gateway_endpoints.py
@@ -11,6 +11,7 @@
 from tests.support.clock import run_paused
 from tests.support.memory_network import machine_of
 from tests.support.platform_site import STORE, open_site
+from tests.support.prompts import prompt_of
 
 LEARNED_S = 2.0
 USE = PromptInfo(
@@ -153,6 +154,33 @@
 
         self.assertEqual(run_paused(check), {200})
 
+    # Guards against a number of a row, or of a report, that ends all daemons.
+    def test_endpoint_that_leaves_in_ages_ends_no_daemon(self):
+        async def check(is_end_listed):
+            async with open_site() as site:
+                replica = next(iter(site.replicas_by_id.values()))
+                replica.leaves_ms = float(2**64 - 1)
+                replica.is_end_listed = is_end_listed
+
+                async def ask(number):
+                    await site.caller(patience_s=15.0).send(
+                        site.daemons[number % 3].entry,
+                        f'/draft/{number}',
+                        headers=prompt_of('ab', f'{number:04x}'),
+                        body=b'x',
+                    )
+
+                async with anyio.create_task_group() as tasks:
+                    for number in range(9):
+                        tasks.start_soon(ask, number)
+                    await anyio.sleep(0.05)
+                    site.drain_replica(replica)
+                await anyio.sleep(3.0)
+                return [each.ended.is_set() for each in site.daemons]
+
+        for is_end_listed in (True, False):
+            self.assertEqual(run_paused(check, is_end_listed), [False] * 3)
+
     def test_work_is_spread_over_the_endpoints_of_a_service(self):
         async def check():
             async with open_site() as site:
