An idle limit with any count of digits ends no daemon

Cause: int() of it overflows as a float, and refuses 4,301 digits; in a task of its own nothing catches that. Change: it is read as a float, infinite if need be.

Measured: test_idle_limit_of_any_size_is_read, OverflowError before, passes now with 1, 310 and 5,000 digits.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -303,7 +303,8 @@
         for part in value.split(b','):
             name, _, number = part.strip().partition(b'=')
             if name.lower() == b'timeout' and number.isdigit():
-                self._idle_limit_s = int(number) * IDLE_SHARE
+                # As a float, for a number with any count of digits.
+                self._idle_limit_s = float(number) * IDLE_SHARE
 
 
 def _find_body_limit(answer: h11.Response) -> float:
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -166,6 +166,14 @@
         status, body, kept = ask_replica(answer_bytes(extra=b'HTTP/1.1 200'))
         self.assertEqual((status, body, kept), (200, b'hello', False))
 
+    # Guards against a number of an answer that ends the daemon.
+    def test_idle_limit_of_any_size_is_read(self):
+        for digits in (1, 310, 5000):
+            limit = b'Keep-Alive: timeout=' + b'9' * digits
+            data = answer_bytes().replace(b'OK\r\n', b'OK\r\n%b\r\n' % limit)
+            status, body, _ = ask_replica(data)
+            self.assertEqual((status, body), (200, b'hello'))
+
     def test_late_answer_to_another_request_is_passed_over(self):
         data = answer_bytes('other', b'not yours') + answer_bytes()
         status, body, _ = ask_replica(data)
