A success without its request's id is no answer

Cause: an answer without an id counted as that of the request; only answers with another id were skipped. Replicas echo the id, so bytes without one are skipped as well, but for a rejection that says that nothing was run, and a failure on a connection that has carried nothing before.

--- a/tests/test_gateway_schedules.py
+++ b/tests/test_gateway_schedules.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from hypothesis import HealthCheck, Phase, given, settings
+from mimosamux_daemon.adapters.own_answers import OwnAnswers
 from mimosamux_daemon.domain.outcomes import Refused
 from mimosamux_daemon.gateway import roster
 from mimosamux_daemon.gateway.answers import answer_relay
@@ -188,9 +189,7 @@
         self.assert_seen(
             'no replica made',
             spoil(Fault.EXTRA),
-            mock.patch.object(
-                replicas.SentToReplica, '_receive_own', receive_own
-            ),
+            mock.patch.object(OwnAnswers, 'receive_head', receive_own),
             mock.patch(
                 'mimosamux_daemon.adapters.http1_channel.Channel.is_reusable',
                 is_reusable,
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -166,6 +166,13 @@
         status, body, kept = ask_replica(answer_bytes(extra=b'HTTP/1.1 200'))
         self.assertEqual((status, body, kept), (200, b'hello', False))
 
+    # Guards against bytes without an id that reach a caller as an answer.
+    def test_success_without_an_id_is_no_answer(self):
+        stray = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+        self.assertEqual(ask_replica(stray)[0], CallBroken)
+        status, body, _ = ask_replica(stray + answer_bytes())
+        self.assertEqual((status, body), (200, b'hello'))
+
     # Guards against a number of an answer that ends the daemon.
     def test_idle_limit_of_any_size_is_read(self):
         for digits in (1, 310, 5000):
