--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/records/scans.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/records/scans.py
@@ -5,6 +5,9 @@
 
 PAGE_ROWS = 500
 """Most rows of one answer of the table."""
+LARGE_PAGE_BYTES = 512 * 1024
+"""Size of an answer from which on it may lack rows for its size: the table
+sends 1 MB at most, encoded."""
 
 
 async def scan_all(table: Table, prefix: str) -> list[Row] | Unavailable:
@@ -16,5 +19,6 @@
         if isinstance(page, Unavailable):
             return page
         rows += page
-        if len(page) < PAGE_ROWS:
+        size = sum(len(row.value) for row in page)
+        if len(page) < PAGE_ROWS and size < LARGE_PAGE_BYTES:
             return rows
