--- a/tests/test_gateway_rejoined_streams.py
+++ b/tests/test_gateway_rejoined_streams.py
@@ -8,7 +8,7 @@
 from mimosamux_standins.site.caller import last_event_id
 
 from tests.support.clock import run_paused
-from tests.support.platform_site import ZONES, open_site
+from tests.support.platform_site import ZONES, PlatformSite, open_site
 from tests.support.site_checks import find_joined_versions
 from tests.test_gateway_evacuation import patient_document
 from tests.test_gateway_stream_versions import own_prompt
@@ -167,35 +167,32 @@
         self.check_going_on(change)
         self.check_going_on(change, daemons=9, survivors=1)
 
-    def test_streams_of_a_version_that_leaves_join_no_other(self):
-        for before_s in (0.3, 2.0):
+    def check_version_that_goes(self, take_out, *, before_s):
+        """Check a version whose engines go some time before the daemons."""
 
-            async def change(streams, old, survivors, before_s=before_s):
-                await streams.add_engines('v2')
-                await anyio.sleep(2.0)
-                for engine in old:
-                    streams.site.drain_replica(engine)
-                await anyio.sleep(before_s)
-                await streams.kill_daemons(survivors=survivors)
+        async def change(streams, old, survivors):
+            await streams.add_engines('v2')
+            await anyio.sleep(2.0)
+            for engine in old:
+                take_out(streams.site, engine)
+            await anyio.sleep(before_s)
+            await streams.kill_daemons(survivors=survivors)
 
-            with self.subTest(before_s=before_s):
-                self.play(change)
-                self.play(change, daemons=9, survivors=1)
+        with self.subTest(before_s=before_s):
+            self.play(change)
+            self.play(change, daemons=9, survivors=1)
+
+    def test_streams_of_a_version_that_leaves_join_no_other(self):
+        for before_s in (0.3, 2.0):
+            self.check_version_that_goes(
+                PlatformSite.drain_replica, before_s=before_s
+            )
 
     def test_streams_of_a_version_without_entries_join_no_other(self):
         for before_s in (0.3, 1.5, 4.0):
-
-            async def change(streams, old, survivors, before_s=before_s):
-                await streams.add_engines('v2')
-                await anyio.sleep(2.0)
-                for engine in old:
-                    streams.site.unlist_replica(engine)
-                await anyio.sleep(before_s)
-                await streams.kill_daemons(survivors=survivors)
-
-            with self.subTest(before_s=before_s):
-                self.play(change)
-                self.play(change, daemons=9, survivors=1)
+            self.check_version_that_goes(
+                PlatformSite.unlist_replica, before_s=before_s
+            )
 
     def test_version_that_is_listed_again_goes_on_with_its_own(self):
         async def change(streams, old, survivors):
@@ -221,6 +218,17 @@
 
         self.play(change)
 
+    def test_streams_go_on_beside_a_version_that_comes_while_all_are_away(
+        self,
+    ):
+        async def change(streams, old, survivors):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(streams.kill_daemons)
+                await anyio.sleep(DOWN_S / 2)
+                await streams.add_engines('v2')
+
+        self.check_going_on(change)
+
     async def lose_the_record(self, streams):
         """Have the table come back from a copy without the second version."""
         engines = await streams.add_engines('v2')
