--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -40,6 +40,7 @@
 WAITS = 'mimosamux_gateway_waits_total'
 RECOVERY_S = 12.0
 """Time within which everything serves again after the last fault."""
+COMES_BACK_S = 6.0
 SMALL_SITE = 3
 LARGE_SITES = (13, 14)
 """Numbers of daemons with which digests pass through relays."""
@@ -247,6 +248,8 @@
 
     def make_callers(self, **fields):
         fields |= {'takes_up': self.has_versions}
+        if self.has_rejoins:
+            fields |= {'comes_back_s': COMES_BACK_S}
         if self.has_bursts:
             # Only a request with five targets or more to its deadline may
             # wait for an engine: 5 s on the route of drafts.
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -19,6 +19,9 @@
 STREAM_TARGETS = ('/draft/', '/question/')
 
 
+RETURN_PAUSE_S = 0.3
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Sent:
     """One request as a caller sent it, and its answer."""
@@ -55,6 +58,8 @@
     """Share of the requests whose callers disconnect before the deadline."""
     takes_up: bool = False
     """Whether questions that break off are taken up at any daemon."""
+    comes_back_s: float = 0.0
+    """For how long a caller tries this again, until the stream goes on."""
     sent: list = field(default_factory=list)
     _stopping: threading.Event = field(default_factory=threading.Event)
     _thread: threading.Thread | None = None
@@ -81,20 +86,25 @@
         behind = int(last_event_id(broken.body) or 0)
         if broken.is_whole or broken.status != 200 or not behind:
             return
-        entry = rng.choice(self.entries)
-        answer = await caller.resume(
-            broken, entry, target, headers=PROMPT, body=b'brief'
-        )
-        self.sent.append(
-            Sent(
-                target=target,
-                key=caller.key,
-                answer=answer,
-                entry=entry,
-                behind=behind,
-                limit_s=self.patience_s,
+        until = anyio.current_time() + self.comes_back_s
+        while True:
+            entry = rng.choice(self.entries)
+            answer = await caller.resume(
+                broken, entry, target, headers=PROMPT, body=b'brief'
             )
-        )
+            self.sent.append(
+                Sent(
+                    target=target,
+                    key=caller.key,
+                    answer=answer,
+                    entry=entry,
+                    behind=behind,
+                    limit_s=self.patience_s,
+                )
+            )
+            if answer.status == 200 or anyio.current_time() >= until:
+                return
+            await anyio.sleep(RETURN_PAUSE_S)
 
     async def _call(self, rng):
         caller = StandInCaller(
