Logs and metrics tell what an answer's end was known by

A line of a stream's end named neither how its answer was framed, nor the peer that it came through, nor what its end was taken for, so that the record of an incident could not tell a tunnel's end from a process's, and neither from a continuation that brings nothing.

request_ended has framing, via, end, end_wait_s, and for streams events and last_event; answer_end_unproven has via, events, last_event and wait_s. mimosamux_gateway_answer_ends_total counts ends by framing and evidence, mimosamux_gateway_end_wait_seconds the time that callers wait for it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -17,6 +17,7 @@
 
 from mimosamux_daemon.domain.http_messages import (
     AnswerHead,
+    BodyFraming,
     RequestHead,
     find_value,
 )
@@ -92,8 +93,8 @@
         self._idle_since = anyio.current_time()
         self._body_left = math.inf
         """Bytes that the body of the answer may still have."""
-        self.ends_answer = False
-        """Whether its end is the only end that the current answer has."""
+        self.framing = BodyFraming.NO_BODY
+        """What marks the end of the current answer."""
 
     async def send(
         self, head: RequestHead, body: bytes
@@ -150,7 +151,7 @@
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
                 self._body_left = _find_body_limit(event)
-                self.ends_answer = self._is_unframed(event)
+                self.framing = self._find_framing(event)
                 return AnswerHead(
                     status=event.status_code,
                     headers=tuple(event.headers.raw_items()),
@@ -160,18 +161,19 @@
             return ChannelBroken(reason='closed before an answer')
         return ChannelBroken(reason='informational responses without end')
 
-    def _is_unframed(self, answer: h11.Response) -> bool:
-        """Whether an answer has a body with neither a length nor chunks."""
+    def _find_framing(self, answer: h11.Response) -> BodyFraming:
+        """Return what marks the end of an answer's body."""
         assert self._request is not None
         if self._request.method == b'HEAD':
-            return False
+            return BodyFraming.NO_BODY
         if answer.status_code in BODILESS_STATUSES:
-            return False
+            return BodyFraming.NO_BODY
         headers = tuple(answer.headers)
-        return (
-            find_value(headers, CONTENT_LENGTH) is None
-            and find_value(headers, TRANSFER_ENCODING) is None
-        )
+        if find_value(headers, TRANSFER_ENCODING) is not None:
+            return BodyFraming.CHUNKS
+        if find_value(headers, CONTENT_LENGTH) is not None:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
 
     async def receive_body(self) -> bytes | None | ChannelBroken:
         """Return the next part of the body, None behind its end."""
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/answer_ends.py
@@ -0,0 +1,31 @@
+"""What is known of the end of an endpoint's answer."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from mimosamux_daemon.domain.http_messages import BodyFraming
+
+
+class EndEvidence(StrEnum):
+    """What an answer that has ended was taken for whole, or for cut, by."""
+
+    FRAMED = 'framed'
+    """Its length or its last chunk marks the end."""
+    PROCESS_RUNS = 'process_runs'
+    """Only its connection ended, and its process is known to run on."""
+    RUN_STOPPED = 'run_stopped'
+    """Its run may have been stopped for a move: the answer is cut."""
+    PROCESS_NOT_SEEN = 'process_not_seen'
+    """Its process may have ended with the connection: the answer is cut."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AnswerEnd:
+    """The end of an answer, as received."""
+
+    framing: BodyFraming
+    via: str
+    """Address of the peer's tunnel that it came through, empty: none."""
+    evidence: EndEvidence
+    wait_s: float
+    """Time that the caller waited for the evidence."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 heads as raw bytes, which are forwarded without decoding."""
 
 from dataclasses import dataclass
+from enum import StrEnum
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 """Pairs of name and value; names keep the case in which they arrived."""
@@ -21,6 +22,17 @@
 """Headers that apply to a single connection, in lower case."""
 
 
+class BodyFraming(StrEnum):
+    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+    NO_BODY = 'no_body'
+    """Its request or its status allows none."""
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+    """Only the end of its connection."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestHead:
     """Request line and headers of a request."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_ends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_ends.py
@@ -6,6 +6,7 @@
 out: its run was not stopped, and its process is seen to live on.
 """
 
+from mimosamux_daemon.domain.answer_ends import AnswerEnd, EndEvidence
 from mimosamux_daemon.gateway.attempts import Attempt
 from mimosamux_daemon.gateway.streams.running_stream import RunningStream
 from mimosamux_daemon.logs import get_log
@@ -13,9 +14,15 @@
 
 log = get_log('answer_ends')
 
-RUN_STOPPED = CallBroken(reason='its run was stopped for a move')
-PROCESS_NOT_SEEN = CallBroken(reason='its process ended with its connection')
-"""Results of a call whose answer, by all that came, could be whole."""
+BREAK_BY_EVIDENCE = {
+    EndEvidence.RUN_STOPPED: CallBroken(
+        reason='its run was stopped for a move'
+    ),
+    EndEvidence.PROCESS_NOT_SEEN: CallBroken(
+        reason='its process ended with its connection'
+    ),
+}
+"""Results of calls whose answers, by all that came, could be whole."""
 
 
 async def find_cut(
@@ -25,27 +32,54 @@
 
     `stream` is the answer's run, if it is one that can be moved.
     """
+    clock = attempt.recorder.clock
+    ended_at = clock()
+    evidence = await _find_evidence(attempt, stream)
+    attempt.job.answer_end = end = AnswerEnd(
+        framing=attempt.framing,
+        via=attempt.via,
+        evidence=evidence,
+        wait_s=clock() - ended_at,
+    )
+    _record(attempt, end)
+    return BREAK_BY_EVIDENCE.get(evidence)
+
+
+async def _find_evidence(
+    attempt: Attempt, stream: RunningStream | None
+) -> EndEvidence:
     if not attempt.ends_with_connection:
-        return None
-    cut = None
+        return EndEvidence.FRAMED
     if stream is not None and await stream.may_have_stopped():
-        cut = RUN_STOPPED
-    elif not await attempt.is_process_seen():
-        cut = PROCESS_NOT_SEEN
-    if cut is not None:
-        _record(attempt, cut)
-    return cut
-
-
-def _record(attempt: Attempt, cut: CallBroken) -> None:
-    cause = 'stopped' if cut is RUN_STOPPED else 'process'
-    attempt.recorder.metrics.unproven_ends.inc(
-        {'service': attempt.job.service.name, 'cause': cause}
+        return EndEvidence.RUN_STOPPED
+    if not await attempt.is_process_seen():
+        return EndEvidence.PROCESS_NOT_SEEN
+    return EndEvidence.PROCESS_RUNS
+
+
+def _record(attempt: Attempt, end: AnswerEnd) -> None:
+    metrics = attempt.recorder.metrics
+    service = attempt.job.service.name
+    metrics.answer_ends.inc(
+        {'service': service, 'framing': end.framing, 'end': end.evidence}
     )
+    if not attempt.ends_with_connection:
+        return
+    metrics.end_wait_s.observe({'service': service}, end.wait_s)
+    if end.evidence not in BREAK_BY_EVIDENCE:
+        return
+    cause = 'process'
+    if end.evidence is EndEvidence.RUN_STOPPED:
+        cause = 'stopped'
+    metrics.unproven_ends.inc({'service': service, 'cause': cause})
     log.info(
         'answer_end_unproven',
         request=attempt.job.request.id,
         endpoint=attempt.endpoint.id,
         is_leaving=attempt.choice.record.is_leaving,
         cause=cause,
+        via=end.via or None,
+        events=attempt.job.events,
+        last_event=attempt.job.last_event_id,
+        wait_s=round(end.wait_s, 3),
     )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -143,6 +143,7 @@
             attempt.note_first_event()
         else:
             attempt.note_later_events(events.count)
+        job.events += events.count
         job.last_event_id = events.last_id or job.last_event_id
         if job.sink.is_started:
             is_sent = await job.sink.write(events.data)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -11,6 +11,7 @@
 from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.http_messages import BodyFraming
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
@@ -67,8 +68,10 @@
     """Software that it was sent to, whatever the list shows later."""
     has_first_event: bool = False
     """Whether the prompt is prefilled, as the first event shows."""
-    ends_with_connection: bool = False
-    """Whether nothing but the end of its connection ends the answer."""
+    framing: BodyFraming = BodyFraming.NO_BODY
+    """What marks the end of its answer."""
+    via: str = ''
+    """Address of the peer's tunnel that its answer comes through."""
     is_result_counted: bool = False
     """Whether the result was counted for the endpoint's health."""
     time_to_first_event_s: float | None = None
@@ -89,6 +92,11 @@
         """Return the endpoint's entry in the list."""
         return self.choice.record.listed
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of its connection ends the answer."""
+        return self.framing is BodyFraming.CONNECTION
+
     @property
     def counted_tokens(self) -> float:
         """Return the unread tokens that count as the endpoint's load.
@@ -156,7 +164,7 @@
         record = self.choice.record
         roster = self.recorder.roster
         if not isinstance(answer, RequestRejected):
-            self.ends_with_connection = answer.ends_with_connection
+            self.framing, self.via = answer.framing, answer.via
         if not (
             isinstance(answer, RequestRejected) and answer.is_other_endpoint
         ):
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -3,6 +3,7 @@
 import math
 from dataclasses import dataclass, field
 
+from mimosamux_daemon.domain.answer_ends import AnswerEnd
 from mimosamux_daemon.domain.gateway import GatewayRequest
 from mimosamux_daemon.domain.names import (
     ContentKey,
@@ -54,6 +55,10 @@
     """Those of them that were left since they did not answer in time."""
     last_event_id: str | None = None
     """Id of the last event that was forwarded to the caller."""
+    events: int = 0
+    """Events that were forwarded to the caller, of all attempts."""
+    answer_end: AnswerEnd | None = None
+    """How the latest answer that came to an end has ended."""
     weights_version: str | None = None
     """Version of the model weights that generated the stream so far."""
     kv_source: str | None = None
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -53,6 +53,16 @@
             'Answers without a length whose end is not known to be that of '
             'the answer, by service and cause (stopped, process).',
         )
+        self.answer_ends = self._counter(
+            'mimosamux_gateway_answer_ends_total',
+            'Answers that came to an end, by service, framing (length, '
+            'chunks, connection, no_body) and what their end was known by.',
+        )
+        self.end_wait_s = self._histogram(
+            'mimosamux_gateway_end_wait_seconds',
+            'Time for which callers waited until the end of an answer '
+            'without a length was known to be its end, by service.',
+        )
         self.endpoint_crashes = self._counter(
             'mimosamux_gateway_endpoint_crashes_total',
             'Endpoints that ended unannounced under requests, by service.',
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/outcome_log.py
@@ -99,6 +99,7 @@
             sends=job.sends,
             took_s=round(took_s, 3),
             **fields,
+            **describe_end(job),
             **self._configuration_fields(),
         )
 
@@ -110,6 +111,22 @@
         }
 
 
+def describe_end(job: Job) -> dict[str, object]:
+    """Return the log fields of what a job's answer ended with."""
+    fields: dict[str, object] = {}
+    if job.is_stream:
+        fields |= {'events': job.events, 'last_event': job.last_event_id}
+    end = job.answer_end
+    if end is not None:
+        fields |= {
+            'framing': end.framing,
+            'via': end.via or None,
+            'end': end.evidence,
+            'end_wait_s': round(end.wait_s, 3),
+        }
+    return fields
+
+
 @singledispatch
 def describe_outcome(outcome: GatewayOutcome) -> dict[str, object]:
     """Return the log fields of an outcome."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
-from mimosamux_daemon.domain.http_messages import RawHeaders
+from mimosamux_daemon.domain.http_messages import BodyFraming, RawHeaders
 from mimosamux_daemon.domain.names import AccountId
 
 
@@ -128,9 +128,10 @@
     brittle_per_s: float | None
     """Requests that the endpoint can reject in a second without falling over,
     None: any number."""
-    ends_with_connection: bool
-    """Whether nothing but the end of its connection marks its end, which a
-    process that crashes brings about as well."""
+    framing: BodyFraming
+    """What marks its end; a process that crashes ends its connection too."""
+    via: str
+    """Address of the peer's tunnel that it comes through, empty: none."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, or None at its end.
