Tests: an endpoint whose listener outlives its connections, red

Its connections end in order, with half of its answers, and it accepts new ones for a while without answering any.

--- a/tests/support/platform_site.py
+++ b/tests/support/platform_site.py
@@ -1,5 +1,6 @@
 """Daemons on the stand-in platform, in memory and on a paused clock."""
 
+import math
 import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -212,22 +213,27 @@
         self.list_replica(heir)
         return heir
 
-    def crash_replica(self, replica, *, in_order=False):
-        """End a replica at once; the list shows it for a while."""
+    def crash_replica(self, replica, *, in_order=False, exit_s=EXIT_S):
+        """End a replica at once; the list shows it for a while.
+
+        In order, its connections end first; until `exit_s` is over it accepts
+        new ones and answers nothing.
+        """
         replica.state = 'gone'
         if in_order:
+            replica.silent_until = math.inf
             self.network.end_connections(machine_of(replica.address))
-            self.tasks.start_soon(self._end_late, replica)
+            self.tasks.start_soon(self._end_late, replica, exit_s)
             return
         self.network.kill(machine_of(replica.address))
         self.scope_by_replica[replica.id].cancel()
 
-    async def _end_late(self, replica):
+    async def _end_late(self, replica, exit_s):
         """End what accepts connections, behind those that it had.
 
         A kernel closes what a process has opened last before the rest.
         """
-        await anyio.sleep(EXIT_S)
+        await anyio.sleep(exit_s)
         self.network.kill(machine_of(replica.address))
         self.scope_by_replica[replica.id].cancel()
 
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -115,6 +115,18 @@
         )
         self.assertEqual(answers.whole('/question/'), STREAMS // 2)
 
+    def test_process_whose_listener_outlives_its_connections(self):
+        for exit_s in (0.04, 0.1, 0.3, 1.0, 3.0):
+            with self.subTest(exit_s=exit_s):
+
+                async def hang(site, exit_s=exit_s):
+                    site.crash_replica(
+                        busiest(site), in_order=True, exit_s=exit_s
+                    )
+
+                answers = self.play(hang)
+                self.assertEqual(answers.whole('/question/'), STREAMS // 2)
+
     def test_end_of_a_vm_that_answers_nothing_afterwards(self):
         async def vanish(site):
             engine = busiest(site)
