The end of an answer is proved by an answer of its process

Callers got streams that looked whole and had 29 to 33 of 100 events. The end of a connection was taken for the end of an answer without a length if two connections to the endpoint, 50 ms apart, were accepted. A kernel accepts them while a process hangs at its end, dumps its core or has left its listener to another process, so that they prove nothing about the process that wrote the answer.

Such an answer is whole only if the process has answered a question that was sent behind the end: an engine's report, which needs no slot, or a plain endpoint's health path. The question names the endpoint; 421, another id or another start than the listed one is another process. A reset is followed by another question, by turns on a new connection and on a kept one, for 1.5 s: a sound endpoint may be silent for a second, and callers leave a stream that pauses for two. Ends at one endpoint share a question that was sent behind all of them. What is not proved goes on elsewhere or breaks off visibly, as before.

Two tests fail without the check of the id and the start. The tests' count of whole answers takes streams alone, no longer whole refusals.

--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/answer_ends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/answer_ends.py
@@ -11,12 +11,16 @@
 
     FRAMED = 'framed'
     """Its length or its last chunk marks the end."""
-    PROCESS_RUNS = 'process_runs'
-    """Only its connection ended, and its process is known to run on."""
+    PROCESS_ANSWERED = 'process_answered'
+    """Only its connection ended, and its process has answered since."""
     RUN_STOPPED = 'run_stopped'
     """Its run may have been stopped for a move: the answer is cut."""
-    PROCESS_NOT_SEEN = 'process_not_seen'
-    """Its process may have ended with the connection: the answer is cut."""
+    PROCESS_ENDED = 'process_ended'
+    """No process listens any more: the answer is cut."""
+    PROCESS_REPLACED = 'process_replaced'
+    """Another process is at its address: the answer is cut."""
+    PROCESS_SILENT = 'process_silent'
+    """Its process has not answered since: the answer may be cut."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_ends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_ends.py
@@ -3,14 +3,14 @@
 An answer with neither a length nor chunks ends with its connection. A
 connection also ends with the process at its other side, and with the run that
 this daemon stops for a move. Such an answer is whole only if both are ruled
-out: its run was not stopped, and its process is seen to live on.
+out: its run was not stopped, and its process has answered a question since.
 """
 
 from mimosamux_daemon.domain.answer_ends import AnswerEnd, EndEvidence
 from mimosamux_daemon.gateway.attempts import Attempt
 from mimosamux_daemon.gateway.streams.running_stream import RunningStream
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.endpoint_calls import CallBroken
+from mimosamux_daemon.ports.endpoint_calls import CallBroken, ProcessState
 
 log = get_log('answer_ends')
 
@@ -18,11 +18,23 @@
     EndEvidence.RUN_STOPPED: CallBroken(
         reason='its run was stopped for a move'
     ),
-    EndEvidence.PROCESS_NOT_SEEN: CallBroken(
+    EndEvidence.PROCESS_ENDED: CallBroken(
         reason='its process ended with its connection'
     ),
+    EndEvidence.PROCESS_REPLACED: CallBroken(
+        reason='another process is at its address'
+    ),
+    EndEvidence.PROCESS_SILENT: CallBroken(
+        reason='its process may have ended with its connection'
+    ),
 }
 """Results of calls whose answers, by all that came, could be whole."""
+EVIDENCE_BY_STATE = {
+    ProcessState.RUNNING: EndEvidence.PROCESS_ANSWERED,
+    ProcessState.ENDED: EndEvidence.PROCESS_ENDED,
+    ProcessState.REPLACED: EndEvidence.PROCESS_REPLACED,
+    ProcessState.UNKNOWN: EndEvidence.PROCESS_SILENT,
+}
 
 
 async def find_cut(
@@ -52,9 +64,7 @@
         return EndEvidence.FRAMED
     if stream is not None and await stream.may_have_stopped():
         return EndEvidence.RUN_STOPPED
-    if not await attempt.is_process_seen():
-        return EndEvidence.PROCESS_NOT_SEEN
-    return EndEvidence.PROCESS_RUNS
+    return EVIDENCE_BY_STATE[await attempt.find_process_state()]
 
 
 def _record(attempt: Attempt, end: AnswerEnd) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -23,6 +23,7 @@
 from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
@@ -31,6 +32,7 @@
 from mimosamux_daemon.ports.endpoint_calls import (
     EndpointAnswer,
     EndpointCall,
+    ProcessState,
     RequestRejected,
 )
 
@@ -225,10 +227,11 @@
             suspects, self.choice.record
         )
 
-    async def is_process_seen(self) -> bool:
-        """Whether the endpoint's process is seen to run now."""
-        detector = self.recorder.crash_detector
-        return await detector.is_seen(self.choice.record)
+    async def find_process_state(self) -> ProcessState:
+        """Return the state of the endpoint's process from now on."""
+        return await self.recorder.process_proofs.find_state(
+            self.choice.record
+        )
 
     def note_whole_run(self) -> None:
         """Record that the request ran from start to end at this endpoint."""
@@ -389,6 +392,7 @@
     chooser: Chooser
     request_counts: RequestCounts
     crash_detector: CrashDetector
+    process_proofs: ProcessProofs
     origins: OriginExchange
     limits: EndpointLimits
     brittle: BrittleServices
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -36,13 +36,6 @@
 WITHDRAWAL_DELAY_S = 1.0
 """Delay before a crash is withdrawn. By then the endpoint list shows whether
 the endpoint that answers is a new process under the same id."""
-SIGHT_INTERVAL_S = 0.05
-"""Pause between two checks at the end of an answer, whose caller waits. The
-connections of a killed process end moments before its listener."""
-SIGHT_TIMEOUT_S = 1.0
-"""Longest time for which the end of an answer waits to be confirmed: a lost
-packet is no reason to call it cut, and callers leave a stream that pauses for
-two seconds."""
 DETECTION_TIMEOUT_S = 10.0
 """Time after which an endpoint that neither answers nor leaves the endpoint
 list counts as partitioned, not as crashed."""
@@ -96,24 +89,6 @@
             self._has_work.set()
         self._contents_by_record[record].update(contents)
 
-    async def is_seen(self, record: EndpointRecord) -> bool:
-        """Whether an endpoint's process is seen to run, leaving or not.
-
-        One that cannot be reached is not: a VM that is taken away right
-        behind its process answers nothing either.
-        """
-        times_seen = 0
-        with anyio.move_on_after(SIGHT_TIMEOUT_S):
-            while True:
-                process_state = await self.calls.check_process(record.listed)
-                if process_state is ProcessState.ENDED:
-                    return False
-                times_seen += process_state is ProcessState.RUNNING
-                if times_seen >= MIN_ALIVE_CHECKS:
-                    return True
-                await anyio.sleep(SIGHT_INTERVAL_S)
-        return False
-
     def note_whole_run(
         self,
         record: EndpointRecord,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -72,6 +72,7 @@
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.operator_items import OperatorItems
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
+from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.rollout_clearing import RolloutClearing
 from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
@@ -464,6 +465,11 @@
             clock=self._clock,
             on_whole_run=self.quarantine.note_completion,
         )
+        self.process_proofs = ProcessProofs(
+            calls=self._platform.calls,
+            configuration=self.configuration,
+            clock=self._clock,
+        )
         self.crash_rows = CrashRows(
             table=self._platform.table,
             exchange=exchange,
@@ -563,6 +569,7 @@
                 chooser=self.chooser,
                 request_counts=self.request_counts,
                 crash_detector=self.crash_detector,
+                process_proofs=self.process_proofs,
                 origins=self.origins,
                 limits=self.limits,
                 brittle=self.brittle,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
 from mimosamux_daemon.domain.http_messages import BodyFraming, RawHeaders
 from mimosamux_daemon.domain.names import AccountId
+from mimosamux_daemon.domain.routes import ServiceEntry
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,12 +98,14 @@
 
 
 class ProcessState(Enum):
-    """State of the process at an endpoint's address."""
+    """State of an endpoint's process."""
 
     RUNNING = auto()
-    """A process accepts connections."""
+    """It accepts connections, or has answered, as the method says."""
     ENDED = auto()
     """The VM refuses connections: no process listens."""
+    REPLACED = auto()
+    """Another process is at its address."""
     UNKNOWN = auto()
     """No response: the VM may be gone, or the network partitioned."""
 
@@ -161,4 +164,16 @@
         """Send a request; leaving the block early closes the connection."""
 
     async def check_process(self, endpoint: ListedEndpoint) -> ProcessState:
-        """Check by connecting whether an endpoint's process is running."""
+        """Check by connecting whether a process accepts connections."""
+
+    async def ask_process(
+        self,
+        endpoint: ListedEndpoint,
+        service: ServiceEntry,
+        *,
+        on_new_connection: bool,
+    ) -> ProcessState:
+        """Ask an endpoint's process something without effect.
+
+        Waits for the answer until cancelled; RUNNING: it has answered.
+        """
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -232,10 +232,11 @@
             await _send_endless(reply, b'HTTP/1.1 200 OK\r\nX-Rest: ')
         elif self.framing is Framing.ENDLESS_BODY:
             await _send_endless(reply, b'HTTP/1.1 200 OK\r\n\r\n')
+        elif not self._is_meant(incoming):
+            await reply.answer(421, self._own_id())
         elif target == '/healthz':
             is_well = self.state == 'ready'
-            headers = ((b'X-Replica-Id', self.id.encode()),)
-            await reply.answer(200 if is_well else 503, headers)
+            await reply.answer(200 if is_well else 503, self._own_id())
         elif target == '/api/report':
             await self._answer_report(reply)
         elif target == '/api/kv-move':
@@ -246,6 +247,17 @@
         else:
             await self._answer(incoming, reply)
 
+    def _is_meant(self, incoming: IncomingRequest) -> bool:
+        """Whether a question without an id is for this replica."""
+        headers = incoming.head.headers
+        if find_value(headers, b'x-attempt-id') is not None:
+            return True
+        expected = find_value(headers, b'x-expected-replica')
+        return expected in (None, self.id.encode())
+
+    def _own_id(self) -> RawHeaders:
+        return ((b'X-Replica-Id', self.id.encode()),)
+
     async def _answer_report(self, reply: Reply) -> None:
         if self.silent_reports:
             self.silent_reports -= 1
@@ -259,8 +271,7 @@
         expected = find_value(headers, b'x-expected-replica')
         if expected is not None and expected.decode() != self.id:
             self.misdirected.append(arrival)
-            own = ((b'X-Replica-Id', self.id.encode()),)
-            await reply.answer(421, own)
+            await reply.answer(421, self._own_id())
             return
         self.arrivals.append(arrival)
         source = find_value(headers, b'kv-from')
--- /dev/null
+++ b/tests/test_gateway_process_proofs.py
@@ -0,0 +1,137 @@
+"""Proof that the process of an endpoint lives on, and what it costs."""
+
+import unittest
+
+import anyio
+from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
+from mimosamux_daemon.gateway.process_proofs import (
+    PROOF_TIMEOUT_S,
+    ProcessProofs,
+)
+from mimosamux_daemon.ports.endpoint_calls import ProcessState
+
+from tests.support.clock import run_paused
+
+ANSWER_S = 0.1
+
+
+class FakeCalls:
+    """Answers questions late; `states` are those of the next questions."""
+
+    def __init__(self, *states):
+        self.asked_at = []
+        self.states = list(states)
+
+    async def ask_process(self, endpoint, service, *, on_new_connection):
+        self.asked_at.append(anyio.current_time())
+        state = self.states.pop(0) if self.states else ProcessState.RUNNING
+        if state is None:
+            await anyio.sleep_forever()
+        await anyio.sleep(ANSWER_S)
+        return state
+
+
+def make_record():
+    listed = ListedEndpoint(
+        id='i-1',
+        service='llm',
+        address='10.0.0.1:1',
+        data_centre='north',
+        slots=8,
+    )
+    return EndpointRecord(listed=listed, listed_at=0.0)
+
+
+def play(calls, check):
+    async def run():
+        proofs = ProcessProofs(
+            calls=calls,
+            configuration=ConfirmedConfiguration(clock=anyio.current_time),
+            clock=anyio.current_time,
+        )
+        return await check(proofs, make_record())
+
+    return run_paused(run)
+
+
+class TestProcessProofs(unittest.TestCase):
+    def test_ends_during_a_question_share_the_next_one(self):
+        calls = FakeCalls()
+        states = []
+
+        async def check(proofs, record):
+            async def find():
+                states.append(await proofs.find_state(record))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(find)
+                await anyio.sleep(ANSWER_S / 2)
+                for _ in range(20):
+                    tasks.start_soon(find)
+
+        play(calls, check)
+        self.assertEqual(states, [ProcessState.RUNNING] * 21)
+        self.assertEqual(len(calls.asked_at), 2)
+
+    def test_an_answer_to_an_earlier_question_proves_nothing(self):
+        # Guards against a process that ends behind a question it answered.
+        calls = FakeCalls(ProcessState.RUNNING, ProcessState.ENDED)
+        states = []
+
+        async def check(proofs, record):
+            async def find():
+                states.append(await proofs.find_state(record))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(find)
+                await anyio.sleep(ANSWER_S / 2)
+                tasks.start_soon(find)
+
+        play(calls, check)
+        self.assertEqual(states, [ProcessState.RUNNING, ProcessState.ENDED])
+
+    def test_a_connection_that_is_reset_is_followed_by_another_question(self):
+        calls = FakeCalls(ProcessState.UNKNOWN, ProcessState.UNKNOWN)
+
+        async def check(proofs, record):
+            return await proofs.find_state(record)
+
+        self.assertIs(play(calls, check), ProcessState.RUNNING)
+
+    def test_a_silent_process_is_unknown_for_all_who_ask(self):
+        calls = FakeCalls(None, None)
+        states = []
+
+        async def check(proofs, record):
+            async def find():
+                began_at = anyio.current_time()
+                states.append(await proofs.find_state(record))
+                waits.append(anyio.current_time() - began_at)
+
+            waits = []
+            async with anyio.create_task_group() as tasks:
+                for _ in range(3):
+                    tasks.start_soon(find)
+            return waits
+
+        waits = play(calls, check)
+        self.assertEqual(states, [ProcessState.UNKNOWN] * 3)
+        self.assertLessEqual(max(waits), PROOF_TIMEOUT_S + 0.01)
+
+    def test_a_caller_that_leaves_does_not_end_the_question_of_others(self):
+        calls = FakeCalls()
+
+        async def check(proofs, record):
+            async with anyio.create_task_group() as tasks:
+
+                async def leave():
+                    with anyio.move_on_after(ANSWER_S / 2):
+                        await proofs.find_state(record)
+
+                tasks.start_soon(leave)
+                await anyio.sleep(ANSWER_S / 4)
+                return await proofs.find_state(record)
+
+        self.assertIs(play(calls, check), ProcessState.RUNNING)
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -8,7 +8,8 @@
 from mimosamux_standins.site.replica import render_event
 
 from tests.support.clock import run_paused
-from tests.support.platform_site import Partition, open_site
+from tests.support.memory_network import machine_of
+from tests.support.platform_site import Partition, open_site, steady, wall_ms
 from tests.support.prompts import prompt_of
 from tests.test_gateway_evacuation import patient_document
 from tests.test_gateway_tunnel_stop import cut_off
@@ -68,8 +69,11 @@
         ]
 
     def whole(self, path):
-        """Return how many answers on a route are called whole."""
-        return sum(each.is_whole for each in self.answers_by_path[path])
+        """Return how many answers on a route are streams called whole."""
+        return sum(
+            each.status == 200 and each.is_whole
+            for each in self.answers_by_path[path]
+        )
 
 
 def busiest(site):
@@ -139,6 +143,63 @@
         self.assertEqual(answers.whole('/question/'), STREAMS // 2)
 
 
+class TestProofOfTheProcess(unittest.TestCase):
+    # Guards against ends that prove nothing, and against whole answers that
+    # are called cut.
+
+    def play(self, trouble, **fields):
+        async def check():
+            async with open_patient_site(engines=4, **fields) as site:
+                answers = Answers(site)
+                await answers.play(partial(trouble, site))
+                return site, answers
+
+        site, answers = run_paused(check)
+        self.assertEqual(answers.short(), [])
+        return site, answers
+
+    def check_all_whole(self, answers):
+        for path in PATHS:
+            self.assertEqual(answers.whole(path), STREAMS // 2, path)
+
+    def test_another_process_behind_the_same_listener(self):
+        async def replace(site):
+            engine = busiest(site)
+            site.network.end_connections(machine_of(engine.address))
+            engine.id = 'i-9999'
+
+        _, answers = self.play(replace)
+        self.assertLess(answers.whole('/draft/'), STREAMS // 2)
+
+    def test_another_start_of_the_endpoint_behind_the_same_listener(self):
+        async def start_anew(site):
+            engine = busiest(site)
+            engine.born_ms = wall_ms()
+            site.list_replica(engine)
+            await anyio.sleep(0.3)
+            site.network.end_connections(machine_of(engine.address))
+            engine.born_ms += 1000
+
+        _, answers = self.play(start_anew)
+        self.assertLess(answers.whole('/draft/'), STREAMS // 2)
+
+    def test_sound_endpoints_that_are_silent_for_a_second(self):
+        async def stand_still(site):
+            for engine in site.replicas_by_id.values():
+                engine.silent_until = steady() + 2.3
+
+        _, answers = self.play(stand_still)
+        self.check_all_whole(answers)
+
+    def test_endpoints_that_leave_and_answer(self):
+        async def drain(site):
+            for engine in site.replicas_by_id.values():
+                site.drain_replica(engine)
+
+        _, answers = self.play(drain, drain_s=8.0)
+        self.check_all_whole(answers)
+
+
 class TestStoppedRun(unittest.TestCase):
     # Guards against a run stopped for a move whose answer looks ended.
 
