Crashes: an endpoint lives if it answers, not if its kernel accepts connections

The detector took two accepted connections for proof that an endpoint lives. A process whose connections have ended while it hangs before its exit passed, so that the request that ended it was never suspected: 88 arrivals of a request that ends each endpoint with a hang of 0.3 s, well behind the third crash, where 3 are allowed.

The detector asks the process, as the end of an answer does: two answered questions show that it lives, another process at its address that it has ended.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -19,20 +19,23 @@
 from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
 from mimosamux_daemon.gateway.crashes.suspects import EndpointIncarnation
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.endpoint_calls import EndpointCalls, ProcessState
+from mimosamux_daemon.ports.endpoint_calls import ProcessState
 
 log = get_log('crash_detector')
 
 CHECK_INTERVAL_S = 0.1
-"""Pause between two checks of an endpoint: a process that is ending may still
-accept a connection."""
+"""Pause between two questions to an endpoint: a process that is ending may
+still answer one."""
 RECHECK_PAUSE_S = 0.2
 """Pause before an endpoint is checked once more, for what was noted during the
-last check: a process that accepted connections may have ended since."""
-MIN_ALIVE_CHECKS = 2
-"""Consecutive checks that must find a process before an endpoint counts as
+last check: a process that answered may have ended since."""
+MIN_ANSWERS = 2
+"""Consecutive questions that must be answered before an endpoint counts as
 alive."""
+QUESTION_TIMEOUT_S = 1.0
+"""Time after which a question counts as not answered."""
 WITHDRAWAL_DELAY_S = 1.0
 """Delay before a crash is withdrawn. By then the endpoint list shows whether
 the endpoint that answers is a new process under the same id."""
@@ -46,7 +49,7 @@
     """Checks endpoints whose answers broke off, or seem to be whole."""
 
     exchange: CrashExchange
-    calls: EndpointCalls
+    proofs: ProcessProofs
     metrics: GatewayMetrics
     clock: Callable[[], float]
     on_whole_run: Callable[[Iterable[ContentKey]], None]
@@ -171,19 +174,21 @@
 
     async def _detect_crash(self, record: EndpointRecord) -> bool:
         deadline = self.clock() + DETECTION_TIMEOUT_S
-        times_alive = 0
+        answers = 0
         while self.clock() < deadline:
             if record.listed.state is EndpointState.LEAVING:
                 return False
             if record.gone_at is not None:
                 return True
-            process_state = await self.calls.check_process(record.listed)
-            if process_state is ProcessState.ENDED:
-                return True
-            times_alive = (
-                times_alive + 1 if process_state is ProcessState.RUNNING else 0
+            state = await self.proofs.ask(
+                record,
+                timeout_s=QUESTION_TIMEOUT_S,
+                on_new_connection=answers == 0,
             )
-            if times_alive >= MIN_ALIVE_CHECKS:
+            if state in (ProcessState.ENDED, ProcessState.REPLACED):
+                return True
+            answers = answers + 1 if state is ProcessState.RUNNING else 0
+            if answers >= MIN_ANSWERS:
                 return False
             await anyio.sleep(CHECK_INTERVAL_S)
         log.info('endpoint_end_undecided', endpoint=record.id)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -458,18 +458,18 @@
             probes=CrashProbes(states=self.states, clock=self._clock),
             exchange=exchange,
         )
+        self.process_proofs = ProcessProofs(
+            calls=self._platform.calls,
+            configuration=self.configuration,
+            clock=self._clock,
+        )
         self.crash_detector = CrashDetector(
             exchange=exchange,
-            calls=self._platform.calls,
+            proofs=self.process_proofs,
             metrics=self.metrics,
             clock=self._clock,
             on_whole_run=self.quarantine.note_completion,
         )
-        self.process_proofs = ProcessProofs(
-            calls=self._platform.calls,
-            configuration=self.configuration,
-            clock=self._clock,
-        )
         self.crash_rows = CrashRows(
             table=self._platform.table,
             exchange=exchange,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
@@ -65,6 +65,22 @@
                 return turn.latest.state
         return ProcessState.UNKNOWN
 
+    async def ask(
+        self,
+        record: EndpointRecord,
+        *,
+        timeout_s: float,
+        on_new_connection: bool,
+    ) -> ProcessState:
+        """Ask an endpoint's process once; UNKNOWN: it did not answer."""
+        with anyio.move_on_after(timeout_s):
+            return await self.calls.ask_process(
+                record.listed,
+                self._service_of(record),
+                on_new_connection=on_new_connection,
+            )
+        return ProcessState.UNKNOWN
+
     @asynccontextmanager
     async def _turn(self, record: EndpointRecord) -> AsyncIterator[_Turn]:
         turn = self._turn_by_record.setdefault(record, _Turn())
@@ -81,9 +97,9 @@
         on_new_connection = True
         while True:
             asked_at = self.clock()
-            state = await self.calls.ask_process(
-                record.listed,
-                self._service_of(record),
+            state = await self.ask(
+                record,
+                timeout_s=PROOF_TIMEOUT_S,
                 on_new_connection=on_new_connection,
             )
             if state is not ProcessState.UNKNOWN:
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -101,7 +101,7 @@
     """State of an endpoint's process."""
 
     RUNNING = auto()
-    """It accepts connections, or has answered, as the method says."""
+    """It has answered."""
     ENDED = auto()
     """The VM refuses connections: no process listens."""
     REPLACED = auto()
@@ -163,9 +163,6 @@
     ]:
         """Send a request; leaving the block early closes the connection."""
 
-    async def check_process(self, endpoint: ListedEndpoint) -> ProcessState:
-        """Check by connecting whether a process accepts connections."""
-
     async def ask_process(
         self,
         endpoint: ListedEndpoint,
--- a/tests/support/crashes.py
+++ b/tests/support/crashes.py
@@ -35,6 +35,9 @@
     crash_events: int = 0
     """Whole events that come before a part crashes what writes them."""
     exit_s: float = 0.001
+    hang_s: float | None = None
+    """For how long a process whose connections have ended accepts new ones,
+    None: they end with it."""
     framing: Framing | None = None
     """How these endpoints end their answers, None: as they did."""
     crashes: list = field(default_factory=list)
@@ -53,7 +56,10 @@
 
     def take_crash(self, replica, run):
         self.crashes.append((anyio.current_time(), run.target))
-        self.site.crash_replica(replica)
+        if self.hang_s is None:
+            self.site.crash_replica(replica)
+        else:
+            self.site.crash_replica(replica, in_order=True, exit_s=self.hang_s)
         self.site.tasks.start_soon(self._replace, replica)
 
     async def _replace(self, replica):
@@ -132,7 +138,9 @@
     return sum(served)
 
 
-async def play(path, *, daemons=3, endpoints=9, crash_after_s=0.05):
+async def play(
+    path, *, daemons=3, endpoints=9, crash_after_s=0.05, hang_s=None
+):
     """Have a request come again for 30 s; return what it did.
 
     That is how often it reached endpoints well behind the third crash, and
@@ -143,7 +151,10 @@
         daemons=daemons, engines=endpoints, apps=endpoints
     ) as site:
         crashing = CrashingSite(
-            site=site, targets={target}, crash_after_s=crash_after_s
+            site=site,
+            targets={target},
+            crash_after_s=crash_after_s,
+            hang_s=hang_s,
         )
         crashing.arm()
         answers, served = [], []
--- a/tests/test_gateway_crashing_requests.py
+++ b/tests/test_gateway_crashing_requests.py
@@ -43,6 +43,11 @@
     def test_list_that_crashes_endpoints_is_held_back(self):
         self.check_path('/list/', crash_after_s=0.02)
 
+    def test_list_that_hangs_endpoints_before_they_end_is_held_back(self):
+        for hang_s in (0.3, 1.5):
+            with self.subTest(hang_s=hang_s):
+                self.check_path('/list/', crash_after_s=0.02, hang_s=hang_s)
+
     def test_small_site_serves_others_beside_a_crashing_request(self):
         self.check_path('/question/', endpoints=3)
 
