--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from http import HTTPStatus
 
 import anyio
 import anyio.lowlevel
@@ -18,6 +17,7 @@
 from mimosamux_daemon.domain.http_messages import (
     AnswerHead,
     RequestHead,
+    ends_with_connection,
     find_value,
 )
 from mimosamux_daemon.ports.network import Connection
@@ -34,8 +34,6 @@
 way of a request and for clocks that run differently."""
 KEEP_ALIVE = b'keep-alive'
 CONTENT_LENGTH = b'content-length'
-TRANSFER_ENCODING = b'transfer-encoding'
-BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that does not declare its length: a faulty server
 may send bytes without end."""
@@ -150,28 +148,19 @@
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
                 self._body_left = _find_body_limit(event)
-                self.ends_answer = self._is_unframed(event)
-                return AnswerHead(
-                    status=event.status_code,
-                    headers=tuple(event.headers.raw_items()),
-                )
+                return self._begin_answer(event)
             if isinstance(event, h11.InformationalResponse):
                 continue
             return ChannelBroken(reason='closed before an answer')
         return ChannelBroken(reason='informational responses without end')
 
-    def _is_unframed(self, answer: h11.Response) -> bool:
-        """Whether an answer has a body with neither a length nor chunks."""
+    def _begin_answer(self, event: h11.Response) -> AnswerHead:
         assert self._request is not None
-        if self._request.method == b'HEAD':
-            return False
-        if answer.status_code in BODILESS_STATUSES:
-            return False
-        headers = tuple(answer.headers)
-        return (
-            find_value(headers, CONTENT_LENGTH) is None
-            and find_value(headers, TRANSFER_ENCODING) is None
+        answer = AnswerHead(
+            status=event.status_code, headers=tuple(event.headers.raw_items())
         )
+        self.ends_answer = ends_with_connection(self._request.method, answer)
+        return answer
 
     async def receive_body(self) -> bytes | None | ChannelBroken:
         """Return the next part of the body, None behind its end."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 heads as raw bytes, which are forwarded without decoding."""
 
 from dataclasses import dataclass
+from http import HTTPStatus
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 """Pairs of name and value; names keep the case in which they arrived."""
@@ -20,6 +21,9 @@
 )
 """Headers that apply to a single connection, in lower case."""
 
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+FRAMING_HEADERS = (b'content-length', b'transfer-encoding')
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestHead:
@@ -78,3 +82,16 @@
         parts = b','.join(named).split(b',')
         dropped |= {part.strip().lower() for part in parts}
     return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def ends_with_connection(method: bytes, answer: AnswerHead) -> bool:
+    """Whether an answer has a body with neither a length nor chunks.
+
+    Such a body ends with its connection, which a crash or a proxy that
+    closes in order ends as well.
+    """
+    if method == b'HEAD' or answer.status in BODILESS_STATUSES:
+        return False
+    return all(
+        find_value(answer.headers, name) is None for name in FRAMING_HEADERS
+    )
