An object that only its connection ends is not read

Cause: the platform's answers are read by httpx, which takes the end of a connection for the end of an answer without a length. JSON that is cut does not parse; the bytes of an object are taken as they are.

What callers saw: the stored answer of a call that ran, asked for again under its idempotency key, as 200 with a part of its body.

Change: by the rule for plain services, such an answer counts as none and may have taken effect, whatever its call.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
@@ -8,6 +8,10 @@
 import httpx
 import pydantic
 
+from mimosamux_daemon.domain.http_messages import (
+    AnswerHead,
+    ends_with_connection,
+)
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.validation import first_problem
 
@@ -98,6 +102,10 @@
             return Unavailable(
                 reason=_describe(error), may_have_taken_effect=True
             )
+        if is_unframed(response):
+            return Unavailable(
+                reason='only its connection ended', may_have_taken_effect=True
+            )
         return Reply(status=response.status_code, body=response.content)
 
     async def close(self) -> None:
@@ -105,6 +113,19 @@
         await self.http.aclose()
 
 
+def is_unframed(response: httpx.Response) -> bool:
+    """Whether an answer has no other end than that of its connection.
+
+    The client takes any such end for a whole answer.
+    """
+    return ends_with_connection(
+        response.request.method.encode(),
+        AnswerHead(
+            status=response.status_code, headers=tuple(response.headers.raw)
+        ),
+    )
+
+
 def parse_reply(
     kind: type[ModelT], reply: Reply, *, status: int = HTTPStatus.OK
 ) -> ModelT | Unavailable:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -5,13 +5,9 @@
 
 import httpx
 
-from mimosamux_daemon.adapters.http_platform import NOT_SENT
+from mimosamux_daemon.adapters.http_platform import NOT_SENT, is_unframed
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.http_headers import end_to_end_headers
-from mimosamux_daemon.domain.http_messages import (
-    AnswerHead,
-    ends_with_connection,
-)
 from mimosamux_daemon.domain.vms import Endpoint
 from mimosamux_daemon.domain.work import ServiceCall
 from mimosamux_daemon.ports.models.service import (
@@ -117,19 +113,6 @@
     )
 
 
-def is_unframed(response: httpx.Response) -> bool:
-    """Whether an answer has no other end than that of its connection.
-
-    The client takes any such end for a whole answer.
-    """
-    return ends_with_connection(
-        response.request.method.encode(),
-        AnswerHead(
-            status=response.status_code, headers=tuple(response.headers.raw)
-        ),
-    )
-
-
 def quote_path(path: str) -> str:
     """Return a path and query that are safe in a request line."""
     path, mark, query = path.lstrip('/').partition('?')
