A stop that cuts an answer over HTTP/2 ends the server in order

Cause: at the end of the grace period hypercorn cancels its connections. One over HTTP/2 whose stream is cut starts its idle timer meanwhile, in a task group that shuts down: RuntimeError, which left serve_http and so would end the daemon's other tasks with a traceback.

Found while looking at what callers of the own API get of a stream that a stop cuts: over HTTP/1.1 a body without its last chunk, over HTTP/2 a stream without END_STREAM, so neither looks whole. An HTTP/1.0 caller gets a connection closed in order; there only the missing [DONE], moved or error event tells.

Change: that error, at the end of the grace period, is logged as connection_cut; every other one is raised as before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
@@ -10,6 +10,10 @@
 import sniffio
 from hypercorn.config import Config
 
+from mimosamux_daemon.logs import get_log
+
+log = get_log('http_server')
+
 BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
@@ -95,6 +99,13 @@
             # send when it is cancelled.
             if not ending.cancel_called:
                 raise
+        except ExceptionGroup as errors:
+            # The server starts the idle timer of an HTTP/2 connection
+            # while it cancels that connection.
+            is_over = anyio.current_time() >= ending.deadline - ABORT_DELAY_S
+            if not is_over or errors.split(RuntimeError)[1] is not None:
+                raise
+            log.warning('connection_cut', error=repr(errors))
 
     with ending:
         async with anyio.create_task_group() as tasks:
