A stream that breaks off is reset where the caller knows no chunks

Cause: to an HTTP/1.0 caller an answer of any length has no chunks and ends with its connection, which the server closed in order, whether the answer was finished or not.

What callers saw: a stream that looks whole and is short, whenever its endpoint, its deadline, a stop or the end of the daemon broke it off.

Change: from the head of such an answer until it is finished, closing the connection resets it (SO_LINGER), so also if the kernel closes it for a daemon that was killed. Callers with chunks see what they saw: no last chunk.

The scripted connection of tests/test_http1_relay.py takes the new call of the port; its checks are the same.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
@@ -11,6 +11,7 @@
 from mimosamux_daemon.ports.network import Connection
 
 CLOSE: RawHeaders = ((b'Connection', b'close'),)
+FIRST_VERSION_WITH_CHUNKS = b'1.1'
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -81,6 +82,10 @@
     ) -> bool:
         """Send the head and the first part of an answer of any length."""
         data = self._render_head(status, headers)
+        if self._has_no_chunks():
+            # The end of the connection is that of the answer: until it is
+            # finished, any end has to be a reset.
+            self.connection.reset_on_close(True)
         if first:
             data += self._parser.send(h11.Data(data=first)) or b''
         return await self._send(data)
@@ -98,8 +103,15 @@
         """End the answer: only now does it look complete."""
         data = self._parser.send(h11.EndOfMessage()) or b''
         self.is_finished = await self._send(data)
+        if self.is_finished and self._has_no_chunks():
+            self.connection.reset_on_close(False)
         return self.is_finished
 
+    def _has_no_chunks(self) -> bool:
+        """Whether the caller's version of HTTP knows no chunks."""
+        version = self._parser.their_http_version
+        return version is not None and version < FIRST_VERSION_WITH_CHUNKS
+
     def _render_head(self, status: int, headers: RawHeaders) -> bytes:
         self.is_started = True
         if self._closes():
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -27,6 +27,7 @@
 kernel would go on sending for a quarter of an hour."""
 ABORTIVE_CLOSE = struct.pack('ii', 1, 0)
 """Value of SO_LINGER with which closing a socket sends a reset."""
+ORDERLY_CLOSE = struct.pack('ii', 0, 0)
 ACCEPTS_AT_ONCE = 32
 """Connections accepted in one pass of the event loop; requests that are
 under way come to their turn before the next."""
@@ -92,9 +93,15 @@
 
     def abort(self) -> None:
         """Have the kernel reset it when it is closed."""
+        self.reset_on_close(True)
+
+    def reset_on_close(self, resets: bool) -> None:
+        """Tell the kernel how to close it, also if this process is killed."""
         if self._socket.fileno() >= 0:
             self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, ABORTIVE_CLOSE
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                ABORTIVE_CLOSE if resets else ORDERLY_CLOSE,
             )
 
     def has_input(self) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_frames.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_frames.py
@@ -88,6 +88,10 @@
         """Reset the tunnel."""
         self._connection.abort()
 
+    def reset_on_close(self, resets: bool) -> None:
+        """Choose whether closing it resets the tunnel."""
+        self._connection.reset_on_close(resets)
+
     def has_input(self) -> bool:
         """Whether bytes or an end have arrived and were not returned."""
         return bool(self._received) or self._connection.has_input()
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -21,6 +21,10 @@
     def abort(self) -> None:
         """Reset it: the other side cannot take this for a proper end."""
 
+    @abstractmethod
+    def reset_on_close(self, resets: bool) -> None:
+        """Choose whether closing it resets it, as does a killed process."""
+
     @abstractmethod
     def has_input(self) -> bool:
         """Return whether unread bytes or the end of stream have arrived."""
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -33,6 +33,7 @@
         self._is_reset = False
         self._is_closed = False
         self._is_silent = False
+        self._resets_on_close = False
         self._changed = anyio.Event()
 
     @property
@@ -65,6 +66,8 @@
         self.other.underway(None)
 
     async def aclose(self):
+        if self._resets_on_close:
+            self.abort()
         if not self._is_closed:
             self._is_closed = True
             self.other.underway(None)
@@ -75,6 +78,17 @@
         self.reset()
         self.other.reset()
 
+    def reset_on_close(self, resets):
+        self._resets_on_close = resets
+
+    def end(self):
+        """End it as a kernel does for a process that is gone."""
+        if self._resets_on_close:
+            self.abort()
+        else:
+            self.other.underway(None)
+            self.reset()
+
     def has_input(self):
         return bool(self._arrived) or self.has_ended()
 
@@ -200,8 +214,7 @@
         """End the connections of a machine in order, from its side."""
         ended = [each for each in self.connections if each.here == machine]
         for connection in ended:
-            connection.other.underway(None)
-            connection.reset()
+            connection.end()
             self.connections.remove(connection)
             self.connections.remove(connection.other)
 
--- a/tests/test_http1_relay.py
+++ b/tests/test_http1_relay.py
@@ -52,6 +52,9 @@
     async def send(self, item):
         self.sent += item
 
+    def reset_on_close(self, resets):
+        self.resets = resets
+
     def has_input(self):
         return bool(self.pieces)
 
