--- a/tests/test_platform_cut_answers.py
+++ b/tests/test_platform_cut_answers.py
@@ -101,6 +101,13 @@
         page = {**PAGE, 'rows': [], 'hasMore': True}
         self.assertIsInstance(ask(read, orjson.dumps(page)), Unavailable)
 
+    def test_report_with_another_status_is_none(self):
+        for status in (404, 500):
+            for body in (b'{}', orjson.dumps(REPORT)):
+                with self.subTest(status=status, body=body):
+                    answer = ask(fetch_departure, body, status)
+                    self.assertIsInstance(answer, Unavailable)
+
 
 if __name__ == '__main__':
     unittest.main()
