The command line prints no answer that only its connection ends

Cause: `mimosamux call` reads the daemon's answer by httpx, which takes the end of a connection for the end of an answer with neither a length nor chunks. A daemon sends a length; a proxy in between may not.

What users would see: a part of a service's answer, printed as the whole with status 0. No user saw it.

Change: such an answer counts as none; the call is sent again under its key, which gives the same answer. The look at the framing stands in adapters/http_framing.py, for services, the platform and the command line.

The streams of `mimosamux request` needed no change: cut behind each of its bytes, at the edges of events too, a stream is reported as whole in none of the cases, as [DONE] is asked for.

--- a/packages/mimosamux-cli/mimosamux_cli/service_caller.py
+++ b/packages/mimosamux-cli/mimosamux_cli/service_caller.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import httpx
+from mimosamux_daemon.adapters.http_framing import is_unframed
 
 from mimosamux_cli.addresses import EntryAddresses
 from mimosamux_cli.errors import (
@@ -67,11 +68,12 @@
         self, url: str, data: str, headers: dict[str, str]
     ) -> httpx.Response | None:
         try:
-            return httpx.post(
+            answer = httpx.post(
                 url, content=data, headers=headers, timeout=TIMEOUT
             )
         except httpx.TransportError:
             return None
+        return None if is_unframed(answer) else answer
 
 
 def _as_error(answer: httpx.Response) -> CommandError:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_framing.py
@@ -0,0 +1,21 @@
+"""Tells answers whose end proves nothing, on what httpx has read."""
+
+import httpx
+
+from mimosamux_daemon.domain.http_messages import (
+    AnswerHead,
+    ends_with_connection,
+)
+
+
+def is_unframed(response: httpx.Response) -> bool:
+    """Whether an answer has no other end than that of its connection.
+
+    The client takes any such end for a whole answer.
+    """
+    return ends_with_connection(
+        response.request.method.encode(),
+        AnswerHead(
+            status=response.status_code, headers=tuple(response.headers.raw)
+        ),
+    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
@@ -8,10 +8,7 @@
 import httpx
 import pydantic
 
-from mimosamux_daemon.domain.http_messages import (
-    AnswerHead,
-    ends_with_connection,
-)
+from mimosamux_daemon.adapters.http_framing import is_unframed
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.validation import first_problem
 
@@ -113,19 +110,6 @@
         await self.http.aclose()
 
 
-def is_unframed(response: httpx.Response) -> bool:
-    """Whether an answer has no other end than that of its connection.
-
-    The client takes any such end for a whole answer.
-    """
-    return ends_with_connection(
-        response.request.method.encode(),
-        AnswerHead(
-            status=response.status_code, headers=tuple(response.headers.raw)
-        ),
-    )
-
-
 def parse_reply(
     kind: type[ModelT], reply: Reply, *, status: int = HTTPStatus.OK
 ) -> ModelT | Unavailable:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -5,7 +5,8 @@
 
 import httpx
 
-from mimosamux_daemon.adapters.http_platform import NOT_SENT, is_unframed
+from mimosamux_daemon.adapters.http_framing import is_unframed
+from mimosamux_daemon.adapters.http_platform import NOT_SENT
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.http_headers import end_to_end_headers
 from mimosamux_daemon.domain.vms import Endpoint
