A link that ends within a frame gives no part of it: a test

Peers' links are framed by length and by a tag: cut behind each byte, a frame is no message, before and now. The test guards that; no code changes.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -132,6 +132,14 @@
             self.assertEqual(seen[:-1], [b'one', b'', b'3'])
             self.assertEqual(seen[-1].reason, 'ended')
 
+    def test_link_that_ends_within_a_frame_gives_no_part_of_it(self):
+        # Guards against a message that is cut and taken as a shorter one.
+        for key in (None, b'k' * 32):
+            frame = wire.FrameWriter(key=key).seal(b'drain')
+            for size in range(len(frame)):
+                seen = anyio.run(read_frames, frame[:size], key)
+                self.assertEqual(len(seen), 1, size)
+
     def test_replayed_frame_closes_the_link(self):
         """Someone on the way sends a frame a second time.
 
