Heads and bodies cut anywhere are no answer: tests

Cut behind each byte of its head, of its body with a length and within chunks, an answer of a service, of the store, a report or an answer to a move is none, before and now. The tests guard that; no code changes.

--- a/tests/test_platform_cut_answers.py
+++ b/tests/test_platform_cut_answers.py
@@ -78,25 +78,39 @@
     return run_paused(answer_with, HEAD % status + body, use)
 
 
+KINDS = (
+    (read, PAGE, Unavailable),
+    (poll, PAGE, Unavailable),
+    (scan, PAGE, Unavailable),
+    (commit, PAGE, Unavailable),
+    (fetch_departure, REPORT, Unavailable),
+    (copy, MOVED, MoveUnanswered | NotMoved),
+    (move, MOVED, MoveUnanswered),
+)
+"""Calls, what answers them, and what no answer is."""
+
+
 class TestCutAnswers(unittest.TestCase):
     # Guards against a cut answer that is read as a whole, smaller one.
 
     def test_no_part_of_an_answer_is_one(self):
-        for use, fields, none in (
-            (read, PAGE, Unavailable),
-            (poll, PAGE, Unavailable),
-            (scan, PAGE, Unavailable),
-            (commit, PAGE, Unavailable),
-            (fetch_departure, REPORT, Unavailable),
-            (copy, MOVED, MoveUnanswered | NotMoved),
-            (move, MOVED, MoveUnanswered),
-        ):
+        for use, fields, none in KINDS:
             whole = orjson.dumps(fields)
             self.assertNotIsInstance(ask(use, whole), none)
             for size in range(len(whole)):
                 with self.subTest(use=use.__name__, size=size):
                     self.assertIsInstance(ask(use, whole[:size]), none)
 
+    def test_no_part_of_a_head_is_an_answer(self):
+        for use, fields, none in KINDS:
+            body = orjson.dumps(fields)
+            framing = b'Content-Length: %d' % len(body)
+            head = b'HTTP/1.1 200 Any\r\n%b\r\n\r\n' % framing
+            for size in range(len(head)):
+                with self.subTest(use=use.__name__, size=size):
+                    answer = run_paused(answer_with, head[:size], use)
+                    self.assertIsInstance(answer, none)
+
     def test_page_that_names_more_rows_and_has_none_ends_no_list(self):
         page = {**PAGE, 'rows': [], 'hasMore': True}
         self.assertIsInstance(ask(read, orjson.dumps(page)), Unavailable)
--- a/tests/test_unframed_services.py
+++ b/tests/test_unframed_services.py
@@ -43,18 +43,22 @@
 class TestUnframedServices(unittest.TestCase):
     # Guards against a service's answer that is cut and looks whole.
 
-    def call(self, data, *, repeatable):
+    def call(self, *all_data, repeatable=False):
+        """Return what comes of a call for each of the answers."""
+
         async def check():
             services = HttpServices()
-            async with answering(data) as (address, _):
+            outcomes = []
+            async with answering(b'') as (address, answers):
                 endpoint = Endpoint(
                     id='s1', vm='s1', address=address, data_centre='d'
                 )
-                answer = await services.call(
-                    endpoint, a_call(repeatable=repeatable)
-                )
+                for data in all_data:
+                    answers.data = data
+                    call = a_call(repeatable=repeatable)
+                    outcomes.append(await services.call(endpoint, call))
             await services.close()
-            return answer
+            return outcomes
 
         return anyio.run(check)
 
@@ -70,7 +74,17 @@
         ):
             for repeatable in (False, True):
                 with self.subTest(data=data, repeatable=repeatable):
-                    answer = self.call(data, repeatable=repeatable)
+                    (answer,) = self.call(data, repeatable=repeatable)
+                    self.assertIsInstance(answer, ServiceUnanswered)
+
+    def test_no_part_of_a_framed_answer_is_one(self):
+        for data in (
+            head(b'Content-Length: %d' % len(WHOLE)) + WHOLE,
+            head(b'Transfer-Encoding: chunked') + CHUNKED + b'0\r\n\r\n',
+        ):
+            cuts = [data[:size] for size in range(len(data))]
+            for cut, answer in zip(cuts, self.call(*cuts), strict=True):
+                with self.subTest(cut=cut):
                     self.assertIsInstance(answer, ServiceUnanswered)
 
     def test_framed_answers_are_handed_on(self):
@@ -84,7 +98,7 @@
             (head(b'Content-Length: 0'), b''),
         ):
             with self.subTest(data=data):
-                answer = self.call(data, repeatable=False)
+                (answer,) = self.call(data)
                 self.assertNotIsInstance(answer, ConnectFailed)
                 self.assertIsInstance(answer, ServiceAnswer)
                 self.assertEqual(answer.body, body)
