--- a/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_dispatch.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/serving/side_effect_dispatch.py
@@ -90,6 +90,12 @@
             answer = await self.services.call(endpoint, call)
             if isinstance(answer, ServiceAnswer | ConnectFailed):
                 return answer
+            log.info(
+                'call_unanswered',
+                request=call.id,
+                endpoint=endpoint.id,
+                reason=answer.reason,
+            )
         return None
 
     def _is_stale(self, claim: Claim) -> bool:
