--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -9,16 +9,17 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from http import HTTPStatus
 
 import anyio
 import anyio.lowlevel
 import h11
 
 from mimosamux_daemon.domain.http_messages import (
+    CONTENT_LENGTH,
     AnswerHead,
     BodyFraming,
     RequestHead,
+    find_framing,
     find_value,
 )
 from mimosamux_daemon.ports.network import Connection
@@ -34,9 +35,6 @@
 """Share of a stated idle limit that is made use of; the rest is for the
 way of a request and for clocks that run differently."""
 KEEP_ALIVE = b'keep-alive'
-CONTENT_LENGTH = b'content-length'
-TRANSFER_ENCODING = b'transfer-encoding'
-BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that does not declare its length: a faulty server
 may send bytes without end."""
@@ -151,29 +149,19 @@
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
                 self._body_left = _find_body_limit(event)
-                self.framing = self._find_framing(event)
-                return AnswerHead(
-                    status=event.status_code,
-                    headers=tuple(event.headers.raw_items()),
-                )
+                return self._begin_answer(event)
             if isinstance(event, h11.InformationalResponse):
                 continue
             return ChannelBroken(reason='closed before an answer')
         return ChannelBroken(reason='informational responses without end')
 
-    def _find_framing(self, answer: h11.Response) -> BodyFraming:
-        """Return what marks the end of an answer's body."""
+    def _begin_answer(self, event: h11.Response) -> AnswerHead:
         assert self._request is not None
-        if self._request.method == b'HEAD':
-            return BodyFraming.NO_BODY
-        if answer.status_code in BODILESS_STATUSES:
-            return BodyFraming.NO_BODY
-        headers = tuple(answer.headers)
-        if find_value(headers, TRANSFER_ENCODING) is not None:
-            return BodyFraming.CHUNKS
-        if find_value(headers, CONTENT_LENGTH) is not None:
-            return BodyFraming.LENGTH
-        return BodyFraming.CONNECTION
+        answer = AnswerHead(
+            status=event.status_code, headers=tuple(event.headers.raw_items())
+        )
+        self.framing = find_framing(self._request.method, answer)
+        return answer
 
     async def receive_body(self) -> bytes | None | ChannelBroken:
         """Return the next part of the body, None behind its end."""
