--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -29,6 +29,7 @@
     Run,
     StandInReplica,
 )
+from mimosamux_standins.site.replica_process import ReplicaProcess
 from mimosamux_standins.site.store import (
     LostWrites,
     StandInStore,
@@ -87,6 +88,8 @@
     engine_slots: int = 8
     engine_factors: Sequence[float] = (1.0,)
     """Factors on the times of engines, which take them in turn."""
+    engine_framings: Sequence[Framing] = (Framing.USUAL,)
+    """How engines end their answers; they take them in turn."""
     store: StandInStore = field(default_factory=StandInStore)
     cloud: StandInCloud = field(default_factory=StandInCloud)
     document: SiteDocument = field(default_factory=demo_document)
@@ -96,7 +99,7 @@
     """Prompt parts that end each engine that writes an answer on them."""
     crashes: list[tuple[float, str]] = field(default_factory=list)
     """Time and engine of each end by a prompt part."""
-    _scope_by_id: dict[str, anyio.CancelScope] = field(default_factory=dict)
+    _process_by_id: dict[str, ReplicaProcess] = field(default_factory=dict)
     _leaves_at_by_id: dict[str, float] = field(default_factory=dict)
     _started: int = 0
     _engines: int = 0
@@ -117,7 +120,9 @@
     async def _add_engine(
         self, zone: str, *, service: str = 'llm', is_reclaimable: bool = False
     ) -> None:
-        factor = self.engine_factors[self._engines % len(self.engine_factors)]
+        number = self._engines
+        factor = self.engine_factors[number % len(self.engine_factors)]
+        framing = self.engine_framings[number % len(self.engine_framings)]
         self._engines += 1
         await self.add_replica(
             service,
@@ -125,6 +130,7 @@
             slots=self.engine_slots,
             is_reclaimable=is_reclaimable,
             speed=self.speed.slowed(factor),
+            framing=framing,
         )
 
     async def add_replica(
@@ -154,26 +160,20 @@
             crash_parts=self.crash_parts,
             on_crash=self._crash,
         )
-        scope = anyio.CancelScope()
-        replica.address = await self._serve(replica.handle, scope)
+        process = ReplicaProcess(replica=replica)
+        listener = await TcpNetwork().listen(ANY_PORT)
+        self.tasks.start_soon(process.run, listener)
+        replica.address = listener.address
         self.replicas_by_id[replica.id] = replica
         self.by_address[replica.address] = replica
-        self._scope_by_id[replica.id] = scope
+        self._process_by_id[replica.id] = process
         self.store.put('servers', replica.id, replica.entry())
         return replica
 
-    async def _serve(
-        self, handler: Handler, scope: anyio.CancelScope | None = None
-    ) -> str:
+    async def _serve(self, handler: Handler) -> str:
         server = Http1Server(handler=handler, limits=TrafficLimits)
         listener = await TcpNetwork().listen(ANY_PORT)
-
-        async def run() -> None:
-            with scope or anyio.CancelScope():
-                async with anyio.create_task_group() as tasks:
-                    await listener.serve(server.serve, tasks)
-
-        self.tasks.start_soon(run)
+        self.tasks.start_soon(listener.serve, server.serve, self.tasks)
         return listener.address
 
     def _take_order(
@@ -208,6 +208,8 @@
             '/store': self._set_store,
             '/store/restore': self._restore_store,
             '/replica': self._set_replica,
+            '/replica/hang': self._hang,
+            '/replica/succeed': self._succeed,
             '/release': self._begin_release,
             '/revoke': self._revoke,
             '/crash-parts': self._set_crash_parts,
@@ -254,9 +256,46 @@
             self.store.put('servers', replica.id, replica.entry())
         if body.get('crash'):
             replica.state = 'dead'
-            self._scope_by_id[replica.id].cancel()
+            self._process_by_id[replica.id].scope.cancel()
         return {}
 
+    def _hang(self, body: dict[str, object]) -> object:
+        """End a replica's connections, and its process a while later."""
+        process = self._process_by_id[str(body['id'])]
+        process.replica.state = 'dead'
+        process.hang()
+        self.tasks.start_soon(
+            self._end_later, process, float(str(body['exit_s']))
+        )
+        return {}
+
+    async def _end_later(self, process: ReplicaProcess, exit_s: float) -> None:
+        await anyio.sleep(exit_s)
+        process.scope.cancel()
+
+    def _succeed(self, body: dict[str, object]) -> object:
+        """Have another replica hold a listener on; it is not listed."""
+        process = self._process_by_id[str(body['id'])]
+        before = process.replica
+        before.state = 'dead'
+        self._started += 1
+        successor = StandInReplica(
+            id=f'i-{self._started:04d}',
+            service=before.service,
+            zone=before.zone,
+            address=before.address,
+            slots=before.slots,
+            speed=before.speed,
+            framing=before.framing,
+            by_address=self.by_address,
+        )
+        process.replica = successor
+        self.replicas_by_id[successor.id] = successor
+        self.by_address[successor.address] = successor
+        self._process_by_id[successor.id] = process
+        process.end_connections()
+        return {'id': successor.id}
+
     def _begin_release(self, body: dict[str, object]) -> object:
         """Start engines of a version, and take those before out of service.
 
@@ -294,7 +333,7 @@
         )
         self.store.put('servers', before.id, entry)
         await anyio.sleep(RELEASED_S)
-        self._scope_by_id[before.id].cancel()
+        self._process_by_id[before.id].scope.cancel()
         before.state = 'dead'
         self.store.put('servers', before.id, None)
 
@@ -311,7 +350,7 @@
         """End a replica at once; another one comes in its place."""
         replica.state = 'dead'
         self.crashes.append((anyio.current_time(), replica.id))
-        self._scope_by_id[replica.id].cancel()
+        self._process_by_id[replica.id].scope.cancel()
         self.tasks.start_soon(self._replace, replica)
 
     async def _replace(self, replica: StandInReplica) -> None:
@@ -403,6 +442,7 @@
     token_s: float = 1e-5,
     engine_slots: int = 8,
     engine_factors: Sequence[float] = (1.0,),
+    engine_framings: Sequence[str] = (Framing.USUAL.name,),
 ) -> None:
     """Run the stand-in platform until SIGTERM or Ctrl-C."""
     speed = ReplicaSpeed(
@@ -412,7 +452,15 @@
         work_s=work_s,
         token_s=token_s,
     )
-    anyio.run(_serve, engines, apps, speed, engine_slots, engine_factors)
+    anyio.run(
+        _serve,
+        engines,
+        apps,
+        speed,
+        engine_slots,
+        engine_factors,
+        [Framing[name] for name in engine_framings],
+    )
 
 
 async def _serve(
@@ -421,6 +469,7 @@
     speed: ReplicaSpeed,
     engine_slots: int,
     engine_factors: Sequence[float],
+    engine_framings: Sequence[Framing],
 ) -> None:
     async with anyio.create_task_group() as tasks:
         host = SiteHost(
@@ -428,6 +477,7 @@
             speed=speed,
             engine_slots=engine_slots,
             engine_factors=engine_factors,
+            engine_framings=engine_framings,
             document=demo_document(engine_slots),
         )
         store, cloud, control = await host.start(engines=engines, apps=apps)
