The soak ends connections of engines before their processes

In a quarter of the seeds (--hangs for all) the engine that runs most ends its connections in order and exits 0 to 3 s later, answering nothing meanwhile; another one comes in its place. Two of three engines answer with neither a length nor chunks. Callers keep their connections as before. What reaches a hung engine is not noted there, so that a request cut at a stopping daemon is excused by it as by a crash. Seeds that are kept draw as before.

Callers of the soak and of the random schedules take a stream up again behind each break, four times at most; until now once.

--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -99,6 +99,8 @@
     """Prompt parts that end each engine that writes an answer on them."""
     crashes: list[tuple[float, str]] = field(default_factory=list)
     """Time and engine of each end by a prompt part."""
+    hung_ids: list[str] = field(default_factory=list)
+    """Replicas whose connections ended before their processes."""
     _process_by_id: dict[str, ReplicaProcess] = field(default_factory=dict)
     _leaves_at_by_id: dict[str, float] = field(default_factory=dict)
     _started: int = 0
@@ -260,9 +262,13 @@
         return {}
 
     def _hang(self, body: dict[str, object]) -> object:
-        """End a replica's connections, and its process a while later."""
+        """End a replica's connections, and its process a while later.
+
+        Another one comes in its place.
+        """
         process = self._process_by_id[str(body['id'])]
         process.replica.state = 'dead'
+        self.hung_ids.append(process.replica.id)
         process.hang()
         self.tasks.start_soon(
             self._end_later, process, float(str(body['exit_s']))
@@ -272,6 +278,7 @@
     async def _end_later(self, process: ReplicaProcess, exit_s: float) -> None:
         await anyio.sleep(exit_s)
         process.scope.cancel()
+        await self._replace(process.replica)
 
     def _succeed(self, body: dict[str, object]) -> object:
         """Have another replica hold a listener on; it is not listed."""
@@ -361,6 +368,7 @@
             slots=replica.slots,
             is_reclaimable=replica.is_reclaimable,
             speed=replica.speed,
+            framing=replica.framing,
         )
         await anyio.sleep(EXPIRY_S - RESTART_S)
         self.store.put('servers', replica.id, None)
@@ -418,6 +426,7 @@
             'crashes': [
                 {'at': at, 'replica': id_} for at, id_ in self.crashes
             ],
+            'hung': self.hung_ids,
             'duty_calls': [
                 {
                     'path': call.path,
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,8 @@
 A fifth of the seeds is played with a large site; `--daemons` fixes the size.
 A third is played with long streams and stops in series; `--long_streams` and
 `--nolong_streams` say so for all. In half of them a prompt part crashes
-engines, or in all or none with `--bad_parts` and `--nobad_parts`. With
+engines, or in all or none with `--bad_parts` and `--nobad_parts`. In a quarter
+the connections of engines end before their processes do (`--hangs`). With
 `--rejoins` all daemons are killed around changes of the software version.
 """
 
@@ -15,6 +16,7 @@
 from tests.support.soak import (
     choose_bad_parts,
     choose_daemons,
+    choose_hangs,
     choose_long_streams,
     play,
 )
@@ -30,6 +32,7 @@
     long_streams=None,
     bad_parts=None,
     rejoins=False,
+    hangs=None,
 ):
     """Play seeds one after the other; print what each broke.
 
@@ -45,6 +48,7 @@
         has_bad_parts = bad_parts
         if has_bad_parts is None:
             has_bad_parts = choose_bad_parts(seed)
+        has_hangs = choose_hangs(seed) if hangs is None else hangs
         folder = None
         if logs is not None:
             folder = pathlib.Path(logs, str(seed))
@@ -59,6 +63,7 @@
             has_long_streams=is_long,
             has_bad_parts=has_bad_parts,
             has_rejoins=rejoins,
+            has_hangs=has_hangs,
         )
         if folder is not None:
             lines = [f'{line}\n' for line in record.log]
@@ -67,7 +72,7 @@
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
             f'seed {seed}: {count} daemons{" and long streams" * is_long}'
-            f'{" and bad parts" * has_bad_parts},'
+            f'{" and bad parts" * has_bad_parts}{" and hangs" * has_hangs},'
             f' {served} of {len(record.sent)}'
             f' served, {record.waits:g} waited',
             flush=True,
--- a/tests/support/site_schedule.py
+++ b/tests/support/site_schedule.py
@@ -27,6 +27,8 @@
     (b'X-Token-Usage', b'400,80'),
 )
 TARGETS = ('/slip/%d', '/list/%d', '/draft/%d', '/question/%d')
+MOST_TAKE_UPS = 4
+"""Of one stream that goes on each time and breaks off again."""
 CAP = 30.0
 
 
@@ -144,14 +146,20 @@
                 return
 
     async def take_up(self, caller, target, key, broken):
-        """Take a stream up at another daemon if it broke off."""
-        behind = int(last_event_id(broken.body) or 0)
-        if not broken.is_whole and behind:
+        """Take a stream up at any daemon behind each break."""
+        answer, behind = broken, int(last_event_id(broken.body) or 0)
+        for _ in range(MOST_TAKE_UPS):
+            if answer.is_whole or answer.status != 200 or not behind:
+                return
             taken_up = (
                 (b'Last-Event-Id', b'%d' % behind),
                 (b'Resumes', broken.id.encode()),
             )
-            await self.send_once(caller, target, key, taken_up, behind=behind)
+            answer = await self.send_once(
+                caller, target, key, taken_up, behind=behind
+            )
+            if answer.status == 200:
+                behind = int(last_event_id(answer.body) or behind)
 
     async def send_once(self, caller, target, key, added=(), **fields):
         daemon = self.rng.choice(self.site.daemons)
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -64,6 +64,11 @@
     'engine_slots': 24,
 }
 """Drafts of 4 s, and questions of 0.25 to 2.25 s."""
+HANGS_EVERY, HANGS_FROM = 4, 2
+"""Of so many seeds, one has engines whose connections end before their
+processes do."""
+HANG_FRAMINGS = ('UNFRAMED', 'USUAL')
+HANG_EXITS_S = (0.0, 0.04, 0.3, 1.0, 3.0)
 BURST_CALLERS = 40
 """With 2 or 3 slots at each of 3 engines, at least four times their slots."""
 BURST_S = 1.5
@@ -117,6 +122,9 @@
     has_rejoins: bool = False
     """Whether all daemons are killed around changes of the software version,
     and callers take up what broke off."""
+    has_hangs: bool = False
+    """Whether connections of engines end in order, and the processes, which
+    go on accepting others, a while later."""
     stops: Stops = field(init=False)
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
@@ -290,8 +298,12 @@
             self._spoil_store,
             self._restore_store,
             self._drain_replica,
+            *self._hangs(),
         )
 
+    def _hangs(self):
+        return (self._hang_engine,) * 3 if self.has_hangs else ()
+
     def _faults(self):
         return (
             *((self._burst, self._burst) if self.has_bursts else ()),
@@ -312,6 +324,7 @@
                 else ()
             ),
             *((self._release_and_kill,) * 3 if self.has_rejoins else ()),
+            *self._hangs(),
         )
 
     def _note(self, *words):
@@ -500,11 +513,28 @@
                     '/replica', id=each['id'], brittle_per_s=per_s
                 )
 
-    def _drain_replica(self):
+    def _ready_engines(self):
+        """Return the engines, none if there is only one."""
         engines = [
             each for each in self._ready_replicas() if each['service'] == 'llm'
         ]
-        if len(engines) < 2:
+        return engines if len(engines) > 1 else []
+
+    def _hang_engine(self):
+        """End the connections of the engine that runs most, then itself."""
+        engines = self._ready_engines()
+        if not engines:
+            return
+        replica = max(engines, key=lambda each: each['open'])['id']
+        exit_s = self.rng.choice(HANG_EXITS_S)
+        self._note('engine hangs and exits', replica, exit_s)
+        disruption = self._begin_disruption(replica)
+        disruption.end = disruption.start + exit_s
+        self.platform.command('/replica/hang', id=replica, exit_s=exit_s)
+
+    def _drain_replica(self):
+        engines = self._ready_engines()
+        if not engines:
             return
         replica = self.rng.choice(engines)['id']
         self._note('drain', replica)
@@ -544,6 +574,11 @@
     return seed % BAD_PARTS_EVERY == 0
 
 
+def choose_hangs(seed):
+    """Return whether engines hang before they exit where a seed is played."""
+    return seed % HANGS_EVERY == HANGS_FROM
+
+
 def play(
     seed,
     *,
@@ -555,6 +590,7 @@
     has_long_streams=False,
     has_bad_parts=False,
     has_rejoins=False,
+    has_hangs=False,
 ):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
@@ -565,6 +601,8 @@
         options = _draw_large_site(rng)
     if has_bad_parts:
         options = options | {'engines': ENGINES_BESIDE_BAD_PARTS}
+    if has_hangs:
+        options = options | {'engine_framings': HANG_FRAMINGS}
     with platform_processes(daemons=0, **options) as platform:
         soak = Soak(
             platform=platform,
@@ -575,6 +613,7 @@
             has_long_streams=has_long_streams,
             has_bad_parts=has_bad_parts,
             has_rejoins=has_rejoins,
+            has_hangs=has_hangs,
         )
         try:
             if has_versions and not has_rejoins:
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -17,9 +17,9 @@
 KEYS = {'key-school': 'school', 'key-office': 'office'}
 REVOKED_KEY = 'key-office'
 STREAM_TARGETS = ('/draft/', '/question/')
-
-
 RETURN_PAUSE_S = 0.3
+MOST_TAKE_UPS = 4
+"""Of one stream that goes on each time and breaks off again."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,15 +82,27 @@
                 tasks.start_soon(self._call, rng)
 
     async def _take_up(self, caller, rng, target, broken):
-        """Take a stream up that broke off behind an event."""
-        behind = int(last_event_id(broken.body) or 0)
-        if broken.is_whole or broken.status != 200 or not behind:
+        """Take a stream up behind each break that follows an event."""
+        if broken.status != 200 or not last_event_id(broken.body):
             return
+        # `last` brought the last event, `answer` came last.
+        last = answer = broken
+        for _ in range(MOST_TAKE_UPS):
+            if answer.is_whole or answer.status != 200:
+                return
+            answer = await self._resume(
+                caller, rng, target, last, began=broken.id
+            )
+            if answer.status == 200 and last_event_id(answer.body):
+                last = answer
+
+    async def _resume(self, caller, rng, target, last, *, began):
+        """Ask for the rest of a stream until a daemon gives it."""
         until = anyio.current_time() + self.comes_back_s
         while True:
             entry = rng.choice(self.entries)
             answer = await caller.resume(
-                broken, entry, target, headers=PROMPT, body=b'brief'
+                last, entry, target, began=began, headers=PROMPT, body=b'brief'
             )
             self.sent.append(
                 Sent(
@@ -98,12 +110,12 @@
                     key=caller.key,
                     answer=answer,
                     entry=entry,
-                    behind=behind,
+                    behind=int(last_event_id(last.body)),
                     limit_s=self.patience_s,
                 )
             )
             if answer.status == 200 or anyio.current_time() >= until:
-                return
+                return answer
             await anyio.sleep(RETURN_PAUSE_S)
 
     async def _call(self, rng):
--- a/tests/support/soak_stop_checks.py
+++ b/tests/support/soak_stop_checks.py
@@ -68,6 +68,7 @@
         # A crash may come before the engine has noted what reaches it, or at
         # the engine that a stream is moved to.
         endpoints |= {each['replica'] for each in record.seen['crashes']}
+        endpoints.update(record.seen.get('hung', ()))
     if fate == 'lost' and not _is_disrupted(record, sent, endpoints):
         sent_s, whole_s, ended_s = (
             round(at - stop.start, 2)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,7 @@
 LARGE_SITE_SECONDS = 1.0
 LONG_STREAMS_SEED = 1
 LONG_STREAMS_SECONDS = 6.0
+HANGS_SEED = 3
 
 
 class TestSoak(unittest.TestCase):
@@ -77,6 +78,19 @@
         self.assertEqual(find_problems(record), [], record.log)
         self.assertGreater(len(record.seen['crashes']), 1)
 
+    # Guards against cut streams that look whole where a listener lives on.
+    def test_no_promise_is_broken_by_engines_that_hang_before_they_exit(self):
+        record = play(
+            HANGS_SEED,
+            seconds=LONG_STREAMS_SECONDS,
+            has_long_streams=True,
+            has_hangs=True,
+        )
+        self.assertEqual(find_problems(record), [], record.log)
+        hung = record.seen['hung']
+        cut = [run for run in record.seen['runs'] if run['replica'] in hung]
+        self.assertGreater(len(cut), 0)
+
     # Guards against requests that a stopping daemon takes and cuts.
     def test_no_request_is_cut_by_stops_in_series(self):
         record = play(
