A reset that a write has met is no end of an answer

Cause: the kernel reports a reset once, to the first call that meets it. If that is the write of `TcpConnection._send_now`, a read behind it returns 0 bytes, and `receive` raised `EndOfStream`, as after an orderly end. An answer with neither a length nor chunks was then whole, and the process behind it lives, so that a look for it proves nothing. Two places write while an answer is read: the rest of a request over 32 KiB (`Channel.send_rest`, which leaves the error to the reader), and the other direction of a peer's tunnel, which then sent the END frame: the asking daemon was told that the endpoint ended.

What callers saw: a stream of half its events, ended as complete.

Change: a connection whose `send` failed has no orderly end; `receive` returns what came before, and raises `BrokenResourceError` behind it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -43,6 +43,8 @@
         self._is_closed = False
         self._may_hold_back = False
         """Whether bytes of an earlier `send` may wait in the stream."""
+        self._has_failed = False
+        """Whether a `send` found the connection broken."""
         self._socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SENT_DATA_TIMEOUT_MS
         )
@@ -53,8 +55,17 @@
         return self._stream.extra_attributes
 
     async def receive(self, max_bytes: int = 65536) -> bytes:
-        """Return the next bytes."""
-        return await self._stream.receive(max_bytes)
+        """Return the next bytes; behind a failed `send` there is no end.
+
+        The kernel reports a reset once, to a write as well as to a read, and
+        whoever reads behind that gets what it gets at an orderly end.
+        """
+        try:
+            return await self._stream.receive(max_bytes)
+        except anyio.EndOfStream:
+            if self._has_failed:
+                raise anyio.BrokenResourceError from None
+            raise
 
     async def send(self, item: bytes) -> None:
         """Send bytes; it waits while the other side does not read.
@@ -62,13 +73,17 @@
         Usually the kernel takes all of them at once, and a task switch for
         each send would cost more than the send. Then it does not yield.
         """
-        sent = 0 if self._may_hold_back else self._send_now(item)
-        if sent < len(item):
-            # Cancelled here, the stream keeps bytes that are still to be
-            # sent: from then on, all others have to go behind them.
-            self._may_hold_back = True
-            await self._stream.send(item[sent:])
-            self._may_hold_back = False
+        try:
+            sent = 0 if self._may_hold_back else self._send_now(item)
+            if sent < len(item):
+                # Cancelled here, the stream keeps bytes that are still to be
+                # sent: from then on, all others have to go behind them.
+                self._may_hold_back = True
+                await self._stream.send(item[sent:])
+                self._may_hold_back = False
+        except anyio.BrokenResourceError:
+            self._has_failed = True
+            raise
 
     def _send_now(self, item: bytes) -> int:
         """Return the number of bytes that the kernel took."""
