A tunnel whose endpoint was reset ends at neither side in order

Cause: the direction of a tunnel that writes towards the endpoint meets the reset, resets the endpoint, and closed the peer's connection in order. A peer that asked without frames, as daemons of earlier versions do, takes that end for the endpoint's. One that asked with frames does not: the END frame is missing.

What callers saw beside a daemon of an earlier version: a stream without a length or chunks that ends as complete in its middle.

Change: when one direction breaks, both connections are reset.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -185,8 +185,8 @@
     ) -> None:
         """Pass bytes on in one direction, and end the tunnel with it.
 
-        A reset is passed on as one: taken for an end, it would make an answer
-        without a length look complete.
+        A reset of either side is passed on as one: taken for an end, it would
+        make an answer without a length look complete.
         """
         try:
             while True:
@@ -196,6 +196,7 @@
             if is_framed:
                 await _send_end(target)
         except BROKEN:
+            source.abort()
             target.abort()
         tunnel.has_ended = True
         tunnel.scope.cancel()
--- a/tests/test_reset_connections.py
+++ b/tests/test_reset_connections.py
@@ -5,6 +5,7 @@
 import unittest
 from contextlib import asynccontextmanager, suppress
 from functools import partial
+from itertools import product
 
 import anyio
 from mimosamux_daemon.adapters.http1_channel import Channel, ChannelBroken
@@ -52,16 +53,33 @@
         await connection.aclose()
 
 
+class PlainTunnels:
+    """The network of a daemon that asks for a tunnel without frames."""
+
+    def __init__(self, tunnel):
+        self.tunnel = tunnel
+
+    async def connect(self, address):
+        connection = await TcpNetwork().connect(self.tunnel)
+        await connection.send(
+            b'CONNECT %b HTTP/1.1\r\nHost: x\r\n\r\n' % address.encode()
+        )
+        await connection.receive()
+        return connection
+
+
 @asynccontextmanager
-async def tunnelled():
+async def tunnelled(*, is_framed=True):
     """Give the same through a tunnel, whose server is in the same loop."""
     network = TcpNetwork()
     server = TunnelServer(
         network=network, is_endpoint=bool, note_end=lambda _: None
     )
     listener = await network.listen('127.0.0.1:0')
-    tunnels = TunnelNetwork(network=network, connect_timeout_s=1.0)
-    tunnels.routes = TunnelToAnywhere(listener.address)
+    tunnels = PlainTunnels(listener.address)
+    if is_framed:
+        tunnels = TunnelNetwork(network=network, connect_timeout_s=1.0)
+        tunnels.routes = TunnelToAnywhere(listener.address)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, server.serve, tasks)
         async with connected(tunnels) as pair:
@@ -194,8 +212,9 @@
         event loop, in either order.
         """
 
-        async def check(is_part_first):
-            async with tunnelled() as (connection, endpoint):
+        async def check(is_part_first, is_framed):
+            async with tunnelled(is_framed=is_framed) as pair:
+                connection, endpoint = pair
                 channel = Channel(address='x', connection=connection)
                 await channel.send(REQUEST, bytes(100_000))
                 await anyio.wait_readable(endpoint)
@@ -207,11 +226,9 @@
                     await channel.send_rest()
                 return await read_answer(channel)
 
-        for is_part_first in (True, False):
-            with self.subTest(is_part_first=is_part_first):
-                self.check_on_both_loops(
-                    partial(check, is_part_first), (HALF, False)
-                )
+        for case in product((True, False), repeat=2):
+            with self.subTest(case=case):
+                self.check_on_both_loops(partial(check, *case), (HALF, False))
 
 
 if __name__ == '__main__':
