Cut answers of plain services on connections that are used again

The table of cut answers asked plain services on fresh connections alone; those that may be repeated are asked on kept ones.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -2,7 +2,7 @@
 
 import unittest
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
 import anyio
@@ -197,15 +197,31 @@
 
         self.check_cuts(open_channels, ask, tells_in_body=True)
 
-    def test_answers_of_a_plain_service(self):
+    def check_services(self, *, before=b''):
+        """Check calls of a plain service, or later ones on a connection."""
+        call = a_call()
+        repeatable = replace(call.work_class, repeatable=bool(before))
+        call = replace(call, work_class=repeatable)
+
         async def ask(endpoint, client, data):
-            endpoint.script = [data]
+            connections = endpoint.connections
+            endpoint.script = [before, data] if before else [data]
             address, services = client
-            answer = await services.call(an_endpoint(address), a_call())
+            called = an_endpoint(address)
+            if before:
+                await services.call(called, call)
+            answer = await services.call(called, call)
+            self.assertEqual(endpoint.connections, connections + 1)
             return isinstance(answer, ServiceAnswer)
 
         self.check_cuts(open_service, ask, run=anyio.run)
 
+    def test_answers_of_a_plain_service(self):
+        self.check_services()
+
+    def test_answers_of_a_plain_service_that_has_answered_before(self):
+        self.check_services(before=render_answers()['length'].data)
+
 
 if __name__ == '__main__':
     unittest.main()
