Cut answers of plain services: only framed ones have to be taken whole

Whether a service's answer that only its connection ends is an answer is decided elsewhere (tests of services without framing); this table checks that no cut of it is one.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -40,6 +40,7 @@
 
     data: bytes
     telling: int
+    is_framed: bool
 
 
 def bare(head):
@@ -58,7 +59,7 @@
         'behind hints': HINTS + LINE + LENGTH + BODY,
     }
     answers = {
-        name: Answer(data=data, telling=len(data))
+        name: Answer(data=data, telling=len(data), is_framed=True)
         for name, data in framed.items()
     }
     for name, head in {
@@ -68,7 +69,7 @@
     }.items():
         data = head + BODY
         telling = len(data) if tells_in_body else len(head)
-        answers[name] = Answer(data=data, telling=telling)
+        answers[name] = Answer(data=data, telling=telling, is_framed=False)
     return answers
 
 
@@ -132,11 +133,13 @@
 class TestCutAnswers(unittest.TestCase):
     # Guards against an answer that is called whole before its last byte.
 
-    def check_cuts(self, opened, ask, *, run=run_paused, **fields):
+    def check_cuts(
+        self, opened, ask, *, run=run_paused, takes_unframed=True, **fields
+    ):
         """Cut each answer behind each byte; `ask` says if it seems whole."""
 
-        async def find_whole(answer):
-            cuts = [*range(answer.telling), len(answer.data)]
+        async def find_whole(answer, uncut):
+            cuts = [*range(answer.telling), *uncut]
             async with opened() as (endpoint, client):
                 return [
                     cut
@@ -146,8 +149,10 @@
 
         for name, answer in render_answers(**fields).items():
             with self.subTest(answer=name):
-                whole = run(find_whole, answer)
-                self.assertEqual(whole, [len(answer.data)])
+                may_be_whole = answer.is_framed or takes_unframed
+                uncut = [len(answer.data)] if may_be_whole else []
+                whole = run(find_whole, answer, uncut)
+                self.assertEqual(whole, uncut)
 
     def check_calls(self, *, is_tunnelled, before=b''):
         """Check calls, or those on connections that have carried an answer."""
@@ -214,7 +219,7 @@
             self.assertEqual(endpoint.connections, connections + 1)
             return isinstance(answer, ServiceAnswer)
 
-        self.check_cuts(open_service, ask, run=anyio.run)
+        self.check_cuts(open_service, ask, run=anyio.run, takes_unframed=False)
 
     def test_answers_of_a_plain_service(self):
         self.check_services()
