The rest of a stream that is answered with an error breaks it off

Cause: a stream that went on elsewhere could be answered there with another status than 200. If no retry was left, or the status was below 500, that answer was sent as a whole one behind the head that the caller already had. The HTTP library refuses that with an error, which ended the connection in place of an outcome.

Evidence, in memory: an engine crashes under streams that may be resumed, the other one answers 500: 3 of 3 such streams ended with `request_abandoned` and `connection_failed error=ExceptionGroup`; the test fails before.

What callers saw: a stream that breaks off, as now; with chunks it could not look whole. The outcome was missing in the counts and in the log, where the endpoint's status is told now.

Change: another status for the rest of a stream is retried where it may be, or ends the stream as broken off.

Measured: 3 of 3 end with `broken_off`; tests.test_gateway_streams, test_gateway_evacuation, test_gateway_stream_versions, test_gateway_budget 51 of 51.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -381,8 +381,25 @@
             return await self._forward_stream(
                 job, answer, attempt, failover_wait
             )
+        if job.sink.is_started:
+            return self._handle_unanswered_rest(job, answer, attempt)
         return await self._forward_whole(job, answer, attempt, failover_wait)
 
+    def _handle_unanswered_rest(
+        self, job: Job, answer: EndpointAnswer, attempt: Attempt
+    ) -> GatewayOutcome | ContinueElsewhere:
+        """Retry the rest of a stream that got another status, or end it.
+
+        The caller has the head of the stream, behind which no other can come.
+        """
+        is_error = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        attempt.note_result(failed=is_error)
+        if is_error and self._take_retry(job):
+            return ContinueElsewhere()
+        return AnswerTruncated(
+            reason=f'the endpoint answered {answer.status} for the rest'
+        )
+
     async def _forward_whole(
         self,
         job: Job,
--- a/tests/test_gateway_streams.py
+++ b/tests/test_gateway_streams.py
@@ -68,6 +68,35 @@
                 self.assertEqual(answer.body, whole_body(answer.id, 6))
         self.assertGreater(sum(answer.is_whole for answer in answers), 0)
 
+    # Guards against a status that is sent in the middle of a begun answer.
+    def test_stream_whose_rest_is_answered_with_an_error_breaks_off(self):
+        async def check():
+            async with open_site(daemons=1, engines=2) as site:
+                for engine in engines_of(site):
+                    engine.speed = ReplicaSpeed(events=20, event_s=0.05)
+                answers = []
+
+                async def send():
+                    answers.append(await send_draft(site, '/question/1'))
+
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(send)
+                    await anyio.sleep(0.6)
+                    for engine in engines_of(site):
+                        if engine.runs:
+                            site.crash_replica(engine)
+                        else:
+                            engine.fault = Fault.ERROR
+                metrics = site.daemons[0].daemon.parts.metrics.render()[0]
+                return answers[0], len(site.runs()), metrics.decode()
+
+        answer, runs, metrics = run_paused(check)
+        self.assertEqual(
+            (answer.status, answer.is_whole, runs), (200, False, 2)
+        )
+        self.assertNotIn('outcome="abandoned"', metrics)
+        self.assertIn('outcome="broken_off"', metrics)
+
     def test_stream_that_may_not_resume_ends_as_broken(self):
         """The replica of a draft stops in the middle of an event.
 
