An address that cannot be ends no daemon that connects to it

Cause: TcpNetwork.connect promises OSError, but split_address took any digits for a port: a port above 65535 raised OverflowError in the socket module, '²' and 5,000 digits ValueError in int(), a host with a null byte TypeError, one beyond ASCII UnicodeEncodeError, and a name with a port above 65535 an ExceptionGroup. Callers of connect catch OSError, so the link's task ended the task group of the daemon. Such an address comes from a row of the daemons' table, from a seed or from what a peer says of the daemons it knows.

What callers saw: the row stays, so every daemon that reads it ends, and ends again after its restart.

Change: a port is one to five ASCII digits and at most 65535, a host printable ASCII; anything else is an OSError, which quotes 80 characters at most.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import os
+import re
 import select
 import socket
 import struct
@@ -32,6 +33,10 @@
 under way come to their turn before the next."""
 ACCEPT_PAUSE_S = 0.1
 """Pause after connections could not be accepted, for some to end."""
+PORT_PATTERN = re.compile(r'[0-9]{1,5}')
+MAX_PORT = 65_535
+MAX_SHOWN = 80
+"""Most characters of an invalid address that a message quotes."""
 
 
 class TcpConnection(Connection):
@@ -271,8 +276,13 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port; raises `OSError` if there is no port."""
+    """Return host and port; raises `OSError` unless it is HOST:PORT.
+
+    Addresses come from tables and from peers. The socket module raises
+    errors of other kinds for ports and hosts that cannot be.
+    """
     host, _, port = address.rpartition(':')
-    if not host or not port.isdigit():
-        raise OSError(f'not an address: {address!r}')
+    is_host = host.isascii() and host.isprintable() and host != ''
+    if not is_host or not PORT_PATTERN.fullmatch(port) or int(port) > MAX_PORT:
+        raise OSError(f'not an address: {address[:MAX_SHOWN]!r}')
     return host, int(port)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -111,6 +111,22 @@
 
 
 class TestThriftPeers(unittest.TestCase):
+    # Guards against a row among those of the daemons that ends all of them.
+    def test_peer_at_an_address_that_cannot_be_ends_no_daemon(self):
+        async def check():
+            one, two = make_peers('one'), make_peers('two')
+            two.handle(wire.ConfigurationFetch, answer_state)
+            async with running(one, two):
+                for port in ('99999', '²', '9' * 5000):
+                    one.set_address(port, f'127.0.0.1:{port}')
+                    answer = await one.call(
+                        port, wire.ConfigurationFetch(), timeout_s=0.05
+                    )
+                    self.assertIsInstance(answer, PeerUnavailable)
+                return await one.call('two', wire.ConfigurationFetch(after=7))
+
+        self.assertEqual(anyio.run(check), wire.ConfigurationState(version=8))
+
     def test_call_and_notice_reach_the_peer(self):
         async def check():
             one, two = make_peers('one'), make_peers('two')
--- a/tests/test_tcp_network.py
+++ b/tests/test_tcp_network.py
@@ -111,6 +111,24 @@
             with self.assertRaises(ConnectionRefusedError):
                 anyio.run(TcpNetwork().connect, f'{host}:{port}')
 
+    # Guards against an address from a table or a peer that ends the daemon.
+    def test_address_that_cannot_be_is_an_os_error(self):
+        async def check(address):
+            with self.assertRaises(OSError):
+                await TcpNetwork().connect(address)
+
+        ports = ('', '-1', '65536', '99999', '²', '٣٣', '8 0', '1_0')
+        hosts = ('', '::1%\0', 'a\0b', 'é\ud800', '\ud800', 'a..b')
+        for address in (
+            '127.0.0.1',
+            *(f'127.0.0.1:{port}' for port in ports),
+            *(f'localhost:{port}' for port in ports),
+            *(f'127.0.0.1:{"9" * digits}' for digits in (6, 400, 5000)),
+            *(f'{host}:80' for host in hosts),
+        ):
+            with self.subTest(address=ascii(address[:30])):
+                anyio.run(check, address)
+
     def test_connection_that_was_given_up_leaves_no_socket_open(self):
         """A VM that is gone answers no attempt, and attempts time out.
 
