A row that is no lease ends no daemon, and duties go on behind it

Cause: parse_record passed whatever the row of the lease held to the record's constructor: no JSON, a missing or an unknown field raised out of the task group of every daemon that polls the lease, and a token that is no number as soon as one was added to it. A token above 63 bits ended the holder when it went into the digest, and a duration of 1e308 s or of a negative token left nobody to take the lease, or one with the token of the holder before.

What callers saw: all daemons end, and end again while the row is there.

Change: a row is decoded with its types and bounds. One that is unreadable is logged once a version and waited for as for a holder under the own policy; the next token is above all that this process has read or used.

--- a/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/lease_keeper.py
@@ -13,7 +13,6 @@
     LeaseTable,
     LeaseUnconfirmed,
     first_fencing,
-    parse_record,
 )
 from mimosamux_daemon.domain.store import Row, Unavailable
 from mimosamux_daemon.domain.store_eras import era_of
@@ -144,9 +143,10 @@
         no other daemon can have held it, whatever the copy shows.
         """
         last, era = self._unshared, self._leases.table_era
-        if last is None:
+        record = self._leases.record_of(row)
+        if last is None or (row is not None and record is None):
             return False
-        if row and parse_record(row).fencing >= first_fencing(era.current):
+        if record and record.fencing >= first_fencing(era.current):
             return False
         takeable_at = last.renewed_at + self._longest_lease_s()
         return last.renewed_at < era.seen_at < takeable_at
@@ -158,7 +158,9 @@
             return False
         if row is None or self._holder_has_restarted(row):
             return True
-        record = parse_record(row)
+        record = self._leases.record_of(row)
+        if record is None:
+            return unchanged_s >= self._longest_lease_s()
         # A holder that announced its end can resume only by writing the
         # row again; that changes the version, and then the take fails.
         has_ended = record.released or self._is_known_released(row.version)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control/leases.py
@@ -17,6 +17,7 @@
 import anyio
 import orjson
 
+from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.audit import AuditEntry, AuditKind
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.domain.store import (
@@ -28,12 +29,23 @@
     Unavailable,
     Write,
 )
-from mimosamux_daemon.domain.store_eras import StoreEra, era_of
+from mimosamux_daemon.domain.store_eras import (
+    ERA_COUNT,
+    StoreEra,
+    era_of,
+)
+from mimosamux_daemon.errors import InvalidConfiguration
+from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.table import Table
 
+log = get_log('leases')
+
 LEASE_PREFIX = 'lease/'
 FENCING_PER_ERA = 1_000_000
 """Range of fencing tokens of one era; far fewer are ever used in it."""
+MAX_FENCING = ERA_COUNT * FENCING_PER_ERA
+MAX_DURATION_S = 3600.0
+"""Longest duration of a lease; behind a longer one, nobody would take over."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -141,8 +153,13 @@
 
 
 def parse_record(row: Row) -> LeaseRecord:
-    """Decode the row of a lease."""
-    return LeaseRecord(**orjson.loads(row.value))
+    """Decode the row of a lease; raises `InvalidConfiguration`."""
+    record = decode_json(row.value, LeaseRecord)
+    if not 0 < record.fencing < MAX_FENCING:
+        raise InvalidConfiguration(path='fencing', problem='out of range')
+    if not 0 <= record.duration_s <= MAX_DURATION_S:
+        raise InvalidConfiguration(path='duration_s', problem='out of range')
+    return record
 
 
 def first_fencing(era: int) -> int:
@@ -179,6 +196,28 @@
         self._wall_clock = wall_clock
         self._policy = policy
         self._key = f'{LEASE_PREFIX}{name}'
+        self._highest_fencing = 0
+        """Highest fencing token that this process has read or used."""
+        self._unreadable_version = 0
+        """Version of the last row that was logged as unreadable."""
+
+    def record_of(self, row: Row | None) -> LeaseRecord | None:
+        """Return the record in a row, None if there is none that is valid.
+
+        An unreadable row may hide a holder: a successor waits as for a lease
+        of its own policy, from when it first reads the row.
+        """
+        if row is None:
+            return None
+        try:
+            record = parse_record(row)
+        except InvalidConfiguration as error:
+            if row.version != self._unreadable_version:
+                log.error('row_unreadable', key=row.key, problem=str(error))
+            self._unreadable_version = row.version
+            return None
+        self._highest_fencing = max(self._highest_fencing, record.fencing)
+        return record
 
     async def read(self) -> Row | None | Unavailable:
         """Read the current row of the lease; None if there is none."""
@@ -192,9 +231,10 @@
         Not if it took the lease in an earlier era: a restored table does
         not show who has taken it since.
         """
-        record = parse_record(row)
+        record = self.record_of(row)
         return (
-            record.holder == self._holder
+            record is not None
+            and record.holder == self._holder
             and record.incarnation == self._incarnation
             and record.fencing >= first_fencing(self.table_era.current)
             and not record.released
@@ -202,20 +242,23 @@
 
     def is_other_incarnation(self, row: Row) -> bool:
         """Return whether another incarnation of this daemon wrote the row."""
-        record = parse_record(row)
+        record = self.record_of(row)
         return (
-            record.holder == self._holder
+            record is not None
+            and record.holder == self._holder
             and record.incarnation != self._incarnation
         )
 
     async def take(self, seen: Row | None) -> Lease | LeaseUnconfirmed:
         """Take the lease if its row has not changed since `seen` was read."""
-        old = parse_record(seen) if seen else None
-        lowest = first_fencing(self.table_era.current)
+        old = self.record_of(seen)
         record = LeaseRecord(
             holder=self._holder,
             incarnation=self._incarnation,
-            fencing=max(old.fencing + 1, lowest) if old else lowest,
+            fencing=max(
+                self._highest_fencing + 1,
+                first_fencing(self.table_era.current),
+            ),
             duration_s=self._policy.duration_s,
         )
         version = seen.version if seen else 0
@@ -238,7 +281,8 @@
         take the lease until that row expires, and this daemon would wait
         for its own lease to expire.
         """
-        record = parse_record(seen)
+        record = self.record_of(seen)
+        assert record is not None
         lease = self._make_lease(record, seen.version, float('-inf'))
         outcome = await self.renew(lease)
         if isinstance(outcome, Renewed):
@@ -258,8 +302,8 @@
             return Renewed()
         if isinstance(outcome, Unavailable):
             return LeaseUnconfirmed(reason=outcome.reason)
-        found = outcome.found
-        if found and parse_record(found) == lease.record:
+        found, record = outcome.found, self.record_of(outcome.found)
+        if found and record == lease.record:
             # An earlier renewal was applied and its response lost. This
             # daemon still holds the row, at a newer version: treating it
             # as another holder's would lose the lease with every lost
@@ -267,8 +311,7 @@
             lease.version = found.version
             return LeaseUnconfirmed(reason='an earlier renewal had landed')
         lease.end()
-        holder = parse_record(found).holder if found else DaemonId('')
-        return LeaseLost(holder=holder)
+        return LeaseLost(holder=record.holder if record else DaemonId(''))
 
     async def release(self, lease: Lease) -> None:
         """Release the lease so that a successor need not await its expiry."""
@@ -288,7 +331,7 @@
         self, record: LeaseRecord, sent_at: float
     ) -> Lease | LeaseUnconfirmed:
         row = await self.read()
-        if isinstance(row, Row) and parse_record(row) == record:
+        if isinstance(row, Row) and self.record_of(row) == record:
             return self._confirm_era(
                 self._make_lease(record, row.version, sent_at)
             )
@@ -315,6 +358,7 @@
     def _make_lease(
         self, record: LeaseRecord, version: int, sent_at: float
     ) -> Lease:
+        self._highest_fencing = max(self._highest_fencing, record.fencing)
         return Lease(
             name=self._name,
             record=record,
--- a/packages/mimosamux-standins/mimosamux_standins/site/store.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/store.py
@@ -88,6 +88,10 @@
     def put(self, table: str, key: str, value: object | None) -> int:
         """Write a row as the operator or a replica does."""
         data = None if value is None else orjson.dumps(value)
+        return self.put_bytes(table, key, data)
+
+    def put_bytes(self, table: str, key: str, data: bytes | None) -> int:
+        """Write a row that may hold anything."""
         self._apply([((table, '', key), data)])
         return self.version
 
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 
 import anyio
+import orjson
 from mimosamux_daemon.ports.duty_calls import DUTY_CALL_TIMEOUT_S
 from mimosamux_standins.site.store import StoreTrouble
 
@@ -173,6 +174,43 @@
         self.assertFalse(has_two)
 
 
+class TestUnreadableLease(unittest.TestCase):
+    # Guards against a row of the lease that ends every daemon that reads it,
+    # or behind which nobody takes up the duties any more.
+    def test_duties_go_on_behind_a_row_that_is_no_lease(self):
+        async def check(value):
+            async with open_site(engines=1, apps=1) as site:
+                held = site.daemons[find_holder(site)].daemon.parts.duties.held
+                before = held.fencing
+                site.store.put_bytes('lease', 'duties', value)
+                await anyio.sleep(4 * LEASE_S)
+                after = site.daemons[find_holder(site)]
+                self.assertGreater(
+                    after.daemon.parts.duties.held.fencing, before
+                )
+                return [each.ended.is_set() for each in site.daemons]
+
+        for value in (
+            b'',
+            b'null',
+            b'\xff\xfe',
+            b'[' * 200_000 + b']' * 200_000,
+            lease_row(),
+            lease_row(fencing='x'),
+            lease_row(fencing=2**63),
+            lease_row(fencing=-1),
+            lease_row(fencing=1, duration_s=1e308),
+            lease_row(fencing=1, duration_s='nan'),
+        ):
+            with self.subTest(value=value[-90:]):
+                self.assertEqual(run_paused(check, value), [False] * 3)
+
+
+def lease_row(**fields):
+    record = {'holder': 'x', 'incarnation': 1, 'duration_s': LEASE_S}
+    return orjson.dumps(record | fields)
+
+
 class TestDuties(unittest.TestCase):
     def assert_reports_are_right(self, site, *, but=()):
         counts, truth = counts_by_window(site), true_counts(site)
