A record of streams whose numbers fit no message ends no daemon

Cause: each daemon reads the rows under streams/ once at its start and tells the origins in them to its peers. Any number was taken: a time of -1e308 or "-inf" raised OverflowError when the age became milliseconds, an attempt beyond 32 bits when the message was encoded, a retention of 4,000 digits when it was divided.

What callers saw: every daemon that starts beside the row ends right away.

Change: the rows are decoded with their types and bounds; what is unreadable is logged, and deleted as an expired row is.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_record.py
@@ -9,15 +9,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from itertools import islice
+from typing import Annotated
 
 import anyio
+import msgspec
 import orjson
 import xxhash
 from mimosamux_wire import StreamsBegan
 
+from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.names import ServiceName
 from mimosamux_daemon.domain.store import Check, Row, Unavailable, Write
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
+from mimosamux_daemon.errors import InvalidConfiguration
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.records.scans import scan_all
 from mimosamux_daemon.gateway.streams.origin_exchange import (
@@ -44,6 +48,30 @@
 CLEANING_INTERVAL_S = 5.0
 MAX_ROWS = 40
 """Most rows that are written, and as many deleted, in one transaction."""
+MAX_ATTEMPT = 1_000_000
+"""Bound of an attempt's number; messages have 32 bits for it."""
+MAX_TIME = 2**53
+"""Largest integer up to which every JSON parser is exact."""
+
+
+class _VersionRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a version that a service runs."""
+
+    service: str
+    software: str
+
+
+class _OriginsRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of streams that began at one version of a service."""
+
+    at: Annotated[float, msgspec.Meta(ge=0)]
+    """When it was written, in the store's time in seconds."""
+    service: str
+    software: str
+    attempt: Annotated[int, msgspec.Meta(ge=0, le=MAX_ATTEMPT)]
+    keep_ms: Annotated[int, msgspec.Meta(ge=-MAX_TIME, le=MAX_TIME)]
+    requests: str
+    """Hashes of the requests, in base64."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -120,21 +148,21 @@
 
     def _apply_version(self, row: Row) -> None:
         try:
-            fields = orjson.loads(row.value)
-            origin = StreamOrigin(
-                service=ServiceName(str(fields['service'])),
-                software=str(fields['software']),
-            )
-        except (ValueError, TypeError, KeyError) as error:
+            fields = decode_json(row.value, _VersionRow)
+        except InvalidConfiguration as error:
             log.error('row_unreadable', key=row.key, problem=str(error))
             return
-        self._recorded_versions.add(origin)
+        self._recorded_versions.add(
+            StreamOrigin(
+                service=ServiceName(fields.service), software=fields.software
+            )
+        )
 
     def _apply_origins(self, row: Row) -> None:
         now = self.clock()
         try:
             message = _parse_row(row, self.store_time())
-        except (ValueError, TypeError, KeyError) as error:
+        except (InvalidConfiguration, ValueError) as error:
             log.error('row_unreadable', key=row.key, problem=str(error))
             self._expiry_by_key[row.key] = now
             return
@@ -246,14 +274,16 @@
 
 
 def _parse_row(row: Row, store_now: float | None) -> StreamsBegan:
-    """Return the message in a row, as of now."""
-    fields = orjson.loads(row.value)
-    at = float(fields['at'])
-    age_s = 0.0 if store_now is None else max(store_now - at, 0.0)
+    """Return the message in a row, as of now.
+
+    Raises `InvalidConfiguration`, and `ValueError` for invalid hashes.
+    """
+    fields = decode_json(row.value, _OriginsRow)
+    age_s = 0.0 if store_now is None else max(store_now - fields.at, 0.0)
     return StreamsBegan(
-        service=str(fields['service']),
-        software=str(fields['software']),
-        attempt=int(fields['attempt']),
-        keep_ms=int(fields['keep_ms']) - int(age_s * MS_PER_S),
-        requests=b64decode(fields['requests']),
+        service=fields.service,
+        software=fields.software,
+        attempt=fields.attempt,
+        keep_ms=fields.keep_ms - int(age_s * MS_PER_S),
+        requests=b64decode(fields.requests),
     )
--- /dev/null
+++ b/tests/test_gateway_odd_rows.py
@@ -0,0 +1,113 @@
+"""Rows of the platform's tables that another writer left: none ends a daemon.
+
+A row stays where it is, so that a daemon which it ends would end again after
+each start.
+"""
+
+import base64
+import unittest
+
+import anyio
+import orjson
+
+from tests.support.clock import run_paused
+from tests.support.platform_site import WALL_START, open_site
+
+DEEP = b'[' * 200_000 + b']' * 200_000
+NO_DOCUMENTS = (
+    b'',
+    b'null',
+    b'7',
+    b'"x"',
+    b'[]',
+    b'{}',
+    b'\x00\xff',
+    b'{"\xff": 1}',
+    b'"\\ud800"',
+    DEEP,
+    b'{"a":' * 200_000 + b'1' + b'}' * 200_000,
+)
+NUMBERS = (
+    b'null',
+    b'0.5',
+    b'-1',
+    b'1e308',
+    b'-1e308',
+    b'1e400',
+    b'9223372036854775808',
+    b'18446744073709551615',
+    b'-9223372036854775808',
+    b'9' * 400,
+    b'9' * 5000,
+    b'"nan"',
+    b'"inf"',
+    b'"-inf"',
+    b'"' + b'9' * 5000 + b'"',
+    b'{}',
+    DEEP,
+)
+PLACEHOLDER = '\u20ac'
+
+
+def odd_documents(document, *paths):
+    """Return renderings of a document with odd numbers at each path."""
+    return [
+        _replace(document, path, value) for path in paths for value in NUMBERS
+    ]
+
+
+def _replace(document, path, value):
+    copied = orjson.loads(orjson.dumps(document))
+    target = copied
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = PLACEHOLDER
+    quoted = orjson.dumps(PLACEHOLDER)
+    return orjson.dumps(copied).replace(quoted, value)
+
+
+async def start_beside(rows):
+    """Start daemons beside rows; return which ended and what they answer."""
+    async with open_site(engines=1, apps=1, daemons=2) as site:
+        for table, key, value in rows:
+            site.store.put_bytes(table, key, value)
+        for number in range(2):
+            site.kill_daemon(number)
+        await anyio.sleep(0.1)
+        await site.start_daemons(2)
+        await anyio.sleep(3.0)
+        statuses = [
+            (await site.caller().send(each.entry, '/slip/1', body=b's')).status
+            for each in site.daemons
+        ]
+        return [each.ended.is_set() for each in site.daemons], statuses
+
+
+def number_rows(table, prefix, values):
+    return [
+        (table, f'{prefix}{number}', value)
+        for number, value in enumerate(values)
+    ]
+
+
+class TestRecords(unittest.TestCase):
+    def assert_starts_beside(self, rows):
+        self.assertEqual(
+            run_paused(start_beside, rows), ([False] * 2, [200] * 2)
+        )
+
+    # Guards against a record of streams whose numbers fit no message.
+    def test_odd_records_of_streams_end_no_daemon(self):
+        row = {
+            'at': WALL_START,
+            'service': 'llm',
+            'software': 'v1',
+            'attempt': 2,
+            'keep_ms': 60_000,
+            'requests': base64.b64encode(b'12345678').decode(),
+        }
+        odd = odd_documents(row, *([name] for name in row))
+        self.assert_starts_beside(
+            number_rows('streams', 'origins/x/1/', (*NO_DOCUMENTS, *odd))
+            + number_rows('streams', 'versions/', (*NO_DOCUMENTS, *odd))
+        )
