Tunnels that are cut behind any byte end no answer

The table of cut answers cuts a tunnel itself too: within the peer's answer to the request for it, within the length of a frame, within a frame and within the frame that tells of the endpoint's end. Measured: an answer without a length is whole only behind the whole last frame, a framed one behind its own last byte; no fault was found.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -9,6 +9,7 @@
 from mimosamux_daemon.adapters.http1_channels import Channels
 from mimosamux_daemon.adapters.http_service import HttpServices
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.adapters.tunnel_frames import END_FRAME, render_frame
 from mimosamux_daemon.adapters.tunnel_network import TunnelNetwork
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
 from mimosamux_daemon.domain.gateway import ListedEndpoint
@@ -118,6 +119,22 @@
         tasks.cancel_scope.cancel()
 
 
+@asynccontextmanager
+async def open_peer():
+    """Give a peer that sends given bytes, and channels through its tunnel."""
+    memory, peer = MemoryNetwork(), Endpoint()
+    network = TunnelNetwork(
+        network=memory.at('10.1.0.2'), connect_timeout_s=1.0
+    )
+    network.routes = TunnelToAnywhere(TUNNEL)
+    listener = await memory.at('10.1.0.1').listen(TUNNEL)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, peer.serve, tasks)
+        await anyio.wait_all_tasks_blocked()
+        yield peer, Channels(network=network, connect_timeout_s=1.0)
+        tasks.cancel_scope.cancel()
+
+
 @asynccontextmanager
 async def open_service():
     """Give an endpoint on loopback, its address and the client of services."""
@@ -176,6 +193,31 @@
     def test_answers_through_a_tunnel(self):
         self.check_calls(is_tunnelled=True)
 
+    def test_tunnels_that_are_cut_themselves(self):
+        """Their own answer, a frame, or the frame that tells of the end."""
+
+        async def find_whole(data, cuts):
+            whole = []
+            async with open_peer() as (peer, channels):
+                calls = PlatformCalls(address=ENDPOINT, channels=channels)
+                for cut in cuts:
+                    peer.script = [data[:cut]]
+                    reply = await calls.call('GET', '/', timeout_s=5.0)
+                    if isinstance(reply, PlatformReply):
+                        whole.append(cut)
+            return whole
+
+        opened = LINE + b'framing: length-prefixed\r\n\r\n'
+        for name, needed in (('trailer', b''), ('no length', END_FRAME)):
+            answer = render_answers()[name].data
+            frames = render_frame(answer[:30]) + render_frame(answer[30:])
+            sizes = range(len(opened + frames + END_FRAME) + 1)
+            with self.subTest(answer=name):
+                data = opened + frames + END_FRAME
+                whole = run_paused(find_whole, data, sizes)
+                first = len(opened + frames + needed)
+                self.assertEqual(whole, [*sizes][first:])
+
     def test_answers_on_a_connection_that_is_used_again(self):
         before = render_answers()['trailer'].data
         for is_tunnelled in (False, True):
--- a/tests/test_reset_connections.py
+++ b/tests/test_reset_connections.py
@@ -37,6 +37,12 @@
     def tunnels_to(self, _):
         return [self.tunnel]
 
+    def do_peers_reach(self, _):
+        return True
+
+    def note_connect(self, address, *, failed):
+        pass
+
     def note_tunnel(self, tunnel, *, status):
         pass
 
