An endpoint whose answers take a second proves its ends

Questions to one endpoint were asked strictly one after the other, and whoever had waited 1.5 s gave up the question that it was asking. Where an answer takes more than half of that, each question was given up for the next and none was ever answered: whole answers were called cut, and the endpoint, which is slow since it is busy, got the questions again and again.

A question that was sent too early for an end is waited for for 0.25 s; then another one is sent beside it, which all ends until then share.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
@@ -4,8 +4,8 @@
 accepts, tells that. An answer to a question that was sent later does.
 """
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import anyio
@@ -20,22 +20,27 @@
 callers leave a stream that pauses for two."""
 RETRY_PAUSE_S = 0.05
 """Pause before an endpoint is asked again whose connection was reset."""
+OVERLAP_S = 0.25
+"""Longest wait for the answer to a question that was sent too early, before
+another one is sent beside it: an endpoint whose answers take a second is as
+sound as one that answers at once."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Proof:
-    """The result of a question."""
+@dataclass(kw_only=True, slots=True)
+class _Question:
+    """A question under way, and its answer."""
 
     asked_at: float
-    state: ProcessState
+    state: ProcessState | None = None
+    """None: not answered, or given up by whoever asked."""
+    ended: anyio.Event = field(default_factory=anyio.Event)
 
 
 @dataclass(kw_only=True, slots=True)
-class _Turn:
-    """Questions to one endpoint, which are asked one after the other."""
+class _Inquiry:
+    """All who ask about one endpoint at the moment."""
 
-    lock: anyio.Lock = field(default_factory=anyio.Lock)
-    latest: _Proof | None = None
+    latest: _Question | None = None
     users: int = 0
 
 
@@ -50,7 +55,9 @@
     calls: EndpointCalls
     configuration: ConfirmedConfiguration
     clock: Callable[[], float]
-    _turn_by_record: dict[EndpointRecord, _Turn] = field(default_factory=dict)
+    _inquiry_by_record: dict[EndpointRecord, _Inquiry] = field(
+        default_factory=dict
+    )
 
     async def find_state(self, record: EndpointRecord) -> ProcessState:
         """Return the state of an endpoint's process from now on.
@@ -59,35 +66,69 @@
         """
         since = self.clock()
         with anyio.move_on_after(PROOF_TIMEOUT_S):
-            async with self._turn(record) as turn:
-                if turn.latest is None or turn.latest.asked_at < since:
-                    turn.latest = await self._ask_until_known(record)
-                return turn.latest.state
+            with self._join(record) as inquiry:
+                return await self._find(record, inquiry, since)
         return ProcessState.UNKNOWN
 
-    @asynccontextmanager
-    async def _turn(self, record: EndpointRecord) -> AsyncIterator[_Turn]:
-        turn = self._turn_by_record.setdefault(record, _Turn())
-        turn.users += 1
+    @contextmanager
+    def _join(self, record: EndpointRecord) -> Iterator[_Inquiry]:
+        inquiry = self._inquiry_by_record.setdefault(record, _Inquiry())
+        inquiry.users += 1
+        try:
+            yield inquiry
+        finally:
+            inquiry.users -= 1
+            if not inquiry.users:
+                del self._inquiry_by_record[record]
+
+    async def _find(
+        self, record: EndpointRecord, inquiry: _Inquiry, since: float
+    ) -> ProcessState:
+        """Wait for the answer to a question sent since, or ask it."""
+        while True:
+            question = inquiry.latest
+            if question is None:
+                return await self._ask(record, inquiry)
+            is_due = True
+            if question.asked_at >= since:
+                await question.ended.wait()
+                if question.state is not None:
+                    return question.state
+            else:
+                is_due = not await self._is_renewed(question)
+            if is_due and inquiry.latest is question:
+                return await self._ask(record, inquiry)
+
+    async def _is_renewed(self, question: _Question) -> bool:
+        """Wait for an early question's end; whether it was sent again."""
+        asked_at = question.asked_at
+        with anyio.move_on_after(asked_at + OVERLAP_S - self.clock()):
+            await question.ended.wait()
+        return question.asked_at > asked_at
+
+    async def _ask(
+        self, record: EndpointRecord, inquiry: _Inquiry
+    ) -> ProcessState:
+        inquiry.latest = question = _Question(asked_at=self.clock())
         try:
-            async with turn.lock:
-                yield turn
+            question.state = await self._ask_until_known(record, question)
         finally:
-            turn.users -= 1
-            if not turn.users:
-                del self._turn_by_record[record]
+            question.ended.set()
+        return question.state
 
-    async def _ask_until_known(self, record: EndpointRecord) -> _Proof:
+    async def _ask_until_known(
+        self, record: EndpointRecord, question: _Question
+    ) -> ProcessState:
         on_new_connection = True
         while True:
-            asked_at = self.clock()
+            question.asked_at = self.clock()
             state = await self.calls.ask_process(
                 record.listed,
                 self._service_of(record),
                 on_new_connection=on_new_connection,
             )
             if state is not ProcessState.UNKNOWN:
-                return _Proof(asked_at=asked_at, state=state)
+                return state
             on_new_connection = not on_new_connection
             await anyio.sleep(RETRY_PAUSE_S)
 
--- a/tests/test_gateway_process_proofs.py
+++ b/tests/test_gateway_process_proofs.py
@@ -20,7 +20,8 @@
 class FakeCalls:
     """Answers questions late; `states` are those of the next questions."""
 
-    def __init__(self, *states):
+    def __init__(self, *states, answer_s=ANSWER_S):
+        self.answer_s = answer_s
         self.asked_at = []
         self.states = list(states)
 
@@ -29,7 +30,7 @@
         state = self.states.pop(0) if self.states else ProcessState.RUNNING
         if state is None:
             await anyio.sleep_forever()
-        await anyio.sleep(ANSWER_S)
+        await anyio.sleep(self.answer_s)
         return state
 
 
@@ -135,3 +136,23 @@
                 return await proofs.find_state(record)
 
         self.assertIs(play(calls, check), ProcessState.RUNNING)
+
+    def test_ends_at_an_endpoint_whose_answers_take_a_second_are_proved(self):
+        # Guards against questions that are given up one after the other.
+        for answer_s in (0.6, 0.8, 1.0, 1.2):
+            calls = FakeCalls(answer_s=answer_s)
+            states = []
+
+            async def check(proofs, record, states=states):
+                async def find():
+                    states.append(await proofs.find_state(record))
+
+                async with anyio.create_task_group() as tasks:
+                    for _ in range(100):
+                        tasks.start_soon(find)
+                        await anyio.sleep(ANSWER_S)
+
+            with self.subTest(answer_s=answer_s):
+                play(calls, check)
+                self.assertEqual(states, [ProcessState.RUNNING] * 100)
+                self.assertLess(len(calls.asked_at), 60)
