Tests: an error of whatever holds a listener is taken for its process, red

Any answer to the question counts as one of the process, whatever its status: a parent that answers 502 for the worker that it lost, or a server that closes an idle connection with 408, proves ends that nobody has proved. A real report has status 200 and its fields; a health answer names its endpoint or says that it was not executed.

--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -192,6 +192,8 @@
     """When it turned requests down for want of room."""
     on_fall: Callable[['StandInReplica'], None] = lambda _: None
     """Ends the process after it has turned down too many."""
+    heir_status: int | None = None
+    """Status with which what holds its listener answers in its place."""
     silent_until: float = 0.0
     """Until when its process stands still; connections to it stay open."""
     shed_retry_after_s: float | None = None
@@ -228,7 +230,9 @@
         """Answer one request."""
         await self._stand_still()
         target = incoming.head.target.decode('latin-1')
-        if self.framing is Framing.ENDLESS_HEAD:
+        if self.heir_status is not None:
+            await reply.answer(self.heir_status, ())
+        elif self.framing is Framing.ENDLESS_HEAD:
             await _send_endless(reply, b'HTTP/1.1 200 OK\r\nX-Rest: ')
         elif self.framing is Framing.ENDLESS_BODY:
             await _send_endless(reply, b'HTTP/1.1 200 OK\r\n\r\n')
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -183,6 +183,17 @@
         _, answers = self.play(start_anew)
         self.assertLess(answers.whole('/draft/'), STREAMS // 2)
 
+    def test_what_answers_in_the_place_of_an_ended_process(self):
+        for status in (404, 408, 502, 503):
+            with self.subTest(status=status):
+
+                async def inherit(site, status=status):
+                    engine = busiest(site)
+                    engine.heir_status = status
+                    site.network.end_connections(machine_of(engine.address))
+
+                self.play(inherit)
+
     def test_sound_endpoints_that_are_silent_for_a_second(self):
         async def stand_still(site):
             for engine in site.replicas_by_id.values():
