A continuation without events does not end a stream cut inside an event

A stream that broke off went on at another endpoint, and whatever ended the second answer ended the stream, also if it brought nothing. Behind a part of an event that is a contradiction: the event is still due. Callers of such a stream saw it end as complete after half of its events.

In memory, an engine stops in the middle of event 51 of 100, and the others answer what goes on behind event 50 without events, in chunks or unframed: each such stream looked whole. It breaks off visibly now.

A stream that broke off behind a whole event may have been whole, so that an empty continuation still ends it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -135,6 +135,9 @@
         if part is None:
             break
         events = splitter.feed(part)
+        job.owes_event = splitter.has_partial or (
+            job.owes_event and events is None
+        )
         if splitter.is_too_long:
             return CallBroken(reason='an event without end')
         if events is None:
@@ -153,7 +156,7 @@
             )
         if not is_sent:
             return CallerGone()
-    broken = await _find_break(splitter, job, attempt, stream)
+    broken = await _find_break(job, attempt, stream)
     if broken is not None:
         return broken
     attempt.note_stream_end()
@@ -162,12 +165,9 @@
 
 
 async def _find_break(
-    splitter: EventSplitter,
-    job: Job,
-    attempt: Attempt,
-    stream: RunningStream,
+    job: Job, attempt: Attempt, stream: RunningStream
 ) -> CallBroken | None:
     """Return why a stream that has ended is not whole, None if it is."""
-    if splitter.has_partial or not job.sink.is_started:
+    if job.owes_event or not job.sink.is_started:
         return CallBroken(reason='ended within an event')
     return await find_cut(attempt, stream)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -57,6 +57,8 @@
     """Id of the last event that was forwarded to the caller."""
     events: int = 0
     """Events that were forwarded to the caller, of all attempts."""
+    owes_event: bool = False
+    """Whether a part of an event came, and neither its rest nor the event."""
     answer_end: AnswerEnd | None = None
     """How the latest answer that came to an end has ended."""
     weights_version: str | None = None
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -1,10 +1,16 @@
 """Answers that have neither a length nor chunks, and end early."""
 
 import unittest
+from dataclasses import replace
 from functools import partial
 
 import anyio
-from mimosamux_standins.site import Framing, MoveFault, ReplicaSpeed
+from mimosamux_standins.site import (
+    Fault,
+    Framing,
+    MoveFault,
+    ReplicaSpeed,
+)
 from mimosamux_standins.site.replica import render_event
 
 from tests.support.clock import run_paused
@@ -211,6 +217,44 @@
         self.check_all_whole(answers)
 
 
+class TestContinuation(unittest.TestCase):
+    # Guards against a continuation without events that ends a short stream.
+
+    def play(self, framing):
+        async def check():
+            async with open_patient_site(engines=4) as site:
+                answers = Answers(site)
+
+                async def cut():
+                    cut = busiest(site)
+                    cut.fault = Fault.CUT
+                    for engine in site.replicas_by_id.values():
+                        engine.framing = framing
+                        if engine is not cut:
+                            engine.speed = replace(SPEED, events=40)
+
+                for engine in site.replicas_by_id.values():
+                    engine.framing = Framing.USUAL
+                await answers.play(cut)
+                return answers, site.runs()
+
+        answers, runs = run_paused(check)
+        resumed = [run for run in runs if run.resumed_behind == EVENTS // 2]
+        self.assertTrue(resumed)
+        for run in resumed:
+            (answer,) = [
+                each
+                for each in answers.answers_by_path['/question/']
+                if each.id == run.id
+            ]
+            self.assertFalse(answer.is_whole)
+
+    def test_empty_answer_does_not_end_a_stream_cut_inside_an_event(self):
+        for framing in (Framing.USUAL, Framing.UNFRAMED):
+            with self.subTest(framing=framing.name):
+                self.play(framing)
+
+
 class TestStoppedRun(unittest.TestCase):
     # Guards against a run stopped for a move whose answer looks ended.
 
