--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_platform.py
@@ -8,6 +8,7 @@
 import httpx
 import pydantic
 
+from mimosamux_daemon.adapters.http_framing import is_unframed
 from mimosamux_daemon.domain.store import Unavailable
 from mimosamux_daemon.validation import first_problem
 
@@ -98,6 +99,10 @@
             return Unavailable(
                 reason=_describe(error), may_have_taken_effect=True
             )
+        if is_unframed(response):
+            return Unavailable(
+                reason='only its connection ended', may_have_taken_effect=True
+            )
         return Reply(status=response.status_code, body=response.content)
 
     async def close(self) -> None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
@@ -70,6 +70,22 @@
                 return await self._find(record, inquiry, since)
         return ProcessState.UNKNOWN
 
+    async def ask(
+        self,
+        record: EndpointRecord,
+        *,
+        timeout_s: float,
+        on_new_connection: bool,
+    ) -> ProcessState:
+        """Ask an endpoint's process once; UNKNOWN: it did not answer."""
+        with anyio.move_on_after(timeout_s):
+            return await self.calls.ask_process(
+                record.listed,
+                self._service_of(record),
+                on_new_connection=on_new_connection,
+            )
+        return ProcessState.UNKNOWN
+
     @contextmanager
     def _join(self, record: EndpointRecord) -> Iterator[_Inquiry]:
         inquiry = self._inquiry_by_record.setdefault(record, _Inquiry())
@@ -122,9 +138,9 @@
         on_new_connection = True
         while True:
             question.asked_at = self.clock()
-            state = await self.calls.ask_process(
-                record.listed,
-                self._service_of(record),
+            state = await self.ask(
+                record,
+                timeout_s=PROOF_TIMEOUT_S,
                 on_new_connection=on_new_connection,
             )
             if state is not ProcessState.UNKNOWN:
