An error of whatever holds a listener proves no answer's end

What answers otherwise is unidentified: the end is not proved, at once, and the crash detector takes it neither for alive nor for ended.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/process_question.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/process_question.py
@@ -29,8 +29,8 @@
     effect."""
     is_own: Callable[[AnswerHead], bool]
     """Whether an answer is to this question."""
-    is_other: Callable[[AnswerHead, bytes], bool]
-    """Whether an answer comes from another process than the one meant."""
+    judge: Callable[[AnswerHead, bytes], ProcessState]
+    """Tells what an answer with this body says of the process."""
 
     async def ask(self, *, on_new_connection: bool) -> ProcessState:
         """Ask once, and wait for the answer.
@@ -69,6 +69,4 @@
         body = await channel.receive_whole_body(MAX_BODY_BYTES)
         if isinstance(body, ChannelBroken):
             return ProcessState.UNKNOWN
-        if self.is_other(head, body):
-            return ProcessState.REPLACED
-        return ProcessState.RUNNING
+        return self.judge(head, body)
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/answer_ends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/answer_ends.py
@@ -19,6 +19,8 @@
     """No process listens any more: the answer is cut."""
     PROCESS_REPLACED = 'process_replaced'
     """Another process is at its address: the answer is cut."""
+    PROCESS_UNIDENTIFIED = 'process_unidentified'
+    """What answers is not known to be its process: it may be cut."""
     PROCESS_SILENT = 'process_silent'
     """Its process has not answered since: the answer may be cut."""
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_ends.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_ends.py
@@ -24,6 +24,9 @@
     EndEvidence.PROCESS_REPLACED: CallBroken(
         reason='another process is at its address'
     ),
+    EndEvidence.PROCESS_UNIDENTIFIED: CallBroken(
+        reason='what answers at its address may be another process'
+    ),
     EndEvidence.PROCESS_SILENT: CallBroken(
         reason='its process may have ended with its connection'
     ),
@@ -33,6 +36,7 @@
     ProcessState.RUNNING: EndEvidence.PROCESS_ANSWERED,
     ProcessState.ENDED: EndEvidence.PROCESS_ENDED,
     ProcessState.REPLACED: EndEvidence.PROCESS_REPLACED,
+    ProcessState.UNIDENTIFIED: EndEvidence.PROCESS_UNIDENTIFIED,
     ProcessState.UNKNOWN: EndEvidence.PROCESS_SILENT,
 }
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -187,6 +187,8 @@
             )
             if state in (ProcessState.ENDED, ProcessState.REPLACED):
                 return True
+            if state is ProcessState.UNIDENTIFIED:
+                break
             answers = answers + 1 if state is ProcessState.RUNNING else 0
             if answers >= MIN_ANSWERS:
                 return False
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -106,6 +106,8 @@
     """The VM refuses connections: no process listens."""
     REPLACED = auto()
     """Another process is at its address."""
+    UNIDENTIFIED = auto()
+    """Something answers at its address that is not known to be it."""
     UNKNOWN = auto()
     """No response: the VM may be gone, or the network partitioned."""
 
