--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,17 @@
 """A short soak with a fixed seed, and checks that can fail."""
 
 import math
+import random
 import unittest
 from dataclasses import replace
 from types import SimpleNamespace
 
+import anyio
+from mimosamux_standins.site.caller import last_event_id
 from mimosamux_standins.site.replica import render_event
 
 from tests.support.soak import LARGE_SITES, play
-from tests.support.soak_callers import REVOKED_KEY, Sent
+from tests.support.soak_callers import REVOKED_KEY, Callers, Sent
 from tests.support.soak_checks import find_problems
 from tests.support.soak_record import (
     EVENTS,
@@ -109,6 +112,36 @@
         self.assertGreater(len(stops), 1)
 
 
+class BreakingCaller:
+    """Gets two events of a stream each time it takes it up."""
+
+    key = 'key-school'
+
+    def __init__(self):
+        self.resumed = []
+
+    async def resume(self, last, entry, target, *, began, **_):
+        behind = int(last_event_id(last.body))
+        self.resumed.append((began, behind))
+        body = b''.join(render_event('b', behind + n) for n in (1, 2))
+        return answer_to(f'b{behind}', body=body, is_whole=behind >= 5)
+
+
+class TestTakeUps(unittest.TestCase):
+    # Guards against callers that take a stream up once and give it up then.
+    def test_stream_that_breaks_off_again_is_taken_up_again(self):
+        callers = Callers(entries=['d'], rng=random.Random(1))
+        caller = BreakingCaller()
+        broken = answer_to(body=render_event('a1', 1), is_whole=False)
+
+        async def take_up():
+            await callers._take_up(caller, callers.rng, '/question/1', broken)
+
+        anyio.run(take_up)
+        self.assertEqual(caller.resumed, [('a1', 1), ('a1', 3), ('a1', 5)])
+        self.assertEqual([each.behind for each in callers.sent], [1, 3, 5])
+
+
 def answer_to(id_='a1', **fields):
     fields = {'status': 200, 'is_whole': True, 'body': b'', **fields}
     fields = {'ended_at': 103.0, 'problem': '', 'whole_at': 100.0, **fields}
