--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -5,6 +5,7 @@
 
 import httpx
 
+from mimosamux_daemon.adapters.http_framing import is_unframed
 from mimosamux_daemon.adapters.http_platform import NOT_SENT
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.http_headers import end_to_end_headers
@@ -101,6 +102,8 @@
         return ServiceUnanswered(reason=f'{type(error).__name__} {error}')
     finally:
         await response.aclose()
+    if is_unframed(response):
+        return ServiceUnanswered(reason='only its connection ended')
     headers = tuple(response.headers.multi_items())
     return ServiceAnswer(
         status=response.status_code,
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 heads as raw bytes, which are forwarded without decoding."""
 
 from dataclasses import dataclass
+from enum import StrEnum
+from http import HTTPStatus
 
 RawHeaders = tuple[tuple[bytes, bytes], ...]
 """Pairs of name and value; names keep the case in which they arrived."""
@@ -20,6 +22,22 @@
 )
 """Headers that apply to a single connection, in lower case."""
 
+BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+CONTENT_LENGTH = b'content-length'
+TRANSFER_ENCODING = b'transfer-encoding'
+
+
+class BodyFraming(StrEnum):
+    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+    NO_BODY = 'no_body'
+    """Its request or its status allows none."""
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CONNECTION = 'connection'
+    """Only the end of its connection, which a crash or a proxy that closes in
+    order brings about as well."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestHead:
@@ -78,3 +96,14 @@
         parts = b','.join(named).split(b',')
         dropped |= {part.strip().lower() for part in parts}
     return tuple(item for item in headers if item[0].lower() not in dropped)
+
+
+def find_framing(method: bytes, answer: AnswerHead) -> BodyFraming:
+    """Return what marks the end of the body of an answer to a request."""
+    if method == b'HEAD' or answer.status in BODILESS_STATUSES:
+        return BodyFraming.NO_BODY
+    if find_value(answer.headers, TRANSFER_ENCODING) is not None:
+        return BodyFraming.CHUNKS
+    if find_value(answer.headers, CONTENT_LENGTH) is not None:
+        return BodyFraming.LENGTH
+    return BodyFraming.CONNECTION
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -11,6 +11,7 @@
 from http import HTTPStatus
 
 from mimosamux_daemon.domain.gateway import ListedEndpoint
+from mimosamux_daemon.domain.http_messages import BodyFraming
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
@@ -22,6 +23,7 @@
 from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
@@ -30,6 +32,7 @@
 from mimosamux_daemon.ports.endpoint_calls import (
     EndpointAnswer,
     EndpointCall,
+    ProcessState,
     RequestRejected,
 )
 
@@ -67,8 +70,10 @@
     """Software that it was sent to, whatever the list shows later."""
     has_first_event: bool = False
     """Whether the prompt is prefilled, as the first event shows."""
-    ends_with_connection: bool = False
-    """Whether nothing but the end of its connection ends the answer."""
+    framing: BodyFraming = BodyFraming.NO_BODY
+    """What marks the end of its answer."""
+    via: str = ''
+    """Address of the peer's tunnel that its answer comes through."""
     is_result_counted: bool = False
     """Whether the result was counted for the endpoint's health."""
     time_to_first_event_s: float | None = None
@@ -89,6 +94,11 @@
         """Return the endpoint's entry in the list."""
         return self.choice.record.listed
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of its connection ends the answer."""
+        return self.framing is BodyFraming.CONNECTION
+
     @property
     def counted_tokens(self) -> float:
         """Return the unread tokens that count as the endpoint's load.
@@ -156,7 +166,7 @@
         record = self.choice.record
         roster = self.recorder.roster
         if not isinstance(answer, RequestRejected):
-            self.ends_with_connection = answer.ends_with_connection
+            self.framing, self.via = answer.framing, answer.via
         if not (
             isinstance(answer, RequestRejected) and answer.is_other_endpoint
         ):
@@ -217,10 +227,11 @@
             suspects, self.choice.record
         )
 
-    async def is_process_seen(self) -> bool:
-        """Whether the endpoint's process is seen to run now."""
-        detector = self.recorder.crash_detector
-        return await detector.is_seen(self.choice.record)
+    async def find_process_state(self) -> ProcessState:
+        """Return the state of the endpoint's process from now on."""
+        return await self.recorder.process_proofs.find_state(
+            self.choice.record
+        )
 
     def note_whole_run(self) -> None:
         """Record that the request ran from start to end at this endpoint."""
@@ -381,6 +392,7 @@
     chooser: Chooser
     request_counts: RequestCounts
     crash_detector: CrashDetector
+    process_proofs: ProcessProofs
     origins: OriginExchange
     limits: EndpointLimits
     brittle: BrittleServices
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -19,30 +19,26 @@
 from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
 from mimosamux_daemon.gateway.crashes.suspects import EndpointIncarnation
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
+from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.endpoint_calls import EndpointCalls, ProcessState
+from mimosamux_daemon.ports.endpoint_calls import ProcessState
 
 log = get_log('crash_detector')
 
 CHECK_INTERVAL_S = 0.1
-"""Pause between two checks of an endpoint: a process that is ending may still
-accept a connection."""
+"""Pause between two questions to an endpoint: a process that is ending may
+still answer one."""
 RECHECK_PAUSE_S = 0.2
 """Pause before an endpoint is checked once more, for what was noted during the
-last check: a process that accepted connections may have ended since."""
-MIN_ALIVE_CHECKS = 2
-"""Consecutive checks that must find a process before an endpoint counts as
+last check: a process that answered may have ended since."""
+MIN_ANSWERS = 2
+"""Consecutive questions that must be answered before an endpoint counts as
 alive."""
+QUESTION_TIMEOUT_S = 1.0
+"""Time after which a question counts as not answered."""
 WITHDRAWAL_DELAY_S = 1.0
 """Delay before a crash is withdrawn. By then the endpoint list shows whether
 the endpoint that answers is a new process under the same id."""
-SIGHT_INTERVAL_S = 0.05
-"""Pause between two checks at the end of an answer, whose caller waits. The
-connections of a killed process end moments before its listener."""
-SIGHT_TIMEOUT_S = 1.0
-"""Longest time for which the end of an answer waits to be confirmed: a lost
-packet is no reason to call it cut, and callers leave a stream that pauses for
-two seconds."""
 DETECTION_TIMEOUT_S = 10.0
 """Time after which an endpoint that neither answers nor leaves the endpoint
 list counts as partitioned, not as crashed."""
@@ -53,7 +49,7 @@
     """Checks endpoints whose answers broke off, or seem to be whole."""
 
     exchange: CrashExchange
-    calls: EndpointCalls
+    proofs: ProcessProofs
     metrics: GatewayMetrics
     clock: Callable[[], float]
     on_whole_run: Callable[[Iterable[ContentKey]], None]
@@ -96,24 +92,6 @@
             self._has_work.set()
         self._contents_by_record[record].update(contents)
 
-    async def is_seen(self, record: EndpointRecord) -> bool:
-        """Whether an endpoint's process is seen to run, leaving or not.
-
-        One that cannot be reached is not: a VM that is taken away right
-        behind its process answers nothing either.
-        """
-        times_seen = 0
-        with anyio.move_on_after(SIGHT_TIMEOUT_S):
-            while True:
-                process_state = await self.calls.check_process(record.listed)
-                if process_state is ProcessState.ENDED:
-                    return False
-                times_seen += process_state is ProcessState.RUNNING
-                if times_seen >= MIN_ALIVE_CHECKS:
-                    return True
-                await anyio.sleep(SIGHT_INTERVAL_S)
-        return False
-
     def note_whole_run(
         self,
         record: EndpointRecord,
@@ -196,19 +174,21 @@
 
     async def _detect_crash(self, record: EndpointRecord) -> bool:
         deadline = self.clock() + DETECTION_TIMEOUT_S
-        times_alive = 0
+        answers = 0
         while self.clock() < deadline:
             if record.listed.state is EndpointState.LEAVING:
                 return False
             if record.gone_at is not None:
                 return True
-            process_state = await self.calls.check_process(record.listed)
-            if process_state is ProcessState.ENDED:
-                return True
-            times_alive = (
-                times_alive + 1 if process_state is ProcessState.RUNNING else 0
+            state = await self.proofs.ask(
+                record,
+                timeout_s=QUESTION_TIMEOUT_S,
+                on_new_connection=answers == 0,
             )
-            if times_alive >= MIN_ALIVE_CHECKS:
+            if state in (ProcessState.ENDED, ProcessState.REPLACED):
+                return True
+            answers = answers + 1 if state is ProcessState.RUNNING else 0
+            if answers >= MIN_ANSWERS:
                 return False
             await anyio.sleep(CHECK_INTERVAL_S)
         log.info('endpoint_end_undecided', endpoint=record.id)
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -7,8 +7,9 @@
 from typing import Protocol
 
 from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
-from mimosamux_daemon.domain.http_messages import RawHeaders
+from mimosamux_daemon.domain.http_messages import BodyFraming, RawHeaders
 from mimosamux_daemon.domain.names import AccountId
+from mimosamux_daemon.domain.routes import ServiceEntry
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,12 +98,14 @@
 
 
 class ProcessState(Enum):
-    """State of the process at an endpoint's address."""
+    """State of an endpoint's process."""
 
     RUNNING = auto()
-    """A process accepts connections."""
+    """It has answered."""
     ENDED = auto()
     """The VM refuses connections: no process listens."""
+    REPLACED = auto()
+    """Another process is at its address."""
     UNKNOWN = auto()
     """No response: the VM may be gone, or the network partitioned."""
 
@@ -128,9 +131,10 @@
     brittle_per_s: float | None
     """Requests that the endpoint can reject in a second without falling over,
     None: any number."""
-    ends_with_connection: bool
-    """Whether nothing but the end of its connection marks its end, which a
-    process that crashes brings about as well."""
+    framing: BodyFraming
+    """What marks its end; a process that crashes ends its connection too."""
+    via: str
+    """Address of the peer's tunnel that it comes through, empty: none."""
 
     async def receive(self) -> bytes | None | CallBroken:
         """Return the next bytes of the body, or None at its end.
@@ -159,5 +163,14 @@
     ]:
         """Send a request; leaving the block early closes the connection."""
 
-    async def check_process(self, endpoint: ListedEndpoint) -> ProcessState:
-        """Check by connecting whether an endpoint's process is running."""
+    async def ask_process(
+        self,
+        endpoint: ListedEndpoint,
+        service: ServiceEntry,
+        *,
+        on_new_connection: bool,
+    ) -> ProcessState:
+        """Ask an endpoint's process something without effect.
+
+        Waits for the answer until cancelled; RUNNING: it has answered.
+        """
