A stream that is begun anew brings no event twice

Whatever an endpoint sent for the rest of a stream was passed on behind the events that the caller had. One that begins anew in place of going on behind Last-Event-Id gave callers their first events again, in a stream that ended as complete.

The first id of a continuation has to be another than the last one forwarded, and no lower number. Such a stream goes on elsewhere or breaks off visibly.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -126,7 +126,7 @@
 ) -> GatewayOutcome | CallBroken | NoAnswer:
     """Relay complete events as they arrive."""
     attempt = failover_wait.attempt
-    splitter = EventSplitter()
+    splitter = EventSplitter(behind=job.last_event_id)
     job.weights_version = answer.weights_version
     while True:
         part = await failover_wait.wait(answer.receive)
@@ -135,11 +135,11 @@
         if part is None:
             break
         events = splitter.feed(part)
+        if splitter.problem is not None:
+            return CallBroken(reason=splitter.problem)
         job.owes_event = splitter.has_partial or (
             job.owes_event and events is None
         )
-        if splitter.is_too_long:
-            return CallBroken(reason='an event without end')
         if events is None:
             continue
         if not attempt.has_first_event:
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -192,6 +192,8 @@
     """When it turned requests down for want of room."""
     on_fall: Callable[['StandInReplica'], None] = lambda _: None
     """Ends the process after it has turned down too many."""
+    begins_anew: bool = False
+    """Whether it sends streams from their beginning, taken up or not."""
     heir_status: int | None = None
     """Status with which what holds its listener answers in its place."""
     silent_until: float = 0.0
@@ -330,7 +332,7 @@
             tenant=None if tenant is None else tenant.decode(),
             began_at=anyio.current_time(),
             rank=None if rank is None else int(rank),
-            resumed_behind=int(last or b'0'),
+            resumed_behind=0 if self.begins_anew else int(last or b'0'),
             kv_source=(find_value(headers, b'kv-from') or b'').decode(),
             version=self.version,
             resumes=(find_value(headers, b'resumes') or b'').decode(),
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -218,41 +218,60 @@
 
 
 class TestContinuation(unittest.TestCase):
-    # Guards against a continuation without events that ends a short stream.
+    # Guards against a continuation that is not the rest of its stream.
 
-    def play(self, framing):
+    def play(self, framing, cut, **others):
         async def check():
             async with open_patient_site(engines=4) as site:
                 answers = Answers(site)
+                for engine in site.replicas_by_id.values():
+                    engine.framing = framing
 
-                async def cut():
-                    cut = busiest(site)
-                    cut.fault = Fault.CUT
-                    for engine in site.replicas_by_id.values():
-                        engine.framing = framing
-                        if engine is not cut:
-                            engine.speed = replace(SPEED, events=40)
+                async def trouble():
+                    engine = busiest(site)
+                    for other in site.replicas_by_id.values():
+                        if other is not engine:
+                            for name, value in others.items():
+                                setattr(other, name, value)
+                    cut(site, engine)
 
-                for engine in site.replicas_by_id.values():
-                    engine.framing = Framing.USUAL
-                await answers.play(cut)
+                await answers.play(trouble)
                 return answers, site.runs()
 
         answers, runs = run_paused(check)
-        resumed = [run for run in runs if run.resumed_behind == EVENTS // 2]
+        ids = [run.id for run in runs]
+        resumed = [
+            each
+            for each in answers.answers_by_path['/question/']
+            if ids.count(each.id) > 1
+        ]
         self.assertTrue(resumed)
-        for run in resumed:
-            (answer,) = [
-                each
-                for each in answers.answers_by_path['/question/']
-                if each.id == run.id
-            ]
-            self.assertFalse(answer.is_whole)
+        for each in resumed:
+            self.assertFalse(each.is_whole)
+            right = b''.join(
+                render_event(each.id, n + 1) for n in range(EVENTS)
+            )
+            self.assertTrue(right.startswith(each.body))
 
     def test_empty_answer_does_not_end_a_stream_cut_inside_an_event(self):
+        ended = replace(SPEED, events=EVENTS // 4)
+        for framing in (Framing.USUAL, Framing.UNFRAMED):
+
+            def cut(site, engine, framing=framing):
+                for other in site.replicas_by_id.values():
+                    other.framing = framing
+                engine.fault, engine.framing = Fault.CUT, Framing.USUAL
+
+            with self.subTest(framing=framing.name):
+                self.play(Framing.USUAL, cut, speed=ended)
+
+    def test_stream_that_begins_anew_brings_no_event_twice(self):
+        def crash(site, engine):
+            site.crash_replica(engine)
+
         for framing in (Framing.USUAL, Framing.UNFRAMED):
             with self.subTest(framing=framing.name):
-                self.play(framing)
+                self.play(framing, crash, begins_anew=True)
 
 
 class TestStoppedRun(unittest.TestCase):
