Crashes: what cannot be told clears nothing, and a proved end counts as an answer

An endpoint that could not be told to live cleared the prompt parts of the runs that ended there, as one that lives does: undecided, or answering with something that is no answer of its. Now only one that answers clears them.

An answer without a length is whole only behind an answered question, which the detector asked again.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -66,6 +66,9 @@
         field(default_factory=dict)
     )
     """Keys of runs that are whole if their endpoint, under check, lives."""
+    _has_answered: set[EndpointRecord] = field(default_factory=set)
+    """Endpoints under check that have answered a question since the ends of
+    all answers that are to be checked."""
     _has_work: anyio.Event = field(default_factory=anyio.Event)
 
     def note_broken_answer(
@@ -80,6 +83,7 @@
         if record.has_crashed:
             self.exchange.report_crash(_incarnation_of(record), contents)
             return
+        self._has_answered.discard(record)
         self._accuse(record, contents)
 
     def _accuse(
@@ -104,10 +108,14 @@
 
         `contents` are the keys of all that it shares with other requests,
         `suspects` those that caused the crash, if the endpoint has crashed.
+        One that ends with its connection counts as whole since the endpoint
+        has answered a question behind it.
         """
         if not ends_with_connection or not record.accepts_requests:
             self.on_whole_run(contents)
             return
+        if record not in self._contents_by_record:
+            self._has_answered.add(record)
         self._accuse(record, suspects)
         self._runs_by_record.setdefault(record, []).append(contents)
 
@@ -146,12 +154,13 @@
             contents = self._contents_by_record[record]
             runs = self._runs_by_record.pop(record, ())
             self._contents_by_record[record] = set()
-            if await self._detect_crash(record):
+            state = await self._find_state(record)
+            if state is ProcessState.ENDED:
                 contents |= self._contents_by_record.pop(record)
                 self._runs_by_record.pop(record, None)
                 self._report(record, contents)
                 return
-            for run in runs:
+            for run in runs if state is ProcessState.RUNNING else ():
                 self.on_whole_run(run)
             if not self._contents_by_record[record]:
                 del self._contents_by_record[record]
@@ -172,29 +181,36 @@
         )
         self.exchange.report_crash(_incarnation_of(record), contents)
 
-    async def _detect_crash(self, record: EndpointRecord) -> bool:
+    async def _find_state(self, record: EndpointRecord) -> ProcessState:
+        """Return whether an endpoint's process runs or has crashed.
+
+        UNKNOWN: neither can be told. One that leaves has not crashed.
+        """
         deadline = self.clock() + DETECTION_TIMEOUT_S
-        answers = 0
+        answers = int(record in self._has_answered)
+        self._has_answered.discard(record)
+        if answers:
+            await anyio.sleep(CHECK_INTERVAL_S)
         while self.clock() < deadline:
             if record.listed.state is EndpointState.LEAVING:
-                return False
+                return ProcessState.RUNNING
             if record.gone_at is not None:
-                return True
+                return ProcessState.ENDED
             state = await self.proofs.ask(
                 record,
                 timeout_s=QUESTION_TIMEOUT_S,
                 on_new_connection=answers == 0,
             )
             if state in (ProcessState.ENDED, ProcessState.REPLACED):
-                return True
+                return ProcessState.ENDED
             if state is ProcessState.UNIDENTIFIED:
                 break
             answers = answers + 1 if state is ProcessState.RUNNING else 0
             if answers >= MIN_ANSWERS:
-                return False
+                return ProcessState.RUNNING
             await anyio.sleep(CHECK_INTERVAL_S)
         log.info('endpoint_end_undecided', endpoint=record.id)
-        return False
+        return ProcessState.UNKNOWN
 
 
 def _incarnation_of(record: EndpointRecord) -> EndpointIncarnation:
