A request that is answered proves ends before it as a question does

A plain endpoint's health path waits for a slot where it is busy. Where it took 1.2 s, 60 of 60 callers with 1 s got 504 in place of answers that were ready; where it took 2 s, 30 of 30 calls that may not be repeated got 502. The endpoint answered other requests meanwhile, which were sent behind those ends and prove as much. An endpoint that keeps its id across starts is left to questions, as the answer to a request does not tell which start has given it.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -171,6 +171,7 @@
             isinstance(answer, RequestRejected) and answer.is_other_endpoint
         ):
             self.recorder.crash_detector.note_answer(record)
+            self.recorder.process_proofs.note_answer(record, self.sent_at)
         if not isinstance(answer, RequestRejected):
             roster.note_acceptance(record, self.sent_at)
         elif answer.is_full and not self.job.is_resumed:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
@@ -36,12 +36,23 @@
     ended: anyio.Event = field(default_factory=anyio.Event)
 
 
+@dataclass(kw_only=True, slots=True, eq=False)
+class _Waiter:
+    """Somebody who waits for proof that a process lives."""
+
+    since: float
+    """Time from which on the process has to have answered something."""
+    scope: anyio.CancelScope
+    is_proved: bool = False
+    """Whether the process has answered a request that was sent since."""
+
+
 @dataclass(kw_only=True, slots=True)
 class _Inquiry:
     """All who ask about one endpoint at the moment."""
 
     latest: _Question | None = None
-    users: int = 0
+    waiters: set[_Waiter] = field(default_factory=set)
 
 
 @dataclass(kw_only=True, slots=True)
@@ -64,12 +75,29 @@
 
         UNKNOWN: nothing answered within `PROOF_TIMEOUT_S`.
         """
-        since = self.clock()
-        with anyio.move_on_after(PROOF_TIMEOUT_S):
-            with self._join(record) as inquiry:
-                return await self._find(record, inquiry, since)
+        with anyio.move_on_after(PROOF_TIMEOUT_S) as scope:
+            waiter = _Waiter(since=self.clock(), scope=scope)
+            with self._join(record, waiter) as inquiry:
+                return await self._find(record, inquiry, waiter.since)
+        if waiter.is_proved:
+            return ProcessState.RUNNING
         return ProcessState.UNKNOWN
 
+    def note_answer(self, record: EndpointRecord, sent_at: float) -> None:
+        """Note that an endpoint has answered a request sent at a time.
+
+        That proves as much as an answer to a question, which a busy plain
+        endpoint may give much later. An id that is kept across starts does
+        not tell which one has answered.
+        """
+        inquiry = self._inquiry_by_record.get(record)
+        if inquiry is None or record.incarnation:
+            return
+        for waiter in inquiry.waiters:
+            if waiter.since <= sent_at:
+                waiter.is_proved = True
+                waiter.scope.cancel()
+
     async def ask(
         self,
         record: EndpointRecord,
@@ -87,14 +115,16 @@
         return ProcessState.UNKNOWN
 
     @contextmanager
-    def _join(self, record: EndpointRecord) -> Iterator[_Inquiry]:
+    def _join(
+        self, record: EndpointRecord, waiter: _Waiter
+    ) -> Iterator[_Inquiry]:
         inquiry = self._inquiry_by_record.setdefault(record, _Inquiry())
-        inquiry.users += 1
+        inquiry.waiters.add(waiter)
         try:
             yield inquiry
         finally:
-            inquiry.users -= 1
-            if not inquiry.users:
+            inquiry.waiters.discard(waiter)
+            if not inquiry.waiters:
                 del self._inquiry_by_record[record]
 
     async def _find(
--- a/tests/test_gateway_process_proofs.py
+++ b/tests/test_gateway_process_proofs.py
@@ -137,6 +137,26 @@
 
         self.assertIs(play(calls, check), ProcessState.RUNNING)
 
+    def test_an_answered_request_proves_what_ended_before_it(self):
+        # Guards against busy plain endpoints whose whole answers are lost.
+        states = []
+
+        async def check(proofs, record):
+            async def find():
+                states.append(await proofs.find_state(record))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(find)
+                await anyio.sleep(ANSWER_S)
+                sent_at = anyio.current_time()
+                await anyio.sleep(ANSWER_S)
+                tasks.start_soon(find)
+                await anyio.sleep(ANSWER_S)
+                proofs.note_answer(record, sent_at)
+
+        play(FakeCalls(None, None, None), check)
+        self.assertEqual(states, [ProcessState.RUNNING, ProcessState.UNKNOWN])
+
     def test_ends_at_an_endpoint_whose_answers_take_a_second_are_proved(self):
         # Guards against questions that are given up one after the other.
         for answer_s in (0.6, 0.8, 1.0, 1.2):
