HTTP/1.1 server: a request stays unread until it is due

Cause: while a request was worked on, the server read on to notice that its caller goes, and so took in whatever the caller had sent behind it. Where the first answer broke off (most often at the end of a stop) the second request had been read, was never answered and passed on to nobody, and the connection ended in order: its caller could not tell that it never ran. Until its first `receive` the event loop also read all that came on an accepted connection.

What callers saw: a draft sent behind another one on its connection got no answer 5.2 s later, and may not be repeated.

Change: the server waits for the end of the connection without reading (`Connection.wait_ended`: EPOLLRDHUP; polled where no descriptor is left). What came behind a request is read when that request has been answered. An answer says `close` only if nothing has come behind it. Behind an announced close the server waits for the other side to close and leaves crossing requests unread; only requests that are turned down are still read and dropped. Closing with bytes unread resets the connection, by which a caller knows that its request was not read, and sends it elsewhere.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -37,8 +37,6 @@
 LINGER_S = 1.0
 """Time for the other side to take an answer that ends its connection."""
 LINGER_BYTES = 256 * 1024
-UNREAD_BYTES = 64 * 1024
-"""Bytes of later requests that are read while one is worked on."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,7 +95,12 @@
 
 
 class _Session:
-    """One connection: its requests, one after the other."""
+    """One connection: its requests, one after the other.
+
+    A request is read when it is due. One that is read behind an answer is
+    lost if that answer breaks off; unread, its caller can tell by the reset
+    of the connection that it never ran.
+    """
 
     def __init__(self, *, server: Http1Server, connection: Connection) -> None:
         self._server = server
@@ -125,17 +128,19 @@
             if not reply.is_finished or request.is_caller_gone:
                 return
             if self._parser.our_state is not h11.DONE:
-                await self._linger()
+                await self._wait_for_close()
                 return
             self._parser.start_next_cycle()
 
     def _is_last_answer(self) -> bool:
         """Whether an answer that begins now ends the connection.
 
-        A request that has been read behind this one is answered first: told
-        that the connection ends, its caller would have lost it.
+        A request that has come behind this one is answered first: told that
+        the connection ends, its caller would have lost it.
         """
-        return self._server.is_draining and not self._parser.trailing_data[0]
+        return self._server.is_draining and not (
+            self._parser.trailing_data[0] or self.connection.has_input()
+        )
 
     async def _handle(self, request: IncomingRequest, reply: Reply) -> None:
         """Have the request answered, and watch for its caller to go."""
@@ -149,14 +154,9 @@
             self._server.open_requests -= 1
 
     async def _watch(self, request: IncomingRequest) -> None:
-        """Read on while a request is worked on, until the caller goes."""
-        while len(self._parser.trailing_data[0]) < UNREAD_BYTES:
-            try:
-                data = await self.connection.receive(READ_BYTES)
-            except BROKEN:
-                request.note_gone()
-                return
-            self._parser.receive_data(data)
+        """Note when the caller goes while its request is worked on."""
+        await self.connection.wait_ended()
+        request.note_gone()
 
     async def _read_request(self) -> IncomingRequest | Unreadable | None:
         limits = self._server._limits()
@@ -280,12 +280,21 @@
         await reply.answer(int(problem.status), ())
         await self._linger()
 
+    async def _wait_for_close(self) -> None:
+        """Let the other side read its whole answer, and close.
+
+        A request that crosses the announced end stays unread.
+        """
+        with anyio.move_on_after(LINGER_S), suppress(*BROKEN):
+            await self.connection.send_eof()
+            await self.connection.wait_ended()
+
     async def _linger(self) -> None:
-        """Let the other side read its answer before the connection ends.
+        """Let the other side read why its request is turned down.
 
         Closing with bytes unread resets the connection, and the reset can
         overtake the answer: the caller would see a broken connection in
-        place of the status.
+        place of the status. The rest of the request is read and dropped.
         """
         unread = 0
         with anyio.move_on_after(LINGER_S), suppress(*BROKEN):
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -1,5 +1,6 @@
 """The `Network` port over TCP."""
 
+import contextlib
 import ipaddress
 import os
 import select
@@ -115,6 +116,24 @@
         """Whether the other side has ended it, read or not."""
         return self._poll(select.POLLRDHUP | select.POLLHUP)
 
+    async def wait_ended(self) -> None:
+        """Wait until the other side has ended it; bytes stay unread.
+
+        The event loop tells only that there is something to read, which a
+        further request is as well.
+        """
+        if self.has_ended():
+            return
+        with contextlib.ExitStack() as opened:
+            try:
+                ended = opened.enter_context(select.epoll())
+                ended.register(self._socket, select.EPOLLRDHUP)
+            except OSError:
+                # No descriptor is left.
+                await super().wait_ended()
+                return
+            await anyio.wait_readable(ended)
+
     def _poll(self, events: int) -> bool:
         descriptor = self._socket.fileno()
         if descriptor < 0:
@@ -198,11 +217,24 @@
     try:
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = await anyio.abc.SocketStream.from_socket(accepted)
-        return TcpConnection(stream=stream)
     except (OSError, ValueError):
         # Reset before it was looked at.
         accepted.close()
         return None
+    _stop_reading_ahead(stream)
+    return TcpConnection(stream=stream)
+
+
+def _stop_reading_ahead(stream: anyio.abc.SocketStream) -> None:
+    """Have bytes read from the kernel only within `receive`.
+
+    anyio pauses a stream behind each `receive` that had to wait; until the
+    first, the event loop reads all that comes. A request that was read that
+    way is lost with the process, and its caller can't tell that it never ran.
+    """
+    transport = getattr(stream, '_transport', None)
+    if transport is not None:
+        transport.pause_reading()
 
 
 class TcpNetwork:
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -4,8 +4,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+import anyio
 import anyio.abc
 
+END_POLL_INTERVAL_S = 0.05
+"""Interval at which `Connection.wait_ended` looks, unless it is told."""
+
 
 class Connection(anyio.abc.ByteStream):
     """A byte stream to another process.
@@ -29,6 +33,13 @@
     def has_ended(self) -> bool:
         """Return whether the other side closed, even if bytes are unread."""
 
+    async def wait_ended(self) -> None:
+        """Wait until the other side closes; nothing is read."""
+        while True:
+            if self.has_ended():
+                return
+            await anyio.sleep(END_POLL_INTERVAL_S)
+
 
 ConnectionHandler = Callable[[Connection], Awaitable[None]]
 
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -81,6 +81,10 @@
     def has_ended(self):
         return self._is_ended or self._is_reset
 
+    async def wait_ended(self):
+        while not (self.has_ended() or self._is_closed):
+            await self._changed.wait()
+
     def underway(self, item):
         self._underway.append(item)
         self.flush()
--- a/tests/test_gateway_stop_requests.py
+++ b/tests/test_gateway_stop_requests.py
@@ -151,6 +151,37 @@
         self.assertEqual(ran, ['first', 'second'])
         self.assertEqual(answers.lower().count(b'connection: close'), 1)
 
+    # Guards against a request that is read behind an answer that is cut, and
+    # dropped with it: its caller can't tell that it never ran.
+    def test_request_behind_an_answer_that_the_stop_cuts_stays_unread(self):
+        async def check(stopping, stops_at):
+            stopping.set_speed(event_s=0.1, events=200)
+            connection = await stopping.connect()
+            draft = {'limit_ms': 15000, 'headers': STREAM}
+            await connection.send(render_head('a', '/draft/1', **draft) + BODY)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.stop_later, stopping, stops_at)
+                await anyio.sleep(1.0)
+                await connection.send(render_head('b', '/draft/1') + BODY)
+            answers = await read_answers(connection)
+            await stopping.handle.ended.wait()
+            # What the daemon has not read is still there.
+            return answers, connection.other.has_input(), stopping.ran()
+
+        for stops_at in (0.5, 1.5):
+            with self.subTest(stops_at=stops_at):
+                answers, is_unread, ran = self.play(
+                    lambda stopping, at=stops_at: check(stopping, at)
+                )
+                self.assertEqual((statuses_of(answers), ran), ([200], ['a']))
+                self.assertFalse(answers.endswith(b'0\r\n\r\n'))
+                self.assertTrue(is_unread)
+
+    @staticmethod
+    async def stop_later(stopping, delay_s):
+        await anyio.sleep(delay_s)
+        stopping.handle.daemon.stop()
+
     # Guards against an estimate that lets a stream begin which will be cut.
     def test_stream_that_usually_takes_too_long_is_refused_at_once(self):
         async def check(stopping):
--- a/tests/test_http1_server.py
+++ b/tests/test_http1_server.py
@@ -35,9 +35,9 @@
 
 
 @asynccontextmanager
-async def serving():
+async def serving(served=None):
     network = MemoryNetwork()
-    served = Served()
+    served = served or Served()
     async with anyio.create_task_group() as tasks:
         listener = await network.at('10.0.0.1').listen(ADDRESS)
         tasks.start_soon(listener.serve, served.server.serve, tasks)
@@ -220,3 +220,94 @@
         self.assertTrue(lives)
         if answer:
             self.assertTrue(answer.startswith(b'HTTP/1.1 '))
+
+
+class Held(Served):
+    """A server whose answers are finished once a test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_answer = anyio.Event()
+
+    async def handle(self, incoming, reply):
+        self.requests.append(incoming)
+        await reply.start(200, ((b'Transfer-Encoding', b'chunked'),), b'ok')
+        with anyio.CancelScope() as scope:
+            incoming.cancel_on_disconnect(scope)
+            await self.may_answer.wait()
+            await reply.finish()
+
+
+class Slow(Served):
+    """A server that works on each request for a while."""
+
+    async def handle(self, incoming, reply):
+        await anyio.sleep(0.5)
+        await super().handle(incoming, reply)
+
+
+class TestRequestsBehindAnAnswer(unittest.TestCase):
+    # Guards against a request that is read, and dropped with its connection.
+    def test_request_is_not_read_before_it_is_due(self):
+        async def check():
+            async with serving(Held()) as (served, network):
+                connection = await network.connect(ADDRESS)
+                await connection.send(GET)
+                await anyio.sleep(0.1)
+                await connection.send(GET)
+                await anyio.sleep(0.1)
+                is_unread = connection.other.has_input()
+                served.may_answer.set()
+                answers = await read_all(connection, 0.1)
+                return is_unread, answers.count(b'HTTP/1.1 200')
+
+        self.assertEqual(run_paused(check), (True, 2))
+
+    # Guards against work for a caller that left a further request behind.
+    def test_caller_that_leaves_behind_a_further_request_is_noticed(self):
+        async def check():
+            async with serving(Held()) as (served, network):
+                connection = await network.connect(ADDRESS)
+                await connection.send(GET)
+                await anyio.sleep(0.1)
+                await connection.send(GET)
+                await connection.aclose()
+                await anyio.sleep(0.1)
+                (request,) = served.requests
+                return request.is_caller_gone, served.server.open_requests
+
+        self.assertEqual(run_paused(check), (True, 0))
+
+    # Guards against a caller that is told to go with a request under way.
+    def test_draining_server_answers_what_was_sent_ahead(self):
+        async def check():
+            async with serving(Slow()) as (served, network):
+                connection = await network.connect(ADDRESS)
+                served.server.drain()
+                await connection.send(GET)
+                await anyio.sleep(0.1)
+                await connection.send(GET)
+                return await read_all(connection, 5)
+
+        answers = run_paused(check)
+        self.assertEqual(answers.count(b'HTTP/1.1 200'), 2)
+        self.assertEqual(answers.lower().count(b'connection: close'), 1)
+
+    # Guards against a request that is read while its connection is closed.
+    def test_request_that_crosses_an_announced_close_stays_unread(self):
+        async def check():
+            async with serving(Held()) as (served, network):
+                connection = await network.connect(ADDRESS)
+                served.server.drain()
+                await connection.send(GET)
+                await anyio.sleep(0.1)
+                await connection.send(GET)
+                served.may_answer.set()
+                answers = await read_all(connection, 5)
+                await anyio.sleep(5.0)
+                return answers, connection.other.has_input(), served.requests
+
+        answers, is_unread, requests = run_paused(check)
+        self.assertIn(b'connection: close', answers.lower())
+        self.assertTrue(answers.endswith(b'0\r\n\r\n'))
+        self.assertEqual((is_unread, len(requests)), (True, 1))
--- a/tests/test_tcp_network.py
+++ b/tests/test_tcp_network.py
@@ -1,6 +1,7 @@
 """Connections over TCP, to addresses that answer and to those that do not."""
 
 import socket
+import struct
 import unittest
 from unittest import mock
 
@@ -8,6 +9,7 @@
 import anyio.lowlevel
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 
+WAIT_S = 5.0
 PASSES = 5
 """Passes of the event loop in which a connection attempt has begun."""
 
@@ -223,3 +225,94 @@
             self.assertEqual(counts, [len(callers)] * len(callers))
 
         self.listen_for_callers(check)
+
+
+class TestEndOfAConnection(unittest.TestCase):
+    def watch(self, end, *, unread=b'', use_uvloop=True):
+        """Return whether an end is noticed before and after it comes."""
+
+        async def check():
+            listener = await TcpNetwork().listen('127.0.0.1:0')
+            accepted = []
+            has_accepted = anyio.Event()
+            noticed = anyio.Event()
+
+            async def watch(connection):
+                accepted.append(connection)
+                has_accepted.set()
+                await connection.wait_ended()
+                noticed.set()
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, watch, tasks)
+                host, port = listener.address.rsplit(':', 1)
+                caller = socket.create_connection((host, int(port)))
+                await has_accepted.wait()
+                caller.sendall(unread)
+                await anyio.sleep(0.1)
+                before = noticed.is_set()
+                end(caller)
+                with anyio.move_on_after(WAIT_S):
+                    await noticed.wait()
+                caller.close()
+                await accepted[0].aclose()
+                tasks.cancel_scope.cancel()
+            return before, noticed.is_set()
+
+        return anyio.run(check, backend_options={'use_uvloop': use_uvloop})
+
+    # Guards against work for a caller whose end lies behind unread bytes.
+    def test_end_is_noticed_behind_bytes_that_stay_unread(self):
+        ends = (
+            socket.socket.close,
+            lambda caller: caller.shutdown(socket.SHUT_WR),
+            reset,
+        )
+        for end in ends:
+            for unread in (b'', b'GET / HTTP/1.1'):
+                for use_uvloop in (True, False):
+                    with self.subTest(unread=unread, use_uvloop=use_uvloop):
+                        seen = self.watch(
+                            end, unread=unread, use_uvloop=use_uvloop
+                        )
+                        self.assertEqual(seen, (False, True))
+
+    # Guards against callers taken for gone where no descriptor is left.
+    def test_end_is_noticed_without_a_further_descriptor(self):
+        with mock.patch('select.epoll', side_effect=OSError):
+            seen = self.watch(socket.socket.close, unread=b'GET')
+        self.assertEqual(seen, (False, True))
+
+    # Guards against bytes that the event loop takes before they are due:
+    # their sender would be told that they were read.
+    def test_bytes_nobody_receives_stay_with_the_kernel(self):
+        async def check():
+            listener = await TcpNetwork().listen('127.0.0.1:0')
+
+            async def receive_once(connection):
+                await connection.receive()
+                await anyio.sleep(0.2)
+                await connection.aclose()
+
+            async with anyio.create_task_group() as tasks:
+                host, port = listener.address.rsplit(':', 1)
+                caller = socket.create_connection((host, int(port)))
+                caller.sendall(b'first')
+                tasks.start_soon(listener.serve, receive_once, tasks)
+                await anyio.sleep(0.1)
+                caller.sendall(b'second')
+                await anyio.sleep(0.3)
+                with caller, self.assertRaises(ConnectionResetError):
+                    caller.recv(1)
+                tasks.cancel_scope.cancel()
+
+        for use_uvloop in (True, False):
+            with self.subTest(use_uvloop=use_uvloop):
+                anyio.run(check, backend_options={'use_uvloop': use_uvloop})
+
+
+def reset(caller):
+    """Close a socket with a reset."""
+    linger = struct.pack('ii', 1, 0)
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    caller.close()
