Soak: a request that a stop left unread behind a cut answer was not lost

The check called a request lost that was sent ahead on its connection and got no answer within 0.2 s, whether the daemon had read it or not. The rule counts what a process has read: what crosses the close and isn't passed on doesn't count, and its caller may send it again. The kernel tells the two apart: a connection that is closed with bytes unread is reset, one whose bytes were all read ends in order, and a daemon resets no connection of a caller by itself.

The check is as strict as before where the connection ended in order, where the request reached an endpoint, and for a request that was not sent ahead; the new test shows the first two.

--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -53,6 +53,7 @@
             arrivals,
             runs_by_id[sent.answer.id],
             ahead=arrivals_by_id[sent.ahead_id] if sent.ahead_id else (),
+            sent_ahead=sent_by_id.get(sent.ahead_id),
         )
     runs = [SimpleNamespace(**run) for run in record.seen['runs']]
     if all('version' in run for run in record.seen['runs']):
--- a/tests/support/soak_stop_checks.py
+++ b/tests/support/soak_stop_checks.py
@@ -23,6 +23,8 @@
 OWN_FAILURES = (500, 502)
 PROOF = b'x-replica-signature'
 """Header of each answer that an endpoint has made."""
+RESET = 'BrokenResourceError'
+"""Problem of an answer whose connection was reset."""
 
 
 def check_stops(record):
@@ -35,11 +37,12 @@
             yield f'{stop.entry} took {took_s:.2f} s to stop'
 
 
-def check_cut(record, sent, arrivals, runs, *, ahead=()):
+def check_cut(record, sent, arrivals, runs, *, ahead=(), sent_ahead=None):
     """Yield a request that was lost at a daemon that was asked to stop.
 
-    `ahead` tells where the request arrived that was to be answered before it:
-    behind an answer that breaks off, nothing can follow on the connection.
+    `sent_ahead` is the request that was to be answered before it, `ahead`
+    tells where that arrived: behind an answer that breaks off, nothing can
+    follow on the connection.
     """
     stop = find_stop(record, sent)
     answer = sent.answer
@@ -55,6 +58,7 @@
             status=answer.status,
             is_whole=answer.is_whole and not _is_own_failure(answer),
             patience_s=find_limit_s(sent) - waited_s,
+            is_unread=_is_left_unread(sent_ahead),
         ),
         signalled_at=stop.start,
         was_passed_on=bool(accepted),
@@ -95,6 +99,18 @@
     return min(stops, key=lambda stop: stop.start, default=None)
 
 
+def _is_left_unread(sent_ahead):
+    """Whether a request behind a broken answer lay unread at the end.
+
+    The kernel resets a connection that is closed with bytes unread, and ends
+    it in order if all were read; a daemon resets no caller's connection.
+    """
+    if sent_ahead is None:
+        return False
+    answer = sent_ahead.answer
+    return not answer.is_whole and answer.problem.startswith(RESET)
+
+
 def find_limit_s(sent):
     """Return the time limit of a request, the caller's or the route's."""
     route_s = DRAFT_LIMIT_S if '/draft/' in sent.target else LIMIT_S
--- a/tests/support/stops.py
+++ b/tests/support/stops.py
@@ -39,13 +39,16 @@
     status: int | None
     is_whole: bool
     patience_s: float
+    is_unread: bool = False
+    """Whether its connection was closed with the request unread."""
 
 
 def find_fate(attempt, *, signalled_at, was_passed_on, grace_s=GRACE_S):
     """Return what became of a request, in a word.
 
     It is served, refused, late, excused or lost, or it has crossed the close
-    of its connection, so that nobody had it.
+    of its connection, so that nobody had it. What a daemon never read it can't
+    have lost, however long the answer ahead of it lasted.
     """
     if attempt.is_whole and attempt.status not in PROMISES:
         return 'served' if attempt.status == 200 else 'failed'
@@ -54,6 +57,8 @@
     took_s = attempt.ended_at - attempt.sent_at
     if took_s >= attempt.patience_s - LIMIT_SLACK_S:
         return 'late'
+    if attempt.is_unread and not was_passed_on and attempt.status is None:
+        return 'crossed'
     if not was_passed_on:
         is_dropped = attempt.status is not None or took_s > LOSS_SLACK_S
         return 'lost' if is_dropped else 'crossed'
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -469,6 +469,23 @@
             )
             (self.assert_kept if is_kept else self.assert_lost)(record)
 
+    # Guards against a request that was read behind an answer, and dropped.
+    def test_request_behind_an_answer_that_the_stop_cut(self):
+        for problem, arrivals, is_kept in (
+            ('BrokenResourceError', 0, True),
+            ('BrokenResourceError', 1, False),
+            ('closed within an answer', 0, False),
+        ):
+            record = self.record(
+                status=None, ended_at=104.0, arrivals=arrivals
+            )
+            second = replace(record.sent[0], ahead_id='a0')
+            answer = answer_to('a0', is_whole=False, problem=problem)
+            # At another daemon, so that only the second request is judged.
+            first = replace(second, answer=answer, entry='e', ahead_id='')
+            record.sent = [first, second]
+            (self.assert_kept if is_kept else self.assert_lost)(record)
+
     def test_stop_that_lasts_longer_than_the_grace_period(self):
         self.assert_kept(self.record(gone_at=106.0))
         record = self.record(gone_at=106.1)
