Streams that nobody was told of go on at the version that ran before

Cause: a stream that begins while its service runs one version is told to nobody.

What callers saw: 503 stream_origin_unknown until their time was over.

Change: a daemon writes a row before it begins streams beside several versions; until the table has it, new streams of resumable routes begin at the version that ran before (at most 3 s if that one takes none). Whoever gets a take-up that nobody told of reads the rows anew and asks their daemons, and all peers that it hears (StreamsAsked). If all answer, as the processes of the rows, that they don't know it, a daemon without a row began it, at the version before. Anything missing: refused as until now.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -22,6 +22,7 @@
 )
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import RouteKind
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.admission.admission import Admission
 from mimosamux_daemon.gateway.admission.endpoint_wait import EndpointWait
 from mimosamux_daemon.gateway.admission.load_shedding import LoadShedding
@@ -57,6 +58,7 @@
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
 from mimosamux_daemon.gateway.streams.running_stream import RunningStream
+from mimosamux_daemon.gateway.streams.version_users import VersionUsers
 from mimosamux_daemon.ports.callers import AnswerSink, Caller
 from mimosamux_daemon.ports.endpoint_calls import (
     CallBroken,
@@ -103,6 +105,7 @@
     brittle: BrittleServices
     quarantine: CrashQuarantine
     resumption: StreamResumption
+    version_users: VersionUsers
     outcomes: OutcomeLog
     open_requests: OpenRequests
     stop_admission: StopAdmission
@@ -315,7 +318,7 @@
             ),
             excluding=job.tried,
             is_spread=job.has_broken_off or self.quarantine.is_suspected(job),
-            origin=job.origin,
+            origin=self._find_origin(job),
         )
 
     async def _attempt(
@@ -498,10 +501,14 @@
                 job.service.name,
                 request_id=job.request.id,
                 excluding=job.tried,
-                origin=job.origin,
+                origin=self._find_origin(job),
             )
         )
 
+    def _find_origin(self, job: Job) -> StreamOrigin | None:
+        """Return the only version that a request may be sent to, if any."""
+        return job.origin or self.version_users.limit_begin(job)
+
     def _end_at_deadline(self, job: Job) -> GatewayOutcome:
         """Return the outcome of a job whose deadline has passed."""
         if job.sink.is_started:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -90,6 +90,7 @@
 from mimosamux_daemon.gateway.streams.origins import StreamOrigins
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
 from mimosamux_daemon.gateway.streams.stream_moves import StreamMoves
+from mimosamux_daemon.gateway.streams.version_users import VersionUsers
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.gateway.table_sharing import TableSharing
 from mimosamux_daemon.gateway.trial_tallies import TrialTallies
@@ -357,10 +358,20 @@
             peers=self.peers,
             clock=self._clock,
         )
+        self.version_users = VersionUsers(
+            table=self._platform.table,
+            versions=self.versions,
+            origins=self.origins.origins,
+            roster=self.roster,
+            states=self.states,
+            peers=self.peers,
+            clock=self._clock,
+        )
         self.origin_record = OriginRecord(
             table=self._platform.table,
             exchange=self.origins,
             versions=self.versions,
+            users=self.version_users,
             states=self.states,
             clock=self._clock,
             store_time=shared_time.store_now,
@@ -584,10 +595,12 @@
             resumption=StreamResumption(
                 origins=self.origins.origins,
                 versions=self.versions,
+                users=self.version_users,
                 roster=self.roster,
                 metrics=self.metrics,
                 clock=self._clock,
             ),
+            version_users=self.version_users,
             outcomes=OutcomeLog(
                 metrics=self.metrics,
                 configuration=self.configuration,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_record.py
@@ -26,6 +26,7 @@
     parse_origins,
     render_origins,
 )
+from mimosamux_daemon.gateway.streams.version_users import VersionUsers
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
@@ -58,13 +59,13 @@
     table: Table
     exchange: OriginExchange
     versions: SoftwareVersions
+    users: VersionUsers
     states: PeerStates
     clock: Callable[[], float]
     store_time: Callable[[], float | None]
     """Returns the store's time in seconds, None while it is unknown."""
     first_read: anyio.Event = field(default_factory=anyio.Event)
     """Set once all rows were read."""
-    _recorded_versions: set[StreamOrigin] = field(default_factory=set)
     _recorded_attempts: dict[int, int] = field(default_factory=dict)
     """Attempt that the rows have, by the hash of the request."""
     _expiry_by_key: dict[str, float] = field(default_factory=dict)
@@ -79,6 +80,7 @@
     async def run(self) -> None:
         """Read all rows once, then write until cancelled."""
         await self._read_until_done()
+        await self._register_until_done()
         self.first_read.set()
         while True:
             with anyio.move_on_after(CLEANING_INTERVAL_S):
@@ -90,8 +92,9 @@
 
     def write_again(self) -> None:
         """Write what a restored table may lack."""
-        self._recorded_versions.clear()
+        self.versions.recorded.clear()
         self._recorded_attempts.clear()
+        self.users.write_again()
         self._has_work.set()
 
     async def _read_until_done(self) -> None:
@@ -100,6 +103,12 @@
                 return
             await anyio.sleep(RETRY_S)
 
+    async def _register_until_done(self) -> None:
+        while True:
+            if await self.users.register():
+                return
+            await anyio.sleep(RETRY_S)
+
     async def _read_all(self) -> bool:
         """Read all rows; False if the table does not answer."""
         rows = await scan_all(self.table, PREFIX)
@@ -110,10 +119,10 @@
                 self._apply_version(row)
             else:
                 self._apply_origins(row)
-        self.versions.note_recorded(self._recorded_versions)
+        self.versions.note_recorded(self.versions.recorded)
         log.info(
             'stream_record_read',
-            versions=len(self._recorded_versions),
+            versions=len(self.versions.recorded),
             streams=len(self._recorded_attempts),
         )
         return True
@@ -128,7 +137,7 @@
         except (ValueError, TypeError, KeyError) as error:
             log.error('row_unreadable', key=row.key, problem=str(error))
             return
-        self._recorded_versions.add(origin)
+        self.versions.recorded.add(origin)
 
     def _apply_origins(self, row: Row) -> None:
         now = self.clock()
@@ -144,16 +153,23 @@
             self._recorded_attempts[request] = known.attempt
 
     async def _write_all(self) -> bool:
-        """Write and delete what is due; False to try again."""
+        """Write and delete what is due; False to try again.
+
+        A daemon has its row as a user before it names a further version: it
+        knows which one ran before as long as the table has no other.
+        """
+        if not await self.users.register():
+            return False
         is_done = await self._write_versions()
         if self.states.has_lowest_id:
             is_done &= await self._write_origins()
+            await self.users.clean()
         return is_done
 
     async def _write_versions(self) -> bool:
         """Write the versions that are new; drop those that ran long ago."""
         recent = self.versions.recent()
-        for origin in recent - self._recorded_versions:
+        for origin in recent - self.versions.recorded:
             key = _key_of(origin)
             value = {'service': origin.service, 'software': origin.software}
             outcome = await self.table.commit(
@@ -163,9 +179,9 @@
             # On a conflict, another daemon has written it.
             if isinstance(outcome, Unavailable):
                 return False
-            self._recorded_versions.add(origin)
-        old = self._recorded_versions - recent
-        self._recorded_versions -= old
+            self.versions.recorded.add(origin)
+        old = self.versions.recorded - recent
+        self.versions.recorded -= old
         if not old or not self.states.has_lowest_id:
             return True
         deletions = [Write(key=_key_of(each), value=None) for each in old]
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import anyio
+
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
@@ -11,6 +13,7 @@
     KnownOrigin,
     StreamOrigins,
 )
+from mimosamux_daemon.gateway.streams.version_users import VersionUsers
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.logs import get_log
 
@@ -32,6 +35,7 @@
 
     origins: StreamOrigins
     versions: SoftwareVersions
+    users: VersionUsers
     roster: Roster
     metrics: GatewayMetrics
     clock: Callable[[], float]
@@ -48,9 +52,12 @@
         known = await self._find_known(job)
         job.origin = None if known is None else known.origin
         is_only_version = known is None and self._bind_to_only_version(job)
+        is_of_before = job.origin is None and await self._bind_to_before(job)
         refusal, result = self._judge(job)
         if is_only_version and refusal is None:
             result = 'one_version'
+        elif is_of_before and refusal is None:
+            result = 'version_before'
         self.metrics.resumptions.inc(
             {'service': job.service.name, 'result': result}
         )
@@ -85,6 +92,15 @@
         job.origin = next(iter(self.versions.of_route(job.route)), None)
         return job.origin is not None
 
+    async def _bind_to_before(self, job: Job) -> bool:
+        """Bind a stream to the one version that ran before there were more."""
+        timeout_s = min(LOOKUP_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
+        with anyio.move_on_after(timeout_s):
+            job.origin = await self.users.find_unknown(
+                job.route, job.request.resumes or ''
+            )
+        return job.origin is not None
+
     def _judge(self, job: Job) -> tuple[Refused | None, str]:
         """Return the refusal of a stream, if any, and the result to log."""
         service, origin = job.service.name, job.origin
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
@@ -0,0 +1,338 @@
+"""Finds the version that began a stream which no daemon knows.
+
+Nobody is told of a stream that begins while its service runs one version. A
+daemon that begins streams beside several has a row in the table from before
+the first of them. If all daemons that have a row answer that a stream is none
+of theirs, a daemon without a row began it, at the one version that ran before.
+"""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+import anyio
+import orjson
+import xxhash
+from mimosamux_wire import StreamsAnswered, StreamsAsked
+
+from mimosamux_daemon.domain.names import DaemonId, ServiceName
+from mimosamux_daemon.domain.routes import Route
+from mimosamux_daemon.domain.store import Row, Unavailable, Write
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
+from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
+from mimosamux_daemon.gateway.jobs import Job
+from mimosamux_daemon.gateway.records.scans import scan_all
+from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.streams.origin_exchange import (
+    KEY_BYTES,
+    render_origins,
+)
+from mimosamux_daemon.gateway.streams.origins import (
+    StreamOrigins,
+    hash_request,
+)
+from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
+from mimosamux_daemon.logs import get_log
+from mimosamux_daemon.ports import PeerLinks, Table
+
+log = get_log('version_users')
+
+PREFIX = 'stream_users/'
+ANSWER_TIMEOUT_S = 0.3
+GATE_S = 3.0
+"""Time for which a version without a row waits even if no endpoint of the one
+before takes requests."""
+MAX_DELETIONS = 40
+"""Most rows that are deleted in one transaction."""
+KEEP_ROWS_S = 60.0
+"""Time for which the row of an ended daemon is kept: its streams may still be
+taken up. Also the time for which a restored table may lack some."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionUser:
+    """A daemon that begins streams beside several versions of a service."""
+
+    key: str
+    service: ServiceName
+    daemon: DaemonId
+    incarnation: int
+    software_before: str | None
+    """The one version that ran before, None if the daemon does not know."""
+
+
+@dataclass(kw_only=True, slots=True)
+class VersionUsers:
+    """Keeps this daemon's rows, and asks the daemons that have some."""
+
+    table: Table
+    versions: SoftwareVersions
+    origins: StreamOrigins
+    roster: Roster
+    states: PeerStates
+    peers: PeerLinks
+    clock: Callable[[], float]
+    _before_by_service: dict[ServiceName, StreamOrigin | None] = field(
+        default_factory=dict
+    )
+    """The version before, of each service that runs several."""
+    _several_since: dict[ServiceName, float] = field(default_factory=dict)
+    _registered: set[ServiceName] = field(default_factory=set)
+    """Services of which this daemon's row is in the table."""
+    _gone_since: dict[str, float] = field(default_factory=dict)
+    """When the daemon of a row was first missing, by the key."""
+    _cleaned_at: float = 0.0
+    _is_complete_from: float = 0.0
+    """Until then, a table that was restored may lack rows."""
+    _wanted: set[int] = field(default_factory=set)
+    """Streams to ask for in the next round."""
+    _found: dict[int, dict[ServiceName, StreamOrigin]] = field(
+        default_factory=dict
+    )
+    """Versions before, by service, of the last round's streams."""
+    _lock: anyio.Lock = field(default_factory=anyio.Lock)
+
+    def __post_init__(self) -> None:
+        self.peers.handle(StreamsAsked, self._answer)
+
+    async def register(self) -> bool:
+        """Write a row for each service that runs several versions.
+
+        False if the table does not answer.
+        """
+        services = {each.service for each in self.versions.recent()}
+        several = {
+            each for each in services if len(self.versions.of(each)) > 1
+        }
+        for service in several - self._before_by_service.keys():
+            self._before_by_service[service] = self._find_before(service)
+        over = self._before_by_service.keys() - several
+        due = several - self._registered
+        if not (due or over):
+            return True
+        self._registered -= over
+        writes = [self._render(service) for service in sorted(due)]
+        writes += [
+            Write(key=self._key_of(service), value=None)
+            for service in sorted(over)
+        ]
+        if isinstance(await self.table.commit([], writes), Unavailable):
+            return False
+        self._registered |= due
+        for service in over:
+            self._several_since.pop(service, None)
+            del self._before_by_service[service]
+        log.info(
+            'version_user_registered',
+            services=','.join(sorted(due)),
+            ended=','.join(sorted(over)),
+        )
+        return True
+
+    def write_again(self) -> None:
+        """Write what a restored table may lack, and trust it only later."""
+        self._registered.clear()
+        self._is_complete_from = self.clock() + KEEP_ROWS_S
+
+    def limit_begin(self, job: Job) -> StreamOrigin | None:
+        """Return the only version at which a new stream may begin, if any.
+
+        Without a row of this daemon, a stream that it began at another one
+        would be taken for a stream of the version before.
+        """
+        service = job.service.name
+        if service in self._registered or not (
+            job.is_stream and job.route.is_resumable
+        ):
+            return None
+        if len(self.versions.of(service)) < 2:
+            return None
+        since = self._several_since.setdefault(service, self.clock())
+        before = self._before_by_service.get(service) or self._find_before(
+            service
+        )
+        if before is None or self.clock() < since + GATE_S:
+            return before
+        accepting = self.roster.accepting(service)
+        takes_some = any(before.allows(each.listed) for each in accepting)
+        return before if takes_some else None
+
+    def _find_before(self, service: ServiceName) -> StreamOrigin | None:
+        """Return the one version that ran so far, None if that is not known.
+
+        All others are without a row: no daemon began a stream there.
+        """
+        known = self.versions.of(service) & self.versions.recorded
+        return next(iter(known)) if len(known) == 1 else None
+
+    async def find_unknown(
+        self, route: Route, request_id: str
+    ) -> StreamOrigin | None:
+        """Return where a stream that nobody told of began, None if unsure."""
+        if len(route.splits) != 1:
+            return None
+        request = hash_request(request_id)
+        self._wanted.add(request)
+        # What arrives during a round is asked in the next one: a daemon may
+        # have begun it and ended since its rows were read.
+        async with self._lock:
+            if request in self._wanted:
+                wanted, self._wanted = self._wanted, set()
+                self._found = await self._find_befores(wanted)
+        found = self._found.pop(request, {})
+        return found.get(route.splits[0].service)
+
+    async def _find_befores(
+        self, requests: set[int]
+    ) -> dict[int, dict[ServiceName, StreamOrigin]]:
+        """Return the versions before, for requests that no daemon began."""
+        if self.clock() < self._is_complete_from or not self.states.is_flat:
+            return {}
+        users = await self._read_users()
+        if users is None:
+            return {}
+        known = await self._ask(users, requests)
+        if known is None:
+            return {}
+        befores = _agree_on_befores(users)
+        return dict.fromkeys(requests - known, befores)
+
+    async def _read_users(self) -> list[VersionUser] | None:
+        rows = await scan_all(self.table, PREFIX)
+        if isinstance(rows, Unavailable):
+            return None
+        users = [_parse(row) for row in rows]
+        return None if None in users else [each for each in users if each]
+
+    async def _ask(
+        self, users: list[VersionUser], requests: set[int]
+    ) -> set[int] | None:
+        """Return the requests that daemons know, None if one is missing."""
+        own = self.states.place.id, self.states.incarnation
+        expected = {(each.daemon, each.incarnation) for each in users} - {own}
+        asked = {daemon for daemon, _ in expected}
+        asked |= {peer.place.id for peer in self.states.fresh()}
+        if own[0] in asked or len(asked) < len(expected):
+            # An earlier process of a daemon that has started again.
+            return None
+        message = StreamsAsked(requests=_join(requests))
+        answers: dict[DaemonId, StreamsAnswered] = {}
+
+        async def ask(daemon: DaemonId) -> None:
+            answer = await self.peers.call(
+                daemon, message, timeout_s=ANSWER_TIMEOUT_S
+            )
+            if isinstance(answer, StreamsAnswered):
+                answers[daemon] = answer
+
+        async with anyio.create_task_group() as tasks:
+            for daemon in sorted(asked):
+                tasks.start_soon(ask, daemon)
+        if answers.keys() != asked or any(
+            answers[daemon].lifetime != incarnation
+            for daemon, incarnation in expected
+        ):
+            return None
+        return {
+            request
+            for answer in answers.values()
+            for request in _split(answer.known)
+        }
+
+    async def _answer(
+        self, sender: DaemonId, message: StreamsAsked
+    ) -> StreamsAnswered:
+        """Answer which streams are known here, and tell where they began."""
+        requests = set(_split(message.requests))
+        known = {
+            request: origin
+            for request, origin in self.origins.current()
+            if request in requests
+        }
+        for told in render_origins(known.items(), self.clock()):
+            await self.peers.notify(sender, told)
+        return StreamsAnswered(
+            lifetime=self.states.incarnation, known=_join(known)
+        )
+
+    async def clean(self) -> None:
+        """Delete the rows of daemons that ended long ago."""
+        if self.clock() < self._cleaned_at + KEEP_ROWS_S / 2:
+            return
+        self._cleaned_at = self.clock()
+        users = await self._read_users()
+        if users is None:
+            return
+        present = {
+            (each.place.id, each.incarnation) for each in self.states.fresh()
+        }
+        present.add((self.states.place.id, self.states.incarnation))
+        now = self.clock()
+        self._gone_since = {
+            each.key: self._gone_since.get(each.key, now)
+            for each in users
+            if (each.daemon, each.incarnation) not in present
+        }
+        old = [
+            Write(key=key, value=None)
+            for key, since in self._gone_since.items()
+            if since <= now - KEEP_ROWS_S
+        ]
+        if old:
+            await self.table.commit([], old[:MAX_DELETIONS])
+
+    def _key_of(self, service: ServiceName) -> str:
+        place, incarnation = self.states.place, self.states.incarnation
+        name = xxhash.xxh3_64_hexdigest(service.encode())
+        return f'{PREFIX}{place.id}/{incarnation:x}/{name}'
+
+    def _render(self, service: ServiceName) -> Write:
+        before = self._before_by_service[service]
+        value = {
+            'service': service,
+            'daemon': self.states.place.id,
+            'incarnation': self.states.incarnation,
+            'before': None if before is None else before.software,
+        }
+        return Write(key=self._key_of(service), value=orjson.dumps(value))
+
+
+def _parse(row: Row) -> VersionUser | None:
+    try:
+        fields = orjson.loads(row.value)
+        before = fields['before']
+        return VersionUser(
+            key=row.key,
+            service=ServiceName(str(fields['service'])),
+            daemon=DaemonId(str(fields['daemon'])),
+            incarnation=int(fields['incarnation']),
+            software_before=None if before is None else str(before),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        log.error('row_unreadable', key=row.key, problem=str(error))
+        return None
+
+
+def _agree_on_befores(
+    users: Collection[VersionUser],
+) -> dict[ServiceName, StreamOrigin]:
+    """Return the version before of each service whose users name one."""
+    named: dict[ServiceName, set[str]] = {}
+    for user in users:
+        if user.software_before is not None:
+            named.setdefault(user.service, set()).add(user.software_before)
+    return {
+        service: StreamOrigin(service=service, software=next(iter(software)))
+        for service, software in named.items()
+        if len(software) == 1
+    }
+
+
+def _join(requests: Collection[int]) -> bytes:
+    return b''.join(each.to_bytes(KEY_BYTES, 'big') for each in requests)
+
+
+def _split(keys: bytes) -> list[int]:
+    return [
+        int.from_bytes(keys[start : start + KEY_BYTES], 'big')
+        for start in range(0, len(keys) - KEY_BYTES + 1, KEY_BYTES)
+    ]
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/versions.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/versions.py
@@ -26,6 +26,8 @@
     is_record_read: bool = False
     """Whether the versions that ran before the start of this daemon are known.
     Until then a service may run several, whatever the list shows."""
+    recorded: set[StreamOrigin] = field(default_factory=set)
+    """Versions of which the table is known to have a row."""
     on_several: list[Listener] = field(default_factory=list)
     """Called with each service whose endpoints ran one version so far."""
     on_listed: list[Listener] = field(default_factory=list)
@@ -71,6 +73,7 @@
 
         What is not listed counts as removed just now.
         """
+        self.recorded |= set(origins)
         services = {each.service for each in origins}
         alone = {each for each in services if len(self.of(each)) < 2}
         for origin in origins:
--- a/packages/mimosamux-wire/mimosamux_wire/__init__.py
+++ b/packages/mimosamux-wire/mimosamux_wire/__init__.py
@@ -88,7 +88,11 @@
     HandOverReply,
     HandOverWithdrawn,
 )
-from mimosamux_wire.stream_messages import StreamsBegan
+from mimosamux_wire.stream_messages import (
+    StreamsAnswered,
+    StreamsAsked,
+    StreamsBegan,
+)
 
 __all__ = [
     'CrashWithdrawn',
@@ -143,6 +147,8 @@
     'ServiceDemand',
     'StateBatch',
     'StateDigest',
+    'StreamsAnswered',
+    'StreamsAsked',
     'StreamsBegan',
     'SummaryExchange',
     'Superseded',
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -374,6 +374,15 @@
   5: binary requests
 }
 
+struct StreamsAsked {
+  1: binary requests
+}
+
+struct StreamsAnswered {
+  1: i64 lifetime
+  2: binary known
+}
+
 struct RolloutTold {
   1: string service
   2: string version
--- a/packages/mimosamux-wire/mimosamux_wire/stream_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/stream_messages.py
@@ -29,3 +29,30 @@
         (4, TType.I64, 'keep_ms', None, 0),
         (5, TType.STRING, 'requests', 'BINARY', b''),
     )
+
+
+@dataclass(kw_only=True, slots=True)
+class StreamsAsked(Message):
+    """Asks which of some streams the receiver knows."""
+
+    requests: bytes = b''
+    """64-bit hashes of the request ids, eight bytes each."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.STRING, 'requests', 'BINARY', b''),
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class StreamsAnswered(Message):
+    """Answer to `StreamsAsked`; where they began is told on its own."""
+
+    lifetime: int = 0
+    """Incarnation of the daemon that answers."""
+    known: bytes = b''
+    """Those of the hashes that it knows."""
+    thrift_spec: ClassVar[tuple[Any, ...]] = (
+        None,
+        (1, TType.I64, 'lifetime', None, 0),
+        (2, TType.STRING, 'known', 'BINARY', b''),
+    )
--- a/tests/test_gateway_rejoined_streams.py
+++ b/tests/test_gateway_rejoined_streams.py
@@ -2,8 +2,11 @@
 
 import random
 import unittest
+from functools import partial
+from unittest import mock
 
 import anyio
+from mimosamux_daemon.gateway.streams.version_users import VersionUsers
 from mimosamux_standins.site import ReplicaSpeed
 from mimosamux_standins.site.caller import last_event_id
 
@@ -229,6 +232,59 @@
 
         self.check_going_on(change)
 
+    def test_streams_of_one_killed_daemon_go_on_beside_a_version_that_comes(
+        self,
+    ):
+        async def change(streams, old, survivors):
+            async with anyio.create_task_group() as tasks:
+                kill = partial(streams.kill_daemons, survivors=2)
+                tasks.start_soon(kill)
+                await anyio.sleep(DOWN_S / 2)
+                await streams.add_engines('v2')
+
+        self.check_going_on(change)
+
+    def test_streams_of_a_version_that_came_just_before_join_no_other(self):
+        for before_s in (0.02, 0.1, 0.3, 0.6):
+
+            async def change(streams, old, survivors, before_s=before_s):
+                await streams.add_engines('v2')
+                await anyio.sleep(before_s)
+                await streams.kill_daemons(survivors=survivors)
+
+            with self.subTest(before_s=before_s):
+                self.play(change)
+                self.play(change, survivors=2)
+
+    def test_streams_of_daemons_killed_again_beside_two_join_no_other(self):
+        async def change(streams, old, survivors):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(streams.kill_daemons)
+                await anyio.sleep(DOWN_S / 2)
+                await streams.add_engines('v2')
+            await anyio.sleep(1.0)
+            await streams.kill_daemons(survivors=survivors)
+
+        for survivors in (0, 1, 2):
+            with self.subTest(survivors=survivors):
+                self.play(change, survivors=survivors)
+
+    # Guards against a stream at the second version that a daemon began before
+    # its row was in the table, and that is then taken for one of the first.
+    def test_streams_begun_while_the_table_takes_no_rows_join_no_other(self):
+        async def change(streams, old, survivors):
+            takes_none = mock.AsyncMock(return_value=False)
+            with mock.patch.object(VersionUsers, 'register', takes_none):
+                await streams.add_engines('v2')
+                await anyio.sleep(1.0)
+                for number in range(survivors, len(streams.site.daemons)):
+                    streams.site.kill_daemon(number)
+            await streams.kill_daemons(survivors=survivors)
+
+        for survivors in (0, 1, 2):
+            with self.subTest(survivors=survivors):
+                self.play(change, survivors=survivors)
+
     async def lose_the_record(self, streams):
         """Have the table come back from a copy without the second version."""
         engines = await streams.add_engines('v2')
