A roll-out whose numbers fit no message ends no daemon

Cause: an order of the operator and the rows of steps under rollouts/ took any number. Limits and times go to the peers as milliseconds in 64 bits, steps in 32: durationS of 1e308, or above 2^63 ms either way, ended the holder of the duties when it announced its first step; a row's limit, time, number or step ended each daemon that read it, when it answered a peer that joined or wrote its digest.

What callers saw: daemons end one after the other as the duties move on, and again behind each start.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
@@ -9,10 +9,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Annotated
 
 import anyio
+import msgspec
 import orjson
 
+from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.names import ServiceName
 from mimosamux_daemon.domain.rollouts import (
     Rollout,
@@ -26,6 +29,7 @@
     Unavailable,
     Write,
 )
+from mimosamux_daemon.errors import InvalidConfiguration
 from mimosamux_daemon.gateway.rollouts import Rollouts
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports import Table
@@ -35,6 +39,26 @@
 PREFIX = 'rollouts/'
 RETRY_S = 0.5
 PAGE = 500
+MAX_STEP = 1_000_000
+"""Bound of a step's number; messages have 32 bits for it."""
+MAX_NUMBER = 2**63 - 1
+"""Largest number of an order that fits into a message between daemons."""
+MAX_TIME_S = 2.0**40
+"""Bound of times and durations; messages have 64 bits for milliseconds."""
+TimeInSeconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_S, le=MAX_TIME_S)]
+
+
+class _RolloutRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a roll-out; the fields are those of `Rollout` and its order."""
+
+    version: str
+    within_s: TimeInSeconds
+    number: Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+    stage: RolloutStage
+    step: Annotated[int, msgspec.Meta(ge=0, le=MAX_STEP)]
+    began_at: TimeInSeconds
+    held_back: tuple[str, ...]
+    reason: str
 
 
 class WriteResult(Enum):
@@ -133,20 +157,20 @@
 def parse_rollout(service: ServiceName, row: Row) -> Rollout | None:
     """Parse a row value, None if it is malformed."""
     try:
-        fields = orjson.loads(row.value)
-        return Rollout(
-            order=RolloutOrder(
-                service=service,
-                version=str(fields['version']),
-                within_s=float(fields['within_s']),
-                number=int(fields['number']),
-            ),
-            stage=RolloutStage(fields['stage']),
-            step=int(fields['step']),
-            began_at=float(fields['began_at']),
-            unapproved_versions=tuple(map(str, fields['held_back'])),
-            reason=str(fields['reason']),
-        )
-    except (ValueError, TypeError, KeyError) as error:
+        fields = decode_json(row.value, _RolloutRow)
+    except InvalidConfiguration as error:
         log.error('row_unreadable', key=row.key, problem=str(error))
         return None
+    return Rollout(
+        order=RolloutOrder(
+            service=service,
+            version=fields.version,
+            within_s=fields.within_s,
+            number=fields.number,
+        ),
+        stage=fields.stage,
+        step=fields.step,
+        began_at=fields.began_at,
+        unapproved_versions=fields.held_back,
+        reason=fields.reason,
+    )
--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -111,3 +111,31 @@
             number_rows('streams', 'origins/x/1/', (*NO_DOCUMENTS, *odd))
             + number_rows('streams', 'versions/', (*NO_DOCUMENTS, *odd))
         )
+
+    # Guards against an order of a roll-out whose limit fits no message.
+    def test_odd_orders_of_roll_outs_end_no_daemon(self):
+        order = {'service': 'app', 'to': 'v2', 'durationS': 16.0}
+        for value in odd_documents(order, ['durationS']):
+            with self.subTest(value=value[:90]):
+                self.assert_starts_beside([('op', 'rollout/app', value)])
+
+    # Guards against a step of a roll-out whose numbers fit no message.
+    def test_odd_steps_of_roll_outs_end_no_daemon(self):
+        order = {'service': 'app', 'to': 'v2', 'durationS': 16.0}
+        step = {
+            'version': 'v2',
+            'within_s': 16.0,
+            'number': 10,
+            'stage': 'trial',
+            'step': 1,
+            'began_at': WALL_START,
+            'held_back': ['v2'],
+            'reason': '',
+        }
+        odd = odd_documents(
+            step, ['within_s'], ['number'], ['step'], ['began_at']
+        )
+        self.assert_starts_beside(
+            [('op', 'rollout/app', orjson.dumps(order))]
+            + number_rows('rollouts', 'app-', (*NO_DOCUMENTS, *odd))
+        )
