A record of caps whose use fits no digest ends no daemon

Cause: each daemon reads caps/recent once at its start. An amount of 1e308, of 2^63 or above, negative, or a text that reads as nan or inf was taken; the sum goes into each digest as 64 bits, which raised OverflowError or ValueError out of the task group.

What callers saw: every daemon that starts beside the row ends with its first digest.

Change: the row is decoded with types and bounds; an unreadable one is logged and counts as none.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/cap_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/cap_record.py
@@ -6,10 +6,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Annotated
 
 import anyio
+import msgspec
 import orjson
 
+from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.names import AccountId
 from mimosamux_daemon.domain.store import (
     Committed,
@@ -18,6 +21,7 @@
     Write,
 )
 from mimosamux_daemon.domain.store_eras import StoreEra, era_of
+from mimosamux_daemon.errors import InvalidConfiguration
 from mimosamux_daemon.gateway.exchange.peer_states import PeerStates
 from mimosamux_daemon.gateway.limits.caps import UsageCaps, UsageRecord
 from mimosamux_daemon.logs import get_log
@@ -32,6 +36,19 @@
 """Use since the last record at which it is rewritten, as a fraction of the
 cap's rate per second: twice a second under normal load, and at every check in
 a burst."""
+MAX_AMOUNT = 1e12
+"""Bound of the use in an entry; messages have 64 bits for the sum of all."""
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Seconds = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _RecordRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of the record."""
+
+    at: Seconds
+    """When it was written, in the store's time."""
+    uses: dict[str, list[tuple[Seconds, Amount]]]
+    """Age and amount of each account's entries."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -91,14 +108,9 @@
 
 def _parse(row: Row) -> tuple[float, UsageRecord] | None:
     try:
-        fields = orjson.loads(row.value)
-        uses = {
-            AccountId(account): [
-                (float(age_s), float(amount)) for age_s, amount in entries
-            ]
-            for account, entries in fields['uses'].items()
-        }
-        return float(fields['at']), uses
-    except (ValueError, TypeError, AttributeError, KeyError) as error:
+        fields = decode_json(row.value, _RecordRow)
+    except InvalidConfiguration as error:
         log.error('row_unreadable', key=ROW_KEY, problem=str(error))
         return None
+    uses = {AccountId(id_): entries for id_, entries in fields.uses.items()}
+    return fields.at, uses
--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -139,3 +139,15 @@
             [('op', 'rollout/app', orjson.dumps(order))]
             + number_rows('rollouts', 'app-', (*NO_DOCUMENTS, *odd))
         )
+
+    # Guards against a record of use that fits no digest.
+    def test_odd_records_of_caps_end_no_daemon(self):
+        record = {'at': WALL_START, 'uses': {'school': [[0.5, 2.0]]}}
+        amount, age = ['uses', 'school', 0, 1], ['uses', 'school', 0, 0]
+        for value in (
+            b'[]',
+            DEEP,
+            *odd_documents(record, ['at'], amount, age),
+        ):
+            with self.subTest(value=value[:90]):
+                self.assert_starts_beside([('caps', 'recent', value)])
