A suspect whose crash has no time, or no number, ends no daemon

Cause: a row under crashes/ with a time that reads as nan was taken; its age goes to the peers in whole milliseconds, which raised ValueError. An incarnation of over 4,300 digits raised it in parse_incarnation, which peers' messages go through as well.

What callers saw: the daemons that started beside the row ended as they met.

Change: the rows are decoded with types and bounds; an incarnation has 18 digits at most, in rows and in messages.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/rows.py
@@ -7,10 +7,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import anyio
+import msgspec
 import orjson
 
+from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.store import (
     Check,
@@ -19,6 +22,7 @@
     Unavailable,
     Write,
 )
+from mimosamux_daemon.errors import InvalidConfiguration
 from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
 from mimosamux_daemon.gateway.crashes.suspects import (
     Suspect,
@@ -44,6 +48,15 @@
 does so only at its start."""
 
 
+class _SuspectRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a suspect."""
+
+    endpoints: list[str]
+    """Incarnations that crashed running it."""
+    at: Annotated[float, msgspec.Meta(ge=0)]
+    """Time of the last crash, in the store's time in seconds."""
+
+
 @dataclass(kw_only=True, slots=True)
 class CrashRows:
     """Reads the rows at the start and writes changes afterwards."""
@@ -137,16 +150,15 @@
 
     def _parse(self, content: ContentKey, row: Row) -> Suspect | None:
         try:
-            fields = orjson.loads(row.value)
+            fields = decode_json(row.value, _SuspectRow)
             incarnations = [
-                parse_incarnation(str(text)) for text in fields['endpoints']
+                parse_incarnation(each) for each in fields.endpoints
             ]
-            at = float(fields['at'])
-        except (ValueError, TypeError, KeyError) as error:
+        except InvalidConfiguration as error:
             log.error('row_unreadable', key=row.key, problem=str(error))
             return None
         now = self.store_time()
-        age_s = 0.0 if now is None else max(now - at, 0.0)
+        age_s = 0.0 if now is None else max(now - fields.at, 0.0)
         return Suspect(
             content=content,
             crashed=frozenset(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/suspects.py
@@ -16,6 +16,7 @@
 the simpler cause, however often each of them was repeated.
 """
 
+import re
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 
@@ -50,6 +51,8 @@
 MAX_SUSPECTS = 4096
 SWEEP_INTERVAL_S = 10.0
 """Time between two removals of expired suspects."""
+NUMBER_PATTERN = re.compile(r'[0-9]{1,18}')
+"""Number of an incarnation, which fits into 64 bits."""
 EVICTION_DIVISOR = 4
 """One suspect in this many is evicted when there are too many. Evicting them
 one by one would sort all suspects again for each content of a crash."""
@@ -72,7 +75,7 @@
 def parse_incarnation(text: str) -> EndpointIncarnation | None:
     """Parse the `str` form of an incarnation, None if it is malformed."""
     id_, _, number = text.rpartition('/')
-    if not id_ or not number.isascii() or not number.isdigit():
+    if not id_ or not NUMBER_PATTERN.fullmatch(number):
         return None
     return EndpointIncarnation(id=EndpointId(id_), incarnation=int(number))
 
--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -151,3 +151,16 @@
         ):
             with self.subTest(value=value[:90]):
                 self.assert_starts_beside([('caps', 'recent', value)])
+
+    # Guards against a suspect whose crashes have no time, or no number.
+    def test_odd_records_of_crashes_end_no_daemon(self):
+        suspect = {'endpoints': ['i-0001/0', 'i-0002/1'], 'at': WALL_START}
+        numbers = ('', '-1', '\u00b2', '9' * 400, '9' * 5000, '1\r\n')
+        odd = odd_documents(suspect, ['at'], ['endpoints'], ['endpoints', 0])
+        odd += [
+            orjson.dumps(suspect | {'endpoints': [f'i-0001/{number}']})
+            for number in numbers
+        ]
+        self.assert_starts_beside(
+            number_rows('crashes', 'c', (*NO_DOCUMENTS, *odd))
+        )
