Final counts that can be reported to nobody end no daemon

Cause: the rows of metering took any number. A count or a first window of 1e308 either way went into the next report or row, whose encoder takes 64 bits, and ended the holder of the duties, and the next one after it.

What callers saw: daemons end one after the other.

Change: the rows are decoded with types and bounds; unreadable ones are logged and count as none, as before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties/metering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/duties/metering.py
@@ -13,11 +13,14 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import anyio
+import msgspec
 import orjson
 
 from mimosamux_daemon.control.leases import Lease
+from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.names import AccountId
 from mimosamux_daemon.domain.store import (
     Check,
@@ -28,6 +31,7 @@
     Write,
 )
 from mimosamux_daemon.domain.store_eras import UNKNOWN_ERA, StoreEra
+from mimosamux_daemon.errors import InvalidConfiguration
 from mimosamux_daemon.gateway.finalized_windows import (
     RETAINED_WINDOWS,
     FinalizedWindows,
@@ -57,6 +61,12 @@
 the shortest is longer; the rest is for a slow table, and for another daemon
 that takes over."""
 TICK_S = 0.5
+MAX_WINDOW = 10_000_000_000
+"""Bound of a window's number, far above that of any window of this century."""
+MAX_COUNT = 2**31 - 1
+"""Largest count that fits into a message between daemons."""
+Window = Annotated[int, msgspec.Meta(ge=0, le=MAX_WINDOW)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,7 +74,7 @@
     """Content of the row of the era."""
 
     era: int = UNKNOWN_ERA
-    first_window: int = 0
+    first_window: Window = 0
     """Windows before this one that are not in the table are abandoned."""
 
 
@@ -249,17 +259,10 @@
     return orjson.dumps({str(key): value for key, value in by_window.items()})
 
 
-def _parse(row: Row) -> dict[int, WindowCounts]:
+def _parse(row: Row) -> Mapping[int, WindowCounts]:
     try:
-        fields = orjson.loads(row.value)
-        return {
-            int(window): {
-                AccountId(account): int(count)
-                for account, count in counts.items()
-            }
-            for window, counts in fields.items()
-        }
-    except (ValueError, AttributeError, TypeError) as error:
+        return decode_json(row.value, dict[Window, dict[AccountId, Count]])
+    except InvalidConfiguration as error:
         log.error('row_unreadable', key=row.key, problem=str(error))
         return {}
 
@@ -269,10 +272,7 @@
     if row is None:
         return _WrittenIn()
     try:
-        fields = orjson.loads(row.value)
-        return _WrittenIn(
-            era=int(fields['era']), first_window=int(fields['first_window'])
-        )
-    except (ValueError, KeyError, TypeError) as error:
+        return decode_json(row.value, _WrittenIn)
+    except InvalidConfiguration as error:
         log.error('row_unreadable', key=row.key, problem=str(error))
         return _WrittenIn()
--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -164,3 +164,16 @@
         self.assert_starts_beside(
             number_rows('crashes', 'c', (*NO_DOCUMENTS, *odd))
         )
+
+    # Guards against final counts that can be reported to nobody.
+    def test_odd_records_of_usage_end_no_daemon(self):
+        window = int(WALL_START // 5)
+        settled = {str(window): {'school': 8}}
+        era = {'era': 1, 'first_window': window}
+        for key, values in (
+            ('settled', odd_documents(settled, [str(window), 'school'])),
+            ('era', odd_documents(era, ['era'], ['first_window'])),
+        ):
+            for value in values:
+                with self.subTest(value=value[:90]):
+                    self.assert_starts_beside([('metering', key, value)])
