Odd numbers in an answer of the store end no daemon

Cause: nowMs and rowVersion of an answer had no bounds. A time of 1e308 ms went into the digest as an offset in 64 bits, a version of 2^63 behind relays into the news of a table: OverflowError out of the task group. A version of 2^44 or more reaches into the bits of the era: the feed took its own cursor for one of another era and read the whole table again, without a pause; so it did below 0.

What callers saw: daemons end; else the store gets about 290 calls a second from each daemon for as long as it answers so.

--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -5,10 +5,13 @@
 """
 
 import base64
+import json
 import unittest
+from dataclasses import dataclass, field
 
 import anyio
 import orjson
+from mimosamux_standins.site import StandInStore
 
 from tests.support.clock import run_paused
 from tests.support.platform_site import WALL_START, open_site
@@ -177,3 +180,77 @@
             for value in values:
                 with self.subTest(value=value[:90]):
                     self.assert_starts_beside([('metering', key, value)])
+
+
+@dataclass(kw_only=True)
+class OddStore(StandInStore):
+    """A store whose answers may have odd fields."""
+
+    odd: dict = field(default_factory=dict)
+    era_header: bytes | None = None
+
+    async def handle(self, incoming, reply):
+        await super().handle(incoming, OddReply(store=self, reply=reply))
+
+    def _headers(self):
+        headers = super()._headers()
+        if self.era_header is None:
+            return headers
+        return (headers[0], (b'Store-Era', self.era_header))
+
+
+@dataclass(kw_only=True)
+class OddReply:
+    store: OddStore
+    reply: object
+
+    async def answer(self, status, headers=(), body=b''):
+        if body:
+            body = json.dumps(orjson.loads(body) | self.store.odd).encode()
+        await self.reply.answer(status, headers, body)
+
+
+class TestStoreAnswers(unittest.TestCase):
+    async def follow_behind(self, odd, era_header=None, daemons=3):
+        """Have the store answer oddly for a moment; return what follows."""
+        store = OddStore()
+        async with open_site(
+            engines=0, apps=1, daemons=daemons, store=store
+        ) as site:
+            (replica,) = site.replicas_by_id.values()
+            calls = store.calls
+            store.odd, store.era_header = odd, era_header
+            site.list_replica(replica)
+            await anyio.sleep(2.0)
+            store.odd, store.era_header = {}, None
+            self.assertLess(store.calls - calls, 100 * daemons)
+            await site.add_replica('app', 'north')
+            site.unlist_replica(replica)
+            await anyio.sleep(5.0)
+            statuses = {
+                (await site.caller().send(each.entry, '/list/1')).status
+                for each in site.daemons
+            }
+            return {each.ended.is_set() for each in site.daemons}, statuses
+
+    # Guards against numbers of an answer that end daemons, have them ask
+    # without a pause, or count for good.
+    def test_odd_numbers_of_an_answer_have_no_effect(self):
+        for odd in (
+            {'nowMs': 1e308},
+            {'nowMs': -1e308},
+            {'rowVersion': 2**44},
+            {'rowVersion': 10**4000},
+            {'rowVersion': -5},
+        ):
+            with self.subTest(odd=str(odd)[:30]):
+                self.assertEqual(
+                    run_paused(self.follow_behind, odd), ({False}, {200})
+                )
+
+    def test_odd_versions_end_no_daemon_behind_relays(self):
+        for odd in ({'rowVersion': 2**63}, {'rowVersion': 10**4000}):
+            self.assertEqual(
+                run_paused(self.follow_behind, odd, None, 13),
+                ({False}, {200}),
+            )
