An era of the store that is no number has no effect

Cause: the header was read by int(), which takes '-5', '1_0' and '+7', and any number was taken modulo 2^19: '-5' became 524283. An era counts as later than all below, so that every following answer was one of an earlier era, for good.

What callers saw: the daemon follows no table any more and refuses all requests with 503 until it is started again.

--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -248,6 +248,14 @@
                     run_paused(self.follow_behind, odd), ({False}, {200})
                 )
 
+    # Guards against an era that no later answer of the store can be of.
+    def test_era_that_is_no_number_has_no_effect(self):
+        for era in (b'-5', b'1_0', b'+7', b'\xb2', b'9' * 400, b'9' * 5000):
+            with self.subTest(era=era[:30]):
+                self.assertEqual(
+                    run_paused(self.follow_behind, {}, era), ({False}, {200})
+                )
+
     def test_odd_versions_end_no_daemon_behind_relays(self):
         for odd in ({'rowVersion': 2**63}, {'rowVersion': 10**4000}):
             self.assertEqual(
