Tests: odd entries of replicas end no daemon and hide no replica

170 rows at once among those of the replicas, there at the start and written while the daemons run: no JSON, 200,000 levels deep as the row, in known and in unknown fields, integers of 400 and 5,000 digits, 1e308 and 1e400, ports 0, -1, 65536, 99999, of 400 digits and of other scripts, lone surrogates, null bytes, no UTF-8, an empty value, 50,000 models; 41 of them can be read. A replica listed behind them gets the next requests of both daemons.

--- a/tests/test_gateway_odd_rows.py
+++ b/tests/test_gateway_odd_rows.py
@@ -182,6 +182,68 @@
                     self.assert_starts_beside([('metering', key, value)])
 
 
+ENTRY = {
+    'service': 'app',
+    'address': '10.0.0.2:80',
+    'zone': 'north',
+    'version': 'v1',
+    'slots': 4,
+    'state': 'draining',
+    'coldRemainingMs': 0,
+    'sequence': 0,
+    'born': 5,
+    'leaves_ms': 100,
+    'models': [{'name': 'm', 'version': 1}],
+}
+PORTS = ('', '0', '-1', '65536', '99999', '9' * 400, '\u00b2', '\u0663', ' 80')
+
+
+def odd_entries():
+    """Return entries of replicas of which some can be read, most cannot."""
+    numbers = ('slots', 'coldRemainingMs', 'sequence', 'born', 'leaves_ms')
+    texts = ('service', 'address', 'zone', 'version', 'state')
+    model = ['models', 0, 'version']
+    fields = odd_documents(ENTRY, *([name] for name in numbers), model)
+    fields += [
+        _replace(ENTRY, [name], value)
+        for name in texts
+        for value in (b'""', b'"\xff"', b'"\\ud800"', b'"\\u0000"', b'7', DEEP)
+    ]
+    fields += [_replace(ENTRY | {'x': 0}, ['x'], value) for value in NUMBERS]
+    fields += [
+        orjson.dumps(ENTRY | {'address': f'10.0.0.2:{port}'}) for port in PORTS
+    ]
+    many = [{'name': f'm{number}', 'version': 1} for number in range(50_000)]
+    return (*NO_DOCUMENTS, *fields, orjson.dumps(ENTRY | {'models': many}))
+
+
+class TestEndpointRows(unittest.TestCase):
+    # Guards against an odd entry that hides those listed behind it.
+    def test_replica_behind_odd_entries_is_found(self):
+        async def check(is_restarted):
+            rows = number_rows('servers', 'h-', odd_entries())
+            async with open_site(engines=0, apps=1, daemons=2) as site:
+                for row in rows:
+                    site.store.put_bytes(*row)
+                await anyio.sleep(2.0)
+                if is_restarted:
+                    for number in range(2):
+                        site.kill_daemon(number)
+                    await anyio.sleep(0.1)
+                    await site.start_daemons(2)
+                first = next(iter(site.replicas_by_id.values()))
+                behind = await site.add_replica('app', 'north')
+                site.unlist_replica(first)
+                await anyio.sleep(2.0)
+                for each in site.daemons:
+                    await site.caller().send(each.entry, '/slip/1', body=b's')
+                ended = [each.ended.is_set() for each in site.daemons]
+                return ended, len(behind.runs)
+
+        for is_restarted in (False, True):
+            self.assertEqual(run_paused(check, is_restarted), ([False] * 2, 2))
+
+
 @dataclass(kw_only=True)
 class OddStore(StandInStore):
     """A store whose answers may have odd fields."""
