A copy's handle that fits no header names no copy

Cause: the answer to a move named its copy by any text. A handle with a line break, a null byte or a character beyond Latin-1 could not be sent along with the request that goes on from it: each further attempt of the stream failed.

What callers saw: every stream that was moved broke off.

--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -26,8 +26,10 @@
     UnreadableLimit,
 )
 from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost, Unreadable
+from mimosamux_daemon.ports.run_moves import MoveUnanswered, RunMoved
 from mimosamux_platform.documents import parse_configuration, parse_endpoint
 from mimosamux_platform.http_calls import PlatformCalls
+from mimosamux_platform.moves import ReplicaMoves
 from mimosamux_platform.replicas import ReplicaCalls
 from mimosamux_platform.request_handler import parse_request
 from mimosamux_platform.store import StoreFeed
@@ -273,6 +275,27 @@
         self.assertIn(type(outcome), (int, type))
 
 
+class TestMoveAnswers(unittest.TestCase):
+    # Guards against a handle that no request can name, which loses the run.
+    def test_handle_that_fits_no_header_names_no_copy(self):
+        async def move(channels):
+            endpoint = endpoint_call().endpoint
+            return await ReplicaMoves(channels=channels).move(
+                endpoint, endpoint, OWN_ID, timeout_s=1.0
+            )
+
+        for handle in ('', 'a\r\nX: 1', 'a\u20ac', 'a\0', 'a b', 'a' * 9999):
+            body = render({'kvHandle': handle})
+            data = answer_bytes(body=body)
+            with self.subTest(handle=handle[:9]):
+                found = run_paused(answer_with, data, move)
+                self.assertIsInstance(found, MoveUnanswered)
+        found = run_paused(
+            answer_with, answer_bytes(body=render({'kvHandle': 'kv-1'})), move
+        )
+        self.assertEqual(found, RunMoved(kv_source=f'{ADDRESS}/kv-1'))
+
+
 class TestStoreAnswers(unittest.TestCase):
     def follow(self, data):
         async def use(channels):
