Use that no peer can have admitted ends no daemon

Cause: a digest tells the use of an account in 64 bits, and each daemon adds up what its peers tell; the sum went into its own digest unbounded. Two digests with numbers near 2^63 raised OverflowError out of the task group of the receiver.

What callers saw: the daemon ends, and its peers, as they take the same digest.

Change: a peer's use below 0 or above 2^53 is logged and passed over.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/caps.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/limits/caps.py
@@ -29,9 +29,14 @@
 from mimosamux_daemon.domain.routes import AccountEntry, UsageCap
 from mimosamux_daemon.gateway.exchange.peer_states import PeerState, PeerStates
 from mimosamux_daemon.gateway.limits.loan_book import LoanBook, LoanId
+from mimosamux_daemon.logs import get_log
+
+log = get_log('caps')
 
 BUCKET_S = 0.1
 """Length of the time buckets in which use is counted."""
+MAX_USE = 2**53
+"""Largest use of a peer that counts; the sum of all fits into 64 bits."""
 RECORDED_SHARE = 0.05
 """Fraction of a cap above which the use of an account is recorded."""
 RECORD_BUCKET_S = 2.0
@@ -374,6 +379,9 @@
         )
         self._incarnation_by_peer[id_] = peer.incarnation
         for use in digest.caps:
+            if not (0 <= use.used <= MAX_USE and 0 <= use.recent <= MAX_USE):
+                log.warning('use_unreadable', peer=id_, account=use.account)
+                continue
             state = self._account(AccountId(use.account))
             last_counter = state.counter_by_peer.get(id_)
             state.window_total_by_peer[id_] = use.recent
