A part of a prompt whose tokens are no number is left out

Cause: str.isdigit takes '\u00b2', of which int() makes no number, nor of more than 4,300 digits; and any count of digits was taken, beyond what floats hold. The error ended the task of the connection; the daemon lived on.

What callers saw: the connection ends without an answer, and a request behind it on the connection is lost.

--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -8,7 +8,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http1_channels import Channels
-from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
+from mimosamux_daemon.domain.gateway import (
+    GatewayRequest,
+    ListedEndpoint,
+    PromptPart,
+)
 from mimosamux_daemon.domain.http_messages import RequestHead
 from mimosamux_daemon.domain.names import (
     DataCentreName,
@@ -536,6 +540,18 @@
             (request.host, request.key), ('site.example', 'secret')
         )
 
+    # Guards against a caller's number that ends its connection unanswered.
+    def test_parts_whose_tokens_are_no_number_are_left_out(self):
+        for tokens in (b'\xb2', b'', b'-1', b'9' * 400, b'9' * 5000):
+            with self.subTest(tokens=tokens[:9]):
+                request = self.read(
+                    (b'X-Model', b'm'),
+                    (b'X-Prompt-Prefix', b'a:' + tokens + b', b:3'),
+                )
+                self.assertEqual(
+                    request.prompt.parts, (PromptPart(id='b', tokens=3),)
+                )
+
     def test_two_keys_are_no_key(self):
         request = self.read((b'X-Key', b'a'), (b'x-key', b'b'))
         self.assertIsNone(request.key)
