--- a/packages/mimosamux-daemon/mimosamux_daemon/decoding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/decoding.py
@@ -6,15 +6,24 @@
 """
 
 import re
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 
+from mimosamux_daemon.domain.store_eras import NUMBER_BITS
 from mimosamux_daemon.errors import InvalidConfiguration, InvalidSettings
 from mimosamux_daemon.problems import ROOT_PATH, Problem
 
 ModelT = TypeVar('ModelT')
 
+MAX_TIME_S = 2.0**40
+MAX_TIME_MS = 2**53
+"""Bounds of times and durations; messages have 64 bits for milliseconds."""
+TimeInSeconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_S, le=MAX_TIME_S)]
+TimeInMs = Annotated[float, msgspec.Meta(ge=-MAX_TIME_MS, le=MAX_TIME_MS)]
+VersionNumber = Annotated[int, msgspec.Meta(ge=0, lt=1 << NUMBER_BITS)]
+"""The store's own number of a version; the bits above are for its era."""
+
 LOCATION_PATTERN = re.compile(
     r'^(?P<what>.*) - at `\$\.?(?P<path>.*)`$', re.DOTALL
 )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/rollout_rows.py
@@ -15,7 +15,7 @@
 import msgspec
 import orjson
 
-from mimosamux_daemon.decoding import decode_json
+from mimosamux_daemon.decoding import TimeInSeconds, decode_json
 from mimosamux_daemon.domain.names import ServiceName
 from mimosamux_daemon.domain.rollouts import (
     Rollout,
@@ -43,9 +43,6 @@
 """Bound of a step's number; messages have 32 bits for it."""
 MAX_NUMBER = 2**63 - 1
 """Largest number of an order that fits into a message between daemons."""
-MAX_TIME_S = 2.0**40
-"""Bound of times and durations; messages have 64 bits for milliseconds."""
-TimeInSeconds = Annotated[float, msgspec.Meta(ge=-MAX_TIME_S, le=MAX_TIME_S)]
 
 
 class _RolloutRow(msgspec.Struct, frozen=True, kw_only=True):
