Any target of a discovery request is answered

Cause: urlsplit raises ValueError for a target such as '//[', which ended the task of the connection; the daemon lived on.

What callers saw: the connection ends without an answer.

--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -2,12 +2,14 @@
 
 import base64
 import unittest
+from unittest.mock import AsyncMock
 
 import anyio
 import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http1_channels import Channels
+from mimosamux_daemon.adapters.http1_exchange import IncomingRequest
 from mimosamux_daemon.domain.gateway import (
     GatewayRequest,
     ListedEndpoint,
@@ -31,6 +33,7 @@
 )
 from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost, Unreadable
 from mimosamux_daemon.ports.run_moves import MoveUnanswered, RunMoved
+from mimosamux_platform.discovery import DiscoveryHandler
 from mimosamux_platform.documents import parse_configuration, parse_endpoint
 from mimosamux_platform.http_calls import PlatformCalls
 from mimosamux_platform.moves import ReplicaMoves
@@ -504,8 +507,6 @@
 
 class TestRequestHeaders(unittest.TestCase):
     def read(self, *headers):
-        from mimosamux_daemon.adapters.http1_exchange import IncomingRequest
-
         head = RequestHead(
             method=b'POST',
             target=b'/x',
@@ -570,3 +571,33 @@
         self.assertGreaterEqual(request.prompt.tokens, 0)
         if request.caller_timeout_s is not None:
             self.assertGreaterEqual(request.caller_timeout_s, 0)
+
+
+class TestDiscoveryRequests(unittest.TestCase):
+    # Guards against a target that ends the connection unanswered.
+    def test_any_target_is_answered(self):
+        async def ask(target):
+            reply = AsyncMock()
+            await DiscoveryHandler(
+                is_ready=lambda: True,
+                addresses=lambda region, zone: ['10.0.0.1:80'],
+                ttl_s=5.0,
+            ).handle(
+                IncomingRequest(
+                    head=RequestHead(method=b'GET', target=target, headers=()),
+                    body=b'',
+                ),
+                reply,
+            )
+            return reply.answer.await_args.args[0]
+
+        for target, status in (
+            (b'//[', 404),
+            (b'//[::1/api/resolution?region=land', 404),
+            (b'//\xe2\x84\x80/', 404),
+            (b'/api/resolution?region=[&zone=%ff', 200),
+            (b'/api/resolution', 200),
+            (b'/api/readyz?', 200),
+        ):
+            with self.subTest(target=target):
+                self.assertEqual(run_paused(ask, target), status)
