--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -2,13 +2,19 @@
 
 import base64
 import unittest
+from unittest.mock import AsyncMock
 
 import anyio
 import orjson
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from mimosamux_daemon.adapters.http1_channels import Channels
-from mimosamux_daemon.domain.gateway import GatewayRequest, ListedEndpoint
+from mimosamux_daemon.adapters.http1_exchange import IncomingRequest
+from mimosamux_daemon.domain.gateway import (
+    GatewayRequest,
+    ListedEndpoint,
+    PromptPart,
+)
 from mimosamux_daemon.domain.http_messages import RequestHead
 from mimosamux_daemon.domain.names import (
     DataCentreName,
@@ -26,8 +32,11 @@
     UnreadableLimit,
 )
 from mimosamux_daemon.ports.feeds import FeedNews, HistoryLost, Unreadable
+from mimosamux_daemon.ports.run_moves import MoveUnanswered, RunMoved
+from mimosamux_platform.discovery import DiscoveryHandler
 from mimosamux_platform.documents import parse_configuration, parse_endpoint
 from mimosamux_platform.http_calls import PlatformCalls
+from mimosamux_platform.moves import ReplicaMoves
 from mimosamux_platform.replicas import ReplicaCalls
 from mimosamux_platform.request_handler import parse_request
 from mimosamux_platform.store import StoreFeed
@@ -273,6 +282,27 @@
         self.assertIn(type(outcome), (int, type))
 
 
+class TestMoveAnswers(unittest.TestCase):
+    # Guards against a handle that no request can name, which loses the run.
+    def test_handle_that_fits_no_header_names_no_copy(self):
+        async def move(channels):
+            endpoint = endpoint_call().endpoint
+            return await ReplicaMoves(channels=channels).move(
+                endpoint, endpoint, OWN_ID, timeout_s=1.0
+            )
+
+        for handle in ('', 'a\r\nX: 1', 'a\u20ac', 'a\0', 'a b', 'a' * 9999):
+            body = render({'kvHandle': handle})
+            data = answer_bytes(body=body)
+            with self.subTest(handle=handle[:9]):
+                found = run_paused(answer_with, data, move)
+                self.assertIsInstance(found, MoveUnanswered)
+        found = run_paused(
+            answer_with, answer_bytes(body=render({'kvHandle': 'kv-1'})), move
+        )
+        self.assertEqual(found, RunMoved(kv_source=f'{ADDRESS}/kv-1'))
+
+
 class TestStoreAnswers(unittest.TestCase):
     def follow(self, data):
         async def use(channels):
@@ -477,8 +507,6 @@
 
 class TestRequestHeaders(unittest.TestCase):
     def read(self, *headers):
-        from mimosamux_daemon.adapters.http1_exchange import IncomingRequest
-
         head = RequestHead(
             method=b'POST',
             target=b'/x',
@@ -513,6 +541,18 @@
             (request.host, request.key), ('site.example', 'secret')
         )
 
+    # Guards against a caller's number that ends its connection unanswered.
+    def test_parts_whose_tokens_are_no_number_are_left_out(self):
+        for tokens in (b'\xb2', b'', b'-1', b'9' * 400, b'9' * 5000):
+            with self.subTest(tokens=tokens[:9]):
+                request = self.read(
+                    (b'X-Model', b'm'),
+                    (b'X-Prompt-Prefix', b'a:' + tokens + b', b:3'),
+                )
+                self.assertEqual(
+                    request.prompt.parts, (PromptPart(id='b', tokens=3),)
+                )
+
     def test_two_keys_are_no_key(self):
         request = self.read((b'X-Key', b'a'), (b'x-key', b'b'))
         self.assertIsNone(request.key)
@@ -531,3 +571,33 @@
         self.assertGreaterEqual(request.prompt.tokens, 0)
         if request.caller_timeout_s is not None:
             self.assertGreaterEqual(request.caller_timeout_s, 0)
+
+
+class TestDiscoveryRequests(unittest.TestCase):
+    # Guards against a target that ends the connection unanswered.
+    def test_any_target_is_answered(self):
+        async def ask(target):
+            reply = AsyncMock()
+            await DiscoveryHandler(
+                is_ready=lambda: True,
+                addresses=lambda region, zone: ['10.0.0.1:80'],
+                ttl_s=5.0,
+            ).handle(
+                IncomingRequest(
+                    head=RequestHead(method=b'GET', target=target, headers=()),
+                    body=b'',
+                ),
+                reply,
+            )
+            return reply.answer.await_args.args[0]
+
+        for target, status in (
+            (b'//[', 404),
+            (b'//[::1/api/resolution?region=land', 404),
+            (b'//\xe2\x84\x80/', 404),
+            (b'/api/resolution?region=[&zone=%ff', 200),
+            (b'/api/resolution', 200),
+            (b'/api/readyz?', 200),
+        ):
+            with self.subTest(target=target):
+                self.assertEqual(run_paused(ask, target), status)
