--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 heads as raw bytes, which are forwarded without decoding."""
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 from http import HTTPStatus
@@ -81,6 +82,14 @@
     return None if value is None else value.decode('latin-1')
 
 
+def parse_number(value: bytes) -> float:
+    """Parse the number in a header; return NaN if there is none."""
+    try:
+        return float(value)
+    except ValueError:
+        return math.nan
+
+
 def end_to_end(
     headers: RawHeaders, *, without: frozenset[bytes] = frozenset()
 ) -> RawHeaders:
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/endpoint_calls.py
@@ -155,14 +155,16 @@
         """
 
 
+SendResult = SentRequest | NotSent | CallerGoneBeforeSend | CallBroken
+"""What became of sending a request."""
+
+
 class EndpointCalls(Protocol):
     """Calls to endpoints, which are addressed by their list entries."""
 
     def send(
         self, call: EndpointCall
-    ) -> AbstractAsyncContextManager[
-        SentRequest | NotSent | CallerGoneBeforeSend | CallBroken
-    ]:
+    ) -> AbstractAsyncContextManager[SendResult]:
         """Send a request; leaving the block early closes the connection."""
 
     async def ask_process(
