--- a/tests/test_gateway_process_proofs.py
+++ b/tests/test_gateway_process_proofs.py
@@ -45,6 +45,10 @@
     return EndpointRecord(listed=listed, listed_at=0.0)
 
 
+async def find(proofs, record, states):
+    states.append(await proofs.find_state(record))
+
+
 def play(calls, check):
     async def run():
         proofs = ProcessProofs(
@@ -63,14 +67,11 @@
         states = []
 
         async def check(proofs, record):
-            async def find():
-                states.append(await proofs.find_state(record))
-
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(find)
+                tasks.start_soon(find, proofs, record, states)
                 await anyio.sleep(ANSWER_S / 2)
                 for _ in range(20):
-                    tasks.start_soon(find)
+                    tasks.start_soon(find, proofs, record, states)
 
         play(calls, check)
         self.assertEqual(states, [ProcessState.RUNNING] * 21)
@@ -82,13 +83,10 @@
         states = []
 
         async def check(proofs, record):
-            async def find():
-                states.append(await proofs.find_state(record))
-
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(find)
+                tasks.start_soon(find, proofs, record, states)
                 await anyio.sleep(ANSWER_S / 2)
-                tasks.start_soon(find)
+                tasks.start_soon(find, proofs, record, states)
 
         play(calls, check)
         self.assertEqual(states, [ProcessState.RUNNING, ProcessState.ENDED])
@@ -106,15 +104,15 @@
         states = []
 
         async def check(proofs, record):
-            async def find():
+            async def find_timed():
                 began_at = anyio.current_time()
-                states.append(await proofs.find_state(record))
+                await find(proofs, record, states)
                 waits.append(anyio.current_time() - began_at)
 
             waits = []
             async with anyio.create_task_group() as tasks:
                 for _ in range(3):
-                    tasks.start_soon(find)
+                    tasks.start_soon(find_timed)
             return waits
 
         waits = play(calls, check)
@@ -142,15 +140,12 @@
         states = []
 
         async def check(proofs, record):
-            async def find():
-                states.append(await proofs.find_state(record))
-
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(find)
+                tasks.start_soon(find, proofs, record, states)
                 await anyio.sleep(ANSWER_S)
                 sent_at = anyio.current_time()
                 await anyio.sleep(ANSWER_S)
-                tasks.start_soon(find)
+                tasks.start_soon(find, proofs, record, states)
                 await anyio.sleep(ANSWER_S)
                 proofs.note_answer(record, sent_at)
 
@@ -164,12 +159,9 @@
             states = []
 
             async def check(proofs, record, states=states):
-                async def find():
-                    states.append(await proofs.find_state(record))
-
                 async with anyio.create_task_group() as tasks:
                     for _ in range(100):
-                        tasks.start_soon(find)
+                        tasks.start_soon(find, proofs, record, states)
                         await anyio.sleep(ANSWER_S)
 
             with self.subTest(answer_s=answer_s):
