Proofs of a process stand with the answers; a hang behind a peer is a case

process_proofs.py was a module flat in gateway/; what proves that an answer has ended belongs to the family of answers. A question that was bounded by two time-outs of the same length, one within the other, is bounded by one. A new test has an engine hang behind the end of its connections while a peer's tunnel carries them: none of 24 streams is short (0.3 and 1 s).

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/process_proofs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/process_proofs.py
@@ -107,13 +107,22 @@
     ) -> ProcessState:
         """Ask an endpoint's process once; UNKNOWN: it did not answer."""
         with anyio.move_on_after(timeout_s):
-            return await self.calls.ask_process(
-                record.listed,
-                self._service_of(record),
-                on_new_connection=on_new_connection,
+            return await self._ask_once(
+                record, on_new_connection=on_new_connection
             )
         return ProcessState.UNKNOWN
 
+    async def _ask_once(
+        self, record: EndpointRecord, *, on_new_connection: bool
+    ) -> ProcessState:
+        name = record.listed.service
+        services_by_name = self.configuration.current.services_by_name
+        return await self.calls.ask_process(
+            record.listed,
+            services_by_name.get(name) or ServiceEntry(name=name),
+            on_new_connection=on_new_connection,
+        )
+
     @contextmanager
     def _join(
         self, record: EndpointRecord, waiter: _Waiter
@@ -168,18 +177,10 @@
         on_new_connection = True
         while True:
             question.asked_at = self.clock()
-            state = await self.ask(
-                record,
-                timeout_s=PROOF_TIMEOUT_S,
-                on_new_connection=on_new_connection,
+            state = await self._ask_once(
+                record, on_new_connection=on_new_connection
             )
             if state is not ProcessState.UNKNOWN:
                 return state
             on_new_connection = not on_new_connection
             await anyio.sleep(RETRY_PAUSE_S)
-
-    def _service_of(self, record: EndpointRecord) -> ServiceEntry:
-        """Return the service of an endpoint, as far as it is configured."""
-        name = record.listed.service
-        services_by_name = self.configuration.current.services_by_name
-        return services_by_name.get(name) or ServiceEntry(name=name)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -17,13 +17,13 @@
 from mimosamux_daemon.gateway.admission.request_dispatcher import (
     RequestDispatcher,
 )
+from mimosamux_daemon.gateway.answers.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.balancing.choice import Choice, Chooser
 from mimosamux_daemon.gateway.crashes.detector import CrashDetector
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.limits.brittle_services import BrittleServices
 from mimosamux_daemon.gateway.limits.endpoint_limits import EndpointLimits
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.roster import OWN_ANSWER, Roster
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/crashes/detector.py
@@ -15,11 +15,11 @@
 
 from mimosamux_daemon.domain.gateway import EndpointState
 from mimosamux_daemon.domain.names import ContentKey
+from mimosamux_daemon.gateway.answers.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
 from mimosamux_daemon.gateway.crashes.exchange import CrashExchange
 from mimosamux_daemon.gateway.crashes.suspects import EndpointIncarnation
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
-from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.endpoint_calls import ProcessState
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -28,6 +28,7 @@
     RequestDispatcher,
 )
 from mimosamux_daemon.gateway.admission.retry_times import RetryTimes
+from mimosamux_daemon.gateway.answers.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.attempts import AttemptRecorder
 from mimosamux_daemon.gateway.balancing.choice import Chooser
 from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
@@ -72,7 +73,6 @@
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.operator_items import OperatorItems
 from mimosamux_daemon.gateway.outcome_log import OutcomeLog
-from mimosamux_daemon.gateway.process_proofs import ProcessProofs
 from mimosamux_daemon.gateway.request_counts import RequestCounts
 from mimosamux_daemon.gateway.rollout_clearing import RolloutClearing
 from mimosamux_daemon.gateway.rollout_exchange import RolloutExchange
--- a/tests/test_gateway_process_proofs.py
+++ b/tests/test_gateway_process_proofs.py
@@ -4,12 +4,12 @@
 
 import anyio
 from mimosamux_daemon.domain.gateway import ListedEndpoint
-from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
-from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
-from mimosamux_daemon.gateway.process_proofs import (
+from mimosamux_daemon.gateway.answers.process_proofs import (
     PROOF_TIMEOUT_S,
     ProcessProofs,
 )
+from mimosamux_daemon.gateway.balancing.endpoint_record import EndpointRecord
+from mimosamux_daemon.gateway.configuration import ConfirmedConfiguration
 from mimosamux_daemon.ports.endpoint_calls import ProcessState
 
 from tests.support.clock import run_paused
--- a/tests/test_gateway_unframed_answers.py
+++ b/tests/test_gateway_unframed_answers.py
@@ -340,6 +340,25 @@
             with self.subTest(partition=partition.name):
                 self.play(partition, killed=(1, 2))
 
+    def test_process_that_hangs_before_it_exits_behind_a_peer(self):
+        for exit_s in (0.3, 1.0):
+
+            async def check(exit_s=exit_s):
+                async with open_patient_site(engines=3) as site:
+                    await cut_off(site, 0, Partition.HANGS)
+                    answers = Answers(site, daemons=[0])
+
+                    async def hang():
+                        site.crash_replica(
+                            busiest(site), in_order=True, exit_s=exit_s
+                        )
+
+                    await answers.play(hang)
+                    return answers
+
+            with self.subTest(exit_s=exit_s):
+                self.assertEqual(run_paused(check).short(), [])
+
     def test_nor_where_another_daemon_reaches_their_endpoint(self):
         answers = self.play(Partition.HANGS, killed=(1,))
         self.assertEqual(answers.whole('/question/'), STREAMS // 2)
