Crowds of callers that misuse a listener, red at each of them

Callers that we don't control have ended a process: it ran out of memory. Each crowd (large bodies whole, piece by piece and just short of their end; large and very small chunks, and chunks just short of the last; bodies over the limit, announced and just sent; more connections than descriptors; one large request in calm) is played against each listener that callers reach: the four of a gateway and the caller API of a model daemon, there with completions, service calls and an unknown key.

Bounds come from the targets: 200 MiB, the smallest entry VM, for a gateway; 256 MiB, the size to design for, for a model daemon; bytes that arrived and were not read count. The test lowers the descriptors of the process to 256 and asks for 32 of them to be left. A crowd is 256 MiB of bodies.

A gateway holds 252 to 1,070 MiB, a model daemon 355 to 554 MiB; with 320 connections all 256 descriptors are in use; very small chunks leave an ordinary request without an answer for 30 s (2 of 2 runs). What passes: calm requests, strangers of a model daemon but for their connections, small chunks elsewhere, completions announced over the limit.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/python -m nose2
+	$(BIN)/python -m nose2 -N 1 tests.crowd_gateway tests.crowd_model_daemon
 
 bench: venv
 	$(BIN)/python -m benchmarks
--- /dev/null
+++ b/tests/crowd_gateway.py
@@ -0,0 +1,87 @@
+"""Callers that don't behave, at each listener of a gateway's process."""
+
+import unittest
+
+import httpx
+
+from tests.support import crowds
+from tests.support.crowd_cases import CrowdCases
+from tests.support.platform_processes import platform_processes, send
+
+SMALLEST_VM_BYTES = 200 * crowds.MIB
+"""Memory of the smallest entry VM that a gateway is made for."""
+
+
+class GatewayCase(CrowdCases):
+    """One gateway on the smallest VM."""
+
+    memory_bytes = SMALLEST_VM_BYTES
+    listener = ''
+    path = ''
+
+    def start(self):
+        started = platform_processes(
+            daemons=1, daemon_descriptors=crowds.DESCRIPTORS
+        )
+        self.platform = started.__enter__()
+        self.addCleanup(started.__exit__, None, None, None)
+        (daemon,) = self.platform.daemons
+        self.process = daemon.process
+        self.address = daemon.settings['listen'][self.listener]
+
+    def head(self, framing):
+        return (
+            f'POST {self.path} HTTP/1.1\r\nHost: site.example\r\n'
+            f'X-Key: key-school\r\nX-Attempt-Id: crowd\r\n{framing}\r\n'
+        ).encode()
+
+    async def get(self):
+        async with httpx.AsyncClient(trust_env=False, timeout=20.0) as client:
+            try:
+                answer = await client.get(f'http://{self.address}{self.path}')
+            except httpx.HTTPError:
+                return None
+        return answer.status_code
+
+    async def ask(self):
+        return await self.get() == 200
+
+    async def ask_large(self):
+        return await self.get()
+
+
+class TestEntry(GatewayCase, unittest.TestCase):
+    """Requests of callers."""
+
+    listener = 'entry'
+    path = '/list/1'
+
+    async def ask(self):
+        answer = await send(self.address, self.path, body=b'class 4b')
+        return answer.status == 200 and answer.is_whole
+
+    async def ask_large(self):
+        body = b'x' * self.largest_body
+        answer = await send(self.address, self.path, body=body)
+        return answer.status
+
+
+class TestDiscovery(GatewayCase, unittest.TestCase):
+    """Questions for the addresses of daemons."""
+
+    listener = 'discovery'
+    path = '/api/resolution?name=site.example&region=land&zone=north'
+
+
+class TestReadiness(GatewayCase, unittest.TestCase):
+    """Readiness checks."""
+
+    listener = 'readiness'
+    path = '/api/readyz'
+
+
+class TestMetrics(GatewayCase, unittest.TestCase):
+    """Metrics and requests of operators."""
+
+    listener = 'metrics'
+    path = '/metrics'
--- /dev/null
+++ b/tests/support/crowds.py
@@ -0,0 +1,256 @@
+"""Crowds of callers that misuse a listener, and what its process holds.
+
+Each caller opens a connection, sends what its crowd sends, reads nothing and
+stays open. The crowds don't depend on what the process does with them: it may
+refuse a caller or close its connection at any time.
+"""
+
+import contextlib
+import pathlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import anyio
+import anyio.lowlevel
+from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+
+KIB = 1024
+MIB = 1024 * KIB
+PIECE_BYTES = 16 * KIB
+LARGE_CHUNK_BYTES = 256 * KIB
+SMALL_BLOCK = 2 * KIB
+"""Chunks of one byte that are sent together."""
+CROWD_BYTES = 256 * MIB
+SMALL_CHUNKED = 64
+"""Callers whose chunks are very small."""
+DESCRIPTORS = 256
+"""Most descriptors of the process."""
+MANY = 320
+"""More connections than the process may have descriptors."""
+FAR_OVER = 256
+"""Times the largest body that an announced one is long."""
+SENT_OVER = 4
+"""Times the largest body that is sent of one that is over the limit."""
+WHOLE_IN = 8
+"""Of so many callers that stop just short of their end, one sends it."""
+QUIET_S = 2.0
+"""A crowd of which nobody could send for so long has sent what it can."""
+CROWD_S = 240.0
+"""Longest time that a crowd gets; it bounds a hanging test."""
+SAMPLE_S = 0.05
+HELD_STATES = {'01', '08'}
+"""States of a connection, in /proc/net/tcp, whose bytes can be unread."""
+
+BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+Head = Callable[[str], bytes]
+"""Returns the head of a request with a header that tells its length."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class Crowd:
+    """Callers that all send alike."""
+
+    parts: Callable[[Head, int, int], Iterator[bytes]]
+    """Gives what a caller sends: head, largest body, number of the caller."""
+    callers: int | None = None
+    """None: as many as it takes to send `CROWD_BYTES` in largest bodies."""
+    is_awaited: bool = True
+    """Whether the ordinary request comes behind what all of them send."""
+
+
+def length(size):
+    return f'Content-Length: {size}\r\n'
+
+
+CHUNKED = 'Transfer-Encoding: chunked\r\n'
+
+
+def pieces(size, piece):
+    """Give pieces of that many bytes, which add up to a size."""
+    block = b'x' * min(piece, size)
+    while size > 0:
+        yield block[:size]
+        size -= len(block)
+
+
+def render_chunk(data):
+    return b'%x\r\n%s\r\n' % (len(data), data)
+
+
+def send_whole(head, largest, number):
+    yield head(length(largest)) + b'x' * largest
+
+
+def send_in_pieces(head, largest, number):
+    yield head(length(largest))
+    yield from pieces(largest, PIECE_BYTES)
+
+
+def stop_short(head, largest, number):
+    yield head(length(largest))
+    is_whole = number % WHOLE_IN == 0
+    yield from pieces(largest if is_whole else largest - 1, PIECE_BYTES)
+
+
+def send_large_chunks(head, largest, number):
+    yield head(CHUNKED)
+    for piece in pieces(largest, LARGE_CHUNK_BYTES):
+        yield render_chunk(piece)
+    yield b'0\r\n\r\n'
+
+
+def send_small_chunks(head, largest, number):
+    yield head(CHUNKED)
+    block = render_chunk(b'x') * SMALL_BLOCK
+    for _ in range(largest // SMALL_BLOCK):
+        yield block
+    yield b'0\r\n\r\n'
+
+
+def stop_short_of_last_chunk(head, largest, number):
+    yield head(CHUNKED)
+    for piece in pieces(largest, LARGE_CHUNK_BYTES):
+        yield render_chunk(piece)
+    if number % WHOLE_IN == 0:
+        yield b'0\r\n\r\n'
+
+
+def announce_far_over(head, largest, number):
+    yield head(length(FAR_OVER * largest))
+    yield from pieces(SENT_OVER * largest, LARGE_CHUNK_BYTES)
+
+
+def send_far_over(head, largest, number):
+    yield head(CHUNKED)
+    for piece in pieces(SENT_OVER * largest, LARGE_CHUNK_BYTES):
+        yield render_chunk(piece)
+
+
+def open_and_stop_short(head, largest, number):
+    yield head(length(2)) + b'x'
+
+
+@dataclass(frozen=True, kw_only=True)
+class Held:
+    """The most that a process held while a crowd was there."""
+
+    memory_bytes: int
+    """Resident memory and bytes that have arrived and were not read."""
+    descriptors: int
+
+
+class Watch:
+    """Looks at a process, from outside, while a crowd is there."""
+
+    def __init__(self, *, pid, port):
+        self._folder = pathlib.Path('/proc') / str(pid)
+        self._port = f':{port:04X}'
+        self._unread = 0
+        self._descriptors = 0
+
+    def held(self):
+        """Return the most that it held, as far as it still lives."""
+        self.look()
+        status = (self._folder / 'status').read_text()
+        (peak,) = [
+            int(line.split()[1]) * KIB
+            for line in status.splitlines()
+            if line.startswith('VmHWM:')
+        ]
+        return Held(
+            memory_bytes=peak + self._unread, descriptors=self._descriptors
+        )
+
+    async def run(self):
+        while True:
+            self.look()
+            await anyio.sleep(SAMPLE_S)
+
+    def look(self):
+        self._unread = max(self._unread, self._count_unread())
+        with contextlib.suppress(FileNotFoundError):
+            count = len(list((self._folder / 'fd').iterdir()))
+            self._descriptors = max(self._descriptors, count)
+
+    def _count_unread(self):
+        """Return the bytes that callers sent and it has not read."""
+        table = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
+        rows = (line.split() for line in table)
+        return sum(
+            int(row[4].partition(':')[2], 16)
+            for row in rows
+            if row[1].endswith(self._port) and row[3] in HELD_STATES
+        )
+
+
+class CrowdRun:
+    """One crowd at one listener."""
+
+    def __init__(self, *, crowd, address, head, largest):
+        self._crowd = crowd
+        self._address = address
+        self._head = head
+        self._largest = largest
+        self._callers = crowd.callers or CROWD_BYTES // largest
+        self._sending = self._callers
+        self._all_sent = anyio.Event()
+        self._sent = 0
+
+    async def play(self, ask):
+        """Return what `ask` returns, called while the crowd is open."""
+        async with anyio.create_task_group() as tasks:
+            with anyio.fail_after(CROWD_S):
+                for number in range(self._callers):
+                    tasks.start_soon(self._send, number)
+                await self._wait_sent()
+                answer = await ask()
+            tasks.cancel_scope.cancel()
+        return answer
+
+    async def _wait_sent(self):
+        """Wait until all have sent, or the process takes no more of them."""
+        if not self._crowd.is_awaited:
+            await anyio.sleep(QUIET_S)
+            return
+        before = -1
+        while self._sending and self._sent != before:
+            before = self._sent
+            with anyio.move_on_after(QUIET_S):
+                await self._all_sent.wait()
+
+    async def _send(self, number):
+        """Send what one caller sends, and stay open."""
+        try:
+            connection = await TcpNetwork().connect(self._address)
+        except OSError:
+            self._note_sent()
+            return
+        async with connection:
+            with contextlib.suppress(*BROKEN):
+                for part in self._crowd.parts(
+                    self._head, self._largest, number
+                ):
+                    await connection.send(part)
+                    await anyio.lowlevel.checkpoint()
+                    self._sent += 1
+            self._note_sent()
+            await anyio.sleep_forever()
+
+    def _note_sent(self):
+        self._sending -= 1
+        if not self._sending:
+            self._all_sent.set()
+
+
+LARGE_WHOLE = Crowd(parts=send_whole)
+LARGE_IN_PIECES = Crowd(parts=send_in_pieces)
+LARGE_SHORT = Crowd(parts=stop_short)
+CHUNKED_LARGE = Crowd(parts=send_large_chunks)
+CHUNKED_SMALL = Crowd(
+    parts=send_small_chunks, callers=SMALL_CHUNKED, is_awaited=False
+)
+CHUNKED_SHORT = Crowd(parts=stop_short_of_last_chunk)
+OVER_ANNOUNCED = Crowd(parts=announce_far_over)
+OVER_SENT = Crowd(parts=send_far_over)
+MANY_OPEN = Crowd(parts=open_and_stop_short, callers=MANY)
--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -131,9 +131,10 @@
 
 
 @contextmanager
-def platform_processes(*, daemons=3, **options):
+def platform_processes(*, daemons=3, daemon_descriptors=None, **options):
     """Give the platform and some daemons, and end all of them."""
     with processes() as started:
+        started.descriptors = daemon_descriptors
         arguments = [
             f'--{name}={json.dumps(value)}' for name, value in options.items()
         ]
--- a/tests/support/processes.py
+++ b/tests/support/processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -95,6 +96,8 @@
 
     def __init__(self, *, folder: pathlib.Path) -> None:
         self.folder = folder
+        self.descriptors: int | None = None
+        """Most descriptors of each daemon; None: as many as this process."""
         self._started: list[Process] = []
         self._reserved: list[socket.socket] = []
 
@@ -107,7 +110,11 @@
         path = self.folder / f'{settings["daemon"]}.yaml'
         path.write_text(yaml.safe_dump(settings))
         return self._start(
-            'mimosamux_daemon', 'serve', '--settings', str(path)
+            'mimosamux_daemon',
+            'serve',
+            '--settings',
+            str(path),
+            descriptors=self.descriptors,
         )
 
     def reserve_port(self) -> int:
@@ -131,7 +138,9 @@
         for process in self._started:
             process.end()
 
-    def _start(self, module: str, *args: str) -> Process:
+    def _start(
+        self, module: str, *args: str, descriptors: int | None = None
+    ) -> Process:
         log = self.folder / f'{len(self._started)}-{module}.log'
         with log.open('w') as stderr:
             popen = subprocess.Popen(
@@ -141,12 +150,18 @@
                 text=True,
                 cwd=ROOT,
                 env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+                preexec_fn=lambda: _limit_descriptors(descriptors),
             )
         process = Process(popen=popen, log=log)
         self._started.append(process)
         return process
 
 
+def _limit_descriptors(most: int | None) -> None:
+    if most is not None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+
 @contextmanager
 def processes() -> Iterator[Processes]:
     """Give a starter of processes, and end all of them afterwards."""
