A body is held once on its way to an endpoint

Cause: a channel rendered head and body into one piece, and cut that in two: beside the body itself, two copies of it lay in memory while it was sent.

Change: of a long body with a length, slices are sent of the one body that the request holds.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -86,7 +86,8 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._body = b''
-        self._unsent = b''
+        self._unsent = memoryview(b'')
+        """What is still to be sent of a long request; it copies nothing."""
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = anyio.current_time()
         self._body_left = math.inf
@@ -110,11 +111,7 @@
                 headers=list(head.headers),
             )
             self._body = body
-            data = self._render(self._request, body)
-            first, self._unsent = (
-                data[:SENT_AT_ONCE_BYTES],
-                data[SENT_AT_ONCE_BYTES:],
-            )
+            first = self._render_first(self._request, body)
             # A connection may take bytes without yielding: a request whose
             # caller or deadline has ended it must not be sent.
             await anyio.lowlevel.checkpoint_if_cancelled()
@@ -130,10 +127,14 @@
         that waited first would wait for a reader that waits for it.
         """
         with suppress(*BROKEN):
-            await self._connection.send(self._unsent)
             # Cut off in the middle, the rest stays due: whatever came next
             # on the connection would be read as part of this body.
-            self._unsent = b''
+            while True:
+                part = bytes(self._unsent[:SENT_AT_ONCE_BYTES])
+                await self._connection.send(part)
+                self._unsent = self._unsent[SENT_AT_ONCE_BYTES:]
+                if not self._unsent:
+                    return
 
     @property
     def has_rest(self) -> bool:
@@ -248,6 +249,22 @@
             and self._parser.their_state is h11.DONE
         )
 
+    def _render_first(self, request: h11.Request, body: bytes) -> bytes:
+        """Return what is sent at once, and keep the rest to be sent.
+
+        A body of any size is held once, not again for its way out.
+        """
+        if len(body) <= SENT_AT_ONCE_BYTES or not _has_length(request):
+            data = self._render(request, body)
+            self._unsent = memoryview(data)[SENT_AT_ONCE_BYTES:]
+            return data[:SENT_AT_ONCE_BYTES]
+        head = self._parser.send(request) or b''
+        # With a length, the body is sent as it is.
+        self._parser.send(h11.Data(data=body))
+        self._parser.send(h11.EndOfMessage())
+        self._unsent = memoryview(body)[SENT_AT_ONCE_BYTES:]
+        return head + body[:SENT_AT_ONCE_BYTES]
+
     def _render(self, request: h11.Request, body: bytes) -> bytes:
         parts = [self._parser.send(request)]
         if body:
@@ -297,6 +314,10 @@
                 self._idle_limit_s = float(number) * IDLE_SHARE
 
 
+def _has_length(request: h11.Request) -> bool:
+    return find_value(tuple(request.headers), CONTENT_LENGTH) is not None
+
+
 def _find_body_limit(answer: h11.Response) -> float:
     """Return the largest body of an answer, whose stated length h11 checks."""
     length = find_value(tuple(answer.headers), CONTENT_LENGTH)
