One account of what callers may make a gateway hold

Callers saw a gateway end, out of memory, or no answer while others sent very small chunks or kept all descriptors.

Cause: each request kept to its limit, and nothing summed them up. A body was taken in before anybody asked whose it was or how long it was said to be, a part of it could take the idle time for ever, all chunks of a read were parsed in one turn of the loop, and every connection was accepted. The receive buffers of the kernel, which count for the platform, grew to megabytes.

When it is full, an unfinished request or an idle connection yields, never one that has arrived whole; 503 with Retry-After says that it has not run. A length over the limit is refused at the head, as is a body where none is needed; route and key are checked before a body that has not come; a body has to be whole after 30 s. Parsing queues for turns, and stops when its caller has left. Callers' receive buffers are 32 KiB. A refused caller gets time to read why. No more is accepted than can be open: connections that yield keep their descriptors until their tasks have run.

Tests of the account on a paused clock name what each guard is for.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from http import HTTPStatus
 
 import anyio
 import h11
@@ -23,9 +22,20 @@
     IncomingRequest,
     Reply,
 )
-from mimosamux_daemon.domain.http_messages import (
-    RequestHead,
-    find_values,
+from mimosamux_daemon.adapters.http1_requests import (
+    DEFAULT_BODY_TIMEOUT_S,
+    RequestReader,
+    Screen,
+    Unreadable,
+    yielded,
+)
+from mimosamux_daemon.callers import (
+    CallerAccount,
+    CallerRecord,
+    ParseTurns,
+    Phase,
+    find_descriptor_limit,
+    find_limits,
 )
 from mimosamux_daemon.domain.routes import TrafficLimits
 from mimosamux_daemon.logs import get_log
@@ -33,18 +43,22 @@
 
 log = get_log('http1_server')
 
-BACKLOG = 1024
 LINGER_S = 1.0
 """Time for the other side to take an answer that ends its connection."""
-LINGER_BYTES = 256 * 1024
-
+LINGER_BYTES = 8 * 1024 * 1024
+"""Most bytes that are read and dropped meanwhile."""
+DEFAULT_OWN_BYTES = 96 * 1024 * 1024
+"""Memory that a process needs without callers."""
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Unreadable:
-    """A request that cannot be taken; the connection ends with this."""
 
-    status: int
-    problem: str
+def default_account() -> CallerAccount:
+    """Return the account of a server that shares none with others."""
+    limits = find_limits(
+        memory_mb=0,
+        descriptors=find_descriptor_limit(0),
+        own_bytes=DEFAULT_OWN_BYTES,
+    )
+    return CallerAccount(limits=limits, record=CallerRecord())
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, eq=False)
@@ -59,13 +73,27 @@
     """Serves connections of callers until it is told to stop."""
 
     def __init__(
-        self, *, handler: Handler, limits: Callable[[], TrafficLimits]
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], TrafficLimits],
+        account: CallerAccount | None = None,
+        turns: ParseTurns | None = None,
+        screen: Screen | None = None,
+        takes_bodies: bool = True,
+        body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
     ) -> None:
         self.connections = 0
         self.open_requests = 0
         self.is_draining = False
+        self.limits = limits
+        self.account = account or default_account()
+        self.turns = turns or ParseTurns()
+        self.screen = screen
+        self.takes_bodies = takes_bodies
+        """Whether requests may have a body at all."""
+        self.body_timeout_s = body_timeout_s
         self._handler = handler
-        self._limits = limits
         self._idle_waits: set[_IdleWait] = set()
 
     def drain(self) -> None:
@@ -82,8 +110,9 @@
     async def serve(self, connection: Connection) -> None:
         """Serve one connection until it ends."""
         self.connections += 1
+        session = _Session(server=self, connection=connection)
         try:
-            await _Session(server=self, connection=connection).run()
+            await session.run()
         except Exception as error:
             # One request that runs into a fault of this program must not
             # end the requests of all other callers with the process.
@@ -92,6 +121,7 @@
             self.connections -= 1
             with anyio.CancelScope(shield=True), suppress(*BROKEN):
                 await connection.aclose()
+            session.release()
 
 
 class _Session:
@@ -105,15 +135,49 @@
     def __init__(self, *, server: Http1Server, connection: Connection) -> None:
         self._server = server
         self.connection = connection
-        limits = server._limits()
+        limits = server.limits()
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
         )
+        self._reader = RequestReader(
+            connection=connection, parser=self._parser, rules=server
+        )
+        self._idle: _IdleWait | None = None
+        self._lingering: anyio.CancelScope | None = None
+        self._has_yielded = False
+        self._seat = server.account.open(self._yield)
+
+    def release(self) -> None:
+        """Note that nothing is left of the connection."""
+        self._reader.holding.release()
+        if self._seat is not None:
+            self._seat.close()
+
+    def _yield(self) -> bool:
+        """End the connection for another; False if a request has come."""
+        if self._idle is not None and self.connection.has_input():
+            return False
+        self._has_yielded = True
+        self._reader.give_up()
+        if self._idle is not None:
+            self._idle.scope.cancel()
+        if self._lingering is not None:
+            self._lingering.cancel()
+        return True
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
+        seat = self._seat
+        if seat is None:
+            return
         while True:
-            request = await self._read_request()
+            seat.enter(Phase.IDLE)
+            if not await self._wait_for_bytes():
+                return
+            seat.enter(Phase.HEAD)
+            request = await self._reader.read(on_body=self._note_body)
+            if isinstance(request, IncomingRequest) and not seat.begin_work():
+                request = yielded()
             if request is None:
                 return
             if isinstance(request, Unreadable):
@@ -124,7 +188,11 @@
                 connection=self.connection,
                 closes=self._is_last_answer,
             )
-            await self._handle(request, reply)
+            try:
+                await self._handle(request, reply)
+            finally:
+                seat.end_work()
+                self._reader.holding.release()
             if not reply.is_finished or request.is_caller_gone:
                 return
             if self._parser.our_state is not h11.DONE:
@@ -132,6 +200,10 @@
                 return
             self._parser.start_next_cycle()
 
+    def _note_body(self) -> None:
+        assert self._seat is not None
+        self._seat.enter(Phase.BODY)
+
     def _is_last_answer(self) -> bool:
         """Whether an answer that begins now ends the connection.
 
@@ -158,24 +230,15 @@
         await self.connection.wait_ended()
         request.note_gone()
 
-    async def _read_request(self) -> IncomingRequest | Unreadable | None:
-        limits = self._server._limits()
-        if not await self._wait_for_bytes(limits.idle_timeout_s):
-            return None
-        event = await self._next_event_within(
-            limits.header_timeout_s, 'request took too long'
-        )
-        if not isinstance(event, h11.Request):
-            return event if isinstance(event, Unreadable) else None
-        problem = find_problem(event, limits)
-        return problem or await self._read_body(event, limits)
-
-    async def _wait_for_bytes(self, idle_timeout_s: float) -> bool:
+    async def _wait_for_bytes(self) -> bool:
         """Return whether a request begins before the idle time is over."""
+        idle_timeout_s = self._server.limits().idle_timeout_s
         if self._parser.trailing_data[0]:
             return True
         try:
             received = await self._receive_within(idle_timeout_s)
+            if self._has_yielded:
+                return False
             if not received and self.connection.has_input():
                 # Bytes that came in while the wait ended are a request that
                 # this process has read.
@@ -190,86 +253,24 @@
         """Return the next bytes, none if the connection stays idle."""
         with anyio.move_on_after(idle_timeout_s) as scope:
             wait = _IdleWait(scope=scope, began_at=anyio.current_time())
+            self._idle = wait
             self._server._idle_waits.add(wait)
             try:
                 return await self.connection.receive(READ_BYTES)
             finally:
+                self._idle = None
                 self._server._idle_waits.discard(wait)
         return b''
 
-    async def _read_body(
-        self, event: h11.Request, limits: TrafficLimits
-    ) -> IncomingRequest | Unreadable | None:
-        body = bytearray()
-        while True:
-            part = await self._next_event_within(
-                limits.idle_timeout_s, 'request body took too long'
-            )
-            if isinstance(part, h11.EndOfMessage):
-                break
-            if not isinstance(part, h11.Data):
-                return part if isinstance(part, Unreadable) else None
-            body += part.data
-            if len(body) > limits.max_body_bytes:
-                return Unreadable(
-                    status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    problem=f'body is above {limits.max_body_bytes} bytes',
-                )
-        head = RequestHead(
-            method=event.method,
-            target=event.target,
-            headers=tuple(event.headers.raw_items()),
-        )
-        return IncomingRequest(
-            head=head, body=bytes(body), connection=self.connection
-        )
-
-    async def _next_event_within(
-        self, timeout_s: float, problem: str
-    ) -> h11.Event | Unreadable:
-        """Return the next event, or that it did not arrive in time.
-
-        Most requests arrive in one piece: a timer is set only for what has
-        not arrived yet.
-        """
-        event = self._parse()
-        if event is not None:
-            return event
-        with anyio.move_on_after(timeout_s):
-            return await self._receive_event()
-        return Unreadable(status=HTTPStatus.REQUEST_TIMEOUT, problem=problem)
-
-    def _parse(self) -> h11.Event | Unreadable | None:
-        """Return the next event, None if it has not arrived."""
-        try:
-            event = self._parser.next_event()
-        except h11.RemoteProtocolError as error:
-            return Unreadable(
-                status=error.error_status_hint, problem=str(error)
-            )
-        return event if isinstance(event, h11.Event) else None
-
-    async def _receive_event(self) -> h11.Event | Unreadable:
-        """Return the next event; `ConnectionClosed` if the caller is gone."""
-        while True:
-            if self._parser.they_are_waiting_for_100_continue:
-                go_on = h11.InformationalResponse(status_code=100, headers=[])
-                await self.connection.send(self._parser.send(go_on) or b'')
-            try:
-                data = await self.connection.receive(READ_BYTES)
-            except BROKEN:
-                return h11.ConnectionClosed()
-            self._parser.receive_data(data)
-            event = self._parse()
-            if event is not None:
-                return event
-
     async def _turn_down(self, problem: Unreadable) -> None:
         log.info(
             'request_unreadable',
             status=int(problem.status),
             problem=problem.problem,
         )
+        self._reader.holding.release()
+        if problem.cause is not None:
+            self._server.account.record.add(problem.cause)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         reply = Reply(
@@ -277,8 +278,12 @@
             connection=self.connection,
             closes=lambda: True,
         )
-        await reply.answer(int(problem.status), ())
-        await self._linger()
+        if problem.refused is not None and self._server.screen is not None:
+            await self._server.screen.render(problem.refused, reply)
+        else:
+            await reply.answer(int(problem.status), problem.headers)
+        if not self._has_yielded and self._server.account.may_linger():
+            await self._linger()
 
     async def _wait_for_close(self) -> None:
         """Let the other side read its whole answer, and close.
@@ -296,36 +301,13 @@
         overtake the answer: the caller would see a broken connection in
         place of the status. The rest of the request is read and dropped.
         """
+        assert self._seat is not None
+        self._seat.enter(Phase.LINGERING)
         unread = 0
-        with anyio.move_on_after(LINGER_S), suppress(*BROKEN):
+        with (
+            anyio.move_on_after(LINGER_S) as self._lingering,
+            suppress(*BROKEN),
+        ):
             await self.connection.send_eof()
             while unread < LINGER_BYTES:
                 unread += len(await self.connection.receive(READ_BYTES))
-
-
-def find_problem(
-    event: h11.Request, limits: TrafficLimits
-) -> Unreadable | None:
-    """Return why a request may not be passed on, None if it may.
-
-    With two statements of its length, the next server may see another end
-    of the request than this one, and take what follows for a request that
-    nobody sent.
-    """
-    headers = tuple(event.headers)
-    size = len(event.target) + sum(len(k) + len(v) + 4 for k, v in headers)
-    if size > limits.max_header_bytes:
-        return Unreadable(
-            status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            problem=f'headers are above {limits.max_header_bytes} bytes',
-        )
-    has_length = bool(find_values(headers, b'content-length'))
-    if has_length and find_values(headers, b'transfer-encoding'):
-        problem = 'both Content-Length and Transfer-Encoding'
-    elif len(find_values(headers, b'host')) != 1:
-        problem = 'not exactly one Host'
-    elif not event.target.startswith(b'/'):
-        problem = 'target is not a path'
-    else:
-        return None
-    return Unreadable(status=HTTPStatus.BAD_REQUEST, problem=problem)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -16,6 +16,7 @@
 from mimosamux_daemon.early_listeners import (
     BACKLOG,
     SocketsByAddress,
+    limit_unread,
     open_listener,
 )
 from mimosamux_daemon.logs import get_log
@@ -35,6 +36,8 @@
 under way come to their turn before the next."""
 ACCEPT_PAUSE_S = 0.1
 """Pause after connections could not be accepted, for some to end."""
+ROOM_PAUSE_S = 0.01
+"""Pause while as many connections are open as may be."""
 PORT_PATTERN = re.compile(r'[0-9]{1,5}')
 MAX_PORT = 65_535
 MAX_SHOWN = 80
@@ -177,9 +180,15 @@
     def __init__(self, *, listening: socket.socket) -> None:
         self._listening = listening
         self.opening = 0
+        self.may_accept: Callable[[int], bool] = lambda opening: True
+        """Whether one more connection may be open beside those that open."""
         host, port = listening.getsockname()[:2]
         self.address = f'{host}:{port}'
 
+    def limit_unread(self) -> None:
+        """Bound what lies unread in each connection."""
+        limit_unread(self._listening)
+
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
     ) -> None:
@@ -188,6 +197,10 @@
             try:
                 while True:
                     await anyio.wait_readable(self._listening)
+                    if not self.may_accept(self.opening):
+                        # Others have yielded and are about to be closed.
+                        await anyio.sleep(ROOM_PAUSE_S)
+                        continue
                     if not self._open_waiting(handler, tasks, ACCEPTS_AT_ONCE):
                         # Without descriptors the socket stays readable: tried
                         # again at once, it would take the time of the requests
@@ -221,6 +234,8 @@
         longer than callers do, while no timer of the daemon is late.
         """
         for _ in range(at_most):
+            if not self.may_accept(self.opening):
+                return
             try:
                 accepted, _ = self._listening.accept()
             except BlockingIOError:
--- /dev/null
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -0,0 +1,77 @@
+"""Limits of what callers may make a process hold, from the size of its VM."""
+
+import resource
+from dataclasses import dataclass
+
+from mimosamux_daemon.early_listeners import RECEIVE_BUFFER_BYTES
+
+KIB = 1024
+MIB = 1024 * KIB
+
+DEFAULT_MEMORY_MB = 300.0
+"""Memory of a VM whose settings don't tell it."""
+LEAST_BYTES = 16 * MIB
+"""Memory for callers however small the VM is; two of the largest bodies."""
+BODIES_SHARE = 0.4
+"""Share of the memory for callers that their requests get, the rest is for
+their connections."""
+CONNECTION_BYTES = 16 * KIB + RECEIVE_BUFFER_BYTES
+"""Memory of a connection: its objects, and what lies in it unread."""
+SMALL_BYTES = 64 * KIB
+"""Requests up to this size may use all bytes, larger ones not the reserve."""
+SMALL_RESERVE = 0.25
+"""Share of the bytes that only small requests may use."""
+LEAST_SPARE_DESCRIPTORS = 64
+SPARE_DESCRIPTORS_SHARE = 1 / 8
+"""Share of the descriptors that is for endpoints, peers, the platform and
+files, at least `LEAST_SPARE_DESCRIPTORS`."""
+ACCEPTS_AHEAD = 32
+"""Connections that may be accepted before those that yield are closed."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CallerLimits:
+    """What all callers of a process may make it hold together."""
+
+    request_bytes: int
+    """Bytes of requests that arrive or are at work."""
+    connections: int
+    """Most connections, at the memory that each of them takes."""
+    descriptors: int
+    """Descriptors of connections and of the requests on them."""
+    backlog: int
+    """Connections that may wait to be accepted, where a server accepts all of
+    them at once."""
+
+    @property
+    def large_request_bytes(self) -> int:
+        """Part of `request_bytes` that large requests may use."""
+        return int(self.request_bytes * (1 - SMALL_RESERVE))
+
+
+def find_limits(
+    *, memory_mb: float, descriptors: int, own_bytes: int
+) -> CallerLimits:
+    """Return the limits for a VM.
+
+    `memory_mb` is its memory in MiB, 0 if unknown; `descriptors` the most
+    that the process may have, and `own_bytes` what it needs without callers.
+    """
+    memory = int((memory_mb or DEFAULT_MEMORY_MB) * MIB)
+    for_callers = max(memory - own_bytes, LEAST_BYTES)
+    request_bytes = int(for_callers * BODIES_SHARE)
+    spare = max(
+        LEAST_SPARE_DESCRIPTORS, int(descriptors * SPARE_DESCRIPTORS_SHARE)
+    )
+    return CallerLimits(
+        request_bytes=request_bytes,
+        connections=(for_callers - request_bytes) // CONNECTION_BYTES,
+        descriptors=max(descriptors - spare - ACCEPTS_AHEAD, ACCEPTS_AHEAD),
+        backlog=spare // 2,
+    )
+
+
+def find_descriptor_limit(setting: int) -> int:
+    """Return how many descriptors the process may have; 0: not set."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return min(setting, soft) if setting else soft
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/gateway.py
@@ -5,6 +5,7 @@
 
 from mimosamux_daemon.domain.http_messages import RequestHead
 from mimosamux_daemon.domain.names import (
+    AccountId,
     DataCentreName,
     EndpointId,
     ServiceName,
@@ -126,4 +127,14 @@
     cause: Reason = Reason.ENDPOINT_FAILED
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ScreenedRequest:
+    """A request that may be served as far as its head tells."""
+
+    account: AccountId | None
+    """None if it needs no account."""
+    limit_s: float
+    """Longest time for which its caller waits for the answer."""
+
+
 GatewayOutcome = Delivered | Refused | Failed | CallerGone | AnswerTruncated
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -90,6 +90,17 @@
         return math.nan
 
 
+def parse_count(value: bytes | None) -> float | None:
+    """Return the number of a header, None unless it is one below `1e9`."""
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if 0 <= number < 1e9 else None
+
+
 def end_to_end(
     headers: RawHeaders, *, without: frozenset[bytes] = frozenset()
 ) -> RawHeaders:
--- a/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
@@ -12,6 +12,10 @@
 BACKLOG = 1024
 """Maximum number of connections waiting to be accepted."""
 
+RECEIVE_BUFFER_BYTES = 32 * 1024
+"""Receive buffer of an accepted connection. What lies in it unread counts as
+memory of the process, and the system's own buffers grow to megabytes."""
+
 SocketsByAddress = dict[str, socket.socket]
 """Listening sockets by `host:port`."""
 
@@ -35,9 +39,11 @@
 def _try_open(address: str) -> socket.socket | None:
     host, _, port = address.rpartition(':')
     try:
-        return open_listener(host, int(port))
+        listening = open_listener(host, int(port))
     except (OSError, ValueError, OverflowError):
         return None
+    limit_unread(listening)
+    return listening
 
 
 def open_listener(host: str, port: int) -> socket.socket:
@@ -45,3 +51,13 @@
     listening = socket.create_server((host, port), backlog=BACKLOG)
     listening.setblocking(False)
     return listening
+
+
+def limit_unread(listening: socket.socket) -> None:
+    """Bound what lies unread in each connection to a listening socket.
+
+    Accepted connections inherit it, also those that wait to be accepted.
+    """
+    listening.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/admission.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/admission/admission.py
@@ -5,13 +5,14 @@
 help, with a time after which to retry.
 """
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import anyio
 
-from mimosamux_daemon.domain.gateway import GatewayRequest
+from mimosamux_daemon.domain.gateway import GatewayRequest, ScreenedRequest
 from mimosamux_daemon.domain.names import AccountId, DaemonId, ServiceName
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import (
@@ -66,6 +67,15 @@
     """Allotment that the request lacks, which other daemons may lend."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Routed:
+    """A route and the account of its caller, under one configuration."""
+
+    configuration: GatewayConfiguration
+    route: Route
+    account: AccountEntry | None
+
+
 @dataclass(kw_only=True, slots=True)
 class Admission:
     """Admits requests as jobs under the current configuration."""
@@ -111,10 +121,25 @@
             with anyio.move_on_after(left_s):
                 await confirmed.wait()
 
-    def _check(
-        self, request: GatewayRequest, sink: AnswerSink
-    ) -> Job | Refused | _Unacked:
-        """Check a request once, without waiting."""
+    def screen(self, request: GatewayRequest) -> ScreenedRequest | Refused:
+        """Check route and key of a request whose body has not arrived.
+
+        Nothing is charged. The limit counts from now, as its caller does.
+        """
+        found = self._find_route(request)
+        if isinstance(found, Refused):
+            return found
+        return ScreenedRequest(
+            account=None if found.account is None else found.account.id,
+            limit_s=min(
+                found.route.timeout_s,
+                math.inf
+                if request.caller_timeout_s is None
+                else request.caller_timeout_s,
+            ),
+        )
+
+    def _find_route(self, request: GatewayRequest) -> _Routed | Refused:
         configuration = self.configuration.current
         if configuration.version == 0:
             return Refused(
@@ -128,14 +153,25 @@
         account = self._find_account(configuration, route, request)
         if isinstance(account, Refused):
             return account
-        service = self._pick_service(configuration, route, request)
+        return _Routed(
+            configuration=configuration, route=route, account=account
+        )
+
+    def _check(
+        self, request: GatewayRequest, sink: AnswerSink
+    ) -> Job | Refused | _Unacked:
+        """Check a request once, without waiting."""
+        found = self._find_route(request)
+        if isinstance(found, Refused):
+            return found
+        service = self._pick_service(found, request)
         if service is None:
             return self._refuse_unknown(Reason.NO_ROUTE, 'no service')
         job = Job(
             request=request,
-            route=route,
+            route=found.route,
             service=service,
-            account=account,
+            account=found.account,
             sink=sink,
         )
         return self._charge_cap(job) or job
@@ -180,15 +216,13 @@
         )
 
     def _pick_service(
-        self,
-        configuration: GatewayConfiguration,
-        route: Route,
-        request: GatewayRequest,
+        self, found: _Routed, request: GatewayRequest
     ) -> ServiceEntry | None:
         """Return a service of a route, drawn by the weights of its split.
 
         A stream that is resumed stays with the service that began it.
         """
+        route = found.route
         if not route.splits:
             return None
         name: ServiceName = route.splits[0].service
@@ -200,7 +234,7 @@
             weights = [split.weight for split in route.splits]
             if sum(weights) > 0:
                 name = self.rng.choices(route.splits, weights)[0].service
-        return configuration.services_by_name.get(name)
+        return found.configuration.services_by_name.get(name)
 
     def _charge_cap(self, job: Job) -> Refused | _Unacked | None:
         """Charge a job to its account's cap, or return a refusal."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -8,9 +8,18 @@
 import anyio.abc
 
 from mimosamux_daemon.adapters.http1_exchange import Handler
+from mimosamux_daemon.adapters.http1_requests import Screen
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
+from mimosamux_daemon.callers import (
+    CallerAccount,
+    CallerRecord,
+    LossCause,
+    ParseTurns,
+    find_descriptor_limit,
+    find_limits,
+)
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
 from mimosamux_daemon.gateway.discovery import Discovery
@@ -35,6 +44,9 @@
 They arrive within 20 ms of the start. Without them, requests that wait to be
 accepted would be refused, to be retried 0.5 s later."""
 
+OWN_BYTES = 96 * 1024 * 1024
+"""Memory that a gateway needs without callers, at a large site."""
+
 
 class GatewayDaemon:
     """One daemon; `run` serves until `stop` is called."""
@@ -68,8 +80,11 @@
             wall_clock=wall_clock,
             rng=random.Random() if rng is None else rng,
         )
+        self._account = self._build_account()
+        self._turns = ParseTurns()
+        handler = platform.create_request_handler(self.parts.forwarder)
         self._server = self._build_server(
-            platform.create_request_handler(self.parts.forwarder)
+            handler.handle, takes_bodies=True, screen=handler
         )
         self._tunnels = TunnelServer(
             network=self._network,
@@ -115,10 +130,34 @@
         """Whether discovery may direct clients to this daemon."""
         return self.parts.states.state is MemberState.READY
 
-    def _build_server(self, handler: Handler) -> Http1Server:
+    def _build_account(self) -> CallerAccount:
+        def note(cause: LossCause) -> None:
+            self.parts.metrics.caller_losses.inc({'cause': cause})
+
+        return CallerAccount(
+            limits=find_limits(
+                memory_mb=self.settings.memory_mb,
+                descriptors=find_descriptor_limit(self.settings.descriptors),
+                own_bytes=OWN_BYTES,
+            ),
+            record=CallerRecord(note=note),
+        )
+
+    def _build_server(
+        self,
+        handler: Handler,
+        *,
+        takes_bodies: bool = False,
+        screen: Screen | None = None,
+    ) -> Http1Server:
         return Http1Server(
             handler=handler,
             limits=lambda: self.parts.configuration.current.limits,
+            account=self._account,
+            turns=self._turns,
+            screen=screen,
+            takes_bodies=takes_bodies,
+            body_timeout_s=self.settings.body_timeout_s,
         )
 
     async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -169,6 +208,7 @@
             trials=self.parts.trials,
             duties=self.parts.duties,
             store_era=self._platform.store_era,
+            account=self._account,
             open_requests=lambda: self._server.open_requests,
             is_stopping=lambda: self.parts.stop_window.is_stopping,
             clock=self._clock,
@@ -180,8 +220,12 @@
         address: str,
         server: Http1Server | TunnelServer,
     ) -> Acceptor:
+        listener = await self._network.listen(address)
+        if isinstance(server, Http1Server):
+            listener.may_accept = self._account.may_accept
+            listener.limit_unread()
         acceptor = Acceptor(
-            listener=await self._network.listen(address),
+            listener=listener,
             handler=server.serve,
             tasks=tasks,
         )
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -19,6 +19,7 @@
     Delivered,
     GatewayOutcome,
     GatewayRequest,
+    ScreenedRequest,
 )
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 from mimosamux_daemon.domain.routes import RouteKind
@@ -112,6 +113,10 @@
     lag: LoopLag
     clock: Callable[[], float]
 
+    def screen(self, request: GatewayRequest) -> ScreenedRequest | Refused:
+        """Check a request by its head, before its body has arrived."""
+        return self.admission.screen(request)
+
     async def forward(
         self, request: GatewayRequest, caller: Caller, sink: AnswerSink
     ) -> GatewayOutcome:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -67,6 +67,20 @@
             'mimosamux_gateway_endpoint_crashes_total',
             'Endpoints that ended unannounced under requests, by service.',
         )
+        self.caller_losses = self._counter(
+            'mimosamux_gateway_caller_losses_total',
+            'Requests and connections of callers that were given up at a '
+            'limit, by cause.',
+        )
+        self.caller_holdings = self._gauge(
+            'mimosamux_gateway_caller_holdings',
+            'What callers hold, by kind (request_bytes, connections, '
+            'descriptors).',
+        )
+        self.caller_limits = self._gauge(
+            'mimosamux_gateway_caller_limits',
+            'The most that callers may hold, by kind.',
+        )
         self.suspects = self._gauge(
             'mimosamux_gateway_suspects',
             'Contents and prompt parts under which endpoints crashed, by '
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -6,6 +6,7 @@
 import orjson
 
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
+from mimosamux_daemon.callers import CallerAccount
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.store_eras import StoreEra
@@ -43,6 +44,7 @@
     trials: TrialTallies
     duties: Duties
     store_era: StoreEra
+    account: CallerAccount
     open_requests: Callable[[], int]
     is_stopping: Callable[[], bool]
     clock: Callable[[], float]
@@ -109,6 +111,7 @@
         metrics = self.metrics
         metrics.open_requests.set({}, self.open_requests())
         metrics.stopping.set({}, int(self.is_stopping()))
+        self._collect_holdings()
         metrics.configuration_version.set(
             {}, self.configuration.current.version
         )
@@ -148,6 +151,11 @@
                 labels = {'service': service, 'state': state}
                 metrics.endpoints.set(labels, counts.get((service, state), 0))
 
+    def _collect_holdings(self) -> None:
+        for kind, held, most in self.account.holdings():
+            self.metrics.caller_holdings.set({'kind': kind}, held)
+            self.metrics.caller_limits.set({'kind': kind}, most)
+
     def _daemon_rows(self) -> list[dict[str, object]]:
         """Return this daemon, then each peer."""
         fresh = {peer.place.id for peer in self.states.fresh()}
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -120,6 +120,12 @@
     region: str = ''
     link_mbps: NonNegative = 0.0
     """Bandwidth of the VM's network link; 0: unknown."""
+    memory_mb: NonNegative = 0.0
+    """Memory of the VM, in MiB; 0: unknown."""
+    descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
+    """Most descriptors of the process; 0: what the system allows."""
+    body_timeout_s: Positive = 30.0
+    """Longest time from the head of a request to the end of its body."""
     listen: ListenModel
     seeds: tuple[str, ...] = ()
     """Peer addresses of daemons that may be running already."""
@@ -155,6 +161,9 @@
     usage_window_s: float
     usage_lateness_s: float
     address_ttl_s: float
+    memory_mb: float = 0.0
+    descriptors: int = 0
+    body_timeout_s: float = 30.0
     retries: RetryLimits
     caps: CapRules
     rollouts: RolloutLimits = RolloutLimits()
@@ -203,6 +212,9 @@
         usage_window_s=bounds.usage_window_s,
         usage_lateness_s=bounds.usage_lateness_s,
         address_ttl_s=bounds.address_ttl_s,
+        memory_mb=model.memory_mb,
+        descriptors=model.descriptors,
+        body_timeout_s=model.body_timeout_s,
         retries=RetryLimits(
             share=model.retries.share,
             window_s=model.retries.window_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/gateway_platform.py
@@ -14,7 +14,11 @@
 from mimosamux_daemon.ports.endpoint_calls import EndpointCalls
 from mimosamux_daemon.ports.endpoint_routes import EndpointRoutes
 from mimosamux_daemon.ports.feeds import Feed
-from mimosamux_daemon.ports.gateway import DaemonDirectory, RequestForwarder
+from mimosamux_daemon.ports.gateway import (
+    DaemonDirectory,
+    RequestForwarder,
+    RequestHandler,
+)
 from mimosamux_daemon.ports.run_moves import RunMoves
 from mimosamux_daemon.ports.table import Table
 
@@ -37,7 +41,7 @@
     store_era: StoreEra
     duties: DutyCalls | None
     """None: the daemon reports no usage and orders no endpoints."""
-    create_request_handler: Callable[[RequestForwarder], Handler]
+    create_request_handler: Callable[[RequestForwarder], RequestHandler]
     """Creates the handler for callers' requests."""
     create_discovery_handler: Callable[
         [DaemonDirectory, Callable[[], bool]], Handler
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -55,6 +55,11 @@
     """Address with the actual port, also if port 0 was requested."""
     opening: int
     """Number of accepted connections whose handler has not begun."""
+    may_accept: Callable[[int], bool]
+    """Whether one more connection may be open beside those that open."""
+
+    def limit_unread(self) -> None:
+        """Bound what lies unread in each connection, for callers' ones."""
 
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
--- a/tests/crowd_gateway.py
+++ b/tests/crowd_gateway.py
@@ -21,7 +21,9 @@
 
     def start(self):
         started = platform_processes(
-            daemons=1, daemon_descriptors=crowds.DESCRIPTORS
+            daemons=1,
+            daemon_descriptors=crowds.DESCRIPTORS,
+            daemon_settings={'memory_mb': SMALLEST_VM_BYTES / crowds.MIB},
         )
         self.platform = started.__enter__()
         self.addCleanup(started.__exit__, None, None, None)
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -137,6 +137,9 @@
     tasks: anyio.abc.TaskGroup | None = None
     opening: int = 0
 
+    def limit_unread(self):
+        """Nothing lies unread in a network without buffers."""
+
     async def accept(self, connection, delay_s):
         try:
             if delay_s:
--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -55,6 +55,8 @@
     store: str
     cloud: str
     daemons: list = field(default_factory=list)
+    daemon_settings: dict = field(default_factory=dict)
+    """Settings of each daemon that differ from the usual ones."""
 
     def start_daemon(self, *, store=None, settings=None):
         """Start a daemon; with settings, another one with the same."""
@@ -74,6 +76,7 @@
                 cloud=self.cloud,
                 ports=ports,
             )
+            settings |= self.daemon_settings
         process = self.started.start_daemon(**settings)
         daemon = Daemon(process=process, settings=settings)
         self.daemons.append(daemon)
@@ -131,7 +134,9 @@
 
 
 @contextmanager
-def platform_processes(*, daemons=3, daemon_descriptors=None, **options):
+def platform_processes(
+    *, daemons=3, daemon_descriptors=None, daemon_settings=None, **options
+):
     """Give the platform and some daemons, and end all of them."""
     with processes() as started:
         started.descriptors = daemon_descriptors
@@ -141,7 +146,11 @@
         site = started.start_standin('site', *arguments)
         _, store, cloud, control = site.wait_for_line('listening').split()
         platform = PlatformProcesses(
-            started=started, control=control, store=store, cloud=cloud
+            started=started,
+            control=control,
+            store=store,
+            cloud=cloud,
+            daemon_settings=daemon_settings or {},
         )
         for _ in range(daemons):
             platform.start_daemon()
--- /dev/null
+++ b/tests/test_caller_account.py
@@ -0,0 +1,211 @@
+"""What callers may hold together, and who yields when it is full."""
+
+import unittest
+
+import anyio
+from mimosamux_daemon.callers import (
+    CallerAccount,
+    CallerLimits,
+    CallerRecord,
+    LossCause,
+    Phase,
+    find_limits,
+)
+
+from tests.support.clock import run_paused
+
+KIB = 1024
+MIB = 1024 * KIB
+LARGE = 1 * MIB
+LIMITS = CallerLimits(
+    request_bytes=4 * MIB, connections=4, descriptors=8, backlog=4
+)
+LARGE_MIB = 3
+"""Of the limit, large requests may use three quarters."""
+
+
+class Upload:
+    """A request that arrives, and whether it was told to yield."""
+
+    def __init__(self, account, owner='', due_at=float('inf')):
+        self.has_yielded = False
+        self.holding = account.hold_request(self.give_up)
+        self.holding.assign(owner, due_at=due_at)
+
+    def give_up(self):
+        self.has_yielded = True
+
+    def hold(self, size):
+        return self.holding.hold(size)
+
+
+class Seat:
+    """A connection, and whether it was told to yield."""
+
+    def __init__(self, account, *, has_input=False):
+        self.has_yielded = False
+        self.has_input = has_input
+        self.connection = account.open(self.give_up)
+
+    def give_up(self):
+        self.has_yielded = not self.has_input
+        return self.has_yielded
+
+
+def paused(test):
+    """Run a test that is given a new account, on a paused clock."""
+
+    def run(self):
+        async def play():
+            account = CallerAccount(limits=LIMITS, record=CallerRecord())
+            await test(self, account)
+
+        run_paused(play)
+
+    run.__name__ = test.__name__
+    return run
+
+
+class TestBytes(unittest.TestCase):
+    # Guards against a crowd that stops short and locks all others out.
+    @paused
+    async def test_largest_unfinished_request_yields_to_a_newcomer(
+        self, account
+    ):
+        uploads = [Upload(account) for _ in range(LARGE_MIB)]
+        for number, each in enumerate(uploads):
+            self.assertTrue(each.hold(LARGE + number - 1))
+        self.assertTrue(Upload(account).hold(100 * KIB))
+        self.assertEqual(
+            [each.has_yielded for each in uploads], [False, False, True]
+        )
+        self.assertEqual(account.record.counts, {LossCause.BYTES: 1})
+
+    # Guards against one client account that spends the share of all.
+    @paused
+    async def test_client_account_that_holds_most_yields(self, account):
+        crowd = [Upload(account, 'crowd') for _ in range(2)]
+        self.assertTrue(all(each.hold(LARGE) for each in crowd))
+        single = Upload(account, 'school')
+        self.assertTrue(single.hold(LARGE + 100 * KIB))
+        self.assertFalse(single.has_yielded)
+        self.assertEqual(sum(each.has_yielded for each in crowd), 1)
+
+    # Guards against room that is kept for a caller who waits no more.
+    @paused
+    async def test_request_that_arrives_too_late_yields_first(self, account):
+        late = Upload(account, due_at=anyio.current_time() + 1.0)
+        self.assertTrue(late.hold(100 * KIB))
+        large = Upload(account)
+        self.assertTrue(large.hold(2 * LARGE))
+        await anyio.sleep(2.0)
+        self.assertTrue(Upload(account).hold(LARGE))
+        self.assertEqual((late.has_yielded, large.has_yielded), (True, False))
+
+    # Guards against large requests at work that leave small ones no room.
+    @paused
+    async def test_small_requests_have_a_reserve(self, account):
+        for _ in range(LARGE_MIB):
+            self.assertTrue(Upload(account).holding.finish(LARGE))
+        self.assertFalse(Upload(account).holding.finish(LARGE))
+        small = [Upload(account) for _ in range(16)]
+        self.assertTrue(all(each.holding.finish(64 * KIB) for each in small))
+        self.assertFalse(Upload(account).holding.finish(64 * KIB))
+
+    # Guards against requests at work that are given up for a newcomer.
+    @paused
+    async def test_whole_request_never_yields(self, account):
+        whole = Upload(account)
+        self.assertTrue(whole.holding.finish(3 * LARGE))
+        self.assertFalse(Upload(account).hold(LARGE))
+        self.assertFalse(whole.has_yielded)
+
+    # Guards against a legal request that is refused in calm.
+    @paused
+    async def test_single_request_fits_whatever_its_size(self, account):
+        self.assertTrue(Upload(account).hold(10 * LIMITS.request_bytes))
+
+    @paused
+    async def test_released_bytes_are_free_again(self, account):
+        for _ in range(10):
+            upload = Upload(account, 'school')
+            self.assertTrue(upload.holding.finish(3 * LARGE))
+            upload.holding.release()
+        self.assertEqual(account.request_bytes, 0)
+
+
+class TestConnections(unittest.TestCase):
+    # Guards against idle and stalled callers who lock newcomers out.
+    @paused
+    async def test_connections_yield_by_phase_and_age(self, account):
+        phases = (Phase.BODY, Phase.HEAD, Phase.IDLE, Phase.IDLE)
+        seats = [Seat(account) for _ in phases]
+        for seat, phase in zip(seats, phases, strict=True):
+            seat.connection.enter(phase)
+        order = []
+        for _ in range(2):
+            self.assertTrue(Seat(account).connection.begin_work())
+            order.append([seat.has_yielded for seat in seats])
+        Seat(account)
+        order.append([seat.has_yielded for seat in seats])
+        self.assertEqual(
+            order,
+            [
+                [False, False, True, False],
+                [False, False, True, True],
+                [False, True, True, True],
+            ],
+        )
+
+    # Guards against answers under way that are cut for a newcomer.
+    @paused
+    async def test_request_at_work_never_yields(self, account):
+        working = [Seat(account) for _ in range(2)]
+        for seat in working:
+            self.assertTrue(seat.connection.begin_work())
+        for _ in range(6):
+            Seat(account)
+        self.assertFalse(any(seat.has_yielded for seat in working))
+
+    # Guards against a request that has come and is dropped unanswered.
+    @paused
+    async def test_idle_connection_with_a_request_stays(self, account):
+        busy = Seat(account, has_input=True)
+        idle = [Seat(account) for _ in range(3)]
+        Seat(account)
+        self.assertFalse(busy.has_yielded)
+        self.assertTrue(idle[0].has_yielded)
+
+    # Guards against descriptors that are counted twice, or never given back.
+    @paused
+    async def test_closed_connections_are_free_again(self, account):
+        for _ in range(20):
+            seat = Seat(account)
+            self.assertTrue(seat.connection.begin_work())
+            seat.connection.end_work()
+            seat.connection.close()
+        self.assertEqual((account.descriptors, account.sockets), (0, 0))
+
+    # Guards against accepts ahead of the closing of those that yielded.
+    @paused
+    async def test_no_more_are_accepted_than_can_be_open(self, account):
+        accepted = 0
+        while account.may_accept(0):
+            Seat(account)
+            accepted += 1
+        self.assertEqual(accepted, LIMITS.descriptors + 32)
+
+
+class TestLimits(unittest.TestCase):
+    def test_limits_hold_on_vms_of_all_sizes(self):
+        for memory_mb in (160, 200, 300, 552):
+            limits = find_limits(
+                memory_mb=memory_mb, descriptors=4100, own_bytes=96 * MIB
+            )
+            with self.subTest(memory_mb=memory_mb):
+                held = limits.request_bytes + limits.connections * 48 * KIB
+                self.assertLessEqual(held + 96 * MIB, memory_mb * MIB)
+                self.assertGreaterEqual(
+                    limits.large_request_bytes, 4 * 4 * MIB
+                )
+                self.assertLess(limits.descriptors, 4100 - 500)
