The caller API holds to the same account, and ends refused uploads

Besides, an answer that came before its body had, as to an unknown key, left the connection open for good where more than ten parts of the body were unread: hypercorn waits for room in a queue that nobody empties.

Cause: three ways to read a body, two without a time, none that knew of the others; chunks of a few bytes were kept apart; hypercorn's worker accepts all that comes, and its queue of parts is not emptied behind an answer.

Change: api/bodies.py reads all bodies under the account, in one buffer; api/caller_gate.py counts requests, adapters/http_connections.py connections (hypercorn's server of one connection is used as it is, in place of its worker). adapters/http_lingering.py reads on behind an early answer, for a second and 8 MiB at most, and lets the connection end. Two parts of a body are queued and 16 streams of a connection run at once; TLS handshakes end after 5 s. Metrics show what callers hold.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
@@ -10,6 +10,12 @@
 import sniffio
 from hypercorn.config import Config
 
+from mimosamux_daemon.adapters.http_connections import (
+    CallerConnections,
+    serve_connections,
+)
+from mimosamux_daemon.adapters.http_lingering import LingeringClose
+from mimosamux_daemon.early_listeners import limit_unread
 from mimosamux_daemon.logs import get_log
 
 log = get_log('http_server')
@@ -17,6 +23,11 @@
 BACKLOG = 1024
 KEEP_ALIVE_S = 75.0
 MAX_HEADER_BYTES = 32 * 1024
+TLS_HANDSHAKE_S = 5.0
+MAX_STREAMS = 16
+"""Requests at once on one HTTP/2 connection."""
+MAX_QUEUED_PARTS = 2
+"""Parts of a body that the server keeps for an application that is busy."""
 ABORT_DELAY_S = 0.2
 """Time for the server to end by itself behind the grace period."""
 
@@ -42,6 +53,7 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
+    limit_unread(listener)
     listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
@@ -55,12 +67,14 @@
     grace_s: float = 60.0,
     find_grace_s: Callable[[], float] | None = None,
     context: ssl.SSLContext | None = None,
+    connections: CallerConnections | None = None,
 ) -> None:
     """Serve until `shutdown` returns, then let open requests finish.
 
     The server takes the listener over and closes it. `find_grace_s` is
     called at the shutdown and replaces `grace_s`. Connections that are open
-    at the end of the grace period are aborted.
+    at the end of the grace period are aborted. With `connections`, these are
+    counted and may have to yield.
     """
     ending = anyio.CancelScope()
 
@@ -81,6 +95,10 @@
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
+    config.ssl_handshake_timeout = TLS_HANDSHAKE_S
+    config.h2_max_concurrent_streams = MAX_STREAMS
+    config.max_app_queue_size = MAX_QUEUED_PARTS
+    app = LingeringClose(app=app)
     if sniffio.current_async_library() == 'trio':
         from hypercorn.trio import serve as serve_trio
 
@@ -93,7 +111,15 @@
     # graceful stop: it gets a task of its own.
     async def serve_until_aborted() -> None:
         try:
-            await serve(app, config, shutdown_trigger=await_shutdown)
+            if connections is None:
+                await serve(app, config, shutdown_trigger=await_shutdown)
+            else:
+                await serve_connections(
+                    app,
+                    config,
+                    connections=connections,
+                    shutdown=await_shutdown,
+                )
         except asyncio.InvalidStateError:
             # The server asks for the result of connections that still
             # send when it is cancelled.
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
@@ -1,24 +1,53 @@
-"""Reads bodies of model requests with a size limit and a time-out."""
+"""Reads the bodies of requests to the caller API, within a size and a time."""
 
 from dataclasses import dataclass
+from enum import Enum, auto
 from http import HTTPStatus
 
 import anyio
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 
-from mimosamux_daemon.api.errors import outcome_body
+from mimosamux_daemon.api.caller_gate import (
+    GATED_REQUEST,
+    YIELDED,
+    GatedRequest,
+)
+from mimosamux_daemon.api.errors import outcome_body, outcome_response
+from mimosamux_daemon.callers import LossCause
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
 """Largest body of a model request; about half a million tokens."""
 BODY_TIMEOUT_S = 30.0
-"""Time-out for receiving a complete body."""
+"""Time-out for receiving a complete body where no settings tell one."""
+SERVER_BYTES = 128 * 1024
+"""Bytes of a body that arrives which the HTTP server has not given out."""
+COPIES = 3
+"""Copies of a body while its request is at work: as it came, as it was parsed
+and as it is sent."""
+
+
+class BodyProblem(Enum):
+    """Why a body was not accepted; its request did not run."""
+
+    TOO_LARGE = auto()
+    TOO_SLOW = auto()
+    TRUNCATED = auto()
+    YIELDED = auto()
+    """Too much of other callers' requests is held."""
+
+
+CAUSE_BY_PROBLEM = {
+    BodyProblem.TOO_LARGE: LossCause.TOO_LARGE,
+    BodyProblem.TOO_SLOW: LossCause.SLOW_BODY,
+}
+"""Limits that a body met; the account itself counts those that yield."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BodyRefused:
-    """A body was not accepted, so its request did not run."""
+    """A body of a model request was not accepted."""
 
     status: HTTPStatus
     message: str
@@ -31,42 +60,79 @@
         )
 
 
-TOO_LARGE = BodyRefused(
-    status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-    message=f'body: larger than {MAX_BODY_BYTES} bytes',
-)
-TOO_SLOW = BodyRefused(
-    status=HTTPStatus.REQUEST_TIMEOUT,
-    message=f'body: not here within {BODY_TIMEOUT_S:.0f} s',
-)
-TRUNCATED = BodyRefused(
-    status=HTTPStatus.BAD_REQUEST, message='body: broke off'
-)
+REFUSED_BY_PROBLEM = {
+    BodyProblem.TOO_LARGE: BodyRefused(
+        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        message=f'body: larger than {MAX_BODY_BYTES} bytes',
+    ),
+    BodyProblem.TOO_SLOW: BodyRefused(
+        status=HTTPStatus.REQUEST_TIMEOUT,
+        message='body: not here in time',
+    ),
+    BodyProblem.TRUNCATED: BodyRefused(
+        status=HTTPStatus.BAD_REQUEST, message='body: broke off'
+    ),
+}
+
 
+def refuse_body(problem: BodyProblem) -> Response:
+    """Return the answer to a model request whose body was not accepted."""
+    if problem is BodyProblem.YIELDED:
+        return outcome_response(YIELDED)
+    return REFUSED_BY_PROBLEM[problem].as_response()
 
-async def read_body(request: Request) -> bytes | BodyRefused:
-    """Return the complete body, or why it is refused.
 
-    Without the limits, a few callers could exhaust the memory of a small
-    VM with bodies that never end.
+async def read_body(
+    request: Request, *, limit: int = MAX_BODY_BYTES, owner: str = ''
+) -> bytes | BodyProblem:
+    """Return the complete body, of at most `limit` bytes, or why not.
+
+    `owner` is the client account that sends it.
     """
-    content_length = request.headers.get('content-length', '')
-    if content_length.isdecimal() and int(content_length) > MAX_BODY_BYTES:
-        return TOO_LARGE
-    with anyio.move_on_after(BODY_TIMEOUT_S):
-        return await _read_within_limit(request)
-    return TOO_SLOW
+    gated: GatedRequest | None = request.scope.get(GATED_REQUEST)
+    if gated is None:
+        with anyio.move_on_after(BODY_TIMEOUT_S):
+            return await _read_within_limit(request, limit, None)
+        return BodyProblem.TOO_SLOW
+    gated.holding.assign(owner)
+    found: bytes | BodyProblem = BodyProblem.TOO_SLOW
+    with anyio.move_on_after(gated.body_timeout_s) as scope:
+        gated.give_up = scope.cancel
+        found = await _read_within_limit(request, limit, gated)
+    gated.give_up = _give_up_nothing
+    if gated.has_yielded:
+        return BodyProblem.YIELDED
+    if isinstance(found, BodyProblem):
+        gated.holding.release()
+        if found in CAUSE_BY_PROBLEM:
+            gated.account.record.add(CAUSE_BY_PROBLEM[found])
+        return found
+    if not gated.holding.finish(COPIES * len(found)):
+        return BodyProblem.YIELDED
+    return found if gated.begin_work() else BodyProblem.YIELDED
 
 
-async def _read_within_limit(request: Request) -> bytes | BodyRefused:
-    chunks = []
-    size = 0
+async def _read_within_limit(
+    request: Request, limit: int, gated: GatedRequest | None
+) -> bytes | BodyProblem:
+    content_length = request.headers.get('content-length', '')
+    if content_length.isdecimal() and int(content_length) > limit:
+        return BodyProblem.TOO_LARGE
+    # Chunks of a few bytes, kept apart, would take many times their size.
+    body = bytearray()
     try:
         async for chunk in request.stream():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BODY_BYTES:
-                return TOO_LARGE
+            body += chunk
+            if len(body) > limit:
+                return BodyProblem.TOO_LARGE
+            if gated is not None and not gated.holding.hold(
+                len(body) + SERVER_BYTES
+            ):
+                return BodyProblem.YIELDED
     except ClientDisconnect:
-        return TRUNCATED
-    return b''.join(chunks)
+        return BodyProblem.TRUNCATED
+    return bytes(body)
+
+
+def _give_up_nothing() -> None:
+    """Stand for the wait of a body that is not awaited."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/callers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/callers.py
@@ -18,7 +18,11 @@
     unknown_request_response,
     wait_for_response,
 )
-from mimosamux_daemon.api.bodies import BodyRefused, read_body
+from mimosamux_daemon.api.bodies import (
+    BodyProblem,
+    read_body,
+    refuse_body,
+)
 from mimosamux_daemon.api.errors import outcome_response
 from mimosamux_daemon.api.models import ChatBody, CompletionBody, parse_body
 from mimosamux_daemon.api.streams import EventId, parse_event_id
@@ -84,11 +88,13 @@
         work_class = find_work_class(request, configuration)
         if isinstance(work_class, Refused):
             return outcome_response(work_class)
-        data = await read_body(request)
-        if isinstance(data, BodyRefused):
-            return data.as_response()
+        data = await read_body(request, owner=account.id)
+        if isinstance(data, BodyProblem):
+            return refuse_body(data)
         try:
             body = parse_body(body_type, data)  # type: ignore[type-var]
+            # The prompt is a copy of most of it, and the answer takes long.
+            del data
             model_request = _build_model_request(
                 request, body, account, work_class
             )
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
@@ -11,6 +11,7 @@
 from starlette.routing import Route
 
 from mimosamux_daemon.api.accounts import bearer_token, digest_key
+from mimosamux_daemon.api.bodies import BodyProblem, read_body
 from mimosamux_daemon.api.decisions import (
     decision_response,
     describe_version,
@@ -52,6 +53,12 @@
 """Role of tokens for reading, configuration changes and drains."""
 MAX_BODY_BYTES = MAX_DOCUMENT_BYTES + 64 * 1024
 """Largest body: a configuration document and its other fields."""
+PROBLEM_TEXTS = {
+    BodyProblem.TOO_LARGE: f'above {MAX_BODY_BYTES} bytes',
+    BodyProblem.TOO_SLOW: 'not here in time',
+    BodyProblem.TRUNCATED: 'broke off',
+    BodyProblem.YIELDED: 'too many requests are arriving',
+}
 
 StatusSource = Callable[[], Sequence[Mapping[str, Any]]]
 """Returns the rows of one section of the status."""
@@ -300,14 +307,10 @@
 
 
 async def _read_body(request: Request) -> bytes:
-    data = bytearray()
-    async for chunk in request.stream():
-        data += chunk
-        if len(data) > MAX_BODY_BYTES:
-            raise InvalidRequest(
-                path='$', problem=f'above {MAX_BODY_BYTES} bytes'
-            )
-    return bytes(data)
+    data = await read_body(request, limit=MAX_BODY_BYTES)
+    if isinstance(data, BodyProblem):
+        raise InvalidRequest(path='$', problem=PROBLEM_TEXTS[data])
+    return data
 
 
 def _parse_kind(name: str | None) -> AuditKind | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass
 
 import anyio
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from mimosamux_daemon.api.accounts import find_account
+from mimosamux_daemon.api.bodies import BodyProblem, read_body
+from mimosamux_daemon.api.caller_gate import YIELDED
 from mimosamux_daemon.api.callers import (
     CLASS_HEADER,
     KEY_HEADER,
@@ -29,6 +31,19 @@
 METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Largest body of a service call."""
+REFUSED_BY_PROBLEM = {
+    BodyProblem.TOO_LARGE: Refused(
+        reason=Reason.BAD_REQUEST,
+        message=f'the body is above {MAX_BODY_BYTES} bytes',
+    ),
+    BodyProblem.TOO_SLOW: Refused(
+        reason=Reason.BAD_REQUEST, message='the body was not here in time'
+    ),
+    BodyProblem.TRUNCATED: Refused(
+        reason=Reason.BAD_REQUEST, message='the body broke off'
+    ),
+    BodyProblem.YIELDED: YIELDED,
+}
 PREFIX_PARTS = 4
 """Path segments before the service's own path: '', v1, services, S."""
 DAEMON_HEADERS = frozenset(
@@ -70,9 +85,9 @@
         work_class = find_service_class(request, configuration)
         if isinstance(work_class, Refused):
             return outcome_response(work_class)
-        body = await read_body(request)
-        if isinstance(body, Refused):
-            return outcome_response(body)
+        body = await read_body(request, limit=MAX_BODY_BYTES, owner=account.id)
+        if isinstance(body, BodyProblem):
+            return outcome_response(REFUSED_BY_PROBLEM[body])
         call = _build_service_call(request, account, work_class, body)
         response = outcome_response(await self.calls.call(call, configuration))
         response.headers[REQUEST_HEADER] = call.id
@@ -95,22 +110,6 @@
     return configuration.classes[service.work_class]
 
 
-async def read_body(request: Request) -> bytes | Refused:
-    """Return the complete body, or a refusal if too large or truncated."""
-    body = bytearray()
-    try:
-        async for chunk in request.stream():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                return Refused(
-                    reason=Reason.BAD_REQUEST,
-                    message=f'the body is above {MAX_BODY_BYTES} bytes',
-                )
-    except ClientDisconnect:
-        return Refused(reason=Reason.BAD_REQUEST, message='the body broke off')
-    return bytes(body)
-
-
 def _build_service_call(
     request: Request, account: Account, work_class: WorkClass, body: bytes
 ) -> ServiceCall:
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -9,6 +9,7 @@
 import anyio.abc
 from starlette.applications import Starlette
 
+from mimosamux_daemon.adapters.http_connections import CallerConnections
 from mimosamux_daemon.adapters.http_server import listen, serve_http
 from mimosamux_daemon.adapters.tls import ReloadingCertificate
 from mimosamux_daemon.api.answers import REQUEST_HEADER
@@ -17,7 +18,15 @@
     build_app,
     build_starting_app,
 )
+from mimosamux_daemon.api.caller_gate import CallerGate
 from mimosamux_daemon.api.exchanges import Exchange, ExchangeCounter
+from mimosamux_daemon.callers import (
+    CallerAccount,
+    CallerRecord,
+    LossCause,
+    find_descriptor_limit,
+    find_limits,
+)
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.control_parts import ControlParts, build_control
 from mimosamux_daemon.domain.names import RequestId
@@ -41,6 +50,10 @@
 
 log = get_log('daemon')
 
+OWN_BYTES = 128 * 1024 * 1024
+"""Memory that a model daemon needs without callers, and for the prompts and
+answers that it keeps."""
+
 
 class Daemon:
     """One daemon process: its components, HTTP server and stop sequence.
@@ -82,8 +95,14 @@
         listener = listen(self.settings.host, self.settings.port)
         self.address = _address_of(listener)
         app = ReplaceableApp(current=build_starting_app(self._why_not_ready))
+        connections = CallerConnections(account=self._build_account())
         exchanges = ExchangeCounter(
-            app=app,
+            app=CallerGate(
+                app=app,
+                account=connections.account,
+                find_connection=connections.find,
+                body_timeout_s=self.settings.body_timeout_s,
+            ),
             is_stopping=self.stopping.is_set,
             note_cut=self._note_cut_answer,
         )
@@ -99,6 +118,7 @@
                 shutdown=self._closed.wait,
                 find_grace_s=self._find_close_grace,
                 context=self._start_tls(tasks),
+                connections=connections,
             )
             if self._parts is not None:
                 self._parts.serving.note_cut_requests()
@@ -162,6 +182,21 @@
             version=self.in_force.current.version,
         )
 
+    def _build_account(self) -> CallerAccount:
+        def note(cause: LossCause) -> None:
+            self.metrics.caller_losses.inc({'cause': cause})
+
+        account = CallerAccount(
+            limits=find_limits(
+                memory_mb=self.settings.memory_mb,
+                descriptors=find_descriptor_limit(self.settings.descriptors),
+                own_bytes=OWN_BYTES,
+            ),
+            record=CallerRecord(note=note),
+        )
+        self.metrics.watch_callers(account)
+        return account
+
     def _build_control(self, platform: Platform) -> ControlParts:
         return build_control(
             settings=self.settings,
--- a/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
@@ -2,6 +2,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from mimosamux_daemon.callers import CallerAccount
+
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.4, 3.0, 6.0, 15.0, 60.0)
 
 
@@ -60,6 +62,21 @@
         self.open_requests = self._gauge(
             'mimosamux_open_requests', 'Accepted requests not yet ended.'
         )
+        self.caller_losses = self._counter(
+            'mimosamux_caller_losses_total',
+            'Requests and connections of callers that were given up at a '
+            'limit, by cause.',
+        )
+        self.caller_holdings = self._gauge(
+            'mimosamux_caller_holdings',
+            'What callers hold, by kind (request_bytes, connections, '
+            'descriptors).',
+        )
+        self.caller_limits = self._gauge(
+            'mimosamux_caller_limits',
+            'The most that callers may hold, by kind.',
+        )
+        self._account: CallerAccount | None = None
         self.first_token_s = Histogram(
             'mimosamux_first_token_seconds',
             'Time to the first token, by work_class.',
@@ -72,9 +89,21 @@
 
         `accept` holds the values of the `Accept` header.
         """
+        self._collect_holdings()
         content, headers = render(self._registry, accept)
         return content, dict(headers)
 
+    def watch_callers(self, account: CallerAccount) -> None:
+        """Show from now on what callers hold."""
+        self._account = account
+
+    def _collect_holdings(self) -> None:
+        if self._account is None:
+            return
+        for kind, held, most in self._account.holdings():
+            self.caller_holdings.set({'kind': kind}, held)
+            self.caller_limits.set({'kind': kind}, most)
+
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self._registry)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -66,6 +66,12 @@
     """How long callers may use an answer to an address request."""
     stop_grace_s: float = pydantic.Field(default=60.0, ge=0)
     """How long a stop waits for open requests before the handover."""
+    memory_mb: float = pydantic.Field(default=0.0, ge=0)
+    """Memory of the VM, in MiB; 0: unknown."""
+    descriptors: int = pydantic.Field(default=0, ge=0)
+    """Most descriptors of the process; 0: what the system allows."""
+    body_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+    """Longest time from the head of a request to the end of its body."""
     configuration: dict[str, object] | None = None
     """Initial configuration, proposed if the platform stores none."""
 
@@ -111,6 +117,9 @@
     address_ttl_s: float
     stop_grace_s: float
     configuration: dict[str, object] | None
+    memory_mb: float = 0.0
+    descriptors: int = 0
+    body_timeout_s: float = 30.0
 
 
 def parse_settings(text: str) -> Settings:
@@ -164,6 +173,9 @@
         address_ttl_s=model.address_ttl_s,
         stop_grace_s=model.stop_grace_s,
         configuration=model.configuration,
+        memory_mb=model.memory_mb,
+        descriptors=model.descriptors,
+        body_timeout_s=model.body_timeout_s,
     )
 
 
--- a/tests/crowd_model_daemon.py
+++ b/tests/crowd_model_daemon.py
@@ -31,7 +31,7 @@
         self.site.list_vm('mail-a', address=service.address, service='mail')
         self.site.start_engines('a')
         self.site.processes.descriptors = crowds.DESCRIPTORS
-        self.site.start()
+        self.site.start(memory_mb=DAEMON_BYTES / crowds.MIB)
         self.process = self.site.daemons['a1']
         self.address = self.process.address
 
