--- a/tests/soak.py
+++ b/tests/soak.py
@@ -15,6 +15,7 @@
 
 from tests.support.soak import (
     choose_bad_parts,
+    choose_crowds,
     choose_daemons,
     choose_hangs,
     choose_long_streams,
@@ -33,6 +34,7 @@
     bad_parts=None,
     rejoins=False,
     hangs=None,
+    crowds=None,
 ):
     """Play seeds one after the other; print what each broke.
 
@@ -49,6 +51,7 @@
         if has_bad_parts is None:
             has_bad_parts = choose_bad_parts(seed)
         has_hangs = choose_hangs(seed) if hangs is None else hangs
+        has_crowds = choose_crowds(seed) if crowds is None else crowds
         folder = None
         if logs is not None:
             folder = pathlib.Path(logs, str(seed))
@@ -64,6 +67,7 @@
             has_bad_parts=has_bad_parts,
             has_rejoins=rejoins,
             has_hangs=has_hangs,
+            has_crowds=has_crowds,
         )
         if folder is not None:
             lines = [f'{line}\n' for line in record.log]
@@ -72,7 +76,8 @@
         served = sum(each.answer.status == 200 for each in record.sent)
         print(
             f'seed {seed}: {count} daemons{" and long streams" * is_long}'
-            f'{" and bad parts" * has_bad_parts}{" and hangs" * has_hangs},'
+            f'{" and bad parts" * has_bad_parts}{" and hangs" * has_hangs}'
+            f'{" and crowds" * has_crowds},'
             f' {served} of {len(record.sent)}'
             f' served, {record.waits:g} waited',
             flush=True,
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -25,6 +25,11 @@
 from tests.support.platform_processes import PROMPT, platform_processes
 from tests.support.soak_bad_parts import BAD, BadPartCallers
 from tests.support.soak_callers import REVOKED_KEY, STREAM_TARGETS, Callers
+from tests.support.soak_crowds import (
+    VM_MEMORY_MB,
+    CrowdCallers,
+    read_peak_bytes,
+)
 from tests.support.soak_record import (
     EVENTS,
     Absence,
@@ -67,6 +72,8 @@
 HANGS_EVERY, HANGS_FROM = 4, 2
 """Of so many seeds, one has engines whose connections end before their
 processes do."""
+CROWDS_EVERY, CROWDS_FROM = 3, 1
+"""Of so many seeds, one has callers that misuse the listeners."""
 HANG_FRAMINGS = ('UNFRAMED', 'USUAL')
 HANG_EXITS_S = (0.0, 0.04, 0.3, 1.0, 3.0)
 BURST_CALLERS = 40
@@ -125,6 +132,8 @@
     has_hangs: bool = False
     """Whether connections of engines end in order, and the processes, which
     go on accepting others, a while later."""
+    has_crowds: bool = False
+    """Whether callers misuse the listeners of the daemons."""
     stops: Stops = field(init=False)
     _readers: list = field(default_factory=list)
     _stopping: set = field(default_factory=set)
@@ -254,6 +263,22 @@
         callers.start()
         return [callers]
 
+    def start_crowds(self):
+        """Have callers misuse the listeners of all daemons."""
+        if not self.has_crowds:
+            return []
+        names = ('entry', 'discovery', 'readiness', 'metrics')
+        callers = CrowdCallers(
+            addresses=[
+                daemon.settings['listen'][name]
+                for daemon in self.platform.daemons
+                for name in names
+            ],
+            rng=random.Random(self._drawn),
+        )
+        callers.start()
+        return [callers]
+
     def make_callers(self, **fields):
         fields |= {'takes_up': self.has_versions}
         if self.has_rejoins:
@@ -579,6 +604,11 @@
     return seed % HANGS_EVERY == HANGS_FROM
 
 
+def choose_crowds(seed):
+    """Return whether callers misbehave where a seed is played."""
+    return seed % CROWDS_EVERY == CROWDS_FROM
+
+
 def play(
     seed,
     *,
@@ -591,6 +621,7 @@
     has_bad_parts=False,
     has_rejoins=False,
     has_hangs=False,
+    has_crowds=False,
 ):
     """Run one soak and return what was seen."""
     rng = random.Random(seed)
@@ -603,6 +634,8 @@
         options = options | {'engines': ENGINES_BESIDE_BAD_PARTS}
     if has_hangs:
         options = options | {'engine_framings': HANG_FRAMINGS}
+    if has_crowds:
+        options = options | {'daemon_settings': {'memory_mb': VM_MEMORY_MB}}
     with platform_processes(daemons=0, **options) as platform:
         soak = Soak(
             platform=platform,
@@ -614,6 +647,7 @@
             has_bad_parts=has_bad_parts,
             has_rejoins=has_rejoins,
             has_hangs=has_hangs,
+            has_crowds=has_crowds,
         )
         try:
             if has_versions and not has_rejoins:
@@ -649,7 +683,7 @@
     pause = {'longest_pause_s': 0.8} if soak.has_bursts else {}
     callers = soak.make_callers(**pause)
     callers.start()
-    bad = soak.start_bad_parts()
+    bad = [*soak.start_bad_parts(), *soak.start_crowds()]
     try:
         soak.run(seconds)
         soak.heal()
@@ -658,6 +692,10 @@
     finally:
         for each in (callers, *bad, *soak.bursts):
             each.stop()
+    peaks = [
+        read_peak_bytes(daemon.process.popen.pid)
+        for daemon in platform.daemons
+    ]
     seen = platform.seen()
     soak.disruptions += [
         Disruption(place=each['replica'], start=each['at'], end=each['at'])
@@ -674,6 +712,7 @@
         absences=soak.absences,
         disruptions=soak.disruptions,
         speed=_find_speed(soak),
+        most_memory_bytes=max(peaks),
         still_waiting=_count_left_waiting(platform) if serves_again else 0.0,
         waits=_read_metric(platform, WAITS) if serves_again else 0.0,
     )
--- a/tests/support/soak_checks.py
+++ b/tests/support/soak_checks.py
@@ -5,9 +5,12 @@
 
 from mimosamux_standins.site.replica import render_event, sign
 
+from tests.support.crowds import MIB
 from tests.support.site_checks import find_joined_versions
 from tests.support.soak_bad_parts import check_bad_parts
 from tests.support.soak_callers import KEYS, REVOKED_KEY, STREAM_TARGETS
+from tests.support.soak_crowds import ID as CROWD
+from tests.support.soak_crowds import VM_MEMORY_MB
 from tests.support.soak_record import AbsenceKind
 from tests.support.soak_stop_checks import (
     check_cut,
@@ -40,8 +43,10 @@
         problems.append('a daemon serves no stream after a burst')
     if record.still_waiting:
         problems.append(f'{record.still_waiting:g} requests wait for nobody')
+    if record.most_memory_bytes > VM_MEMORY_MB * MIB:
+        problems.append(f'a daemon took {record.most_memory_bytes} bytes')
     for id_, runs in runs_by_id.items():
-        if not id_.startswith(PROBE):
+        if not id_.startswith((PROBE, CROWD)):
             problems += _check_runs(record, id_, runs, sent_by_id.get(id_))
     for sent in record.sent:
         problems += _check_answer(record, sent, runs_by_id[sent.answer.id])
--- a/tests/support/soak_record.py
+++ b/tests/support/soak_record.py
@@ -54,6 +54,8 @@
     serves_after_burst: bool = True
     absences: list = field(default_factory=list)
     disruptions: list = field(default_factory=list)
+    most_memory_bytes: int = 0
+    """Most memory of a daemon that runs at the end."""
     still_waiting: float = 0.0
     """Requests in the queues after all callers had gone."""
     waits: float = 0.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,13 @@
         versions = {run['version'] for run in record.seen['runs']}
         self.assertGreater(len(versions), 1)
 
+    # Guards against callers that fill a daemon's memory beside its faults.
+    def test_no_promise_is_broken_beside_callers_that_misbehave(self):
+        record = play(SEED, seconds=SECONDS, has_crowds=True)
+        self.assertEqual(find_problems(record), [], record.log)
+        answered = [each for each in record.sent if each.answer.status == 200]
+        self.assertGreater(len(answered), 20)
+
     def test_no_promise_is_broken_at_a_site_with_relays(self):
         """Requests wait for engines while daemons and the store fail.
 
