Tests that fail without the turns of the loop and the check for a request

The test of small chunks passed without the queue of parsers; it counts the turns now. A connection on which a request has just come does not yield.

--- a/tests/test_http1_limits.py
+++ b/tests/test_http1_limits.py
@@ -9,7 +9,9 @@
     CallerLimits,
     CallerRecord,
     LossCause,
+    ParseTurns,
 )
+from mimosamux_daemon.callers.turns import EVENTS_A_TURN
 from mimosamux_daemon.domain.gateway import ScreenedRequest
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 
@@ -42,14 +44,26 @@
         await reply.answer(401, ())
 
 
+class CountedTurns(ParseTurns):
+    """Turns that tell how often one was waited for."""
+
+    def __init__(self):
+        super().__init__()
+        self.waits = 0
+
+    async def wait(self):
+        self.waits += 1
+        await super().wait()
+
+
 class Limited(Served):
     """A server with an account of its own, and what it was asked."""
 
-    def __init__(self, request_bytes=4000, **fields):
+    def __init__(self, *, request_bytes=4000, connections=8, **fields):
         super().__init__()
         limits = CallerLimits(
             request_bytes=request_bytes,
-            connections=8,
+            connections=connections,
             descriptors=20,
             backlog=8,
         )
@@ -151,24 +165,36 @@
 
     # Guards against chunks that take the turns of all other callers.
     def test_others_are_served_while_small_chunks_are_parsed(self):
-        served = Limited(request_bytes=1_000_000)
-        answered_at = []
+        turns = CountedTurns()
+        served = Limited(request_bytes=1_000_000, turns=turns)
 
         async def check():
             async with serving(served) as (_, network):
                 crowd = [await network.connect(ADDRESS) for _ in range(4)]
-                for each in crowd:
-                    await each.send(CHUNKED + b'1\r\nx\r\n' * 3000)
                 other = await network.connect(ADDRESS)
-                await other.send(GET)
-                await read_all(other)
-                answered_at.append(len(served.requests))
                 for each in crowd:
-                    await each.send(b'0\r\n\r\n')
+                    chunks = b'1\r\nx\r\n' * 3000
+                    each.other.underway(CHUNKED + chunks + b'0\r\n\r\n')
+                other.other.underway(GET)
                 return [status_of(await read_all(each)) for each in crowd]
 
         self.assertEqual(run_paused(check), [200] * 4)
-        self.assertEqual(answered_at, [1])
+        self.assertEqual(served.requests[0].body, b'')
+        self.assertEqual(turns.waits, 4 * (3000 // EVENTS_A_TURN))
+
+    # Guards against a request that has come and is dropped for a newcomer.
+    def test_connection_on_which_a_request_has_come_does_not_yield(self):
+        served = Limited(connections=1)
+
+        async def check():
+            async with serving(served) as (_, network):
+                first = await network.connect(ADDRESS)
+                await anyio.sleep(1.0)
+                first.other.underway(GET)
+                newcomer = served.account.open(lambda: False)
+                return status_of(await read_all(first)), newcomer
+
+        self.assertEqual(run_paused(check), (200, None))
 
     # Guards against bytes of a caller who has left, parsed to their end.
     def test_chunks_of_a_caller_who_has_left_are_dropped(self):
