Whole requests of one client account leave room for others

Cause: requests that have arrived whole never yield, and nothing bounded those of one client account: with endpoints that are slow, its large bodies could hold all bytes for large requests, and others' large requests were refused.

Change: of these bytes, whole requests of one account get half; the first of them always fits. What goes beyond is refused as not run.

--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -7,6 +7,7 @@
 - Bytes: a request that has not arrived whole while its caller waits for the
   answer, or else the largest of those that arrive, of the client account that
   holds most. A small one yields last.
+  Whole requests of one client account get half of the bytes for large ones.
 - Descriptors: a connection that lingers, then the one that is idle for
   longest, then the oldest unfinished head, then the oldest unfinished body.
 
@@ -95,6 +96,7 @@
         self.due_at = math.inf
         """Time until which its caller waits for the answer."""
         self.bytes = 0
+        self.is_whole = False
 
     def assign(self, owner: str, *, due_at: float = math.inf) -> None:
         """Note whose it is, and until when its caller waits."""
@@ -107,9 +109,7 @@
 
     def finish(self, size: int) -> bool:
         """Set the bytes of a request that is whole; False if refused."""
-        is_held = self._account._hold(self, size)
-        self._account._unfinished.pop(self, None)
-        return is_held
+        return self._account._finish(self, size)
 
     def release(self) -> None:
         """Note that nothing of it is left; it may be used again."""
@@ -133,6 +133,8 @@
         self._unfinished: dict[RequestHolding, None] = {}
         """Requests that have not arrived whole, least recent bytes first."""
         self._bytes_by_owner: dict[str, int] = {}
+        self._whole_by_owner: dict[str, int] = {}
+        """Bytes of the requests that have arrived whole, by client account."""
 
     @property
     def connections(self) -> int:
@@ -237,6 +239,21 @@
             loser.yield_()
         return True
 
+    def _finish(self, holding: RequestHolding, size: int) -> bool:
+        if not self._hold(holding, size):
+            return False
+        self._unfinished.pop(holding, None)
+        owned = self._whole_by_owner.get(holding.owner, 0)
+        most = self.limits.large_request_bytes // 2
+        if owned and size > SMALL_BYTES and owned + size > most:
+            # Whole requests never yield: others would find no room.
+            self._release(holding)
+            self._lose(LossCause.BYTES)
+            return False
+        holding.is_whole = True
+        _add(self._whole_by_owner, holding.owner, size)
+        return True
+
     def _limit_for(self, size: int) -> int:
         if size <= SMALL_BYTES:
             return self.limits.request_bytes
@@ -265,25 +282,21 @@
         if added:
             holding.bytes = size
             self.request_bytes += added
-            self._add_to_owner(holding.owner, added)
+            _add(self._bytes_by_owner, holding.owner, added)
 
     def _release(self, holding: RequestHolding) -> None:
+        if holding.is_whole:
+            _add(self._whole_by_owner, holding.owner, -holding.bytes)
+            holding.is_whole = False
         self._set(holding, 0)
         self._unfinished.pop(holding, None)
         holding.owner = ''
         holding.due_at = math.inf
 
-    def _add_to_owner(self, owner: str, added: int) -> None:
-        total = self._bytes_by_owner.get(owner, 0) + added
-        if total:
-            self._bytes_by_owner[owner] = total
-        else:
-            self._bytes_by_owner.pop(owner, None)
-
     def _assign(self, holding: RequestHolding, owner: str) -> None:
-        self._add_to_owner(holding.owner, -holding.bytes)
+        _add(self._bytes_by_owner, holding.owner, -holding.bytes)
         holding.owner = owner
-        self._add_to_owner(owner, holding.bytes)
+        _add(self._bytes_by_owner, owner, holding.bytes)
 
     def _lose(self, cause: LossCause) -> None:
         self.record.add(
@@ -292,3 +305,11 @@
             open_connections=self.connections,
             used_descriptors=self.descriptors,
         )
+
+
+def _add(bytes_by_owner: dict[str, int], owner: str, added: int) -> None:
+    total = bytes_by_owner.get(owner, 0) + added
+    if total:
+        bytes_by_owner[owner] = total
+    else:
+        bytes_by_owner.pop(owner, None)
