A request that yields in the moment of its last bytes does not run

Callers would have had a request run with a part of its body.

Cause: a request that yields drops its body. If its last bytes come in the same pass of the event loop, the wait for them returns them and is not cancelled, and the end of a chunked body was taken for that of a whole one.

Change: whether it has yielded is asked behind each part.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
@@ -129,7 +129,11 @@
         self._on_body = on_body
         limits = self._rules.limits()
         event = await self._next_event(
-            limits.header_timeout_s, 'request took too long'
+            limits.header_timeout_s,
+            Unreadable(
+                status=HTTPStatus.REQUEST_TIMEOUT,
+                problem='request took too long',
+            ),
         )
         if not isinstance(event, h11.Request):
             return event if isinstance(event, Unreadable) else None
@@ -172,6 +176,10 @@
             part = self._parse()
             if part is None:
                 part = await self._await_part(head, limits)
+            if self._has_yielded:
+                # Its last bytes may have come in the same pass of the loop:
+                # what came before them is gone.
+                return yielded()
             if isinstance(part, h11.EndOfMessage):
                 break
             if not isinstance(part, h11.Data):
@@ -182,8 +190,6 @@
             body.events += 1
             if body.events % EVENTS_A_TURN == 0 and not await self._turn():
                 return None
-            if self._has_yielded:
-                return yielded()
         data, body.data = bytes(body.data), bytearray()
         if not self.holding.finish(len(data)):
             return yielded()
@@ -212,13 +218,14 @@
             body.deadline = now + self._rules.body_timeout_s
             self._on_body()
         left_s = body.deadline - anyio.current_time()
-        problem = 'request body took too long'
-        part = await self._next_event(
-            min(limits.idle_timeout_s, left_s), problem
+        return await self._next_event(
+            min(limits.idle_timeout_s, left_s),
+            Unreadable(
+                status=HTTPStatus.REQUEST_TIMEOUT,
+                problem='request body took too long',
+                cause=LossCause.SLOW_BODY,
+            ),
         )
-        if isinstance(part, Unreadable) and part.problem == problem:
-            self._rules.account.record.add(LossCause.SLOW_BODY)
-        return part
 
     def _screen(self, head: RequestHead) -> Unreadable | None:
         """Return the answer to a request that can't be served."""
@@ -239,9 +246,9 @@
         return None
 
     async def _next_event(
-        self, timeout_s: float, problem: str
+        self, timeout_s: float, too_late: Unreadable
     ) -> h11.Event | Unreadable:
-        """Return the next event, or that it did not arrive in time.
+        """Return the next event, or `too_late` if it did not arrive in time.
 
         Most requests arrive in one piece: a timer is set only for what has
         not arrived yet.
@@ -253,7 +260,7 @@
             return await self._receive_event()
         if self._has_yielded:
             return yielded()
-        return Unreadable(status=HTTPStatus.REQUEST_TIMEOUT, problem=problem)
+        return too_late
 
     def _parse(self) -> h11.Event | Unreadable | None:
         """Return the next event, None if it has not arrived."""
--- a/tests/test_http1_limits.py
+++ b/tests/test_http1_limits.py
@@ -3,6 +3,11 @@
 import unittest
 
 import anyio
+import h11
+from mimosamux_daemon.adapters.http1_requests import (
+    RequestReader,
+    Unreadable,
+)
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.callers import (
     CallerAccount,
@@ -56,6 +61,16 @@
         await super().wait()
 
 
+class EndComesWithYield:
+    """A connection whose request yields in the moment of its last bytes."""
+
+    reader = None
+
+    async def receive(self, _):
+        self.reader.give_up()
+        return b'0\r\n\r\n'
+
+
 class Limited(Served):
     """A server with an account of its own, and what it was asked."""
 
@@ -163,6 +178,20 @@
         self.assertEqual(len(served.requests), 1)
         self.assertEqual(served.account.request_bytes, 0)
 
+    # Guards against a request that is run with a part of its body.
+    def test_request_that_yields_as_its_end_comes_does_not_run(self):
+        served = Limited()
+        parser = h11.Connection(h11.SERVER)
+        first = CHUNKED + b'5\r\nbrief\r\n'
+        parser.receive_data(first)
+        connection = EndComesWithYield()
+        connection.reader = RequestReader(
+            connection=connection, parser=parser, rules=served.server
+        )
+        read = run_paused(lambda: connection.reader.read(on_body=lambda: None))
+        self.assertIsInstance(read, Unreadable)
+        self.assertEqual(read.status, 503)
+
     # Guards against chunks that take the turns of all other callers.
     def test_others_are_served_while_small_chunks_are_parsed(self):
         turns = CountedTurns()
