Limits of callers stand in one place and are checked

Lingering, retry and body times stood in two or three modules. A connection that waits for its caller's close counts as lingering, so that it yields first. Limits that are endless or no numbers are refused with the name of the field.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
@@ -16,11 +16,12 @@
 from mimosamux_daemon.adapters.http1_channel import BROKEN, READ_BYTES
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
 from mimosamux_daemon.callers import (
+    EVENTS_A_TURN,
+    YIELDED_RETRY_S,
     CallerAccount,
     LossCause,
     ParseTurns,
 )
-from mimosamux_daemon.callers.turns import EVENTS_A_TURN
 from mimosamux_daemon.domain.gateway import ScreenedRequest
 from mimosamux_daemon.domain.http_messages import (
     CONTENT_LENGTH,
@@ -33,11 +34,6 @@
 from mimosamux_daemon.domain.routes import TrafficLimits
 from mimosamux_daemon.ports.network import Connection
 
-DEFAULT_BODY_TIMEOUT_S = 30.0
-"""Longest time from the head of a request to the end of its body."""
-YIELDED_RETRY_S = 1.0
-"""`Retry-After` of a request that had to yield, in seconds."""
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Unreadable:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -23,13 +23,15 @@
     Reply,
 )
 from mimosamux_daemon.adapters.http1_requests import (
-    DEFAULT_BODY_TIMEOUT_S,
     RequestReader,
     Screen,
     Unreadable,
     yielded,
 )
 from mimosamux_daemon.callers import (
+    BODY_TIMEOUT_S,
+    LINGER_BYTES,
+    LINGER_S,
     CallerAccount,
     CallerRecord,
     ParseTurns,
@@ -43,10 +45,6 @@
 
 log = get_log('http1_server')
 
-LINGER_S = 1.0
-"""Time for the other side to take an answer that ends its connection."""
-LINGER_BYTES = 8 * 1024 * 1024
-"""Most bytes that are read and dropped meanwhile."""
 DEFAULT_OWN_BYTES = 96 * 1024 * 1024
 """Memory that a process needs without callers."""
 
@@ -81,7 +79,7 @@
         turns: ParseTurns | None = None,
         screen: Screen | None = None,
         takes_bodies: bool = True,
-        body_timeout_s: float = DEFAULT_BODY_TIMEOUT_S,
+        body_timeout_s: float = BODY_TIMEOUT_S,
     ) -> None:
         self.connections = 0
         self.open_requests = 0
@@ -290,7 +288,12 @@
 
         A request that crosses the announced end stays unread.
         """
-        with anyio.move_on_after(LINGER_S), suppress(*BROKEN):
+        assert self._seat is not None
+        self._seat.enter(Phase.LINGERING)
+        with (
+            anyio.move_on_after(LINGER_S) as self._lingering,
+            suppress(*BROKEN),
+        ):
             await self.connection.send_eof()
             await self.connection.wait_ended()
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_lingering.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_lingering.py
@@ -11,12 +11,7 @@
 import anyio
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
-LINGER_S = 1.0
-"""Time for the caller to take such an answer."""
-LINGER_BYTES = 8 * 1024 * 1024
-"""Most bytes that are read and dropped meanwhile."""
-MAX_LINGERING = 64
-"""Callers that get this time at once."""
+from mimosamux_daemon.callers import LINGER_BYTES, LINGER_S, MAX_LINGERING
 
 
 @dataclass(kw_only=True, slots=True)
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
@@ -14,13 +14,11 @@
     GatedRequest,
 )
 from mimosamux_daemon.api.errors import outcome_body, outcome_response
-from mimosamux_daemon.callers import LossCause
+from mimosamux_daemon.callers import BODY_TIMEOUT_S, LossCause
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
 """Largest body of a model request; about half a million tokens."""
-BODY_TIMEOUT_S = 30.0
-"""Time-out for receiving a complete body where no settings tell one."""
 SERVER_BYTES = 128 * 1024
 """Bytes of a body that arrives which the HTTP server has not given out."""
 COPIES = 3
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/caller_gate.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/caller_gate.py
@@ -8,6 +8,7 @@
 
 from mimosamux_daemon.api.errors import outcome_response
 from mimosamux_daemon.callers import (
+    YIELDED_RETRY_S,
     CallerAccount,
     CallerConnection,
     Phase,
@@ -18,8 +19,6 @@
 GATED_REQUEST = 'mimosamux.gated_request'
 """Key of the `GatedRequest` in an ASGI scope."""
 BODY_HEADERS = (b'content-length', b'transfer-encoding')
-YIELDED_RETRY_S = 1.0
-"""`Retry-After` of a request that had to yield, in seconds."""
 YIELDED = Refused(
     reason=Reason.NO_CAPACITY,
     message='too many requests are arriving; nothing has run',
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
@@ -7,6 +7,11 @@
     RequestHolding,
 )
 from mimosamux_daemon.callers.limits import (
+    BODY_TIMEOUT_S,
+    LINGER_BYTES,
+    LINGER_S,
+    MAX_LINGERING,
+    YIELDED_RETRY_S,
     CallerLimits,
     find_descriptor_limit,
     find_limits,
@@ -15,9 +20,15 @@
     CallerRecord,
     LossCause,
 )
-from mimosamux_daemon.callers.turns import ParseTurns
+from mimosamux_daemon.callers.turns import EVENTS_A_TURN, ParseTurns
 
 __all__ = [
+    'BODY_TIMEOUT_S',
+    'EVENTS_A_TURN',
+    'LINGER_BYTES',
+    'LINGER_S',
+    'MAX_LINGERING',
+    'YIELDED_RETRY_S',
     'CallerAccount',
     'CallerConnection',
     'CallerLimits',
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -22,6 +22,7 @@
 
 from mimosamux_daemon.callers.limits import (
     ACCEPTS_AHEAD,
+    MAX_LINGERING,
     SMALL_BYTES,
     CallerLimits,
 )
@@ -30,8 +31,6 @@
 WORK_DESCRIPTORS = 2
 """Descriptors of a request at work beside its connection: the watch for its
 caller to leave, and the connection to an endpoint."""
-MAX_LINGERING = 64
-"""Connections that may wait at once for their callers to read a refusal."""
 
 
 class Phase(Enum):
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -28,6 +28,18 @@
 ACCEPTS_AHEAD = 32
 """Connections that may be accepted before those that yield are closed."""
 
+BODY_TIMEOUT_S = 30.0
+"""Longest time from the head of a request to the end of its body, where no
+settings tell it."""
+YIELDED_RETRY_S = 1.0
+"""`Retry-After` of a request that had to yield, in seconds."""
+LINGER_S = 1.0
+"""Time for a caller to take an answer that ends its connection."""
+LINGER_BYTES = 8 * MIB
+"""Most bytes of its request that are read and dropped meanwhile."""
+MAX_LINGERING = 64
+"""Callers that get this time at once."""
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CallerLimits:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -120,11 +120,11 @@
     region: str = ''
     link_mbps: NonNegative = 0.0
     """Bandwidth of the VM's network link; 0: unknown."""
-    memory_mb: NonNegative = 0.0
+    memory_mb: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
     """Memory of the VM, in MiB; 0: unknown."""
     descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
     """Most descriptors of the process; 0: what the system allows."""
-    body_timeout_s: Positive = 30.0
+    body_timeout_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 30.0
     """Longest time from the head of a request to the end of its body."""
     listen: ListenModel
     seeds: tuple[str, ...] = ()
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -66,11 +66,11 @@
     """How long callers may use an answer to an address request."""
     stop_grace_s: float = pydantic.Field(default=60.0, ge=0)
     """How long a stop waits for open requests before the handover."""
-    memory_mb: float = pydantic.Field(default=0.0, ge=0)
+    memory_mb: float = pydantic.Field(default=0.0, ge=0, le=1e6)
     """Memory of the VM, in MiB; 0: unknown."""
     descriptors: int = pydantic.Field(default=0, ge=0)
     """Most descriptors of the process; 0: what the system allows."""
-    body_timeout_s: float = pydantic.Field(default=30.0, gt=0)
+    body_timeout_s: float = pydantic.Field(default=30.0, gt=0, le=3600)
     """Longest time from the head of a request to the end of its body."""
     configuration: dict[str, object] | None = None
     """Initial configuration, proposed if the platform stores none."""
--- a/tests/test_http1_limits.py
+++ b/tests/test_http1_limits.py
@@ -10,13 +10,13 @@
 )
 from mimosamux_daemon.adapters.http1_server import Http1Server
 from mimosamux_daemon.callers import (
+    EVENTS_A_TURN,
     CallerAccount,
     CallerLimits,
     CallerRecord,
     LossCause,
     ParseTurns,
 )
-from mimosamux_daemon.callers.turns import EVENTS_A_TURN
 from mimosamux_daemon.domain.gateway import ScreenedRequest
 from mimosamux_daemon.domain.outcomes import Reason, Refused
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,12 +12,21 @@
 from mimosamux_daemon.control.configuration_models import parse_configuration
 from mimosamux_daemon.core import main
 from mimosamux_daemon.errors import InvalidConfiguration, InvalidSettings
+from mimosamux_daemon.gateway.settings import parse_gateway_settings
 from mimosamux_daemon.model_program import find_command
 from mimosamux_daemon.settings import Settings, parse_settings
 from mimosamux_daemon.status import ExitStatus
+from mimosamux_standins.site.local import gateway_settings
 
 from tests.support.examples import EMBEDDED_SETTINGS
 
+GATEWAY = gateway_settings(
+    'edge-1',
+    'north',
+    store='127.0.0.1:1',
+    cloud='127.0.0.1:2',
+    ports=[f'127.0.0.1:{port}' for port in range(3, 8)],
+)
 VALID = yaml.safe_load(EMBEDDED_SETTINGS)
 scalars = st.one_of(
     st.none(),
@@ -58,6 +67,26 @@
         with self.assertRaises(InvalidSettings):
             parse_settings(text)
 
+    # Guards against limits of callers that are endless, or that end a daemon.
+    def test_a_limit_of_callers_that_cannot_be_is_named(self):
+        for field, value in (
+            ('memory_mb', -1),
+            ('memory_mb', float('inf')),
+            ('memory_mb', float('nan')),
+            ('descriptors', -1),
+            ('descriptors', 0.5),
+            ('body_timeout_s', 0),
+            ('body_timeout_s', float('inf')),
+        ):
+            for text, parse in (
+                (VALID, parse_settings),
+                (GATEWAY, parse_gateway_settings),
+            ):
+                with self.subTest(field=field, value=value, parse=parse):
+                    with self.assertRaises(InvalidSettings) as caught:
+                        parse(yaml.safe_dump({**text, field: value}))
+                    self.assertIn(field, caught.exception.path)
+
     def test_a_field_that_is_unknown_is_named(self):
         with self.assertRaises(InvalidSettings) as caught:
             parse_settings(EMBEDDED_SETTINGS + '\nprot: 80\n')
