--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -143,13 +143,13 @@
         self._idle: _IdleWait | None = None
         self._lingering: anyio.CancelScope | None = None
         self._has_yielded = False
-        self._seat = server.account.open(self._yield)
+        self._caller = server.account.open(self._yield)
 
     def release(self) -> None:
         """Note that nothing is left of the connection."""
         self._reader.holding.release()
-        if self._seat is not None:
-            self._seat.close()
+        if self._caller is not None:
+            self._caller.close()
 
     def _yield(self) -> bool:
         """End the connection for another; False if a request has come."""
@@ -165,16 +165,19 @@
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
-        seat = self._seat
-        if seat is None:
+        caller = self._caller
+        if caller is None:
             return
         while True:
-            seat.enter(Phase.IDLE)
+            caller.enter(Phase.IDLE)
             if not await self._wait_for_bytes():
                 return
-            seat.enter(Phase.HEAD)
+            caller.enter(Phase.HEAD)
             request = await self._reader.read(on_body=self._note_body)
-            if isinstance(request, IncomingRequest) and not seat.begin_work():
+            if (
+                isinstance(request, IncomingRequest)
+                and not caller.begin_work()
+            ):
                 request = yielded()
             if request is None:
                 return
@@ -189,7 +192,7 @@
             try:
                 await self._handle(request, reply)
             finally:
-                seat.end_work()
+                caller.end_work()
                 self._reader.holding.release()
             if not reply.is_finished or request.is_caller_gone:
                 return
@@ -199,8 +202,8 @@
             self._parser.start_next_cycle()
 
     def _note_body(self) -> None:
-        assert self._seat is not None
-        self._seat.enter(Phase.BODY)
+        assert self._caller is not None
+        self._caller.enter(Phase.BODY)
 
     def _is_last_answer(self) -> bool:
         """Whether an answer that begins now ends the connection.
@@ -288,8 +291,8 @@
 
         A request that crosses the announced end stays unread.
         """
-        assert self._seat is not None
-        self._seat.enter(Phase.LINGERING)
+        assert self._caller is not None
+        self._caller.enter(Phase.LINGERING)
         with (
             anyio.move_on_after(LINGER_S) as self._lingering,
             suppress(*BROKEN),
@@ -304,8 +307,8 @@
         overtake the answer: the caller would see a broken connection in
         place of the status. The rest of the request is read and dropped.
         """
-        assert self._seat is not None
-        self._seat.enter(Phase.LINGERING)
+        assert self._caller is not None
+        self._caller.enter(Phase.LINGERING)
         unread = 0
         with (
             anyio.move_on_after(LINGER_S) as self._lingering,
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
@@ -133,4 +133,4 @@
 
 
 def _give_up_nothing() -> None:
-    """Stand for the wait of a body that is not awaited."""
+    """Do nothing: no body is awaited any more."""
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -39,7 +39,7 @@
         return self.holding.hold(size)
 
 
-class Seat:
+class Connected:
     """A connection, and whether it was told to yield."""
 
     def __init__(self, account, *, has_input=False):
@@ -155,15 +155,15 @@
     @paused
     async def test_connections_yield_by_phase_and_age(self, account):
         phases = (Phase.BODY, Phase.HEAD, Phase.IDLE, Phase.IDLE)
-        seats = [Seat(account) for _ in phases]
-        for seat, phase in zip(seats, phases, strict=True):
-            seat.connection.enter(phase)
+        opened = [Connected(account) for _ in phases]
+        for each, phase in zip(opened, phases, strict=True):
+            each.connection.enter(phase)
         order = []
         for _ in range(2):
-            self.assertTrue(Seat(account).connection.begin_work())
-            order.append([seat.has_yielded for seat in seats])
-        Seat(account)
-        order.append([seat.has_yielded for seat in seats])
+            self.assertTrue(Connected(account).connection.begin_work())
+            order.append([each.has_yielded for each in opened])
+        Connected(account)
+        order.append([each.has_yielded for each in opened])
         self.assertEqual(
             order,
             [
@@ -176,19 +176,19 @@
     # Guards against answers under way that are cut for a newcomer.
     @paused
     async def test_request_at_work_never_yields(self, account):
-        working = [Seat(account) for _ in range(2)]
-        for seat in working:
-            self.assertTrue(seat.connection.begin_work())
+        working = [Connected(account) for _ in range(2)]
+        for each in working:
+            self.assertTrue(each.connection.begin_work())
         for _ in range(6):
-            Seat(account)
-        self.assertFalse(any(seat.has_yielded for seat in working))
+            Connected(account)
+        self.assertFalse(any(each.has_yielded for each in working))
 
     # Guards against a request that has come and is dropped unanswered.
     @paused
     async def test_idle_connection_with_a_request_stays(self, account):
-        busy = Seat(account, has_input=True)
-        idle = [Seat(account) for _ in range(3)]
-        Seat(account)
+        busy = Connected(account, has_input=True)
+        idle = [Connected(account) for _ in range(3)]
+        Connected(account)
         self.assertFalse(busy.has_yielded)
         self.assertTrue(idle[0].has_yielded)
 
@@ -196,10 +196,10 @@
     @paused
     async def test_closed_connections_are_free_again(self, account):
         for _ in range(20):
-            seat = Seat(account)
-            self.assertTrue(seat.connection.begin_work())
-            seat.connection.end_work()
-            seat.connection.close()
+            each = Connected(account)
+            self.assertTrue(each.connection.begin_work())
+            each.connection.end_work()
+            each.connection.close()
         self.assertEqual((account.descriptors, account.sockets), (0, 0))
 
     # Guards against accepts ahead of the closing of those that yielded.
@@ -207,7 +207,7 @@
     async def test_no_more_are_accepted_than_can_be_open(self, account):
         accepted = 0
         while account.may_accept(0):
-            Seat(account)
+            Connected(account)
             accepted += 1
         self.assertEqual(accepted, LIMITS.descriptors + 32)
 
