--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
@@ -21,6 +21,7 @@
     CallerAccount,
     LossCause,
     ParseTurns,
+    Phase,
 )
 from mimosamux_daemon.domain.gateway import ScreenedRequest
 from mimosamux_daemon.domain.http_messages import (
@@ -28,6 +29,7 @@
     TRANSFER_ENCODING,
     RawHeaders,
     RequestHead,
+    find_value,
     find_values,
 )
 from mimosamux_daemon.domain.outcomes import Refused
@@ -104,7 +106,7 @@
         self._scope: anyio.CancelScope | None = None
         """Scope of the wait for bytes, if it waits."""
         self._has_yielded = False
-        self._on_body: Callable[[], None] = lambda: None
+        self._on_wait: Callable[[Phase], None] = lambda _: None
         self._body = _Body()
         self.holding = rules.account.hold_request(self.give_up)
 
@@ -116,13 +118,14 @@
             self._scope.cancel()
 
     async def read(
-        self, *, on_body: Callable[[], None]
+        self, *, on_wait: Callable[[Phase], None]
     ) -> IncomingRequest | Unreadable | None:
         """Return the request that begins; None if its caller is gone.
 
-        `on_body` is called if its body has to be awaited.
+        `on_wait` is called if its head or its body has to be awaited.
         """
-        self._on_body = on_body
+        self._on_wait = on_wait
+        self._body = _Body()
         limits = self._rules.limits()
         event = await self._next_event(
             limits.header_timeout_s,
@@ -133,9 +136,10 @@
         )
         if not isinstance(event, h11.Request):
             return event if isinstance(event, Unreadable) else None
-        problem = find_problem(event, limits) or self._find_body_problem(
-            event, limits
-        )
+        headers = tuple(event.headers)
+        problem = find_problem(event.target, headers, limits)
+        if problem is None:
+            problem = self._find_body_problem(headers, limits)
         if problem is not None:
             return problem
         head = RequestHead(
@@ -146,14 +150,12 @@
         return await self._read_body(head, limits)
 
     def _find_body_problem(
-        self, event: h11.Request, limits: TrafficLimits
+        self, headers: RawHeaders, limits: TrafficLimits
     ) -> Unreadable | None:
         """Return why the body that a head announces is not taken."""
-        headers = tuple(event.headers)
-        lengths = find_values(headers, CONTENT_LENGTH)
-        is_chunked = bool(find_values(headers, TRANSFER_ENCODING))
-        # h11 has checked that it is a number, of any count of digits.
-        length = int(lengths[0]) if lengths else 0
+        # h11 has checked that there is one length, and that it is a number.
+        length = int(find_value(headers, CONTENT_LENGTH) or 0)
+        is_chunked = find_value(headers, TRANSFER_ENCODING) is not None
         if length > limits.max_body_bytes:
             return too_large(limits)
         if (length or is_chunked) and not self._rules.takes_bodies:
@@ -167,7 +169,7 @@
     async def _read_body(
         self, head: RequestHead, limits: TrafficLimits
     ) -> IncomingRequest | Unreadable | None:
-        body = self._body = _Body()
+        body = self._body
         while True:
             part = self._parse()
             if part is None:
@@ -212,7 +214,7 @@
                 return refused
             now = anyio.current_time()
             body.deadline = now + self._rules.body_timeout_s
-            self._on_body()
+            self._on_wait(Phase.BODY)
         left_s = body.deadline - anyio.current_time()
         return await self._next_event(
             min(limits.idle_timeout_s, left_s),
@@ -252,6 +254,8 @@
         event = self._parse()
         if event is not None:
             return event
+        if self._body.deadline is None:
+            self._on_wait(Phase.HEAD)
         with anyio.move_on_after(timeout_s) as self._scope:
             return await self._receive_event()
         if self._has_yielded:
@@ -296,7 +300,7 @@
 
 
 def find_problem(
-    event: h11.Request, limits: TrafficLimits
+    target: bytes, headers: RawHeaders, limits: TrafficLimits
 ) -> Unreadable | None:
     """Return why a request may not be passed on, None if it may.
 
@@ -304,19 +308,18 @@
     of the request than this one, and take what follows for a request that
     nobody sent.
     """
-    headers = tuple(event.headers)
-    size = len(event.target) + sum(len(k) + len(v) + 4 for k, v in headers)
+    size = len(target) + sum(len(k) + len(v) + 4 for k, v in headers)
     if size > limits.max_header_bytes:
         return Unreadable(
             status=HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
             problem=f'headers are above {limits.max_header_bytes} bytes',
         )
-    has_length = bool(find_values(headers, CONTENT_LENGTH))
-    if has_length and find_values(headers, TRANSFER_ENCODING):
+    has_length = find_value(headers, CONTENT_LENGTH) is not None
+    if has_length and find_value(headers, TRANSFER_ENCODING) is not None:
         problem = 'both Content-Length and Transfer-Encoding'
     elif len(find_values(headers, b'host')) != 1:
         problem = 'not exactly one Host'
-    elif not event.target.startswith(b'/'):
+    elif not target.startswith(b'/'):
         problem = 'target is not a path'
     else:
         return None
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -172,8 +172,7 @@
             caller.enter(Phase.IDLE)
             if not await self._wait_for_bytes():
                 return
-            caller.enter(Phase.HEAD)
-            request = await self._reader.read(on_body=self._note_body)
+            request = await self._reader.read(on_wait=caller.enter)
             if (
                 isinstance(request, IncomingRequest)
                 and not caller.begin_work()
@@ -201,10 +200,6 @@
                 return
             self._parser.start_next_cycle()
 
-    def _note_body(self) -> None:
-        assert self._caller is not None
-        self._caller.enter(Phase.BODY)
-
     def _is_last_answer(self) -> bool:
         """Whether an answer that begins now ends the connection.
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -122,6 +122,8 @@
         self.limits = limits
         self.record = record
         self.request_bytes = 0
+        self.connections = 0
+        """Open connections, without those that have yielded."""
         self.descriptors = 0
         self.sockets = 0
         """Sockets that are open, with those of connections that yielded."""
@@ -135,11 +137,6 @@
         self._whole_by_owner: dict[str, int] = {}
         """Bytes of the requests that have arrived whole, by client account."""
 
-    @property
-    def connections(self) -> int:
-        """Number of open connections."""
-        return sum(len(group) for group in self._by_phase.values())
-
     def holdings(self) -> tuple[tuple[str, int, int], ...]:
         """Return for each kind its name, what is held, and the most."""
         limits = self.limits
@@ -156,6 +153,7 @@
             return None
         connection = CallerConnection(account=self, yield_=yield_)
         self._by_phase[connection.phase][connection] = None
+        self.connections += 1
         self.descriptors += 1
         self.sockets += 1
         return connection
@@ -177,12 +175,12 @@
         return len(self._by_phase[Phase.LINGERING]) < MAX_LINGERING
 
     def _move(self, connection: CallerConnection, phase: Phase) -> None:
-        if connection not in self._by_phase[connection.phase]:
-            # It has yielded.
-            return
-        del self._by_phase[connection.phase][connection]
-        connection.phase = phase
-        self._by_phase[phase][connection] = None
+        group = self._by_phase[connection.phase]
+        if connection in group:
+            # One that has yielded is in no group.
+            del group[connection]
+            connection.phase = phase
+            self._by_phase[phase][connection] = None
 
     def _begin_work(self, connection: CallerConnection) -> bool:
         self._move(connection, Phase.WORKING)
@@ -201,6 +199,7 @@
         group = self._by_phase[connection.phase]
         if connection in group:
             del group[connection]
+            self.connections -= 1
             self.descriptors -= 1
 
     def _make_room(self, *, descriptors: int, connections: int = 0) -> bool:
@@ -239,6 +238,8 @@
         return True
 
     def _finish(self, holding: RequestHolding, size: int) -> bool:
+        if not size and not holding.bytes:
+            return True
         if not self._hold(holding, size):
             return False
         self._unfinished.pop(holding, None)
--- a/tests/test_http1_limits.py
+++ b/tests/test_http1_limits.py
@@ -188,7 +188,9 @@
         connection.reader = RequestReader(
             connection=connection, parser=parser, rules=served.server
         )
-        read = run_paused(lambda: connection.reader.read(on_body=lambda: None))
+        read = run_paused(
+            lambda: connection.reader.read(on_wait=lambda _: None)
+        )
         self.assertIsInstance(read, Unreadable)
         self.assertEqual(read.status, 503)
 
