Links between daemons keep their receive buffers

Cause: listeners that open early got the small receive buffer of callers, the peers' among them.

Change: only the listeners of callers get it, once the daemon serves them.

--- a/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
@@ -39,11 +39,9 @@
 def _try_open(address: str) -> socket.socket | None:
     host, _, port = address.rpartition(':')
     try:
-        listening = open_listener(host, int(port))
+        return open_listener(host, int(port))
     except (OSError, ValueError, OverflowError):
         return None
-    limit_unread(listening)
-    return listening
 
 
 def open_listener(host: str, port: int) -> socket.socket:
