--- a/tests/support/crowd_cases.py
+++ b/tests/support/crowd_cases.py
@@ -46,7 +46,10 @@
         return False
 
     def check(self, crowd):
-        """Play a crowd; check life, answer, memory and descriptors."""
+        """Play a crowd; check life, answers, memory and descriptors.
+
+        An ordinary request is sent beside the crowd and once it has left.
+        """
         self.start()
         run = crowds.CrowdRun(
             crowd=crowd,
@@ -68,6 +71,10 @@
         self.assertIsNone(self.process.popen.poll(), 'the process has ended')
         held = watch.held()
         self.assertTrue(is_answered, 'no answer to an ordinary request')
+        self.assertTrue(
+            anyio.run(self.ask_until_answered),
+            'no answer to an ordinary request behind the crowd',
+        )
         self.assertLess(held.memory_bytes, self.memory_bytes)
         self.assertLessEqual(
             held.descriptors, crowds.DESCRIPTORS - SPARE_DESCRIPTORS
