Crowds: answers nobody reads, handshakes, requests sent ahead, all at once

- Answers that nobody reads: 192 callers, 1,000 KiB and 8 MiB each, at a gateway (200 MiB) and at a model daemon (256 MiB).
The watch now counts what was sent and not taken, and what lies in connections to endpoints, beside what lies unread: the bounds are the old ones.
- TLS handshakes that stop, 320 beside 256 descriptors.
- At each listener: heads that wait for 100 Continue, 2,000 requests sent ahead on each of 64 connections, and eleven kinds of callers at once.

Stand-ins answer as long as a request asks (answer_bytes).

--- a/packages/mimosamux-standins/mimosamux_standins/service.py
+++ b/packages/mimosamux-standins/mimosamux_standins/service.py
@@ -74,6 +74,8 @@
         if faults.delay_s:
             await anyio.sleep(faults.delay_s)
         content = orjson.dumps({'run': number, 'path': run.path})
+        answer_bytes = int(request.query_params.get('answer_bytes', 0))
+        content = content.ljust(answer_bytes)
         if faults.cut_next > 0:
             faults.cut_next -= 1
             return StreamingResponse(
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -1,6 +1,7 @@
 """Stand-in of a replica: a queue, slots, answers, and faults."""
 
 import hashlib
+import urllib.parse
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
@@ -374,6 +375,7 @@
         if self.fault is Fault.LOST:
             return
         body = f'done {run.id} by {self.id}'.encode() * 8
+        body = body.ljust(read_answer_bytes(run.target))
         if self.fault is Fault.CUT:
             await reply.start(
                 200,
@@ -605,6 +607,13 @@
     return [entry.partition(':')[0].strip() for entry in parts[:-1]]
 
 
+def read_answer_bytes(target: str) -> int:
+    """Return how long an answer has to be at least, as a request asks."""
+    query = urllib.parse.urlsplit(target).query
+    fields = dict(urllib.parse.parse_qsl(query))
+    return int(fields.get('answer_bytes', 0))
+
+
 def sign(replica: str, request: str, body: bytes) -> bytes:
     """Return the proof that a replica gave an answer to a request."""
     digest = hashlib.sha256(f'{replica} {request} '.encode() + body)
--- a/tests/crowd_gateway.py
+++ b/tests/crowd_gateway.py
@@ -1,18 +1,23 @@
 """Callers that don't behave, at each listener of a gateway's process."""
 
+import itertools
 import unittest
 
 import httpx
 
 from tests.support import crowds
-from tests.support.crowd_cases import CrowdCases
+from tests.support.crowd_cases import (
+    CrowdCases,
+    CrowdChecks,
+    UnreadAnswerCases,
+)
 from tests.support.platform_processes import platform_processes, send
 
 SMALLEST_VM_BYTES = 200 * crowds.MIB
 """Memory of the smallest entry VM that a gateway is made for."""
 
 
-class GatewayCase(CrowdCases):
+class GatewayChecks(CrowdChecks):
     """One gateway on the smallest VM."""
 
     memory_bytes = SMALLEST_VM_BYTES
@@ -22,7 +27,7 @@
     def start(self):
         started = platform_processes(
             daemons=1,
-            daemon_descriptors=crowds.DESCRIPTORS,
+            daemon_descriptors=self.descriptors,
             daemon_settings={'memory_mb': SMALLEST_VM_BYTES / crowds.MIB},
         )
         self.platform = started.__enter__()
@@ -31,10 +36,14 @@
         self.process = daemon.process
         self.address = daemon.settings['listen'][self.listener]
 
+    def next_id(self):
+        return 'crowd'
+
     def head(self, framing):
         return (
             f'POST {self.path} HTTP/1.1\r\nHost: site.example\r\n'
-            f'X-Key: key-school\r\nX-Attempt-Id: crowd\r\n{framing}\r\n'
+            f'X-Key: key-school\r\nX-Attempt-Id: {self.next_id()}\r\n'
+            f'{framing}\r\n'
         ).encode()
 
     async def get(self):
@@ -52,16 +61,34 @@
         return await self.get()
 
 
-class TestEntry(GatewayCase, unittest.TestCase):
+class GatewayCase(CrowdCases, GatewayChecks):
+    """One gateway on the smallest VM, and each crowd."""
+
+
+class EntryChecks(GatewayChecks):
     """Requests of callers."""
 
     listener = 'entry'
     path = '/list/1'
 
     async def ask(self):
-        answer = await send(self.address, self.path, body=b'class 4b')
+        answer = await send(self.address, '/list/1', body=b'class 4b')
         return answer.status == 200 and answer.is_whole
 
+
+class TestUnreadAnswers(UnreadAnswerCases, EntryChecks, unittest.TestCase):
+    """Requests whose answers nobody reads."""
+
+    answer_path = '/list/1?answer_bytes={}'
+    _numbers = itertools.count()
+
+    def next_id(self):
+        return f'crowd-{next(self._numbers)}'
+
+
+class TestEntry(CrowdCases, EntryChecks, unittest.TestCase):
+    """Requests of callers."""
+
     async def ask_large(self):
         body = b'x' * self.largest_body
         answer = await send(self.address, self.path, body=body)
--- a/tests/crowd_model_daemon.py
+++ b/tests/crowd_model_daemon.py
@@ -1,11 +1,19 @@
 """Callers that don't behave, at the caller API of a model daemon."""
 
+import pathlib
+import ssl
+import tempfile
 import unittest
 
 import httpx
+import trustme
 
 from tests.support import crowds
-from tests.support.crowd_cases import CrowdCases
+from tests.support.crowd_cases import (
+    CrowdCases,
+    CrowdChecks,
+    UnreadAnswerCases,
+)
 from tests.support.processes import processes
 from tests.support.site import KEY, RealSite
 
@@ -16,11 +24,14 @@
 TIMEOUT_S = 20.0
 
 
-class ModelDaemonCase(CrowdCases):
+class ModelDaemonChecks(CrowdChecks):
     """One model daemon with an engine and a service."""
 
     memory_bytes = DAEMON_BYTES
     path = ''
+    scheme = 'http'
+    trusted = True
+    """What the certificate is checked with, over TLS."""
     authorization = AUTHORIZED
 
     def start(self):
@@ -30,11 +41,16 @@
         service = self.site.processes.start_standin('service')
         self.site.list_vm('mail-a', address=service.address, service='mail')
         self.site.start_engines('a')
-        self.site.processes.descriptors = crowds.DESCRIPTORS
-        self.site.start(memory_mb=DAEMON_BYTES / crowds.MIB)
+        self.site.processes.descriptors = self.descriptors
+        self.site.start(
+            memory_mb=DAEMON_BYTES / crowds.MIB, **self.daemon_settings()
+        )
         self.process = self.site.daemons['a1']
         self.address = self.process.address
 
+    def daemon_settings(self):
+        return {}
+
     def head(self, framing):
         return (
             f'POST {self.path} HTTP/1.1\r\nHost: {self.address}\r\n'
@@ -44,11 +60,11 @@
 
     async def post(self, path, **content):
         async with httpx.AsyncClient(
-            trust_env=False, timeout=TIMEOUT_S
+            trust_env=False, timeout=TIMEOUT_S, verify=self.trusted
         ) as client:
             try:
                 answer = await client.post(
-                    f'http://{self.address}{path}',
+                    f'{self.scheme}://{self.address}{path}',
                     headers={**HEADERS, 'X-Mimosamux-Class': 'draft'},
                     **content,
                 )
@@ -68,6 +84,40 @@
         return await self.post('/v1/chat/completions', json=body)
 
 
+class ModelDaemonCase(CrowdCases, ModelDaemonChecks):
+    """One model daemon, and each crowd."""
+
+
+class TestUnreadAnswers(
+    UnreadAnswerCases, ModelDaemonChecks, unittest.TestCase
+):
+    """Calls to services whose answers nobody reads."""
+
+    answer_path = '/v1/services/mail/send?answer_bytes={}'
+
+
+class TestHandshakes(ModelDaemonChecks, unittest.TestCase):
+    """Connections on which the TLS handshake has begun."""
+
+    scheme = 'https'
+
+    def daemon_settings(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        authority = trustme.CA()
+        issued = authority.issue_cert('127.0.0.1')
+        certificate = pathlib.Path(folder.name) / 'certificate.pem'
+        issued.private_key_and_cert_chain_pem.write_to_path(certificate)
+        self.trusted = ssl.create_default_context()
+        authority.configure_trust(self.trusted)
+        files = {'certificate': str(certificate), 'key': str(certificate)}
+        return {'tls': files}
+
+    # Guards against handshakes that use up the descriptors.
+    def test_handshakes_just_short_of_their_end(self):
+        self.check(crowds.HANDSHAKES)
+
+
 class TestCompletions(ModelDaemonCase, unittest.TestCase):
     """Model requests."""
 
--- a/tests/support/crowd_cases.py
+++ b/tests/support/crowd_cases.py
@@ -13,12 +13,14 @@
 """Descriptors that have to be left for endpoints, peers and the platform."""
 
 
-class CrowdCases:
-    """Tests of one listener; the class names process, head and bound."""
+class CrowdChecks:
+    """Checks at one listener; the class names process, head and bound."""
 
     memory_bytes = 0
     """Memory of the VM that the process runs on."""
     largest_body = 4 * crowds.MIB
+    descriptors = crowds.DESCRIPTORS
+    """Most descriptors of the process."""
 
     def start(self):
         """Start the process; set `process` and `address`."""
@@ -77,9 +79,13 @@
         )
         self.assertLess(held.memory_bytes, self.memory_bytes)
         self.assertLessEqual(
-            held.descriptors, crowds.DESCRIPTORS - SPARE_DESCRIPTORS
+            held.descriptors, self.descriptors - SPARE_DESCRIPTORS
         )
 
+
+class CrowdCases(CrowdChecks):
+    """Crowds that each listener has to stand."""
+
     # Guards against bodies of legal size that fill the memory together.
     def test_large_bodies_whole(self):
         self.check(crowds.LARGE_WHOLE)
@@ -112,7 +118,36 @@
     def test_many_connections_just_short_of_their_end(self):
         self.check(crowds.MANY_OPEN)
 
+    def test_heads_that_wait_to_go_on(self):
+        self.check(crowds.WAITING_TO_GO_ON)
+
+    # Guards against requests that are read before their turn.
+    def test_requests_sent_ahead(self):
+        self.check(crowds.AHEAD)
+
+    def test_all_kinds_at_once(self):
+        self.check(crowds.ALL_AT_ONCE)
+
     def test_calm_single_request(self):
         self.start()
         self.assertEqual(anyio.run(self.ask_large), 200)
         self.assertIsNone(self.process.popen.poll())
+
+
+class UnreadAnswerCases(CrowdChecks):
+    """Crowds that ask for answers and don't read them."""
+
+    descriptors = 1024
+    answer_path = ''
+    """Path of requests whose answer has the number of bytes put into it."""
+
+    def play(self, answer_bytes):
+        self.path = self.answer_path.format(answer_bytes)
+        self.check(crowds.ANSWERS_UNREAD)
+
+    # Guards against answers that are held until their caller takes them.
+    def test_answers_of_one_megabyte(self):
+        self.play(1000 * crowds.KIB)
+
+    def test_long_answers(self):
+        self.play(8 * crowds.MIB)
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import os
 import pathlib
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
@@ -33,13 +34,19 @@
 """Times the largest body that is sent of one that is over the limit."""
 WHOLE_IN = 8
 """Of so many callers that stop just short of their end, one sends it."""
+UNREAD_ANSWERS = 192
+"""Callers that don't read their answers."""
+REQUESTS_AHEAD = 2000
+"""Requests that a caller sends without waiting for an answer."""
+SENT_AHEAD = 64
+"""Callers that do so."""
 QUIET_S = 2.0
 """A crowd of which nobody could send for so long has sent what it can."""
 CROWD_S = 240.0
 """Longest time that a crowd gets; it bounds a hanging test."""
 SAMPLE_S = 0.05
-HELD_STATES = {'01', '08'}
-"""States of a connection, in /proc/net/tcp, whose bytes can be unread."""
+HELD_STATES = {'01', '04', '08', '09'}
+"""States of a connection, in /proc/net/tcp, in which it can hold bytes."""
 
 BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
@@ -127,6 +134,24 @@
         yield render_chunk(piece)
 
 
+def ask_and_read_nothing(head, largest, number):
+    yield head(length(2)) + b'xx'
+
+
+def ask_ahead(head, largest, number):
+    request = head(length(2)) + b'xx'
+    for _ in range(REQUESTS_AHEAD):
+        yield request
+
+
+def wait_to_go_on(head, largest, number):
+    yield head(length(largest) + 'Expect: 100-continue\r\n')
+
+
+def begin_handshake(head, largest, number):
+    yield b'\x16\x03\x01'
+
+
 def open_and_stop_short(head, largest, number):
     yield head(length(2)) + b'x'
 
@@ -136,7 +161,8 @@
     """The most that a process held while a crowd was there."""
 
     memory_bytes: int
-    """Resident memory and bytes that have arrived and were not read."""
+    """Resident memory, bytes that have arrived and were not read, and bytes
+    that were sent and not taken."""
     descriptors: int
 
 
@@ -146,7 +172,7 @@
     def __init__(self, *, pid, port):
         self._folder = pathlib.Path('/proc') / str(pid)
         self._port = f':{port:04X}'
-        self._unread = 0
+        self._buffered = 0
         self._descriptors = 0
 
     def held(self):
@@ -159,7 +185,7 @@
             if line.startswith('VmHWM:')
         ]
         return Held(
-            memory_bytes=peak + self._unread, descriptors=self._descriptors
+            memory_bytes=peak + self._buffered, descriptors=self._descriptors
         )
 
     async def run(self):
@@ -168,19 +194,28 @@
             await anyio.sleep(SAMPLE_S)
 
     def look(self):
-        self._unread = max(self._unread, self._count_unread())
         with contextlib.suppress(FileNotFoundError):
-            count = len(list((self._folder / 'fd').iterdir()))
-            self._descriptors = max(self._descriptors, count)
+            links = [
+                os.readlink(path) for path in (self._folder / 'fd').iterdir()
+            ]
+            self._descriptors = max(self._descriptors, len(links))
+            self._buffered = max(self._buffered, self._count_buffered(links))
 
-    def _count_unread(self):
-        """Return the bytes that callers sent and it has not read."""
+    def _count_buffered(self, links):
+        """Return the bytes that lie in its connections.
+
+        Those that wait to be accepted have no descriptor.
+        """
         table = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
         rows = (line.split() for line in table)
+        inodes = {
+            link.removeprefix('socket:[').removesuffix(']') for link in links
+        }
         return sum(
-            int(row[4].partition(':')[2], 16)
+            sum(int(size, 16) for size in row[4].split(':'))
             for row in rows
-            if row[1].endswith(self._port) and row[3] in HELD_STATES
+            if (row[1].endswith(self._port) or row[9] in inodes)
+            and row[3] in HELD_STATES
         )
 
 
@@ -254,3 +289,30 @@
 OVER_ANNOUNCED = Crowd(parts=announce_far_over)
 OVER_SENT = Crowd(parts=send_far_over)
 MANY_OPEN = Crowd(parts=open_and_stop_short, callers=MANY)
+ANSWERS_UNREAD = Crowd(
+    parts=ask_and_read_nothing, callers=UNREAD_ANSWERS, is_awaited=False
+)
+AHEAD = Crowd(parts=ask_ahead, callers=SENT_AHEAD, is_awaited=False)
+WAITING_TO_GO_ON = Crowd(parts=wait_to_go_on, callers=MANY)
+HANDSHAKES = Crowd(parts=begin_handshake, callers=MANY)
+
+ALL_KINDS = (
+    send_whole,
+    send_in_pieces,
+    stop_short,
+    send_large_chunks,
+    send_small_chunks,
+    stop_short_of_last_chunk,
+    announce_far_over,
+    send_far_over,
+    ask_ahead,
+    wait_to_go_on,
+    open_and_stop_short,
+)
+
+
+def send_any(head, largest, number):
+    yield from ALL_KINDS[number % len(ALL_KINDS)](head, largest, number)
+
+
+ALL_AT_ONCE = Crowd(parts=send_any, callers=MANY, is_awaited=False)
