Caller API: connections count from their accept on, TLS handshakes too

Callers saw: 320 connections that begin a TLS handshake and stop take all 256 descriptors of a model daemon for 5 s; nothing is left for endpoints, peers and the platform.

Cause: asyncio's server accepts all that comes and calls back once a handshake is done; the account heard of a connection only then.

The worker of the caller API accepts by itself, as many as the account allows as the gateway's listeners do, and opens the account's connection behind the accept; a handshake yields as an unfinished head does. The limit on the backlog, with which asyncio accepted at once, is not needed any more.

tests.crowd_model_daemon.TestHandshakes: 256 descriptors of at most 224 on, passes now.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
@@ -1,20 +1,35 @@
-"""Connections of hypercorn's server, under the account of callers."""
+"""Connections of hypercorn's server, under the account of callers.
+
+hypercorn's worker accepts all connections that come. Its server of one
+connection is used as it is, behind a listener that accepts as many as the
+account allows, and counts each from its accept on.
+"""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+import socket
+import ssl
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import Any
 
+import anyio
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
+from hypercorn.typing import AppWrapper
 from hypercorn.utils import wrap_app
 
-from mimosamux_daemon.callers import CallerAccount, CallerConnection
+from mimosamux_daemon.callers import CallerAccount, CallerConnection, Phase
 
 READ_AHEAD_BYTES = 16 * 1024
 """Twice as many bytes at most are read of a connection before it pauses."""
+ACCEPTS_AT_ONCE = 32
+"""Connections accepted in one pass of the event loop."""
+ACCEPT_PAUSE_S = 0.1
+"""Pause after connections could not be accepted, for some to end."""
+ROOM_PAUSE_S = 0.01
+"""Pause while as many connections are open as may be."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -28,30 +43,13 @@
         """Return a connection by the host and port of its caller."""
         return self._by_client.get(client)
 
-    @contextmanager
-    def track(self, writer: asyncio.StreamWriter) -> Iterator[bool]:
-        """Count a connection during the block; gives False if it is refused.
-
-        One that yields ends at once: no answer is under way on it.
-        """
-
-        def end() -> bool:
-            writer.transport.abort()
-            return True
+    def add(self, client: Any, connection: CallerConnection) -> None:
+        """Note whose connection it is."""
+        self._by_client[client] = connection
 
-        connection = self.account.open(end)
-        if connection is None:
-            writer.transport.abort()
-            yield False
-            return
-        client = writer.get_extra_info('peername')
-        key = None if client is None else tuple(client[:2])
-        self._by_client[key] = connection
-        try:
-            yield True
-        finally:
-            self._by_client.pop(key, None)
-            connection.close()
+    def remove(self, client: Any) -> None:
+        """Forget a connection that has ended."""
+        self._by_client.pop(client, None)
 
 
 async def serve_connections(
@@ -61,55 +59,159 @@
     connections: CallerConnections,
     shutdown: Callable[[], Awaitable[None]],
 ) -> None:
-    """Serve as hypercorn's worker does, with each connection counted.
-
-    That worker accepts all connections that come. Its server of one
-    connection is used as it is.
-    """
-    loop = asyncio.get_running_loop()
-    context = WorkerContext(None)
-    wrapped = wrap_app(app, config.wsgi_max_body_size, None)
-    tasks: set[asyncio.Task[None]] = set()
-
-    async def serve(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
-        with connections.track(writer) as is_admitted:
-            if is_admitted:
-                await TCPServer(
-                    wrapped, loop, config, context, {}, reader, writer
-                )
-
+    """Serve until `shutdown` returns, then let open connections finish."""
     sockets = config.create_sockets()
-    listening = [*sockets.secure_sockets, *sockets.insecure_sockets]
-    server = await asyncio.start_server(
-        serve,
-        sock=listening[0],
-        backlog=connections.account.limits.backlog,
-        limit=READ_AHEAD_BYTES,
-        ssl=config.create_ssl_context() if config.ssl_enabled else None,
-        ssl_handshake_timeout=(
-            config.ssl_handshake_timeout if config.ssl_enabled else None
-        ),
+    (listening,) = [*sockets.secure_sockets, *sockets.insecure_sockets]
+    context = WorkerContext(None)
+    listener = _CallerListener(
+        listening=listening,
+        app=wrap_app(app, config.wsgi_max_body_size, None),
+        config=config,
+        context=context,
+        connections=connections,
     )
+    accepting = asyncio.create_task(listener.run())
     try:
         await shutdown()
     finally:
         await context.terminated.set()
-        server.close()
-        await server.wait_closed()
-        if tasks:
-            await _let_finish(tasks, config.graceful_timeout)
-
-
-async def _let_finish(tasks: set[asyncio.Task[None]], grace_s: float) -> None:
-    """Wait for connections to end, and cut those that are left."""
-    _, left = await asyncio.wait(tasks, timeout=grace_s)
-    for task in left:
-        task.cancel()
-    if left:
-        await asyncio.wait(left)
+        accepting.cancel()
+        with suppress(asyncio.CancelledError):
+            await accepting
+        listening.close()
+        await listener.finish(config.graceful_timeout)
+
+
+@dataclass(kw_only=True, slots=True)
+class _CallerListener:
+    """Accepts connections, and serves each in a task of its own."""
+
+    listening: socket.socket
+    app: AppWrapper
+    config: Config
+    context: WorkerContext
+    connections: CallerConnections
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    async def run(self) -> None:
+        """Accept connections until cancelled."""
+        self.listening.setblocking(False)
+        while True:
+            await anyio.wait_readable(self.listening)
+            if not self.connections.account.may_accept(0):
+                # Others have yielded and are about to be closed.
+                await anyio.sleep(ROOM_PAUSE_S)
+                continue
+            try:
+                self._accept_waiting()
+            except OSError:
+                # Without descriptors the socket stays readable.
+                await anyio.sleep(ACCEPT_PAUSE_S)
+
+    def _accept_waiting(self) -> None:
+        """Accept connections that wait; raises `OSError` if it fails."""
+        for _ in range(ACCEPTS_AT_ONCE):
+            if not self.connections.account.may_accept(0):
+                return
+            try:
+                accepted, _ = self.listening.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            self._begin(accepted)
+
+    def _begin(self, accepted: socket.socket) -> None:
+        served = _Served(listener=self, accepted=accepted)
+        if not served.is_admitted:
+            accepted.close()
+            return
+        task = asyncio.create_task(served.run())
+        served.task = task
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def finish(self, grace_s: float) -> None:
+        """Wait for connections to end, and cut those that are left."""
+        if not self._tasks:
+            return
+        _, left = await asyncio.wait(self._tasks, timeout=grace_s)
+        for task in left:
+            task.cancel()
+        if left:
+            await asyncio.wait(left)
+
+
+class _Served:
+    """One connection, from its accept until it is closed."""
+
+    def __init__(
+        self, *, listener: _CallerListener, accepted: socket.socket
+    ) -> None:
+        self._listener = listener
+        self._accepted = accepted
+        self._transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self._caller = listener.connections.account.open(self._end)
+
+    @property
+    def is_admitted(self) -> bool:
+        """Whether the account has room for it."""
+        return self._caller is not None
+
+    def _end(self) -> bool:
+        """End it at once: no answer is under way on it."""
+        if self._transport is not None:
+            self._transport.abort()
+        elif self.task is not None:
+            self.task.cancel()
+        return True
+
+    async def run(self) -> None:
+        """Serve it until it ends."""
+        assert self._caller is not None
+        client: Any = None
+        try:
+            client = self._accepted.getpeername()[:2]
+            self._listener.connections.add(client, self._caller)
+            reader, writer = await self._open_streams(self._caller)
+            await TCPServer(
+                self._listener.app,
+                asyncio.get_running_loop(),
+                self._listener.config,
+                self._listener.context,
+                {},
+                reader,
+                writer,
+            )
+        except OSError:
+            # Its caller has left, or the TLS handshake has failed.
+            pass
+        finally:
+            self._listener.connections.remove(client)
+            if self._transport is None:
+                self._accepted.close()
+            self._caller.close()
+
+    async def _open_streams(
+        self, caller: CallerConnection
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Return its streams, over TLS behind the handshake."""
+        config = self._listener.config
+        context: ssl.SSLContext | None = None
+        if config.ssl_enabled:
+            context = config.create_ssl_context()
+            caller.enter(Phase.HEAD)
+        loop = asyncio.get_running_loop()
+        reader = asyncio.StreamReader(limit=READ_AHEAD_BYTES)
+        protocol = asyncio.StreamReaderProtocol(reader)
+        self._transport, _ = await loop.connect_accepted_socket(
+            lambda: protocol,
+            self._accepted,
+            ssl=context,
+            ssl_handshake_timeout=(
+                config.ssl_handshake_timeout if context else None
+            ),
+        )
+        caller.enter(Phase.IDLE)
+        return reader, asyncio.StreamWriter(
+            self._transport, protocol, reader, loop
+        )
