--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_requests.py
@@ -127,13 +127,15 @@
         self._on_wait = on_wait
         self._body = _Body()
         limits = self._rules.limits()
-        event = await self._next_event(
-            limits.header_timeout_s,
-            Unreadable(
-                status=HTTPStatus.REQUEST_TIMEOUT,
-                problem='request took too long',
-            ),
-        )
+        event = self._parse()
+        if event is None:
+            event = await self._await_event(
+                limits.header_timeout_s,
+                Unreadable(
+                    status=HTTPStatus.REQUEST_TIMEOUT,
+                    problem='request took too long',
+                ),
+            )
         if not isinstance(event, h11.Request):
             return event if isinstance(event, Unreadable) else None
         headers = tuple(event.headers)
@@ -216,7 +218,7 @@
             body.deadline = now + self._rules.body_timeout_s
             self._on_wait(Phase.BODY)
         left_s = body.deadline - anyio.current_time()
-        return await self._next_event(
+        return await self._await_event(
             min(limits.idle_timeout_s, left_s),
             Unreadable(
                 status=HTTPStatus.REQUEST_TIMEOUT,
@@ -243,7 +245,7 @@
         )
         return None
 
-    async def _next_event(
+    async def _await_event(
         self, timeout_s: float, too_late: Unreadable
     ) -> h11.Event | Unreadable:
         """Return the next event, or `too_late` if it did not arrive in time.
@@ -251,9 +253,6 @@
         Most requests arrive in one piece: a timer is set only for what has
         not arrived yet.
         """
-        event = self._parse()
-        if event is not None:
-            return event
         if self._body.deadline is None:
             self._on_wait(Phase.HEAD)
         with anyio.move_on_after(timeout_s) as self._scope:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -30,14 +30,13 @@
 )
 from mimosamux_daemon.callers import (
     BODY_TIMEOUT_S,
+    GATEWAY_OWN_BYTES,
     LINGER_BYTES,
     LINGER_S,
     CallerAccount,
-    CallerRecord,
     ParseTurns,
     Phase,
-    find_descriptor_limit,
-    find_limits,
+    build_account,
 )
 from mimosamux_daemon.domain.routes import TrafficLimits
 from mimosamux_daemon.logs import get_log
@@ -45,19 +44,6 @@
 
 log = get_log('http1_server')
 
-DEFAULT_OWN_BYTES = 96 * 1024 * 1024
-"""Memory that a process needs without callers."""
-
-
-def default_account() -> CallerAccount:
-    """Return the account of a server that shares none with others."""
-    limits = find_limits(
-        memory_mb=0,
-        descriptors=find_descriptor_limit(0),
-        own_bytes=DEFAULT_OWN_BYTES,
-    )
-    return CallerAccount(limits=limits, record=CallerRecord())
-
 
 @dataclass(frozen=True, kw_only=True, slots=True, eq=False)
 class _IdleWait:
@@ -85,7 +71,7 @@
         self.open_requests = 0
         self.is_draining = False
         self.limits = limits
-        self.account = account or default_account()
+        self.account = account or build_account(own_bytes=GATEWAY_OWN_BYTES)
         self.turns = turns or ParseTurns()
         self.screen = screen
         self.takes_bodies = takes_bodies
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
@@ -6,6 +6,12 @@
     Phase,
     RequestHolding,
 )
+from mimosamux_daemon.callers.building import (
+    GATEWAY_OWN_BYTES,
+    MODEL_DAEMON_OWN_BYTES,
+    build_account,
+    show_holdings,
+)
 from mimosamux_daemon.callers.limits import (
     BODY_TIMEOUT_S,
     LINGER_BYTES,
@@ -13,7 +19,6 @@
     MAX_LINGERING,
     YIELDED_RETRY_S,
     CallerLimits,
-    find_descriptor_limit,
     find_limits,
 )
 from mimosamux_daemon.callers.record import (
@@ -25,9 +30,11 @@
 __all__ = [
     'BODY_TIMEOUT_S',
     'EVENTS_A_TURN',
+    'GATEWAY_OWN_BYTES',
     'LINGER_BYTES',
     'LINGER_S',
     'MAX_LINGERING',
+    'MODEL_DAEMON_OWN_BYTES',
     'YIELDED_RETRY_S',
     'CallerAccount',
     'CallerConnection',
@@ -37,6 +44,7 @@
     'ParseTurns',
     'Phase',
     'RequestHolding',
-    'find_descriptor_limit',
+    'build_account',
     'find_limits',
+    'show_holdings',
 ]
--- a/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/daemon.py
@@ -21,11 +21,9 @@
 from mimosamux_daemon.api.caller_gate import CallerGate
 from mimosamux_daemon.api.exchanges import Exchange, ExchangeCounter
 from mimosamux_daemon.callers import (
+    MODEL_DAEMON_OWN_BYTES,
     CallerAccount,
-    CallerRecord,
-    LossCause,
-    find_descriptor_limit,
-    find_limits,
+    build_account,
 )
 from mimosamux_daemon.control.configuration import ConfigurationInForce
 from mimosamux_daemon.control_parts import ControlParts, build_control
@@ -50,10 +48,6 @@
 
 log = get_log('daemon')
 
-OWN_BYTES = 128 * 1024 * 1024
-"""Memory that a model daemon needs without callers, and for the prompts and
-answers that it keeps."""
-
 
 class Daemon:
     """One daemon process: its components, HTTP server and stop sequence.
@@ -183,16 +177,11 @@
         )
 
     def _build_account(self) -> CallerAccount:
-        def note(cause: LossCause) -> None:
-            self.metrics.caller_losses.inc({'cause': cause})
-
-        account = CallerAccount(
-            limits=find_limits(
-                memory_mb=self.settings.memory_mb,
-                descriptors=find_descriptor_limit(self.settings.descriptors),
-                own_bytes=OWN_BYTES,
-            ),
-            record=CallerRecord(note=note),
+        account = build_account(
+            own_bytes=MODEL_DAEMON_OWN_BYTES,
+            memory_mb=self.settings.memory_mb,
+            descriptors=self.settings.descriptors,
+            metrics=self.metrics,
         )
         self.metrics.watch_callers(account)
         return account
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/http_messages.py
@@ -92,12 +92,7 @@
 
 def parse_count(value: bytes | None) -> float | None:
     """Return the number of a header, None unless it is one below `1e9`."""
-    if value is None:
-        return None
-    try:
-        number = float(value)
-    except ValueError:
-        return None
+    number = math.nan if value is None else parse_number(value)
     return number if 0 <= number < 1e9 else None
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -13,12 +13,9 @@
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
 from mimosamux_daemon.callers import (
-    CallerAccount,
-    CallerRecord,
-    LossCause,
+    GATEWAY_OWN_BYTES,
     ParseTurns,
-    find_descriptor_limit,
-    find_limits,
+    build_account,
 )
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.gateway.clock import steady_time
@@ -44,9 +41,6 @@
 They arrive within 20 ms of the start. Without them, requests that wait to be
 accepted would be refused, to be retried 0.5 s later."""
 
-OWN_BYTES = 96 * 1024 * 1024
-"""Memory that a gateway needs without callers, at a large site."""
-
 
 class GatewayDaemon:
     """One daemon; `run` serves until `stop` is called."""
@@ -80,7 +74,12 @@
             wall_clock=wall_clock,
             rng=random.Random() if rng is None else rng,
         )
-        self._account = self._build_account()
+        self._account = build_account(
+            own_bytes=GATEWAY_OWN_BYTES,
+            memory_mb=settings.memory_mb,
+            descriptors=settings.descriptors,
+            metrics=self.parts.metrics,
+        )
         self._turns = ParseTurns()
         handler = platform.create_request_handler(self.parts.forwarder)
         self._server = self._build_server(
@@ -130,19 +129,6 @@
         """Whether discovery may direct clients to this daemon."""
         return self.parts.states.state is MemberState.READY
 
-    def _build_account(self) -> CallerAccount:
-        def note(cause: LossCause) -> None:
-            self.parts.metrics.caller_losses.inc({'cause': cause})
-
-        return CallerAccount(
-            limits=find_limits(
-                memory_mb=self.settings.memory_mb,
-                descriptors=find_descriptor_limit(self.settings.descriptors),
-                own_bytes=OWN_BYTES,
-            ),
-            record=CallerRecord(note=note),
-        )
-
     def _build_server(
         self,
         handler: Handler,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/monitor.py
@@ -6,7 +6,7 @@
 import orjson
 
 from mimosamux_daemon.adapters.http1_exchange import IncomingRequest, Reply
-from mimosamux_daemon.callers import CallerAccount
+from mimosamux_daemon.callers import CallerAccount, show_holdings
 from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import ContentKey
 from mimosamux_daemon.domain.store_eras import StoreEra
@@ -111,7 +111,7 @@
         metrics = self.metrics
         metrics.open_requests.set({}, self.open_requests())
         metrics.stopping.set({}, int(self.is_stopping()))
-        self._collect_holdings()
+        show_holdings(self.account, self.metrics)
         metrics.configuration_version.set(
             {}, self.configuration.current.version
         )
@@ -151,11 +151,6 @@
                 labels = {'service': service, 'state': state}
                 metrics.endpoints.set(labels, counts.get((service, state), 0))
 
-    def _collect_holdings(self) -> None:
-        for kind, held, most in self.account.holdings():
-            self.metrics.caller_holdings.set({'kind': kind}, held)
-            self.metrics.caller_limits.set({'kind': kind}, most)
-
     def _daemon_rows(self) -> list[dict[str, object]]:
         """Return this daemon, then each peer."""
         fresh = {peer.place.id for peer in self.states.fresh()}
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 import yaml
 
+from mimosamux_daemon.callers import BODY_TIMEOUT_S
 from mimosamux_daemon.decoding import convert_settings
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName
 from mimosamux_daemon.errors import InvalidSettings
@@ -124,7 +125,9 @@
     """Memory of the VM, in MiB; 0: unknown."""
     descriptors: Annotated[int, msgspec.Meta(ge=0)] = 0
     """Most descriptors of the process; 0: what the system allows."""
-    body_timeout_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = 30.0
+    body_timeout_s: Annotated[float, msgspec.Meta(gt=0, le=3600)] = (
+        BODY_TIMEOUT_S
+    )
     """Longest time from the head of a request to the end of its body."""
     listen: ListenModel
     seeds: tuple[str, ...] = ()
@@ -163,7 +166,7 @@
     address_ttl_s: float
     memory_mb: float = 0.0
     descriptors: int = 0
-    body_timeout_s: float = 30.0
+    body_timeout_s: float = BODY_TIMEOUT_S
     retries: RetryLimits
     caps: CapRules
     rollouts: RolloutLimits = RolloutLimits()
--- a/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
@@ -2,7 +2,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from mimosamux_daemon.callers import CallerAccount
+from mimosamux_daemon.callers import CallerAccount, show_holdings
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.4, 3.0, 6.0, 15.0, 60.0)
 
@@ -89,7 +89,8 @@
 
         `accept` holds the values of the `Accept` header.
         """
-        self._collect_holdings()
+        if self._account is not None:
+            show_holdings(self._account, self)
         content, headers = render(self._registry, accept)
         return content, dict(headers)
 
@@ -97,13 +98,6 @@
         """Show from now on what callers hold."""
         self._account = account
 
-    def _collect_holdings(self) -> None:
-        if self._account is None:
-            return
-        for kind, held, most in self._account.holdings():
-            self.caller_holdings.set({'kind': kind}, held)
-            self.caller_limits.set({'kind': kind}, most)
-
     def _counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self._registry)
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -6,6 +6,7 @@
 import pydantic
 import yaml
 
+from mimosamux_daemon.callers import BODY_TIMEOUT_S
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName, VMId
 from mimosamux_daemon.errors import InvalidSettings
 from mimosamux_daemon.validation import first_problem
@@ -70,7 +71,9 @@
     """Memory of the VM, in MiB; 0: unknown."""
     descriptors: int = pydantic.Field(default=0, ge=0)
     """Most descriptors of the process; 0: what the system allows."""
-    body_timeout_s: float = pydantic.Field(default=30.0, gt=0, le=3600)
+    body_timeout_s: float = pydantic.Field(
+        default=BODY_TIMEOUT_S, gt=0, le=3600
+    )
     """Longest time from the head of a request to the end of its body."""
     configuration: dict[str, object] | None = None
     """Initial configuration, proposed if the platform stores none."""
@@ -119,7 +122,7 @@
     configuration: dict[str, object] | None
     memory_mb: float = 0.0
     descriptors: int = 0
-    body_timeout_s: float = 30.0
+    body_timeout_s: float = BODY_TIMEOUT_S
 
 
 def parse_settings(text: str) -> Settings:
