Answers that callers don't take count; the longest untaken yields

Callers saw: nothing; the process ended. 192 callers that ask and read nothing made a gateway hold 450 MiB of 200 (8 MiB answers), a model daemon 390 (1,000 KiB) and 367 of 256 (8 MiB).

Cause: what was held for an answer was in no account: answers kept whole until they are complete, what is left of one whose caller takes nothing, and the kernel's buffers on both sides of it, which grow to megabytes. The caller API gave its server a whole answer, which kept it a second time, and never cut off a caller that takes nothing.

The account counts answers of over 64 KiB while they are kept, and any that waits for its caller, with what may lie behind it. The one whose caller took nothing for longest, for 2 s at least, yields before anybody else, for bytes and for descriptors. An answer without room is relayed as it comes (gateway) or left unread at its service (model daemon). Buffers of callers' connections and of those to endpoints have a size; answers go out in parts of 64 KiB; the caller API has the gateway's time limit on data that is not taken. Nothing begins while answers hold more than the limit. So connections take 112 KiB of the account, 48 before.

The double of a connection in test_http1_relay has send_now, as the port has; the limit that test_caller_account sums up is the new size of a connection.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -61,6 +61,7 @@
                 is_timeout=isinstance(error, TimeoutError),
             )
         self.opened += 1
+        connection.limit_unread()
         return Channel(
             address=address,
             connection=connection,
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_server.py
@@ -130,10 +130,15 @@
         self._lingering: anyio.CancelScope | None = None
         self._has_yielded = False
         self._caller = server.account.open(self._yield)
+        self._reply: Reply | None = None
+        self._answer = server.account.hold_answer(
+            self._reader.holding, self._caller, self._break_off
+        )
 
     def release(self) -> None:
         """Note that nothing is left of the connection."""
         self._reader.holding.release()
+        self._answer.release()
         if self._caller is not None:
             self._caller.close()
 
@@ -169,16 +174,13 @@
             if isinstance(request, Unreadable):
                 await self._turn_down(request)
                 return
-            reply = Reply(
-                parser=self._parser,
-                connection=self.connection,
-                closes=self._is_last_answer,
-            )
+            reply = self._begin_reply(closes=self._is_last_answer)
             try:
                 await self._handle(request, reply)
             finally:
                 caller.end_work()
                 self._reader.holding.release()
+                self._answer.release()
             if not reply.is_finished or request.is_caller_gone:
                 return
             if self._parser.our_state is not h11.DONE:
@@ -186,6 +188,20 @@
                 return
             self._parser.start_next_cycle()
 
+    def _begin_reply(self, *, closes: Callable[[], bool]) -> Reply:
+        self._reply = Reply(
+            parser=self._parser,
+            connection=self.connection,
+            holding=self._answer,
+            closes=closes,
+        )
+        return self._reply
+
+    def _break_off(self) -> None:
+        """Have an answer that nobody takes yield to others."""
+        if self._reply is not None:
+            self._reply.break_off()
+
     def _is_last_answer(self) -> bool:
         """Whether an answer that begins now ends the connection.
 
@@ -255,11 +271,7 @@
             self._server.account.record.add(problem.cause)
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        reply = Reply(
-            parser=self._parser,
-            connection=self.connection,
-            closes=lambda: True,
-        )
+        reply = self._begin_reply(closes=lambda: True)
         if problem.refused is not None and self._server.screen is not None:
             await self._server.screen.render(problem.refused, reply)
         else:
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from urllib.parse import quote
 
+import anyio
 import httpx
 
 from mimosamux_daemon.adapters.http_framing import is_unframed
@@ -20,6 +21,14 @@
 MAX_CONNECTIONS = 256
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 """An answer that is larger counts as none."""
+UNCOUNTED_BYTES = 64 * 1024
+"""Answers up to this size are read without asking for room."""
+ROOM_BYTES = 1024 * 1024
+"""Bytes for which room is asked beyond those that have come, where nothing
+tells the length of an answer."""
+ROOM_WAIT_S = 5.0
+"""Longest wait for room; beyond it, the answer counts as none."""
+ROOM_POLL_S = 0.05
 
 KEY_HEADER = 'idempotency-key'
 REQUEST_HEADER = 'x-mimosamux-request'
@@ -81,7 +90,7 @@
             return ConnectFailed(reason=f'{type(error).__name__} {error}')
         except httpx.HTTPError as error:
             return ServiceUnanswered(reason=f'{type(error).__name__} {error}')
-        return await _read_answer(response)
+        return await _read_answer(response, call)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -90,14 +99,19 @@
 
 
 async def _read_answer(
-    response: httpx.Response,
+    response: httpx.Response, call: ServiceCall
 ) -> ServiceAnswer | ServiceUnanswered:
     body = bytearray()
+    room = 0
     try:
         async for part in response.aiter_raw():
             body += part
             if len(body) > MAX_ANSWER_BYTES:
                 return ServiceUnanswered(reason='the answer is too large')
+            if len(body) > max(room, UNCOUNTED_BYTES):
+                room = max(len(body) + ROOM_BYTES, _stated_length(response))
+                if not await _wait_for_room(call, room):
+                    return ServiceUnanswered(reason='no room for the answer')
     except httpx.HTTPError as error:
         return ServiceUnanswered(reason=f'{type(error).__name__} {error}')
     finally:
@@ -114,6 +128,25 @@
     )
 
 
+def _stated_length(response: httpx.Response) -> int:
+    """Return the length of an answer in bytes, 0 if it is not known."""
+    text = response.headers.get('content-length', '')
+    return min(int(text), MAX_ANSWER_BYTES) if text.isdecimal() else 0
+
+
+async def _wait_for_room(call: ServiceCall, size: int) -> bool:
+    """Return whether so many bytes of an answer may be kept.
+
+    The service waits meanwhile, as its bytes are not read.
+    """
+    give_up_at = anyio.current_time() + ROOM_WAIT_S
+    while not call.hold_answer(size):
+        if anyio.current_time() > give_up_at:
+            return False
+        await anyio.sleep(ROOM_POLL_S)
+    return True
+
+
 def quote_path(path: str) -> str:
     """Return a path and query that are safe in a request line."""
     path, mark, query = path.lstrip('/').partition('?')
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -15,19 +15,20 @@
 
 from mimosamux_daemon.early_listeners import (
     BACKLOG,
+    SENT_DATA_TIMEOUT_MS,
     SocketsByAddress,
-    limit_unread,
+    limit_buffers,
     open_listener,
 )
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports.network import Connection, ConnectionHandler
+from mimosamux_daemon.ports.network import (
+    UNREAD_ANSWER_BYTES,
+    Connection,
+    ConnectionHandler,
+)
 
 log = get_log('tcp_network')
 
-SENT_DATA_TIMEOUT_MS = 5000
-"""Sent data that is not acknowledged for so long ends a connection: a
-machine without power answers nothing, not even with a reset, and the
-kernel would go on sending for a quarter of an hour."""
 ABORTIVE_CLOSE = struct.pack('ii', 1, 0)
 """Value of SO_LINGER with which closing a socket sends a reset."""
 ORDERLY_CLOSE = struct.pack('ii', 0, 0)
@@ -83,29 +84,40 @@
         Usually the kernel takes all of them at once, and a task switch for
         each send would cost more than the send. Then it does not yield.
         """
+        rest = self.send_now(item)
+        if not rest:
+            return
         try:
-            sent = 0 if self._may_hold_back else self._send_now(item)
-            if sent < len(item):
-                # Cancelled here, the stream keeps bytes that are still to be
-                # sent: from then on, all others have to go behind them.
-                self._may_hold_back = True
-                await self._stream.send(item[sent:])
-                self._may_hold_back = False
+            # Cancelled here, the stream keeps bytes that are still to be
+            # sent: from then on, all others have to go behind them.
+            self._may_hold_back = True
+            await self._stream.send(rest)
+            self._may_hold_back = False
         except anyio.BrokenResourceError:
             self._has_failed = True
             raise
 
-    def _send_now(self, item: bytes) -> int:
-        """Return the number of bytes that the kernel took."""
+    def send_now(self, item: bytes) -> bytes:
+        """Send what the kernel takes at once; return the rest."""
         if self._is_closed:
             raise anyio.ClosedResourceError
+        if self._may_hold_back:
+            return item
         try:
-            return os.write(self._socket.fileno(), item)
+            return item[os.write(self._socket.fileno(), item) :]
         except BlockingIOError:
-            return 0
+            return item
         except OSError as error:
+            self._has_failed = True
             raise anyio.BrokenResourceError from error
 
+    def limit_unread(self) -> None:
+        """Bound what lies unread in it."""
+        if self._socket.fileno() >= 0:
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_ANSWER_BYTES
+            )
+
     async def send_eof(self) -> None:
         """Say that nothing more will be sent."""
         await self._stream.send_eof()
@@ -185,9 +197,9 @@
         host, port = listening.getsockname()[:2]
         self.address = f'{host}:{port}'
 
-    def limit_unread(self) -> None:
-        """Bound what lies unread in each connection."""
-        limit_unread(self._listening)
+    def limit_buffers(self) -> None:
+        """Bound what lies in each connection."""
+        limit_buffers(self._listening)
 
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_frames.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_frames.py
@@ -76,6 +76,10 @@
         """Send bytes to the endpoint."""
         await self._connection.send(item)
 
+    def limit_unread(self) -> None:
+        """Bound what lies unread in it."""
+        self._connection.limit_unread()
+
     async def send_eof(self) -> None:
         """Say that nothing more will be sent."""
         await self._connection.send_eof()
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
@@ -1,7 +1,7 @@
 """Routes to services other than model engines."""
 
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 from starlette.requests import Request
@@ -10,7 +10,11 @@
 
 from mimosamux_daemon.api.accounts import find_account
 from mimosamux_daemon.api.bodies import BodyProblem, read_body
-from mimosamux_daemon.api.caller_gate import YIELDED
+from mimosamux_daemon.api.caller_gate import (
+    GATED_REQUEST,
+    YIELDED,
+    GatedRequest,
+)
 from mimosamux_daemon.api.callers import (
     CLASS_HEADER,
     KEY_HEADER,
@@ -89,6 +93,9 @@
         if isinstance(body, BodyProblem):
             return outcome_response(REFUSED_BY_PROBLEM[body])
         call = _build_service_call(request, account, work_class, body)
+        gated: GatedRequest | None = request.scope.get(GATED_REQUEST)
+        if gated is not None:
+            call = replace(call, hold_answer=gated.answer.hold)
         response = outcome_response(await self.calls.call(call, configuration))
         response.headers[REQUEST_HEADER] = call.id
         return response
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
@@ -1,6 +1,7 @@
 """What callers may make a process hold, decided in one place."""
 
 from mimosamux_daemon.callers.account import (
+    AnswerHolding,
     CallerAccount,
     CallerConnection,
     Phase,
@@ -13,10 +14,12 @@
     show_holdings,
 )
 from mimosamux_daemon.callers.limits import (
+    ANSWER_PART_BYTES,
     BODY_TIMEOUT_S,
     LINGER_BYTES,
     LINGER_S,
     MAX_LINGERING,
+    SMALL_BYTES,
     YIELDED_RETRY_S,
     CallerLimits,
     find_limits,
@@ -28,6 +31,7 @@
 from mimosamux_daemon.callers.turns import EVENTS_A_TURN, ParseTurns
 
 __all__ = [
+    'ANSWER_PART_BYTES',
     'BODY_TIMEOUT_S',
     'EVENTS_A_TURN',
     'GATEWAY_OWN_BYTES',
@@ -35,7 +39,9 @@
     'LINGER_S',
     'MAX_LINGERING',
     'MODEL_DAEMON_OWN_BYTES',
+    'SMALL_BYTES',
     'YIELDED_RETRY_S',
+    'AnswerHolding',
     'CallerAccount',
     'CallerConnection',
     'CallerLimits',
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -4,6 +4,8 @@
 yield, and never whom it only happens to meet: a crowd that stops just short of
 its end would lock everybody else out if newcomers were refused.
 
+- Both: first the answer whose caller has taken none of it for longest, if that
+  is for `STALL_S` at least.
 - Bytes: a request that has not arrived whole while its caller waits for the
   answer, or else the largest of those that arrive, of the client account that
   holds most. A small one yields last.
@@ -11,7 +13,8 @@
 - Descriptors: a connection that lingers, then the one that is idle for
   longest, then the oldest unfinished head, then the oldest unfinished body.
 
-Requests that have arrived whole never yield; a newcomer is refused instead.
+Requests that have arrived whole don't yield as long as their callers take the
+answers; a newcomer is refused instead.
 """
 
 import math
@@ -24,6 +27,7 @@
     ACCEPTS_AHEAD,
     MAX_LINGERING,
     SMALL_BYTES,
+    STALL_S,
     CallerLimits,
 )
 from mimosamux_daemon.callers.record import CallerRecord, LossCause
@@ -110,11 +114,55 @@
         """Set the bytes of a request that is whole; False if refused."""
         return self._account._finish(self, size)
 
+    def give_up(self) -> None:
+        """Have it yield to others."""
+        self._account._drop(self)
+        self.yield_()
+
     def release(self) -> None:
         """Note that nothing of it is left; it may be used again."""
         self._account._release(self)
 
 
+class AnswerHolding:
+    """Bytes of an answer, until its caller has taken them."""
+
+    def __init__(
+        self,
+        *,
+        account: 'CallerAccount',
+        request: RequestHolding,
+        connection: CallerConnection | None,
+        yield_: Callable[[], object],
+    ) -> None:
+        self._account = account
+        self.request = request
+        """The request that it answers."""
+        self.connection = connection
+        """The connection that ends with it, None if it is not known."""
+        self.yield_ = yield_
+        """Breaks the answer off."""
+        self.bytes = 0
+        self.waits_since = math.inf
+        """Time since which its caller takes nothing, as far as is known."""
+
+    def hold(self, size: int) -> bool:
+        """Set the bytes that have come of it; False if there is no room."""
+        return self._account._hold_answer(self, size)
+
+    def wait(self, size: int) -> None:
+        """Note that so many bytes wait for its caller to take some."""
+        self._account._wait_for_caller(self, size)
+
+    def go_on(self) -> None:
+        """Note that its caller has taken some."""
+        self._account._waiting_answers.pop(self, None)
+
+    def release(self) -> None:
+        """Note that its caller has taken all, or is gone."""
+        self._account._release_answer(self)
+
+
 class CallerAccount:
     """What all callers of a process make it hold."""
 
@@ -122,6 +170,8 @@
         self.limits = limits
         self.record = record
         self.request_bytes = 0
+        """Bytes of requests and of answers."""
+        self.answer_bytes = 0
         self.connections = 0
         """Open connections, without those that have yielded."""
         self.descriptors = 0
@@ -133,6 +183,8 @@
         """Connections by phase, the longest in it first."""
         self._unfinished: dict[RequestHolding, None] = {}
         """Requests that have not arrived whole, least recent bytes first."""
+        self._waiting_answers: dict[AnswerHolding, None] = {}
+        """Answers whose callers have to take some, longest waiting first."""
         self._bytes_by_owner: dict[str, int] = {}
         self._whole_by_owner: dict[str, int] = {}
         """Bytes of the requests that have arrived whole, by client account."""
@@ -142,6 +194,7 @@
         limits = self.limits
         return (
             ('request_bytes', self.request_bytes, limits.request_bytes),
+            ('answer_bytes', self.answer_bytes, limits.request_bytes),
             ('connections', self.connections, limits.connections),
             ('descriptors', self.descriptors, limits.descriptors),
         )
@@ -170,6 +223,17 @@
         """Return the holding of a request that begins to arrive."""
         return RequestHolding(account=self, yield_=yield_)
 
+    def hold_answer(
+        self,
+        request: RequestHolding,
+        connection: CallerConnection | None,
+        yield_: Callable[[], object],
+    ) -> AnswerHolding:
+        """Return the holding of the answer to a request."""
+        return AnswerHolding(
+            account=self, request=request, connection=connection, yield_=yield_
+        )
+
     def may_linger(self) -> bool:
         """Whether a refused caller gets time to read its answer."""
         return len(self._by_phase[Phase.LINGERING]) < MAX_LINGERING
@@ -187,6 +251,12 @@
         if not self._make_room(descriptors=WORK_DESCRIPTORS):
             self._lose(LossCause.DESCRIPTORS)
             return False
+        # Answers that wait for their callers may hold more than the limit.
+        if self.answer_bytes and not self._make_byte_room(
+            self.limits.request_bytes
+        ):
+            self._lose(LossCause.BYTES)
+            return False
         self.descriptors += WORK_DESCRIPTORS
         return True
 
@@ -208,8 +278,32 @@
             self.descriptors + descriptors > self.limits.descriptors
             or self.connections + connections > self.limits.connections
         ):
-            if not self._yield_connection():
+            if not (self._yield_answer() or self._yield_connection()):
+                return False
+        return True
+
+    def _make_byte_room(self, limit: int) -> bool:
+        """Have answers and uploads yield; False if none does."""
+        while self.request_bytes > limit:
+            if self._yield_answer():
+                continue
+            if not self._unfinished:
                 return False
+            self._find_loser().give_up()
+        return True
+
+    def _yield_answer(self) -> bool:
+        """Break off the answer that waits for its caller for too long."""
+        longest = next(iter(self._waiting_answers), None)
+        if longest is None:
+            return False
+        if anyio.current_time() - longest.waits_since < STALL_S:
+            return False
+        self._release_answer(longest)
+        if longest.connection is not None:
+            self._close(longest.connection)
+        longest.yield_()
+        self._lose(LossCause.UNREAD_ANSWER)
         return True
 
     def _yield_connection(self) -> bool:
@@ -229,14 +323,44 @@
             if self.request_bytes == holding.bytes:
                 # Alone, each request that the limits of traffic allow fits.
                 return True
+            if self._yield_answer():
+                continue
             loser = self._find_loser()
-            self._release(loser)
-            self._lose(LossCause.BYTES)
             if loser is holding:
+                self._drop(holding)
                 return False
-            loser.yield_()
+            loser.give_up()
         return True
 
+    def _drop(self, holding: RequestHolding) -> None:
+        self._release(holding)
+        self._lose(LossCause.BYTES)
+
+    def _hold_answer(self, answer: AnswerHolding, size: int) -> bool:
+        before = answer.bytes
+        self._resize_answer(answer, size)
+        # Alone, each answer fits that may be held at all.
+        is_alone = self.request_bytes == size + answer.request.bytes
+        if is_alone or self._make_byte_room(self.limits.large_request_bytes):
+            return True
+        self._resize_answer(answer, before)
+        return False
+
+    def _wait_for_caller(self, answer: AnswerHolding, size: int) -> None:
+        self._resize_answer(answer, size)
+        self._waiting_answers.pop(answer, None)
+        self._waiting_answers[answer] = None
+        answer.waits_since = anyio.current_time()
+
+    def _release_answer(self, answer: AnswerHolding) -> None:
+        self._resize_answer(answer, 0)
+        self._waiting_answers.pop(answer, None)
+
+    def _resize_answer(self, answer: AnswerHolding, size: int) -> None:
+        self.request_bytes += size - answer.bytes
+        self.answer_bytes += size - answer.bytes
+        answer.bytes = size
+
     def _finish(self, holding: RequestHolding, size: int) -> bool:
         if not size and not holding.bytes:
             return True
@@ -247,8 +371,7 @@
         most = self.limits.large_request_bytes // 2
         if owned and size > SMALL_BYTES and owned + size > most:
             # Whole requests never yield: others would find no room.
-            self._release(holding)
-            self._lose(LossCause.BYTES)
+            self._drop(holding)
             return False
         holding.is_whole = True
         _add(self._whole_by_owner, holding.owner, size)
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -3,7 +3,10 @@
 import resource
 from dataclasses import dataclass
 
-from mimosamux_daemon.early_listeners import RECEIVE_BUFFER_BYTES
+from mimosamux_daemon.early_listeners import (
+    RECEIVE_BUFFER_BYTES,
+    SEND_BUFFER_BYTES,
+)
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -15,8 +18,9 @@
 BODIES_SHARE = 0.4
 """Share of the memory for callers that their requests get, the rest is for
 their connections."""
-CONNECTION_BYTES = 16 * KIB + RECEIVE_BUFFER_BYTES
-"""Memory of a connection: its objects, and what lies in it unread."""
+CONNECTION_BYTES = 16 * KIB + RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES
+"""Memory of a connection: its objects, and what lies in it, not read by this
+process or not taken by the caller."""
 SMALL_BYTES = 64 * KIB
 """Requests up to this size may use all bytes, larger ones not the reserve."""
 SMALL_RESERVE = 0.25
@@ -33,6 +37,11 @@
 settings tell it."""
 YIELDED_RETRY_S = 1.0
 """`Retry-After` of a request that had to yield, in seconds."""
+ANSWER_PART_BYTES = 64 * KIB
+"""Most bytes of an answer that are sent before its caller has to take some."""
+STALL_S = 2.0
+"""Time in which a caller has to take a part of its answer, while others have
+no room."""
 LINGER_S = 1.0
 """Time for a caller to take an answer that ends its connection."""
 LINGER_BYTES = 8 * MIB
@@ -51,9 +60,6 @@
     """Most connections, at the memory that each of them takes."""
     descriptors: int
     """Descriptors of connections and of the requests on them."""
-    backlog: int
-    """Connections that may wait to be accepted, where a server accepts all of
-    them at once."""
 
     @property
     def large_request_bytes(self) -> int:
@@ -79,7 +85,6 @@
         request_bytes=request_bytes,
         connections=(for_callers - request_bytes) // CONNECTION_BYTES,
         descriptors=max(descriptors - spare - ACCEPTS_AHEAD, ACCEPTS_AHEAD),
-        backlog=spare // 2,
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/record.py
@@ -22,6 +22,8 @@
     """Its unfinished request yielded, or was refused: no bytes are left."""
     DESCRIPTORS = 'descriptors'
     """Its connection yielded, or was refused: too many are open."""
+    UNREAD_ANSWER = 'unread_answer'
+    """Its caller took none of its answer while others had no room."""
     SLOW_BODY = 'slow_body'
     """Its body was not whole in time."""
     TOO_LARGE = 'too_large'
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/work.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/work.py
@@ -1,6 +1,6 @@
 """Work classes, client accounts, model requests and service calls."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from mimosamux_daemon.domain.names import (
@@ -90,6 +90,10 @@
     idempotency_key: str | None = None
     is_first: bool = False
     """Whether the caller states that this idempotency key is new."""
+    hold_answer: Callable[[int], bool] = field(
+        default=lambda size: True, compare=False, repr=False
+    )
+    """Asks for room for so many bytes of its answer in all."""
 
     @property
     def deadline(self) -> float:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -25,7 +25,8 @@
 
 MAX_BUFFERED_BYTES = 1024 * 1024
 """Maximum size of a buffered answer. A longer one is relayed as it arrives,
-and cannot be requested elsewhere if it breaks off."""
+and cannot be requested elsewhere if it breaks off. So is any large one while
+callers hold too much."""
 
 ResultT = TypeVar('ResultT')
 
@@ -76,7 +77,7 @@
 async def receive_complete(
     answer: EndpointAnswer, failover_wait: FailoverWait, job: Job
 ) -> CompleteAnswer | GatewayOutcome | CallBroken | NoAnswer:
-    """Buffer an answer to its end; relay one that is too long."""
+    """Buffer an answer to its end; relay one for which there is no room."""
     body = bytearray()
     while True:
         part = await failover_wait.wait(answer.receive)
@@ -86,9 +87,11 @@
             cut = await find_cut(failover_wait.attempt)
             return cut or CompleteAnswer(answer=answer, body=bytes(body))
         body += part
-        if len(body) > MAX_BUFFERED_BYTES:
+        if len(body) > MAX_BUFFERED_BYTES or not job.sink.hold(len(body)):
+            buffered = bytes(body)
+            body.clear()
             return await _relay_long(
-                job, answer, failover_wait.attempt, bytes(body)
+                job, answer, failover_wait.attempt, buffered
             )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -209,7 +209,7 @@
         listener = await self._network.listen(address)
         if isinstance(server, Http1Server):
             listener.may_accept = self._account.may_accept
-            listener.limit_unread()
+            listener.limit_buffers()
         acceptor = Acceptor(
             listener=listener,
             handler=server.serve,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -74,8 +74,8 @@
         )
         self.caller_holdings = self._gauge(
             'mimosamux_gateway_caller_holdings',
-            'What callers hold, by kind (request_bytes, connections, '
-            'descriptors).',
+            'What callers hold, by kind (request_bytes: of requests and '
+            'answers, answer_bytes, connections, descriptors).',
         )
         self.caller_limits = self._gauge(
             'mimosamux_gateway_caller_limits',
--- a/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/metrics.py
@@ -69,8 +69,8 @@
         )
         self.caller_holdings = self._gauge(
             'mimosamux_caller_holdings',
-            'What callers hold, by kind (request_bytes, connections, '
-            'descriptors).',
+            'What callers hold, by kind (request_bytes: of requests and '
+            'answers, answer_bytes, connections, descriptors).',
         )
         self.caller_limits = self._gauge(
             'mimosamux_caller_limits',
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/callers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/callers.py
@@ -23,6 +23,9 @@
     is_started: bool
     """Whether the head of the answer was sent."""
 
+    def hold(self, size: int) -> bool:
+        """Note how much of the answer is kept; False if it should be sent."""
+
     async def answer(
         self, status: int, headers: RawHeaders, body: bytes = b''
     ) -> bool:
--- a/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/ports/network.py
@@ -7,6 +7,8 @@
 import anyio
 import anyio.abc
 
+UNREAD_ANSWER_BYTES = 64 * 1024
+"""Most bytes that lie unread in a connection to an endpoint."""
 END_POLL_INTERVAL_S = 0.05
 """Interval at which `Connection.wait_ended` looks, unless it is told."""
 
@@ -37,6 +39,13 @@
     def has_ended(self) -> bool:
         """Return whether the other side closed, even if bytes are unread."""
 
+    def send_now(self, item: bytes) -> bytes:
+        """Send what can be sent without waiting; return the rest."""
+        return item
+
+    def limit_unread(self) -> None:
+        """Bound what lies unread in it; for connections to endpoints."""
+
     async def wait_ended(self) -> None:
         """Wait until the other side closes; nothing is read."""
         while True:
@@ -58,8 +67,8 @@
     may_accept: Callable[[int], bool]
     """Whether one more connection may be open beside those that open."""
 
-    def limit_unread(self) -> None:
-        """Bound what lies unread in each connection, for callers' ones."""
+    def limit_buffers(self) -> None:
+        """Bound what lies in each connection, for callers' ones."""
 
     async def serve(
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
--- a/tests/support/memory_network.py
+++ b/tests/support/memory_network.py
@@ -137,7 +137,7 @@
     tasks: anyio.abc.TaskGroup | None = None
     opening: int = 0
 
-    def limit_unread(self):
+    def limit_buffers(self):
         """Nothing lies unread in a network without buffers."""
 
     async def accept(self, connection, delay_s):
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -17,9 +17,7 @@
 KIB = 1024
 MIB = 1024 * KIB
 LARGE = 1 * MIB
-LIMITS = CallerLimits(
-    request_bytes=4 * MIB, connections=4, descriptors=8, backlog=4
-)
+LIMITS = CallerLimits(request_bytes=4 * MIB, connections=4, descriptors=8)
 LARGE_MIB = 3
 """Of the limit, large requests may use three quarters."""
 
@@ -52,6 +50,18 @@
         return self.has_yielded
 
 
+class Answer:
+    """An answer, and whether it was told to yield."""
+
+    def __init__(self, account, connection=None):
+        self.has_yielded = False
+        request = account.hold_request(lambda: None)
+        self.holding = account.hold_answer(request, connection, self.give_up)
+
+    def give_up(self):
+        self.has_yielded = True
+
+
 def paused(test):
     """Run a test that is given a new account, on a paused clock."""
 
@@ -150,6 +160,79 @@
         self.assertEqual(account.request_bytes, 0)
 
 
+class TestAnswers(unittest.TestCase):
+    # Guards against answers that nobody takes and that keep others out.
+    @paused
+    async def test_answer_that_nobody_takes_yields_before_uploads(
+        self, account
+    ):
+        unread, read = Answer(account), Answer(account)
+        unread.holding.wait(LARGE)
+        read.holding.wait(LARGE)
+        upload = Upload(account, 'school')
+        await anyio.sleep(1.9)
+        self.assertTrue(upload.hold(LARGE))
+        read.holding.wait(LARGE)
+        await anyio.sleep(0.2)
+        self.assertTrue(Upload(account).hold(100 * KIB))
+        self.assertEqual(
+            (unread.has_yielded, read.has_yielded, upload.has_yielded),
+            (True, False, False),
+        )
+        self.assertEqual(account.record.counts, {LossCause.UNREAD_ANSWER: 1})
+
+    # Guards against answers that are broken off while they are taken.
+    @paused
+    async def test_answer_that_is_taken_never_yields(self, account):
+        answer = Answer(account)
+        answer.holding.wait(3 * LARGE)
+        answer.holding.go_on()
+        await anyio.sleep(10.0)
+        self.assertFalse(Upload(account).hold(LARGE))
+        self.assertFalse(answer.has_yielded)
+
+    # Guards against requests at work whose answers find no room any more.
+    @paused
+    async def test_nothing_begins_while_answers_hold_too_much(self, account):
+        answers = [Answer(account) for _ in range(2)]
+        for each in answers:
+            each.holding.wait(3 * LARGE)
+        connection = Connected(account).connection
+        self.assertFalse(connection.begin_work())
+        answers[0].holding.release()
+        self.assertTrue(connection.begin_work())
+
+    # Guards against an answer that holds the room that it was refused.
+    @paused
+    async def test_answer_without_room_holds_what_it_held(self, account):
+        self.assertTrue(Answer(account).holding.hold(2 * LARGE))
+        answer = Answer(account)
+        self.assertTrue(answer.holding.hold(LARGE))
+        self.assertFalse(answer.holding.hold(2 * LARGE))
+        self.assertEqual(account.answer_bytes, 3 * LARGE)
+
+    # Guards against a legal request whose answer is refused in calm.
+    @paused
+    async def test_single_answer_fits_whatever_its_size(self, account):
+        answer = Answer(account)
+        self.assertTrue(answer.holding.request.finish(3 * LARGE))
+        self.assertTrue(answer.holding.hold(10 * LIMITS.request_bytes))
+
+    # Guards against unread answers whose connections keep others out.
+    @paused
+    async def test_connection_of_an_unread_answer_yields(self, account):
+        working = [Connected(account).connection for _ in range(2)]
+        answers = [Answer(account, each) for each in working]
+        for connection, answer in zip(working, answers, strict=True):
+            self.assertTrue(connection.begin_work())
+            answer.holding.wait(KIB)
+        refused = Connected(account).connection
+        self.assertFalse(refused.begin_work())
+        await anyio.sleep(2.1)
+        self.assertTrue(refused.begin_work())
+        self.assertEqual([each.has_yielded for each in answers], [True, False])
+
+
 class TestConnections(unittest.TestCase):
     # Guards against idle and stalled callers who lock newcomers out.
     @paused
@@ -219,7 +302,7 @@
                 memory_mb=memory_mb, descriptors=4100, own_bytes=96 * MIB
             )
             with self.subTest(memory_mb=memory_mb):
-                held = limits.request_bytes + limits.connections * 48 * KIB
+                held = limits.request_bytes + limits.connections * 112 * KIB
                 self.assertLessEqual(held + 96 * MIB, memory_mb * MIB)
                 self.assertGreaterEqual(
                     limits.large_request_bytes, 4 * 4 * MIB
--- a/tests/test_http1_limits.py
+++ b/tests/test_http1_limits.py
@@ -80,7 +80,6 @@
             request_bytes=request_bytes,
             connections=connections,
             descriptors=20,
-            backlog=8,
         )
         self.account = CallerAccount(limits=limits, record=CallerRecord())
         self.server = Http1Server(
--- a/tests/test_http1_relay.py
+++ b/tests/test_http1_relay.py
@@ -11,8 +11,10 @@
 from mimosamux_daemon.adapters.http1_channel import Channel, ChannelBroken
 from mimosamux_daemon.adapters.http1_exchange import Reply
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.callers import GATEWAY_OWN_BYTES, build_account
 from mimosamux_daemon.domain.http_messages import RequestHead
 from mimosamux_daemon.gateway.events import EventSplitter
+from mimosamux_daemon.ports.network import UNREAD_ANSWER_BYTES
 
 from tests.support.clock import run_paused
 
@@ -36,6 +38,9 @@
 """What may follow whole chunks, valid or not."""
 
 
+MEGABYTE = 1024 * 1024
+
+
 class Scripted:
     """A connection on which given bytes arrive, and then the end."""
 
@@ -52,6 +57,9 @@
     async def send(self, item):
         self.sent += item
 
+    def send_now(self, item):
+        return item
+
     def reset_on_close(self, resets):
         self.resets = resets
 
@@ -160,6 +168,66 @@
         self.assertEqual(run_paused(check), [b'a', b'b', None])
 
 
+class Untaken(Scripted):
+    """A connection whose other side takes nothing."""
+
+    async def send(self, item):
+        await anyio.sleep_forever()
+
+
+class TestUntakenAnswers(unittest.TestCase):
+    def play(self, check):
+        async def run():
+            account = build_account(own_bytes=GATEWAY_OWN_BYTES)
+            parser = h11.Connection(h11.SERVER)
+            parser.receive_data(b'GET / HTTP/1.1\r\nHost: x\r\n\r\n')
+            while not isinstance(parser.next_event(), h11.EndOfMessage):
+                pass
+            holding = account.hold_answer(
+                account.hold_request(lambda: None),
+                None,
+                lambda: reply.break_off(),
+            )
+            reply = Reply(
+                parser=parser,
+                connection=Untaken(),
+                holding=holding,
+                closes=lambda: False,
+            )
+            async with anyio.create_task_group() as tasks:
+                await check(account, reply, tasks)
+                tasks.cancel_scope.cancel()
+
+        run_paused(run)
+
+    # Guards against answers that stay for callers who take none of them.
+    def test_answer_that_yields_is_broken_off(self):
+        async def check(account, reply, tasks):
+            results = []
+
+            async def answer():
+                results.append(await reply.answer(200, (), bytes(MEGABYTE)))
+
+            tasks.start_soon(answer)
+            await anyio.sleep(3.0)
+            self.assertEqual(account.answer_bytes, MEGABYTE)
+            upload = account.hold_request(lambda: None)
+            self.assertTrue(upload.hold(account.limits.request_bytes))
+            await anyio.sleep(0.1)
+            self.assertEqual((results, reply.is_finished), ([False], False))
+
+        self.play(check)
+
+    # Guards against an event that is kept uncounted, with what is behind it.
+    def test_part_of_a_stream_counts_with_what_is_behind_it(self):
+        async def check(account, reply, tasks):
+            tasks.start_soon(reply.start, 200, (), b'event')
+            await anyio.sleep(0.1)
+            self.assertGreater(account.answer_bytes, UNREAD_ANSWER_BYTES)
+
+        self.play(check)
+
+
 class TestReply(unittest.TestCase):
     def write(self, request, parts, headers=()):
         """Return what is sent for parts of an answer, and the parser."""
@@ -170,8 +238,13 @@
             while not isinstance(parser.next_event(), h11.EndOfMessage):
                 pass
             connection = Scripted()
+            account = build_account(own_bytes=GATEWAY_OWN_BYTES)
+            incoming = account.hold_request(lambda: None)
             reply = Reply(
-                parser=parser, connection=connection, closes=lambda: False
+                parser=parser,
+                connection=connection,
+                holding=account.hold_answer(incoming, None, lambda: None),
+                closes=lambda: False,
             )
             await reply.start(200, headers, parts[0])
             for part in parts[1:]:
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -3,12 +3,15 @@
 import contextlib
 import pathlib
 import unittest
+from dataclasses import replace
+from unittest import mock
 
 import anyio
 import httpx
 import yaml
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from mimosamux_daemon.adapters import http_service
 from mimosamux_daemon.adapters.http_cloud import HttpCloud
 from mimosamux_daemon.adapters.http_object_store import HttpObjectStore
 from mimosamux_daemon.adapters.http_platform import (
@@ -49,6 +52,8 @@
 from tests.support.http import serving
 
 ROOT = pathlib.Path(__file__).parents[1]
+LONG_BYTES = 300_000
+"""Size of an answer that needs room."""
 WRITE = [Write(key='a/ü', value=b'\xff\x00')]
 VM_FIELDS = {
     'id': 'vm1',
@@ -287,6 +292,44 @@
 
         anyio.run(check)
 
+    # Guards against long answers that are read while callers hold too much.
+    def test_long_answer_waits_for_room(self):
+        async def check():
+            service, services = Service(), HttpServices()
+            asked = []
+
+            def hold(size):
+                asked.append(size)
+                return len(asked) > 2
+
+            call = replace(
+                a_call(f'/long?answer_bytes={LONG_BYTES}'), hold_answer=hold
+            )
+            async with serving(service.app()) as address:
+                answer = await services.call(an_endpoint(address), call)
+            self.assertEqual(len(answer.body), LONG_BYTES)
+            self.assertEqual(len(asked), 3)
+            self.assertGreaterEqual(min(asked), LONG_BYTES)
+            await services.close()
+
+        anyio.run(check)
+
+    # Guards against a call that waits for room until its caller has left.
+    def test_long_answer_without_room_counts_as_none(self):
+        async def check():
+            service, services = Service(), HttpServices()
+            call = replace(
+                a_call(f'/long?answer_bytes={LONG_BYTES}'),
+                hold_answer=lambda size: False,
+            )
+            async with serving(service.app()) as address:
+                answer = await services.call(an_endpoint(address), call)
+            self.assertIsInstance(answer, ServiceUnanswered)
+            await services.close()
+
+        with mock.patch.object(http_service, 'ROOM_WAIT_S', 0.1):
+            anyio.run(check)
+
     def test_control_routes_change_the_faults(self):
         async def check():
             async with platform() as (stand_in, client, _):
