Refused bodies: one table of statuses for all routes

Service calls and operators' calls answered 400 to a body that was too slow or had to yield, which says that it never can be sent again, and to one above the limit; model requests answer 408, 503 and 413. Each route had a table of its own.

api/bodies.py has the statuses and texts for all.

--- a/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/bodies.py
@@ -1,6 +1,5 @@
 """Reads the bodies of requests to the caller API, within a size and a time."""
 
-from dataclasses import dataclass
 from enum import Enum, auto
 from http import HTTPStatus
 
@@ -12,6 +11,7 @@
     GATED_REQUEST,
     YIELDED,
     GatedRequest,
+    give_up_nothing,
 )
 from mimosamux_daemon.api.errors import outcome_body, outcome_response
 from mimosamux_daemon.callers import BODY_TIMEOUT_S, LossCause
@@ -43,41 +43,38 @@
 """Limits that a body met; the account itself counts those that yield."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BodyRefused:
-    """A body of a model request was not accepted."""
-
-    status: HTTPStatus
-    message: str
-
-    def as_response(self) -> Response:
-        """Return the HTTP error response."""
-        refused = Refused(reason=Reason.BAD_REQUEST, message=self.message)
-        return JSONResponse(
-            outcome_body(refused), status_code=int(self.status)
-        )
-
-
-REFUSED_BY_PROBLEM = {
-    BodyProblem.TOO_LARGE: BodyRefused(
-        status=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        message=f'body: larger than {MAX_BODY_BYTES} bytes',
-    ),
-    BodyProblem.TOO_SLOW: BodyRefused(
-        status=HTTPStatus.REQUEST_TIMEOUT,
-        message='body: not here in time',
-    ),
-    BodyProblem.TRUNCATED: BodyRefused(
-        status=HTTPStatus.BAD_REQUEST, message='body: broke off'
-    ),
+STATUS_BY_PROBLEM = {
+    BodyProblem.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    BodyProblem.TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
+    BodyProblem.TRUNCATED: HTTPStatus.BAD_REQUEST,
+    BodyProblem.YIELDED: HTTPStatus.SERVICE_UNAVAILABLE,
 }
+TEXT_BY_PROBLEM = {
+    BodyProblem.TOO_LARGE: 'larger than {limit} bytes',
+    BodyProblem.TOO_SLOW: 'not here in time',
+    BodyProblem.TRUNCATED: 'broke off',
+    BodyProblem.YIELDED: YIELDED.message,
+}
+
+
+def describe_problem(problem: BodyProblem, *, limit: int) -> str:
+    """Return what to tell about a body of which `limit` bytes may be sent."""
+    return TEXT_BY_PROBLEM[problem].format(limit=limit)
 
 
-def refuse_body(problem: BodyProblem) -> Response:
-    """Return the answer to a model request whose body was not accepted."""
+def refuse_body(
+    problem: BodyProblem, *, limit: int = MAX_BODY_BYTES
+) -> Response:
+    """Return the answer to a request whose body was not accepted."""
     if problem is BodyProblem.YIELDED:
         return outcome_response(YIELDED)
-    return REFUSED_BY_PROBLEM[problem].as_response()
+    refused = Refused(
+        reason=Reason.BAD_REQUEST,
+        message=f'body: {describe_problem(problem, limit=limit)}',
+    )
+    return JSONResponse(
+        outcome_body(refused), status_code=STATUS_BY_PROBLEM[problem]
+    )
 
 
 async def read_body(
@@ -97,7 +94,7 @@
     with anyio.move_on_after(gated.body_timeout_s) as scope:
         gated.give_up = scope.cancel
         found = await _read_within_limit(request, limit, gated)
-    gated.give_up = _give_up_nothing
+    gated.give_up = give_up_nothing
     if gated.has_yielded:
         return BodyProblem.YIELDED
     if isinstance(found, BodyProblem):
@@ -130,7 +127,3 @@
     except ClientDisconnect:
         return BodyProblem.TRUNCATED
     return bytes(body)
-
-
-def _give_up_nothing() -> None:
-    """Do nothing: no body is awaited any more."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
@@ -11,7 +11,12 @@
 from starlette.routing import Route
 
 from mimosamux_daemon.api.accounts import bearer_token, digest_key
-from mimosamux_daemon.api.bodies import BodyProblem, read_body
+from mimosamux_daemon.api.bodies import (
+    STATUS_BY_PROBLEM,
+    BodyProblem,
+    describe_problem,
+    read_body,
+)
 from mimosamux_daemon.api.decisions import (
     decision_response,
     describe_version,
@@ -53,12 +58,6 @@
 """Role of tokens for reading, configuration changes and drains."""
 MAX_BODY_BYTES = MAX_DOCUMENT_BYTES + 64 * 1024
 """Largest body: a configuration document and its other fields."""
-PROBLEM_TEXTS = {
-    BodyProblem.TOO_LARGE: f'above {MAX_BODY_BYTES} bytes',
-    BodyProblem.TOO_SLOW: 'not here in time',
-    BodyProblem.TRUNCATED: 'broke off',
-    BodyProblem.YIELDED: 'too many requests are arriving',
-}
 
 StatusSource = Callable[[], Sequence[Mapping[str, Any]]]
 """Returns the rows of one section of the status."""
@@ -262,7 +261,9 @@
                 return await handler(request, operator)
             except InvalidRequest as error:
                 return error_response(
-                    HTTPStatus.BAD_REQUEST,
+                    error.status
+                    if isinstance(error, _BodyNotTaken)
+                    else HTTPStatus.BAD_REQUEST,
                     'bad_request',
                     str(error),
                     path=error.path,
@@ -306,10 +307,19 @@
         ]
 
 
+class _BodyNotTaken(InvalidRequest):
+    """The body of a call was not accepted."""
+
+    def __init__(self, problem: BodyProblem) -> None:
+        text = describe_problem(problem, limit=MAX_BODY_BYTES)
+        super().__init__(path='$', problem=text)
+        self.status = STATUS_BY_PROBLEM[problem]
+
+
 async def _read_body(request: Request) -> bytes:
     data = await read_body(request, limit=MAX_BODY_BYTES)
     if isinstance(data, BodyProblem):
-        raise InvalidRequest(path='$', problem=PROBLEM_TEXTS[data])
+        raise _BodyNotTaken(data)
     return data
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
@@ -9,10 +9,9 @@
 from starlette.routing import Route
 
 from mimosamux_daemon.api.accounts import find_account
-from mimosamux_daemon.api.bodies import BodyProblem, read_body
+from mimosamux_daemon.api.bodies import BodyProblem, read_body, refuse_body
 from mimosamux_daemon.api.caller_gate import (
     GATED_REQUEST,
-    YIELDED,
     GatedRequest,
 )
 from mimosamux_daemon.api.callers import (
@@ -35,19 +34,6 @@
 METHODS = ['GET', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']
 MAX_BODY_BYTES = 8 * 1024 * 1024
 """Largest body of a service call."""
-REFUSED_BY_PROBLEM = {
-    BodyProblem.TOO_LARGE: Refused(
-        reason=Reason.BAD_REQUEST,
-        message=f'the body is above {MAX_BODY_BYTES} bytes',
-    ),
-    BodyProblem.TOO_SLOW: Refused(
-        reason=Reason.BAD_REQUEST, message='the body was not here in time'
-    ),
-    BodyProblem.TRUNCATED: Refused(
-        reason=Reason.BAD_REQUEST, message='the body broke off'
-    ),
-    BodyProblem.YIELDED: YIELDED,
-}
 PREFIX_PARTS = 4
 """Path segments before the service's own path: '', v1, services, S."""
 DAEMON_HEADERS = frozenset(
@@ -91,7 +77,7 @@
             return outcome_response(work_class)
         body = await read_body(request, limit=MAX_BODY_BYTES, owner=account.id)
         if isinstance(body, BodyProblem):
-            return outcome_response(REFUSED_BY_PROBLEM[body])
+            return refuse_body(body, limit=MAX_BODY_BYTES)
         call = _build_service_call(request, account, work_class, body)
         gated: GatedRequest | None = request.scope.get(GATED_REQUEST)
         if gated is not None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,7 +6,7 @@
 
 import anyio
 import httpx
-from mimosamux_daemon.api.operators import OperatorRoutes
+from mimosamux_daemon.api.operators import MAX_BODY_BYTES, OperatorRoutes
 from mimosamux_daemon.control.audit_trail import AuditTrail
 from starlette.applications import Starlette
 
@@ -80,6 +80,17 @@
 
         run_client(check)
 
+    # Guards against a change that is refused as wrong for its size alone.
+    def test_body_above_the_limit_is_refused_by_its_size(self):
+        async def check(cluster, client):
+            answer = await client.post(
+                '/configuration/set', content=b' ' * (MAX_BODY_BYTES + 1)
+            )
+            self.assertEqual(answer.status_code, 413)
+            self.assertIn('larger', answer.text)
+
+        run_client(check)
+
     def test_wait_names_who_is_behind(self):
         async def check(cluster, client):
             answer = await client.get(
