--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_server.py
@@ -15,10 +15,7 @@
     serve_connections,
 )
 from mimosamux_daemon.adapters.http_lingering import LingeringClose
-from mimosamux_daemon.early_listeners import (
-    SENT_DATA_TIMEOUT_MS,
-    limit_buffers,
-)
+from mimosamux_daemon.early_listeners import limit_buffers
 from mimosamux_daemon.logs import get_log
 
 log = get_log('http_server')
@@ -57,9 +54,6 @@
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     limit_buffers(listener)
-    listener.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SENT_DATA_TIMEOUT_MS
-    )
     listener.listen(BACKLOG)
     listener.setblocking(False)
     return listener
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -1,5 +1,6 @@
 """Plain services over HTTP."""
 
+import socket
 from dataclasses import dataclass, field
 from urllib.parse import quote
 
@@ -16,6 +17,7 @@
     ServiceAnswer,
     ServiceUnanswered,
 )
+from mimosamux_daemon.ports.network import UNREAD_ANSWER_BYTES
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 256
@@ -30,6 +32,8 @@
 """Longest wait for room; beyond it, the answer counts as none."""
 ROOM_POLL_S = 0.05
 
+UNREAD_OPTION = (socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_ANSWER_BYTES)
+
 KEY_HEADER = 'idempotency-key'
 REQUEST_HEADER = 'x-mimosamux-request'
 OWN_HEADERS = frozenset({'host', 'content-length', KEY_HEADER, REQUEST_HEADER})
@@ -41,11 +45,14 @@
         timeout=httpx.Timeout(
             None, connect=CONNECT_TIMEOUT_S, pool=CONNECT_TIMEOUT_S
         ),
-        limits=httpx.Limits(
-            max_connections=MAX_CONNECTIONS,
-            max_keepalive_connections=idle_connections,
+        transport=httpx.AsyncHTTPTransport(
+            limits=httpx.Limits(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=idle_connections,
+            ),
+            trust_env=False,
+            socket_options=[UNREAD_OPTION],
         ),
-        trust_env=False,
     )
 
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -15,7 +15,6 @@
 
 from mimosamux_daemon.early_listeners import (
     BACKLOG,
-    SENT_DATA_TIMEOUT_MS,
     SocketsByAddress,
     limit_buffers,
     open_listener,
@@ -29,6 +28,10 @@
 
 log = get_log('tcp_network')
 
+SENT_DATA_TIMEOUT_MS = 5000
+"""Sent data that is not acknowledged for so long ends a connection: a
+machine without power answers nothing, not even with a reset, and the
+kernel would go on sending for a quarter of an hour."""
 ABORTIVE_CLOSE = struct.pack('ii', 1, 0)
 """Value of SO_LINGER with which closing a socket sends a reset."""
 ORDERLY_CLOSE = struct.pack('ii', 0, 0)
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -5,7 +5,7 @@
 
 from mimosamux_daemon.early_listeners import (
     RECEIVE_BUFFER_BYTES,
-    SEND_BUFFER_BYTES,
+    UNSENT_BYTES,
 )
 
 KIB = 1024
@@ -18,7 +18,7 @@
 BODIES_SHARE = 0.4
 """Share of the memory for callers that their requests get, the rest is for
 their connections."""
-CONNECTION_BYTES = 16 * KIB + RECEIVE_BUFFER_BYTES + SEND_BUFFER_BYTES
+CONNECTION_BYTES = 16 * KIB + RECEIVE_BUFFER_BYTES + UNSENT_BYTES
 """Memory of a connection: its objects, and what lies in it, not read by this
 process or not taken by the caller."""
 SMALL_BYTES = 64 * KIB
--- a/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/early_listeners.py
@@ -15,16 +15,9 @@
 RECEIVE_BUFFER_BYTES = 32 * 1024
 """Receive buffer of an accepted connection. What lies in it unread counts as
 memory of the process, and the system's own buffers grow to megabytes."""
-SEND_BUFFER_BYTES = 64 * 1024
-"""Most bytes of an answer in an accepted connection that were not taken."""
-KERNEL_FACTOR = 2
-"""The kernel doubles the size of a buffer, for what it needs itself, but fills
-all of a send buffer."""
-
-SENT_DATA_TIMEOUT_MS = 5000
-"""Sent data that is not taken for so long ends a connection: a machine without
-power answers nothing, not even with a reset, and the kernel would go on
-sending for a quarter of an hour."""
+UNSENT_BYTES = 64 * 1024
+"""Bytes that are kept in an accepted connection because its caller takes no
+more. A send buffer of that size would slow down those who take all at once."""
 
 SocketsByAddress = dict[str, socket.socket]
 """Listening sockets by `host:port`."""
@@ -70,7 +63,5 @@
         socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
     )
     listening.setsockopt(
-        socket.SOL_SOCKET,
-        socket.SO_SNDBUF,
-        SEND_BUFFER_BYTES // KERNEL_FACTOR,
+        socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES
     )
