Crowds over HTTP/2; the soak's callers leave answers unread

HTTP/2 had one trial and no test: 20 connections of 16 bodies each, just short of their end, in frames of one byte, and four times the limit, to the caller API of a model daemon.

Misbehaving callers of the soak also wait for 100 Continue, and ask for 1 MiB that they don't read.

--- a/tests/crowd_model_daemon.py
+++ b/tests/crowd_model_daemon.py
@@ -8,7 +8,7 @@
 import httpx
 import trustme
 
-from tests.support import crowds
+from tests.support import crowds, http2_crowds
 from tests.support.crowd_cases import (
     CrowdCases,
     CrowdChecks,
@@ -96,6 +96,23 @@
     answer_path = '/v1/services/mail/send?answer_bytes={}'
 
 
+class TestHttp2(ModelDaemonChecks, unittest.TestCase):
+    """Model requests over HTTP/2."""
+
+    largest_body = 2 * crowds.MIB
+    path = '/v1/chat/completions'
+
+    # Guards against many bodies on few connections.
+    def test_streams_just_short_of_their_end(self):
+        self.check(http2_crowds.SHORT)
+
+    def test_very_small_frames(self):
+        self.check(http2_crowds.SMALL_FRAMES)
+
+    def test_streams_over_the_limit(self):
+        self.check(http2_crowds.OVER)
+
+
 class TestHandshakes(ModelDaemonChecks, unittest.TestCase):
     """Connections on which the TLS handshake has begun."""
 
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -8,12 +8,12 @@
 import contextlib
 import os
 import pathlib
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 
 import anyio
 import anyio.lowlevel
-from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.adapters.tcp_network import TcpConnection, TcpNetwork
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -54,16 +54,24 @@
 """Returns the head of a request with a header that tells its length."""
 
 
+Talk = Callable[
+    [TcpConnection, Head, int, Callable[[], None]], Awaitable[None]
+]
+"""Sends on a connection: head, largest body, called for each part."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class Crowd:
     """Callers that all send alike."""
 
-    parts: Callable[[Head, int, int], Iterator[bytes]]
+    parts: Callable[[Head, int, int], Iterator[bytes]] = lambda *_: iter(())
     """Gives what a caller sends: head, largest body, number of the caller."""
     callers: int | None = None
     """None: as many as it takes to send `CROWD_BYTES` in largest bodies."""
     is_awaited: bool = True
     """Whether the ordinary request comes behind what all of them send."""
+    talk: Talk | None = None
+    """Sends in place of `parts`, and reads what it has to for that."""
 
 
 def length(size):
@@ -263,15 +271,22 @@
             return
         async with connection:
             with contextlib.suppress(*BROKEN):
+                if self._crowd.talk is not None:
+                    await self._crowd.talk(
+                        connection, self._head, self._largest, self._note_part
+                    )
                 for part in self._crowd.parts(
                     self._head, self._largest, number
                 ):
                     await connection.send(part)
                     await anyio.lowlevel.checkpoint()
-                    self._sent += 1
+                    self._note_part()
             self._note_sent()
             await anyio.sleep_forever()
 
+    def _note_part(self):
+        self._sent += 1
+
     def _note_sent(self):
         self._sending -= 1
         if not self._sending:
--- a/tests/support/soak_crowds.py
+++ b/tests/support/soak_crowds.py
@@ -31,7 +31,11 @@
     crowds.announce_far_over,
     crowds.send_far_over,
     crowds.open_and_stop_short,
+    crowds.wait_to_go_on,
+    crowds.ask_and_read_nothing,
 )
+ANSWER_BYTES = crowds.MIB
+"""Size of the answers that nobody reads."""
 ID = 'crowd-'
 """Start of the ids of their requests, which any daemon may refuse."""
 
@@ -77,15 +81,19 @@
             await anyio.sleep(rng.uniform(0.0, 0.2))
 
     async def _send(self, connection, rng, number):
+        parts = rng.choice(PARTS)
+        path = '/list/1'
+        if parts is crowds.ask_and_read_nothing:
+            path = f'/list/1?answer_bytes={ANSWER_BYTES}'
+
         def head(framing):
             return (
-                f'POST /list/1 HTTP/1.1\r\nHost: site.example\r\n'
+                f'POST {path} HTTP/1.1\r\nHost: site.example\r\n'
                 f'X-Key: key-school\r\nX-Attempt-Id: {ID}{number}\r\n'
                 f'{framing}\r\n'
             ).encode()
 
         with contextlib.suppress(*crowds.BROKEN):
-            parts = rng.choice(PARTS)
             for part in parts(head, LARGEST_BODY, rng.randrange(100)):
                 await connection.send(part)
                 await anyio.lowlevel.checkpoint()
