Tests: what lies unsent, answers without room, answers half read

Guards of that only crowds held to, or nothing.

- Without TCP_NOTSENT_LOWAT, 4.2 MB lie unsent for a caller that reads 4 MiB and stops; the new test fails then.
- Without the bound on connections to endpoints the gateway's crowd of unread answers holds 228 MiB of 200.
- An answer without room is relayed; a part of a stream that is taken is free again: in memory.

--- a/tests/support/crowd_cases.py
+++ b/tests/support/crowd_cases.py
@@ -141,9 +141,9 @@
     answer_path = ''
     """Path of requests whose answer has the number of bytes put into it."""
 
-    def play(self, answer_bytes):
+    def play(self, answer_bytes, crowd=crowds.ANSWERS_UNREAD):
         self.path = self.answer_path.format(answer_bytes)
-        self.check(crowds.ANSWERS_UNREAD)
+        self.check(crowd)
 
     # Guards against answers that are held until their caller takes them.
     def test_answers_of_one_megabyte(self):
@@ -151,3 +151,7 @@
 
     def test_long_answers(self):
         self.play(8 * crowds.MIB)
+
+    # Guards against buffers that have grown while callers read.
+    def test_long_answers_half_read(self):
+        self.play(8 * crowds.MIB, crowds.ANSWERS_HALF_READ)
--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -36,6 +36,10 @@
 """Of so many callers that stop just short of their end, one sends it."""
 UNREAD_ANSWERS = 192
 """Callers that don't read their answers."""
+HALF_READ_ANSWERS = 96
+"""Callers that read a part of their answer."""
+READ_BYTES = 4 * MIB
+"""Bytes of an answer that a caller reads before it stops."""
 REQUESTS_AHEAD = 2000
 """Requests that a caller sends without waiting for an answer."""
 SENT_AHEAD = 64
@@ -48,7 +52,12 @@
 HELD_STATES = {'01', '04', '08', '09'}
 """States of a connection, in /proc/net/tcp, in which it can hold bytes."""
 
-BROKEN = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+BROKEN = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
 
 Head = Callable[[str], bytes]
 """Returns the head of a request with a header that tells its length."""
@@ -152,6 +161,15 @@
         yield request
 
 
+async def read_and_stop(connection, head, largest, note):
+    """Read a part of an answer, at which buffers grow, and then no more."""
+    await connection.send(head(length(2)) + b'xx')
+    received = 0
+    while received < READ_BYTES:
+        received += len(await connection.receive())
+        note()
+
+
 def wait_to_go_on(head, largest, number):
     yield head(length(largest) + 'Expect: 100-continue\r\n')
 
@@ -307,6 +325,7 @@
 ANSWERS_UNREAD = Crowd(
     parts=ask_and_read_nothing, callers=UNREAD_ANSWERS, is_awaited=False
 )
+ANSWERS_HALF_READ = Crowd(talk=read_and_stop, callers=HALF_READ_ANSWERS)
 AHEAD = Crowd(parts=ask_ahead, callers=SENT_AHEAD, is_awaited=False)
 WAITING_TO_GO_ON = Crowd(parts=wait_to_go_on, callers=MANY)
 HANDSHAKES = Crowd(parts=begin_handshake, callers=MANY)
--- /dev/null
+++ b/tests/test_gateway_answer_room.py
@@ -0,0 +1,85 @@
+"""Whole answers of endpoints for which there is no room."""
+
+import unittest
+from unittest import mock
+
+import anyio.lowlevel
+from mimosamux_daemon.domain.gateway import Delivered
+from mimosamux_daemon.gateway.answers import answer_relay
+
+from tests.support.clock import run_paused
+
+PART = b'x' * 100_000
+
+
+class Answer:
+    """An endpoint's answer that comes in three parts."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self):
+        self.parts = [PART, PART, PART, None]
+
+    async def receive(self):
+        await anyio.lowlevel.checkpoint()
+        return self.parts.pop(0)
+
+
+class Sink:
+    """A caller's answer, and how it was sent."""
+
+    def __init__(self, room):
+        self.room = room
+        self.sent = []
+
+    def hold(self, size):
+        return size <= self.room
+
+    async def start(self, status, headers, first=b''):
+        self.sent.append(len(first))
+        return True
+
+    async def write(self, data):
+        self.sent.append(len(data))
+        return True
+
+    async def finish(self):
+        self.sent.append('end')
+        return True
+
+
+class Wait:
+    """A wait that fails over nowhere."""
+
+    attempt = None
+
+    async def wait(self, receive):
+        return await receive()
+
+
+class TestRoom(unittest.TestCase):
+    def receive(self, room):
+        """Return the outcome, and what the caller was sent."""
+
+        async def check():
+            job = mock.Mock(sink=Sink(room))
+            with mock.patch.object(
+                answer_relay, 'find_cut', mock.AsyncMock(return_value=None)
+            ):
+                outcome = await answer_relay.receive_complete(
+                    Answer(), Wait(), job
+                )
+            return outcome, job.sink.sent
+
+        return run_paused(check)
+
+    def test_answer_with_room_is_received_whole(self):
+        outcome, sent = self.receive(3 * len(PART))
+        self.assertEqual((len(outcome.body), sent), (3 * len(PART), []))
+
+    # Guards against answers that are kept while callers hold too much.
+    def test_answer_without_room_is_relayed_as_it_comes(self):
+        outcome, sent = self.receive(len(PART))
+        self.assertEqual(outcome, Delivered(status=200))
+        self.assertEqual(sent, [2 * len(PART), len(PART), 'end'])
--- a/tests/test_http1_relay.py
+++ b/tests/test_http1_relay.py
@@ -1,5 +1,6 @@
 """Parts of streams on their way: framing, order, and ends in the middle."""
 
+import math
 import socket
 import struct
 import unittest
@@ -171,11 +172,16 @@
 class Untaken(Scripted):
     """A connection whose other side takes nothing."""
 
+    takes_after_s = math.inf
+
     async def send(self, item):
-        await anyio.sleep_forever()
+        await anyio.sleep(self.takes_after_s)
 
 
 class TestUntakenAnswers(unittest.TestCase):
+    def setUp(self):
+        self.connection = Untaken()
+
     def play(self, check):
         async def run():
             account = build_account(own_bytes=GATEWAY_OWN_BYTES)
@@ -190,7 +196,7 @@
             )
             reply = Reply(
                 parser=parser,
-                connection=Untaken(),
+                connection=self.connection,
                 holding=holding,
                 closes=lambda: False,
             )
@@ -227,6 +233,16 @@
 
         self.play(check)
 
+    # Guards against a stream that stood still once and counts to its end.
+    def test_part_of_a_stream_that_is_taken_is_free_again(self):
+        async def check(account, reply, tasks):
+            self.connection.takes_after_s = 1.0
+            self.assertTrue(await reply.start(200, ()))
+            self.assertTrue(await reply.write(b'event'))
+            self.assertEqual(account.answer_bytes, 0)
+
+        self.play(check)
+
 
 class TestReply(unittest.TestCase):
     def write(self, request, parts, headers=()):
--- a/tests/test_tcp_network.py
+++ b/tests/test_tcp_network.py
@@ -1,15 +1,22 @@
 """Connections over TCP, to addresses that answer and to those that do not."""
 
+import contextlib
+import fcntl
 import socket
 import struct
+import sys
+import termios
+import time
 import unittest
 from unittest import mock
 
 import anyio
 import anyio.lowlevel
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
+from mimosamux_daemon.early_listeners import UNSENT_BYTES, limit_buffers
 
 WAIT_S = 5.0
+BLOCK = bytes(64 * 1024)
 PASSES = 5
 """Passes of the event loop in which a connection attempt has begun."""
 
@@ -27,6 +34,43 @@
     return f'{host}:{port}'
 
 
+READ_BYTES = 4 * 1024 * 1024
+"""Bytes of an answer that are read before its reader stops."""
+PAUSE_S = 0.2
+"""Without progress for so long, what can be sent is sent."""
+
+
+class TestBuffers(unittest.TestCase):
+    # Guards against what a caller doesn't take, in a buffer that has grown.
+    def test_little_lies_unsent_for_a_caller_that_stops_reading(self):
+        with listening() as listener:
+            limit_buffers(listener)
+            reader = socket.create_connection(listener.getsockname())
+            accepted, _ = listener.accept()
+            with reader, accepted:
+                accepted.setblocking(False)
+                reader.settimeout(WAIT_S)
+                received = 0
+                while received < READ_BYTES:
+                    self.fill(accepted)
+                    received += len(reader.recv(len(BLOCK)))
+                while self.fill(accepted):
+                    time.sleep(PAUSE_S)
+                self.assertLess(self.count_unsent(accepted), 4 * UNSENT_BYTES)
+
+    def fill(self, accepted):
+        """Send as much as the kernel takes; return how much that is."""
+        sent = 0
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                sent += accepted.send(BLOCK)
+        return sent
+
+    def count_unsent(self, accepted):
+        size = fcntl.ioctl(accepted, termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(size, sys.byteorder)
+
+
 class TestConnect(unittest.TestCase):
     def assert_carries_bytes_both_ways(self, host, address=None):
         async def check():
