Callers' account: idle connections yield before answers that nobody takes

Where descriptors are full, broke off an answer that had waited 2 s for its caller before it closed idle connections, with which nothing is lost. Connections on which nothing has run go first now; the test of an unread answer's connection has an idle one beside it and fails on the old order.

ServiceCall.ask_room was hold_answer, the name of another method.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -147,7 +147,7 @@
     The service waits meanwhile, as its bytes are not read.
     """
     give_up_at = anyio.current_time() + ROOM_WAIT_S
-    while not call.hold_answer(size):
+    while not call.ask_room(size):
         if anyio.current_time() > give_up_at:
             return False
         await anyio.sleep(ROOM_POLL_S)
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/services.py
@@ -81,7 +81,7 @@
         call = _build_service_call(request, account, work_class, body)
         gated: GatedRequest | None = request.scope.get(GATED_REQUEST)
         if gated is not None:
-            call = replace(call, hold_answer=gated.answer.hold)
+            call = replace(call, ask_room=gated.answer.hold)
         response = outcome_response(await self.calls.call(call, configuration))
         response.headers[REQUEST_HEADER] = call.id
         return response
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -4,14 +4,14 @@
 yield, and never whom it only happens to meet: a crowd that stops just short of
 its end would lock everybody else out if newcomers were refused.
 
-- Both: first the answer whose caller has taken none of it for longest, if that
-  is for `STALL_S` at least.
-- Bytes: a request that has not arrived whole while its caller waits for the
-  answer, or else the largest of those that arrive, of the client account that
-  holds most. A small one yields last.
+- Bytes: the answer whose caller has taken none of it for longest, if that is
+  for `STALL_S` at least; then a request that has not arrived whole while its
+  caller waits for the answer, or else the largest of those that arrive, of the
+  client account that holds most. A small one yields last.
   Whole requests of one client account get half of the bytes for large ones.
 - Descriptors: a connection that lingers, then the one that is idle for
-  longest, then the oldest unfinished head, then the oldest unfinished body.
+  longest, then the oldest unfinished head, then the oldest unfinished body,
+  and only then such an answer: with the others nothing is lost that has run.
 
 Requests that have arrived whole don't yield as long as their callers take the
 answers; a newcomer is refused instead.
@@ -278,7 +278,7 @@
             self.descriptors + descriptors > self.limits.descriptors
             or self.connections + connections > self.limits.connections
         ):
-            if not (self._yield_answer() or self._yield_connection()):
+            if not (self._yield_connection() or self._yield_answer()):
                 return False
         return True
 
--- a/packages/mimosamux-daemon/mimosamux_daemon/domain/work.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/domain/work.py
@@ -90,7 +90,7 @@
     idempotency_key: str | None = None
     is_first: bool = False
     """Whether the caller states that this idempotency key is new."""
-    hold_answer: Callable[[int], bool] = field(
+    ask_room: Callable[[int], bool] = field(
         default=lambda size: True, compare=False, repr=False
     )
     """Asks for room for so many bytes of its answer in all."""
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -226,10 +226,13 @@
         for connection, answer in zip(working, answers, strict=True):
             self.assertTrue(connection.begin_work())
             answer.holding.wait(KIB)
-        refused = Connected(account).connection
+        refused, idle = Connected(account).connection, Connected(account)
         self.assertFalse(refused.begin_work())
+        self.assertTrue(idle.has_yielded)
+        idle = Connected(account)
         await anyio.sleep(2.1)
         self.assertTrue(refused.begin_work())
+        self.assertTrue(idle.has_yielded)
         self.assertEqual([each.has_yielded for each in answers], [True, False])
 
 
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -303,7 +303,7 @@
                 return len(asked) > 2
 
             call = replace(
-                a_call(f'/long?answer_bytes={LONG_BYTES}'), hold_answer=hold
+                a_call(f'/long?answer_bytes={LONG_BYTES}'), ask_room=hold
             )
             async with serving(service.app()) as address:
                 answer = await services.call(an_endpoint(address), call)
@@ -320,7 +320,7 @@
             service, services = Service(), HttpServices()
             call = replace(
                 a_call(f'/long?answer_bytes={LONG_BYTES}'),
-                hold_answer=lambda size: False,
+                ask_room=lambda size: False,
             )
             async with serving(service.app()) as address:
                 answer = await services.call(an_endpoint(address), call)
