Caller API: sockets whose handshake fails are closed by the event loop

Found in reading: closed the socket itself where the handshake had failed, though the event loop may still send an alert on it: its number could be taken by another connection under the selector.

Soak: what its two kinds of callers in a thread share is one class.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
@@ -148,6 +148,8 @@
     ) -> None:
         self._listener = listener
         self._accepted = accepted
+        self._is_handed_over = False
+        """Whether the event loop closes the socket."""
         self._transport: asyncio.Transport | None = None
         self.task: asyncio.Task[None] | None = None
         self._caller = listener.connections.account.open(self._end)
@@ -187,7 +189,7 @@
             pass
         finally:
             self._listener.connections.remove(client)
-            if self._transport is None:
+            if not self._is_handed_over:
                 self._accepted.close()
             self._caller.close()
 
@@ -203,6 +205,7 @@
         loop = asyncio.get_running_loop()
         reader = asyncio.StreamReader(limit=READ_AHEAD_BYTES)
         protocol = asyncio.StreamReaderProtocol(reader)
+        self._is_handed_over = True
         self._transport, _ = await loop.connect_accepted_socket(
             lambda: protocol,
             self._accepted,
--- a/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/api/operators.py
@@ -261,9 +261,7 @@
                 return await handler(request, operator)
             except InvalidRequest as error:
                 return error_response(
-                    error.status
-                    if isinstance(error, _BodyNotTaken)
-                    else HTTPStatus.BAD_REQUEST,
+                    _find_status(error),
                     'bad_request',
                     str(error),
                     path=error.path,
@@ -316,6 +314,12 @@
         self.status = STATUS_BY_PROBLEM[problem]
 
 
+def _find_status(error: InvalidRequest) -> HTTPStatus:
+    if isinstance(error, _BodyNotTaken):
+        return error.status
+    return HTTPStatus.BAD_REQUEST
+
+
 async def _read_body(request: Request) -> bytes:
     data = await read_body(request, limit=MAX_BODY_BYTES)
     if isinstance(data, BodyProblem):
--- a/tests/support/soak_callers.py
+++ b/tests/support/soak_callers.py
@@ -43,23 +43,10 @@
 
 
 @dataclass(kw_only=True)
-class Callers:
+class CallersInThread:
     """Callers in a thread of their own, until they are told to stop."""
 
-    entries: list
     rng: random.Random
-    count: int = CALLERS
-    targets: tuple = TARGETS
-    patience_s: float = 4.0
-    longest_pause_s: float = 0.2
-    stays_s: float | None = None
-    """Time for which a caller stays beyond its deadline."""
-    leaving_share: float = 0.0
-    """Share of the requests whose callers disconnect before the deadline."""
-    takes_up: bool = False
-    """Whether questions that break off are taken up at any daemon."""
-    comes_back_s: float = 0.0
-    """For how long a caller tries this again, until the stream goes on."""
     sent: list = field(default_factory=list)
     _stopping: threading.Event = field(default_factory=threading.Event)
     _thread: threading.Thread | None = None
@@ -75,6 +62,29 @@
         self.request_stop()
         self._thread.join()
 
+    async def _run(self):
+        """Run until the stop."""
+        raise NotImplementedError
+
+
+@dataclass(kw_only=True)
+class Callers(CallersInThread):
+    """Callers whose requests have to be served as promised."""
+
+    entries: list
+    count: int = CALLERS
+    targets: tuple = TARGETS
+    patience_s: float = 4.0
+    longest_pause_s: float = 0.2
+    stays_s: float | None = None
+    """Time for which a caller stays beyond its deadline."""
+    leaving_share: float = 0.0
+    """Share of the requests whose callers disconnect before the deadline."""
+    takes_up: bool = False
+    """Whether questions that break off are taken up at any daemon."""
+    comes_back_s: float = 0.0
+    """For how long a caller tries this again, until the stream goes on."""
+
     async def _run(self):
         async with anyio.create_task_group() as tasks:
             for _ in range(self.count):
--- a/tests/support/soak_crowds.py
+++ b/tests/support/soak_crowds.py
@@ -7,14 +7,14 @@
 import contextlib
 import pathlib
 import random
-import threading
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import anyio
 import anyio.lowlevel
 from mimosamux_daemon.adapters.tcp_network import TcpNetwork
 
 from tests.support import crowds
+from tests.support.soak_callers import CallersInThread
 
 CROWD_CALLERS = 24
 LARGEST_BODY = 4 * crowds.MIB
@@ -41,24 +41,11 @@
 
 
 @dataclass(kw_only=True)
-class CrowdCallers:
-    """Callers in a thread of their own, until they are told to stop."""
+class CrowdCallers(CallersInThread):
+    """Callers that misbehave; their requests may end in any way."""
 
     addresses: list
     """Listeners of the daemons."""
-    rng: random.Random
-    sent: list = field(default_factory=list)
-    """Nothing: what becomes of their requests is not checked."""
-    _stopping: threading.Event = field(default_factory=threading.Event)
-    _thread: threading.Thread | None = None
-
-    def start(self):
-        self._thread = threading.Thread(target=lambda: anyio.run(self._run))
-        self._thread.start()
-
-    def stop(self):
-        self._stopping.set()
-        self._thread.join()
 
     async def _run(self):
         async with anyio.create_task_group() as tasks:
