--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
@@ -63,7 +63,7 @@
     sockets = config.create_sockets()
     (listening,) = [*sockets.secure_sockets, *sockets.insecure_sockets]
     context = WorkerContext(None)
-    listener = _CallerListener(
+    listener = CallerListener(
         listening=listening,
         app=wrap_app(app, config.wsgi_max_body_size, None),
         config=config,
@@ -83,7 +83,7 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class _CallerListener:
+class CallerListener:
     """Accepts connections, and serves each in a task of its own."""
 
     listening: socket.socket
@@ -117,17 +117,19 @@
                 accepted, _ = self.listening.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
-            self._begin(accepted)
+            self.begin(accepted)
 
-    def _begin(self, accepted: socket.socket) -> None:
+    def begin(self, accepted: socket.socket) -> None:
+        """Serve a connection that was accepted, if there is room for it."""
         served = _Served(listener=self, accepted=accepted)
         if not served.is_admitted:
             accepted.close()
             return
-        task = asyncio.create_task(served.run())
-        served.task = task
+        served.task = task = asyncio.create_task(served.run())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # One that yields before its task has begun never runs.
+        task.add_done_callback(lambda _: served.release())
 
     async def finish(self, grace_s: float) -> None:
         """Wait for connections to end, and cut those that are left."""
@@ -144,13 +146,14 @@
     """One connection, from its accept until it is closed."""
 
     def __init__(
-        self, *, listener: _CallerListener, accepted: socket.socket
+        self, *, listener: CallerListener, accepted: socket.socket
     ) -> None:
         self._listener = listener
         self._accepted = accepted
         self._is_handed_over = False
         """Whether the event loop closes the socket."""
         self._transport: asyncio.Transport | None = None
+        self._client: Any = None
         self.task: asyncio.Task[None] | None = None
         self._caller = listener.connections.account.open(self._end)
 
@@ -170,10 +173,9 @@
     async def run(self) -> None:
         """Serve it until it ends."""
         assert self._caller is not None
-        client: Any = None
         try:
-            client = self._accepted.getpeername()[:2]
-            self._listener.connections.add(client, self._caller)
+            self._client = self._accepted.getpeername()[:2]
+            self._listener.connections.add(self._client, self._caller)
             reader, writer = await self._open_streams(self._caller)
             await TCPServer(
                 self._listener.app,
@@ -187,10 +189,13 @@
         except OSError:
             # Its caller has left, or the TLS handshake has failed.
             pass
-        finally:
-            self._listener.connections.remove(client)
-            if not self._is_handed_over:
-                self._accepted.close()
+
+    def release(self) -> None:
+        """Note that nothing is left of it."""
+        self._listener.connections.remove(self._client)
+        if not self._is_handed_over:
+            self._accepted.close()
+        if self._caller is not None:
             self._caller.close()
 
     async def _open_streams(
