Crowds: a descriptor that closes meanwhile costs the watch no sample

Since the watch read the link of each descriptor of the process, and dropped the whole sample, of descriptors and of bytes in the kernel, if one of them was closed in between: weaker than before, in the moments that matter most. It passes over that one descriptor now. Bounds are as they were.

The test of a connection that yields gives the server its context; it logged an error of the double.

--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -220,23 +220,25 @@
             await anyio.sleep(SAMPLE_S)
 
     def look(self):
+        paths = ()
         with contextlib.suppress(FileNotFoundError):
-            links = [
-                os.readlink(path) for path in (self._folder / 'fd').iterdir()
-            ]
-            self._descriptors = max(self._descriptors, len(links))
-            self._buffered = max(self._buffered, self._count_buffered(links))
+            paths = tuple((self._folder / 'fd').iterdir())
+        self._descriptors = max(self._descriptors, len(paths))
+        self._buffered = max(self._buffered, self._count_buffered(paths))
 
-    def _count_buffered(self, links):
+    def _count_buffered(self, paths):
         """Return the bytes that lie in its connections.
 
-        Those that wait to be accepted have no descriptor.
+        Those that wait to be accepted have no descriptor, and one of `paths`
+        may be closed meanwhile.
         """
+        inodes = set()
+        for path in paths:
+            with contextlib.suppress(FileNotFoundError):
+                name = os.readlink(path)
+                inodes.add(name.removeprefix('socket:[').removesuffix(']'))
         table = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
         rows = (line.split() for line in table)
-        inodes = {
-            link.removeprefix('socket:[').removesuffix(']') for link in links
-        }
         return sum(
             sum(int(size, 16) for size in row[4].split(':'))
             for row in rows
--- a/tests/test_http_connections.py
+++ b/tests/test_http_connections.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 
+from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from mimosamux_daemon.adapters.http_connections import (
     CallerConnections,
@@ -28,7 +29,7 @@
                 listening=listening,
                 app=None,
                 config=Config(),
-                context=None,
+                context=WorkerContext(None),
                 connections=CallerConnections(account=account),
             )
             callers = [
