Callers: one accept loop, one way to make room, no scope for each request

Read once more: the caller API had an accept loop of its own beside the one of TcpListener, which logs accepts that fail and goes on behind a connection that was aborted; adapters/accepting.py serves both. The account made room in two loops that differed by who is alone; one loop now, in which an answer that is left alone because others have yielded fits at once, not at the next try. Metrics of callers are named by the types that they have.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_exchange.py
@@ -73,7 +73,8 @@
         self._closes = closes
         self._behind_bytes = 0
         """Bytes of the answer that may lie in the connection it comes from."""
-        self._waiting = anyio.CancelScope()
+        self._waiting: anyio.CancelScope | None = None
+        """Scope of the wait for the caller to take some, if it waits."""
 
     def hold(self, size: int) -> bool:
         """Note how much of the answer is kept; False if it should be sent."""
@@ -131,7 +132,7 @@
     async def finish(self) -> bool:
         """End the answer: only now does it look complete."""
         data = self._parser.send(h11.EndOfMessage()) or b''
-        self.is_finished = not data or await self._send(data)
+        self.is_finished = await self._send(data)
         if self.is_finished and self._has_no_chunks():
             self.connection.reset_on_close(False)
         return self.is_finished
@@ -176,7 +177,8 @@
 
     def break_off(self) -> None:
         """End the wait for the caller to take some of the answer."""
-        self._waiting.cancel()
+        if self._waiting is not None:
+            self._waiting.cancel()
 
 
 Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
@@ -13,23 +13,17 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import anyio
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
 from hypercorn.typing import AppWrapper
 from hypercorn.utils import wrap_app
 
+from mimosamux_daemon.adapters.accepting import Accepting
 from mimosamux_daemon.callers import CallerAccount, CallerConnection, Phase
 
 READ_AHEAD_BYTES = 16 * 1024
 """Twice as many bytes at most are read of a connection before it pauses."""
-ACCEPTS_AT_ONCE = 32
-"""Connections accepted in one pass of the event loop."""
-ACCEPT_PAUSE_S = 0.1
-"""Pause after connections could not be accepted, for some to end."""
-ROOM_PAUSE_S = 0.01
-"""Pause while as many connections are open as may be."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -62,6 +56,7 @@
     """Serve until `shutdown` returns, then let open connections finish."""
     sockets = config.create_sockets()
     (listening,) = [*sockets.secure_sockets, *sockets.insecure_sockets]
+    listening.setblocking(False)
     context = WorkerContext(None)
     listener = CallerListener(
         listening=listening,
@@ -95,29 +90,13 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        self.listening.setblocking(False)
-        while True:
-            await anyio.wait_readable(self.listening)
-            if not self.connections.account.may_accept(0):
-                # Others have yielded and are about to be closed.
-                await anyio.sleep(ROOM_PAUSE_S)
-                continue
-            try:
-                self._accept_waiting()
-            except OSError:
-                # Without descriptors the socket stays readable.
-                await anyio.sleep(ACCEPT_PAUSE_S)
-
-    def _accept_waiting(self) -> None:
-        """Accept connections that wait; raises `OSError` if it fails."""
-        for _ in range(ACCEPTS_AT_ONCE):
-            if not self.connections.account.may_accept(0):
-                return
-            try:
-                accepted, _ = self.listening.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
-            self.begin(accepted)
+        account = self.connections.account
+        accepting = Accepting(
+            listening=self.listening,
+            may_accept=lambda: account.may_accept(0),
+            begin=self.begin,
+        )
+        await accepting.run()
 
     def begin(self, accepted: socket.socket) -> None:
         """Serve a connection that was accepted, if there is room for it."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -7,14 +7,14 @@
 import select
 import socket
 import struct
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
 import anyio.abc
 
+from mimosamux_daemon.adapters.accepting import Accepting
 from mimosamux_daemon.early_listeners import (
-    BACKLOG,
     SocketsByAddress,
     limit_buffers,
     open_listener,
@@ -35,13 +35,6 @@
 ABORTIVE_CLOSE = struct.pack('ii', 1, 0)
 """Value of SO_LINGER with which closing a socket sends a reset."""
 ORDERLY_CLOSE = struct.pack('ii', 0, 0)
-ACCEPTS_AT_ONCE = 32
-"""Connections accepted in one pass of the event loop; requests that are
-under way come to their turn before the next."""
-ACCEPT_PAUSE_S = 0.1
-"""Pause after connections could not be accepted, for some to end."""
-ROOM_PAUSE_S = 0.01
-"""Pause while as many connections are open as may be."""
 PORT_PATTERN = re.compile(r'[0-9]{1,5}')
 MAX_PORT = 65_535
 MAX_SHOWN = 80
@@ -208,56 +201,22 @@
         self, handler: ConnectionHandler, tasks: anyio.abc.TaskGroup
     ) -> None:
         """Give each connection to a task of its own, until cancelled."""
+
+        def begin(accepted: socket.socket) -> None:
+            self.opening += 1
+            tasks.start_soon(self._handle, accepted, handler)
+
+        accepting = Accepting(
+            listening=self._listening,
+            may_accept=lambda: self.may_accept(self.opening),
+            begin=begin,
+        )
         with self._listening:
             try:
-                while True:
-                    await anyio.wait_readable(self._listening)
-                    if not self.may_accept(self.opening):
-                        # Others have yielded and are about to be closed.
-                        await anyio.sleep(ROOM_PAUSE_S)
-                        continue
-                    if not self._open_waiting(handler, tasks, ACCEPTS_AT_ONCE):
-                        # Without descriptors the socket stays readable: tried
-                        # again at once, it would take the time of the requests
-                        # whose end gives descriptors back.
-                        await anyio.sleep(ACCEPT_PAUSE_S)
+                await accepting.run()
             finally:
                 # Closing the socket resets the connections in its backlog.
-                self._open_waiting(handler, tasks, BACKLOG)
-
-    def _open_waiting(
-        self,
-        handler: ConnectionHandler,
-        tasks: anyio.abc.TaskGroup,
-        at_most: int,
-    ) -> bool:
-        """Start tasks for the connections that wait; False if it failed."""
-        try:
-            for accepted in self._accept_waiting(at_most):
-                self.opening += 1
-                tasks.start_soon(self._handle, accepted, handler)
-        except OSError as error:
-            log.warning('accept_failed', reason=str(error))
-            return False
-        return True
-
-    def _accept_waiting(self, at_most: int) -> Iterator[socket.socket]:
-        """Give connections that wait; raises `OSError`.
-
-        Taken one in a few passes of the event loop, they wait for as many
-        passes as there are connections before them: after a restart that is
-        longer than callers do, while no timer of the daemon is late.
-        """
-        for _ in range(at_most):
-            if not self.may_accept(self.opening):
-                return
-            try:
-                accepted, _ = self._listening.accept()
-            except BlockingIOError:
-                return
-            except ConnectionAbortedError:
-                continue
-            yield accepted
+                accepting.accept_waiting()
 
     async def _handle(
         self, accepted: socket.socket, handler: ConnectionHandler
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -282,14 +282,27 @@
                 return False
         return True
 
-    def _make_byte_room(self, limit: int) -> bool:
-        """Have answers and uploads yield; False if none does."""
-        while self.request_bytes > limit:
+    def _make_byte_room(
+        self,
+        limit: int,
+        *,
+        own: RequestHolding | None = None,
+        own_bytes: int = 0,
+    ) -> bool:
+        """Have answers and uploads yield; False if `own` would have to.
+
+        What is alone fits, as each request that the limits of traffic allow:
+        its `own_bytes` may be above the limit.
+        """
+        while self.request_bytes > max(limit, own_bytes):
             if self._yield_answer():
                 continue
             if not self._unfinished:
                 return False
-            self._find_loser().give_up()
+            loser = self._find_loser()
+            if loser is own:
+                return False
+            loser.give_up()
         return True
 
     def _yield_answer(self) -> bool:
@@ -319,18 +332,12 @@
         self._set(holding, size)
         self._unfinished.pop(holding, None)
         self._unfinished[holding] = None
-        while self.request_bytes > self._limit_for(size):
-            if self.request_bytes == holding.bytes:
-                # Alone, each request that the limits of traffic allow fits.
-                return True
-            if self._yield_answer():
-                continue
-            loser = self._find_loser()
-            if loser is holding:
-                self._drop(holding)
-                return False
-            loser.give_up()
-        return True
+        if self._make_byte_room(
+            self._limit_for(size), own=holding, own_bytes=size
+        ):
+            return True
+        self._drop(holding)
+        return False
 
     def _drop(self, holding: RequestHolding) -> None:
         self._release(holding)
@@ -339,9 +346,10 @@
     def _hold_answer(self, answer: AnswerHolding, size: int) -> bool:
         before = answer.bytes
         self._resize_answer(answer, size)
-        # Alone, each answer fits that may be held at all.
-        is_alone = self.request_bytes == size + answer.request.bytes
-        if is_alone or self._make_byte_room(self.limits.large_request_bytes):
+        if self._make_byte_room(
+            self.limits.large_request_bytes,
+            own_bytes=size + answer.request.bytes,
+        ):
             return True
         self._resize_answer(answer, before)
         return False
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/building.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/building.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from aioprometheus import Counter, Gauge
+
 from mimosamux_daemon.callers.account import CallerAccount
 from mimosamux_daemon.callers.limits import (
     MIB,
@@ -16,34 +18,15 @@
 """The same for a model daemon, with the prompts and answers that it keeps."""
 
 
-class Gauge(Protocol):
-    """A metric that shows the present value for each set of labels."""
-
-    def set(self, labels: dict[str, str], value: float) -> None:
-        """Show a value."""
-
-
-class LossCounter(Protocol):
-    """A metric that counts for each set of labels."""
-
-    def inc(self, labels: dict[str, str]) -> None:
-        """Count one more."""
-
-
 class CallerMetrics(Protocol):
     """Metrics of what callers hold and lost."""
 
-    @property
-    def caller_losses(self) -> LossCounter:
-        """What was given up at a limit, by cause."""
-
-    @property
-    def caller_holdings(self) -> Gauge:
-        """What callers hold, by kind."""
-
-    @property
-    def caller_limits(self) -> Gauge:
-        """The most that they may hold, by kind."""
+    caller_losses: Counter
+    """What was given up at a limit, by cause."""
+    caller_holdings: Gauge
+    """What callers hold, by kind."""
+    caller_limits: Gauge
+    """The most that they may hold, by kind."""
 
 
 def build_account(
