Crowds: the smallest VM has 160 MB; a calm request keeps the bound

The gateway's crowds held it to 200 MiB, named the memory of the smallest entry VM, which the deployments list with 160 MB. The crowds at the entry and those with unread answers are played at 160 MB as well, and the single request of the largest size has its memory checked at each listener.

--- a/tests/crowd_gateway.py
+++ b/tests/crowd_gateway.py
@@ -13,14 +13,17 @@
 )
 from tests.support.platform_processes import platform_processes, send
 
-SMALLEST_VM_BYTES = 200 * crowds.MIB
-"""Memory of the smallest entry VM that a gateway is made for."""
+MEGABYTE = 1_000_000
+VM_MB = 200
+SMALLEST_VM_MB = 160
+"""Memory of the smallest entry VM."""
 
 
 class GatewayChecks(CrowdChecks):
-    """One gateway on the smallest VM."""
+    """One gateway on a small VM."""
 
-    memory_bytes = SMALLEST_VM_BYTES
+    memory_mb = VM_MB
+    memory_bytes = VM_MB * crowds.MIB
     listener = ''
     path = ''
 
@@ -28,7 +31,7 @@
         started = platform_processes(
             daemons=1,
             daemon_descriptors=self.descriptors,
-            daemon_settings={'memory_mb': SMALLEST_VM_BYTES / crowds.MIB},
+            daemon_settings={'memory_mb': self.memory_mb},
         )
         self.platform = started.__enter__()
         self.addCleanup(started.__exit__, None, None, None)
@@ -62,7 +65,7 @@
 
 
 class GatewayCase(CrowdCases, GatewayChecks):
-    """One gateway on the smallest VM, and each crowd."""
+    """One gateway on a small VM, and each crowd."""
 
 
 class EntryChecks(GatewayChecks):
@@ -95,6 +98,20 @@
         return answer.status
 
 
+class TestEntryOfTheSmallestVm(TestEntry):
+    """Requests of callers to the smallest VM."""
+
+    memory_mb = SMALLEST_VM_MB
+    memory_bytes = SMALLEST_VM_MB * MEGABYTE
+
+
+class TestUnreadAnswersOfTheSmallestVm(TestUnreadAnswers):
+    """Requests to the smallest VM whose answers nobody reads."""
+
+    memory_mb = SMALLEST_VM_MB
+    memory_bytes = SMALLEST_VM_MB * MEGABYTE
+
+
 class TestDiscovery(GatewayCase, unittest.TestCase):
     """Questions for the addresses of daemons."""
 
--- a/tests/support/crowd_cases.py
+++ b/tests/support/crowd_cases.py
@@ -47,6 +47,10 @@
             await anyio.sleep(PAUSE_S)
         return False
 
+    def watch(self):
+        port = int(self.address.rpartition(':')[2])
+        return crowds.Watch(pid=self.process.popen.pid, port=port)
+
     def check(self, crowd):
         """Play a crowd; check life, answers, memory and descriptors.
 
@@ -59,8 +63,7 @@
             head=self.head,
             largest=self.largest_body,
         )
-        port = int(self.address.rpartition(':')[2])
-        watch = crowds.Watch(pid=self.process.popen.pid, port=port)
+        watch = self.watch()
 
         async def play():
             async with anyio.create_task_group() as tasks:
@@ -132,6 +135,7 @@
         self.start()
         self.assertEqual(anyio.run(self.ask_large), 200)
         self.assertIsNone(self.process.popen.poll())
+        self.assertLess(self.watch().held().memory_bytes, self.memory_bytes)
 
 
 class UnreadAnswerCases(CrowdChecks):
