Callers' account: requests at work count where more connections are accepted

Connections that yield keep their descriptors until their tasks have run; how many may be so was bounded by sockets alone, beside two descriptors for each request at work that nothing counted there.

The new test of the account fails without the change.

--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/account.py
@@ -217,7 +217,8 @@
         One that has yielded keeps its descriptor until its task has run.
         """
         most = self.limits.descriptors + ACCEPTS_AHEAD
-        return self.sockets + opening < most
+        at_work = self.descriptors - self.connections
+        return self.sockets + at_work + opening < most
 
     def hold_request(self, yield_: Callable[[], None]) -> RequestHolding:
         """Return the holding of a request that begins to arrive."""
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -297,6 +297,16 @@
             accepted += 1
         self.assertEqual(accepted, LIMITS.descriptors + 32)
 
+    # Guards against accepts that leave requests at work no descriptors.
+    @paused
+    async def test_requests_at_work_count_where_more_are_accepted(
+        self, account
+    ):
+        self.assertTrue(Connected(account).connection.begin_work())
+        while account.may_accept(0):
+            Connected(account)
+        self.assertEqual(account.sockets + 2, LIMITS.descriptors + 32)
+
 
 class TestLimits(unittest.TestCase):
     def test_limits_hold_on_vms_of_all_sizes(self):
