--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -25,7 +25,7 @@
 """Requests up to this size may use all bytes, larger ones not the reserve."""
 SMALL_RESERVE = 0.25
 """Share of the bytes that only small requests may use."""
-LEAST_SPARE_DESCRIPTORS = 64
+LEAST_SPARE_DESCRIPTORS = 96
 SPARE_DESCRIPTORS_SHARE = 1 / 8
 """Share of the descriptors that is for endpoints, peers, the platform and
 files, at least `LEAST_SPARE_DESCRIPTORS`."""
