Gateway: a long answer keeps nothing of its first part once that is sent

Cause: up to 1 MiB of an answer is kept before it is relayed as it comes. Two frames went on naming these bytes until the last byte was relayed, while the account let them go once they were sent. tracemalloc at the peak: 26 of them in 28 MB, of 63 MB traced. How many there are at once depends on how much the callers' kernels take, which is why it depended on the machine.

Change: the relay passes the bytes on and keeps no name for them.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -88,17 +88,15 @@
             return cut or CompleteAnswer(answer=answer, body=bytes(body))
         body += part
         if len(body) > MAX_BUFFERED_BYTES or not job.sink.hold(len(body)):
-            buffered = bytes(body)
-            body.clear()
-            return await _relay_long(
-                job, answer, failover_wait.attempt, buffered
-            )
+            return await _relay_long(job, answer, failover_wait.attempt, body)
 
 
 async def _relay_long(
-    job: Job, answer: EndpointAnswer, attempt: Attempt, buffered: bytes
+    job: Job, answer: EndpointAnswer, attempt: Attempt, buffered: bytearray
 ) -> GatewayOutcome:
-    is_sent = await job.sink.start(answer.status, answer.headers, buffered)
+    is_sent = await job.sink.start(
+        answer.status, answer.headers, _take(buffered)
+    )
     while is_sent:
         part = await answer.receive()
         if part is None:
@@ -112,6 +110,13 @@
     return CallerGone()
 
 
+def _take(buffered: bytearray) -> bytes:
+    """Return what is buffered; only the caller of this keeps it then."""
+    taken = bytes(buffered)
+    buffered.clear()
+    return taken
+
+
 async def send_complete(job: Job, complete: CompleteAnswer) -> GatewayOutcome:
     """Send a complete answer to the caller."""
     answer = complete.answer
