Tests: what was sent of a long answer is not kept until its end

Fails on the code before with two others that keep it, on any machine; the crowd of half-read answers showed it only where callers' kernels took little.

--- a/tests/test_gateway_answer_room.py
+++ b/tests/test_gateway_answer_room.py
@@ -1,5 +1,6 @@
 """Whole answers of endpoints for which there is no room."""
 
+import sys
 import unittest
 from unittest import mock
 
@@ -32,15 +33,20 @@
     def __init__(self, room):
         self.room = room
         self.sent = []
+        self.first = b''
+        self.others_that_keep_first = 0
 
     def hold(self, size):
         return size <= self.room
 
     async def start(self, status, headers, first=b''):
         self.sent.append(len(first))
+        self.first = first
         return True
 
     async def write(self, data):
+        # The sink itself has one reference, its argument here another.
+        self.others_that_keep_first = sys.getrefcount(self.first) - 2
         self.sent.append(len(data))
         return True
 
@@ -60,7 +66,7 @@
 
 class TestRoom(unittest.TestCase):
     def receive(self, room):
-        """Return the outcome, and what the caller was sent."""
+        """Return the outcome, and the caller's answer."""
 
         async def check():
             job = mock.Mock(sink=Sink(room))
@@ -70,16 +76,21 @@
                 outcome = await answer_relay.receive_complete(
                     Answer(), Wait(), job
                 )
-            return outcome, job.sink.sent
+            return outcome, job.sink
 
         return run_paused(check)
 
     def test_answer_with_room_is_received_whole(self):
-        outcome, sent = self.receive(3 * len(PART))
-        self.assertEqual((len(outcome.body), sent), (3 * len(PART), []))
+        outcome, sink = self.receive(3 * len(PART))
+        self.assertEqual((len(outcome.body), sink.sent), (3 * len(PART), []))
 
     # Guards against answers that are kept while callers hold too much.
     def test_answer_without_room_is_relayed_as_it_comes(self):
-        outcome, sent = self.receive(len(PART))
+        outcome, sink = self.receive(len(PART))
         self.assertEqual(outcome, Delivered(status=200))
-        self.assertEqual(sent, [2 * len(PART), len(PART), 'end'])
+        self.assertEqual(sink.sent, [2 * len(PART), len(PART), 'end'])
+
+    # Guards against bytes that stay in memory once the caller has them.
+    def test_what_was_sent_is_not_kept_until_the_answer_ends(self):
+        _, sink = self.receive(len(PART))
+        self.assertEqual(sink.others_that_keep_first, 0)
