--- a/tests/crowd_gateway.py
+++ b/tests/crowd_gateway.py
@@ -37,6 +37,7 @@
         self.addCleanup(started.__exit__, None, None, None)
         (daemon,) = self.platform.daemons
         self.process = daemon.process
+        self.entry = daemon.entry
         self.address = daemon.settings['listen'][self.listener]
 
     def next_id(self):
@@ -75,7 +76,7 @@
     path = '/list/1'
 
     async def ask(self):
-        answer = await send(self.address, '/list/1', body=b'class 4b')
+        answer = await send(self.entry, '/list/1', body=b'class 4b')
         return answer.status == 200 and answer.is_whole
 
 
@@ -89,15 +90,19 @@
         return f'crowd-{next(self._numbers)}'
 
 
-class TestEntry(CrowdCases, EntryChecks, unittest.TestCase):
-    """Requests of callers."""
+class EntryCase(CrowdCases, EntryChecks):
+    """Each crowd; ordinary requests go to the entry."""
 
     async def ask_large(self):
         body = b'x' * self.largest_body
-        answer = await send(self.address, self.path, body=body)
+        answer = await send(self.entry, self.path, body=body)
         return answer.status
 
 
+class TestEntry(EntryCase, unittest.TestCase):
+    """Requests of callers."""
+
+
 class TestEntryOfTheSmallestVm(TestEntry):
     """Requests of callers to the smallest VM."""
 
@@ -112,6 +117,35 @@
     memory_bytes = SMALLEST_VM_MB * MEGABYTE
 
 
+class TestPeers(EntryCase, unittest.TestCase):
+    """Strangers at the listener for other daemons."""
+
+    listener = 'peers'
+
+
+class TestTunnels(EntryChecks, unittest.TestCase):
+    """Strangers at the listener for tunnels."""
+
+    listener = 'peers'
+
+    def start(self):
+        """Start a daemon again, with a listener for tunnels."""
+        super().start()
+        self.process.kill()
+        (first,) = self.platform.daemons
+        tunnels = f'127.0.0.1:{self.platform.started.reserve_port()}'
+        listen = {**first.settings['listen'], 'tunnels': tunnels}
+        daemon = self.platform.start_daemon(
+            settings={**first.settings, 'listen': listen}
+        )
+        self.process = daemon.process
+        self.address = tunnels
+
+    # Guards against strangers that use up the descriptors.
+    def test_many_connections_just_short_of_their_end(self):
+        self.check(crowds.MANY_OPEN)
+
+
 class TestDiscovery(GatewayCase, unittest.TestCase):
     """Questions for the addresses of daemons."""
 
--- a/tests/crowd_model_daemon.py
+++ b/tests/crowd_model_daemon.py
@@ -46,7 +46,7 @@
             memory_mb=DAEMON_BYTES / crowds.MIB, **self.daemon_settings()
         )
         self.process = self.site.daemons['a1']
-        self.address = self.process.address
+        self.address = self.api = self.process.address
 
     def daemon_settings(self):
         return {}
@@ -64,7 +64,7 @@
         ) as client:
             try:
                 answer = await client.post(
-                    f'{self.scheme}://{self.address}{path}',
+                    f'{self.scheme}://{self.api}{path}',
                     headers={**HEADERS, 'X-Mimosamux-Class': 'draft'},
                     **content,
                 )
@@ -155,6 +155,24 @@
         return await self.post(self.path, content=b'x' * self.largest_body)
 
 
+class TestPeers(ModelDaemonChecks, unittest.TestCase):
+    """Strangers at the listener for other daemons."""
+
+    path = '/'
+
+    def start(self):
+        super().start()
+        _, port = self.site.ports['a1']
+        self.address = f'127.0.0.1:{port}'
+
+    # Guards against strangers that use up the descriptors.
+    def test_many_connections_just_short_of_their_end(self):
+        self.check(crowds.MANY_OPEN)
+
+    def test_large_bodies_just_short_of_their_end(self):
+        self.check(crowds.LARGE_SHORT)
+
+
 class TestStrangers(ModelDaemonCase, unittest.TestCase):
     """Requests with a key that nobody has."""
 
