Peers and tunnels: connections without proof are bounded

A daemon without descriptors opens no connection to endpoints and no file.

Cause: the account counts callers of the other listeners. These two accepted whatever came, up to 1,024 links.

Change: of the descriptors that are not for callers, a quarter at each of the two listeners is for connections that have proved nothing (24 of 256, 128 of 4,100). More wait to be accepted; the earliest yields once it has had a second, so that who stops short locks no peer out. Proof is the handshake of a link, or the head of a request for a tunnel. Account and callers' room stay as they were: a daemon's peers must not wait for callers.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/thrift_peers.py
@@ -29,6 +29,7 @@
     OutgoingLink,
     write_all,
 )
+from mimosamux_daemon.callers import Newcomers
 from mimosamux_daemon.domain.names import DaemonId
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.network import Connection, Network
@@ -61,6 +62,7 @@
         security: LinkSecurity,
         metrics: PeerMetrics | None = None,
         network: Network | None = None,
+        descriptors: int = 0,
     ) -> None:
         self._network = TcpNetwork() if network is None else network
         self.listening = anyio.Event()
@@ -76,6 +78,7 @@
         self._addresses_by_id: dict[DaemonId, str] = {}
         self._links_by_id: dict[DaemonId, OutgoingLink] = {}
         self._connections = 0
+        self._newcomers = Newcomers(descriptors=descriptors)
 
     async def call(
         self, daemon: DaemonId, message: Message, *, timeout_s: float = 2.0
@@ -118,6 +121,7 @@
         """Listen, and keep the links open, until cancelled."""
         listener = await self._network.listen(f'{self._host}:{self._port}')
         self.address = listener.address
+        listener.may_accept = self._newcomers.may_accept
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
             self.listening.set()
@@ -171,13 +175,15 @@
             await anyio.aclose_forcefully(stream)
             return
         self._connections += 1
+        link: Link | LinkClosed = LinkClosed(reason='no proof of who it is')
         try:
-            link = await open_link(
-                stream,
-                me=self._daemon,
-                side=Side.ACCEPTOR,
-                security=self._security,
-            )
+            with self._newcomers.admit():
+                link = await open_link(
+                    stream,
+                    me=self._daemon,
+                    side=Side.ACCEPTOR,
+                    security=self._security,
+                )
             reason = (
                 link.reason
                 if isinstance(link, LinkClosed)
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tunnel_server.py
@@ -20,6 +20,7 @@
     LENGTH_PREFIXED,
     render_frame,
 )
+from mimosamux_daemon.callers import Newcomers
 from mimosamux_daemon.domain.http_messages import find_value
 from mimosamux_daemon.logs import get_log
 from mimosamux_daemon.ports.network import Connection, Network
@@ -64,6 +65,7 @@
     """Whether an address is that of a listed endpoint; no other is served."""
     note_end: Callable[[str], None]
     """Called with the outcome of each request for a tunnel."""
+    newcomers: Newcomers = field(default_factory=Newcomers)
     _draining_since: float | None = None
     _open: set[_Tunnel] = field(default_factory=set)
 
@@ -78,8 +80,10 @@
 
     async def serve(self, connection: Connection) -> None:
         """Serve one connection of a peer until it ends."""
+        request = None
         try:
-            request = await self._receive_request(connection)
+            with self.newcomers.admit():
+                request = await self._receive_request(connection)
             if request is not None:
                 await self._serve_tunnel(connection, request)
         finally:
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/__init__.py
@@ -24,6 +24,7 @@
     CallerLimits,
     find_limits,
 )
+from mimosamux_daemon.callers.newcomers import Newcomers
 from mimosamux_daemon.callers.record import (
     CallerRecord,
     LossCause,
@@ -47,6 +48,7 @@
     'CallerLimits',
     'CallerRecord',
     'LossCause',
+    'Newcomers',
     'ParseTurns',
     'Phase',
     'RequestHolding',
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -29,6 +29,11 @@
 SPARE_DESCRIPTORS_SHARE = 1 / 8
 """Share of the descriptors that is for endpoints, peers, the platform and
 files, at least `LEAST_SPARE_DESCRIPTORS`."""
+NEWCOMERS_SHARE = 1 / 4
+"""Share of these that connections to a listener for peers or tunnels may take
+before the other side has proved itself."""
+PROOF_S = 1.0
+"""Time that it has for that, while others wait to be accepted."""
 ACCEPTS_AHEAD = 32
 """Connections that may be accepted before those that yield are closed."""
 
@@ -78,9 +83,7 @@
     memory = int((memory_mb or DEFAULT_MEMORY_MB) * MIB)
     for_callers = max(memory - own_bytes, LEAST_BYTES)
     request_bytes = int(for_callers * BODIES_SHARE)
-    spare = max(
-        LEAST_SPARE_DESCRIPTORS, int(descriptors * SPARE_DESCRIPTORS_SHARE)
-    )
+    spare = find_spare_descriptors(descriptors)
     return CallerLimits(
         request_bytes=request_bytes,
         connections=(for_callers - request_bytes) // CONNECTION_BYTES,
@@ -88,6 +91,17 @@
     )
 
 
+def find_spare_descriptors(descriptors: int) -> int:
+    """Return how many of all descriptors are not for callers."""
+    share = int(descriptors * SPARE_DESCRIPTORS_SHARE)
+    return max(LEAST_SPARE_DESCRIPTORS, share)
+
+
+def find_newcomer_limit(descriptors: int) -> int:
+    """Return how many connections to a listener may have proved nothing."""
+    return int(find_spare_descriptors(descriptors) * NEWCOMERS_SHARE)
+
+
 def find_descriptor_limit(setting: int) -> int:
     """Return how many descriptors the process may have; 0: not set."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/control_parts.py
@@ -112,6 +112,7 @@
         port=settings.peer_port,
         security=build_link_security(settings),
         metrics=metrics,
+        descriptors=settings.descriptors,
     )
     seeds = PlatformSeeds(
         cloud=platform.cloud,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/daemon.py
@@ -14,6 +14,7 @@
 from mimosamux_daemon.adapters.tunnel_server import TunnelServer
 from mimosamux_daemon.callers import (
     GATEWAY_OWN_BYTES,
+    Newcomers,
     ParseTurns,
     build_account,
 )
@@ -89,6 +90,7 @@
             network=self._network,
             is_endpoint=self.parts.reach.is_endpoint,
             note_end=self._note_tunnel,
+            newcomers=Newcomers(descriptors=settings.descriptors),
         )
 
     def stop(self, *, signalled_s_ago: float = 0.0) -> None:
@@ -210,6 +212,8 @@
         if isinstance(server, Http1Server):
             listener.may_accept = self._account.may_accept
             listener.limit_buffers()
+        else:
+            listener.may_accept = server.newcomers.may_accept
         acceptor = Acceptor(
             listener=listener,
             handler=server.serve,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -221,6 +221,7 @@
             security=LinkSecurity(secret=b''),
             metrics=self.metrics,
             network=network,
+            descriptors=settings.descriptors,
         )
         self.states = PeerStates(
             place=settings.place,
