Sockets: one poll for connections of both faces

The check of for a request that has just come repeated the poll of TcpConnection. Both call has_event now.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_connections.py
@@ -21,22 +21,13 @@
 from hypercorn.utils import wrap_app
 
 from mimosamux_daemon.adapters.accepting import Accepting
+from mimosamux_daemon.adapters.tcp_network import has_event
 from mimosamux_daemon.callers import CallerAccount, CallerConnection, Phase
 
 READ_AHEAD_BYTES = 16 * 1024
 """Twice as many bytes at most are read of a connection before it pauses."""
 
 
-def has_input(connection: socket.socket) -> bool:
-    """Whether bytes have arrived that the event loop has not read."""
-    descriptor = connection.fileno()
-    if descriptor < 0:
-        return False
-    poller = select.poll()
-    poller.register(descriptor, select.POLLIN)
-    return any(events & select.POLLIN for _, events in poller.poll(0))
-
-
 @dataclass(kw_only=True, slots=True)
 class CallerConnections:
     """Open connections of callers, by their address."""
@@ -173,7 +164,7 @@
 
     def _end(self) -> bool:
         """End it at once; False if a request has just come on it."""
-        if self._is_idle() and has_input(self._accepted):
+        if self._is_idle() and self._has_input():
             return False
         if self._transport is not None:
             self._transport.abort()
@@ -184,6 +175,11 @@
     def _is_idle(self) -> bool:
         return self._caller is not None and self._caller.phase is Phase.IDLE
 
+    def _has_input(self) -> bool:
+        """Whether bytes have arrived that the event loop has not read."""
+        accepted = self._accepted
+        return accepted.fileno() >= 0 and has_event(accepted, select.POLLIN)
+
     async def run(self) -> None:
         """Serve it until it ends."""
         assert self._caller is not None
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/tcp_network.py
@@ -173,13 +173,8 @@
             await anyio.wait_readable(ended)
 
     def _poll(self, events: int) -> bool:
-        descriptor = self._socket.fileno()
-        if descriptor < 0:
-            # The event loop has closed it after a reset.
-            return True
-        poller = select.poll()
-        poller.register(descriptor, events)
-        return bool(poller.poll(0))
+        # The event loop may have closed it after a reset.
+        return self._socket.fileno() < 0 or has_event(self._socket, events)
 
 
 class TcpListener:
@@ -318,6 +313,13 @@
     return True
 
 
+def has_event(connection: socket.socket, events: int) -> bool:
+    """Whether an open socket has one of the events, those of `select.poll`."""
+    poller = select.poll()
+    poller.register(connection, events)
+    return bool(poller.poll(0))
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port; raises `OSError` unless it is HOST:PORT.
 
