--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_service.py
@@ -9,6 +9,7 @@
 
 from mimosamux_daemon.adapters.http_framing import is_unframed
 from mimosamux_daemon.adapters.http_platform import NOT_SENT
+from mimosamux_daemon.callers import SMALL_BYTES
 from mimosamux_daemon.domain.engine import ConnectFailed
 from mimosamux_daemon.domain.http_headers import end_to_end_headers
 from mimosamux_daemon.domain.vms import Endpoint
@@ -23,8 +24,6 @@
 MAX_CONNECTIONS = 256
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 """An answer that is larger counts as none."""
-UNCOUNTED_BYTES = 64 * 1024
-"""Answers up to this size are read without asking for room."""
 ROOM_BYTES = 1024 * 1024
 """Bytes for which room is asked beyond those that have come, where nothing
 tells the length of an answer."""
@@ -115,7 +114,7 @@
             body += part
             if len(body) > MAX_ANSWER_BYTES:
                 return ServiceUnanswered(reason='the answer is too large')
-            if len(body) > max(room, UNCOUNTED_BYTES):
+            if len(body) > max(room, SMALL_BYTES):
                 room = max(len(body) + ROOM_BYTES, _stated_length(response))
                 if not await _wait_for_room(call, room):
                     return ServiceUnanswered(reason='no room for the answer')
--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -22,7 +22,8 @@
 """Memory of a connection: its objects, and what lies in it, not read by this
 process or not taken by the caller."""
 SMALL_BYTES = 64 * KIB
-"""Requests up to this size may use all bytes, larger ones not the reserve."""
+"""Requests up to this size may use all bytes, larger ones not the reserve; of
+answers up to this size nothing is asked while they come."""
 SMALL_RESERVE = 0.25
 """Share of the bytes that only small requests may use."""
 LEAST_SPARE_DESCRIPTORS = 96
