--- a/tests/support/crowds.py
+++ b/tests/support/crowds.py
@@ -192,6 +192,12 @@
     descriptors: int
 
 
+def list_connections():
+    """Return the rows of the kernel's table of TCP connections, split."""
+    table = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
+    return [line.split() for line in table]
+
+
 class Watch:
     """Looks at a process, from outside, while a crowd is there."""
 
@@ -237,11 +243,9 @@
             with contextlib.suppress(FileNotFoundError):
                 name = os.readlink(path)
                 inodes.add(name.removeprefix('socket:[').removesuffix(']'))
-        table = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
-        rows = (line.split() for line in table)
         return sum(
             sum(int(size, 16) for size in row[4].split(':'))
-            for row in rows
+            for row in list_connections()
             if (row[1].endswith(self._port) or row[9] in inodes)
             and row[3] in HELD_STATES
         )
--- a/tests/test_service_unread.py
+++ b/tests/test_service_unread.py
@@ -1,7 +1,6 @@
 """What lies unread in a connection to a service."""
 
 import contextlib
-import pathlib
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -12,6 +11,7 @@
 from mimosamux_daemon.adapters.http_service import HttpServices
 from mimosamux_daemon.ports.models import ServiceUnanswered
 
+from tests.support.crowds import list_connections
 from tests.test_platform_http import a_call, an_endpoint
 
 MIB = 1024 * 1024
@@ -24,11 +24,9 @@
 
 def count_unread(port):
     """Return the bytes that lie unread in the connection to a port."""
-    rows = pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]
-    fields = [row.split() for row in rows]
     return max(
         int(row[4].split(':')[1], 16)
-        for row in fields
+        for row in list_connections()
         if row[2].endswith(f':{port:04X}')
     )
 
