Streams taken up: the line says how old the list is and how many peers are heard

stream_resumed result=one_version did not show whether the daemon had heard anything of late, so that a daemon out of step could not be told from one in step. No change of behaviour; tests of stream versions pass (18).

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -606,6 +606,8 @@
                 users=self.version_users,
                 roster=self.roster,
                 metrics=self.metrics,
+                list_age_s=lambda: self.endpoint_reader.age_s,
+                peers_heard=lambda: len(self.states.fresh()),
                 clock=self._clock,
             ),
             version_users=self.version_users,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -38,6 +38,10 @@
     users: VersionUsers
     roster: Roster
     metrics: GatewayMetrics
+    list_age_s: Callable[[], float]
+    """Age of the endpoint list, which shows the versions."""
+    peers_heard: Callable[[], int]
+    """Number of peers whose digests are current."""
     clock: Callable[[], float]
 
     async def bind(self, job: Job) -> Refused | None:
@@ -70,6 +74,8 @@
             result=result,
             source=None if known is None else known.source,
             age_s=None if known is None else round(began_at - known.at, 2),
+            list_age_s=round(self.list_age_s(), 2),
+            peers_heard=self.peers_heard(),
             waited_s=round(self.clock() - began_at, 3),
         )
         return refusal
