--- /dev/null
+++ b/tests/test_gateway_out_of_step.py
@@ -0,0 +1,90 @@
+"""Streams taken up at a daemon that has not heard of a second version."""
+
+import unittest
+
+import anyio
+
+from tests.support.clock import run_paused
+from tests.support.memory_network import machine_of
+from tests.support.platform_site import STORE, open_site
+from tests.support.site_checks import find_joined_versions
+from tests.test_gateway_stream_versions import (
+    STREAMS,
+    Streams,
+    add_engines,
+    count_served,
+)
+
+LISTED_S = (0.05, 0.3, 1.0)
+"""Times between the listing of the second version and the first streams."""
+
+
+class CutOffDaemon:
+    """The last daemon of a site, cut off while a second version joins."""
+
+    def __init__(self, site, *, from_table=True, from_peers=True):
+        self.site = site
+        self.number = len(site.daemons) - 1
+        self.from_table = from_table
+        self.from_peers = from_peers
+
+    def cut(self):
+        machine = self.site.daemons[self.number].machine
+        if self.from_table:
+            self.site.network.cut(machine, machine_of(STORE))
+        if self.from_peers:
+            self.site.cut_from_peers(self.number)
+
+
+class TestOutOfStep(unittest.TestCase):
+    # Guards against a daemon that takes what it has not heard for agreement.
+
+    def play(self, *, daemons, listed_s, heals=False, **cut):
+        """Return the joined streams, the answers there, and elsewhere."""
+
+        async def check():
+            async with open_site(daemons=daemons, engines=0, apps=0) as site:
+                await add_engines(site, *('v1',) * 3)
+                alone = CutOffDaemon(site, **cut)
+                alone.cut()
+                await add_engines(site, *('v2',) * 6, listed_s=listed_s)
+                streams = Streams(site)
+                await streams.break_off(lambda: site.kill_daemon(0))
+                if heals:
+                    site.network.heal()
+                taken_up = await streams.take_up(alone.number)
+                await anyio.sleep(0.1)
+                elsewhere = await streams.take_up(1)
+                joined = find_joined_versions(site.runs())
+                return joined, taken_up, elsewhere
+
+        return run_paused(check)
+
+    def check(self, **fields):
+        for listed_s in LISTED_S:
+            with self.subTest(listed_s=listed_s, **fields):
+                joined, taken_up, elsewhere = self.play(
+                    listed_s=listed_s, **fields
+                )
+                self.assertEqual(joined, [])
+                self.assertEqual(len(taken_up), STREAMS)
+                for answer in taken_up:
+                    self.assertIn(answer.status, (200, 503))
+                self.assertEqual(count_served(elsewhere), STREAMS)
+
+    def test_daemon_cut_off_from_table_and_peers_joins_no_streams(self):
+        self.check(daemons=3)
+        self.check(daemons=9)
+
+    def test_daemon_cut_off_from_one_of_them_joins_no_streams(self):
+        for daemons in (3, 9):
+            self.check(daemons=daemons, from_table=False)
+            self.check(daemons=daemons, from_peers=False)
+
+    def test_daemon_that_has_just_been_reached_again_joins_no_streams(self):
+        self.check(daemons=3, heals=True)
+        self.check(daemons=9, heals=True)
+
+
+if __name__ == '__main__':
+    unittest.main()
