Streams taken up: what nobody told of is asked for behind the take-up

Callers of a site that is released saw streams go on at another version of the software: a daemon that is cut off from the table and from its peers, or has stood still, lists one version, has been told of no second one and took that for proof (stream_resumed result=one_version). Silence was taken for agreement until some timeout for another purpose noticed it, 1.6 s later.

Now a stream that this daemon does not know is bound by what is answered behind its arrival, one rule for one listed version and for several: the table's rows of the daemons that begin streams beside several versions (none: it began at the one version; some: all of them have to answer that it is none of theirs), and, if the table is silent, every peer that has not left, none of which may run several. Nobody answers: refused as not run. One round of questions at a time, in a task of its own, for all streams that have arrived: one read of the table, and in sites without relays a call to each peer.

StreamsAnswered tells where the streams began itself, so that the caller need not come back behind a second message, and which services run several. The asking moves from version_users, which keeps the rows, to inquiry; its test builds both and checks the same cases.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -86,6 +86,7 @@
 from mimosamux_daemon.gateway.stopping.stop_admission import StopAdmission
 from mimosamux_daemon.gateway.store_health import StoreHealth
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
+from mimosamux_daemon.gateway.streams.inquiry import StreamInquiry
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
 from mimosamux_daemon.gateway.streams.origin_record import OriginRecord
 from mimosamux_daemon.gateway.streams.origins import StreamOrigins
@@ -197,6 +198,7 @@
             self.crash_rows.run,
             self.origins.run,
             self.origin_record.run,
+            self.stream_inquiry.run,
             self.rollout_rows.run,
             self.reach.run,
         )
@@ -363,9 +365,15 @@
         self.version_users = VersionUsers(
             table=self._platform.table,
             versions=self.versions,
-            origins=self.origins.origins,
             roster=self.roster,
             states=self.states,
+            clock=self._clock,
+        )
+        self.stream_inquiry = StreamInquiry(
+            users=self.version_users,
+            versions=self.versions,
+            origins=self.origins.origins,
+            states=self.states,
             peers=self.peers,
             clock=self._clock,
         )
@@ -603,7 +611,7 @@
             resumption=StreamResumption(
                 origins=self.origins.origins,
                 versions=self.versions,
-                users=self.version_users,
+                inquiry=self.stream_inquiry,
                 roster=self.roster,
                 metrics=self.metrics,
                 list_age_s=lambda: self.endpoint_reader.age_s,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -3,22 +3,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import anyio
-
 from mimosamux_daemon.domain.outcomes import Reason, Refused
+from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.metrics import GatewayMetrics
 from mimosamux_daemon.gateway.roster import Roster
+from mimosamux_daemon.gateway.streams.inquiry import (
+    Findings,
+    StreamInquiry,
+)
 from mimosamux_daemon.gateway.streams.origins import (
     KnownOrigin,
     StreamOrigins,
 )
-from mimosamux_daemon.gateway.streams.version_users import VersionUsers
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.logs import get_log
 
 log = get_log('stream_resumption')
 
+INQUIRY_TIMEOUT_S = 0.5
+"""Time to wait for the answers of the table and the peers. They are asked for
+at most once per stream, behind a round of questions that is in progress."""
 LOOKUP_TIMEOUT_S = 0.3
 """Time to wait for the message that tells where a stream began. It was sent
 before the stream's first event, and passes three relays at most."""
@@ -35,7 +40,7 @@
 
     origins: StreamOrigins
     versions: SoftwareVersions
-    users: VersionUsers
+    inquiry: StreamInquiry
     roster: Roster
     metrics: GatewayMetrics
     list_age_s: Callable[[], float]
@@ -53,15 +58,17 @@
         if not (job.is_stream and job.request.last_event_id):
             return None
         began_at = self.clock()
-        known = await self._find_known(job)
+        known, findings = self._find_known(job), None
+        if known is None:
+            findings = await self._ask(job)
+            known = await self._find_told(job, findings)
         job.origin = None if known is None else known.origin
-        is_only_version = known is None and self._bind_to_only_version(job)
-        is_of_before = job.origin is None and await self._bind_to_before(job)
+        is_unknown = known is None and findings is not None
+        if is_unknown and findings is not None:
+            job.origin = self._find_beginning(job, findings)
         refusal, result = self._judge(job)
-        if is_only_version and refusal is None:
-            result = 'one_version'
-        elif is_of_before and refusal is None:
-            result = 'version_before'
+        if is_unknown and refusal is None:
+            result = self._name_unknown(job)
         self.metrics.resumptions.inc(
             {'service': job.service.name, 'result': result}
         )
@@ -76,36 +83,46 @@
             age_s=None if known is None else round(began_at - known.at, 2),
             list_age_s=round(self.list_age_s(), 2),
             peers_heard=self.peers_heard(),
+            **_render(findings),
             waited_s=round(self.clock() - began_at, 3),
         )
         return refusal
 
-    async def _find_known(self, job: Job) -> KnownOrigin | None:
-        """Return where a stream began; wait where that decides anything."""
+    def _find_known(self, job: Job) -> KnownOrigin | None:
+        """Return where a stream began, as far as is known here."""
+        return self.origins.find_known(job.request.resumes or '')
+
+    async def _ask(self, job: Job) -> Findings:
+        timeout_s = min(INQUIRY_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
+        return await self.inquiry.ask(job.request.resumes or '', timeout_s)
+
+    async def _find_told(
+        self, job: Job, findings: Findings
+    ) -> KnownOrigin | None:
+        """Return where others say that a stream began."""
         request = job.request.resumes or ''
-        if not self.versions.are_several(job.route):
+        if not (
+            self.versions.are_several(job.route)
+            and self.inquiry.may_be_told_later(request, findings)
+        ):
             return self.origins.find_known(request)
         timeout_s = min(LOOKUP_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
         return await self.origins.wait_for(request, timeout_s)
 
-    def _bind_to_only_version(self, job: Job) -> bool:
-        """Bind a stream to the one version at which it can have begun.
-
-        Another one that is listed before the stream is sent did not begin it.
-        """
-        if self.versions.are_several(job.route):
-            return False
-        job.origin = next(iter(self.versions.of_route(job.route)), None)
-        return job.origin is not None
+    def _find_beginning(
+        self, job: Job, findings: Findings
+    ) -> StreamOrigin | None:
+        """Return where a stream that nobody told of began, None if unsure."""
+        if len(job.route.splits) != 1:
+            return None
+        return self.inquiry.find_beginning(
+            job.request.resumes or '', job.route.splits[0].service, findings
+        )
 
-    async def _bind_to_before(self, job: Job) -> bool:
-        """Bind a stream to the one version that ran before there were more."""
-        timeout_s = min(LOOKUP_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
-        with anyio.move_on_after(timeout_s):
-            job.origin = await self.users.find_unknown(
-                job.route, job.request.resumes or ''
-            )
-        return job.origin is not None
+    def _name_unknown(self, job: Job) -> str:
+        """Return the result to log for a stream that nobody told of."""
+        is_several = self.versions.are_several(job.route)
+        return 'version_before' if is_several else 'one_version'
 
     def _judge(self, job: Job) -> tuple[Refused | None, str]:
         """Return the refusal of a stream, if any, and the result to log."""
@@ -130,3 +147,14 @@
             ),
             retry_after_s=NO_ENDPOINT_RETRY_S,
         ), 'no_endpoint'
+
+
+def _render(findings: Findings | None) -> dict[str, object]:
+    """Return the fields that say what an inquiry found."""
+    if findings is None:
+        return {}
+    return {
+        'asked': len(findings.expected | findings.silent),
+        'answered': len(findings.answer_by_id),
+        'users': None if findings.users is None else len(findings.users),
+    }
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
@@ -1,23 +1,18 @@
-"""Finds the version that began a stream which no daemon knows.
+"""Rows of the daemons that begin streams beside several versions.
 
-Nobody is told of a stream that begins while its service runs one version. A
-daemon that begins streams beside several has a row in the table from before
-the first of them. If all daemons that have a row answer that a stream is none
-of theirs, a daemon without a row began it, at the one version that ran before.
+A daemon has its row in the table from before the first of these streams. One
+without a row began its streams at the one version that ran before.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import anyio
 import msgspec
 import orjson
 import xxhash
-from mimosamux_wire import StreamsAnswered, StreamsAsked
 
 from mimosamux_daemon.decoding import decode_json
 from mimosamux_daemon.domain.names import DaemonId, ServiceName
-from mimosamux_daemon.domain.routes import Route
 from mimosamux_daemon.domain.store import Row, Unavailable, Write
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
 from mimosamux_daemon.errors import InvalidConfiguration
@@ -25,22 +20,13 @@
 from mimosamux_daemon.gateway.jobs import Job
 from mimosamux_daemon.gateway.records.scans import scan_all
 from mimosamux_daemon.gateway.roster import Roster
-from mimosamux_daemon.gateway.streams.origin_exchange import (
-    KEY_BYTES,
-    render_origins,
-)
-from mimosamux_daemon.gateway.streams.origins import (
-    StreamOrigins,
-    hash_request,
-)
 from mimosamux_daemon.gateway.streams.versions import SoftwareVersions
 from mimosamux_daemon.logs import get_log
-from mimosamux_daemon.ports import PeerLinks, Table
+from mimosamux_daemon.ports import Table
 
 log = get_log('version_users')
 
 PREFIX = 'stream_users/'
-ANSWER_TIMEOUT_S = 0.3
 GATE_S = 3.0
 """Time for which a version without a row waits even if no endpoint of the one
 before takes requests."""
@@ -75,14 +61,12 @@
 
 @dataclass(kw_only=True, slots=True)
 class VersionUsers:
-    """Keeps this daemon's rows, and asks the daemons that have some."""
+    """Keeps this daemon's rows, and reads those of all."""
 
     table: Table
     versions: SoftwareVersions
-    origins: StreamOrigins
     roster: Roster
     states: PeerStates
-    peers: PeerLinks
     clock: Callable[[], float]
     _before_by_service: dict[ServiceName, StreamOrigin | None] = field(
         default_factory=dict
@@ -96,26 +80,13 @@
     _cleaned_at: float = 0.0
     _is_complete_from: float = 0.0
     """Until then, a table that was restored may lack rows."""
-    _wanted: set[int] = field(default_factory=set)
-    """Streams to ask for in the next round."""
-    _found: dict[int, dict[ServiceName, StreamOrigin]] = field(
-        default_factory=dict
-    )
-    """Versions before, by service, of the last round's streams."""
-    _lock: anyio.Lock = field(default_factory=anyio.Lock)
-
-    def __post_init__(self) -> None:
-        self.peers.handle(StreamsAsked, self._answer)
 
     async def register(self) -> bool:
         """Write a row for each service that runs several versions.
 
         False if the table does not answer.
         """
-        services = {each.service for each in self.versions.recent()}
-        several = {
-            each for each in services if len(self.versions.of(each)) > 1
-        }
+        several = self.versions.services_with_several()
         for service in several - self._before_by_service.keys():
             self._before_by_service[service] = self._find_before(service)
         over = self._before_by_service.keys() - several
@@ -177,102 +148,26 @@
         known = self.versions.of(service) & self.versions.recorded
         return next(iter(known)) if len(known) == 1 else None
 
-    async def find_unknown(
-        self, route: Route, request_id: str
-    ) -> StreamOrigin | None:
-        """Return where a stream that nobody told of began, None if unsure."""
-        if len(route.splits) != 1:
-            return None
-        request = hash_request(request_id)
-        self._wanted.add(request)
-        # What arrives during a round is asked in the next one: a daemon may
-        # have begun it and ended since its rows were read.
-        async with self._lock:
-            if request in self._wanted:
-                wanted, self._wanted = self._wanted, set()
-                self._found = await self._find_befores(wanted)
-        found = self._found.pop(request, {})
-        return found.get(route.splits[0].service)
-
-    async def _find_befores(
-        self, requests: set[int]
-    ) -> dict[int, dict[ServiceName, StreamOrigin]]:
-        """Return the versions before, for requests that no daemon began."""
-        if self.clock() < self._is_complete_from or not self.states.is_flat:
-            return {}
-        users = await self._read_users()
-        if users is None:
-            return {}
-        known = await self._ask(users, requests)
-        if known is None:
-            return {}
-        befores = _agree_on_befores(users)
-        return dict.fromkeys(requests - known, befores)
+    async def read(self) -> list[VersionUser] | None:
+        """Return the rows of all daemons, None if they prove nothing.
 
-    async def _read_users(self) -> list[VersionUser] | None:
+        The table does not answer, a row can't be read, or the table came back
+        from a copy a short while ago and may lack rows of ended daemons.
+        """
         rows = await scan_all(self.table, PREFIX)
         if isinstance(rows, Unavailable):
             return None
         users = [_parse(row) for row in rows]
-        return None if None in users else [each for each in users if each]
-
-    async def _ask(
-        self, users: list[VersionUser], requests: set[int]
-    ) -> set[int] | None:
-        """Return the requests that daemons know, None if one is missing."""
-        own = self.states.place.id, self.states.incarnation
-        expected = {(each.daemon, each.incarnation) for each in users} - {own}
-        asked = {daemon for daemon, _ in expected}
-        asked |= {peer.place.id for peer in self.states.fresh()}
-        if own[0] in asked or len(asked) < len(expected):
-            # An earlier process of a daemon that has started again.
+        if None in users or self.clock() < self._is_complete_from:
             return None
-        message = StreamsAsked(requests=_join(requests))
-        answers: dict[DaemonId, StreamsAnswered] = {}
-
-        async def ask(daemon: DaemonId) -> None:
-            answer = await self.peers.call(
-                daemon, message, timeout_s=ANSWER_TIMEOUT_S
-            )
-            if isinstance(answer, StreamsAnswered):
-                answers[daemon] = answer
-
-        async with anyio.create_task_group() as tasks:
-            for daemon in sorted(asked):
-                tasks.start_soon(ask, daemon)
-        if answers.keys() != asked or any(
-            answers[daemon].lifetime != incarnation
-            for daemon, incarnation in expected
-        ):
-            return None
-        return {
-            request
-            for answer in answers.values()
-            for request in _split(answer.known)
-        }
-
-    async def _answer(
-        self, sender: DaemonId, message: StreamsAsked
-    ) -> StreamsAnswered:
-        """Answer which streams are known here, and tell where they began."""
-        requests = set(_split(message.requests))
-        known = {
-            request: origin
-            for request, origin in self.origins.current()
-            if request in requests
-        }
-        for told in render_origins(known.items(), self.clock()):
-            await self.peers.notify(sender, told)
-        return StreamsAnswered(
-            lifetime=self.states.incarnation, known=_join(known)
-        )
+        return [each for each in users if each]
 
     async def clean(self) -> None:
         """Delete the rows of daemons that ended long ago."""
         if self.clock() < self._cleaned_at + KEEP_ROWS_S / 2:
             return
         self._cleaned_at = self.clock()
-        users = await self._read_users()
+        users = await self.read()
         if users is None:
             return
         present = {
@@ -322,29 +217,3 @@
         incarnation=fields.incarnation,
         software_before=fields.before,
     )
-
-
-def _agree_on_befores(
-    users: Collection[VersionUser],
-) -> dict[ServiceName, StreamOrigin]:
-    """Return the version before of each service whose users name one."""
-    named: dict[ServiceName, set[str]] = {}
-    for user in users:
-        if user.software_before is not None:
-            named.setdefault(user.service, set()).add(user.software_before)
-    return {
-        service: StreamOrigin(service=service, software=next(iter(software)))
-        for service, software in named.items()
-        if len(software) == 1
-    }
-
-
-def _join(requests: Collection[int]) -> bytes:
-    return b''.join(each.to_bytes(KEY_BYTES, 'big') for each in requests)
-
-
-def _split(keys: bytes) -> list[int]:
-    return [
-        int.from_bytes(keys[start : start + KEY_BYTES], 'big')
-        for start in range(0, len(keys) - KEY_BYTES + 1, KEY_BYTES)
-    ]
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/versions.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/versions.py
@@ -62,6 +62,11 @@
         """Whether streams of a route may have begun at different software."""
         return not self.is_record_read or len(self.of_route(route)) > 1
 
+    def services_with_several(self) -> set[ServiceName]:
+        """Return the services that run several, or ran until recently."""
+        counts = Counter(each.service for each in self.recent())
+        return {service for service, count in counts.items() if count > 1}
+
     def recent(self) -> set[StreamOrigin]:
         """Return what all services run, or ran until recently."""
         return self.of(
--- a/packages/mimosamux-wire/mimosamux_wire/stream_messages.py
+++ b/packages/mimosamux-wire/mimosamux_wire/stream_messages.py
@@ -1,6 +1,6 @@
 """Messages about streams that callers may resume at another daemon."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, ClassVar
 
 from thrift.Thrift import TType
@@ -45,14 +45,21 @@
 
 @dataclass(kw_only=True, slots=True)
 class StreamsAnswered(Message):
-    """Answer to `StreamsAsked`; where they began is told on its own."""
+    """Answer to `StreamsAsked`."""
 
     lifetime: int = 0
     """Incarnation of the daemon that answers."""
     known: bytes = b''
     """Those of the hashes that it knows."""
+    told: list[bytes] = field(default_factory=list)
+    """Where these began, each an encoded `StreamsBegan`."""
+    several: list[str] | None = None
+    """Services that run several versions, or ran until recently, as far as it
+    knows. None: a daemon of an earlier version answers."""
     thrift_spec: ClassVar[tuple[Any, ...]] = (
         None,
         (1, TType.I64, 'lifetime', None, 0),
         (2, TType.STRING, 'known', 'BINARY', b''),
+        (3, TType.LIST, 'told', (TType.STRING, 'BINARY', False), None),
+        (4, TType.LIST, 'several', (TType.STRING, 'UTF8', False), None),
     )
--- a/tests/test_gateway_out_of_step.py
+++ b/tests/test_gateway_out_of_step.py
@@ -3,6 +3,8 @@
 import unittest
 
 import anyio
+from mimosamux_standins.site import Fault
+from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.clock import run_paused
 from tests.support.memory_network import machine_of
@@ -85,6 +87,27 @@
         self.check(daemons=3, heals=True)
         self.check(daemons=9, heals=True)
 
+    # Guards against streams that are lost while only the table is away.
+    def test_streams_of_one_version_go_on_while_the_table_is_silent(self):
+        async def check():
+            async with open_site(engines=0, apps=0) as site:
+                engines = await add_engines(site, *('v1',) * 3)
+                streams = Streams(site)
+
+                def strike():
+                    site.store.trouble = StoreTrouble.SILENT
+                    for engine in engines:
+                        engine.fault = Fault.CUT
+
+                await streams.break_off(strike)
+                for engine in engines:
+                    engine.fault = Fault.NONE
+                return await streams.take_up(1)
+
+        taken_up = run_paused(check)
+        self.assertGreater(len(taken_up), 0)
+        self.assertEqual(count_served(taken_up), len(taken_up))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_gateway_version_users.py
+++ b/tests/test_gateway_version_users.py
@@ -6,9 +6,11 @@
 
 import anyio
 import orjson
+from mimosamux_daemon.control.members import MemberState
 from mimosamux_daemon.domain.names import DaemonId, ServiceName
 from mimosamux_daemon.domain.store import Row, Unavailable
 from mimosamux_daemon.domain.stream_origins import StreamOrigin
+from mimosamux_daemon.gateway.streams.inquiry import StreamInquiry
 from mimosamux_daemon.gateway.streams.origins import (
     StreamOrigins,
     hash_request,
@@ -26,7 +28,7 @@
 STREAM = 'attempt-1'
 SERVICE = ServiceName('llm')
 V1 = StreamOrigin(service=SERVICE, software='v1')
-ROUTE = SimpleNamespace(splits=(SimpleNamespace(service=SERVICE),))
+V2 = StreamOrigin(service=SERVICE, software='v2')
 
 
 def row_of(daemon, incarnation, before='v1'):
@@ -50,25 +52,39 @@
         )
         answer = answer or StreamsAnswered(lifetime=2)
         peer = SimpleNamespace(
-            place=SimpleNamespace(id=DaemonId(PEER)), incarnation=2
+            place=SimpleNamespace(id=DaemonId(PEER)),
+            incarnation=2,
+            state=MemberState.READY,
+        )
+        states = mock.Mock(
+            place=SimpleNamespace(id=DaemonId(OWN)),
+            incarnation=1,
+            is_flat=is_flat,
+            fresh=lambda: [peer],
+            by_id={DaemonId(PEER): peer},
         )
         self.users = VersionUsers(
             table=self.table,
             versions=mock.Mock(),
-            origins=StreamOrigins(clock=anyio.current_time),
             roster=mock.Mock(),
-            states=mock.Mock(
-                place=SimpleNamespace(id=DaemonId(OWN)),
-                incarnation=1,
-                is_flat=is_flat,
-                fresh=lambda: [peer],
-            ),
+            states=states,
+            clock=anyio.current_time,
+        )
+        self.inquiry = StreamInquiry(
+            users=self.users,
+            versions=mock.Mock(of=lambda *_: {V1, V2}),
+            origins=StreamOrigins(clock=anyio.current_time),
+            states=states,
             peers=mock.Mock(call=mock.AsyncMock(return_value=answer)),
             clock=anyio.current_time,
         )
 
     async def find(self):
-        return await self.users.find_unknown(ROUTE, STREAM)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.inquiry.run)
+            findings = await self.inquiry.ask(STREAM, 1.0)
+            tasks.cancel_scope.cancel()
+        return self.inquiry.find_beginning(STREAM, SERVICE, findings)
 
 
 class TestUnknownStreams(unittest.TestCase):
