Origins of streams: two daemons write them, so that one may be out of step

The daemon with the lowest id wrote for all where streams began. Cut off, it goes on believing that it is the one, and the others go on believing it for a second or more: with all of them killed in that time and started again, callers whose streams broke off were refused for ten seconds and longer (stream_origin_unknown) with endpoints of their version serving.

Now the two lowest in touch write. It costs a second write of the same rows, twice a second at most, while two versions run.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/exchange/peer_states.py
@@ -250,8 +250,12 @@
 
         It writes for all what a single daemon has to write.
         """
-        ids = [peer.place.id for peer in self.fresh()]
-        return self.place.id <= min(ids, default='~')
+        return self.is_among_lowest_ids(1)
+
+    def is_among_lowest_ids(self, count: int) -> bool:
+        """Whether fewer than `count` daemons in touch have a lower id."""
+        lower = sum(peer.place.id < self.place.id for peer in self.fresh())
+        return lower < count
 
     def is_alone(self) -> bool:
         """Whether peers are known, and the digests of all are stale."""
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_record.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origin_record.py
@@ -46,6 +46,9 @@
 WRITE_INTERVAL_S = 0.5
 """Pause between two writes. If all daemons end, where the streams of this time
 began is not known, and they cannot be taken up; a shorter one costs calls."""
+ORIGIN_WRITERS = 2
+"""Daemons that write the origins for all: one of them may be cut off, which
+the others notice after a second or more."""
 CLEANING_INTERVAL_S = 5.0
 MAX_ROWS = 40
 """Most rows that are written, and as many deleted, in one transaction."""
@@ -81,7 +84,7 @@
 
     Every daemon writes the versions that it sees, so that one that is cut off
     from the table keeps none out of the record. The origins, which all know,
-    are written by one.
+    are written by two.
     """
 
     table: Table
@@ -189,8 +192,9 @@
         if not await self.users.register():
             return False
         is_done = await self._write_versions()
-        if self.states.has_lowest_id:
+        if self.states.is_among_lowest_ids(ORIGIN_WRITERS):
             is_done &= await self._write_origins()
+        if self.states.has_lowest_id:
             await self.users.clean()
         return is_done
 
--- a/tests/test_gateway_rejoined_streams.py
+++ b/tests/test_gateway_rejoined_streams.py
@@ -11,7 +11,13 @@
 from mimosamux_standins.site.caller import last_event_id
 
 from tests.support.clock import run_paused
-from tests.support.platform_site import ZONES, PlatformSite, open_site
+from tests.support.memory_network import machine_of
+from tests.support.platform_site import (
+    STORE,
+    ZONES,
+    PlatformSite,
+    open_site,
+)
 from tests.support.site_checks import find_joined_versions
 from tests.test_gateway_evacuation import patient_document
 from tests.test_gateway_stream_versions import own_prompt
@@ -256,6 +262,22 @@
             self.assertGreaterEqual(len(went_on), 12)
             self.assertGreaterEqual(sum(went_on) / len(went_on), 0.5)
 
+    # Guards against origins that nobody writes since the writer is cut off.
+    def test_streams_go_on_where_the_one_that_is_left_was_cut_off(self):
+        async def change(streams, old, survivors):
+            site = streams.site
+            site.network.cut(site.daemons[0].machine, machine_of(STORE))
+            site.cut_from_peers(0)
+            await streams.add_engines('v2')
+            await anyio.sleep(0.9)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(partial(streams.kill_daemons, survivors=1))
+                await anyio.sleep(DOWN_S / 2)
+                site.network.heal()
+
+        self.check_going_on(change)
+        self.check_going_on(change, daemons=9)
+
     def test_streams_of_a_version_that_came_just_before_join_no_other(self):
         for before_s in (0.02, 0.1, 0.3, 0.6):
 
