Streams taken up: word of where a stream was sent needs an answer behind it

A daemon knows where a request was sent, and took it for where the stream began. If the first attempt brings no event and the second goes to another version while the daemon is cut off, it goes on at the version of the first.

What others told is used only if the table or a peer answers behind the take-up; their answers bring the latest attempt. What the daemon sent itself needs none.

Tests of versions, rejoined streams and daemons out of step pass.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/inquiry.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/inquiry.py
@@ -60,6 +60,11 @@
     """Further peers that have not left as far as is known here."""
     answer_by_id: dict[DaemonId, StreamsAnswered] = field(default_factory=dict)
 
+    @property
+    def is_heard(self) -> bool:
+        """Whether anybody answered, so that this daemon is not cut off."""
+        return self.users is not None or bool(self.answer_by_id)
+
     def knows(self, request: int) -> bool:
         """Whether a peer answered that it knows a stream."""
         return any(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -13,6 +13,7 @@
     StreamInquiry,
 )
 from mimosamux_daemon.gateway.streams.origins import (
+    OWN,
     KnownOrigin,
     StreamOrigins,
 )
@@ -58,7 +59,7 @@
         if not (job.is_stream and job.request.last_event_id):
             return None
         began_at = self.clock()
-        known, findings = self._find_known(job), None
+        known, findings = self._find_own(job), None
         if known is None:
             findings = await self._ask(job)
             known = await self._find_told(job, findings)
@@ -88,9 +89,11 @@
         )
         return refusal
 
-    def _find_known(self, job: Job) -> KnownOrigin | None:
-        """Return where a stream began, as far as is known here."""
-        return self.origins.find_known(job.request.resumes or '')
+    def _find_own(self, job: Job) -> KnownOrigin | None:
+        """Return where a stream that this daemon served began."""
+        known = self.origins.find_known(job.request.resumes or '')
+        is_own = known is not None and known.source == OWN
+        return known if is_own else None
 
     async def _ask(self, job: Job) -> Findings:
         timeout_s = min(INQUIRY_TIMEOUT_S, max(job.left_s(self.clock()), 0.0))
@@ -99,8 +102,14 @@
     async def _find_told(
         self, job: Job, findings: Findings
     ) -> KnownOrigin | None:
-        """Return where others say that a stream began."""
+        """Return where others say that a stream began.
+
+        What they said before proves nothing if nobody answers now: word of a
+        later attempt, at another version, may not have arrived.
+        """
         request = job.request.resumes or ''
+        if not findings.is_heard:
+            return None
         if not (
             self.versions.are_several(job.route)
             and self.inquiry.may_be_told_later(request, findings)
--- a/tests/test_gateway_out_of_step.py
+++ b/tests/test_gateway_out_of_step.py
@@ -3,12 +3,12 @@
 import unittest
 
 import anyio
-from mimosamux_standins.site import Fault
+from mimosamux_standins.site import Fault, ReplicaSpeed
 from mimosamux_standins.site.store import StoreTrouble
 
 from tests.support.clock import run_paused
 from tests.support.memory_network import machine_of
-from tests.support.platform_site import STORE, open_site
+from tests.support.platform_site import STORE, ZONES, open_site
 from tests.support.site_checks import find_joined_versions
 from tests.test_gateway_stream_versions import (
     STREAMS,
@@ -21,6 +21,11 @@
 """Times between the listing of the second version and the first streams."""
 
 
+async def delay(seconds, action):
+    await anyio.sleep(seconds)
+    await action()
+
+
 class CutOffDaemon:
     """The last daemon of a site, cut off while a second version joins."""
 
@@ -87,6 +92,38 @@
         self.check(daemons=3, heals=True)
         self.check(daemons=9, heals=True)
 
+    # Guards against word of a first attempt at which no event was made.
+    def test_daemon_that_heard_of_one_attempt_joins_no_streams(self):
+        async def check():
+            async with open_site(engines=0, apps=0) as site:
+                slow = ReplicaSpeed(events=40, event_s=0.03, token_s=4e-4)
+                engine = await site.add_replica(
+                    'llm', ZONES[0], slots=16, version='v1', speed=slow
+                )
+                alone = CutOffDaemon(site)
+                streams = Streams(site)
+                await anyio.sleep(1.0)
+
+                async def fail_over():
+                    versions = ('v1', 'v2', 'v2', 'v2')
+                    await add_engines(site, *versions, listed_s=0.05)
+                    alone.cut()
+                    site.crash_replica(engine)
+
+                site.tasks.start_soon(delay, 0.1, fail_over)
+                # The budget for retries lets most of them fail over.
+                await streams.break_off(lambda: site.kill_daemon(0), begun=9)
+                streams.answers = {
+                    number: answer
+                    for number, answer in streams.answers.items()
+                    if answer.body.startswith(b'id')
+                }
+                taken_up = await streams.take_up(alone.number)
+                return find_joined_versions(site.runs()), taken_up
+
+        joined, taken_up = run_paused(check)
+        self.assertEqual((joined, len(taken_up)), ([], 9))
+
     # Guards against streams that are lost while only the table is away.
     def test_streams_of_one_version_go_on_while_the_table_is_silent(self):
         async def check():
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -76,13 +76,13 @@
             headers=own_prompt(number),
         )
 
-    async def break_off(self, trouble):
-        """Begin all, and bring the trouble about once all bring events."""
+    async def break_off(self, trouble, *, begun=STREAMS):
+        """Begin all; bring the trouble about once `begun` bring events."""
         async with anyio.create_task_group() as tasks:
             for number in range(STREAMS):
                 tasks.start_soon(self.send, number)
             for _ in range(200):
-                if sum(run.events > 2 for run in self.site.runs()) >= STREAMS:
+                if sum(run.events > 2 for run in self.site.runs()) >= begun:
                     return trouble()
                 await anyio.sleep(0.01)
             raise AssertionError('not all streams have begun')
