Settings: a limit without a value has its default

A template that names memory_mb and descriptors leaves them without a value where the platform tells none; since these settings came a daemon ended at its start there: memory_mb: Expected float, got null.

A known key without a value counts as not named. A limit that is not named: what the VM says that it has, at most 300 MiB. An unknown key without a value is named as an error, as before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/callers/limits.py
@@ -1,5 +1,6 @@
 """Limits of what callers may make a process hold, from the size of its VM."""
 
+import os
 import resource
 from dataclasses import dataclass
 
@@ -12,7 +13,8 @@
 MIB = 1024 * KIB
 
 DEFAULT_MEMORY_MB = 300.0
-"""Memory of a VM whose settings don't tell it."""
+"""Memory, in MiB, that is counted on where the settings tell none and the VM
+has as much."""
 LEAST_BYTES = 16 * MIB
 """Memory for callers however small the VM is; two of the largest bodies."""
 BODIES_SHARE = 0.4
@@ -81,7 +83,7 @@
     `memory_mb` is its memory in MiB, 0 if unknown; `descriptors` the most
     that the process may have, and `own_bytes` what it needs without callers.
     """
-    memory = int((memory_mb or DEFAULT_MEMORY_MB) * MIB)
+    memory = int(memory_mb * MIB) or find_default_memory()
     for_callers = max(memory - own_bytes, LEAST_BYTES)
     request_bytes = int(for_callers * BODIES_SHARE)
     spare = find_spare_descriptors(descriptors)
@@ -92,6 +94,12 @@
     )
 
 
+def find_default_memory() -> int:
+    """Return the memory, in bytes, to count on where none is told."""
+    vm_bytes = os.sysconf('SC_PAGE_SIZE') * os.sysconf('SC_PHYS_PAGES')
+    return min(int(DEFAULT_MEMORY_MB * MIB), vm_bytes)
+
+
 def find_spare_descriptors(descriptors: int) -> int:
     """Return how many of all descriptors are not for callers."""
     share = int(descriptors * SPARE_DESCRIPTORS_SHARE)
--- a/packages/mimosamux-daemon/mimosamux_daemon/decoding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/decoding.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from collections.abc import Collection
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -48,6 +49,21 @@
         ) from error
 
 
+def drop_unset(fields: object, known: Collection[str]) -> object:
+    """Return parsed settings without the known keys that have no value.
+
+    A template leaves a key without a value where the platform does not tell
+    one; the default holds there, as it does without the key.
+    """
+    if not isinstance(fields, dict):
+        return fields
+    return {
+        key: value
+        for key, value in fields.items()
+        if value is not None or key not in known
+    }
+
+
 def convert_settings(fields: object, kind: type[ModelT]) -> ModelT:
     """Convert parsed settings to a model.
 
@@ -55,8 +71,9 @@
     numbers in strings, as the YAML parser returns some forms of numbers,
     such as 5e3, as strings.
     """
+    known = getattr(kind, '__struct_fields__', ())
     try:
-        return msgspec.convert(fields, kind, strict=False)
+        return msgspec.convert(drop_unset(fields, known), kind, strict=False)
     except msgspec.ValidationError as error:
         problem = parse_problem(error)
         raise InvalidSettings(
--- a/packages/mimosamux-daemon/mimosamux_daemon/settings.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/settings.py
@@ -7,6 +7,7 @@
 import yaml
 
 from mimosamux_daemon.callers import BODY_TIMEOUT_S
+from mimosamux_daemon.decoding import drop_unset
 from mimosamux_daemon.domain.names import DaemonId, DataCentreName, VMId
 from mimosamux_daemon.errors import InvalidSettings
 from mimosamux_daemon.validation import first_problem
@@ -131,7 +132,9 @@
     `InvalidSettings` names the first invalid field.
     """
     try:
-        model = SettingsModel.model_validate(yaml.safe_load(text))
+        known = SettingsModel.model_fields
+        fields = drop_unset(yaml.safe_load(text), known)
+        model = SettingsModel.model_validate(fields)
     except yaml.YAMLError as error:
         raise InvalidSettings(path='$', problem=str(error)) from error
     except pydantic.ValidationError as error:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -87,6 +87,27 @@
                         parse(yaml.safe_dump({**text, field: value}))
                     self.assertIn(field, caught.exception.path)
 
+    # Guards against a daemon that ends where a template's value is absent.
+    def test_a_limit_without_a_value_has_its_default(self):
+        for valid, parse in (
+            (VALID, parse_settings),
+            (GATEWAY, parse_gateway_settings),
+        ):
+            unset = dict.fromkeys(
+                ('memory_mb', 'descriptors', 'body_timeout_s')
+            )
+            named = parse(yaml.safe_dump({**valid, **unset}))
+            self.assertEqual(named, parse(yaml.safe_dump(valid)))
+
+    def test_a_field_that_is_unknown_is_named_without_a_value_too(self):
+        for valid, parse in (
+            (VALID, parse_settings),
+            (GATEWAY, parse_gateway_settings),
+        ):
+            with self.assertRaises(InvalidSettings) as caught:
+                parse(yaml.safe_dump({**valid, 'prot': None}))
+            self.assertEqual(caught.exception.path, 'prot')
+
     def test_a_field_that_is_unknown_is_named(self):
         with self.assertRaises(InvalidSettings) as caught:
             parse_settings(EMBEDDED_SETTINGS + '\nprot: 80\n')
