--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy
 	$(BIN)/python -m nose2
-	$(BIN)/python -m nose2 -N 1 tests.crowd_gateway tests.crowd_model_daemon
+	$(BIN)/python -m nose2 -N 1 tests.crowd_gateway tests.crowd_model_daemon tests.crowd_endpoints
 
 bench: venv
 	$(BIN)/python -m benchmarks
--- a/packages/mimosamux-standins/mimosamux_standins/site/host.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/host.py
@@ -240,6 +240,8 @@
         replica = self.replicas_by_id[str(body['id'])]
         if 'fault' in body:
             replica.fault = Fault[str(body['fault'])]
+        if 'framing' in body:
+            replica.framing = Framing[str(body['framing'])]
         if 'silent_s' in body:
             silent_s = float(str(body['silent_s']))
             replica.silent_until = anyio.current_time() + silent_s
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -17,6 +17,11 @@
 KV_HANDLE = '/api/kv-handle/'
 ENDLESS_BYTES = 16 * 1024
 ENDLESS_PAUSE_S = 0.001
+TINY_CHUNKS = b'1\r\nx\r\n' * 2730
+TINY_CHUNKS_HEAD = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
 
 
 class Fault(Enum):
@@ -47,6 +52,8 @@
     ENDLESS_BODY = auto()
     ENDLESS_EVENT = auto()
     """An event that does not end follows the first ones."""
+    TINY_CHUNKS = auto()
+    """Chunks of one byte without end, in answer to the request."""
 
 
 class MoveFault(Enum):
@@ -239,6 +246,10 @@
             await _send_endless(reply, b'HTTP/1.1 200 OK\r\nX-Rest: ')
         elif self.framing is Framing.ENDLESS_BODY:
             await _send_endless(reply, b'HTTP/1.1 200 OK\r\n\r\n')
+        elif self.framing is Framing.TINY_CHUNKS:
+            id_ = find_value(incoming.head.headers, b'x-attempt-id') or b''
+            head = TINY_CHUNKS_HEAD % id_
+            await _send_endless(reply, head, part=TINY_CHUNKS)
         elif not self._is_meant(incoming):
             await reply.answer(421, self._own_id())
         elif target == '/healthz':
@@ -591,12 +602,14 @@
         await anyio.sleep(ENDLESS_PAUSE_S)
 
 
-async def _send_endless(reply: Reply, head: bytes) -> None:
+async def _send_endless(
+    reply: Reply, head: bytes, *, part: bytes = b'x' * ENDLESS_BYTES
+) -> None:
     """Send bytes until the other side closes the connection."""
     with suppress(*BROKEN):
         await reply.connection.send(head)
         while True:
-            await reply.connection.send(b'x' * ENDLESS_BYTES)
+            await reply.connection.send(part)
             await anyio.sleep(ENDLESS_PAUSE_S)
 
 
