Answers in small chunks: parsed together, by turns, and not without end

One endpoint that answered in chunks of one byte made a daemon hold 319 MB of 160, and with all of them it answered no probe within 2 s: the callers of the whole machine lost their requests with it. The account of what callers make a process hold decided nothing about what endpoints send. Each chunk was handled to its end without a wait, so that a read of 64 KiB, 11,000 of them, kept the loop; what was written for the caller meanwhile piled up in the connection; and the beginning of an event was copied for each chunk.

What has arrived in small chunks is one part now, at most 32 chunks of it before others have their turn, by the queue that callers' small chunks wait in. Over 32,768 chunks of less than 16 bytes are no answer. The beginning of an event grows in place, counts as bytes of its caller's answer, and breaks off where these have no room. The same reader serves the platform's table, the cloud API, reports, moves and the tunnels.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -14,6 +14,7 @@
 import anyio.lowlevel
 import h11
 
+from mimosamux_daemon.callers import EVENTS_A_TURN, ParseTurns
 from mimosamux_daemon.domain.http_messages import (
     CONTENT_LENGTH,
     AnswerHead,
@@ -38,6 +39,10 @@
 MAX_UNDECLARED_BYTES = 16 * 1024 * 1024
 """Largest body of an answer that does not declare its length: a faulty server
 may send bytes without end."""
+TINY_BYTES = 16
+MAX_TINY_PARTS = 32_768
+"""Most chunks of less than `TINY_BYTES` in one answer; each costs as much to
+parse as one of 64 KiB. An event of a stream is longer."""
 MAX_INFORMATIONAL = 16
 """Informational responses that may come before an answer."""
 
@@ -73,6 +78,7 @@
         note_reset: Callable[[str], None] = lambda _: None,
         note_received: Callable[[str], None] = lambda _: None,
         note_tunnel_broken: Callable[[str, str], None] = lambda *_: None,
+        turns: ParseTurns | None = None,
     ) -> None:
         self.address = address
         self.via = via
@@ -90,6 +96,12 @@
         """What is still to be sent of a long request; it copies nothing."""
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = anyio.current_time()
+        self._turns = turns or ParseTurns()
+        self._owes_turn = False
+        """Whether others have a turn before more is parsed."""
+        self._following: h11.Event | ChannelBroken | None = None
+        """What was parsed behind the last part of a body."""
+        self._tiny_parts = 0
         self._body_left = math.inf
         """Bytes that the body of the answer may still have."""
         self.framing = BodyFraming.NO_BODY
@@ -149,6 +161,7 @@
                 return event
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
+                self._tiny_parts = 0
                 self._body_left = _find_body_limit(event)
                 return self._begin_answer(event)
             if isinstance(event, h11.InformationalResponse):
@@ -165,20 +178,46 @@
         return answer
 
     async def receive_body(self) -> bytes | None | ChannelBroken:
-        """Return the next part of the body, None behind its end."""
+        """Return the next part of the body, None behind its end.
+
+        What has arrived in small chunks comes as one part, so that nobody
+        handles each of them, and others have their turn before the next one.
+        """
+        if self._owes_turn:
+            await self._turns.wait()
+            self._owes_turn = False
         event = await self._next_event()
         if isinstance(event, ChannelBroken):
             return event
         if isinstance(event, h11.Data):
-            self._body_left -= len(event.data)
-            if self._body_left < 0:
-                return ChannelBroken(reason='a body without end')
-            return bytes(event.data)
+            return self._join_parts(event)
         if isinstance(event, h11.EndOfMessage):
             self._idle_since = anyio.current_time()
             return None
         return ChannelBroken(reason='closed within an answer')
 
+    def _join_parts(self, first: h11.Data) -> bytes | ChannelBroken:
+        """Return a part of the body and those that have arrived behind it.
+
+        It awaits nothing: a part that is held across a wait would be lost if
+        the wait is cancelled.
+        """
+        parts = [first.data]
+        while len(parts) < EVENTS_A_TURN:
+            event = self._parse()
+            if not isinstance(event, h11.Data):
+                self._following = event
+                break
+            parts.append(event.data)
+        self._owes_turn = len(parts) == EVENTS_A_TURN
+        self._tiny_parts += sum(len(each) < TINY_BYTES for each in parts)
+        self._body_left -= sum(len(each) for each in parts)
+        if self._body_left < 0:
+            return ChannelBroken(reason='a body without end')
+        if self._tiny_parts > MAX_TINY_PARTS:
+            return ChannelBroken(reason='tiny chunks without end')
+        return b''.join(parts)
+
     async def receive_whole_body(self, limit: int) -> bytes | ChannelBroken:
         """Return a whole body of at most `limit` bytes."""
         body = bytearray()
@@ -236,6 +275,7 @@
             self._parser.start_next_cycle()
         self._request = None
         self._body = b''
+        self._following = None
 
     async def close(self) -> None:
         """Close it at once, whatever is under way."""
@@ -273,16 +313,25 @@
         return b''.join(part for part in parts if part)
 
     async def _next_event(self) -> h11.Event | ChannelBroken:
+        event, self._following = self._following, None
         try:
-            while True:
-                event = self._parser.next_event()
-                if event is h11.PAUSED:
-                    return ChannelBroken(reason='bytes behind an answer')
-                if isinstance(event, h11.Event):
-                    return event
-                self._parser.receive_data(await self._receive())
+            while event is None:
+                event = self._parse()
+                if event is None:
+                    self._parser.receive_data(await self._receive())
         except BROKEN as error:
             return self._break(error)
+        return event
+
+    def _parse(self) -> h11.Event | ChannelBroken | None:
+        """Return the next event, None if it has not arrived."""
+        try:
+            event = self._parser.next_event()
+        except h11.ProtocolError as error:
+            return self._break(error)
+        if event is h11.PAUSED:
+            return ChannelBroken(reason='bytes behind an answer')
+        return event if isinstance(event, h11.Event) else None
 
     def _break(self, error: Exception) -> ChannelBroken:
         if isinstance(error, OSError | anyio.BrokenResourceError):
--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channels.py
@@ -11,6 +11,7 @@
     describe,
 )
 from mimosamux_daemon.adapters.reset_watch import ResetWatch
+from mimosamux_daemon.callers import ParseTurns
 from mimosamux_daemon.ports.network import Network
 
 SWEEP_S = 1.0
@@ -34,6 +35,8 @@
     """Whether requests may go through the tunnel of a peer."""
     opened: int = 0
     """Connections opened so far."""
+    _turns: ParseTurns = field(default_factory=ParseTurns)
+    """Turns of the loop for answers in many small chunks."""
     _idle_by_address: dict[str, list[Channel]] = field(default_factory=dict)
     _forgotten: list[Channel] = field(default_factory=list)
     _has_forgotten: anyio.Event = field(default_factory=anyio.Event)
@@ -63,6 +66,7 @@
         self.opened += 1
         connection.limit_unread()
         return Channel(
+            turns=self._turns,
             address=address,
             connection=connection,
             via=connection.via,
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/answers/answer_relay.py
@@ -143,8 +143,9 @@
         if part is None:
             break
         events = splitter.feed(part)
-        if splitter.problem is not None:
-            return CallBroken(reason=splitter.problem)
+        problem = splitter.problem or _find_no_room(job, splitter)
+        if problem is not None:
+            return CallBroken(reason=problem)
         job.owes_event = splitter.has_partial or (
             job.owes_event and events is None
         )
@@ -172,6 +173,13 @@
     return Delivered(status=answer.status)
 
 
+def _find_no_room(job: Job, splitter: EventSplitter) -> str | None:
+    """Return that an event is too long for what callers may hold now."""
+    if job.sink.hold(splitter.partial_bytes):
+        return None
+    return 'no room for a long event'
+
+
 async def _find_break(
     job: Job, attempt: Attempt, stream: RunningStream
 ) -> CallBroken | None:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/events.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/events.py
@@ -32,11 +32,17 @@
     def __init__(self, *, behind: str | None = None) -> None:
         self.problem: str | None = None
         """Why what came is no stream to forward, None if it is one."""
-        self._partial = b''
+        self._partial = bytearray()
+        """The beginning of an event."""
         self._behind = behind
         """Id of the event behind which the stream goes on, None: it begins,
         or has gone on."""
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the beginning of an event that is buffered."""
+        return len(self._partial)
+
     @property
     def has_partial(self) -> bool:
         """Whether the beginning of an event is buffered."""
@@ -44,15 +50,16 @@
 
     def feed(self, data: bytes) -> CompleteEvents | None:
         """Add data; return the events that it completes, None if none."""
-        data = self._partial + data
-        end = data.rfind(EVENT_END)
+        start = max(len(self._partial) - len(EVENT_END) + 1, 0)
+        self._partial += data
+        end = self._partial.rfind(EVENT_END, start)
         if end < 0:
-            self._partial = data
-            if len(data) > MAX_EVENT_BYTES:
+            if len(self._partial) > MAX_EVENT_BYTES:
                 self.problem = 'an event without end'
             return None
         end += len(EVENT_END)
-        complete, self._partial = data[:end], data[end:]
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             self.problem = 'an event without end'
         elif self._goes_back(complete):
