Answers of a length beyond all bounds are none

One endpoint of three that stated a length of 10^12 bytes and sent on held each request until its caller's time limit, again and again: no ordinary request was served in 12 s, since nothing counted against the endpoint while its answer went on. An answer that does not state its length was bounded, one that does was not.

Over 64 MiB the answer is broken from its head on: the request goes to another endpoint, and it counts against this one.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -43,6 +43,9 @@
 MAX_TINY_PARTS = 32_768
 """Most chunks of less than `TINY_BYTES` in one answer; each costs as much to
 parse as one of 64 KiB. An event of a stream is longer."""
+MAX_DECLARED_BYTES = 64 * 1024 * 1024
+"""Largest body that an answer may declare. A longer one could not be taken
+within the time limit of its request, and would hold the caller until then."""
 MAX_INFORMATIONAL = 16
 """Informational responses that may come before an answer."""
 
@@ -161,6 +164,8 @@
                 return event
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
+                if _has_endless_length(event):
+                    return ChannelBroken(reason='a length beyond all bounds')
                 self._tiny_parts = 0
                 self._body_left = _find_body_limit(event)
                 return self._begin_answer(event)
@@ -373,6 +378,12 @@
     return MAX_UNDECLARED_BYTES if length is None else math.inf
 
 
+def _has_endless_length(answer: h11.Response) -> bool:
+    # h11 takes no length of more than 20 digits.
+    length = find_value(tuple(answer.headers), CONTENT_LENGTH)
+    return length is not None and int(length) > MAX_DECLARED_BYTES
+
+
 def describe(error: Exception) -> str:
     """Return the type of an error and what it says."""
     return f'{type(error).__name__} {error}'.strip()
--- a/packages/mimosamux-standins/mimosamux_standins/site/replica.py
+++ b/packages/mimosamux-standins/mimosamux_standins/site/replica.py
@@ -15,13 +15,10 @@
 
 EVENT_BYTES = 24
 KV_HANDLE = '/api/kv-handle/'
-ENDLESS_BYTES = 16 * 1024
+ENDLESS_PART = b'x' * 16 * 1024
 ENDLESS_PAUSE_S = 0.001
 TINY_CHUNKS = b'1\r\nx\r\n' * 2730
-TINY_CHUNKS_HEAD = (
-    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n'
-    b'Transfer-Encoding: chunked\r\n\r\n'
-)
+ID = b'{id}'
 
 
 class Fault(Enum):
@@ -54,6 +51,19 @@
     """An event that does not end follows the first ones."""
     TINY_CHUNKS = auto()
     """Chunks of one byte without end, in answer to the request."""
+    ENDLESS_LENGTH = auto()
+    """A body of a length beyond all bounds."""
+
+
+ENDLESS_HEADS = {
+    Framing.ENDLESS_HEAD: b'HTTP/1.1 200 OK\r\nX-Rest: ',
+    Framing.ENDLESS_BODY: b'HTTP/1.1 200 OK\r\n\r\n',
+    Framing.TINY_CHUNKS: b'HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n',
+    Framing.ENDLESS_LENGTH: b'HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n'
+    b'Content-Length: 1000000000000\r\n\r\n',
+}
+"""Heads of answers that do not end; `ID` stands for that of the request."""
 
 
 class MoveFault(Enum):
@@ -242,14 +252,12 @@
         target = incoming.head.target.decode('latin-1')
         if self.heir_status is not None:
             await reply.answer(self.heir_status, ())
-        elif self.framing is Framing.ENDLESS_HEAD:
-            await _send_endless(reply, b'HTTP/1.1 200 OK\r\nX-Rest: ')
-        elif self.framing is Framing.ENDLESS_BODY:
-            await _send_endless(reply, b'HTTP/1.1 200 OK\r\n\r\n')
-        elif self.framing is Framing.TINY_CHUNKS:
+        elif self.framing in ENDLESS_HEADS:
             id_ = find_value(incoming.head.headers, b'x-attempt-id') or b''
-            head = TINY_CHUNKS_HEAD % id_
-            await _send_endless(reply, head, part=TINY_CHUNKS)
+            head = ENDLESS_HEADS[self.framing].replace(ID, id_)
+            is_tiny = self.framing is Framing.TINY_CHUNKS
+            part = TINY_CHUNKS if is_tiny else ENDLESS_PART
+            await _send_endless(reply, head, part)
         elif not self._is_meant(incoming):
             await reply.answer(421, self._own_id())
         elif target == '/healthz':
@@ -597,14 +605,12 @@
 async def _write_endless(reply: Reply) -> None:
     """Write parts of a body until the other side closes the connection."""
     while True:
-        if not await reply.write(b'x' * ENDLESS_BYTES):
+        if not await reply.write(ENDLESS_PART):
             return
         await anyio.sleep(ENDLESS_PAUSE_S)
 
 
-async def _send_endless(
-    reply: Reply, head: bytes, *, part: bytes = b'x' * ENDLESS_BYTES
-) -> None:
+async def _send_endless(reply: Reply, head: bytes, part: bytes) -> None:
     """Send bytes until the other side closes the connection."""
     with suppress(*BROKEN):
         await reply.connection.send(head)
--- a/tests/crowd_endpoints.py
+++ b/tests/crowd_endpoints.py
@@ -87,6 +87,9 @@
     def test_tiny_chunks_of_one_endpoint(self):
         self.check('TINY_CHUNKS', faulty=1, ordinary=self.ask_until_served)
 
+    def test_endless_lengths_of_one_endpoint(self):
+        self.check('ENDLESS_LENGTH', faulty=1, ordinary=self.ask_until_served)
+
     def test_endless_bodies_of_all_endpoints(self):
         self.check('ENDLESS_BODY', faulty=3, ordinary=self.is_ready)
 
