Moves: a run that is stopped before its first event goes on from its copy

Traced: stream_moved RunCopied, RunMoved, then call_broken and request_ended endpoint_failed, events=0. The daemon had the run stopped itself while it read its prompt, and let a copy be claimed only behind a first event; a draft may not be sent again, so that it was lost.

Any stream that broke off claims its copy; before the first event it goes on behind event 0. The test failed before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -430,7 +430,7 @@
         job.sends += 1
         job.may_have_run = True
         job.is_resumed = (
-            job.last_event_id or job.request.last_event_id
+            job.last_event_id or job.request.last_event_id or job.kv_source
         ) is not None
         if choice.record.share is not None:
             choice.record.share.take(now)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -461,7 +461,7 @@
         may_go_on = (
             stream.record.is_leaving or not self.quarantine.is_quarantined(job)
         )
-        if job.last_event_id is not None and may_go_on:
+        if may_go_on:
             copy = await self.evacuation.claim_copy(stream)
             if copy is not None:
                 attempt.note_result(failed=False)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -28,6 +28,8 @@
 MIN_PRIORITY, MAX_PRIORITY = 0, 9
 """Priorities that engines support; operators may configure others, which are
 clamped to this range."""
+BEFORE_FIRST_EVENT = '0'
+"""Last event of a run that was moved while it read its prompt."""
 
 
 @dataclass(kw_only=True, slots=True)
@@ -146,10 +148,12 @@
 
     def resume_point(self) -> ResumePoint | None:
         """Return where its stream resumes, None from its beginning."""
-        if self.last_event_id is None:
+        if self.last_event_id is None and self.kv_source is None:
             return None
         return ResumePoint(
-            last_event_id=self.last_event_id,
+            last_event_id=self.last_event_id
+            or self.request.last_event_id
+            or BEFORE_FIRST_EVENT,
             weights_version=self.weights_version,
             kv_source=self.kv_source,
         )
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -473,6 +473,22 @@
         self.assertTrue(answer.is_whole)
         self.assertEqual(answer.body, whole_body(answer))
 
+    # Guards against a run that is stopped for a move and goes on nowhere.
+    def test_draft_that_is_moved_before_its_first_event_is_whole(self):
+        async def check():
+            async with open_site(engines=3) as site:
+                for engine in engines_of(site):
+                    engine.speed = ReplicaSpeed(events=3, event_s=2.0)
+                plan = Reclaim(site, target='/draft/', streams=2)
+                await plan.play(faults=(), notice_s=1.0)
+                return plan.answers, site.runs()
+
+        answers, runs = run_paused(check)
+        self.assertTrue(any(run.kv_source for run in runs))
+        for answer in answers:
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, whole_body(answer, events=3))
+
     def test_copy_of_a_stream_that_ended_in_time_is_freed(self):
         """A draft ends after it was copied and before its engine goes.
 
