Moves: a stream whose copy is turned down tries it again

The run had been stopped and its copy was all that was left, and one 503 ended it: a draft may not be sent again, but a continuation that is turned down has not run and has not used its copy.

The test, whose endpoints turn everything down for 0.5 s around the move, failed before.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -61,6 +61,8 @@
     job: Job
     choice: Choice
     sent_at: float
+    copy_source: str | None
+    """Handle of the copy that it goes on from, None: from none."""
     may_have_run_before: bool
     """Whether the job may have run before this attempt."""
     silence_deadline: float
@@ -422,6 +424,7 @@
             sent_at=now,
             may_have_run_before=job.may_have_run,
             silence_deadline=now + _silence_limit_s(job, choice),
+            copy_source=job.kv_source,
             recorder=self,
         )
         self.origins.note_send(job, attempt.origin)
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/forwarding.py
@@ -56,6 +56,7 @@
 from mimosamux_daemon.gateway.roster import Roster
 from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
 from mimosamux_daemon.gateway.stopping.stop_admission import StopAdmission
+from mimosamux_daemon.gateway.streams.continuation import StreamContinuation
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.resumption import StreamResumption
 from mimosamux_daemon.gateway.streams.running_stream import RunningStream
@@ -107,6 +108,7 @@
     quarantine: CrashQuarantine
     resumption: StreamResumption
     version_users: VersionUsers
+    continuation: StreamContinuation
     outcomes: OutcomeLog
     open_requests: OpenRequests
     stop_admission: StopAdmission
@@ -384,7 +386,7 @@
             return self._handle_broken_call(job, attempt, answer)
         attempt.note_response_head(answer)
         if isinstance(answer, RequestRejected):
-            return self._handle_turned_down(job, attempt, answer)
+            return await self._handle_turned_down(job, attempt, answer)
         if job.is_stream and answer.status == HTTPStatus.OK:
             return await self._forward_stream(
                 job, answer, attempt, failover_wait
@@ -470,11 +472,13 @@
                 return ContinueElsewhere()
         return self._handle_broken_call(job, attempt, ended)
 
-    def _handle_turned_down(
+    async def _handle_turned_down(
         self, job: Job, attempt: Attempt, answer: RequestRejected
     ) -> GatewayOutcome | ContinueElsewhere:
         """Retry a request that its endpoint rejected, or refuse it."""
         attempt.note_rejection(answer)
+        if await self.continuation.wait(job, attempt, answer):
+            return ContinueElsewhere()
         if self._take_retry(job, is_proven_not_run=True):
             return ContinueElsewhere()
         return job.give_up(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/jobs.py
@@ -67,6 +67,8 @@
     """Version of the model weights that generated the stream so far."""
     kv_source: str | None = None
     """Handle of the KV cache copy to continue from, if it was moved."""
+    continuations: int = 0
+    """Times that it was sent to a copy once more, after it was turned down."""
     has_broken_off: bool = False
     """Whether a call to an endpoint has broken off."""
     is_late: bool = False
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/parts.py
@@ -85,6 +85,7 @@
 from mimosamux_daemon.gateway.stopping.open_requests import OpenRequests
 from mimosamux_daemon.gateway.stopping.stop_admission import StopAdmission
 from mimosamux_daemon.gateway.store_health import StoreHealth
+from mimosamux_daemon.gateway.streams.continuation import StreamContinuation
 from mimosamux_daemon.gateway.streams.evacuation import Evacuation
 from mimosamux_daemon.gateway.streams.inquiry import StreamInquiry
 from mimosamux_daemon.gateway.streams.origin_exchange import OriginExchange
@@ -572,6 +573,11 @@
         self.lag = LoopLag(clock=self._clock)
         self.stop_window = StopWindow()
         self.open_requests = OpenRequests()
+        budget = RetryBudget(
+            limits=self.settings.retries,
+            daemons=self.states.max_serving,
+            clock=self._clock,
+        )
         self.forwarder = Forwarder(
             lag=self.lag,
             admission=self.admission,
@@ -579,11 +585,7 @@
             chooser=self.chooser,
             list_freshness=self.list_freshness,
             calls=self._platform.calls,
-            budget=RetryBudget(
-                limits=self.settings.retries,
-                daemons=self.states.max_serving,
-                clock=self._clock,
-            ),
+            budget=budget,
             recorder=AttemptRecorder(
                 roster=self.roster,
                 chooser=self.chooser,
@@ -619,6 +621,7 @@
                 clock=self._clock,
             ),
             version_users=self.version_users,
+            continuation=StreamContinuation(budget=budget),
             outcomes=OutcomeLog(
                 metrics=self.metrics,
                 configuration=self.configuration,
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -14,7 +14,7 @@
     RunningStream,
     StreamCopy,
 )
-from mimosamux_standins.site import MoveFault, ReplicaSpeed
+from mimosamux_standins.site import Fault, MoveFault, ReplicaSpeed
 from mimosamux_standins.site.replica import render_event
 
 from tests.support.clock import run_paused
@@ -489,6 +489,31 @@
             self.assertTrue(answer.is_whole)
             self.assertEqual(answer.body, whole_body(answer, events=3))
 
+    # Guards against a moved stream that is lost with its one try.
+    def test_draft_whose_copy_is_turned_down_for_a_moment_is_whole(self):
+        async def check():
+            async with open_site(engines=3) as site:
+                set_draft_length(site, events=100)
+                plan = Reclaim(site, target='/draft/', streams=2)
+
+                async def shed():
+                    await anyio.sleep(0.9)
+                    for engine in engines_of(site):
+                        engine.fault = Fault.SHED
+                    await anyio.sleep(0.5)
+                    for engine in engines_of(site):
+                        engine.fault = Fault.NONE
+
+                site.tasks.start_soon(shed)
+                await plan.play(faults=(), notice_s=1.0)
+                return plan.answers, site.runs()
+
+        answers, runs = run_paused(check)
+        self.assertTrue(any(run.kv_source for run in runs))
+        for answer in answers:
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, whole_body(answer, events=100))
+
     def test_copy_of_a_stream_that_ended_in_time_is_freed(self):
         """A draft ends after it was copied and before its engine goes.
 
