Users of versions: a daemon that hears nobody takes none of them for ended

The rows that say which daemons begin streams beside several versions are deleted once their daemons were not heard for a minute. The daemon that does this is the one with the lowest id it knows of: one that is cut off from its peers and not from the table hears nobody, is the lowest, and deleted the rows of all. What takes up a stream would have found no row, and taken that for one version. Found by looking where else silence is taken for agreement.

A daemon that hears nobody deletes rows of its own earlier processes only, and each daemon checks every 15 s that its rows are there and writes them again (version_user_lost).

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
@@ -30,6 +30,8 @@
 GATE_S = 3.0
 """Time for which a version without a row waits even if no endpoint of the one
 before takes requests."""
+CHECK_ROWS_S = 15.0
+"""Pause between two checks that this daemon's rows are still there."""
 MAX_DELETIONS = 40
 """Most rows that are deleted in one transaction."""
 KEEP_ROWS_S = 60.0
@@ -78,6 +80,7 @@
     _gone_since: dict[str, float] = field(default_factory=dict)
     """When the daemon of a row was first missing, by the key."""
     _cleaned_at: float = 0.0
+    _checked_at: float = 0.0
     _is_complete_from: float = 0.0
     """Until then, a table that was restored may lack rows."""
 
@@ -86,6 +89,8 @@
 
         False if the table does not answer.
         """
+        if not await self._find_lost_rows():
+            return False
         several = self.versions.services_with_several()
         for service in several - self._before_by_service.keys():
             self._before_by_service[service] = self._find_before(service)
@@ -112,6 +117,25 @@
         )
         return True
 
+    async def _find_lost_rows(self) -> bool:
+        """Have a row written again that another daemon has deleted.
+
+        A daemon that does not hear this one may take it for ended. False if
+        the table does not answer.
+        """
+        now = self.clock()
+        if not self._registered or now < self._checked_at + CHECK_ROWS_S:
+            return True
+        self._checked_at = now
+        for service in sorted(self._registered):
+            row = await self.table.read(self._key_of(service))
+            if isinstance(row, Unavailable):
+                return False
+            if row is None:
+                log.warning('version_user_lost', service=service)
+                self._registered.discard(service)
+        return True
+
     def write_again(self) -> None:
         """Write what a restored table may lack, and trust it only later."""
         self._registered.clear()
@@ -170,15 +194,11 @@
         users = await self.read()
         if users is None:
             return
-        present = {
-            (each.place.id, each.incarnation) for each in self.states.fresh()
-        }
-        present.add((self.states.place.id, self.states.incarnation))
         now = self.clock()
         self._gone_since = {
             each.key: self._gone_since.get(each.key, now)
             for each in users
-            if (each.daemon, each.incarnation) not in present
+            if self._seems_ended(each)
         }
         old = [
             Write(key=key, value=None)
@@ -188,6 +208,19 @@
         if old:
             await self.table.commit([], old[:MAX_DELETIONS])
 
+    def _seems_ended(self, user: VersionUser) -> bool:
+        """Whether the process of a row has ended, as far as is known here.
+
+        A daemon that hears nobody knows that of its own earlier processes.
+        """
+        own = self.states.place.id, self.states.incarnation
+        fresh = {
+            (each.place.id, each.incarnation) for each in self.states.fresh()
+        }
+        if not fresh and user.daemon != own[0]:
+            return False
+        return (user.daemon, user.incarnation) not in fresh | {own}
+
     def _key_of(self, service: ServiceName) -> str:
         place, incarnation = self.states.place, self.states.incarnation
         name = xxhash.xxh3_64_hexdigest(service.encode())
--- a/tests/test_gateway_version_users.py
+++ b/tests/test_gateway_version_users.py
@@ -145,6 +145,33 @@
 
         self.assertEqual(run_paused(check), (0, [f'{PEER}/1']))
 
+    # Guards against a daemon that is cut off and takes all others for ended.
+    def test_daemon_that_hears_nobody_deletes_no_row_of_another(self):
+        async def check():
+            asked = Asked([row_of(OWN, 1), row_of(PEER, 2)])
+            asked.users.states.fresh = list
+            for _ in range(4):
+                await anyio.sleep(KEEP_ROWS_S)
+                await asked.users.clean()
+            return asked.table.commit.call_count
+
+        self.assertEqual(run_paused(check), 0)
+
+    def test_row_that_another_daemon_deleted_is_written_again(self):
+        async def check():
+            asked = Asked([])
+            users = asked.users
+            users.versions.services_with_several = lambda: {SERVICE}
+            users.versions.of = lambda *_: {V1, V2}
+            users.versions.recorded = {V1}
+            asked.table.read = mock.AsyncMock(return_value=None)
+            await users.register()
+            await anyio.sleep(KEEP_ROWS_S)
+            await users.register()
+            return asked.table.commit.call_count
+
+        self.assertEqual(run_paused(check), 2)
+
 
 if __name__ == '__main__':
     unittest.main()
