Engines of the own face: small chunks of an event leave turns to others

The reader of a model engine's events copied the beginning of an event for each chunk and read on without a wait: an engine that sends chunks of one byte without end kept the loop of a model daemon.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine_streams.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http_engine_streams.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 import anyio
+import anyio.lowlevel
 import httpx
 import pydantic
 
@@ -11,6 +12,7 @@
     FrameModel,
     ReportModel,
 )
+from mimosamux_daemon.callers import EVENTS_A_TURN
 from mimosamux_daemon.domain.engine import (
     EngineEvent,
     EngineReport,
@@ -36,7 +38,9 @@
     def __init__(self, response: httpx.Response) -> None:
         # The raw stream: `aiter_raw` adds two layers to each event.
         self._chunks = aiter(as_byte_stream(response))
-        self._rest = b''
+        self._rest = bytearray()
+        self._parts = 0
+        """Chunks that were read since others had a turn."""
         self.waited_at: float | None = None
         """When the last read ended, if it had to wait for the engine."""
 
@@ -57,12 +61,29 @@
             self.waited_at = now if now - begun > BUFFERED_S else None
             if chunk is None:
                 return None
-            *whole, self._rest = (self._rest + chunk).split(EVENT_END)
+            events = self._split(chunk)
             if len(self._rest) > MAX_EVENT_BYTES:
                 return None
-            events = [data for event in whole if (data := data_of(event))]
             if events:
                 return events
+            await self._give_turn()
+
+    def _split(self, chunk: bytes) -> list[bytes]:
+        """Return the data of the events that a chunk completes."""
+        begun = max(len(self._rest) - len(EVENT_END) + 1, 0)
+        self._rest += chunk
+        end = self._rest.rfind(EVENT_END, begun)
+        if end < 0:
+            return []
+        whole = bytes(self._rest[:end]).split(EVENT_END)
+        del self._rest[: end + len(EVENT_END)]
+        return [data for event in whole if (data := data_of(event))]
+
+    async def _give_turn(self) -> None:
+        """Let others run: many small chunks may come without a wait."""
+        self._parts += 1
+        if self._parts % EVENTS_A_TURN == 0:
+            await anyio.lowlevel.checkpoint()
 
 
 def as_byte_stream(response: httpx.Response) -> httpx.AsyncByteStream:
