Soak: a daemon stands still while the software version changes

--out_of_step freezes a daemon, replaces all engines and kills another one meanwhile; callers take up what breaks off.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,8 @@
 `--nolong_streams` say so for all. In half of them a prompt part crashes
 engines, or in all or none with `--bad_parts` and `--nobad_parts`. In a quarter
 the connections of engines end before their processes do (`--hangs`). With
-`--rejoins` all daemons are killed around changes of the software version.
+`--rejoins` all daemons are killed around changes of the software version, with
+`--out_of_step` one stands still while it changes and another one is killed.
 """
 
 import pathlib
@@ -33,6 +34,7 @@
     long_streams=None,
     bad_parts=None,
     rejoins=False,
+    out_of_step=False,
     hangs=None,
     crowds=None,
 ):
@@ -66,6 +68,7 @@
             has_long_streams=is_long,
             has_bad_parts=has_bad_parts,
             has_rejoins=rejoins,
+            has_out_of_step=out_of_step,
             has_hangs=has_hangs,
             has_crowds=has_crowds,
         )
--- a/tests/support/soak.py
+++ b/tests/support/soak.py
@@ -129,6 +129,8 @@
     has_rejoins: bool = False
     """Whether all daemons are killed around changes of the software version,
     and callers take up what broke off."""
+    has_out_of_step: bool = False
+    """Whether a daemon stands still while the software version changes."""
     has_hangs: bool = False
     """Whether connections of engines end in order, and the processes, which
     go on accepting others, a while later."""
@@ -281,7 +283,7 @@
 
     def make_callers(self, **fields):
         fields |= {'takes_up': self.has_versions}
-        if self.has_rejoins:
+        if self.has_rejoins or self.has_out_of_step:
             fields |= {'comes_back_s': COMES_BACK_S}
         if self.has_bursts:
             # Only a request with five targets or more to its deadline may
@@ -349,6 +351,7 @@
                 else ()
             ),
             *((self._release_and_kill,) * 3 if self.has_rejoins else ()),
+            *((self._release_aside,) * 3 if self.has_out_of_step else ()),
             *self._hangs(),
         )
 
@@ -416,8 +419,23 @@
         daemon.process.kill()
         self._later(lambda: self._start_again(daemon), 1.5)
 
+    def _release_aside(self):
+        """Replace all engines while a daemon stands still; kill another."""
+        self._freeze()
+        time.sleep(self.rng.choice((0.05, 0.3, 1.0)))
+        self._release()
+        time.sleep(self.rng.choice((0.1, 0.5, 1.5)))
+        self._kill()
+
     def _release_and_kill(self):
         """Replace all engines, and kill all daemons but one at most."""
+        self._release()
+        time.sleep(self.rng.choice((0.0, 0.4, 1.2)))
+        for daemon in self.platform.daemons[self.rng.randrange(2) :]:
+            if daemon.process.popen.poll() is None:
+                self._kill_daemon(daemon)
+
+    def _release(self):
         self._releases += 1
         self.platform.command(
             '/release',
@@ -425,10 +443,6 @@
             is_announced=self.rng.random() < 0.5,
         )
         self._note('release', self._releases)
-        time.sleep(self.rng.choice((0.0, 0.4, 1.2)))
-        for daemon in self.platform.daemons[self.rng.randrange(2) :]:
-            if daemon.process.popen.poll() is None:
-                self._kill_daemon(daemon)
 
     def _stop(self):
         daemon = self._pick_daemon()
@@ -620,6 +634,7 @@
     has_long_streams=False,
     has_bad_parts=False,
     has_rejoins=False,
+    has_out_of_step=False,
     has_hangs=False,
     has_crowds=False,
 ):
@@ -646,11 +661,12 @@
             has_long_streams=has_long_streams,
             has_bad_parts=has_bad_parts,
             has_rejoins=has_rejoins,
+            has_out_of_step=has_out_of_step,
             has_hangs=has_hangs,
             has_crowds=has_crowds,
         )
         try:
-            if has_versions and not has_rejoins:
+            if has_versions and not (has_rejoins or has_out_of_step):
                 soak.mix_versions()
             soak.start_daemons(daemons)
             return _play(soak, seconds)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -65,6 +65,15 @@
         versions = {run['version'] for run in record.seen['runs']}
         self.assertGreater(len(versions), 1)
 
+    # Guards against streams of a version of which a daemon has not heard.
+    def test_no_promise_is_broken_while_a_daemon_is_out_of_step(self):
+        record = play(
+            SEED, seconds=SECONDS, has_versions=True, has_out_of_step=True
+        )
+        self.assertEqual(find_problems(record), [], record.log)
+        versions = {run['version'] for run in record.seen['runs']}
+        self.assertGreater(len(versions), 1)
+
     # Guards against callers that fill a daemon's memory beside its faults.
     def test_no_promise_is_broken_beside_callers_that_misbehave(self):
         record = play(SEED, seconds=SECONDS, has_crowds=True)
