--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/metrics.py
@@ -41,7 +41,7 @@
         self.resumptions = self._counter(
             'mimosamux_gateway_stream_resumptions_total',
             'Streams that callers resumed, by service and result (bound, '
-            'one_version, unknown, no_endpoint).',
+            'one_version, version_before, unknown, no_endpoint).',
         )
         self.software_versions = self._gauge(
             'mimosamux_gateway_software_versions',
