Streams taken up: peers of larger sites show that a daemon is not cut off

Three daemons that digests come from are asked there. A question is looked up by the hash instead of among all origins, and the wait covers a round that is in progress.

--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/inquiry.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/inquiry.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 import anyio
 import anyio.abc
@@ -42,6 +43,8 @@
 from mimosamux_daemon.ports import PeerLinks
 
 ANSWER_TIMEOUT_S = 0.3
+MAX_SOURCES = 3
+"""Most peers that are asked at a site with relays."""
 ROUND_PAUSE_S = 0.05
 """Pause between two rounds of questions: each reads the table once, for all
 streams that arrived since the last one."""
@@ -93,6 +96,9 @@
     """Streams that are asked for together."""
 
     requests: set[int] = field(default_factory=set)
+    heard: anyio.Event = field(default_factory=anyio.Event)
+    """Set once peers have answered and no answer of one is missing, or at the
+    end."""
     ended: anyio.Event = field(default_factory=anyio.Event)
     findings: Findings = field(default_factory=Findings)
 
@@ -117,13 +123,16 @@
     async def ask(self, request_id: str, timeout_s: float) -> Findings:
         """Return what is answered about a stream from now on.
 
-        What peers know of it is among the origins then.
+        What peers know of it is among the origins then. Of a stream that is
+        known already, only a later attempt could be news, which every peer
+        that answers would know: the table is not waited for.
         """
-        asked = self._next
-        asked.requests.add(hash_request(request_id))
+        asked, request = self._next, hash_request(request_id)
+        asked.requests.add(request)
         self._has_work.set()
+        is_told = self.origins.find_by_hash(request) is not None
         with anyio.move_on_after(timeout_s):
-            await asked.ended.wait()
+            await (asked.heard if is_told else asked.ended).wait()
         return asked.findings
 
     async def run(self) -> None:
@@ -132,7 +141,8 @@
             await self._has_work.wait()
             self._has_work = anyio.Event()
             current, self._next = self._next, _Round()
-            current.findings = await self._hold(current.requests)
+            await self._hold(current)
+            current.heard.set()
             current.ended.set()
             await anyio.sleep(ROUND_PAUSE_S)
 
@@ -201,21 +211,19 @@
             for daemon, incarnation in processes
         )
 
-    async def _hold(self, requests: set[int]) -> Findings:
-        """Ask the table, and the peers of a small site, at the same time.
-
-        A larger site has too many peers to ask; its rows tell enough.
-        """
-        findings = _FindingsInProgress(
-            inquiry=self, message=StreamsAsked(requests=_join(requests))
+    async def _hold(self, current: _Round) -> None:
+        """Ask the table and peers at the same time: all of a small site."""
+        progress = _Progress(
+            inquiry=self,
+            current=current,
+            message=StreamsAsked(requests=_join(current.requests)),
         )
         with anyio.move_on_after(ANSWER_TIMEOUT_S):
-            await findings.collect()
-        for answer in findings.answer_by_id.values():
-            self._note_told(answer)
-        return findings.conclude()
+            await progress.collect()
+        current.findings = progress.conclude()
 
-    def _note_told(self, answer: StreamsAnswered) -> None:
+    def note_told(self, answer: StreamsAnswered) -> None:
+        """Take over where streams began, as a peer has answered."""
         for data in answer.told:
             envelope = decode(data)
             if not isinstance(envelope, Envelope):
@@ -230,11 +238,14 @@
         self, sender: DaemonId, message: StreamsAsked
     ) -> StreamsAnswered:
         """Answer which streams are known here, and where they began."""
-        requests = set(_split(message.requests))
+        found = {
+            request: self.origins.find_by_hash(request)
+            for request in _split(message.requests)
+        }
         known = {
             request: origin
-            for request, origin in self.origins.current()
-            if request in requests
+            for request, origin in found.items()
+            if origin is not None
         }
         told = list(render_origins(known.items(), self.clock()))
         for each in told:
@@ -249,10 +260,11 @@
 
 
 @dataclass(kw_only=True, slots=True)
-class _FindingsInProgress:
+class _Progress:
     """One round of questions, while answers arrive."""
 
     inquiry: StreamInquiry
+    current: _Round
     message: StreamsAsked
     users: list[VersionUser] | None = None
     expected: set[DaemonId] = field(default_factory=set)
@@ -272,16 +284,25 @@
                 for id_, peer in states.by_id.items()
                 if peer.state is not MemberState.LEAVING
             } - self.expected
+        else:
+            self.expected = self._choose_sources()
         async with anyio.create_task_group() as further:
             for daemon in sorted(self.silent):
                 further.start_soon(self._ask, daemon)
             async with anyio.create_task_group() as needed:
-                for daemon in sorted(self.expected):
-                    needed.start_soon(self._ask, daemon)
                 needed.start_soon(self._read_users, needed)
+                async with anyio.create_task_group() as peers:
+                    for daemon in sorted(self.expected):
+                        peers.start_soon(self._ask, daemon)
+                self._note_heard()
             if self.users is not None:
                 further.cancel_scope.cancel()
 
+    def _note_heard(self) -> None:
+        if self.answer_by_id:
+            self.current.findings = self.conclude()
+            self.current.heard.set()
+
     def conclude(self) -> Findings:
         """Return what has been found so far."""
         return Findings(
@@ -291,6 +312,17 @@
             answer_by_id=dict(self.answer_by_id),
         )
 
+    def _choose_sources(self) -> set[DaemonId]:
+        """Return some daemons that digests come from, at a larger site.
+
+        Their answers show that this daemon is not cut off, and bring what
+        they know; what nobody knows they can't say for all.
+        """
+        fresh = self.inquiry.states.fresh()
+        latest = sorted(fresh, key=lambda peer: peer.heard_at, reverse=True)
+        sources = dict.fromkeys(peer.via for peer in latest)
+        return set(islice(sources, MAX_SOURCES))
+
     async def _read_users(self, tasks: anyio.abc.TaskGroup) -> None:
         users = self.users = await self.inquiry.users.read()
         states = self.inquiry.states
@@ -307,6 +339,7 @@
         )
         if isinstance(answer, StreamsAnswered):
             self.answer_by_id[daemon] = answer
+            self.inquiry.note_told(answer)
 
 
 def _agree_on_version_before(
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origins.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/origins.py
@@ -74,7 +74,11 @@
 
     def find_known(self, request_id: str) -> KnownOrigin | None:
         """Return the same, and how and when it became known."""
-        known = self.by_request.get(hash_request(request_id))
+        return self.find_by_hash(hash_request(request_id))
+
+    def find_by_hash(self, request: int) -> KnownOrigin | None:
+        """Return the same, by the hash of the request."""
+        known = self.by_request.get(request)
         if known is None or known.expires_at <= self.clock():
             return None
         return known
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -22,9 +22,9 @@
 
 log = get_log('stream_resumption')
 
-INQUIRY_TIMEOUT_S = 0.5
-"""Time to wait for the answers of the table and the peers. They are asked for
-at most once per stream, behind a round of questions that is in progress."""
+INQUIRY_TIMEOUT_S = 0.7
+"""Time to wait for the answers of the table and the peers: a round of
+questions that is in progress, and the one behind it."""
 LOOKUP_TIMEOUT_S = 0.3
 """Time to wait for the message that tells where a stream began. It was sent
 before the stream's first event, and passes three relays at most."""
--- a/tests/test_gateway_out_of_step.py
+++ b/tests/test_gateway_out_of_step.py
@@ -145,6 +145,26 @@
         self.assertGreater(len(taken_up), 0)
         self.assertEqual(count_served(taken_up), len(taken_up))
 
+    # Guards against the same at a site that is too large to ask everybody.
+    def test_streams_go_on_behind_relays_while_the_table_is_silent(self):
+        async def check():
+            async with open_site(daemons=13, engines=0, apps=0) as site:
+                await add_engines(site, 'v1', 'v2', 'v1', 'v2')
+                await anyio.sleep(1.0)
+                streams = Streams(site)
+
+                def strike():
+                    site.store.trouble = StoreTrouble.SILENT
+                    site.kill_daemon(0)
+
+                await streams.break_off(strike)
+                taken_up = await streams.take_up(9)
+                return find_joined_versions(site.runs()), taken_up
+
+        joined, taken_up = run_paused(check)
+        self.assertEqual((joined, len(taken_up)), ([], STREAMS))
+        self.assertEqual(count_served(taken_up), STREAMS)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_gateway_version_users.py
+++ b/tests/test_gateway_version_users.py
@@ -55,6 +55,8 @@
             place=SimpleNamespace(id=DaemonId(PEER)),
             incarnation=2,
             state=MemberState.READY,
+            via=DaemonId(PEER),
+            heard_at=0.0,
         )
         states = mock.Mock(
             place=SimpleNamespace(id=DaemonId(OWN)),
