--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -446,6 +446,14 @@
 
 
 class TestCopies(unittest.TestCase):
+    def check_moved_whole(self, played, *, events):
+        answers, runs = played
+        self.assertTrue(any(run.kv_source for run in runs))
+        self.assertEqual(len(answers), 2)
+        for answer in answers:
+            self.assertTrue(answer.is_whole)
+            self.assertEqual(answer.body, whole_body(answer, events=events))
+
     def test_copy_whose_holder_leaves_is_made_anew(self):
         """The engine that holds a draft's copy is drained before the stop.
 
@@ -483,11 +491,7 @@
                 await plan.play(faults=(), notice_s=1.0)
                 return plan.answers, site.runs()
 
-        answers, runs = run_paused(check)
-        self.assertTrue(any(run.kv_source for run in runs))
-        for answer in answers:
-            self.assertTrue(answer.is_whole)
-            self.assertEqual(answer.body, whole_body(answer, events=3))
+        self.check_moved_whole(run_paused(check), events=3)
 
     # Guards against a moved stream that is lost with its one try.
     def test_draft_whose_copy_is_turned_down_for_a_moment_is_whole(self):
@@ -508,11 +512,7 @@
                 await plan.play(faults=(), notice_s=1.0)
                 return plan.answers, site.runs()
 
-        answers, runs = run_paused(check)
-        self.assertTrue(any(run.kv_source for run in runs))
-        for answer in answers:
-            self.assertTrue(answer.is_whole)
-            self.assertEqual(answer.body, whole_body(answer, events=100))
+        self.check_moved_whole(run_paused(check), events=100)
 
     def test_copy_of_a_stream_that_ended_in_time_is_freed(self):
         """A draft ends after it was copied and before its engine goes.
--- a/tests/test_gateway_out_of_step.py
+++ b/tests/test_gateway_out_of_step.py
@@ -83,6 +83,25 @@
         self.check(daemons=3)
         self.check(daemons=9)
 
+    def test_daemons_cut_off_together_join_no_streams(self):
+        async def check():
+            async with open_site(daemons=9, engines=0, apps=0) as site:
+                await add_engines(site, *('v1',) * 3)
+                machines = [daemon.machine for daemon in site.daemons]
+                alone, others = machines[6:], machines[:6]
+                for machine in alone:
+                    site.network.cut(machine, machine_of(STORE))
+                    for other in others:
+                        site.network.cut(machine, other)
+                await add_engines(site, *('v2',) * 6, listed_s=0.3)
+                streams = Streams(site)
+                await streams.break_off(lambda: site.kill_daemon(0))
+                taken_up = await streams.take_up(8)
+                return find_joined_versions(site.runs()), taken_up
+
+        joined, taken_up = run_paused(check)
+        self.assertEqual((joined, len(taken_up)), ([], STREAMS))
+
     def test_daemon_cut_off_from_one_of_them_joins_no_streams(self):
         for daemons in (3, 9):
             self.check(daemons=daemons, from_table=False)
