--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/attempts.py
@@ -61,7 +61,7 @@
     job: Job
     choice: Choice
     sent_at: float
-    copy_source: str | None
+    copy_source: str | None = None
     """Handle of the copy that it goes on from, None: from none."""
     may_have_run_before: bool
     """Whether the job may have run before this attempt."""
--- a/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
+++ b/packages/mimosamux-wire/mimosamux_wire/mimosamux.thrift
@@ -381,6 +381,8 @@
 struct StreamsAnswered {
   1: i64 lifetime
   2: binary known
+  3: list<binary> told
+  4: list<string> several
 }
 
 struct RolloutTold {
