Read afresh: one lookup of a length, of the peers heard, and of what is known

The length of an answer was looked up by two functions, the set of peers that are heard was built anew for each row that might be deleted, and a take-up asked twice whether its stream is unknown. That h11 takes no length of more than 20 digits was tried: 20 pass, 21 and 5,000 are refused.

--- a/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/adapters/http1_channel.py
@@ -164,10 +164,14 @@
                 return event
             if isinstance(event, h11.Response):
                 self._note_idle_limit(event)
-                if _has_endless_length(event):
+                length = _find_length(event)
+                if length is not None and length > MAX_DECLARED_BYTES:
                     return ChannelBroken(reason='a length beyond all bounds')
                 self._tiny_parts = 0
-                self._body_left = _find_body_limit(event)
+                # h11 checks a stated length.
+                self._body_left = (
+                    MAX_UNDECLARED_BYTES if length is None else math.inf
+                )
                 return self._begin_answer(event)
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -372,16 +376,13 @@
     return find_value(tuple(request.headers), CONTENT_LENGTH) is not None
 
 
-def _find_body_limit(answer: h11.Response) -> float:
-    """Return the largest body of an answer, whose stated length h11 checks."""
-    length = find_value(tuple(answer.headers), CONTENT_LENGTH)
-    return MAX_UNDECLARED_BYTES if length is None else math.inf
-
+def _find_length(answer: h11.Response) -> int | None:
+    """Return the stated length of an answer's body in bytes, if any.
 
-def _has_endless_length(answer: h11.Response) -> bool:
-    # h11 takes no length of more than 20 digits.
+    h11 takes none of more than 20 digits.
+    """
     length = find_value(tuple(answer.headers), CONTENT_LENGTH)
-    return length is not None and int(length) > MAX_DECLARED_BYTES
+    return None if length is None else int(length)
 
 
 def describe(error: Exception) -> str:
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/resumption.py
@@ -63,12 +63,12 @@
         if known is None:
             findings = await self._ask(job)
             known = await self._find_told(job, findings)
-        job.origin = None if known is None else known.origin
-        is_unknown = known is None and findings is not None
-        if is_unknown and findings is not None:
+        if known is not None:
+            job.origin = known.origin
+        elif findings is not None:
             job.origin = self._find_beginning(job, findings)
         refusal, result = self._judge(job)
-        if is_unknown and refusal is None:
+        if known is None and refusal is None:
             result = self._name_unknown(job)
         self.metrics.resumptions.inc(
             {'service': job.service.name, 'result': result}
--- a/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
+++ b/packages/mimosamux-daemon/mimosamux_daemon/gateway/streams/version_users.py
@@ -194,11 +194,11 @@
         users = await self.read()
         if users is None:
             return
-        now = self.clock()
+        now, present = self.clock(), self._find_present()
         self._gone_since = {
             each.key: self._gone_since.get(each.key, now)
             for each in users
-            if self._seems_ended(each)
+            if self._seems_ended(each, present)
         }
         old = [
             Write(key=key, value=None)
@@ -208,18 +208,24 @@
         if old:
             await self.table.commit([], old[:MAX_DELETIONS])
 
-    def _seems_ended(self, user: VersionUser) -> bool:
+    def _find_present(self) -> set[tuple[DaemonId, int]]:
+        """Return the processes that this daemon hears, and its own."""
+        present = {
+            (each.place.id, each.incarnation) for each in self.states.fresh()
+        }
+        return present | {(self.states.place.id, self.states.incarnation)}
+
+    def _seems_ended(
+        self, user: VersionUser, present: set[tuple[DaemonId, int]]
+    ) -> bool:
         """Whether the process of a row has ended, as far as is known here.
 
         A daemon that hears nobody knows that of its own earlier processes.
         """
-        own = self.states.place.id, self.states.incarnation
-        fresh = {
-            (each.place.id, each.incarnation) for each in self.states.fresh()
-        }
-        if not fresh and user.daemon != own[0]:
+        hears_nobody = len(present) == 1
+        if hears_nobody and user.daemon != self.states.place.id:
             return False
-        return (user.daemon, user.incarnation) not in fresh | {own}
+        return (user.daemon, user.incarnation) not in present
 
     def _key_of(self, service: ServiceName) -> str:
         place, incarnation = self.states.place, self.states.incarnation
