Review, case 9: engines with other weights are written off for good

One of four engines is lost. Its streams are sent on to engines with other weights, whose 421 is taken for that of another replica at the address: all daemons refuse the route from then on, though three sound engines are listed.

--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -129,7 +129,9 @@
         self.tasks.start_soon(listener.serve, server.serve, self.tasks)
         return listener.address
 
-    def list_replica(self, id_: str, service: str, address: str) -> None:
+    def list_replica(
+        self, id_: str, service: str, address: str, **fields: object
+    ) -> None:
         """Write the entry of a replica."""
         self.store.put(
             'servers',
@@ -143,7 +145,8 @@
                 'state': 'ready',
                 'sequence': 1,
                 'coldRemainingMs': 0,
-            },
+            }
+            | fields,
         )
 
     async def start_daemons(self, count: int) -> None:
