Review, case 10: streams of a dark machine are refused at a larger site

One machine of 14 is dark for 3.5 s, and a replica of a second version is listed. Clients take its 16 streams up elsewhere, and none goes on, while 30 of 30 new ones begin.

--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -29,6 +29,8 @@
 MEMORY_MB = 300
 DESCRIPTORS = 4100
 READY_S = 20.0
+PORTS = 6
+MAX_SEEDS = 3
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 """Whether the script brings about the disruption."""
 
@@ -151,8 +153,11 @@
 
     async def start_daemons(self, count: int) -> None:
         """Start daemons, and wait until they are ready."""
-        all_ports = [free_addresses(6) for _ in range(count)]
-        seeds = [ports[1] for ports in all_ports]
+        free = free_addresses(PORTS * count)
+        all_ports = [
+            free[first : first + PORTS] for first in range(0, len(free), PORTS)
+        ]
+        seeds = [ports[1] for ports in all_ports[:MAX_SEEDS]]
         for number, ports in enumerate(all_ports):
             self._start_daemon(number, ports, seeds)
         end = time.monotonic() + READY_S
@@ -169,16 +174,23 @@
         settings = self._settings(name, ZONES[number % 3], ports, seeds)
         path = self.folder / f'{name}.yaml'
         path.write_text(yaml.safe_dump(settings))
-        command = [sys.executable, '-S', '-m', 'mimosamux_daemon']
-        with (self.folder / f'{name}.log').open('w') as log:
-            process = subprocess.Popen(
-                [*command, 'serve', '--settings', str(path)],
+        self.daemons.append(
+            Daemon(name=name, settings=settings, process=self._launch(name))
+        )
+
+    def restart(self, daemon: Daemon) -> None:
+        """Start a daemon again that has ended."""
+        daemon.process = self._launch(daemon.name)
+
+    def _launch(self, name: str) -> subprocess.Popen:
+        command = [sys.executable, '-S', '-m', 'mimosamux_daemon', 'serve']
+        path = self.folder / f'{name}.yaml'
+        with (self.folder / f'{name}.log').open('a') as log:
+            return subprocess.Popen(
+                [*command, '--settings', str(path)],
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
-        self.daemons.append(
-            Daemon(name=name, settings=settings, process=process)
-        )
 
     def _settings(
         self, name: str, zone: str, ports: list[str], seeds: list[str]
