--- a/review/10/case.py
+++ b/review/10/case.py
@@ -201,7 +201,9 @@
 
 def configure(site: Site) -> None:
     """Describe the service, its route and a client account."""
-    site.document.add_service('llm', **engine_fields(SLOTS))
+    fields = engine_fields(SLOTS)
+    fields['inferenceEngine'] |= {'migrations': False, 'backups': False}
+    site.document.add_service('llm', **fields)
     site.document.add_route(
         '/question/',
         'llm',
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,6 +14,8 @@
 EVENTS = 100
 EVENT_S = 0.05
 SLOTS = 64
+EXPIRY_S = 3.6
+"""Three heartbeat intervals of 1.2 s."""
 PLAIN = 3
 OLD, NEW = 1, 2
 REQUESTS = 2400
@@ -35,6 +37,9 @@
     misdirected: int = 0
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     server: asyncio.Server | None = None
+    slots: asyncio.Semaphore = field(
+        default_factory=lambda: asyncio.Semaphore(SLOTS)
+    )
 
     async def start(self) -> None:
         """Listen, and be listed."""
@@ -49,13 +54,16 @@
             models=[{'name': 'm', 'version': self.weights, 'adapters': []}],
         )
 
-    def crash(self) -> None:
-        """End listener and channels at once; the entry stays listed."""
+    async def crash(self) -> None:
+        """End listener and channels; the entry goes three heartbeats later."""
         self.site.record.add(f'{self.id} crashes')
         assert self.server is not None
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
+        await asyncio.sleep(EXPIRY_S)
+        self.site.store.put('servers', self.id, None)
+        self.site.record.add(f'the entry of {self.id} is removed')
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -94,6 +102,14 @@
             writer.write(b'\r\n\r\n' + report)
             return
         id_ = headers.get('x-attempt-id', '')
+        if not id_:
+            # No run is moved here: the service says that none can be.
+            self.site.record.add(f'{self.id}: 400 to {path}')
+            writer.write(
+                b'HTTP/1.1 400 Bad Request\r\nX-Not-Executed: 1\r\n'
+                b'Content-Length: 0\r\n\r\n'
+            )
+            return
         expected = headers.get('x-expected-version')
         if headers.get('x-expected-replica', self.id) != self.id or (
             expected not in (None, str(self.weights))
@@ -109,7 +125,9 @@
                 'Content-Length: 0\r\n\r\n'.encode()
             )
             return
-        await self._stream(id_, int(headers.get('last-event-id', '0')), writer)
+        async with self.slots:
+            behind = int(headers.get('last-event-id', '0'))
+            await self._stream(id_, behind, writer)
 
     async def _stream(
         self, id_: str, behind: int, writer: asyncio.StreamWriter
@@ -171,7 +189,9 @@
 
 def configure(site: Site) -> None:
     """Describe services, routes and a client account."""
-    site.document.add_service('llm', **engine_fields(SLOTS))
+    fields = engine_fields(SLOTS)
+    fields['inferenceEngine'] |= {'migrations': False, 'backups': False}
+    site.document.add_service('llm', **fields)
     site.document.add_service('app')
     site.document.add_route(
         f'/{STREAM}/',
@@ -215,7 +235,7 @@
                 tasks.create_task(ask(site, path, number, answers))
             await asyncio.sleep(PAUSE_S)
             if TROUBLE and number == CRASH_BEHIND:
-                engines[0].crash()
+                tasks.create_task(engines[0].crash())
     misdirected = sum(engine.misdirected for engine in engines)
     site.record.add(f'{misdirected} times 421')
     return judge(site, answers)
--- a/review/standins-2/small_site.py
+++ b/review/standins-2/small_site.py
@@ -75,6 +75,13 @@
         """Return host and port of the readiness check."""
         return split_address(self.settings['listen']['readiness'])
 
+    def processor_s(self) -> float:
+        """Return the processor time that the process has used."""
+        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf('SC_CLK_TCK')
+
     def memory_mb(self) -> float:
         """Return the resident memory in MiB, 0 if the process has ended."""
         try:
